--- /dev/null
+++ b/internal/entity/table_test.go
@@ -0,0 +1,39 @@
+package entity
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestTable_AgreesWithMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable[int, int]()
+		model := map[int]int{}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				k, v := rapid.IntRange(0, 9).Draw(t, "k"), rapid.Int().Draw(t, "v")
+				table.Put(k, &v)
+				model[k] = v
+			},
+			"delete": func(t *rapid.T) {
+				k := rapid.IntRange(0, 9).Draw(t, "k")
+				table.Delete(k)
+				delete(model, k)
+			},
+			"": func(t *rapid.T) {
+				seen := 0
+				table.All(func(k int, v *int) bool {
+					seen++
+					if model[k] != *v || table.Get(k) != v {
+						t.Fatalf("row %d: %d, want %d", k, *v, model[k])
+					}
+					return true
+				})
+				if seen != len(model) || table.Len() != len(model) {
+					t.Fatalf("%d rows, want %d", seen, len(model))
+				}
+			},
+		})
+	})
+}
