--- a/internal/entity/service.go
+++ b/internal/entity/service.go
@@ -1,6 +1,9 @@
 package entity
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Mode says how much of a service the system runs.
 type Mode string
@@ -99,3 +102,20 @@
 	MaxHourlyCost float64 // in the cloud's currency; 0: no limit
 	Model         string
 }
+
+// Repeatable reports whether a call of a plain service may be sent twice. The
+// first matching Call decides; without one, only safe methods (RFC 9110,
+// section 9.2.1) may.
+func (s *Service) Repeatable(method, path string) bool {
+	for _, c := range s.Calls {
+		if (c.Method == "*" || c.Method == method) && strings.HasPrefix(path, c.PathPrefix) {
+			return c.Repeatable
+		}
+	}
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "TRACE":
+		return true
+	default:
+		return false
+	}
+}
