Read service documents strictly, with fixtures and worked examples

FleetPolicy gains the port of started backend servers and whether they check fencing numbers. Examples hold both deployments and the quickstart; a test checks each.

--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,55 @@
+// Package examples holds worked settings and service documents.
+package examples
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/servicedoc"
+	"github.com/gooseberryslip/gooseberryslip/internal/settings"
+)
+
+// isSettings reports whether a file holds a daemon's settings.
+func isSettings(path string) bool { return strings.HasPrefix(filepath.Base(path), "daemon") }
+
+func TestExamples_AreSound(t *testing.T) {
+	files, _ := filepath.Glob("*/*.toml")
+	daemons, services := 0, 0
+	for _, path := range files {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if isSettings(path) {
+			daemons++
+			checkSettings(t, path, data)
+			continue
+		}
+		services++
+		s, err := servicedoc.Parse(path, data)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if want := strings.TrimSuffix(filepath.Base(path), ".toml"); string(s.Name) != want {
+			t.Errorf("%s is named %s", path, s.Name)
+		}
+	}
+	if daemons != 6 || services != 6 {
+		t.Fatalf("%d daemons and %d services checked", daemons, services)
+	}
+}
+
+func checkSettings(t *testing.T, path string, data []byte) {
+	t.Helper()
+	s, err := settings.Parse(path, data, nil)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	if err := s.CheckValues(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/entity/service.go
+++ b/internal/entity/service.go
@@ -98,4 +98,6 @@
 	DataCentres   []DataCentreID
 	MaxHourlyCost float64 // in the cloud's currency; 0: no limit
 	Model         string
+	Port          int  // where a started backend server listens
+	ChecksFences  bool // whether started backend servers refuse old fencing numbers
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -43,7 +43,9 @@
 	found := s.override(environment, overrides)
 	s.complete()
 	if len(s.document.Problems())+len(found) > 0 {
-		s.checkValues()
+		if s.document.Readable() {
+			s.checkValues()
+		}
 		return nil, append(s.document.Problems(), found...)
 	}
 	s.resolveFiles(filepath.Dir(path))
--- a/internal/tomldoc/document.go
+++ b/internal/tomldoc/document.go
@@ -15,6 +15,7 @@
 	file     string
 	lines    map[string]int
 	problems Problems
+	broken   bool
 }
 
 // Read decodes data into the struct that v points to. Fields are named by the
@@ -38,7 +39,11 @@
 	return &Document{file: name, lines: map[string]int{}}
 }
 
+// Readable reports whether the syntax is sound, so that values are known.
+func (d *Document) Readable() bool { return !d.broken }
+
 func (d *Document) syntaxError(err error) {
+	d.broken = true
 	p := Problem{File: d.file, Reason: strings.TrimPrefix(err.Error(), "toml: ")}
 	var at *toml.DecodeError
 	if errors.As(err, &at) {
--- a/internal/tomldoc/problem.go
+++ b/internal/tomldoc/problem.go
@@ -52,10 +52,12 @@
 	return p
 }
 
-// has reports whether the key or a part of it already has a problem.
+// has reports whether the key, a part of it or a table above it already has a
+// problem.
 func (p Problems) has(key string) bool {
 	for i := range p {
-		if p[i].Key == key || strings.HasPrefix(p[i].Key, key+".") {
+		known := p[i].Key
+		if known == key || strings.HasPrefix(known, key+".") || strings.HasPrefix(key, known+".") {
 			return true
 		}
 	}
