Add the table and object store clients with their stand-ins

The clients of DynamoDB and S3 map each failure to what it proves: no effect only when the service says so or no byte of the call was written. onesend takes away net/http's own resend of replayable requests on reused connections.

With the body that hides a bodyless GET from that resend taken out, TestStore_OneCallIsOneSendOnAReusedConnection fails: two GETs for one call.

--- /dev/null
+++ b/internal/platform/s3store/s3store_test.go
@@ -0,0 +1,95 @@
+package s3store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/standin"
+)
+
+type fixture struct {
+	*Store
+	fake   *standin.ObjectStore
+	server *standin.Server
+}
+
+func newFixture(t *testing.T) fixture {
+	t.Helper()
+	fake := standin.NewObjectStore()
+	server, err := standin.StartServer(fake)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	client := New(Config{
+		Endpoint: server.URL(), Region: "west", AccessKey: "a", SecretKey: "s",
+		Bucket: "bucket", Timeout: 5 * time.Second,
+	})
+	return fixture{Store: client, fake: fake, server: server}
+}
+
+func TestStore_ReadsWhatItWrote(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	for _, value := range [][]byte{{}, bytes.Repeat([]byte("x"), 1<<20)} {
+		if err := f.Put(ctx, "a/b c", value); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := f.Get(ctx, "a/b c"); err != nil || !bytes.Equal(got, value) {
+			t.Fatalf("%d bytes, %v", len(got), err)
+		}
+	}
+	if err := f.Delete(ctx, "a/b c"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Get(ctx, "a/b c"); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("deleted object: %v", err)
+	}
+}
+
+func TestStore_MapsFailures(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	f.fake.Faults.Set(standin.FaultSettings{LoseNext: 1})
+	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, platform.ErrUnknownOutcome) {
+		t.Fatalf("lost reply: %v", err)
+	}
+	if got, err := f.Get(ctx, "a"); err != nil || string(got) != "v" {
+		t.Fatalf("the write whose reply was lost: %q, %v", got, err)
+	}
+	f.fake.Faults.Set(standin.FaultSettings{Refuse: true})
+	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("refused: %v", err)
+	}
+	f.server.Kill()
+	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("closed port: %v", err)
+	}
+}
+
+func TestStore_OneCallIsOneSendOnAReusedConnection(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	for range 3 {
+		if err := f.Put(ctx, "a", []byte("v")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := f.fake.Counts()
+	f.fake.Faults.Set(standin.FaultSettings{Down: true})
+	if _, err := f.Get(ctx, "a"); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("read: %v", err)
+	}
+	f.fake.Faults.Set(standin.FaultSettings{})
+	_ = f.Put(ctx, "a", []byte("v"))
+	f.fake.Faults.Set(standin.FaultSettings{Down: true})
+	_ = f.Delete(ctx, "a")
+	after := f.fake.Counts()
+	if after.Gets-before.Gets != 1 || after.Deletes-before.Deletes != 1 {
+		t.Fatalf("before %+v, after %+v", before, after)
+	}
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Server serves a handler on a loopback port that stays the same when the
+// server is killed and started again.
+type Server struct {
+	handler http.Handler
+
+	mu      sync.Mutex
+	address string
+	running *http.Server
+}
+
+// StartServer opens a free loopback port and serves the handler on it.
+func StartServer(h http.Handler) (*Server, error) {
+	s := &Server{handler: h, address: "127.0.0.1:0"}
+	return s, s.Start()
+}
+
+// Address returns host:port.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// URL returns the server's base URL.
+func (s *Server) URL() string { return "http://" + s.Address() }
+
+// Start serves again after Kill, on the same port.
+func (s *Server) Start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.address = l.Addr().String()
+	s.running = &http.Server{Handler: s.handler, ErrorLog: log.New(io.Discard, "", 0)}
+	go func(h *http.Server) { _ = h.Serve(l) }(s.running)
+	return nil
+}
+
+// Kill closes the port and tears all connections.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		return
+	}
+	_ = s.running.Close()
+	s.running = nil
+}
