--- /dev/null
+++ b/internal/standin/engine_kv.go
@@ -0,0 +1,39 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+const handlePrefix = "kv"
+
+// A KV handle says by itself what it covers, so that engines in different
+// processes share exports without a store between them: the number of tokens
+// and a digest of the prompt and these tokens.
+
+func newHandle(r completionRequest, tokens []string) string {
+	return fmt.Sprintf("%s-%d-%s", handlePrefix, len(tokens), handleDigest(r, tokens))
+}
+
+// openHandle returns the number of tokens that a handle covers, if it belongs
+// to the request's prompt and prefix.
+func openHandle(handle string, r completionRequest) (int, bool) {
+	parts := strings.Split(handle, "-")
+	if len(parts) != 3 || parts[0] != handlePrefix {
+		return 0, false
+	}
+	n, err := strconv.Atoi(parts[1])
+	if err != nil || n < 0 || n > len(r.Prefix) {
+		return 0, false
+	}
+	return n, handleDigest(r, r.Prefix[:n]) == parts[2]
+}
+
+func handleDigest(r completionRequest, tokens []string) string {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s\x00%d\x00%s", r.Prompt, r.Seed, strings.Join(tokens, "\x00"))
+	return hex.EncodeToString(h.Sum(nil))[:32]
+}
--- /dev/null
+++ b/internal/standin/engine_stream.go
@@ -0,0 +1,233 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// completionRequest is the body of POST /v1/completions.
+type completionRequest struct {
+	Model     string   `json:"model"`
+	Prompt    string   `json:"prompt"`
+	MaxTokens int      `json:"max_tokens"`
+	Seed      uint64   `json:"seed"`
+	Priority  int      `json:"priority"`
+	RequestID string   `json:"request_id"`
+	Attempt   uint32   `json:"attempt"`
+	Prefix    []string `json:"prefix"`
+	KVHandle  string   `json:"kv_handle"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+	RecomputedTokens int `json:"recomputed_tokens"`
+}
+
+// stream is one execution. Its producer goes on when its reader's connection
+// breaks, until it has been without a reader for StreamLifetime.
+type stream struct {
+	request completionRequest
+	gen     generator
+	usage   usage
+	crashed <-chan struct{} // of the engine's life that it belongs to
+
+	mu        sync.Mutex
+	tokens    []string // from the first, the prefix included
+	finished  bool
+	readers   int
+	idleSince time.Time
+	changed   chan struct{} // closed and replaced at each change
+	cancelled chan struct{}
+	once      sync.Once
+}
+
+func newStream(r completionRequest, variant string, crashed <-chan struct{}) *stream {
+	return &stream{
+		request:   r,
+		gen:       newGenerator(r.Prompt, r.Seed, variant),
+		crashed:   crashed,
+		tokens:    append([]string{}, r.Prefix...),
+		idleSince: time.Now(),
+		changed:   make(chan struct{}),
+		cancelled: make(chan struct{}),
+	}
+}
+
+func (s *stream) cancel() { s.once.Do(func() { close(s.cancelled) }) }
+
+// update changes the stream under its lock and wakes the readers.
+func (s *stream) update(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// view returns the tokens after an index, whether the stream has finished and
+// what is closed at the next change.
+func (s *stream) view(after int) (tokens []string, finished bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < len(s.tokens) {
+		tokens = append(tokens, s.tokens[after:]...)
+	}
+	return tokens, s.finished, s.changed
+}
+
+func (s *stream) attach() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readers++
+}
+
+func (s *stream) detach() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readers--
+	s.idleSince = time.Now()
+}
+
+// abandoned says that no reader has been there for StreamLifetime.
+func (s *stream) abandoned() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readers == 0 && time.Since(s.idleSince) > StreamLifetime
+}
+
+// sleep waits for d and says whether the stream still goes on.
+func (s *stream) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return !s.abandoned()
+	case <-s.cancelled:
+		return false
+	case <-s.crashed:
+		return false
+	}
+}
+
+// start takes a slot and registers a stream, or returns nil when the engine
+// refuses the request before any work.
+func (e *Engine) start(r completionRequest) *stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Refuse || e.faults.Draining || e.running >= e.cfg.Slots {
+		return nil
+	}
+	s := newStream(r, e.cfg.Variant, e.crashed)
+	run := &Run{
+		Request: r.RequestID, Attempt: r.Attempt, PromptDigest: PromptDigest(r.Prompt),
+		At: time.Now(), Started: true,
+	}
+	s.usage = e.account(r)
+	run.Recomputed = s.usage.RecomputedTokens
+	e.streams[streamKey{r.RequestID, r.Attempt}] = s
+	e.runs = append(e.runs, run)
+	e.running++
+	e.sampleLoad()
+	go e.produce(s, run)
+	return s
+}
+
+// account works out what the prompt's and the prefix's prefill costs. The
+// caller holds the engine's lock.
+func (e *Engine) account(r completionRequest) usage {
+	u := usage{PromptTokens: PromptTokens(r.Prompt)}
+	u.CachedTokens = e.cache.lookup(r.Prompt)
+	if covered, ok := openHandle(r.KVHandle, r); ok {
+		u.CachedTokens = u.PromptTokens
+		u.RecomputedTokens = len(r.Prefix) - covered
+		return u
+	}
+	if r.Attempt > 1 || len(r.Prefix) > 0 {
+		u.RecomputedTokens = u.PromptTokens - u.CachedTokens + len(r.Prefix)
+	}
+	return u
+}
+
+// prefill returns the tokens that must be computed before the first new one.
+func (s *stream) prefill() int {
+	if s.usage.RecomputedTokens > 0 {
+		return s.usage.RecomputedTokens
+	}
+	return s.usage.PromptTokens - s.usage.CachedTokens
+}
+
+// produce generates the stream's tokens at the engine's pace.
+func (e *Engine) produce(s *stream, run *Run) {
+	defer e.release(s)
+	e.cache.store(s.request.Prompt)
+	prefill := time.Duration(s.prefill()) * e.cfg.PrefillPerToken
+	if !s.sleep(e.scaled(e.cfg.FirstToken + prefill)) {
+		return
+	}
+	for index := len(s.request.Prefix) + 1; index <= s.request.MaxTokens; index++ {
+		s.update(func() { s.tokens = append(s.tokens, s.gen.token(index)) })
+		e.countToken(run)
+		if index < s.request.MaxTokens && !s.sleep(e.scaled(e.cfg.BetweenTokens)) {
+			return
+		}
+	}
+	s.usage.CompletionTokens = s.request.MaxTokens
+	e.finish(run)
+	s.update(func() { s.finished = true })
+}
+
+func (e *Engine) countToken(run *Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run.Tokens++
+}
+
+func (e *Engine) finish(run *Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run.Finished = true
+}
+
+// release gives the slot back and forgets the stream: a finished one after its
+// lifetime, any other at once.
+func (e *Engine) release(s *stream) {
+	s.mu.Lock()
+	finished := s.finished
+	s.mu.Unlock()
+	if !finished {
+		s.cancel()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.crashed != (<-chan struct{})(e.crashed) {
+		return // the slot belonged to an earlier life of the engine
+	}
+	e.running--
+	e.sampleLoad()
+	if !finished {
+		e.forget(s)
+		return
+	}
+	time.AfterFunc(StreamLifetime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.forget(s)
+	})
+}
+
+// forget removes a stream unless another has taken its key. The caller holds
+// the lock.
+func (e *Engine) forget(s *stream) {
+	k := streamKey{s.request.RequestID, s.request.Attempt}
+	if e.streams[k] == s {
+		delete(e.streams, k)
+	}
+}
+
+func (e *Engine) find(k streamKey) *stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[k]
+}
