--- a/internal/entity/service.go
+++ b/internal/entity/service.go
@@ -101,6 +101,8 @@
 	DataCentres   []DataCentreID
 	MaxHourlyCost float64 // in the cloud's currency; 0: no limit
 	Model         string
+	Port          int  // where a started backend server listens
+	ChecksFences  bool // whether started backend servers refuse old fencing numbers
 }
 
 // Repeatable reports whether a call of a plain service may be sent twice. The
