--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -1,64 +1,159 @@
 // Package journal is the durable journal of keyed requests.
+//
+// Keys hash to a fixed number of shards. Each shard has a row with an epoch
+// and an owner; a takeover raises the epoch. The owner appends rows of records
+// in transactions that check the version of the shard's row, so that an owner
+// that was paused over a takeover can commit nothing, whatever its clock says.
+// Claims are committed before dispatch and answers before release.
+//
+// The package does no I/O: operations leave through Ready and come back
+// through TableResult.
 package journal
 
 import (
+	"container/heap"
+	"crypto/sha256"
+	"errors"
+	"fmt"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 )
 
-// Journal is the journal as one daemon sees it.
+// Journal is the journal of keyed requests as one daemon sees it. It is not
+// safe for concurrent use.
 type Journal struct {
-	cfg   Config
+	cfg      Config
+	shards   []*shard
+	requests map[entity.RequestID]*request
+	members  []entity.InstanceID
+	leaving  bool
+	joined   bool // SetMembers was called
+
+	calls    map[platform.OperationID]func(now time.Time, r platform.Result)
+	lastCall platform.OperationID
+	lastOp   uint64
+	opPrefix string
+
+	timers    timers
+	timerSeq  uint64
+	nextWrite time.Time // when the write budget allows the next write
+	down      bool
+	polling   bool
+	pollSeq   uint64
+
 	ready Ready
 }
 
 // New returns a journal that owns no shard yet.
-func New(cfg Config) *Journal { return &Journal{cfg: cfg} }
+func New(cfg Config) *Journal {
+	cfg = withDefaults(cfg)
+	self := sha256.Sum256([]byte(cfg.Self))
+	j := &Journal{
+		cfg:      cfg,
+		requests: make(map[entity.RequestID]*request),
+		calls:    make(map[platform.OperationID]func(time.Time, platform.Result)),
+		opPrefix: fmt.Sprintf("%x", self[:8]),
+	}
+	for i := range cfg.Shards {
+		j.shards = append(j.shards, newShard(i))
+	}
+	return j
+}
 
-// SetMembers tells which live daemons may own shards; leaving ones may not.
-func (j *Journal) SetMembers(now time.Time, members []entity.InstanceID) {}
+// ShardOf returns the key's shard.
+func (j *Journal) ShardOf(k Key) int { return hashOf(k).shard(j.cfg.Shards) }
 
-// Owner returns whom this daemon believes to own the key's shard.
-func (j *Journal) Owner(k Key) entity.InstanceID { return j.cfg.Self }
+// TableResult takes the result of an operation.
+func (j *Journal) TableResult(now time.Time, r platform.Result) {
+	done, ok := j.calls[r.ID]
+	if !ok {
+		return
+	}
+	delete(j.calls, r.ID)
+	done(now, r)
+}
 
-// ShardOf returns the key's shard.
-func (j *Journal) ShardOf(k Key) int { return 0 }
+// Tick does what is due.
+func (j *Journal) Tick(now time.Time) {
+	for len(j.timers) > 0 && !j.timers[0].at.After(now) {
+		heap.Pop(&j.timers).(timer).fire(now)
+	}
+}
+
+// Deadline returns when Tick is due next; zero when nothing is.
+func (j *Journal) Deadline() time.Time {
+	if len(j.timers) == 0 {
+		return time.Time{}
+	}
+	return j.timers[0].at
+}
 
-// Begin asks whether a request is to be run.
-func (j *Journal) Begin(now time.Time, b Begin) {
-	j.ready.Outcomes = append(j.ready.Outcomes, Outcome{Request: b.Request, Kind: Started})
+// Ready drains what the caller must carry out.
+func (j *Journal) Ready() Ready {
+	r := j.ready
+	j.ready = Ready{}
+	return r
 }
 
-// Claim makes a claim durable before dispatch.
-func (j *Journal) Claim(now time.Time, id entity.RequestID, c Claim) {
-	j.ready.Outcomes = append(j.ready.Outcomes, Outcome{Request: id, Kind: Claimed, Claim: &c})
+// call issues an operation; done gets its result.
+func (j *Journal) call(op platform.Operation, done func(now time.Time, r platform.Result)) {
+	j.lastCall++
+	op.ID = j.lastCall
+	j.calls[op.ID] = done
+	j.ready.Operations = append(j.ready.Operations, op)
 }
 
-// GiveUp ends a request without an answer.
-func (j *Journal) GiveUp(now time.Time, id entity.RequestID, undispatched bool) {}
+// callTable is call for operations on the table; it notes whether the table answers.
+func (j *Journal) callTable(op platform.Operation, done func(now time.Time, r platform.Result)) {
+	j.call(op, func(now time.Time, r platform.Result) {
+		j.noteTable(now, answered(r.Err))
+		done(now, r)
+	})
+}
 
-// Finish commits an answer.
-func (j *Journal) Finish(now time.Time, id entity.RequestID, a Answer) {
-	j.ready.Outcomes = append(j.ready.Outcomes, Outcome{Request: id, Kind: Committed, Answer: &a})
+// answered tells whether the table service gave a definite answer.
+func answered(err error) bool {
+	return err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConditionFailed)
 }
 
-// Disown hands the shards over.
-func (j *Journal) Disown(now time.Time) {}
+// noteTable keeps track of whether the table answers.
+func (j *Journal) noteTable(now time.Time, up bool) {
+	if up == !j.down {
+		return
+	}
+	j.down = !up
+	if j.down {
+		j.emit(now, event.JournalTableDown, "")
+		j.pollIn(now, downPollEvery)
+		return
+	}
+	j.emit(now, event.JournalTableUp, "")
+	for _, s := range j.shards {
+		j.admitWaiting(now, s)
+	}
+}
 
-// TableResult takes the result of an operation.
-func (j *Journal) TableResult(now time.Time, r platform.Result) {}
+// newOperation returns an id that no other write of any daemon has.
+func (j *Journal) newOperation() string {
+	j.lastOp++
+	return fmt.Sprintf("%s%016x", j.opPrefix, j.lastOp)
+}
 
-// Tick does what is due.
-func (j *Journal) Tick(now time.Time) {}
+func (j *Journal) emit(now time.Time, n event.Number, detail string) {
+	j.ready.Events = append(j.ready.Events, event.Event{Number: n, At: now, Detail: detail})
+}
 
-// Deadline returns when Tick is due next; zero when nothing is.
-func (j *Journal) Deadline() time.Time { return time.Time{} }
+func (j *Journal) outcome(o Outcome) { j.ready.Outcomes = append(j.ready.Outcomes, o) }
 
-// Ready drains what the caller must carry out.
-func (j *Journal) Ready() Ready {
-	r := j.ready
-	j.ready = Ready{}
-	return r
+// mustEncode encodes a value of this package's own types, which cannot fail.
+func mustEncode(v any) []byte {
+	data, err := codec.Encode(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
 }
--- /dev/null
+++ b/internal/system/journal/key.go
@@ -0,0 +1,61 @@
+package journal
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	rendezvous "github.com/dgryski/go-rendezvous"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// keyHash stands for a key: the first half of the SHA-256 of its parts.
+type keyHash [16]byte
+
+func hashOf(k Key) keyHash {
+	h := sha256.New()
+	writePart(h.Write, string(k.Organisation))
+	writePart(h.Write, string(k.Service))
+	writePart(h.Write, k.Value)
+	return keyHash(h.Sum(nil)[:16])
+}
+
+// writePart writes a string after its length, so that no two keys have the
+// same input.
+func writePart(write func([]byte) (int, error), s string) {
+	var size [4]byte
+	binary.BigEndian.PutUint32(size[:], uint32(len(s)))
+	_, _ = write(size[:])
+	_, _ = write([]byte(s))
+}
+
+// shard returns the shard of the key. It uses other bits than position.
+func (h keyHash) shard(shards int) int {
+	return int(binary.BigEndian.Uint64(h[8:]) % uint64(shards))
+}
+
+// position returns the key's place in the order of a segment.
+func (h keyHash) position() uint64 { return binary.BigEndian.Uint64(h[:8]) }
+
+const shardPartition = "journal"
+
+func shardSort(shard int) string { return fmt.Sprintf("shard/%02d", shard) }
+
+func entryPartition(shard int) string { return fmt.Sprintf("journal/%02d", shard) }
+
+// rowSort orders the rows of a shard by epoch, then by sequence.
+func rowSort(epoch, sequence uint64) string { return fmt.Sprintf("%012x/%012x", epoch, sequence) }
+
+// wantedOwner chooses the owner of a shard by rendezvous hashing.
+func wantedOwner(members []entity.InstanceID, shard int) entity.InstanceID {
+	if len(members) == 0 {
+		return ""
+	}
+	nodes := make([]string, len(members))
+	for i, m := range members {
+		nodes[i] = string(m)
+	}
+	return entity.InstanceID(rendezvous.New(nodes, xxhash.Sum64String).Lookup(shardSort(shard)))
+}
--- /dev/null
+++ b/internal/system/journal/seal.go
@@ -0,0 +1,187 @@
+package journal
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+// maySeal moves the older half of the hot keys into a segment once there are
+// twice as many as are to be kept.
+func (j *Journal) maySeal(now time.Time, s *shard) {
+	if s.state != stateOwned || s.sealing || s.releasing || len(s.order) < 2*j.cfg.HotKeys {
+		return
+	}
+	s.sealing = true
+	cut := s.order[j.cfg.HotKeys-1].row
+	records := j.sealable(now, s, cut)
+	if len(records) == 0 {
+		j.sealed(now, s, nil, cut)
+		return
+	}
+	seg := j.newSegment(s, records)
+	parts := splitParts(records, seg.ref.Bits)
+	filterValue := encodeFilter(seg.filter)
+	part := -1
+	next := func() (string, []byte, bool) {
+		part++
+		switch {
+		case part < len(parts):
+			return seg.ref.partObject(s.index, part), mustEncode(partObject{Records: parts[part]}), true
+		case part == len(parts):
+			return seg.ref.filterObject(s.index), filterValue, true
+		default:
+			return "", nil, false
+		}
+	}
+	j.upload(now, s, next, func(now time.Time) { j.sealed(now, s, seg, cut) })
+}
+
+// sealable returns, in the order of their hashes, the records whose row is
+// not above cut and that no later record has replaced.
+func (j *Journal) sealable(now time.Time, s *shard, cut string) []record {
+	seen := make(map[keyHash]bool, j.cfg.HotKeys)
+	var records []record
+	for _, o := range s.order {
+		if o.row > cut {
+			break
+		}
+		e := s.entries[o.hash]
+		if e == nil || e.row != o.row || seen[o.hash] || j.expired(now, e.record.At) {
+			continue
+		}
+		seen[o.hash] = true
+		records = append(records, e.record)
+	}
+	slices.SortFunc(records, compareRecords)
+	return records
+}
+
+func (j *Journal) newSegment(s *shard, records []record) *segment {
+	size := 0
+	positions := make([]uint64, len(records))
+	for i := range records {
+		size += records[i].size()
+		positions[i] = records[i].Hash.position()
+	}
+	ref := segmentRef{
+		Name: s.name(), Keys: len(records), Bits: bitsFor(size, j.cfg.PartBytes), Until: latest(records),
+	}
+	return &segment{ref: ref, filter: newFilter(positions)}
+}
+
+// splitParts cuts sorted records into 1<<bits parts.
+func splitParts(records []record, bits int) [][]record {
+	parts := make([][]record, 1<<bits)
+	start := 0
+	for part := range parts {
+		end := start
+		for end < len(records) && partOf(records[end].Hash, bits) == part {
+			end++
+		}
+		parts[part] = records[start:end]
+		start = end
+	}
+	return parts
+}
+
+// sealed writes the shard's row that names the segment. Only then are the
+// keys dropped from memory and their rows deleted.
+func (j *Journal) sealed(now time.Time, s *shard, seg *segment, cut string) {
+	s.manifest = &manifestChange{
+		change: func(row *shardRow) {
+			row.Sealed = cut
+			row.Named = s.named
+			if seg != nil {
+				row.Segments = append(row.Segments, seg.ref)
+			}
+			j.dropExpired(now, row)
+		},
+		done: func(now time.Time) {
+			j.replaceSegments(now, s, seg)
+			s.dropSealed(cut, j.cfg.HotKeys)
+			if seg != nil {
+				j.emit(now, event.JournalSegmentSealed, seg.ref.Name)
+			}
+			j.trim(now, s)
+			j.mayMerge(now, s)
+		},
+	}
+	j.startWrite(now, s)
+}
+
+// dropSealed drops the entries whose record is in a segment now.
+func (s *shard) dropSealed(cut string, hotKeys int) {
+	n := 0
+	for n < len(s.order) && s.order[n].row <= cut {
+		o := s.order[n]
+		n++
+		e := s.entries[o.hash]
+		if e == nil || e.row != o.row {
+			continue
+		}
+		if e.idle() {
+			delete(s.entries, o.hash)
+			continue
+		}
+		e.row = ""
+		s.cache(o.hash, hotKeys)
+	}
+	s.order = slices.Clone(s.order[n:])
+}
+
+// trim deletes rows that are in segments. It needs no condition: a row that
+// was sealed once is never read again.
+func (j *Journal) trim(now time.Time, s *shard) {
+	if s.trimming {
+		return
+	}
+	s.trimming = true
+	j.trimSome(now, s, 0)
+}
+
+func (j *Journal) trimSome(_ time.Time, s *shard, failures int) {
+	op := platform.Operation{
+		Kind: platform.QueryRows, Partition: entryPartition(s.index), Limit: trimLimit, Consistent: true,
+	}
+	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+		if r.Err != nil {
+			j.trimLater(now, s, failures+1)
+			return
+		}
+		writes := sealedRows(r.Rows, s.row.Sealed)
+		if len(writes) == 0 {
+			s.trimming = false
+			return
+		}
+		j.spendWrite(now)
+		del := platform.Operation{Kind: platform.TransactRows, Token: j.newOperation(), Writes: writes}
+		j.callTable(del, j.whileIn(s, func(now time.Time, r platform.Result) {
+			if r.Err != nil {
+				j.trimLater(now, s, failures+1)
+				return
+			}
+			j.later(now, s, j.cfg.GroupDelay, func(now time.Time) { j.trimSome(now, s, 0) })
+		}))
+	}))
+}
+
+func sealedRows(rows []platform.Row, sealed string) []platform.Write {
+	var writes []platform.Write
+	for _, row := range rows {
+		if row.Sort <= sealed {
+			writes = append(writes, platform.Write{
+				Partition: row.Partition, Sort: row.Sort, Delete: true, Unconditional: true,
+			})
+		}
+	}
+	return writes
+}
+
+func (j *Journal) trimLater(now time.Time, s *shard, failures int) {
+	j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
+		j.trimSome(now, s, failures)
+	})
+}
--- /dev/null
+++ b/internal/system/journal/timer.go
@@ -0,0 +1,60 @@
+package journal
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer calls fire once it is due. What it was set for may be over by then,
+// so fire checks.
+type timer struct {
+	at   time.Time
+	seq  uint64 // breaks ties, so that the order is the same every run
+	fire func(now time.Time)
+}
+
+// timers is a heap of timers, the earliest first.
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+
+func (t timers) Less(a, b int) bool {
+	if t[a].at.Equal(t[b].at) {
+		return t[a].seq < t[b].seq
+	}
+	return t[a].at.Before(t[b].at)
+}
+
+func (t timers) Swap(a, b int) { t[a], t[b] = t[b], t[a] }
+
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
+
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{}
+	*t = (*t)[:last]
+	return x
+}
+
+func (j *Journal) at(t time.Time, fire func(now time.Time)) {
+	j.timerSeq++
+	heap.Push(&j.timers, timer{at: t, seq: j.timerSeq, fire: fire})
+}
+
+// jitter returns a duration between half of d and d.
+func (j *Journal) jitter(d time.Duration) time.Duration {
+	if d < 2 {
+		return d
+	}
+	return d/2 + time.Duration(j.cfg.Rand.Int64N(int64(d/2)))
+}
+
+// backoff returns the wait after a number of failures in a row.
+func (j *Journal) backoff(first, most time.Duration, failures int) time.Duration {
+	d := first
+	for i := 1; i < failures && d < most; i++ {
+		d *= 2
+	}
+	return j.jitter(min(d, most))
+}
