Add the cloud client, the reclaim notice and the bundled stand-in platform

ec2cloud speaks EC2's Query protocol with net/http, encoding/xml and the SDK's signer; it tells no capacity, no effect and unknown outcome apart. The stand-in cloud keeps a lagging list, refuses by data centre, reclaims with notice and serves each instance's metadata.

The closed-port tests of the table and object store clients now use a client without open connections: on a pooled connection to a killed server bytes may have left, so 'unknown outcome' was the right answer there and the tests were wrong to expect otherwise.

--- a/internal/platform/dynamo/dynamo_test.go
+++ b/internal/platform/dynamo/dynamo_test.go
@@ -16,6 +16,14 @@
 	*Table
 	fake   *standin.Table
 	server *standin.Server
+	cfg    Config
+}
+
+// withoutServer returns a client that has no open connection, for a server
+// whose port is closed: on an open connection a call's bytes may have left.
+func (f *fixture) withoutServer() {
+	f.server.Kill()
+	f.Table = New(f.cfg)
 }
 
 func newFixture(t *testing.T) fixture {
@@ -26,11 +34,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Kill)
-	client := New(Config{
+	settings := Config{
 		Endpoint: server.URL(), Region: "west", AccessKey: "a", SecretKey: "s",
 		TableName: "t", Timeout: 5 * time.Second,
-	})
-	return fixture{Table: client, fake: fake, server: server}
+	}
+	return fixture{Table: New(settings), fake: fake, server: server, cfg: settings}
 }
 
 func (f fixture) put(sort, value string, version uint64) error {
@@ -163,7 +171,7 @@
 	if err := f.put("a", "v", 0); !errors.Is(err, platform.ErrUnavailable) {
 		t.Fatalf("refused: %v", err)
 	}
-	f.server.Kill()
+	f.withoutServer()
 	if err := f.put("a", "v", 0); !errors.Is(err, platform.ErrUnavailable) {
 		t.Fatalf("closed port: %v", err)
 	}
--- /dev/null
+++ b/internal/platform/ec2cloud/response.go
@@ -0,0 +1,106 @@
+package ec2cloud
+
+import (
+	"encoding/xml"
+	"strconv"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+type tagItem struct {
+	Key   string `xml:"key"`
+	Value string `xml:"value"`
+}
+
+type instanceItem struct {
+	InstanceID       string    `xml:"instanceId"`
+	State            string    `xml:"instanceState>name"`
+	InstanceType     string    `xml:"instanceType"`
+	AvailabilityZone string    `xml:"placement>availabilityZone"`
+	PrivateIPAddress string    `xml:"privateIpAddress"`
+	Lifecycle        string    `xml:"instanceLifecycle"`
+	Tags             []tagItem `xml:"tagSet>item"`
+}
+
+type runInstancesResponse struct {
+	XMLName   xml.Name       `xml:"RunInstancesResponse"`
+	Instances []instanceItem `xml:"instancesSet>item"`
+}
+
+type terminateInstancesResponse struct {
+	XMLName xml.Name `xml:"TerminateInstancesResponse"`
+}
+
+type reservationItem struct {
+	Instances []instanceItem `xml:"instancesSet>item"`
+}
+
+type describeInstancesResponse struct {
+	XMLName      xml.Name          `xml:"DescribeInstancesResponse"`
+	Reservations []reservationItem `xml:"reservationSet>item"`
+	NextToken    string            `xml:"nextToken"`
+}
+
+type spotPriceItem struct {
+	InstanceType     string `xml:"instanceType"`
+	SpotPrice        string `xml:"spotPrice"`
+	AvailabilityZone string `xml:"availabilityZone"`
+}
+
+type describeSpotPriceHistoryResponse struct {
+	XMLName   xml.Name        `xml:"DescribeSpotPriceHistoryResponse"`
+	Prices    []spotPriceItem `xml:"spotPriceHistorySet>item"`
+	NextToken string          `xml:"nextToken"`
+}
+
+type errorResponse struct {
+	XMLName xml.Name `xml:"Response"`
+	Code    string   `xml:"Errors>Error>Code"`
+	Message string   `xml:"Errors>Error>Message"`
+}
+
+func (i instanceItem) instance() platform.Instance {
+	out := platform.Instance{
+		ID:         entity.InstanceID(i.InstanceID),
+		DataCentre: entity.DataCentreID(i.AvailabilityZone),
+		Class:      i.InstanceType,
+		Market:     platform.OnDemand,
+		State:      stateOf(i.State),
+		Address:    i.PrivateIPAddress,
+		Tags:       make(map[string]string, len(i.Tags)),
+	}
+	if i.Lifecycle == spotMarket {
+		out.Market = platform.Reclaimable
+	}
+	for _, t := range i.Tags {
+		out.Tags[t.Key] = t.Value
+	}
+	return out
+}
+
+func stateOf(name string) platform.InstanceState {
+	switch name {
+	case "pending":
+		return platform.Pending
+	case "running":
+		return platform.Running
+	case "shutting-down", "stopping":
+		return platform.Leaving
+	default:
+		return platform.Gone
+	}
+}
+
+func (p spotPriceItem) price() (platform.Price, error) {
+	perHour, err := strconv.ParseFloat(p.SpotPrice, 64)
+	if err != nil {
+		return platform.Price{}, err
+	}
+	return platform.Price{
+		DataCentre: entity.DataCentreID(p.AvailabilityZone),
+		Class:      p.InstanceType,
+		Market:     platform.Reclaimable,
+		PerHour:    perHour,
+	}, nil
+}
--- /dev/null
+++ b/internal/platform/reclaimnotice/reclaimnotice_test.go
@@ -0,0 +1,40 @@
+package reclaimnotice
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/standin"
+)
+
+func TestWatch_TellsEachNoticeOnce(t *testing.T) {
+	cloud := standin.NewCloud(standin.CloudConfig{})
+	server, err := standin.StartServer(cloud)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	ctx, cancel := context.WithCancel(context.Background())
+	notices := make(chan platform.Notice, 10)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		Watch(ctx, server.URL()+"/imds/i-1", time.Millisecond, func(n platform.Notice) { notices <- n })
+	}()
+	cloud.Reclaim("i-2", time.Hour)
+	cloud.Reclaim("i-1", 2*time.Hour)
+	first := <-notices
+	cloud.Reclaim("i-1", time.Hour)
+	second := <-notices
+	if !second.At.Before(first.At) {
+		t.Fatalf("notices %v, %v", first, second)
+	}
+	time.Sleep(20 * time.Millisecond) // some more polls
+	cancel()
+	<-done
+	if len(notices) != 0 {
+		t.Fatalf("%d notices more", len(notices))
+	}
+}
--- a/internal/platform/s3store/s3store_test.go
+++ b/internal/platform/s3store/s3store_test.go
@@ -15,6 +15,14 @@
 	*Store
 	fake   *standin.ObjectStore
 	server *standin.Server
+	cfg    Config
+}
+
+// withoutServer returns a client that has no open connection, for a server
+// whose port is closed: on an open connection a call's bytes may have left.
+func (f *fixture) withoutServer() {
+	f.server.Kill()
+	f.Store = New(f.cfg)
 }
 
 func newFixture(t *testing.T) fixture {
@@ -25,11 +33,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Kill)
-	client := New(Config{
+	settings := Config{
 		Endpoint: server.URL(), Region: "west", AccessKey: "a", SecretKey: "s",
 		Bucket: "bucket", Timeout: 5 * time.Second,
-	})
-	return fixture{Store: client, fake: fake, server: server}
+	}
+	return fixture{Store: New(settings), fake: fake, server: server, cfg: settings}
 }
 
 func TestStore_ReadsWhatItWrote(t *testing.T) {
@@ -65,7 +73,7 @@
 	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, platform.ErrUnavailable) {
 		t.Fatalf("refused: %v", err)
 	}
-	f.server.Kill()
+	f.withoutServer()
 	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, platform.ErrUnavailable) {
 		t.Fatalf("closed port: %v", err)
 	}
--- /dev/null
+++ b/internal/standin/cloud_query.go
@@ -0,0 +1,268 @@
+package standin
+
+import (
+	"encoding/xml"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	maxClientToken  = 64
+	defaultPageSize = 1000
+	spotMarket      = "spot"
+)
+
+type xmlTag struct {
+	Key   string `xml:"key"`
+	Value string `xml:"value"`
+}
+
+type xmlState struct {
+	Code int    `xml:"code"`
+	Name string `xml:"name"`
+}
+
+type xmlInstance struct {
+	InstanceID       string   `xml:"instanceId"`
+	State            xmlState `xml:"instanceState"`
+	InstanceType     string   `xml:"instanceType"`
+	AvailabilityZone string   `xml:"placement>availabilityZone"`
+	PrivateIPAddress string   `xml:"privateIpAddress,omitempty"`
+	Lifecycle        string   `xml:"instanceLifecycle,omitempty"`
+	Tags             []xmlTag `xml:"tagSet>item"`
+}
+
+type runInstancesResponse struct {
+	XMLName   xml.Name      `xml:"RunInstancesResponse"`
+	RequestID string        `xml:"requestId"`
+	Instances []xmlInstance `xml:"instancesSet>item"`
+}
+
+type terminateInstancesResponse struct {
+	XMLName   xml.Name `xml:"TerminateInstancesResponse"`
+	RequestID string   `xml:"requestId"`
+}
+
+type xmlReservation struct {
+	Instances []xmlInstance `xml:"instancesSet>item"`
+}
+
+type describeInstancesResponse struct {
+	XMLName      xml.Name         `xml:"DescribeInstancesResponse"`
+	Reservations []xmlReservation `xml:"reservationSet>item"`
+	NextToken    string           `xml:"nextToken,omitempty"`
+}
+
+type xmlSpotPrice struct {
+	InstanceType     string `xml:"instanceType"`
+	Product          string `xml:"productDescription"`
+	SpotPrice        string `xml:"spotPrice"`
+	Timestamp        string `xml:"timestamp"`
+	AvailabilityZone string `xml:"availabilityZone"`
+}
+
+type describeSpotPriceHistoryResponse struct {
+	XMLName xml.Name       `xml:"DescribeSpotPriceHistoryResponse"`
+	Prices  []xmlSpotPrice `xml:"spotPriceHistorySet>item"`
+}
+
+type cloudError struct {
+	XMLName xml.Name `xml:"Response"`
+	Code    string   `xml:"Errors>Error>Code"`
+	Message string   `xml:"Errors>Error>Message"`
+	status  int
+}
+
+func (c *Cloud) serveQuery(w http.ResponseWriter, r *http.Request) {
+	if err := r.ParseForm(); err != nil {
+		writeXML(w, http.StatusBadRequest, cloudError{Code: "InvalidRequest"})
+		return
+	}
+	refuse := c.Faults.before(r)
+	out, failure := c.query(r.PostForm, refuse)
+	c.Faults.after()
+	if failure != nil {
+		writeXML(w, failure.status, failure)
+		return
+	}
+	writeXML(w, http.StatusOK, out)
+}
+
+func (c *Cloud) query(form url.Values, refuse bool) (any, *cloudError) {
+	switch form.Get("Action") {
+	case "RunInstances":
+		return c.runInstances(form, refuse)
+	case "TerminateInstances":
+		return c.terminateInstances(form)
+	case "DescribeInstances":
+		return c.describeInstances(form)
+	case "DescribeSpotPriceHistory":
+		return c.describePrices()
+	default:
+		return nil, badRequest("InvalidAction", form.Get("Action"))
+	}
+}
+
+func (c *Cloud) runInstances(form url.Values, refuse bool) (any, *cloudError) {
+	token := form.Get("ClientToken")
+	if len(token) > maxClientToken {
+		return nil, badRequest("InvalidParameterValue", "ClientToken")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Runs++
+	request := orderOf(form)
+	if known := c.byToken[token]; known != nil {
+		if known.request != request {
+			return nil, badRequest("IdempotentParameterMismatch", token)
+		}
+		return runInstancesResponse{Instances: []xmlInstance{known.xml()}}, nil
+	}
+	zone := form.Get("Placement.AvailabilityZone")
+	if refuse || c.refused[zone] {
+		return nil, &cloudError{Code: "InsufficientInstanceCapacity", Message: zone, status: http.StatusInternalServerError}
+	}
+	i := &cloudInstance{token: token, request: request, CloudInstance: CloudInstance{
+		ID: instanceID(len(c.instances)), DataCentre: zone, Class: form.Get("InstanceType"),
+		Spot: form.Get("InstanceMarketOptions.MarketType") == spotMarket, State: statePending, Tags: tagsOf(form),
+	}}
+	c.add(i)
+	c.counts.Started++
+	time.AfterFunc(c.cfg.StartDelay, func() { c.launch(i.ID) })
+	return runInstancesResponse{Instances: []xmlInstance{i.xml()}}, nil
+}
+
+// orderOf returns what must agree between two orders with one token.
+func orderOf(form url.Values) string {
+	return strings.Join([]string{
+		form.Get("Placement.AvailabilityZone"), form.Get("InstanceType"),
+		form.Get("InstanceMarketOptions.MarketType"), form.Get("ImageId"),
+	}, "\x00")
+}
+
+func tagsOf(form url.Values) map[string]string {
+	tags := make(map[string]string)
+	for n := 1; ; n++ {
+		prefix := fmt.Sprintf("TagSpecification.1.Tag.%d.", n)
+		if !form.Has(prefix + "Key") {
+			return tags
+		}
+		tags[form.Get(prefix+"Key")] = form.Get(prefix + "Value")
+	}
+}
+
+func (c *Cloud) terminateInstances(form url.Values) (any, *cloudError) {
+	c.mu.Lock()
+	c.counts.Terminates++
+	c.mu.Unlock()
+	for n := 1; form.Has("InstanceId." + strconv.Itoa(n)); n++ {
+		id := form.Get("InstanceId." + strconv.Itoa(n))
+		if !c.terminate(id) {
+			return nil, badRequest("InvalidInstanceID.NotFound", id)
+		}
+	}
+	return terminateInstancesResponse{}, nil
+}
+
+func (c *Cloud) describeInstances(form url.Values) (any, *cloudError) {
+	size, err := strconv.Atoi(form.Get("MaxResults"))
+	if err != nil {
+		size = defaultPageSize
+	}
+	from, _ := strconv.Atoi(form.Get("NextToken"))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Describes++
+	out := describeInstancesResponse{}
+	listed := c.listed(time.Now().Add(-c.cfg.ListLag), filtersOf(form))
+	for n := from; n < len(listed) && n < from+size; n++ {
+		out.Reservations = append(out.Reservations, xmlReservation{Instances: []xmlInstance{listed[n]}})
+	}
+	if from+size < len(listed) {
+		out.NextToken = strconv.Itoa(from + size)
+	}
+	return out, nil
+}
+
+// listed returns the instances as they were at a moment, if they have the
+// tags. The caller holds the lock.
+func (c *Cloud) listed(at time.Time, tags []xmlTag) []xmlInstance {
+	var out []xmlInstance
+	for _, i := range c.ordered() {
+		if was, ok := i.asOf(at); ok && hasTags(was, tags) {
+			out = append(out, xmlOf(was))
+		}
+	}
+	return out
+}
+
+func hasTags(i CloudInstance, tags []xmlTag) bool {
+	for _, t := range tags {
+		if value, ok := i.Tags[t.Key]; !ok || value != t.Value {
+			return false
+		}
+	}
+	return true
+}
+
+// filtersOf reads filters of the form tag:KEY with one value.
+func filtersOf(form url.Values) []xmlTag {
+	var out []xmlTag
+	for n := 1; ; n++ {
+		prefix := fmt.Sprintf("Filter.%d.", n)
+		if !form.Has(prefix + "Name") {
+			return out
+		}
+		key := strings.TrimPrefix(form.Get(prefix+"Name"), "tag:")
+		out = append(out, xmlTag{Key: key, Value: form.Get(prefix + "Value.1")})
+	}
+}
+
+func (c *Cloud) describePrices() (any, *cloudError) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Prices++
+	out := describeSpotPriceHistoryResponse{}
+	for _, p := range c.prices {
+		out.Prices = append(out.Prices, xmlSpotPrice{
+			InstanceType: p.Class, Product: "Linux/UNIX", AvailabilityZone: p.DataCentre,
+			SpotPrice: strconv.FormatFloat(p.PerHour, 'f', 6, 64),
+			Timestamp: time.Now().UTC().Format(time.RFC3339),
+		})
+	}
+	return out, nil
+}
+
+func (i *cloudInstance) xml() xmlInstance { return xmlOf(i.CloudInstance) }
+
+func xmlOf(i CloudInstance) xmlInstance {
+	out := xmlInstance{
+		InstanceID: i.ID, State: xmlState{Code: stateCodes[i.State], Name: i.State},
+		InstanceType: i.Class, AvailabilityZone: i.DataCentre, PrivateIPAddress: "127.0.0.1",
+	}
+	if i.Spot {
+		out.Lifecycle = spotMarket
+	}
+	for k, v := range i.Tags {
+		out.Tags = append(out.Tags, xmlTag{Key: k, Value: v})
+	}
+	sort.Slice(out.Tags, func(a, b int) bool { return out.Tags[a].Key < out.Tags[b].Key })
+	return out
+}
+
+var stateCodes = map[string]int{statePending: 0, stateRunning: 16, stateShuttingDown: 32, stateTerminated: 48}
+
+func badRequest(code, message string) *cloudError {
+	return &cloudError{Code: code, Message: message, status: http.StatusBadRequest}
+}
+
+func writeXML(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "text/xml")
+	w.WriteHeader(status)
+	_ = xml.NewEncoder(w).Encode(v)
+}
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -66,7 +67,7 @@
 		notRun(w, http.StatusServiceUnavailable, "no slot")
 		return
 	}
-	if containsCrash(req.Prompt) {
+	if strings.Contains(req.Prompt, CrashMarker) {
 		e.Crash()
 		cut()
 	}
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -130,7 +131,9 @@
 	e.runs = append(e.runs, run)
 	e.running++
 	e.sampleLoad()
-	go e.produce(s, run)
+	if !strings.Contains(r.Prompt, CrashMarker) {
+		go e.produce(s, run)
+	}
 	return s
 }
 
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,267 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/gorilla/mux"
+)
+
+// Config says what a Platform consists of. IDs that are left empty are numbered.
+type Config struct {
+	Engines []EngineConfig
+	Plains  []PlainConfig
+	Cloud   CloudConfig
+	// CloudEngine, if set, describes the engine that runs on each instance the
+	// cloud starts, unless Cloud.OnStart is set.
+	CloudEngine *EngineConfig
+}
+
+// BackendEndpoint is where a stand-in backend server listens.
+type BackendEndpoint struct {
+	ID      string `json:"id"`
+	Address string `json:"address"` // host:port
+}
+
+// Addresses says where a Platform's parts listen.
+type Addresses struct {
+	Table   string            `json:"table"`   // URL
+	Objects string            `json:"objects"` // URL
+	Cloud   string            `json:"cloud"`   // URL
+	Control string            `json:"control"` // URL
+	Engines []BackendEndpoint `json:"engines"`
+	Plains  []BackendEndpoint `json:"plains"`
+}
+
+// Platform runs a table, an object store, a cloud, engines and plain backend
+// servers on loopback ports of one process.
+//
+// Its control port serves GET /_addresses, POST /_restart {"id":"…"} and POST
+// /_kill {"id":"…"} for backend servers.
+type Platform struct {
+	Table   *Table
+	Objects *ObjectStore
+	Cloud   *Cloud
+
+	mu        sync.Mutex
+	addresses Addresses
+	backends  map[string]*backend
+	servers   []*Server
+}
+
+// backend is a backend server with its port.
+type backend struct {
+	engine *Engine
+	plain  *Plain
+	server *Server
+}
+
+// Start opens all ports. ctx ends the platform as Close does.
+func Start(ctx context.Context, cfg Config) (*Platform, error) {
+	p := &Platform{Table: NewTable(), Objects: NewObjectStore(), backends: make(map[string]*backend)}
+	if cfg.Cloud.OnStart == nil && cfg.CloudEngine != nil {
+		cfg.Cloud.OnStart = p.cloudEngine(*cfg.CloudEngine)
+	}
+	p.Cloud = NewCloud(cfg.Cloud)
+	if err := p.open(cfg); err != nil {
+		p.Close()
+		return nil, err
+	}
+	context.AfterFunc(ctx, p.Close)
+	return p, nil
+}
+
+func (p *Platform) open(cfg Config) error {
+	parts := []struct {
+		handler http.Handler
+		url     *string
+	}{
+		{p.Table, &p.addresses.Table},
+		{p.Objects, &p.addresses.Objects},
+		{p.Cloud, &p.addresses.Cloud},
+		{p.control(), &p.addresses.Control},
+	}
+	for _, part := range parts {
+		server, err := StartServer(part.handler)
+		if err != nil {
+			return err
+		}
+		p.servers = append(p.servers, server)
+		*part.url = server.URL()
+	}
+	for n, c := range cfg.Engines {
+		if c.ID == "" {
+			c.ID = fmt.Sprintf("engine-%d", n+1)
+		}
+		address, err := p.AddEngine(c)
+		if err != nil {
+			return err
+		}
+		p.addresses.Engines = append(p.addresses.Engines, BackendEndpoint{ID: c.ID, Address: address})
+	}
+	for n, c := range cfg.Plains {
+		if c.ID == "" {
+			c.ID = fmt.Sprintf("plain-%d", n+1)
+		}
+		address, err := p.AddPlain(c)
+		if err != nil {
+			return err
+		}
+		p.addresses.Plains = append(p.addresses.Plains, BackendEndpoint{ID: c.ID, Address: address})
+	}
+	return nil
+}
+
+// Addresses returns where the parts that Start opened listen.
+func (p *Platform) Addresses() Addresses { return p.addresses }
+
+// AddEngine starts another engine and returns its host:port. A crash closes
+// its port until Restart.
+func (p *Platform) AddEngine(c EngineConfig) (string, error) {
+	b := &backend{}
+	crashed := c.OnCrash
+	c.OnCrash = func() {
+		b.server.Kill()
+		if crashed != nil {
+			crashed()
+		}
+	}
+	b.engine = NewEngine(c)
+	return p.add(c.ID, b, b.engine)
+}
+
+// AddPlain starts another plain backend server and returns its host:port.
+func (p *Platform) AddPlain(c PlainConfig) (string, error) {
+	b := &backend{}
+	crashed := c.OnCrash
+	c.OnCrash = func() {
+		b.server.Kill()
+		if crashed != nil {
+			crashed()
+		}
+	}
+	b.plain = NewPlain(c)
+	return p.add(c.ID, b, b.plain)
+}
+
+func (p *Platform) add(id string, b *backend, h http.Handler) (string, error) {
+	b.server = newServer(h)
+	if err := b.server.Start(); err != nil {
+		return "", err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backends[id] = b
+	return b.server.Address(), nil
+}
+
+// Engine returns an engine, or nil.
+func (p *Platform) Engine(id string) *Engine {
+	if b := p.find(id); b != nil {
+		return b.engine
+	}
+	return nil
+}
+
+// Plain returns a plain backend server, or nil.
+func (p *Platform) Plain(id string) *Plain {
+	if b := p.find(id); b != nil {
+		return b.plain
+	}
+	return nil
+}
+
+// Kill takes a backend server away as a crash does.
+func (p *Platform) Kill(id string) {
+	b := p.find(id)
+	if b == nil {
+		return
+	}
+	if b.engine != nil {
+		b.engine.Crash()
+	}
+	b.server.Kill()
+}
+
+// Restart brings a killed or crashed backend server back on its port.
+func (p *Platform) Restart(id string) error {
+	b := p.find(id)
+	if b == nil {
+		return fmt.Errorf("no backend server %q", id)
+	}
+	if b.engine != nil {
+		b.engine.Restart()
+	}
+	if b.plain != nil {
+		b.plain.Restart()
+	}
+	return b.server.Start()
+}
+
+// Close ends everything that the platform runs.
+func (p *Platform) Close() {
+	p.Cloud.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		s.Kill()
+	}
+	for _, b := range p.backends {
+		b.server.Kill()
+	}
+}
+
+func (p *Platform) find(id string) *backend {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backends[id]
+}
+
+// cloudEngine runs one engine on each instance, under the instance's id.
+func (p *Platform) cloudEngine(c EngineConfig) func(CloudInstance) (string, func()) {
+	return func(i CloudInstance) (string, func()) {
+		own := c
+		own.ID = i.ID
+		address, err := p.AddEngine(own)
+		if err != nil {
+			return "", nil
+		}
+		return address, func() { p.Kill(i.ID) }
+	}
+}
+
+// backendRequest is the body of POST /_restart and POST /_kill.
+type backendRequest struct {
+	ID string `json:"id"`
+}
+
+func (p *Platform) control() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/_addresses", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.Addresses())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/_restart", p.serveBackend(p.Restart)).Methods(http.MethodPost)
+	r.HandleFunc("/_kill", p.serveBackend(func(id string) error {
+		p.Kill(id)
+		return nil
+	})).Methods(http.MethodPost)
+	return r
+}
+
+func (p *Platform) serveBackend(f func(string) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req backendRequest
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := f(req.ID); err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -20,10 +20,14 @@
 
 // StartServer opens a free loopback port and serves the handler on it.
 func StartServer(h http.Handler) (*Server, error) {
-	s := &Server{handler: h, address: "127.0.0.1:0"}
+	s := newServer(h)
 	return s, s.Start()
 }
 
+func newServer(h http.Handler) *Server {
+	return &Server{handler: h, address: "127.0.0.1:0"}
+}
+
 // Address returns host:port.
 func (s *Server) Address() string {
 	s.mu.Lock()
--- a/internal/standin/tokens.go
+++ b/internal/standin/tokens.go
@@ -62,5 +62,3 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
-
-func containsCrash(prompt string) bool { return strings.Contains(prompt, CrashMarker) }
