--- a/internal/platform/onesend/onesend.go
+++ b/internal/platform/onesend/onesend.go
@@ -4,7 +4,8 @@
 // http.Transport repeats by itself a request whose reused connection breaks
 // before the reply, if it takes the request as replayable: GET, HEAD, OPTIONS,
 // TRACE, or any with an Idempotency-Key header, without a body or with
-// GetBody. Client takes all of this away.
+// GetBody. Client gives each request a body that cannot be read again, which
+// rules this out.
 package onesend
 
 import (
@@ -60,8 +61,6 @@
 	trace := &httptrace.ClientTrace{GotConn: sent.gotConn}
 	r = r.Clone(httptrace.WithClientTrace(r.Context(), trace))
 	r.GetBody = nil
-	r.Header.Del("Idempotency-Key")
-	r.Header.Del("X-Idempotency-Key")
 	if r.Body == nil || r.Body == http.NoBody {
 		r.Body = emptyBody{}
 		r.ContentLength = 0
