Decide where and when attempts run: one coordinator for each backend server

Change: rendezvous hashing gives each backend server a coordinator that keeps its queue, slots, prefix memory and drain state; askers get grants from it.

--- /dev/null
+++ b/internal/event/numbers_grant.go
@@ -0,0 +1,19 @@
+package event
+
+// Events of grants, routing, limits and quarantine: 4000 to 4999.
+var (
+	GrantGiven         = define(4000, Debug, "grant given to a daemon")
+	GrantReclaimed     = define(4001, Warn, "grant of a lost or silent daemon taken back")
+	CoordinatorTaken   = define(4002, Info, "this daemon now coordinates the backend server")
+	CoordinatorLeft    = define(4003, Info, "this daemon no longer coordinates the backend server")
+	CoordinatorUnclear = define(4004, Warn, "two daemons disagree on the coordinator of a backend server")
+	AskUnanswered      = define(4005, Info, "coordinator did not answer in time; asked elsewhere")
+	AskRefused         = define(4006, Info, "no grant for the attempt, not run")
+	BackendLeaving     = define(4010, Info, "backend server takes no new work")
+	BackendReturned    = define(4011, Info, "backend server takes new work again")
+	BackendDied        = define(4012, Warn, "backend server died; it gets no work for a while")
+	BackendOnTrial     = define(4013, Info, "backend server that died is tried again with one request")
+	ContentSuspected   = define(4020, Warn, "content was running on a backend server that died")
+	ContentCleared     = define(4021, Info, "suspect content has completed")
+	ContentConvicted   = define(4022, Error, "content killed a backend server while it ran there alone; it is refused")
+)
--- a/internal/system/grant/grants.go
+++ b/internal/system/grant/grants.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/quarantine"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/routing"
 )
 
@@ -27,63 +29,171 @@
 	ReportInterval time.Duration // between two reports to a coordinator
 	SilenceLimit   time.Duration // a silent asker's grants are taken back
 	RebuildWindow  time.Duration // a new coordinator waits for reports
+	ReprobeAfter   time.Duration // a queued ask looks for a free slot elsewhere
+	FlushDelay     time.Duration // releases wait that long for other messages
+	ParkLimit      time.Duration // a want without candidates and deadline is refused
 	MaxProbes      int           // backend servers asked before an ask queues
+	Quarantine     quarantine.Config
+}
+
+const (
+	defaultAskTimeout     = 250 * time.Millisecond
+	defaultReportInterval = 10 * time.Second
+	defaultSilenceLimit   = 25 * time.Second
+	defaultRebuildWindow  = 100 * time.Millisecond
+	defaultReprobeAfter   = 100 * time.Millisecond
+	defaultFlushDelay     = 5 * time.Millisecond
+	defaultParkLimit      = 30 * time.Second
+	defaultMaxProbes      = 3
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.AskTimeout, defaultAskTimeout)
+	setDefault(&c.ReportInterval, defaultReportInterval)
+	setDefault(&c.SilenceLimit, defaultSilenceLimit)
+	setDefault(&c.RebuildWindow, defaultRebuildWindow)
+	setDefault(&c.ReprobeAfter, defaultReprobeAfter)
+	setDefault(&c.FlushDelay, defaultFlushDelay)
+	setDefault(&c.ParkLimit, defaultParkLimit)
+	setDefault(&c.MaxProbes, defaultMaxProbes)
+	if c.Policy == nil {
+		c.Policy = routing.NewAffinity()
+	}
+	return c
+}
+
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
 }
 
 // Grants is the system; see the package. It is not safe for concurrent use.
 type Grants struct {
-	cfg Config
+	cfg      Config
+	members  roster
+	services *entity.Table[entity.ServiceName, service]
+	servers  *entity.Table[entity.BackendServerID, server]
+	wants    *entity.Table[wantKey, want]
+	leaving  *entity.Table[entity.BackendServerID, leavingState]
+	reports  *entity.Table[entity.InstanceID, reportTimer] // by coordinator
+	suspects *quarantine.Registry
+	out      outbox
+	news     []repeatedNews
+	schedule schedule
+	ready    Ready
+	sequence uint32
+	pool     []routing.Candidate // scratch
 }
 
 // New returns a system that knows no members but itself and no services.
-func New(cfg Config) *Grants { return &Grants{cfg: cfg} }
-
-// SetMembers replaces the list of live daemons. Self may be among them.
-func (g *Grants) SetMembers(now time.Time, members []Member) {}
-
-// SetServices replaces the services and their backend servers.
-func (g *Grants) SetServices(now time.Time, services []entity.Service) {}
-
-// SetLeaving says that a backend server leaves, or no longer does. It gets no
-// new work at once; asks that wait for it are sent elsewhere.
-func (g *Grants) SetLeaving(now time.Time, id entity.BackendServerID, reason string, leaving bool) {}
-
-// Want asks for a grant. A Decision answers it. A repeated Want with the same
-// request and attempt is ignored.
-func (g *Grants) Want(now time.Time, w Want) {}
-
-// Withdraw gives up a want that has no decision yet, or gives back its grant
-// unused.
-func (g *Grants) Withdraw(now time.Time, request entity.RequestID, attempt entity.AttemptNumber) {}
-
-// Release gives back a grant whose attempt has ended.
-func (g *Grants) Release(now time.Time, request entity.RequestID, attempt entity.AttemptNumber, o Outcome) {
+func New(cfg Config) *Grants {
+	cfg = cfg.withDefaults()
+	return &Grants{
+		cfg:      cfg,
+		members:  newRoster(Member{ID: cfg.Self, Place: cfg.Place}),
+		services: entity.NewTable[entity.ServiceName, service](),
+		servers:  entity.NewTable[entity.BackendServerID, server](),
+		wants:    entity.NewTable[wantKey, want](),
+		leaving:  entity.NewTable[entity.BackendServerID, leavingState](),
+		reports:  entity.NewTable[entity.InstanceID, reportTimer](),
+		suspects: quarantine.New(cfg.Quarantine),
+		out:      newOutbox(),
+	}
 }
 
 // Step takes a message of another daemon.
-func (g *Grants) Step(now time.Time, from entity.InstanceID, m Message) {}
-
-// LoadReport takes a backend server's own load report.
-func (g *Grants) LoadReport(now time.Time, id entity.BackendServerID, l Load) {}
-
-// CacheEvent takes news of a backend server's prefix cache.
-func (g *Grants) CacheEvent(now time.Time, id entity.BackendServerID, e CacheEvent) {}
-
-// Convicted takes a conviction that another daemon has spread.
-func (g *Grants) Convicted(now time.Time, d entity.Digest) {}
+func (g *Grants) Step(now time.Time, from entity.InstanceID, m Message) {
+	g.receive(now, from, &m)
+	g.settle(now)
+}
 
 // Tick does what is due. It may be called at any time.
-func (g *Grants) Tick(now time.Time) {}
+func (g *Grants) Tick(now time.Time) {
+	for {
+		t, ok := g.schedule.next(now)
+		if !ok {
+			break
+		}
+		g.fire(now, t)
+	}
+	for _, c := range g.suspects.Tick(now) {
+		g.convict(now, c)
+	}
+	g.repeatNews(now)
+	g.settle(now)
+}
 
 // Deadline returns when Tick is due next; zero: not before the next input.
-func (g *Grants) Deadline() time.Time { return time.Time{} }
+func (g *Grants) Deadline() time.Time {
+	due := earliest(g.schedule.first(), g.suspects.Deadline())
+	due = earliest(due, g.out.flushAt)
+	for i := range g.news {
+		due = earliest(due, g.news[i].at)
+	}
+	return due
+}
 
 // Ready drains what the caller must perform.
-func (g *Grants) Ready() Ready { return Ready{} }
+func (g *Grants) Ready() Ready {
+	r := g.ready
+	g.ready = Ready{}
+	return r
+}
 
-// Drained reports whether a backend server holds no grants and no waiting
-// asks, as far as this daemon knows.
-func (g *Grants) Drained(id entity.BackendServerID) bool { return true }
+// receive handles the parts of a message. Releases come first, so that the
+// slots they free serve the asks.
+func (g *Grants) receive(now time.Time, from entity.InstanceID, m *Message) {
+	for i := range m.Leaving {
+		g.learnLeaving(now, &m.Leaving[i])
+	}
+	for i := range m.Suspicions {
+		g.learnSuspicion(now, &m.Suspicions[i])
+	}
+	for i := range m.Releases {
+		g.releaseAt(now, from, &m.Releases[i])
+	}
+	for i := range m.Withdrawn {
+		g.withdrawAt(now, from, m.Withdrawn[i])
+	}
+	if m.Report != nil {
+		g.reconcile(now, from, m.Report)
+	}
+	for i := range m.Asks {
+		g.askAt(now, from, &m.Asks[i])
+	}
+	for i := range m.Replies {
+		g.reply(now, from, &m.Replies[i])
+	}
+}
 
-// Snapshot returns the state for status pages and the planner.
-func (g *Grants) Snapshot() Snapshot { return Snapshot{} }
+// settle delivers what this daemon has to tell itself until nothing is left,
+// then moves due messages to the result.
+func (g *Grants) settle(now time.Time) {
+	for {
+		m := g.out.takeLocal()
+		if m == nil {
+			break
+		}
+		g.receive(now, g.cfg.Self, m)
+	}
+	g.ready.Send = g.out.flush(now, g.ready.Send)
+}
+
+// send returns the message that is being gathered for a daemon. An urgent one
+// leaves with the next Ready; others wait a little for company.
+func (g *Grants) send(now time.Time, to entity.InstanceID, urgent bool) *Message {
+	if to == g.cfg.Self {
+		return g.out.local()
+	}
+	return g.out.to(to, now, urgent, g.cfg.FlushDelay)
+}
+
+func (g *Grants) emit(e event.Event) { g.ready.Events = append(g.ready.Events, e) }
+
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
--- a/internal/system/grant/message.go
+++ b/internal/system/grant/message.go
@@ -33,7 +33,6 @@
 	Wait         bool                  `cbor:"8,keyasint,omitempty"` // queue it if there is no free slot
 	Alone        bool                  `cbor:"9,keyasint,omitempty"`
 	Insist       bool                  `cbor:"10,keyasint,omitempty"` // serve it although another daemon coordinates
-	Charged      bool                  `cbor:"11,keyasint,omitempty"` // in reports: it holds a grant
 }
 
 // Release gives a slot back.
@@ -55,8 +54,7 @@
 	Queued
 	// Busy: no free slot; ask elsewhere.
 	Busy
-	// Elsewhere: the backend server is leaving, unknown or coordinated by
-	// another daemon.
+	// Elsewhere: the backend server takes no work from this coordinator.
 	Elsewhere
 	// Late: the deadline cannot be met there.
 	Late
@@ -69,9 +67,23 @@
 	Kind      ReplyKind `cbor:"3,keyasint"`
 	Hint      Hint      `cbor:"4,keyasint"`
 	Cached    int       `cbor:"5,keyasint,omitempty"` // how many of the ask's prefixes are cached
-	Reason    string    `cbor:"6,keyasint,omitempty"` // Elsewhere: why
+	Reason    Reason    `cbor:"6,keyasint,omitempty"` // with Elsewhere
 }
 
+// Reason says why a coordinator sends an ask elsewhere.
+type Reason uint8
+
+const (
+	// ReasonUnknown: the coordinator does not know the backend server.
+	ReasonUnknown Reason = iota + 1
+	// ReasonLeaving: the backend server takes no new work.
+	ReasonLeaving
+	// ReasonDead: the backend server has just died.
+	ReasonDead
+	// ReasonCoordinator: another daemon coordinates the backend server.
+	ReasonCoordinator
+)
+
 // Hint is a coordinator's exact knowledge of a backend server when it was sent.
 type Hint struct {
 	Busy    int   `cbor:"1,keyasint,omitempty"`
@@ -82,10 +94,12 @@
 }
 
 // Report lists the grants that the sender holds from the receiver and the asks
-// that wait there. What the receiver holds for the sender besides is lost.
+// that wait there. What the receiver holds for the sender besides, up to the
+// sequence number, has ended.
 type Report struct {
-	Held    []Ask `cbor:"1,keyasint,omitempty"`
-	Waiting []Ask `cbor:"2,keyasint,omitempty"`
+	Held     []Ask  `cbor:"1,keyasint,omitempty"`
+	Waiting  []Ask  `cbor:"2,keyasint,omitempty"`
+	Sequence uint32 `cbor:"3,keyasint"`
 }
 
 // Leaving is news of a backend server that takes, or takes again, no new work.
@@ -96,11 +110,13 @@
 	Reason  string                 `cbor:"4,keyasint,omitempty"`
 }
 
-// Suspicion says that content was running on a backend server when it died,
-// or, with Cleared, that it has completed.
+// Suspicion says that content was running on a backend server when it died;
+// with Cleared, that it has completed; with Convicted, that it is refused.
 type Suspicion struct {
-	Digest  entity.Digest          `cbor:"1,keyasint"`
-	Backend entity.BackendServerID `cbor:"2,keyasint,omitempty"`
-	Alone   bool                   `cbor:"3,keyasint,omitempty"`
-	Cleared bool                   `cbor:"4,keyasint,omitempty"`
+	Digest     entity.Digest          `cbor:"1,keyasint"`
+	Backend    entity.BackendServerID `cbor:"2,keyasint,omitempty"`
+	DataCentre entity.DataCentreID    `cbor:"3,keyasint,omitempty"`
+	Alone      bool                   `cbor:"4,keyasint,omitempty"`
+	Cleared    bool                   `cbor:"5,keyasint,omitempty"`
+	Convicted  int64                  `cbor:"6,keyasint,omitempty"` // version of the conviction
 }
--- /dev/null
+++ b/internal/system/routing/affinity.go
@@ -0,0 +1,224 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+const (
+	// affinityDepth is the prefix that places a request: deep enough to tell
+	// conversations with one system prompt apart, and the same for all turns.
+	affinityDepth = 2
+	// hintLife is how long a report counts in full.
+	hintLife = time.Second
+	// loadBound is how much fuller than the least loaded sampled candidate one
+	// with a cached prefix may be and still go first.
+	loadBound = 0.25
+	// samples is how many candidates are drawn for their load.
+	samples = 4
+	// defaultMemory is the number of prefixes whose place is remembered.
+	defaultMemory = 4096
+)
+
+// penalties order candidates of unlike kinds; loads are mostly below 2.
+const (
+	penaltyRegion = 0.5 // another data centre of the region
+	penaltyRemote = 8   // another region
+	penaltySlow   = 4
+	penaltyFull   = 16
+)
+
+// Affinity places requests with a common prompt prefix on the same backend
+// server unless it is much fuller than others, prefers the asker's data
+// centre and passes slow backend servers over by their chance. All daemons
+// agree on the place of a prefix by rendezvous hashing; what this daemon
+// placed itself goes before.
+type Affinity struct {
+	memory *prefixMemory
+}
+
+// NewAffinity returns the policy with an empty memory.
+func NewAffinity() *Affinity { return &Affinity{memory: newPrefixMemory(defaultMemory)} }
+
+// Choose implements Policy.
+func (a *Affinity) Choose(now time.Time, rng *rand.Rand, q Query, pool []Candidate, limit int) []entity.BackendServerID {
+	if len(pool) == 0 {
+		return nil
+	}
+	picked := a.pick(rng, q, pool)
+	ranked := make([]rank, 0, len(picked))
+	for _, i := range picked {
+		c := &pool[i]
+		ranked = append(ranked, rank{index: i, load: cost(now, rng, q, c), tie: rng.Uint64()})
+	}
+	a.prefer(q, pool, ranked)
+	return lowest(ranked, pool, limit)
+}
+
+// Placed implements Policy.
+func (a *Affinity) Placed(_ time.Time, q Query, backend entity.BackendServerID, _ int) {
+	for _, p := range q.Prefix {
+		a.memory.put(p, backend)
+	}
+}
+
+// pick returns the indexes of the candidates to be weighed: the places of the
+// prefix, and some of the near and of all others at random.
+func (a *Affinity) pick(rng *rand.Rand, q Query, pool []Candidate) []int {
+	picked := make([]int, 0, 2*samples+3)
+	if len(q.Prefix) > 0 {
+		if i := a.remembered(q, pool); i >= 0 {
+			picked = append(picked, i)
+		}
+		picked = addIndex(picked, rendezvous(q, pool, q.Prefix[min(len(q.Prefix)-1, affinityDepth)]))
+		picked = addIndex(picked, rendezvous(q, pool, q.Prefix[0]))
+	}
+	near := indexesNear(q, pool)
+	for range min(samples, len(near)) {
+		picked = addIndex(picked, near[rng.IntN(len(near))])
+	}
+	for range samples {
+		picked = addIndex(picked, rng.IntN(len(pool)))
+	}
+	return picked
+}
+
+// prefer moves the places of the prefix to the front while they are not much
+// fuller than the best.
+func (a *Affinity) prefer(q Query, pool []Candidate, ranked []rank) {
+	if len(q.Prefix) == 0 {
+		return
+	}
+	best := ranked[0].load
+	for _, r := range ranked {
+		best = min(best, r.load)
+	}
+	home := rendezvous(q, pool, q.Prefix[min(len(q.Prefix)-1, affinityDepth)])
+	known := a.remembered(q, pool)
+	for i := range ranked {
+		r := &ranked[i]
+		if r.load > best+loadBound {
+			continue
+		}
+		switch r.index {
+		case known:
+			r.load = best - 2
+		case home:
+			r.load = best - 1
+		}
+	}
+}
+
+// remembered returns the candidate that got the longest known prefix, or -1.
+func (a *Affinity) remembered(q Query, pool []Candidate) int {
+	for i := len(q.Prefix) - 1; i >= 0; i-- {
+		backend, ok := a.memory.get(q.Prefix[i])
+		if !ok {
+			continue
+		}
+		for j := range pool {
+			if pool[j].Backend == backend {
+				return j
+			}
+		}
+	}
+	return -1
+}
+
+// cost estimates how bad it is to ask a candidate.
+func cost(now time.Time, rng *rand.Rand, q Query, c *Candidate) float64 {
+	load := estimate(now, c)
+	if load >= 1 {
+		load += penaltyFull
+	}
+	if c.Place.Region != q.Place.Region {
+		load += penaltyRemote
+	} else if c.Place.DataCentre != q.Place.DataCentre {
+		load += penaltyRegion
+	}
+	if c.Chance < 1 && rng.Float64() >= c.Chance {
+		load += penaltySlow
+	}
+	return load
+}
+
+// estimate returns the load per slot: the report while it is fresh, fading
+// into what this daemon alone knows.
+func estimate(now time.Time, c *Candidate) float64 {
+	own := perSlot(c.Own, c.Slots)
+	if c.At.IsZero() {
+		return own
+	}
+	age := now.Sub(c.At)
+	if age >= hintLife {
+		return own
+	}
+	weight := 1 - float64(age)/float64(hintLife)
+	return max(own, weight*perSlot(c.Busy+c.Queued, c.Slots))
+}
+
+// rendezvous returns the candidate with the highest hash for the prefix, of
+// the nearest place that has any (Thaler and Ravishankar, 1998).
+func rendezvous(q Query, pool []Candidate, prefix uint64) int {
+	best, bestNear, bestScore := 0, -1, uint64(0)
+	for i := range pool {
+		near := nearness(q.Place, pool[i].Place)
+		if near < bestNear {
+			continue
+		}
+		score := mix(prefix ^ xxhash.Sum64String(string(pool[i].Backend)))
+		if near > bestNear || score > bestScore {
+			best, bestNear, bestScore = i, near, score
+		}
+	}
+	return best
+}
+
+func indexesNear(q Query, pool []Candidate) []int {
+	out := make([]int, 0, len(pool))
+	for i := range pool {
+		if nearness(q.Place, pool[i].Place) == sameDataCentre {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+const (
+	otherRegion = iota
+	sameRegion
+	sameDataCentre
+)
+
+func nearness(a, b entity.Place) int {
+	switch {
+	case a.Region != b.Region:
+		return otherRegion
+	case a.DataCentre != b.DataCentre:
+		return sameRegion
+	default:
+		return sameDataCentre
+	}
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func addIndex(list []int, i int) []int {
+	for _, have := range list {
+		if have == i {
+			return list
+		}
+	}
+	return append(list, i)
+}
