--- a/internal/system/grant/asker.go
+++ b/internal/system/grant/asker.go
@@ -185,7 +185,7 @@
 	w.rounds++
 	w.parked = false
 	w.best = ""
-	w.candidates = g.cfg.Policy.Choose(now, g.cfg.Rand, g.query(w), pool, g.cfg.MaxProbes)
+	w.candidates = g.cfg.Policy.Choose(now, g.cfg.Rand, g.routingQuery(w), pool, g.cfg.MaxProbes)
 	if w.alone {
 		w.candidates = w.candidates[:1]
 		return true
@@ -196,7 +196,7 @@
 	return true
 }
 
-func (g *Grants) query(w *want) routing.Query {
+func (g *Grants) routingQuery(w *want) routing.Query {
 	return routing.Query{Place: g.cfg.Place, Service: w.Service, Prefix: w.Prefix, Priority: w.Priority}
 }
 
@@ -393,7 +393,7 @@
 		return
 	}
 	pool := g.candidates(now, sv, w)
-	for _, id := range g.cfg.Policy.Choose(now, g.cfg.Rand, g.query(w), pool, 2) {
+	for _, id := range g.cfg.Policy.Choose(now, g.cfg.Rand, g.routingQuery(w), pool, 2) {
 		if id != q.backend {
 			g.ask(now, w, id, false)
 			return
--- a/internal/system/grant/coordinator.go
+++ b/internal/system/grant/coordinator.go
@@ -110,6 +110,7 @@
 		w.deadline = now.Add(time.Duration(a.Left) * time.Microsecond)
 	}
 	l.waiting.Put(h, w)
+	g.wakeServer(s, now.Add(queryInterval))
 	if a.Alone {
 		l.alone = append(l.alone, h)
 		l.aloneTurn = true
@@ -229,6 +230,7 @@
 		l.checked = now
 		g.reclaimSilent(now, s)
 	}
+	g.query(now, s)
 	g.serve(now, s)
 	if s.coordinator.id != g.cfg.Self && l.held.Len()+l.waiting.Len() == 0 {
 		s.lot = nil
@@ -244,11 +246,44 @@
 	if now.Before(l.deadUntil) {
 		g.wakeServer(s, l.deadUntil)
 	}
+	if l.waiting.Len() > 0 {
+		g.wakeServer(s, now.Add(queryInterval))
+	}
 	if l.held.Len() > 0 {
 		g.wakeServer(s, now.Add(silenceInterval))
 	}
 }
 
+// query asks the holders of old grants whether they still have them, while
+// others wait: a release may have been lost.
+func (g *Grants) query(now time.Time, s *server) {
+	l := s.lot
+	if l.waiting.Len() == 0 {
+		return
+	}
+	old := max(queryInterval, queryRuns*l.run)
+	l.held.All(func(h holder, held *grant) bool {
+		if h.asker == g.cfg.Self || now.Sub(held.since) < old || now.Sub(held.queried) < queryInterval {
+			return true
+		}
+		held.queried = now
+		m := g.send(now, h.asker, true)
+		m.Queries = append(m.Queries, held.ask.Reference)
+		return true
+	})
+}
+
+// confirmedAt notes that a grant is still held.
+func (g *Grants) confirmedAt(now time.Time, from entity.InstanceID, r Reference) {
+	s := g.servers.Get(r.Backend)
+	if s == nil || s.lot == nil {
+		return
+	}
+	if held := s.lot.held.Get(holderOf(from, r)); held != nil {
+		held.heard = now
+	}
+}
+
 // reclaimSilent takes back the grants whose askers no longer confirm them.
 func (g *Grants) reclaimSilent(now time.Time, s *server) {
 	l := s.lot
--- /dev/null
+++ b/internal/system/grant/fakes_test.go
@@ -0,0 +1,471 @@
+package grant
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/codec"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/routing"
+)
+
+const (
+	localDelay  = 200 * time.Microsecond
+	remoteDelay = 1500 * time.Microsecond
+	// packetOverhead in bytes: IP 20, UDP 8, a QUIC short header 12, its tag
+	// 16 and a datagram frame 3, and half an acknowledgement packet.
+	packetOverhead = 59 + 30
+)
+
+// world runs daemons and fake engines in virtual time.
+type world struct {
+	now      time.Time
+	start    time.Time
+	rng      *rand.Rand
+	events   eventHeap
+	count    int
+	nodes    []*node
+	engines  []*engine
+	doc      entity.Service
+	loss     float64
+	messages int
+	bytes    int // payload, only counted with measure
+	measure  bool
+	finished []*request
+	refused  []*request
+	onStart  func(*request, *engine)
+	baseline routing.Policy // dispatch without grants, by lagged reports
+	tuneWant func(*Want)
+}
+
+type node struct {
+	w       *world
+	id      entity.InstanceID
+	place   entity.Place
+	g       *Grants
+	dead    bool
+	ticking time.Time
+	open    *entity.Table[entity.RequestID, request]
+	sent    int
+}
+
+type request struct {
+	want    Want
+	tokens  int
+	node    *node
+	arrived time.Time
+	first   time.Time // first token; zero: none yet
+	done    time.Time
+	err     error
+	crash   bool
+	run     int // sends to engines
+	deaths  int
+}
+
+type engine struct {
+	w       *world
+	backend entity.BackendServer
+	dead    bool
+	between time.Duration
+	running *entity.Table[wantKey, job]
+	queue   []*job // beyond the slots, in order
+	peak    int    // most requests at once, with those beyond the slots
+	served  entity.Tokens
+	busy    int // lagging report for baselines
+}
+
+type job struct {
+	r     *request
+	key   wantKey
+	alone bool
+	began time.Time
+	ended bool
+}
+
+type happening struct {
+	at   time.Time
+	seq  int
+	call func()
+}
+
+type eventHeap []happening
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(happening)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+func newWorld(seed uint64, doc entity.Service) *world {
+	start := time.UnixMicro(1_700_000_000_000_000)
+	w := &world{now: start, start: start, rng: rand.New(rand.NewPCG(seed, 1)), doc: doc}
+	for _, b := range doc.BackendServers {
+		w.addEngine(b)
+	}
+	return w
+}
+
+func (w *world) addEngine(b entity.BackendServer) *engine {
+	e := &engine{w: w, backend: b, between: 25 * time.Millisecond, running: entity.NewTable[wantKey, job]()}
+	w.engines = append(w.engines, e)
+	return e
+}
+
+func (w *world) after(d time.Duration, call func()) {
+	w.count++
+	heap.Push(&w.events, happening{w.now.Add(d), w.count, call})
+}
+
+func (w *world) run(until time.Duration) {
+	end := w.start.Add(until)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(happening)
+		w.now = e.at
+		e.call()
+	}
+	w.now = end
+}
+
+func (w *world) addNode(place entity.Place, tune func(*Config)) *node {
+	id := entity.InstanceID(fmt.Sprintf("daemon-%03d", len(w.nodes)))
+	cfg := Config{Self: id, Place: place, Rand: rand.New(rand.NewPCG(uint64(len(w.nodes)), 7))}
+	if tune != nil {
+		tune(&cfg)
+	}
+	n := &node{w: w, id: id, place: place, g: New(cfg), open: entity.NewTable[entity.RequestID, request]()}
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+// meet tells every live daemon of every other and of the service.
+func (w *world) meet() {
+	var members []Member
+	for _, n := range w.nodes {
+		if !n.dead {
+			members = append(members, Member{ID: n.id, Place: n.place})
+		}
+	}
+	for _, n := range w.nodes {
+		if !n.dead {
+			n.g.SetMembers(w.now, members)
+			n.g.SetServices(w.now, []entity.Service{w.doc})
+			n.drain()
+		}
+	}
+}
+
+func (w *world) node(id entity.InstanceID) *node {
+	for _, n := range w.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) engine(id entity.BackendServerID) *engine {
+	for _, e := range w.engines {
+		if e.backend.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// drain performs what a daemon's system asks for.
+func (n *node) drain() {
+	r := n.g.Ready()
+	for _, e := range r.Send {
+		n.deliver(e)
+	}
+	for _, d := range r.Decisions {
+		n.decided(d)
+	}
+	due := n.g.Deadline()
+	if due.IsZero() || (!n.ticking.IsZero() && !due.Before(n.ticking) && n.ticking.After(n.w.now)) {
+		return
+	}
+	n.ticking = due
+	n.w.after(max(0, due.Sub(n.w.now)), func() {
+		if !n.dead {
+			n.g.Tick(n.w.now)
+			n.drain()
+		}
+	})
+}
+
+func (n *node) deliver(e Envelope) {
+	w := n.w
+	w.messages++
+	n.sent++
+	if w.measure {
+		data, err := codec.Encode(e.Message)
+		if err != nil {
+			panic(err)
+		}
+		w.bytes += len(data)
+	}
+	to := w.node(e.To)
+	if to == nil || w.rng.Float64() < w.loss {
+		return
+	}
+	delay := remoteDelay
+	if to.place == n.place {
+		delay = localDelay
+	}
+	w.after(delay, func() {
+		if !to.dead {
+			to.g.Step(w.now, n.id, e.Message)
+			to.drain()
+		}
+	})
+}
+
+// submit has a daemon accept a request.
+func (n *node) submit(r *request) {
+	r.node, r.arrived = n, n.w.now
+	r.want.Service, r.want.Attempt = n.w.doc.Name, 1
+	n.open.Put(r.want.Request, r)
+	n.attempt(r)
+}
+
+func (n *node) attempt(r *request) {
+	if n.w.baseline != nil {
+		n.w.dispatchByPolicy(n, r)
+		return
+	}
+	if n.w.tuneWant != nil {
+		n.w.tuneWant(&r.want)
+	}
+	n.g.Want(n.w.now, r.want)
+	n.drain()
+}
+
+func (n *node) decided(d Decision) {
+	r := n.open.Get(d.Request)
+	if r == nil || r.want.Attempt != d.Attempt {
+		return
+	}
+	if d.Err != nil {
+		r.err = d.Err
+		n.open.Delete(d.Request)
+		n.w.refused = append(n.w.refused, r)
+		return
+	}
+	n.w.engine(d.Backend.ID).start(&job{r: r, key: wantKey{d.Request, d.Attempt}, alone: d.Alone})
+}
+
+func (e *engine) start(j *job) {
+	if e.w.onStart != nil {
+		e.w.onStart(j.r, e)
+	}
+	j.r.run++
+	if e.dead {
+		e.w.after(time.Millisecond, func() { e.w.lost(j, e) })
+		return
+	}
+	e.peak = max(e.peak, e.running.Len()+len(e.queue)+1)
+	if e.running.Len() >= e.backend.Slots {
+		e.queue = append(e.queue, j)
+		return
+	}
+	e.begin(j)
+}
+
+const prefill = 100 * time.Millisecond
+
+func (e *engine) begin(j *job) {
+	j.began = e.w.now
+	e.running.Put(j.key, j)
+	if j.r.crash {
+		e.w.after(prefill, func() {
+			if !j.ended && !e.dead {
+				e.die()
+			}
+		})
+		return
+	}
+	e.w.after(prefill, func() {
+		if !j.ended && j.r.first.IsZero() {
+			j.r.first = e.w.now
+		}
+	})
+	e.w.after(prefill+time.Duration(j.r.tokens)*e.between, func() { e.complete(j) })
+}
+
+func (e *engine) complete(j *job) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	e.running.Delete(j.key)
+	e.served += entity.Tokens(j.r.tokens)
+	if len(e.queue) > 0 {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		e.begin(next)
+	}
+	n := j.r.node
+	if n.dead {
+		return
+	}
+	j.r.done = e.w.now
+	n.open.Delete(j.r.want.Request)
+	e.w.finished = append(e.w.finished, j.r)
+	n.g.Release(e.w.now, j.key.request, j.key.attempt, Outcome{
+		Kind: Completed, Tokens: j.r.want.Cost, FirstToken: prefill, BetweenTokens: e.between,
+	})
+	n.drain()
+}
+
+// die kills the engine and all that it runs.
+func (e *engine) die() {
+	e.dead = true
+	jobs := append([]*job(nil), e.queue...)
+	e.queue = nil
+	e.running.All(func(_ wantKey, j *job) bool {
+		jobs = append(jobs, j)
+		return true
+	})
+	e.running = entity.NewTable[wantKey, job]()
+	for _, j := range jobs {
+		j.ended = true
+		e.w.after(time.Millisecond, func() { e.w.lost(j, e) })
+	}
+}
+
+// lost tells the daemon that its attempt's engine has died; it tries again.
+func (w *world) lost(j *job, e *engine) {
+	n, r := j.r.node, j.r
+	if n.dead {
+		return
+	}
+	r.deaths++
+	n.g.Release(w.now, j.key.request, j.key.attempt, Outcome{Kind: BackendDied})
+	n.drain()
+	r.want.Attempt++
+	r.want.Exclude = []entity.BackendServerID{e.backend.ID}
+	n.attempt(r)
+}
+
+// dispatchByPolicy sends a request at once to the engine that a baseline
+// policy chooses by load reports that are a second old.
+func (w *world) dispatchByPolicy(n *node, r *request) {
+	pool := make([]routing.Candidate, 0, len(w.engines))
+	for _, e := range w.engines {
+		if e.listed() {
+			pool = append(pool, routing.Candidate{
+				Backend: e.backend.ID, Place: e.backend.Place, Slots: e.backend.Slots, Busy: e.busy, Chance: 1,
+			})
+		}
+	}
+	if len(pool) == 0 {
+		w.after(100*time.Millisecond, func() { w.dispatchByPolicy(n, r) })
+		return
+	}
+	id := w.baseline.Choose(w.now, w.rng, routing.Query{Place: n.place}, pool, 1)[0]
+	w.engine(id).start(&job{r: r, key: wantKey{r.want.Request, r.want.Attempt}})
+}
+
+func (e *engine) listed() bool {
+	for _, b := range e.w.doc.BackendServers {
+		if b.ID == e.backend.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// reportLoads refreshes the lagging reports every second.
+func (w *world) reportLoads() {
+	for _, e := range w.engines {
+		e.busy = e.running.Len() + len(e.queue)
+	}
+	w.after(time.Second, w.reportLoads)
+}
+
+// arrivals submits requests at random times with a mean rate until the end.
+func (w *world) arrivals(rate float64, until time.Duration, make func(i int) *request) {
+	i := 0
+	var next func()
+	next = func() {
+		if w.now.Sub(w.start) > until {
+			return
+		}
+		r := make(i)
+		i++
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		for n.dead {
+			n = w.nodes[w.rng.IntN(len(w.nodes))]
+		}
+		n.submit(r)
+		w.after(time.Duration(w.rng.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	w.after(0, next)
+}
+
+var testPlaces = []entity.Place{{Region: "r", DataCentre: "a"}, {Region: "r", DataCentre: "b"}, {Region: "r", DataCentre: "c"}}
+
+// testService has servers spread over the data centres, and two organisations
+// of the same weight.
+func testService(servers, slots int) entity.Service {
+	doc := entity.Service{Name: "model", Kind: entity.KindModel}
+	doc.Organisations = []entity.OrganisationShare{{ID: "large", Weight: 1}, {ID: "small", Weight: 1}}
+	for i := range servers {
+		doc.BackendServers = append(doc.BackendServers, testServer(i, slots))
+	}
+	return doc
+}
+
+func testServer(i, slots int) entity.BackendServer {
+	return entity.BackendServer{
+		ID: entity.BackendServerID(fmt.Sprintf("server-%03d", i)), Service: "model",
+		Place: testPlaces[i%len(testPlaces)], Slots: slots,
+	}
+}
+
+// testWorld has daemons that know each other and the service.
+func testWorld(seed uint64, daemons, servers, slots int) *world {
+	w := newWorld(seed, testService(servers, slots))
+	for i := range daemons {
+		w.addNode(testPlaces[i%len(testPlaces)], nil)
+	}
+	w.meet()
+	w.run(time.Second)
+	return w
+}
+
+func testRequest(id string, tokens int) *request {
+	return &request{tokens: tokens, want: Want{
+		Request: entity.RequestID(id), Organisation: "large", Priority: 2, Cost: entity.Tokens(tokens), Repeatable: true,
+	}}
+}
+
+func submitMany(w *world, prefix string, n, tokens int) []*request {
+	var out []*request
+	for i := range n {
+		r := testRequest(fmt.Sprintf("%s-%d", prefix, i), tokens+i%7)
+		w.nodes[i%len(w.nodes)].submit(r)
+		out = append(out, r)
+	}
+	return out
+}
+
+func mustFinish(t *testing.T, w *world, requests []*request) {
+	t.Helper()
+	for _, r := range requests {
+		if r.done.IsZero() {
+			t.Fatalf("%s not finished at %v: attempt %d, err %v", r.want.Request, w.now.Sub(w.start), r.want.Attempt, r.err)
+		}
+	}
+}
--- a/internal/system/grant/grants.go
+++ b/internal/system/grant/grants.go
@@ -156,6 +156,12 @@
 	for i := range m.Withdrawn {
 		g.withdrawAt(now, from, m.Withdrawn[i])
 	}
+	for i := range m.Queries {
+		g.confirm(now, from, m.Queries[i])
+	}
+	for i := range m.Confirmed {
+		g.confirmedAt(now, from, m.Confirmed[i])
+	}
 	if m.Report != nil {
 		g.reconcile(now, from, m.Report)
 	}
--- a/internal/system/grant/lot.go
+++ b/internal/system/grant/lot.go
@@ -19,6 +19,8 @@
 	smoothingPart   = 8                      // weight of a new sample in a mean
 	cachedPrefixes  = 1024                   // remembered for each backend server
 	probablyFirst   = time.Millisecond       // lowest estimate of a run
+	queryInterval   = time.Second            // between questions to the holder of an old grant
+	queryRuns       = 2                      // a grant is old when held for so many mean runs
 	silenceInterval = 5 * time.Second        // between looks for silent askers
 )
 
@@ -65,9 +67,10 @@
 
 // grant is a slot in use.
 type grant struct {
-	ask   Ask
-	since time.Time
-	heard time.Time // when the asker last confirmed it
+	ask     Ask
+	since   time.Time
+	heard   time.Time // when the asker last confirmed it
+	queried time.Time // when the asker was last asked
 }
 
 // waiter is an ask in the queue.
--- a/internal/system/grant/message.go
+++ b/internal/system/grant/message.go
@@ -12,6 +12,8 @@
 	Report     *Report     `cbor:"5,keyasint,omitempty"`
 	Leaving    []Leaving   `cbor:"6,keyasint,omitempty"`
 	Suspicions []Suspicion `cbor:"7,keyasint,omitempty"`
+	Queries    []Reference `cbor:"8,keyasint,omitempty"` // coordinator to asker: do you still hold these grants?
+	Confirmed  []Reference `cbor:"9,keyasint,omitempty"` // asker to coordinator: these are still held
 }
 
 // Reference names one attempt at a backend server.
--- a/internal/system/grant/reply.go
+++ b/internal/system/grant/reply.go
@@ -56,7 +56,7 @@
 	backend := s.backend
 	w.backend, w.coordinator, w.sequence = &backend, from, r.Sequence
 	w.candidates, w.best = nil, ""
-	g.cfg.Policy.Placed(now, g.query(w), id, r.Cached)
+	g.cfg.Policy.Placed(now, g.routingQuery(w), id, r.Cached)
 	g.expectReport(now, from)
 	g.ready.Decisions = append(g.ready.Decisions, Decision{
 		Request: w.Request, Attempt: w.Attempt, Backend: &backend, Alone: w.alone,
--- a/internal/system/grant/report.go
+++ b/internal/system/grant/report.go
@@ -37,6 +37,18 @@
 	g.expectReport(now, to)
 }
 
+// confirm answers a coordinator's question whether a grant is still held. If
+// the grant itself was lost on the way, the question stands for it.
+func (g *Grants) confirm(now time.Time, from entity.InstanceID, r Reference) {
+	w := g.wants.Get(wantKey{r.Request, r.Attempt})
+	if w != nil && w.backend != nil && w.backend.ID == r.Backend {
+		m := g.send(now, from, true)
+		m.Confirmed = append(m.Confirmed, r)
+		return
+	}
+	g.granted(now, from, w, &Reply{Reference: r, Kind: Granted})
+}
+
 // holdings lists what this daemon holds from a coordinator.
 func (g *Grants) holdings(now time.Time, to entity.InstanceID) *Report {
 	r := &Report{Sequence: g.sequence}
