--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// frameKind says what a frame of the stream holds.
+type frameKind uint8
+
+const (
+	frameHello    frameKind = iota + 1 // the first frame of each stream
+	frameMessage                       // a message of Send
+	frameDatagram                      // a message of Datagram that is too large for a packet
+	frameCheck                         // padding that the peer ignores
+)
+
+// A frame is a length of four bytes, most significant first, that counts the
+// rest, one byte of kind, and the body.
+const frameHeader = 5 // bytes
+
+// ErrFrame is wrapped by errors of malformed frames and hellos.
+var ErrFrame = merry.Sentinel("peer: malformed frame")
+
+// appendFrame appends the encoding of a frame.
+func appendFrame(b []byte, kind frameKind, body []byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)+1))
+	b = append(b, byte(kind))
+	return append(b, body...)
+}
+
+// readFrame reads one frame whose body has at most limit bytes. It returns
+// io.EOF only when the stream ends between frames. Memory grows with what has
+// arrived, not with what the header claims.
+func readFrame(r io.Reader, limit int) (frameKind, []byte, error) {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		if err == io.EOF {
+			return 0, nil, io.EOF
+		}
+		return 0, nil, merry.Prepend(err, "peer: read frame")
+	}
+	size := int64(binary.BigEndian.Uint32(header[:])) - 1
+	if size < 0 || size > int64(limit) {
+		return 0, nil, merry.Appendf(ErrFrame, "body of %d bytes, limit %d", size, limit)
+	}
+	var body bytes.Buffer
+	n, err := io.CopyN(&body, r, size)
+	if err != nil {
+		return 0, nil, merry.Appendf(ErrFrame, "cut short after %d of %d bytes", n, size)
+	}
+	return frameKind(header[4]), body.Bytes(), nil
+}
