peer: let the reader lag in the test of graceful close

Now the reader lags behind what has arrived, and without the wait the test fails with 'nothing received'; with it, it passes.

--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -96,11 +96,18 @@
 }
 
 func TestTransport_SendKeepsOrderAndCloseDelivers(t *testing.T) {
-	const messages = 1000
+	const messages = 300
 	authority := newAuthority(t)
-	a, b := newEndpoint(t, authority, "a", nil), newEndpoint(t, authority, "b", nil)
+	a := newEndpoint(t, authority, "a", nil)
+	b := newEndpoint(t, authority, "b", func(c *Config) {
+		handle := c.Handler
+		c.Handler = func(from entity.InstanceID, addr string, ch Channel, body []byte) {
+			time.Sleep(time.Millisecond) // the reader lags behind what has arrived
+			handle(from, addr, ch, body)
+		}
+	})
 	for i := range messages {
-		a.Send(b.address(), fmt.Append(nil, i))
+		a.Send(b.address(), fmt.Appendf(nil, "%04000d", i))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -108,7 +115,7 @@
 		t.Fatal(err)
 	}
 	for i := range messages {
-		if got := b.receive(t); got.body != fmt.Sprint(i) {
+		if got := b.receive(t); got.body != fmt.Sprintf("%04000d", i) {
 			t.Fatalf("message %d is %q", i, got.body)
 		}
 	}
