--- /dev/null
+++ b/internal/core/fake_table_test.go
@@ -0,0 +1,128 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+// rowKey names a row.
+type rowKey struct{ partition, sort string }
+
+// fakeTable plays the table service and the object store.
+type fakeTable struct {
+	rows    map[rowKey]platform.Row
+	tokens  map[string]error // transactions by token
+	objects map[string][]byte
+	down    bool
+	lose    float64 // share of replies lost after the effect
+	delay   time.Duration
+	writes  int
+}
+
+// newFakeTable returns an empty table.
+func newFakeTable() *fakeTable {
+	return &fakeTable{
+		rows: map[rowKey]platform.Row{}, tokens: map[string]error{}, objects: map[string][]byte{},
+		delay: 3 * time.Millisecond,
+	}
+}
+
+// perform carries an operation out after half of the delay and returns its
+// result after the other half.
+func (f *fakeTable) perform(d *fakeDaemon, op Operation) {
+	w := d.w
+	half := f.delay/2 + time.Duration(w.rng.Int64N(int64(f.delay)))
+	w.after(half, func() {
+		r := platform.Result{ID: op.Operation.ID}
+		if f.down {
+			r.Err = platform.ErrUnavailable
+		} else {
+			f.apply(op.Operation, &r)
+		}
+		if !f.down && w.rng.Float64() < f.lose {
+			r = platform.Result{ID: op.Operation.ID, Err: platform.ErrUnknownOutcome}
+		}
+		w.after(half, func() { d.post(PlatformResult{System: op.System, Result: r}) })
+	})
+}
+
+// apply carries an operation out.
+func (f *fakeTable) apply(op platform.Operation, r *platform.Result) {
+	switch op.Kind {
+	case platform.GetRow:
+		row, ok := f.rows[rowKey{op.Partition, op.Sort}]
+		r.Row = row
+		if !ok {
+			r.Err = platform.ErrNotFound
+		}
+	case platform.QueryRows:
+		r.Rows = f.query(op)
+	case platform.TransactRows:
+		r.Err = f.transact(op)
+	case platform.PutObject:
+		f.objects[op.Key] = op.Value
+	case platform.GetObject:
+		v, ok := f.objects[op.Key]
+		r.Value = v
+		if !ok {
+			r.Err = platform.ErrNotFound
+		}
+	case platform.DeleteObject:
+		delete(f.objects, op.Key)
+	}
+}
+
+// query returns the rows of a partition in order.
+func (f *fakeTable) query(op platform.Operation) []platform.Row {
+	var out []platform.Row
+	for k, row := range f.rows {
+		if k.partition == op.Partition && k.sort > op.After {
+			out = append(out, row)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Sort < out[j].Sort })
+	if op.Limit > 0 && len(out) > op.Limit {
+		out = out[:op.Limit]
+	}
+	return out
+}
+
+// transact applies all writes or none. A token counts once.
+func (f *fakeTable) transact(op platform.Operation) error {
+	if err, done := f.tokens[op.Token]; done && op.Token != "" {
+		return err
+	}
+	err := f.check(op.Writes)
+	if err == nil {
+		f.write(op.Writes)
+		f.tokens[op.Token] = nil
+	}
+	return err
+}
+
+// check tests the conditions of all writes.
+func (f *fakeTable) check(writes []platform.Write) error {
+	for _, wr := range writes {
+		if !wr.Unconditional && f.rows[rowKey{wr.Partition, wr.Sort}].Version != wr.IfVersion {
+			return platform.ErrConditionFailed
+		}
+	}
+	return nil
+}
+
+// write applies writes whose conditions hold.
+func (f *fakeTable) write(writes []platform.Write) {
+	for _, wr := range writes {
+		k := rowKey{wr.Partition, wr.Sort}
+		switch {
+		case wr.CheckOnly:
+		case wr.Delete:
+			delete(f.rows, k)
+		default:
+			f.writes++
+			f.rows[k] = platform.Row{Partition: k.partition, Sort: k.sort, Version: f.rows[k].Version + 1, Value: wr.Value}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/reclaim_test.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+// offer starts n callers of mixed kinds at the daemons in turn, over a second.
+func (w *world) offer(n int, daemons ...*fakeDaemon) {
+	for i := range n {
+		d := daemons[i%len(daemons)]
+		work := w.mixedWork(i)
+		w.after(time.Duration(i)*time.Second/time.Duration(n), func() {
+			if d.dead {
+				d = w.live()[0]
+			}
+			w.call(d, work, 60*time.Second)
+		})
+	}
+}
+
+// mixedWork returns work of one of seven kinds.
+func (w *world) mixedWork(i int) Work {
+	work := modelWork(fmt.Sprintf("prompt %d", i), 20+i%200)
+	switch i % 7 {
+	case 0:
+		work.Stream = true
+	case 1:
+		work.Key = fmt.Sprintf("whole-%d", i)
+	case 2:
+		work.Key = fmt.Sprintf("stream-%d", i)
+		work.Stream = true
+	case 3:
+		work = plainWork("GET", fmt.Sprintf("call %d", i))
+	case 4:
+		work = plainWork("POST", fmt.Sprintf("call %d", i))
+		work.Key = fmt.Sprintf("post-%d", i)
+	case 5:
+		work.Key = fmt.Sprintf("once-%d", i)
+		work.Repeatable = false
+	}
+	return work
+}
+
+func TestCore_AnswersMixedWork(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.offer(140, w.daemons...)
+	w.runFor(time.Second)
+	w.finishAll(60 * time.Second)
+	w.verify()
+	w.answered()
+}
+
+func TestCore_ReclaimedDaemonCutsOffNobody(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.offer(140, w.daemons...)
+	w.runFor(700 * time.Millisecond)
+	d := w.daemons[1]
+	d.post(ReclaimNotice{Notice: platform.Notice{At: w.now.Add(10 * time.Second)}})
+	w.after(10*time.Second, d.kill)
+	w.runFor(time.Second)
+	w.finishAll(60 * time.Second)
+	w.verify()
+	w.answered()
+	if d.core.active > 0 && !d.dead {
+		t.Errorf("the reclaimed daemon still holds %d requests", d.core.active)
+	}
+}
+
+func TestCore_PlannedStopCutsOffNobody(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.offer(140, w.daemons...)
+	w.runFor(500 * time.Millisecond)
+	w.daemons[0].post(Drain{})
+	w.runFor(time.Second)
+	w.finishAll(60 * time.Second)
+	w.verify()
+	w.answered()
+	w.runFor(20 * time.Second)
+	if !w.daemons[0].dead {
+		t.Errorf("the stopped daemon has not ended")
+	}
+}
+
+func TestCore_ReclaimedDataCentre(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { reclaimDataCentre(t, 10+seed) })
+	}
+}
+
+// reclaimDataCentre takes the daemons and the backend servers of dc0 on ten
+// seconds of notice, and a second daemon while the first one hands over.
+func reclaimDataCentre(t *testing.T, seed uint64) {
+	w := newWorld(t, seed, 6)
+	w.offer(210, w.daemons...)
+	w.runFor(600 * time.Millisecond)
+	notice := platform.Notice{At: w.now.Add(10 * time.Second)}
+	for _, d := range w.daemons {
+		if d.core.Self.Place.DataCentre == "dc0" {
+			d.post(ReclaimNotice{Notice: notice})
+			w.after(10*time.Second, d.kill)
+		}
+	}
+	for _, e := range w.order {
+		if e.server.Place.DataCentre == "dc0" {
+			w.daemons[1].post(BackendLeaving{Backend: e.server.ID, Reason: "notice", Leaving: true})
+			w.after(10*time.Second, e.crash)
+		}
+	}
+	w.runFor(100 * time.Millisecond)
+	w.daemons[1].post(ReclaimNotice{Notice: notice})
+	w.after(10*time.Second, w.daemons[1].kill)
+	w.runFor(time.Second)
+	w.finishAll(60 * time.Second)
+	w.verify()
+	w.answered()
+}
+
+func TestCore_DaemonDiesPartwayThroughNotice(t *testing.T) {
+	w := newWorld(t, 4, 3)
+	w.offer(140, w.daemons...)
+	w.runFor(1200 * time.Millisecond)
+	d := w.daemons[2]
+	d.post(Drain{})
+	w.runFor(300 * time.Millisecond)
+	d.kill()
+	w.finishAll(60 * time.Second)
+	w.verify()
+	w.answered()
+}
--- /dev/null
+++ b/internal/core/run.go
@@ -0,0 +1,410 @@
+package core
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
+	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
+)
+
+// start runs a request that needs no word of the journal, or has it.
+func (c *Core) start(r *request) {
+	p := r.progress
+	r.progress = nil
+	if p == nil {
+		c.want(r)
+		return
+	}
+	r.last = max(r.last, p.Attempt)
+	r.mayHaveRun = r.mayHaveRun || p.Attempt > 0
+	if p.Backend == nil {
+		c.want(r)
+		return
+	}
+	if r.work.Completion != nil {
+		c.resume(r, p.Attempt, *p.Backend)
+		return
+	}
+	c.lostAttempt(r, verdict.New(verdict.MayHaveRun, "backend-failed", "the daemon that waited for the reply has left"))
+}
+
+// want asks for a grant for a new attempt. The attempt before may go on
+// meanwhile.
+func (c *Core) want(r *request) {
+	r.pending = r.nextAttempt()
+	r.pendingBackend = nil
+	if r.current == 0 {
+		r.stage = stageQueued
+	}
+	c.Grants.Want(c.now, grant.Want{
+		Request:      r.id,
+		Attempt:      r.pending,
+		Service:      r.work.Service,
+		Organisation: r.work.Organisation,
+		Priority:     r.work.Priority,
+		Cost:         r.work.cost(),
+		Deadline:     r.deadline,
+		Digest:       r.work.Digest,
+		Prefix:       r.work.prefixes(),
+		Exclude:      r.exclude,
+		Repeatable:   r.work.Repeatable,
+	})
+}
+
+// collectGrants takes the decisions of the grant system.
+func (c *Core) collectGrants() bool {
+	ready := c.Grants.Ready()
+	for _, e := range ready.Send {
+		c.send(e.To, Message{Grant: &e.Message})
+	}
+	for _, d := range ready.Decisions {
+		c.decided(d)
+	}
+	for _, d := range ready.Convictions {
+		c.announceConviction(d)
+	}
+	c.out.Events = append(c.out.Events, ready.Events...)
+	return len(ready.Send)+len(ready.Decisions)+len(ready.Convictions) > 0
+}
+
+// decided takes one decision.
+func (c *Core) decided(d grant.Decision) {
+	r := c.requests.Get(d.Request)
+	if r == nil || r.finished() || d.Attempt != r.pending {
+		if d.Err == nil {
+			c.Grants.Withdraw(c.now, d.Request, d.Attempt)
+		}
+		return
+	}
+	if d.Err != nil {
+		c.ungranted(r, d.Err)
+		return
+	}
+	r.pendingBackend = d.Backend
+	if !r.needsClaim() {
+		c.dispatch(r)
+		return
+	}
+	if r.current == 0 {
+		r.stage = stageClaim
+	}
+	c.claim(r)
+}
+
+// ungranted handles a refusal of a grant.
+func (c *Core) ungranted(r *request, err error) {
+	r.pending = 0
+	if r.current != 0 {
+		return // the attempt before goes on
+	}
+	if r.mayHaveRun {
+		err = withVerdict(err, verdict.MayHaveRun)
+	}
+	c.fail(r, err)
+}
+
+// dispatch sends the pending attempt to its backend server. An attempt that it
+// replaces is cancelled first, so that its tokens end here.
+func (c *Core) dispatch(r *request) {
+	if r.current != 0 {
+		c.stopAttempt(r, true, grant.Failed)
+	}
+	b := *r.pendingBackend
+	r.current, r.pending, r.pendingBackend = r.pending, 0, nil
+	r.stage = stageRunning
+	c.attempts.Put(attemptKey{r.id, r.current}, &attempt{
+		backend: b, granted: true, ranBefore: r.mayHaveRun, started: c.now, lastToken: c.now,
+	})
+	r.mayHaveRun = true
+	c.out.Dispatches = append(c.out.Dispatches, Dispatch{
+		Request: r.id, Attempt: r.current, Backend: b, Work: &r.work,
+		Prefix:   append([]string(nil), r.tokens...),
+		KVHandle: r.handle,
+		Timeout:  r.deadline.Sub(c.now),
+	})
+	r.handle = ""
+	c.emit(event.AttemptDispatched, r, "")
+	c.wakeBy(r, c.silenceAt(r))
+}
+
+// resume reads on from a stream that an earlier attempt has started. No grant
+// is asked for: the run already has its slot.
+func (c *Core) resume(r *request, n entity.AttemptNumber, b entity.BackendServer) {
+	r.last = max(r.last, n)
+	r.current, r.pending = n, 0
+	r.stage = stageRunning
+	r.mayHaveRun = true
+	granted := false
+	if old := c.attempts.Get(attemptKey{r.id, n}); old != nil {
+		granted = old.granted
+	}
+	c.attempts.Put(attemptKey{r.id, n}, &attempt{
+		backend: b, granted: granted, resumed: true, ranBefore: true, started: c.now, lastToken: c.now,
+	})
+	c.out.Dispatches = append(c.out.Dispatches, Dispatch{
+		Request: r.id, Attempt: n, Backend: b, Work: &r.work, Resume: true, Stream: r.stream,
+		Prefix:  append([]string(nil), r.tokens...),
+		Timeout: r.deadline.Sub(c.now),
+	})
+	c.emit(event.AttemptDispatched, r, "resume")
+	c.wakeBy(r, c.silenceAt(r))
+}
+
+// stopAttempt ends the current attempt and gives its grant back.
+func (c *Core) stopAttempt(r *request, cancel bool, kind grant.OutcomeKind) {
+	key := attemptKey{r.id, r.current}
+	a := c.attempts.Get(key)
+	if a == nil {
+		return
+	}
+	c.out.Stops = append(c.out.Stops, StopAttempt{
+		Request: r.id, Attempt: r.current, Backend: a.backend, Stream: r.stream,
+		Cancel: cancel && r.work.Completion != nil,
+	})
+	c.releaseAttempt(r, key, a, kind)
+	r.current = 0
+}
+
+// releaseAttempt deletes an attempt's row and gives its grant back.
+func (c *Core) releaseAttempt(r *request, key attemptKey, a *attempt, kind grant.OutcomeKind) {
+	c.attempts.Delete(key)
+	if !a.granted {
+		return
+	}
+	o := grant.Outcome{Kind: kind}
+	if kind == grant.Completed {
+		o.Tokens = entity.Tokens(a.tokens) + entity.Tokens(len(promptOf(&r.work))/bytesPerToken)
+	}
+	c.Grants.Release(c.now, key.request, key.number, o)
+}
+
+// promptOf returns the prompt, or nothing for a plain call.
+func promptOf(w *Work) string {
+	if w.Completion == nil {
+		return ""
+	}
+	return w.Completion.Prompt
+}
+
+// running returns the row of the current attempt if the number is its.
+func (c *Core) running(id entity.RequestID, n entity.AttemptNumber) (*request, *attempt) {
+	r := c.requests.Get(id)
+	if r == nil || r.current != n || r.stage != stageRunning {
+		return nil, nil
+	}
+	return r, c.attempts.Get(attemptKey{id, n})
+}
+
+// attemptTokens takes new tokens. Tokens of any attempt but the current one
+// are dropped, and so are those already known.
+func (c *Core) attemptTokens(in AttemptTokens) {
+	r, a := c.running(in.Request, in.Attempt)
+	if a == nil {
+		c.dropReply(in.Request, in.Attempt)
+		return
+	}
+	known := len(r.tokens) - in.First + 1
+	if known < 0 {
+		c.breakOff(r, "tokens are missing")
+		return
+	}
+	if known >= len(in.Tokens) {
+		return
+	}
+	fresh := in.Tokens[known:]
+	if len(r.tokens)+len(fresh) > r.work.Completion.MaxTokens {
+		c.breakOff(r, "more tokens than asked for")
+		return
+	}
+	r.tokens = append(r.tokens, fresh...)
+	a.tokens += len(fresh)
+	a.lastToken = c.now
+	c.touch(r)
+}
+
+// dropReply records a late or crossed reply.
+func (c *Core) dropReply(id entity.RequestID, n entity.AttemptNumber) {
+	c.out.Events = append(c.out.Events, event.Event{Number: event.ReplyDropped, At: c.now, Request: id, Attempt: n})
+}
+
+// breakOff ends the current attempt because of a reply that is not sound.
+func (c *Core) breakOff(r *request, why string) {
+	c.stopAttempt(r, true, grant.Failed)
+	c.lostAttempt(r, verdict.New(verdict.MayHaveRun, "backend-failed", why))
+}
+
+// attemptDone takes the end of a whole reply.
+func (c *Core) attemptDone(in AttemptDone) {
+	r, a := c.running(in.Request, in.Attempt)
+	if a == nil {
+		c.dropReply(in.Request, in.Attempt)
+		return
+	}
+	c.releaseAttempt(r, attemptKey{r.id, r.current}, a, grant.Completed)
+	c.dropPending(r)
+	r.current = 0
+	answer := in.Answer
+	answer.Tokens = r.tokens
+	if !r.keyed() {
+		c.finish(r, &answer, nil)
+		return
+	}
+	r.stage = stageCommit
+	c.commit(r, &answer)
+}
+
+// dropPending withdraws the attempt that waits for a grant, if there is one.
+func (c *Core) dropPending(r *request) {
+	if r.pending == 0 {
+		return
+	}
+	c.Grants.Withdraw(c.now, r.id, r.pending)
+	r.pending, r.pendingBackend = 0, nil
+}
+
+// attemptFailed takes the end of an attempt without a whole reply.
+func (c *Core) attemptFailed(in AttemptFailed) {
+	r, a := c.running(in.Request, in.Attempt)
+	if a == nil {
+		c.dropReply(in.Request, in.Attempt)
+		return
+	}
+	c.emit(event.AttemptFailed, r, in.Err.Error())
+	if c.resumable(r, a, in) {
+		c.resume(r, in.Attempt, a.backend)
+		c.attempts.Get(attemptKey{r.id, in.Attempt}).brokenAt = c.now
+		return
+	}
+	if in.Unresumable && !a.brokenAt.IsZero() {
+		in.BackendDied = true // it has forgotten a stream that just broke: it has restarted
+	}
+	c.releaseAttempt(r, attemptKey{r.id, r.current}, a, releaseKind(in))
+	r.current = 0
+	if verdict.Of(in.Err) == verdict.NotRun {
+		r.mayHaveRun = a.ranBefore
+	}
+	r.exclude = []entity.BackendServerID{a.backend.ID}
+	c.lostAttempt(r, in.Err)
+}
+
+// resumable reports whether the stream of a broken attempt may still run.
+func (c *Core) resumable(r *request, a *attempt, in AttemptFailed) bool {
+	if r.work.Completion == nil || in.Refused || in.Unresumable || in.BackendDied {
+		return false
+	}
+	return !a.resumed || a.tokens > 0
+}
+
+// releaseKind maps the end of an attempt for the grant system.
+func releaseKind(in AttemptFailed) grant.OutcomeKind {
+	switch {
+	case in.BackendDied:
+		return grant.BackendDied
+	case in.Refused:
+		return grant.Refused
+	default:
+		return grant.Failed
+	}
+}
+
+// lostAttempt decides what follows a failed attempt: another one, or the end.
+// Only work that is repeatable, or that surely has not run, is tried again.
+func (c *Core) lostAttempt(r *request, err error) {
+	if r.pending != 0 {
+		r.stage = stageQueued // the next attempt is already asked for
+		if r.pendingBackend != nil {
+			r.stage = stageClaim
+		}
+		return
+	}
+	if !r.work.Repeatable && r.mayHaveRun {
+		c.fail(r, withVerdict(err, verdict.MayHaveRun))
+		return
+	}
+	delay, ok := c.Retry.Allow(c.now, r.work.Service)
+	if !ok || c.attemptsUsed(r) || !c.now.Add(delay).Before(r.deadline) {
+		c.fail(r, withVerdict(err, r.verdict()))
+		return
+	}
+	r.stage = stageBackoff
+	c.emit(event.AttemptRetried, r, "")
+	c.wakeBy(r, c.now.Add(delay))
+}
+
+// attemptsUsed reports whether the service document allows no more attempts.
+func (c *Core) attemptsUsed(r *request) bool {
+	s, ok := c.Configuration.Service(r.work.Service)
+	return ok && s.Retry.MaxAttempts > 0 && r.sends >= s.Retry.MaxAttempts
+}
+
+// silenceAt returns when the current attempt counts as silent.
+func (c *Core) silenceAt(r *request) time.Time {
+	a := c.attempts.Get(attemptKey{r.id, r.current})
+	if a == nil {
+		return r.deadline
+	}
+	first, between := c.Limits.FirstTimeout, c.Limits.TokenTimeout
+	if s, ok := c.Configuration.Service(r.work.Service); ok {
+		if s.Latency.FirstTimeout > 0 {
+			first = s.Latency.FirstTimeout
+		}
+		if s.Latency.TokenTimeout > 0 {
+			between = s.Latency.TokenTimeout
+		}
+	}
+	if a.tokens == 0 {
+		return a.started.Add(first)
+	}
+	return a.lastToken.Add(between)
+}
+
+// wake handles a request's timer.
+func (c *Core) wake(r *request) {
+	if r.finished() {
+		return
+	}
+	c.wakeBy(r, r.deadline)
+	if !c.now.Before(r.deadline) {
+		c.expire(r)
+		return
+	}
+	switch r.stage {
+	case stageBackoff:
+		c.retry(r)
+	case stageRunning:
+		c.watchSilence(r)
+	case stageRelayed:
+		c.watchRelay(r)
+	case stageStandby:
+		c.watchStandby(r)
+	}
+}
+
+// retry makes the next try of a request that has waited for it.
+func (c *Core) retry(r *request) {
+	if r.keyed() && !r.begun {
+		c.route(r)
+		return
+	}
+	c.want(r)
+}
+
+// watchSilence ends an attempt that has been silent for too long.
+func (c *Core) watchSilence(r *request) {
+	at := c.silenceAt(r)
+	if c.now.Before(at) {
+		c.wakeBy(r, at)
+		return
+	}
+	if a := c.attempts.Get(attemptKey{r.id, r.current}); a != nil {
+		r.exclude = []entity.BackendServerID{a.backend.ID}
+	}
+	c.breakOff(r, "the backend server is silent")
+}
+
+// expire gives a request up at its deadline.
+func (c *Core) expire(r *request) {
+	c.fail(r, verdict.New(r.verdict(), "deadline", "the deadline has passed"))
+}
--- /dev/null
+++ b/internal/core/view.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
+)
+
+// maxAddresses bounds the addresses that a caller is told.
+const maxAddresses = 8
+
+// View is what the shell may read between ticks. It is never changed once
+// published.
+type View struct {
+	Members   []membership.Member
+	Addresses []membership.Member // for callers, best first
+	Services  []entity.Service
+	Documents []configuration.Document
+	Revision  uint64
+	Head      uint64
+	Current   bool
+	Draining  bool
+	Load      grant.Snapshot
+}
+
+// publishView puts a new view into the outbox if something in it has changed.
+func (c *Core) publishView() {
+	current := c.Configuration.Current(c.now)
+	if !c.viewOld && current == c.viewCurrent {
+		return
+	}
+	c.viewOld = false
+	c.viewCurrent = current
+	c.out.View = &View{
+		Members:   c.members,
+		Addresses: c.addresses(),
+		Services:  c.Configuration.Services(),
+		Documents: c.Configuration.Documents(),
+		Revision:  c.Configuration.Revision(),
+		Head:      c.Configuration.HeadRevision(),
+		Current:   current,
+		Draining:  c.drain.on,
+		Load:      c.Grants.Snapshot(),
+	}
+}
+
+// addresses chooses the daemons that callers are told: this one unless it is
+// leaving, then, in turn, live ones of other data centres and of this one.
+func (c *Core) addresses() []membership.Member {
+	near, far := c.livePeers()
+	c.shuffle(near)
+	c.shuffle(far)
+	var out []membership.Member
+	if !c.drain.on {
+		out = append(out, c.Self)
+	}
+	for len(out) < maxAddresses && len(near)+len(far) > 0 {
+		if len(far) > 0 {
+			out, far = append(out, far[0]), far[1:]
+		}
+		if len(near) > 0 {
+			out, near = append(out, near[0]), near[1:]
+		}
+	}
+	return out
+}
+
+// shuffle brings members into random order, which spreads the callers.
+func (c *Core) shuffle(m []membership.Member) {
+	c.Rand.Shuffle(len(m), func(i, j int) { m[i], m[j] = m[j], m[i] })
+}
--- /dev/null
+++ b/internal/core/work.go
@@ -0,0 +1,145 @@
+// Package core is the deterministic heart of a daemon: typed tables of
+// requests and the systems that run over them each tick. It does no I/O,
+// reads no clock and starts no goroutine. Its caller feeds inputs to Tick and
+// performs what the Outbox asks for.
+package core
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+const (
+	// bytesPerToken estimates the tokens of a prompt from its length.
+	bytesPerToken = 4
+	// prefixBlock is the length in bytes of the prompt blocks whose prefixes
+	// are hashed for cache affinity.
+	prefixBlock = 256
+	// maxPrefixHashes bounds the prefix hashes of one request.
+	maxPrefixHashes = 16
+)
+
+// Completion is the work of a model engine.
+type Completion struct {
+	Model     string `cbor:"1,keyasint,omitempty"`
+	Prompt    string `cbor:"2,keyasint"`
+	MaxTokens int    `cbor:"3,keyasint"`
+	Seed      uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// HeaderField is one header line of a plain call or its reply.
+type HeaderField struct {
+	Name  string `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
+}
+
+// PlainCall is a call of a plain service.
+type PlainCall struct {
+	Method string        `cbor:"1,keyasint"`
+	Path   string        `cbor:"2,keyasint"` // with the leading slash
+	Query  string        `cbor:"3,keyasint,omitempty"`
+	Header []HeaderField `cbor:"4,keyasint,omitempty"`
+	Body   []byte        `cbor:"5,keyasint,omitempty"`
+}
+
+// Work is what a caller asks for. Exactly one of Completion and Call is set.
+type Work struct {
+	Service      entity.ServiceName    `cbor:"1,keyasint"`
+	Organisation entity.OrganisationID `cbor:"2,keyasint"`
+	Completion   *Completion           `cbor:"3,keyasint,omitempty"`
+	Call         *PlainCall            `cbor:"4,keyasint,omitempty"`
+	Priority     entity.Priority       `cbor:"5,keyasint,omitempty"`
+	Stream       bool                  `cbor:"6,keyasint,omitempty"`
+	Repeatable   bool                  `cbor:"7,keyasint,omitempty"`
+	Key          string                `cbor:"8,keyasint,omitempty"` // idempotency key
+	Digest       entity.Digest         `cbor:"9,keyasint"`
+}
+
+// cost estimates the tokens that the work will take.
+func (w *Work) cost() entity.Tokens {
+	if w.Completion == nil {
+		return 1
+	}
+	return entity.Tokens(len(w.Completion.Prompt)/bytesPerToken + w.Completion.MaxTokens)
+}
+
+// computeDigest hashes what makes two requests the same content.
+func (w *Work) computeDigest() entity.Digest {
+	h := sha256.New()
+	part := func(b []byte) {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(b)))
+		h.Write(n[:])
+		h.Write(b)
+	}
+	part([]byte(w.Service))
+	if c := w.Completion; c != nil {
+		part([]byte(c.Model))
+		part([]byte(c.Prompt))
+		var n [16]byte
+		binary.BigEndian.PutUint64(n[:8], uint64(c.MaxTokens))
+		binary.BigEndian.PutUint64(n[8:], c.Seed)
+		part(n[:])
+	}
+	if c := w.Call; c != nil {
+		part([]byte(c.Method))
+		part([]byte(c.Path))
+		part([]byte(c.Query))
+		part(c.Body)
+	}
+	var d entity.Digest
+	h.Sum(d[:0])
+	return d
+}
+
+// prefixes returns hashes of the growing prefixes of the prompt.
+func (w *Work) prefixes() []uint64 {
+	if w.Completion == nil {
+		return nil
+	}
+	d := xxhash.New()
+	p := w.Completion.Prompt
+	var out []uint64
+	for len(p) >= prefixBlock && len(out) < maxPrefixHashes {
+		_, _ = d.WriteString(p[:prefixBlock])
+		out = append(out, d.Sum64())
+		p = p[prefixBlock:]
+	}
+	return out
+}
+
+// Usage counts the tokens of one answer.
+type Usage struct {
+	Prompt     int `cbor:"1,keyasint,omitempty" json:"prompt_tokens"`
+	Completion int `cbor:"2,keyasint,omitempty" json:"completion_tokens"`
+	Cached     int `cbor:"3,keyasint,omitempty" json:"cached_tokens"`
+	Recomputed int `cbor:"4,keyasint,omitempty" json:"recomputed_tokens"`
+}
+
+// Answer is the whole answer to a request.
+type Answer struct {
+	Tokens       []string      `cbor:"1,keyasint,omitempty"`
+	FinishReason string        `cbor:"2,keyasint,omitempty"`
+	Usage        Usage         `cbor:"3,keyasint,omitempty"`
+	Status       int           `cbor:"4,keyasint,omitempty"` // plain services
+	Header       []HeaderField `cbor:"5,keyasint,omitempty"`
+	Body         []byte        `cbor:"6,keyasint,omitempty"`
+}
+
+// Progress is what is known of a run that another daemon has started.
+type Progress struct {
+	Attempt entity.AttemptNumber  `cbor:"1,keyasint,omitempty"`
+	Backend *entity.BackendServer `cbor:"2,keyasint,omitempty"` // nil: not on a backend server
+	Tokens  []string              `cbor:"3,keyasint,omitempty"`
+}
+
+// micros converts a duration for a message.
+func micros(d time.Duration) int64 { return d.Microseconds() }
+
+// fromMicros converts a duration from a message.
+func fromMicros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/internal/daemon/perform.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+const (
+	// operationTimeout bounds one platform operation.
+	operationTimeout = 5 * time.Second
+	// maxOperations bounds the platform operations under way.
+	maxOperations = 64
+)
+
+// performer carries out platform operations, each exactly once, and posts
+// their results.
+type performer struct {
+	table   platform.Table
+	objects platform.ObjectStore
+	post    func(core.Input)
+	slots   chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// newPerformer returns an idle performer.
+func newPerformer(t platform.Table, o platform.ObjectStore, post func(core.Input)) *performer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &performer{
+		table: t, objects: o, post: post,
+		slots: make(chan struct{}, maxOperations), ctx: ctx, cancel: cancel,
+	}
+}
+
+// perform starts an operation. It never blocks.
+func (p *performer) perform(op core.Operation) {
+	p.wg.Go(func() {
+		p.slots <- struct{}{}
+		defer func() { <-p.slots }()
+		ctx, cancel := context.WithTimeout(p.ctx, operationTimeout)
+		defer cancel()
+		result := platform.Perform(ctx, p.table, p.objects, op.Operation)
+		p.post(core.PlatformResult{System: op.System, Result: result})
+	})
+}
+
+// close gives up what is under way.
+func (p *performer) close() {
+	p.cancel()
+	p.wg.Wait()
+}
--- /dev/null
+++ b/internal/daemon/requests.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/callerapi"
+	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// Submit gives a new request to the core.
+func (d *Daemon) Submit(w core.Work, timeout time.Duration) callerapi.Replies {
+	m := d.callers.add()
+	id := core.NewRequestID(uuid.NewString(), d.Core.Self.ID)
+	d.Inbox.Post(core.Submit{Caller: m.id, Request: id, Work: w, Timeout: timeout})
+	return m
+}
+
+// Fetch attaches a caller to a request that was accepted before.
+func (d *Daemon) Fetch(f core.Fetch) callerapi.Replies {
+	m := d.callers.add()
+	f.Caller = m.id
+	d.Inbox.Post(f)
+	return m
+}
+
+// Cancel withdraws a request.
+func (d *Daemon) Cancel(id entity.RequestID, org entity.OrganisationID) callerapi.Replies {
+	m := d.callers.add()
+	d.Inbox.Post(core.Cancel{Caller: m.id, Request: id, Organisation: org})
+	return m
+}
--- a/internal/entity/ids.go
+++ b/internal/entity/ids.go
@@ -24,7 +24,8 @@
 // RequestID names one accepted request. It is not guessable.
 type RequestID string
 
-// AttemptNumber counts the sends of one request to backend servers, from 1.
+// AttemptNumber names one send of a request to a backend server. It rises from
+// send to send of one daemon; 0 stands for none.
 type AttemptNumber uint32
 
 // Digest is the hash of a request's service, method, path and body.
--- /dev/null
+++ b/internal/node/process.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/daemon"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform/dynamo"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform/ec2cloud"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform/reclaimnotice"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform/s3store"
+	"github.com/gooseberryslip/gooseberryslip/internal/settings"
+)
+
+const (
+	// platformTimeout bounds one call of the platform.
+	platformTimeout = 4 * time.Second
+	// noticeInterval is the time between looks for a reclaim notice.
+	noticeInterval = time.Second
+)
+
+// FromSettings builds a node with clients of the platform that the settings
+// name.
+func FromSettings(s *settings.Settings, log *logrus.Logger, r daemon.Recorder) (*Node, error) {
+	table, err := tableClient(s)
+	if err != nil {
+		return nil, err
+	}
+	objects, err := objectClient(s)
+	if err != nil {
+		return nil, err
+	}
+	cloud, err := cloudClient(s)
+	if err != nil {
+		return nil, err
+	}
+	return New(Config{Settings: s, Table: table, Objects: objects, Cloud: cloud, Log: log, Recorder: r})
+}
+
+// tableClient returns the client of the table service.
+func tableClient(s *settings.Settings) (platform.Table, error) {
+	keys, err := credentials(s.Table.Credentials)
+	if err != nil {
+		return nil, err
+	}
+	return dynamo.New(dynamo.Config{
+		Endpoint: s.Table.Endpoint, Region: s.Table.Region, TableName: s.Table.Name,
+		AccessKey: keys.AccessKeyID, SecretKey: keys.SecretAccessKey, Timeout: platformTimeout,
+	}), nil
+}
+
+// objectClient returns the client of the object store.
+func objectClient(s *settings.Settings) (platform.ObjectStore, error) {
+	keys, err := credentials(orElse(s.ObjectStore.Credentials, s.Table.Credentials))
+	if err != nil {
+		return nil, err
+	}
+	return s3store.New(s3store.Config{
+		Endpoint: s.ObjectStore.Endpoint, Region: s.ObjectStore.Region, Bucket: s.ObjectStore.Bucket,
+		AccessKey: keys.AccessKeyID, SecretKey: keys.SecretAccessKey, Timeout: platformTimeout,
+	}), nil
+}
+
+// cloudClient returns the client of the cloud API, or nil if none is named.
+func cloudClient(s *settings.Settings) (platform.Cloud, error) {
+	if s.Cloud.Endpoint == "" {
+		return nil, nil
+	}
+	keys, err := credentials(orElse(s.Cloud.Credentials, s.Table.Credentials))
+	if err != nil {
+		return nil, err
+	}
+	return ec2cloud.New(ec2cloud.Config{
+		Endpoint: s.Cloud.Endpoint, Region: s.Table.Region,
+		AccessKey: keys.AccessKeyID, SecretKey: keys.SecretAccessKey, Timeout: platformTimeout,
+	}), nil
+}
+
+// credentials reads a credentials file; without one, the calls are signed with
+// an empty key.
+func credentials(file string) (settings.Credentials, error) {
+	if file == "" {
+		return settings.Credentials{}, nil
+	}
+	return settings.LoadCredentials(file)
+}
+
+// WatchNotice hands announced reclaims of this instance to the daemon until
+// the context ends.
+func (n *Node) WatchNotice(ctx context.Context) {
+	url := n.cfg.Settings.Metadata.URL
+	if url == "" {
+		return
+	}
+	reclaimnotice.Watch(ctx, url, noticeInterval, n.daemon.Notice)
+}
--- a/internal/system/journal/request.go
+++ b/internal/system/journal/request.go
@@ -139,7 +139,7 @@
 		r.phase = phaseAwaiting
 		j.arm(now, r)
 		e.joined = append(e.joined, r.Request)
-	case e.standing() && !e.repeatable:
+	case e.standing() && !e.repeatable && !r.Resumable:
 		j.refuse(r, verdict.New(verdict.MayHaveRun, CodeOutcomeUnknown, "an earlier claim of the key has no answer"))
 	case j.blocked(now, s):
 		j.hold(now, s, r)
@@ -298,6 +298,16 @@
 	}
 }
 
+// Released reports whether this daemon owns no shard and is about to own none.
+func (j *Journal) Released() bool {
+	for _, s := range j.shards {
+		if s.state != stateForeign {
+			return false
+		}
+	}
+	return true
+}
+
 // arm sets the limit of the request's present wait.
 func (j *Journal) arm(now time.Time, r *request) {
 	r.wait++
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -90,7 +90,10 @@
 	Key        Key
 	Digest     entity.Digest
 	Repeatable bool
-	Deadline   time.Time // zero: none
+	// Resumable: reading on from a claimed stream is no second run, so that
+	// work that is not repeatable may be resumed, too.
+	Resumable bool
+	Deadline  time.Time // zero: none
 }
 
 // OutcomeKind says what an Outcome tells.
