Time line by hybrid logical clock, logs of numbered events, and their catalogue

The log bounds the lines of one number and counts what it leaves out. docs/EVENTS.md is checked against the code.

--- /dev/null
+++ b/internal/event/catalogue_test.go
@@ -0,0 +1,31 @@
+package event
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md anew")
+
+const cataloguePath = "../../docs/EVENTS.md"
+
+func TestWriteCatalogue_PageIsCurrent(t *testing.T) {
+	var want bytes.Buffer
+	if err := WriteCatalogue(&want); err != nil {
+		t.Fatal(err)
+	}
+	if *update {
+		if err := os.WriteFile(cataloguePath, want.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(cataloguePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want.Bytes()) {
+		t.Fatal("docs/EVENTS.md is not current; run: go test ./internal/event -update")
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,20 @@
 	Error
 )
 
+// String returns the name that settings and logs use.
+func (l Level) String() string {
+	switch l {
+	case Debug:
+		return "debug"
+	case Warn:
+		return "warn"
+	case Error:
+		return "error"
+	default:
+		return "info"
+	}
+}
+
 // Kind describes a number.
 type Kind struct {
 	Number Number
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,71 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+)
+
+func newLog(t *testing.T, level string) (*Log, *bytes.Buffer) {
+	t.Helper()
+	var out bytes.Buffer
+	l, err := New(&out, Options{Level: level, Format: "json", Process: "p", DataCentre: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, &out
+}
+
+func TestLog_EventHasNumberAndFields(t *testing.T) {
+	l, out := newLog(t, "info")
+	l.Event(time.Unix(1_700_000_000, 0), event.Event{Number: event.RequestAccepted, Request: "r1", Attempt: 2})
+	var line map[string]any
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	for field, want := range map[string]any{
+		"number": 1000.0, "request": "r1", "attempt": 2.0, "process": "p", "level": "info", "msg": "request accepted",
+	} {
+		if line[field] != want {
+			t.Errorf("%s is %v, want %v", field, line[field], want)
+		}
+	}
+}
+
+func TestLog_LevelLeavesOutDebug(t *testing.T) {
+	l, out := newLog(t, "info")
+	l.Event(time.Now(), event.Event{Number: event.AttemptDispatched})
+	if out.Len() > 0 {
+		t.Fatal(out.String())
+	}
+}
+
+func TestLog_FloodIsBoundedAndCounted(t *testing.T) {
+	l, out := newLog(t, "info")
+	now := time.Unix(1_700_000_000, 0)
+	for range 10_000 {
+		l.Event(now, event.Event{Number: event.RequestRefused})
+	}
+	if n := strings.Count(out.String(), "\n"); n != Burst {
+		t.Fatalf("%d lines at once, want %d", n, Burst)
+	}
+	l.Event(now, event.Event{Number: event.RequestAccepted})
+	if n := strings.Count(out.String(), "\n"); n != Burst+1 {
+		t.Fatal("a flood of one number keeps another out")
+	}
+	out.Reset()
+	l.Event(now.Add(time.Second), event.Event{Number: event.RequestRefused})
+	if !strings.Contains(out.String(), `"suppressed":9900`) {
+		t.Fatal(out.String())
+	}
+}
+
+func TestNew_RefusesUnknownLevel(t *testing.T) {
+	if _, err := New(&bytes.Buffer{}, Options{Level: "loud"}); err == nil {
+		t.Fatal("accepted")
+	}
+}
--- /dev/null
+++ b/internal/timeline/merge.go
@@ -0,0 +1,44 @@
+package timeline
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// Lane is one process of a time line.
+type Lane struct {
+	Process    entity.InstanceID   `json:"process"`
+	DataCentre entity.DataCentreID `json:"data_centre"`
+	Forgotten  uint64              `json:"forgotten"`
+}
+
+// Timeline holds the events of several processes in one order.
+type Timeline struct {
+	Lanes   []Lane  `json:"lanes"`
+	Entries []Entry `json:"entries"`
+}
+
+// Merge puts the events of several processes into one order. An entry that
+// comes twice is kept once.
+func Merge(exports ...Export) Timeline {
+	var t Timeline
+	for _, e := range exports {
+		t.Entries = append(t.Entries, e.Entries...)
+		lane := Lane{Process: e.Process, DataCentre: e.DataCentre, Forgotten: e.Forgotten}
+		if !slices.ContainsFunc(t.Lanes, func(l Lane) bool { return l.Process == lane.Process }) {
+			t.Lanes = append(t.Lanes, lane)
+		}
+	}
+	slices.SortFunc(t.Lanes, func(a, b Lane) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Process, b.Process))
+	})
+	slices.SortFunc(t.Entries, func(a, b Entry) int {
+		return cmp.Or(a.Stamp.Compare(b.Stamp), cmp.Compare(a.Process, b.Process), cmp.Compare(a.Sequence, b.Sequence))
+	})
+	t.Entries = slices.CompactFunc(t.Entries, func(a, b Entry) bool {
+		return a.Process == b.Process && a.Sequence == b.Sequence && a.Stamp == b.Stamp
+	})
+	return t
+}
--- /dev/null
+++ b/internal/timeline/render.go
@@ -0,0 +1,117 @@
+package timeline
+
+import (
+	"bufio"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Parse(pageText))
+
+// row is an entry as the page shows it.
+type row struct {
+	Time    string `json:"time"`
+	Lane    int    `json:"lane"`
+	Number  uint16 `json:"number"`
+	Level   string `json:"level"`
+	Text    string `json:"text"`
+	Service string `json:"service"`
+	Request string `json:"request"`
+	Attempt uint32 `json:"attempt"`
+	Backend string `json:"backend"`
+	Peer    string `json:"peer"`
+	Detail  string `json:"detail"`
+}
+
+type pageData struct {
+	Lanes []Lane
+	Rows  []row
+}
+
+// WriteHTML writes the time line as one page that needs no other file: a lane
+// per process, with filters by request, service and instance.
+func WriteHTML(w io.Writer, t Timeline) error {
+	data := pageData{Lanes: t.Lanes, Rows: []row{}}
+	lanes := map[string]int{}
+	for i, l := range t.Lanes {
+		lanes[string(l.Process)] = i
+	}
+	for _, e := range t.Entries {
+		data.Rows = append(data.Rows, rowOf(e, lanes[string(e.Process)]))
+	}
+	return page.Execute(w, data)
+}
+
+func rowOf(e Entry, lane int) row {
+	level, text := describe(e.Event.Number)
+	return row{
+		Time:    e.Stamp.Time().Format("2006-01-02 15:04:05.000000"),
+		Lane:    lane,
+		Number:  uint16(e.Event.Number),
+		Level:   level,
+		Text:    text,
+		Service: string(e.Event.Service),
+		Request: string(e.Event.Request),
+		Attempt: uint32(e.Event.Attempt),
+		Backend: string(e.Event.Backend),
+		Peer:    string(e.Event.Peer),
+		Detail:  e.Event.Detail,
+	}
+}
+
+// describe returns the level and text of a number, which may come from a
+// process of another release.
+func describe(n event.Number) (level, text string) {
+	kind, known := event.KindOf(n)
+	if !known {
+		return event.Info.String(), "event of another release"
+	}
+	return kind.Level.String(), kind.Text
+}
+
+// WriteText writes the time line as one line for each event.
+func WriteText(w io.Writer, t Timeline) error {
+	out := bufio.NewWriter(w)
+	width := 0
+	for _, l := range t.Lanes {
+		width = max(width, len(l.Process))
+	}
+	for _, l := range t.Lanes {
+		if l.Forgotten > 0 {
+			fmt.Fprintf(out, "# %s no longer holds its first %d events\n", l.Process, l.Forgotten)
+		}
+	}
+	for _, e := range t.Entries {
+		level, text := describe(e.Event.Number)
+		fmt.Fprintf(out, "%s  %-*s  %-5s %d %s%s\n", e.Stamp.Time().Format("15:04:05.000000"),
+			width, e.Process, level, e.Event.Number, text, details(e.Event))
+	}
+	return out.Flush()
+}
+
+func details(e event.Event) string {
+	s := ""
+	add := func(name, value string) {
+		if value != "" {
+			s += " " + name + "=" + value
+		}
+	}
+	add("service", string(e.Service))
+	add("request", string(e.Request))
+	if e.Attempt > 0 {
+		add("attempt", fmt.Sprint(e.Attempt))
+	}
+	add("backend_server", string(e.Backend))
+	add("peer", string(e.Peer))
+	if e.Detail != "" {
+		s += fmt.Sprintf(" detail=%q", e.Detail)
+	}
+	return s
+}
