--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// ParseLevel is the inverse of String.
+func ParseLevel(s string) (Level, error) {
+	for _, l := range []Level{Debug, Info, Warn, Error} {
+		if l.String() == s {
+			return l, nil
+		}
+	}
+	return Info, fmt.Errorf("%q is not one of debug, info, warn, error", s)
+}
+
 // Kind describes a number.
 type Kind struct {
 	Number Number
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -8,8 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/tomldoc"
 )
 
@@ -106,8 +105,8 @@
 }
 
 func (s *Settings) checkLog() {
-	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
-		s.document.Add("log.level", "%q is not one of debug, info, warn, error", s.Log.Level)
+	if _, err := event.ParseLevel(s.Log.Level); err != nil {
+		s.document.Add("log.level", "%v", err)
 	}
 	if s.Log.Format != "text" && s.Log.Format != "json" {
 		s.document.Add("log.format", "%q is not one of text, json", s.Log.Format)
