--- a/cmd/gooseberryslip/main.go
+++ b/cmd/gooseberryslip/main.go
@@ -1,8 +1,12 @@
 // Command gooseberryslip is the one binary of the serving system.
 package main
 
-import "fmt"
+import (
+	"os"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/command"
+)
 
 func main() {
-	fmt.Println("gooseberryslip")
+	os.Exit(command.Main(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,287 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/adminapi"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/settings"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
+)
+
+// fakeDaemon keeps documents by compare-and-set in memory.
+type fakeDaemon struct {
+	mu        sync.Mutex
+	name      entity.InstanceID
+	documents []configuration.Document // all changes, oldest first
+	peers     []adminapi.PeerStatus
+	tableDown bool
+	drained   func()
+	recorder  *timeline.Recorder
+}
+
+func (d *fakeDaemon) latest(s entity.ServiceName) (configuration.Document, bool) {
+	for i := len(d.documents) - 1; i >= 0; i-- {
+		if d.documents[i].Service == s {
+			return d.documents[i], true
+		}
+	}
+	return configuration.Document{}, false
+}
+
+func (d *fakeDaemon) Apply(_ context.Context, c configuration.Change) (configuration.ApplyOutcome, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, _ := d.latest(c.Service)
+	switch {
+	case d.tableDown:
+		return configuration.ApplyOutcome{Status: configuration.Unavailable}, nil
+	case old.Revision != c.ReadRevision:
+		return configuration.ApplyOutcome{Status: configuration.Conflict, Theirs: old, Yours: c.Text}, nil
+	}
+	doc := configuration.Document{
+		Service: c.Service, Revision: uint64(len(d.documents)) + 1, Author: c.Author, Operation: c.Operation,
+		Text: c.Text, Deleted: c.Text == "",
+	}
+	d.documents = append(d.documents, doc)
+	return configuration.ApplyOutcome{Service: c.Service, Status: configuration.Applied, Revision: doc.Revision}, nil
+}
+
+func (d *fakeDaemon) Documents(context.Context) ([]configuration.Document, error) {
+	return d.documents, nil
+}
+
+func (d *fakeDaemon) Document(_ context.Context, s entity.ServiceName) (configuration.Document, bool, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	doc, found := d.latest(s)
+	return doc, found, nil
+}
+
+func (d *fakeDaemon) History(_ context.Context, s entity.ServiceName) ([]configuration.Document, error) {
+	return d.documents, nil
+}
+
+func (d *fakeDaemon) Status(context.Context) (adminapi.Status, error) {
+	return adminapi.Status{
+		Daemon: adminapi.DaemonStatus{Instance: d.name, Revision: uint64(len(d.documents)), Current: true},
+		Peers:  d.peers,
+	}, nil
+}
+
+func (d *fakeDaemon) Drain(context.Context) error { go d.drained(); return nil }
+
+func (d *fakeDaemon) Events(_ context.Context, f timeline.Filter) (timeline.Export, error) {
+	return d.recorder.Export(f), nil
+}
+
+func (d *fakeDaemon) NotReady() string       { return "" }
+func (d *fakeDaemon) WriteMetrics(io.Writer) {}
+
+type anna struct{}
+
+func (anna) Name(token string) (string, bool) { return "anna", token == "secret" }
+
+// cli runs subcommands against a fake daemon.
+type cli struct {
+	t      *testing.T
+	daemon *fakeDaemon
+	server *httptest.Server
+	dir    string
+	out    string
+	err    string
+}
+
+func newCLI(t *testing.T) *cli {
+	t.Helper()
+	c := &cli{t: t, dir: t.TempDir()}
+	c.daemon, c.server = startDaemon(t, "d1")
+	c.write("token", "secret\n")
+	t.Setenv("GOOSEBERRYSLIP_ADMIN", c.server.URL)
+	t.Setenv("GOOSEBERRYSLIP_TOKEN_FILE", c.path("token"))
+	return c
+}
+
+func startDaemon(t *testing.T, name entity.InstanceID) (*fakeDaemon, *httptest.Server) {
+	t.Helper()
+	d := &fakeDaemon{name: name, recorder: timeline.NewRecorder(name, "west-a", 0)}
+	s := httptest.NewServer(adminapi.NewHandler(d, anna{}))
+	t.Cleanup(s.Close)
+	return d, s
+}
+
+func (c *cli) path(name string) string { return filepath.Join(c.dir, name) }
+
+func (c *cli) write(name, text string) string {
+	c.t.Helper()
+	if err := os.WriteFile(c.path(name), []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return c.path(name)
+}
+
+func (c *cli) read(name string) string {
+	c.t.Helper()
+	data, err := os.ReadFile(c.path(name))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return string(data)
+}
+
+// run runs a command line and checks the exit code.
+func (c *cli) run(want int, args ...string) {
+	c.t.Helper()
+	var out, err bytes.Buffer
+	got := Run(context.Background(), args, &out, &err)
+	c.out, c.err = out.String(), err.String()
+	if got != want {
+		c.t.Fatalf("%v: exit code %d, want %d\n%s%s", args, got, want, c.out, c.err)
+	}
+}
+
+// has checks that a text holds all parts.
+func (c *cli) has(text string, parts ...string) {
+	c.t.Helper()
+	for _, p := range parts {
+		if !strings.Contains(text, p) {
+			c.t.Fatalf("%q lacks %q", text, p)
+		}
+	}
+}
+
+const forecast = "../../examples/quickstart/forecast.toml"
+
+func TestRun_ApplyGetEditApply(t *testing.T) {
+	c := newCLI(t)
+	c.run(ExitFailed, "diff", forecast)
+	c.run(ExitOK, "apply", forecast)
+	c.has(c.out, "forecast: in force as revision 1")
+	c.run(ExitOK, "diff", forecast)
+	c.run(ExitOK, "get", "forecast")
+	mine := c.write("mine.toml", strings.Replace(c.out, "weight = 4", "weight = 5", 1))
+	theirs := c.write("theirs.toml", strings.Replace(c.out, "weight = 4", "weight = 6", 1))
+	c.run(ExitOK, "apply", mine)
+	c.has(c.read("mine.toml"), "# revision 2\n")
+	c.run(ExitConflict, "apply", theirs)
+	c.has(c.err, "changed to revision 2 by anna", "-weight = 5", "+weight = 6")
+	c.has(c.read("theirs.toml"), "# revision 1\n")
+	c.run(ExitConflict, "--output", "json", "apply", theirs)
+	var report errorReport
+	if err := json.Unmarshal([]byte(c.out), &report); err != nil || report.Error.Theirs.Revision != 2 {
+		t.Fatalf("%v %s", err, c.out)
+	}
+	c.run(ExitOK, "history", "forecast", "--revision", "1")
+	if c.out != c.daemon.documents[0].Text {
+		t.Fatal("history prints another text")
+	}
+	c.run(ExitOK, "apply", "--delete", "forecast")
+	c.run(ExitFailed, "get", "forecast")
+	c.run(ExitOK, "apply", forecast)
+	c.has(c.out, "revision 4")
+}
+
+func TestRun_TableDownIsTold(t *testing.T) {
+	c := newCLI(t)
+	c.daemon.tableDown = true
+	c.run(ExitUnavailable, "apply", forecast)
+	c.has(c.err, "did not answer in time", "Nothing was written")
+}
+
+func TestRun_MistakesAreAnswered(t *testing.T) {
+	c := newCLI(t)
+	c.run(ExitUsage, "deploy")
+	c.run(ExitUsage)
+	c.run(ExitUsage, "apply")
+	c.run(ExitUsage, "status", "--output", "xml")
+	c.run(ExitUsage, "check-settings", "d.toml", "--set", "listen")
+	c.run(ExitFailed, "validate", "missing.toml")
+	c.has(c.err, "no such file")
+	c.run(ExitFailed, "validate", "../servicedoc/testdata/bad/values.toml")
+	c.has(c.err, "values.toml:4: colour: unknown key")
+	c.run(ExitFailed, "apply", "../servicedoc/testdata/bad/values.toml")
+	c.run(ExitUnavailable, "get", "--admin", "127.0.0.1:1")
+	c.has(c.err, "Is the daemon running")
+	c.run(ExitFailed, "get", "--token-file", c.write("wrong", "guess"))
+	c.has(c.err, "Give --token-file")
+	if err := os.Chmod(c.path("token"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	c.run(ExitFailed, "get")
+	c.has(c.err, "chmod 600")
+	t.Setenv("GOOSEBERRYSLIP_TOKEN_FILE", "")
+	c.run(ExitUsage, "get")
+}
+
+func TestRun_StatusAsksPeers(t *testing.T) {
+	c := newCLI(t)
+	_, other := startDaemon(t, "d2")
+	c.run(ExitOK, "apply", forecast)
+	c.daemon.peers = []adminapi.PeerStatus{
+		{Instance: "d2", State: "alive", Admin: strings.TrimPrefix(other.URL, "http://")},
+		{Instance: "d3", State: "suspect", Admin: "127.0.0.1:1"},
+	}
+	c.run(ExitOK, "status")
+	c.has(c.out, "d1", "d2", "d3", "daemon does not answer", "revision 1; 1 daemons behind it")
+	c.run(ExitOK, "status", "--output", "json")
+	var s fleetStatus
+	if err := json.Unmarshal([]byte(c.out), &s); err != nil || len(s.Daemons) != 3 || s.Revision != 1 {
+		t.Fatalf("%v %s", err, c.out)
+	}
+}
+
+func TestRun_TimelineMergesPeers(t *testing.T) {
+	c := newCLI(t)
+	peer, other := startDaemon(t, "d2")
+	c.daemon.peers = []adminapi.PeerStatus{
+		{Instance: "d2", Admin: strings.TrimPrefix(other.URL, "http://")}, {Instance: "d3", Admin: "127.0.0.1:1"},
+	}
+	now := time.Now()
+	c.daemon.recorder.Record(now, event.Event{Number: event.HandoffOffered, Request: "r1"})
+	peer.recorder.Record(now.Add(time.Millisecond), event.Event{Number: event.HandoffAccepted, Request: "r1"})
+	peer.recorder.Record(now, event.Event{Number: event.HandoffAccepted, Request: "r2"})
+	c.run(ExitOK, "timeline", "--request", "r1")
+	lines := strings.Split(strings.TrimSpace(c.out), "\n")
+	if len(lines) != 2 || !strings.Contains(lines[0], "d1") || !strings.Contains(lines[1], "d2") {
+		t.Fatal(c.out)
+	}
+	c.has(c.err, "d3 is left out")
+	c.run(ExitOK, "timeline", "--html", c.path("page.html"))
+	c.has(c.read("page.html"), "<title>Time line</title>", "r2")
+}
+
+func TestRun_DrainWaitsForStop(t *testing.T) {
+	c := newCLI(t)
+	stopped := make(chan struct{})
+	c.daemon.drained = func() {
+		c.server.Config.SetKeepAlivesEnabled(false)
+		c.server.Listener.Close()
+		close(stopped)
+	}
+	c.run(ExitOK, "drain", "--wait")
+	<-stopped
+	c.has(c.out, "has stopped")
+}
+
+func TestRun_CheckSettingsNamesEveryProblem(t *testing.T) {
+	c := newCLI(t)
+	c.run(ExitFailed, "check-settings", "../../examples/kerlann/daemon-armor-a-1.toml", "--set", "log.level=info")
+	c.has(c.err, "tls.peers.key", "operators.credentials")
+	if settings.VariableName("listen.callers") != "GOOSEBERRYSLIP_LISTEN_CALLERS" {
+		t.Fatal("variable name")
+	}
+	c.run(ExitOK, "version", "--output", "json")
+	c.has(c.out, `"version"`)
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/tomldoc"
@@ -12,6 +13,9 @@
 // settings: listen.callers is GOOSEBERRYSLIP_LISTEN_CALLERS.
 const EnvironmentPrefix = "GOOSEBERRYSLIP_"
 
+// clientVariables have the prefix too; the command line reads them.
+var clientVariables = []string{"GOOSEBERRYSLIP_ADMIN", "GOOSEBERRYSLIP_TOKEN_FILE", "GOOSEBERRYSLIP_CA"}
+
 // Override is a setting given by a flag.
 type Override struct {
 	Key   string // dotted, such as "listen.callers"
@@ -65,7 +69,7 @@
 	}
 	for _, entry := range environment {
 		name, value, _ := strings.Cut(entry, "=")
-		if !strings.HasPrefix(name, EnvironmentPrefix) {
+		if !strings.HasPrefix(name, EnvironmentPrefix) || slices.Contains(clientVariables, name) {
 			continue
 		}
 		key, ok := keyOf[name]
--- a/internal/tomldoc/document.go
+++ b/internal/tomldoc/document.go
@@ -1,9 +1,11 @@
 package tomldoc
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -92,8 +94,12 @@
 	})
 }
 
-// Problems returns the problems found so far.
-func (d *Document) Problems() Problems { return d.problems }
+// Problems returns the problems found so far, by line.
+func (d *Document) Problems() Problems {
+	out := slices.Clone(d.problems)
+	slices.SortStableFunc(out, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
+	return out
+}
 
 // Err returns the problems found so far as an error, or nil.
-func (d *Document) Err() error { return d.problems.Err() }
+func (d *Document) Err() error { return d.Problems().Err() }
