Refuse a backend server or credential that another service has

The check is serialisable: a change is checked against all documents up to the head row that its write is conditional on; a daemon that is behind catches up first. Seen to fail first: without catching up, two operators at two daemons both put the server prices-1 into their services.

--- a/internal/servicedoc/change.go
+++ b/internal/servicedoc/change.go
@@ -36,3 +36,42 @@
 		}
 	}
 }
+
+// CheckAgainst returns the reasons why a service cannot stand beside the
+// others, as tomldoc.Problems, or nil. A document of the same name among the
+// others is passed over.
+func CheckAgainst(name string, s *entity.Service, others []entity.Service) error {
+	if s == nil {
+		return nil
+	}
+	c := checker{tomldoc.Empty(name)}
+	for i := range others {
+		if others[i].Name != s.Name {
+			c.against(s, &others[i])
+		}
+	}
+	return c.Err()
+}
+
+// against keeps back ends and credentials apart: a back end has one home and
+// one number of slots, and a token tells one organisation.
+func (c checker) against(s, other *entity.Service) {
+	taken := map[entity.BackendServerID]bool{}
+	for _, b := range other.BackendServers {
+		taken[b.ID] = true
+	}
+	for i, b := range s.BackendServers {
+		if taken[b.ID] {
+			c.Add(at("backend_servers", i)+".id", "%q is a backend server of service %s", b.ID, other.Name)
+		}
+	}
+	owner := map[string]entity.OrganisationID{}
+	for _, o := range other.Organisations {
+		owner[o.CredentialSHA256] = o.ID
+	}
+	for i, o := range s.Organisations {
+		if id, known := owner[o.CredentialSHA256]; known && id != o.ID {
+			c.Add(at("organisations", i)+".credential_sha256", "is that of organisation %s in service %s", id, other.Name)
+		}
+	}
+}
--- a/internal/system/configuration/apply.go
+++ b/internal/system/configuration/apply.go
@@ -215,21 +215,40 @@
 	c.applied(now, ch, doc)
 }
 
+// checkAndWrite checks the change against the document it replaces and against
+// all others. The write is conditional on the head row, so that the others
+// cannot have changed in between once this daemon has all up to that head.
 func (c *Configuration) checkAndWrite(now time.Time, ch *change) {
 	if ch.document.Deleted && ch.Text == "" {
 		c.refuse(now, ch, problem(string(ch.Service), "there is no such service"))
 		return
 	}
-	from, err := ch.document.parse()
-	if err == nil {
-		if err := servicedoc.CheckChange(string(ch.Service)+".toml", from, ch.service); err != nil {
-			c.refuse(now, ch, asProblems(string(ch.Service), err))
-			return
-		}
+	if !c.loaded || c.revision < ch.head.Revision {
+		c.hear(now, ch.head.Revision)
+		c.retry(now, ch)
+		return
+	}
+	if problems := c.check(ch); len(problems) > 0 {
+		c.refuse(now, ch, problems)
+		return
 	}
 	c.write(ch)
 }
 
+// check returns why the change cannot follow on what is in force.
+func (c *Configuration) check(ch *change) tomldoc.Problems {
+	name := string(ch.Service) + ".toml"
+	// A document that this release cannot read may be replaced.
+	from, _ := ch.document.parse()
+	if err := servicedoc.CheckChange(name, from, ch.service); err != nil {
+		return asProblems(name, err)
+	}
+	if err := servicedoc.CheckAgainst(name, ch.service, c.Services()); err != nil {
+		return asProblems(name, err)
+	}
+	return nil
+}
+
 // write asks for the transaction that makes the change. Its token depends only
 // on the operation and the rows it was decided on, so that a repetition of the
 // very same write is harmless and any other write fails its conditions.
--- a/internal/system/configuration/configuration_test.go
+++ b/internal/system/configuration/configuration_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+func TestConfiguration_RacingServicesDoNotShareServer(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	second := edit("op2", "forecast", 1, 0)
+	second.Text = strings.Replace(second.Text, "forecast-1", "prices-1", 1)
+	w.apply(0, edit("op1", "prices", 1, 0))
+	w.apply(1, second)
+	w.run(ApplyTimeout)
+	a, b := w.outcomes["op1"].Status, w.outcomes["op2"].Status
+	if (a != Applied || b != Refused) && (a != Refused || b != Applied) {
+		t.Fatalf("%s and %s", a, b)
+	}
+}
+
 func TestConfiguration_LostReplyIsResolved(t *testing.T) {
 	w := newWorld(t, 1)
 	w.run(time.Second)
--- a/internal/system/configuration/world_test.go
+++ b/internal/system/configuration/world_test.go
@@ -260,16 +260,16 @@
 
 // text returns a sound document whose content a number tells apart.
 func text(service entity.ServiceName, weight int) string {
-	return fmt.Sprintf(`name = %q
+	return fmt.Sprintf(`name = "%[1]s"
 kind = "plain"
 [[organisations]]
 id = "izilo"
-credential_sha256 = "%064x"
-weight = %d
+credential_sha256 = "%064[2]x"
+weight = %[3]d
 requests_per_second = 10
 request_burst = 10
 [[backend_servers]]
-id = "app-1"
+id = "%[1]s-1"
 address = "127.0.0.1:9001"
 data_centre = "west-a"
 slots = 4
