--- /dev/null
+++ b/internal/system/membership/membership_test.go
@@ -0,0 +1,39 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func joined(t *testing.T, n int, seed uint64) *fleet {
+	t.Helper()
+	f := newFleet(n, seed, nil)
+	took, ok := f.runUntil(time.Minute, f.complete)
+	if !ok {
+		t.Fatalf("%d members have not found each other", n)
+	}
+	t.Logf("%d members have found each other in %v", n, took)
+	f.run(10 * time.Second)
+	f.forgetChanges()
+	return f
+}
+
+func TestMembership_Join(t *testing.T) {
+	for _, n := range []int{1, 2, 9, 100} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) { joined(t, n, 1) })
+	}
+}
+
+func TestMembership_CrashIsFound(t *testing.T) {
+	f := joined(t, 100, 2)
+	f.nodes[17].crashed = true
+	took, ok := f.runUntil(30*time.Second, f.complete)
+	if !ok {
+		t.Fatal("a crashed member is still held alive")
+	}
+	t.Logf("held dead by all after %v", took)
+	if dead := f.changesTo(Dead); dead != 99 {
+		t.Fatalf("%d changes to dead, want 99", dead)
+	}
+}
