Make the test of a lost coordinator see what it should

Change: requests come from other data centres, so that several other daemons hold the grants; the bound is the slots exactly. Seen with the mechanism out: no report to the new coordinator, 8 at once on 4 slots; no rebuild window, 7 at once on 4 slots. With both in it passes.

--- a/internal/system/grant/grants_test.go
+++ b/internal/system/grant/grants_test.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,27 +72,30 @@
 
 func TestGrants_LostCoordinatorIsReplaced(t *testing.T) {
 	w := testWorld(4, 6, 3, 4)
-	requests := submitMany(w, "r", 60, 100)
-	w.run(2 * time.Second)
 	lost := w.node(w.nodes[0].g.servers.Get("server-000").coordinator.id)
+	var requests []*request
+	for i := range 60 {
+		r := testRequest(fmt.Sprintf("r-%d", i), 60+i%7)
+		requests = append(requests, r)
+		n := w.nodes[i%len(w.nodes)]
+		if n.place == lost.place { // so that others hold its grants
+			n = w.nodes[(i+1+i/6%2)%len(w.nodes)]
+		}
+		n.submit(r)
+	}
+	w.run(2 * time.Second)
 	lost.dead = true
-	abandoned := map[*engine]int{} // what the lost daemon itself ran goes on unseen
-	lost.g.wants.All(func(_ wantKey, x *want) bool {
-		if x.backend != nil {
-			abandoned[w.engine(x.backend.ID)]++
-		}
-		return true
-	})
-	w.after(500*time.Millisecond, w.meet)
+	w.after(300*time.Millisecond, w.meet)
 	w.run(120 * time.Second)
+	mustFinish(t, w, requests)
 	for _, r := range requests {
-		if r.node != lost && (r.done.IsZero() || r.run != 1) {
-			t.Errorf("%s: done %v, run %d times", r.want.Request, r.done, r.run)
+		if r.run != 1 {
+			t.Errorf("%s ran %d times", r.want.Request, r.run)
 		}
 	}
 	for _, e := range w.engines {
-		if e.peak > e.backend.Slots+abandoned[e] {
-			t.Errorf("%s ran %d at once, slots %d, abandoned %d", e.backend.ID, e.peak, e.backend.Slots, abandoned[e])
+		if e.peak > e.backend.Slots {
+			t.Errorf("%s ran %d at once, slots %d", e.backend.ID, e.peak, e.backend.Slots)
 		}
 	}
 }
