Carry a leader's possible dispatch over to those that joined it

Cause: the mixed-fault property test with 10,000 cases of 60 steps found a request that had joined a repeatable one; that one was dispatched and given up, and the joined one was refused as not run while the table was down.

Change: a request that had joined one that may have run is refused as may have run. Two faults of the test's own model are mended: an executor that gave a request up after its claim sent it all the same, and inputs of a paused daemon were overtaken by later ones when the pause was cut short; the pauses now end by themselves before the recovery is judged.

--- a/internal/system/journal/faults_test.go
+++ b/internal/system/journal/faults_test.go
@@ -12,6 +12,8 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
+const longestPause = 10 * time.Second
+
 // mix draws faults and requests, then lets everything recover.
 type mix struct {
 	*world
@@ -102,7 +104,8 @@
 
 func (m *mix) pause(*rapid.T) {
 	d := m.daemon()
-	d.pausedUntil = m.now.Add(time.Duration(rapid.IntRange(100, 10000).Draw(m.t, "pause")) * time.Millisecond)
+	pause := rapid.IntRange(100, int(longestPause/time.Millisecond)).Draw(m.t, "pause")
+	d.pausedUntil = m.now.Add(time.Duration(pause) * time.Millisecond)
 }
 
 // view gives one daemon a membership of its own.
@@ -147,7 +150,7 @@
 		return
 	}
 	d.journal.GiveUp(m.now, id, m.dispatched[id] == 0)
-	m.final[id] = Outcome{Request: id}
+	m.final[id] = Outcome{Request: id, Kind: givenUp}
 }
 
 func (m *mix) pass(*rapid.T) {
@@ -165,9 +168,7 @@
 func (m *mix) recover() {
 	m.store.fault = nil
 	m.store.down, m.store.objectsDown, m.store.stale = false, false, false
-	for _, d := range m.daemons {
-		d.pausedUntil = time.Time{}
-	}
+	m.run(longestPause) // inputs that wait for a paused daemon keep their order
 	m.members(m.ids()...)
 	m.run(time.Minute)
 }
@@ -197,7 +198,9 @@
 		d.begin(b)
 		m.run(2 * time.Second)
 		if o, ok := m.final[id]; !ok || o.Kind == Refused && verdict.CodeOf(o.Err) == CodeStoreUnavailable {
-			m.t.Fatalf("%s on %s after recovery: %v %v", id, d.id, o.Kind, o.Err)
+			s := d.journal.shards[d.journal.ShardOf(b.Key)]
+			m.t.Fatalf("%s on %s after recovery: %v %v; shard state %d generation %d row %+v not before %v", id, d.id, o.Kind, o.Err,
+				s.state, s.generation, s.row, s.notBefore.Sub(m.now))
 		}
 	}
 }
--- a/internal/system/journal/load.go
+++ b/internal/system/journal/load.go
@@ -123,16 +123,12 @@
 	}
 	if e == nil || e.record.Kind != recordAnswered {
 		j.dropAnswer(now, r)
-		j.refuseLost(s, r)
+		j.refuseNotOwner(s, r)
 		return
 	}
 	if e.digest != r.Digest {
-		v := verdict.NotRun
-		if r.mayRun {
-			v = verdict.MayHaveRun
-		}
 		j.dropAnswer(now, r)
-		j.refuse(r, verdict.New(v, CodeKeyReused, "the key was used with other content"))
+		j.refuse(r, verdict.New(r.verdict(), CodeKeyReused, "the key was used with other content"))
 		return
 	}
 	if e.record.Answer.Request != r.Request {
--- a/internal/system/journal/ownership.go
+++ b/internal/system/journal/ownership.go
@@ -10,7 +10,6 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
 // SetMembers tells which live daemons may own shards; leaving ones may not.
@@ -374,9 +373,7 @@
 func (j *Journal) markJoined(s *shard) {
 	for _, id := range s.requests.Keys() {
 		r := s.requests.Get(id)
-		if r.phase == phaseRunning && r.Repeatable || r.phase == phaseFinishing || r.phase == phaseAwaiting {
-			r.mayRun = true
-		}
+		r.mayRun = r.dispatchable() || r.phase == phaseAwaiting
 	}
 	for _, id := range s.requests.Keys() {
 		r := s.requests.Get(id)
@@ -385,7 +382,7 @@
 		}
 		e := s.entries[r.hash]
 		if leader := j.requests[e.leader]; leader != nil {
-			r.mayRun = leader.mayRun
+			r.mayRun = r.mayRun || leader.mayRun
 		}
 	}
 }
@@ -406,17 +403,6 @@
 	s.releasing = false
 }
 
-// refuseLost ends a request of which the winner's journal holds no answer.
-func (j *Journal) refuseLost(s *shard, r *request) {
-	v := verdict.NotRun
-	if r.mayRun {
-		v = verdict.MayHaveRun
-	}
-	j.forget(r)
-	err := verdict.New(v, CodeNotOwner, "another daemon has taken the key's shard over")
-	j.outcome(Outcome{Request: r.Request, Kind: Refused, Owner: j.owner(s), Err: err})
-}
-
 // release hands the shard over as soon as nothing runs, or after ReleaseGrace.
 func (j *Journal) release(now time.Time, s *shard) {
 	if s.state == stateForeign || s.state == stateTaking {
--- a/internal/system/journal/request.go
+++ b/internal/system/journal/request.go
@@ -243,7 +243,7 @@
 	if e.leader == id {
 		e.leader = ""
 		j.endClaim(now, s, e, r, undispatched)
-		j.readmit(now, s, e)
+		j.readmit(now, s, e, !undispatched && r.dispatchable())
 	}
 	s.drop(r.hash, e)
 	j.mayRelease(now, s)
@@ -266,12 +266,19 @@
 	j.enqueue(now, s, pendingRecord{record: e.newRecord(now, r.hash, recordUndispatched, r.claim, nil)})
 }
 
-// readmit admits the requests that had joined one that is gone.
-func (j *Journal) readmit(now time.Time, s *shard, e *entry) {
+// dispatchable tells whether the executor was free to dispatch the request.
+func (r *request) dispatchable() bool {
+	return r.mayRun || r.finished || r.phase == phaseRunning && r.Repeatable
+}
+
+// readmit admits the requests that had joined one that is gone. If that one
+// may have run, so may they.
+func (j *Journal) readmit(now time.Time, s *shard, e *entry, mayRun bool) {
 	joined := e.joined
 	e.joined = nil
 	for _, id := range joined {
 		if r := j.requests[id]; r != nil {
+			r.mayRun = r.mayRun || mayRun
 			j.admit(now, s, r)
 		}
 	}
@@ -318,7 +325,7 @@
 	s := r.shard
 	switch r.phase {
 	case phaseWaiting:
-		j.refuse(r, j.unavailable(waitingVerdict(r)))
+		j.refuse(r, j.unavailable(r.verdict()))
 	case phaseAwaiting:
 		e := s.entries[r.hash]
 		e.joined = without(e.joined, r.Request)
@@ -326,16 +333,16 @@
 	case phaseFetching:
 		j.refuse(r, j.unavailable(verdict.Ran))
 	case phaseResolving:
-		j.refuseLost(s, r)
+		j.refuseNotOwner(s, r)
 	case phaseClaiming, phaseFinishing:
 		j.expireLeader(now, s, r)
 	}
 }
 
-// waitingVerdict is the verdict on a request that was never admitted. Where
-// its key may be an old one, another request with the key may have run.
-func waitingVerdict(r *request) verdict.Verdict {
-	if r.maybeOld {
+// verdict is the verdict on a request without an answer. Where its key may be
+// an old one, or it had joined another request, that one may have run.
+func (r *request) verdict() verdict.Verdict {
+	if r.maybeOld || r.mayRun {
 		return verdict.MayHaveRun
 	}
 	return verdict.NotRun
@@ -348,14 +355,11 @@
 	e.leader = ""
 	joined := e.joined
 	e.joined = nil
-	v := verdict.NotRun
+	v := r.verdict()
 	if r.phase == phaseFinishing {
 		v = finishedVerdict(e.answer, r)
 		j.letGoAnswer(s, e)
 	} else {
-		if r.mayRun {
-			v = verdict.MayHaveRun
-		}
 		j.endClaim(now, s, e, r, false)
 	}
 	err := j.unavailable(v)
@@ -392,9 +396,10 @@
 	j.outcome(Outcome{Request: r.Request, Kind: Refused, Err: err})
 }
 
+// refuseNotOwner ends a request whose answer this daemon cannot commit or read.
 func (j *Journal) refuseNotOwner(s *shard, r *request) {
 	j.forget(r)
-	err := verdict.New(verdict.NotRun, CodeNotOwner, "another daemon owns the key's shard")
+	err := verdict.New(r.verdict(), CodeNotOwner, "another daemon owns the key's shard")
 	j.outcome(Outcome{Request: r.Request, Kind: Refused, Owner: j.owner(s), Err: err})
 }
 
--- a/internal/system/journal/traps_test.go
+++ b/internal/system/journal/traps_test.go
@@ -278,6 +278,23 @@
 	w.wantCommitted("r3", "r1")
 }
 
+// A request that had joined another one, which was dispatched and given up,
+// is not refused as not run.
+func TestJournal_JoinedRequestIsNotRefusedAsNotRun(t *testing.T) {
+	w, a := owned(t, "a")
+	a.begin(keyed("r1", "k", true))
+	a.begin(keyed("r2", "k", true))
+	a.begin(keyed("r3", "other", true))
+	w.run(10 * time.Millisecond)
+	w.store.down = true
+	w.run(500 * time.Millisecond)
+	a.begin(keyed("r4", "k", true))
+	w.after(0, a, func() { a.journal.GiveUp(w.now, "r1", false) })
+	w.final["r1"] = Outcome{}
+	w.run(2 * defaultTryFor)
+	w.wantRefused("r2", verdict.MayHaveRun, CodeStoreUnavailable)
+}
+
 func TestJournal_LargeAnswerGoesToTheObjectStore(t *testing.T) {
 	w, a := owned(t, "a", "b")
 	a.body = 100_000
--- a/internal/system/journal/world_test.go
+++ b/internal/system/journal/world_test.go
@@ -14,6 +14,9 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
+// givenUp marks the end of a request that its executor gave up.
+const givenUp OutcomeKind = 0
+
 var epochStart = time.Unix(1_700_000_000, 0)
 
 // world runs several journals and one store in virtual time.
@@ -237,7 +240,7 @@
 	case Claimed:
 		if d.giveUp() {
 			d.journal.GiveUp(d.w.now, o.Request, true)
-			d.w.final[o.Request] = Outcome{Request: o.Request}
+			d.w.final[o.Request] = Outcome{Request: o.Request, Kind: givenUp}
 			return
 		}
 		d.dispatch(o.Request)
@@ -250,10 +253,8 @@
 // end it has been told.
 func (d *daemon) dispatch(id entity.RequestID) {
 	w := d.w
-	if end, ended := w.final[id]; ended {
-		if verdict.Of(end.Err) == verdict.NotRun {
-			return
-		}
+	if end, ended := w.final[id]; ended && (end.Kind == givenUp || verdict.Of(end.Err) == verdict.NotRun) {
+		return
 	}
 	b := w.begun[id]
 	w.dispatched[id]++
