--- a/internal/system/journal/segment_test.go
+++ b/internal/system/journal/segment_test.go
@@ -101,13 +101,17 @@
 // A claim is sealed into one segment and the answer into a later one.
 func TestJournal_MergeKeepsTheNewestRecord(t *testing.T) {
 	w, a, b := sealing(t)
-	a.runTime = time.Minute
+	a.runTime = 10 * time.Second
 	a.begin(keyed("slow", "slow", false))
 	w.run(time.Second)
 	a.runTime = 50 * time.Millisecond
-	commit(w, a, 0, 100)
-	w.run(time.Minute)
-	commit(w, a, 100, 200)
+	commit(w, a, 0, testHotKeys+1)
+	if len(a.journal.shards[0].segments) != 1 || w.final["slow"].Kind == Committed {
+		t.Fatal("the claim is not in a segment of its own yet")
+	}
+	w.run(10 * time.Second)
+	w.wantCommitted("slow", "slow")
+	commit(w, a, testHotKeys+1, 100)
 	w.takeOver(a, b)
 	b.begin(keyed("again", "slow", false))
 	w.run(time.Second)
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -43,7 +43,7 @@
 
 	InlineLimit int // largest body in bytes kept in a table row; 8 KiB
 	BatchBytes  int // largest batch row in bytes; 192 KiB
-	HotKeys     int // committed keys of a shard kept in memory; 16384
+	HotKeys     int // committed records of a shard kept in memory, at most twice as many; 16384
 	PartBytes   int // aimed size of a segment's part in bytes; 128 KiB
 	MergeCount  int // segments of a level that are merged into one; 8
 }
