--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,30 @@
 	Error
 )
 
+// String returns the name that settings and logs use.
+func (l Level) String() string {
+	switch l {
+	case Debug:
+		return "debug"
+	case Warn:
+		return "warn"
+	case Error:
+		return "error"
+	default:
+		return "info"
+	}
+}
+
+// ParseLevel is the inverse of String.
+func ParseLevel(s string) (Level, error) {
+	for _, l := range []Level{Debug, Info, Warn, Error} {
+		if l.String() == s {
+			return l, nil
+		}
+	}
+	return Info, fmt.Errorf("%q is not one of debug, info, warn, error", s)
+}
+
 // Kind describes a number.
 type Kind struct {
 	Number Number
--- a/internal/system/journal/faults_test.go
+++ b/internal/system/journal/faults_test.go
@@ -12,6 +12,8 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
+const longestPause = 10 * time.Second
+
 // mix draws faults and requests, then lets everything recover.
 type mix struct {
 	*world
@@ -27,15 +29,17 @@
 	m.late = rapid.IntRange(0, 30).Draw(t, "late")
 	m.store.jitter = 20 * time.Millisecond
 	m.store.fault = m.fault
+	refresh := time.Duration(rapid.SampledFrom([]int{1, 30}).Draw(t, "refresh")) * time.Second
+	hotKeys := rapid.SampledFrom([]int{1, 3, 100}).Draw(t, "hot keys")
 	for i := range rapid.IntRange(2, 4).Draw(t, "daemons") {
 		d := m.add(entity.InstanceID(fmt.Sprintf("d%d", i)), func(c *Config) {
 			c.Shards = 2
-			c.HotKeys = 3
+			c.HotKeys = hotKeys
 			c.MergeCount = 2
 			c.InlineLimit = 64
 			c.PartBytes = 512
 			c.TakeoverMax = 4 * time.Second
-			c.RefreshEvery = time.Second
+			c.RefreshEvery = refresh
 			c.UnseenGrace = 2 * time.Second
 		})
 		d.runTime = 300 * time.Millisecond
@@ -102,7 +106,8 @@
 
 func (m *mix) pause(*rapid.T) {
 	d := m.daemon()
-	d.pausedUntil = m.now.Add(time.Duration(rapid.IntRange(100, 10000).Draw(m.t, "pause")) * time.Millisecond)
+	pause := rapid.IntRange(100, int(longestPause/time.Millisecond)).Draw(m.t, "pause")
+	d.pausedUntil = m.now.Add(time.Duration(pause) * time.Millisecond)
 }
 
 // view gives one daemon a membership of its own.
@@ -147,7 +152,7 @@
 		return
 	}
 	d.journal.GiveUp(m.now, id, m.dispatched[id] == 0)
-	m.final[id] = Outcome{Request: id}
+	m.final[id] = Outcome{Request: id, Kind: givenUp}
 }
 
 func (m *mix) pass(*rapid.T) {
@@ -165,9 +170,7 @@
 func (m *mix) recover() {
 	m.store.fault = nil
 	m.store.down, m.store.objectsDown, m.store.stale = false, false, false
-	for _, d := range m.daemons {
-		d.pausedUntil = time.Time{}
-	}
+	m.run(longestPause) // inputs that wait for a paused daemon keep their order
 	m.members(m.ids()...)
 	m.run(time.Minute)
 }
@@ -197,7 +200,9 @@
 		d.begin(b)
 		m.run(2 * time.Second)
 		if o, ok := m.final[id]; !ok || o.Kind == Refused && verdict.CodeOf(o.Err) == CodeStoreUnavailable {
-			m.t.Fatalf("%s on %s after recovery: %v %v", id, d.id, o.Kind, o.Err)
+			s := d.journal.shards[d.journal.ShardOf(b.Key)]
+			m.t.Fatalf("%s on %s after recovery: %v %v; shard state %d generation %d row %+v not before %v", id, d.id, o.Kind, o.Err,
+				s.state, s.generation, s.row, s.notBefore.Sub(m.now))
 		}
 	}
 }
