Core: hand shards over from leaving daemons, number attempts apart, end timers in the past

Cause: the mixed-fault runs in virtual time found (1) a settling suspect's timer that fired at once again and never let the tick end, (2) shards taken over from a daemon that was leaving but still worked, so that its keyed requests ended as may-have-run, (3) attempts of two executors with the same number on one engine, (4) not-run told of a request that an earlier owner had dispatched, (5) dead members taken for live ones by standby requests. Before: TestCore_ReclaimedDataCentre, PlannedStop, DaemonDiesPartwayThroughNotice and MixedFaults/5 and /24 failed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -214,9 +214,15 @@
 	c.out.Events = append(c.out.Events, e)
 }
 
+// member returns a daemon that is not known to be dead.
+func (c *Core) member(id entity.InstanceID) (membership.Member, bool) {
+	m, ok := c.Membership.Get(id)
+	return m, ok && m.State != membership.Dead
+}
+
 // send adds a reliable message to another daemon.
 func (c *Core) send(to entity.InstanceID, m Message) {
-	member, ok := c.Membership.Get(to)
+	member, ok := c.member(to)
 	if !ok {
 		return
 	}
--- a/internal/core/fake_engine_test.go
+++ b/internal/core/fake_engine_test.go
@@ -27,6 +27,7 @@
 // execution is the engines' record of one run.
 type execution struct {
 	request entity.RequestID
+	attempt entity.AttemptNumber
 	key     string
 	digest  entity.Digest
 	at      time.Time
@@ -149,7 +150,7 @@
 // record notes an execution.
 func (e *fakeEngine) record(d Dispatch) {
 	e.runs = append(e.runs, execution{
-		request: d.Request, key: d.Work.Key, digest: d.Work.Digest, at: e.w.now,
+		request: d.Request, attempt: d.Attempt, key: d.Work.Key, digest: d.Work.Digest, at: e.w.now,
 		engine: e.server.ID, prefix: len(d.Prefix),
 	})
 }
@@ -301,12 +302,10 @@
 	var out []attemptKey
 	seen := map[attemptKey]bool{}
 	for _, r := range e.runs {
-		for n := entity.AttemptNumber(1); n < 64; n++ {
-			k := attemptKey{r.request, n}
-			if e.streams[k] != nil && !seen[k] {
-				seen[k] = true
-				out = append(out, k)
-			}
+		k := attemptKey{r.request, r.attempt}
+		if e.streams[k] != nil && !seen[k] {
+			seen[k] = true
+			out = append(out, k)
 		}
 	}
 	return out
--- a/internal/core/fetch.go
+++ b/internal/core/fetch.go
@@ -69,8 +69,8 @@
 	if d == c.Self.ID {
 		return membership.Member{}, false
 	}
-	m, ok := c.Membership.Get(d)
-	return m, ok && m.State != membership.Dead && m.CallerAddr != ""
+	m, ok := c.member(d)
+	return m, ok && m.CallerAddr != ""
 }
 
 // cancel withdraws a request for its organisation.
--- a/internal/core/handoff.go
+++ b/internal/core/handoff.go
@@ -39,6 +39,7 @@
 	// successor takes everything over. Another one is chosen if it goes.
 	successor entity.InstanceID
 	version   uint64
+	closing   bool // no further keyed request is begun
 	disowned  bool
 	quietAt   time.Time // when the last work ended
 }
@@ -90,7 +91,7 @@
 // chooseSuccessor picks a live daemon, of another data centre if there is one,
 // and tells all daemons where this one's requests go.
 func (c *Core) chooseSuccessor() {
-	if m, ok := c.Membership.Get(c.drain.successor); ok && m.State == membership.Alive {
+	if m, ok := c.member(c.drain.successor); ok && (m.State == membership.Alive || m.State == membership.Suspect) {
 		return
 	}
 	near, far := c.livePeers()
@@ -223,7 +224,7 @@
 
 // moveFollowers sends the callers of a request to the successor.
 func (c *Core) moveFollowers(r *request) {
-	m, _ := c.Membership.Get(r.offer.to)
+	m, _ := c.member(r.offer.to)
 	c.deliverRequest(r)
 	for _, f := range r.followers {
 		if f.peer != "" {
@@ -243,9 +244,11 @@
 // disown gives the journal's shards up once no plain call runs under them, or
 // when the time is almost over, and sends relayed requests back.
 func (c *Core) disown() {
+	c.drain.closing = c.drain.closing || c.drain.urgent || c.now.After(c.halfway())
 	if c.drain.disowned || !c.mayDisown() {
 		return
 	}
+	c.drain.closing = true
 	c.drain.disowned = true
 	for _, id := range c.requests.Keys() {
 		r := c.requests.Get(id)
@@ -367,7 +370,7 @@
 // watchStandby goes on with a request whose daemon has died before it could
 // commit its offer.
 func (c *Core) watchStandby(r *request) {
-	if _, alive := c.Membership.Get(r.from); alive {
+	if _, alive := c.member(r.from); alive {
 		c.wakeBy(r, c.now.Add(standbyCheck))
 		return
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -77,15 +77,18 @@
 func (c *Core) membersChanged() {
 	c.membersOld = false
 	c.members = c.Membership.Members()
-	var owners []entity.InstanceID
+	var owners, leavers []entity.InstanceID
 	var daemons []grant.Member
 	for _, m := range c.members {
 		leaving := m.State == membership.Leaving
 		daemons = append(daemons, grant.Member{ID: m.ID, Place: m.Place, Leaving: leaving})
-		if !leaving {
+		if leaving {
+			leavers = append(leavers, m.ID)
+		} else {
 			owners = append(owners, m.ID)
 		}
 	}
+	c.Journal.SetLeaving(leavers)
 	c.Journal.SetMembers(c.now, owners)
 	c.Grants.SetMembers(c.now, daemons)
 	c.Admission.SetDaemons(len(owners))
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -26,7 +26,7 @@
 
 // relay gives a keyed request to the owner of its shard.
 func (c *Core) relay(r *request, owner entity.InstanceID) {
-	if _, known := c.Membership.Get(owner); !known {
+	if _, known := c.member(owner); !known {
 		c.reroute(r)
 		return
 	}
@@ -80,7 +80,7 @@
 		return
 	}
 	key := (&request{work: m.Work}).journalKey()
-	if c.Journal.Owner(key) != c.Self.ID || c.drain.disowned {
+	if c.Journal.Owner(key) != c.Self.ID || c.drain.closing {
 		c.send(from, Message{RelayEnd: &RelayEnd{Request: m.Request, Round: m.Round, TryAgain: true}})
 		return
 	}
@@ -189,6 +189,7 @@
 		r.mayHaveRun = r.relay.ranBefore
 	}
 	r.progress = p
+	c.Journal.Refresh(c.now)
 	c.reroute(r)
 }
 
@@ -201,7 +202,7 @@
 
 // watchRelay asks a silent owner, and leaves one that is gone.
 func (c *Core) watchRelay(r *request) {
-	if _, alive := c.Membership.Get(r.relay.owner); !alive {
+	if _, alive := c.member(r.relay.owner); !alive {
 		c.tryAgain(r, r.relay.progress)
 		return
 	}
--- a/internal/system/grant/asker.go
+++ b/internal/system/grant/asker.go
@@ -153,7 +153,7 @@
 		return false
 	case quarantine.Settling:
 		g.withdrawAsks(now, w)
-		g.wakeWant(w, g.suspects.Settled(w.Digest))
+		g.wakeWant(w, later(now, g.suspects.Settled(w.Digest)))
 		return false
 	}
 	if alone := standing == quarantine.Suspect; alone != w.alone {
--- a/internal/system/grant/coordinator.go
+++ b/internal/system/grant/coordinator.go
@@ -117,7 +117,9 @@
 		return
 	}
 	l.queue.Push(l.entry(h, w))
-	g.wakeServer(s, l.queue.NextExpiry())
+	if at := l.queue.NextExpiry(); !at.IsZero() {
+		g.wakeServer(s, later(now, at))
+	}
 }
 
 // keepOrReturn decides on an ask that found no free slot.
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -30,6 +30,7 @@
 	shards   []*shard
 	requests map[entity.RequestID]*request
 	members  []entity.InstanceID
+	leavers  []entity.InstanceID
 	leaving  bool
 	joined   bool // SetMembers was called
 
@@ -43,6 +44,7 @@
 	nextWrite time.Time // when the write budget allows the next write
 	down      bool
 	polling   bool
+	refreshed time.Time // when Refresh started a read last
 	pollSeq   uint64
 
 	ready Ready
--- a/internal/system/journal/ownership.go
+++ b/internal/system/journal/ownership.go
@@ -12,6 +12,9 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 )
 
+// refreshPause is the least time between two reads that Refresh starts.
+const refreshPause = 200 * time.Millisecond
+
 // SetMembers tells which live daemons may own shards; leaving ones may not.
 func (j *Journal) SetMembers(now time.Time, members []entity.InstanceID) {
 	j.members = slices.Sorted(slices.Values(members))
@@ -27,9 +30,25 @@
 	}
 }
 
+// SetLeaving tells which daemons are about to leave. They keep the shards that
+// they own until they release them or vanish, and get no others. It must be
+// called before SetMembers.
+func (j *Journal) SetLeaving(daemons []entity.InstanceID) { j.leavers = daemons }
+
+// alive reports whether a daemon can own shards, be it only those that it has.
 func (j *Journal) alive(id entity.InstanceID) bool {
 	_, found := slices.BinarySearch(j.members, id)
-	return found
+	return found || slices.Contains(j.leavers, id)
+}
+
+// Refresh reads the shard rows soon, because another daemon has said that it
+// does not own what it was taken to own.
+func (j *Journal) Refresh(now time.Time) {
+	if j.polling || now.Sub(j.refreshed) < refreshPause {
+		return
+	}
+	j.refreshed = now
+	j.poll(now)
 }
 
 // Owner returns whom this daemon believes to own the key's shard.
