--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,6 +72,7 @@
 	isolated    bool
 	viewOld     bool
 	viewCurrent bool
+	viewAt      time.Time
 }
 
 // New returns a core at the start of its daemon's life.
--- a/internal/core/handoff.go
+++ b/internal/core/handoff.go
@@ -32,10 +32,11 @@
 
 // drainState is the state of a planned or announced stop.
 type drainState struct {
-	on       bool
-	urgent   bool // the instance is being reclaimed
-	started  time.Time
-	deadline time.Time
+	on        bool
+	urgent    bool // the instance is being reclaimed
+	reclaimAt time.Time
+	started   time.Time
+	deadline  time.Time
 	// successor takes everything over. Another one is chosen if it goes.
 	successor entity.InstanceID
 	version   uint64
@@ -48,6 +49,8 @@
 func (c *Core) reclaimNotice(in ReclaimNotice) {
 	c.out.Events = append(c.out.Events, event.Event{Number: event.ReclaimAnnounced, At: c.now})
 	c.startDrain(in.Notice.At, true)
+	c.drain.reclaimAt = in.Notice.At
+	c.viewOld = true
 }
 
 // startDrain stops taking callers and starts to hand over. A second order can
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -5,9 +5,11 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
+	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
 )
 
-// Message is what daemons send each other. Exactly one field is set.
+// Message is what daemons send each other. Exactly one field beside
+// Stamp is set.
 type Message struct {
 	Membership    *membership.Message `cbor:"1,keyasint,omitempty"`
 	Grant         *grant.Message      `cbor:"2,keyasint,omitempty"`
@@ -21,6 +23,8 @@
 	DocumentsAsk  *DocumentsAsk       `cbor:"10,keyasint,omitempty"`
 	DocumentsHave *DocumentsHave      `cbor:"11,keyasint,omitempty"`
 	RelayPoll     *RelayPoll          `cbor:"12,keyasint,omitempty"`
+	// Stamp is the sender's hybrid logical clock; the shell sets it.
+	Stamp timeline.Stamp `cbor:"13,keyasint,omitzero"`
 }
 
 // Relay asks the owner of a key's shard to run a request.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
@@ -10,6 +12,10 @@
 // maxAddresses bounds the addresses that a caller is told.
 const maxAddresses = 8
 
+// viewInterval is the age at which a view is published anew, if the core ticks
+// at all.
+const viewInterval = time.Second
+
 // View is what the shell may read between ticks. It is never changed once
 // published.
 type View struct {
@@ -21,16 +27,29 @@
 	Head      uint64
 	Current   bool
 	Draining  bool
+	ReclaimAt time.Time // zero: no reclaim announced
+	InFlight  int       // requests that are not finished
 	Load      grant.Snapshot
 }
 
-// publishView puts a new view into the outbox if something in it has changed.
+// LoadByBackend indexes the load by backend server.
+func (v *View) LoadByBackend() map[entity.BackendServerID]grant.Status {
+	out := make(map[entity.BackendServerID]grant.Status, len(v.Load.Backends))
+	for _, s := range v.Load.Backends {
+		out[s.Backend] = s
+	}
+	return out
+}
+
+// publishView puts a new view into the outbox if something in it has changed,
+// and now and then for the load.
 func (c *Core) publishView() {
 	current := c.Configuration.Current(c.now)
-	if !c.viewOld && current == c.viewCurrent {
+	if !c.viewOld && current == c.viewCurrent && c.now.Sub(c.viewAt) < viewInterval {
 		return
 	}
 	c.viewOld = false
+	c.viewAt = c.now
 	c.viewCurrent = current
 	c.out.View = &View{
 		Members:   c.members,
@@ -41,6 +60,8 @@
 		Head:      c.Configuration.HeadRevision(),
 		Current:   current,
 		Draining:  c.drain.on,
+		ReclaimAt: c.drain.reclaimAt,
+		InFlight:  c.active,
 		Load:      c.Grants.Snapshot(),
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/gooseberryslip/gooseberryslip/internal/backend"
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
 )
 
 const (
@@ -31,8 +31,8 @@
 	Table   platform.Table
 	Objects platform.ObjectStore
 	Cloud   platform.Cloud
-	Log     *logrus.Logger
-	Recorder
+	Log     *logging.Log
+	Events  *timeline.Recorder
 	Options Options
 }
 
@@ -72,7 +72,8 @@
 	defer d.close()
 	d.watchList(ctx)
 	stop := ctx.Done()
-	var timer <-chan time.Time
+	d.tick(nil)
+	timer := d.nextTimer()
 	for {
 		var inputs []core.Input
 		select {
@@ -130,9 +131,10 @@
 
 // send encodes a message once and gives it to the transport.
 func (d *Daemon) send(e *core.Envelope) {
+	e.Message.Stamp = d.Events.Stamp(time.Now())
 	body, err := core.EncodeMessage(&e.Message)
 	if err != nil {
-		d.Log.WithError(err).Error("a message could not be encoded")
+		d.Log.Logger().WithError(err).Error("a message could not be encoded")
 		return
 	}
 	to := peer.Address{ID: e.To, Addr: e.Addr}
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -1,15 +1,16 @@
 package daemon
 
-import "github.com/gooseberryslip/gooseberryslip/internal/event"
+import (
+	"time"
 
-// Recorder takes the daemon's events, for the time line and the log.
-type Recorder interface {
-	Record(e event.Event)
-}
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+)
 
-// record passes events on.
+// record puts events into the time line and the log.
 func (d *Daemon) record(events []event.Event) {
 	for _, e := range events {
-		d.Recorder.Record(e)
+		now := time.Now()
+		d.Events.Record(now, e)
+		d.Log.Event(now, e)
 	}
 }
--- a/internal/daemon/inbox.go
+++ b/internal/daemon/inbox.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
 )
 
 // Inbox holds the inputs for the next tick of a core. It is made before the
@@ -26,13 +29,14 @@
 	}
 }
 
-// PostMessage decodes a message of another daemon and posts it. A malformed
-// message is dropped and reported.
-func (i *Inbox) PostMessage(from entity.InstanceID, addr string, body []byte) error {
+// PostMessage decodes a message of another daemon and posts it. The recorder's
+// clock follows the sender's. A malformed message is dropped and reported.
+func (i *Inbox) PostMessage(from entity.InstanceID, addr string, body []byte, clock *timeline.Recorder) error {
 	m, err := core.DecodeMessage(body)
 	if err != nil {
 		return err
 	}
+	clock.Observe(time.Now(), m.Stamp)
 	i.Post(core.PeerMessage{From: from, Addr: addr, Message: m})
 	return nil
 }
--- a/internal/daemon/list.go
+++ b/internal/daemon/list.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	list, err := d.Cloud.Instances(ctx, nil)
 	if err != nil {
-		d.Log.WithError(err).Debug("the platform's list cannot be read")
+		d.Log.Logger().WithError(err).Debug("the platform's list cannot be read")
 		return
 	}
 	d.Inbox.Post(core.InstanceList{Instances: list})
@@ -42,5 +42,8 @@
 // Notice takes the announced reclaim of this daemon's instance.
 func (d *Daemon) Notice(n platform.Notice) { d.Inbox.Post(core.ReclaimNotice{Notice: n}) }
 
+// Drain starts a planned stop.
+func (d *Daemon) Drain() { d.Inbox.Post(core.Drain{}) }
+
 // BackendLeaving takes word that a backend server leaves, or no longer does.
 func (d *Daemon) BackendLeaving(b core.BackendLeaving) { d.Inbox.Post(b) }
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
@@ -26,6 +28,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
+	failing atomic.Bool // the last operation did not get through
 }
 
 // newPerformer returns an idle performer.
@@ -45,6 +48,7 @@
 		ctx, cancel := context.WithTimeout(p.ctx, operationTimeout)
 		defer cancel()
 		result := platform.Perform(ctx, p.table, p.objects, op.Operation)
+		p.failing.Store(errors.Is(result.Err, platform.ErrUnavailable) || errors.Is(result.Err, platform.ErrUnknownOutcome))
 		p.post(core.PlatformResult{System: op.System, Result: result})
 	})
 }
@@ -54,3 +58,6 @@
 	p.cancel()
 	p.wg.Wait()
 }
+
+// TableFailing reports whether the last platform operation did not get through.
+func (d *Daemon) TableFailing() bool { return d.platform.failing.Load() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,19 +5,19 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/callerapi"
+	"github.com/gooseberryslip/gooseberryslip/internal/adminapi"
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
 	"github.com/gooseberryslip/gooseberryslip/internal/daemon"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
@@ -27,6 +27,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/journal"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
+	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
 )
 
 const (
@@ -43,12 +44,14 @@
 type Config struct {
 	Settings *settings.Settings
 	// PeerTLS replaces the files named in the settings, for quick starts.
-	PeerTLS  *tls.Config
-	Table    platform.Table
-	Objects  platform.ObjectStore
-	Cloud    platform.Cloud // nil: no list, no managed services
-	Log      *logrus.Logger
-	Recorder daemon.Recorder
+	PeerTLS *tls.Config
+	Table   platform.Table
+	Objects platform.ObjectStore
+	Cloud   platform.Cloud // nil: no list, no managed services
+	Log     *logging.Log
+	// Operators may use the administration API.
+	Operators adminapi.Operators
+	Version   string
 }
 
 // Node is one daemon process.
@@ -56,56 +59,80 @@
 	cfg     Config
 	daemon  *daemon.Daemon
 	peers   *peer.Transport
+	events  *timeline.Recorder
 	callers net.Listener
-	server  *http.Server
+	admin   net.Listener
+	servers []*http.Server
+	started time.Time
 }
 
 // New opens the sockets and builds the daemon. Nothing is served before Run.
 func New(cfg Config) (*Node, error) {
 	s := cfg.Settings
-	callers, err := net.Listen("tcp", s.Listen.Callers)
-	if err != nil {
-		return nil, merry.Prependf(err, "listen for callers on %s", s.Listen.Callers)
+	n := &Node{
+		cfg:     cfg,
+		events:  timeline.NewRecorder(s.Instance.ID, s.Instance.DataCentre, timeline.DefaultCapacity),
+		started: time.Now(),
 	}
 	inbox := daemon.NewInbox()
-	peers, err := newTransport(cfg, inbox)
-	if err != nil {
-		_ = callers.Close()
+	if err := n.listen(inbox); err != nil {
+		n.closeListeners()
 		return nil, err
 	}
-	n := &Node{cfg: cfg, peers: peers, callers: callers}
 	n.daemon = daemon.New(daemon.Parts{
-		Core:     newCore(cfg, n.self()),
-		Inbox:    inbox,
-		Peers:    peers,
-		Table:    cfg.Table,
-		Objects:  cfg.Objects,
-		Cloud:    cfg.Cloud,
-		Log:      cfg.Log,
-		Recorder: cfg.Recorder,
-		Options:  daemon.Options{AddressTTL: s.Limits.AddressTTL, ListInterval: listInterval},
+		Core:    newCore(cfg, n.self()),
+		Inbox:   inbox,
+		Peers:   n.peers,
+		Table:   cfg.Table,
+		Objects: cfg.Objects,
+		Cloud:   cfg.Cloud,
+		Log:     cfg.Log,
+		Events:  n.events,
+		Options: daemon.Options{AddressTTL: s.Limits.AddressTTL, ListInterval: listInterval},
 	})
-	n.server = n.callerServer()
 	return n, nil
 }
 
+// listen opens the sockets.
+func (n *Node) listen(inbox *daemon.Inbox) error {
+	l := n.cfg.Settings.Listen
+	var err error
+	if n.callers, err = net.Listen("tcp", l.Callers); err != nil {
+		return merry.Prependf(err, "listen for callers on %s", l.Callers)
+	}
+	n.callers = netutil.LimitListener(n.callers, n.cfg.Settings.Limits.MaxConnections)
+	if n.admin, err = net.Listen("tcp", l.Admin); err != nil {
+		return merry.Prependf(err, "listen for operators on %s", l.Admin)
+	}
+	n.peers, err = n.newTransport(inbox)
+	return merry.Prependf(err, "listen for peers on %s", l.Peers)
+}
+
+// closeListeners closes what listen has opened.
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.callers, n.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
 // newTransport opens the peers' socket.
-func newTransport(cfg Config, inbox *daemon.Inbox) (*peer.Transport, error) {
-	s := cfg.Settings
-	t, err := peer.New(peer.Config{
+func (n *Node) newTransport(inbox *daemon.Inbox) (*peer.Transport, error) {
+	s := n.cfg.Settings
+	return peer.New(peer.Config{
 		Self:   s.Instance.ID,
 		Listen: s.Listen.Peers,
-		TLS:    cfg.PeerTLS,
+		TLS:    n.cfg.PeerTLS,
 		TLSFiles: peer.TLSFiles{
 			Certificate: s.TLS.Peers.Cert, Key: s.TLS.Peers.Key, Authority: s.TLS.Peers.CA,
 		},
 		Handler: func(from entity.InstanceID, addr string, _ peer.Channel, body []byte) {
-			if err := inbox.PostMessage(from, addr, body); err != nil {
-				cfg.Log.WithError(err).WithField("peer", from).Warn("malformed message dropped")
+			if err := inbox.PostMessage(from, addr, body, n.events); err != nil {
+				n.cfg.Log.Logger().WithError(err).WithField("peer", from).Warn("malformed message dropped")
 			}
 		},
 	})
-	return t, merry.Prependf(err, "listen for peers on %s", s.Listen.Peers)
 }
 
 // self describes this daemon to the others.
@@ -115,6 +142,7 @@
 		ID:         n.cfg.Settings.Instance.ID,
 		Addr:       orElse(l.AdvertisePeers, n.peers.Addr()),
 		CallerAddr: orElse(l.AdvertiseCallers, n.callers.Addr().String()),
+		AdminAddr:  orElse(l.AdvertiseAdmin, n.admin.Addr().String()),
 		Place:      n.cfg.Settings.Instance.Place(),
 	}
 }
@@ -151,23 +179,12 @@
 // newRand returns a randomly seeded source.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// callerServer returns the server of the callers' API with its limits.
-func (n *Node) callerServer() *http.Server {
-	const maxHeaderBytes = 16 << 10
-	s := n.cfg.Settings
-	limits := callerapi.DefaultLimits()
-	limits.MaxBody = s.Limits.MaxBodyBytes
-	return &http.Server{
-		Handler:           callerapi.New(n.daemon, limits),
-		ReadHeaderTimeout: s.Limits.HeaderTimeout,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
 // CallerAddress returns host:port of the callers' API.
 func (n *Node) CallerAddress() string { return n.callers.Addr().String() }
 
+// AdminAddress returns host:port of the operators' API.
+func (n *Node) AdminAddress() string { return n.admin.Addr().String() }
+
 // PeerAddress returns host:port of the peers' transport.
 func (n *Node) PeerAddress() string { return n.peers.Addr() }
 
@@ -176,45 +193,30 @@
 
 // Run serves until the context ends and the drain that follows is over.
 func (n *Node) Run(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() { failed <- n.serveCallers() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		n.daemon.Run(ctx)
-	}()
+	failed := make(chan error, 2)
+	n.serve(n.callers, n.callerServer(), n.cfg.Settings.TLS.Callers, failed)
+	n.serve(n.admin, n.adminServer(), n.cfg.Settings.TLS.Admin, failed)
+	go n.watchNotice(ctx)
+	go n.daemon.Run(ctx)
 	var err error
 	select {
 	case err = <-failed:
 		cancel()
-		<-ended
-	case <-ended:
+	case <-n.daemon.Done():
 	}
+	<-n.daemon.Done()
 	n.close()
 	return err
 }
 
-// serveCallers serves the callers' API until the server is closed.
-func (n *Node) serveCallers() error {
-	pair := n.cfg.Settings.TLS.Callers
-	var err error
-	if pair.Set() {
-		err = n.server.ServeTLS(n.callers, pair.Cert, pair.Key)
-	} else {
-		err = n.server.Serve(n.callers)
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // close ends the sockets. Calls in flight have a moment to end.
 func (n *Node) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	_ = n.server.Shutdown(ctx)
+	for _, s := range n.servers {
+		_ = s.Shutdown(ctx)
+	}
 	_ = n.peers.Close(ctx)
 }
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/adminapi"
+	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
+)
+
+// operatorsBackend is the node as the administration API sees it.
+type operatorsBackend struct{ n *Node }
+
+// Apply makes a change and waits for its outcome.
+func (b *operatorsBackend) Apply(ctx context.Context, c configuration.Change) (configuration.ApplyOutcome, error) {
+	return b.n.daemon.Apply(ctx, c)
+}
+
+// Documents returns the documents in force.
+func (b *operatorsBackend) Documents(context.Context) ([]configuration.Document, error) {
+	return b.n.daemon.View().Documents, nil
+}
+
+// Document returns the newest document of a service, also a deletion.
+func (b *operatorsBackend) Document(ctx context.Context, s entity.ServiceName) (configuration.Document, bool, error) {
+	for _, d := range b.n.daemon.View().Documents {
+		if d.Service == s {
+			return d, true, nil
+		}
+	}
+	past, err := b.History(ctx, s)
+	if err != nil || len(past) == 0 {
+		return configuration.Document{}, false, err
+	}
+	return past[0], true, nil
+}
+
+// History returns past documents of a service, newest first.
+func (b *operatorsBackend) History(ctx context.Context, s entity.ServiceName) ([]configuration.Document, error) {
+	h, err := b.n.daemon.History(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	return h.Documents, h.Err
+}
+
+// Status returns what this daemon knows of itself and of the others.
+func (b *operatorsBackend) Status(context.Context) (adminapi.Status, error) {
+	v := b.n.daemon.View()
+	return adminapi.Status{
+		Daemon:   b.daemonStatus(&v),
+		Peers:    b.peerStatus(&v),
+		Services: serviceStatus(&v),
+	}, nil
+}
+
+// daemonStatus describes this daemon.
+func (b *operatorsBackend) daemonStatus(v *core.View) adminapi.DaemonStatus {
+	self := b.n.self()
+	return adminapi.DaemonStatus{
+		Instance: self.ID, Place: self.Place, Version: b.n.cfg.Version, StartedAt: b.n.started,
+		Revision: v.Revision, Head: v.Head, Current: v.Current, Draining: v.Draining,
+		InFlight: v.InFlight, Connections: b.n.peers.Connections(), Callers: self.CallerAddr,
+		NotReady: b.NotReady(), ReclaimAt: v.ReclaimAt, TableFailing: b.n.daemon.TableFailing(),
+	}
+}
+
+// peerStatus describes the other daemons.
+func (b *operatorsBackend) peerStatus(v *core.View) []adminapi.PeerStatus {
+	var out []adminapi.PeerStatus
+	for _, m := range v.Members {
+		if m.ID != b.n.cfg.Settings.Instance.ID {
+			out = append(out, adminapi.PeerStatus{
+				Instance: m.ID, Place: m.Place, State: m.State.String(), Admin: m.AdminAddr,
+			})
+		}
+	}
+	return out
+}
+
+// serviceStatus describes the services and their backend servers.
+func serviceStatus(v *core.View) []adminapi.ServiceStatus {
+	load := v.LoadByBackend()
+	var out []adminapi.ServiceStatus
+	for _, s := range v.Services {
+		status := adminapi.ServiceStatus{Service: s.Name, Revision: s.Revision, Mode: s.Mode, Kind: s.Kind}
+		for _, server := range s.BackendServers {
+			l := load[server.ID]
+			state := "serving"
+			if l.Leaving {
+				state = "leaving"
+			}
+			status.BackendServers = append(status.BackendServers, adminapi.BackendServerStatus{
+				ID: server.ID, Address: server.Address, Place: server.Place,
+				State: state, Slots: server.Slots, InFlight: l.Busy,
+			})
+		}
+		out = append(out, status)
+	}
+	return out
+}
+
+// Drain starts a graceful stop of this daemon.
+func (b *operatorsBackend) Drain(context.Context) error {
+	b.n.daemon.Drain()
+	return nil
+}
+
+// Events returns the events that this daemon keeps.
+func (b *operatorsBackend) Events(_ context.Context, f timeline.Filter) (timeline.Export, error) {
+	return b.n.events.Export(f), nil
+}
+
+// NotReady returns why the daemon takes no new callers, or "".
+func (b *operatorsBackend) NotReady() string {
+	v := b.n.daemon.View()
+	switch {
+	case v.Draining:
+		return "draining"
+	case !v.Current:
+		return "cannot know whether its configuration is current"
+	default:
+		return ""
+	}
+}
+
+// WriteMetrics writes all metrics in the Prometheus text format.
+func (b *operatorsBackend) WriteMetrics(w io.Writer) { metrics.WritePrometheus(w, true) }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/gooseberryslip/gooseberryslip/internal/daemon"
+	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform/dynamo"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform/ec2cloud"
@@ -24,7 +22,11 @@
 
 // FromSettings builds a node with clients of the platform that the settings
 // name.
-func FromSettings(s *settings.Settings, log *logrus.Logger, r daemon.Recorder) (*Node, error) {
+func FromSettings(s *settings.Settings, log *logging.Log, version string) (*Node, error) {
+	operators, err := settings.LoadOperators(s.Operators.Credentials)
+	if err != nil {
+		return nil, err
+	}
 	table, err := tableClient(s)
 	if err != nil {
 		return nil, err
@@ -37,7 +39,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return New(Config{Settings: s, Table: table, Objects: objects, Cloud: cloud, Log: log, Recorder: r})
+	return New(Config{
+		Settings: s, Table: table, Objects: objects, Cloud: cloud,
+		Log: log, Operators: operators, Version: version,
+	})
 }
 
 // tableClient returns the client of the table service.
@@ -88,9 +93,9 @@
 	return settings.LoadCredentials(file)
 }
 
-// WatchNotice hands announced reclaims of this instance to the daemon until
+// watchNotice hands announced reclaims of this instance to the daemon until
 // the context ends.
-func (n *Node) WatchNotice(ctx context.Context) {
+func (n *Node) watchNotice(ctx context.Context) {
 	url := n.cfg.Settings.Metadata.URL
 	if url == "" {
 		return
--- a/internal/quickstart/cluster.go
+++ b/internal/quickstart/cluster.go
@@ -5,17 +5,17 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"io/fs"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
-	"github.com/sirupsen/logrus"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/daemon"
+	"github.com/gooseberryslip/gooseberryslip/internal/adminapi"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/node"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform/dynamo"
@@ -41,9 +41,10 @@
 	Documents fs.FS // service documents, *.toml
 	Engine    standin.EngineConfig
 	Grace     time.Duration // of a planned stop; 0: the default
-	Log       *logrus.Logger
-	// Recorder makes the recorder of a daemon; nil: events are dropped.
-	Recorder func(entity.InstanceID) daemon.Recorder
+	Log       io.Writer     // where the daemons' logs go
+	LogLevel  string        // "": info
+	// Operators may use the administration API.
+	Operators adminapi.Operators
 }
 
 // Cluster is a running small system.
@@ -58,12 +59,6 @@
 	wg        sync.WaitGroup
 }
 
-// dropRecorder drops events.
-type dropRecorder struct{}
-
-// Record is for daemon.Recorder.
-func (dropRecorder) Record(event.Event) {}
-
 // Start runs a small system and returns once its documents are in force on
 // every daemon.
 func Start(ctx context.Context, o Options) (*Cluster, error) {
@@ -140,9 +135,11 @@
 		return err
 	}
 	addresses := c.Platform.Addresses()
-	recorder := daemon.Recorder(dropRecorder{})
-	if c.options.Recorder != nil {
-		recorder = c.options.Recorder(s.Instance.ID)
+	log, err := logging.New(c.options.Log, logging.Options{
+		Level: s.Log.Level, Format: s.Log.Format, Process: s.Instance.ID, DataCentre: s.Instance.DataCentre,
+	})
+	if err != nil {
+		return err
 	}
 	n, err := node.New(node.Config{
 		Settings: s,
@@ -155,8 +152,8 @@
 			Endpoint: addresses.Objects, Region: region, AccessKey: "quickstart", SecretKey: "quickstart",
 			Bucket: s.ObjectStore.Bucket, Timeout: callTimeout,
 		}),
-		Log:      c.options.Log,
-		Recorder: recorder,
+		Log:       log,
+		Operators: c.options.Operators,
 	})
 	if err != nil {
 		return err
@@ -166,7 +163,7 @@
 	c.stops = append(c.stops, cancel)
 	c.wg.Go(func() {
 		if err := n.Run(ctx); err != nil {
-			c.options.Log.WithError(err).Error("daemon failed")
+			log.Logger().WithError(err).Error("daemon failed")
 		}
 	})
 	return nil
@@ -184,6 +181,9 @@
 	if i > 0 {
 		s.Peers.Seeds = []string{c.Nodes[0].PeerAddress()}
 	}
+	if c.options.LogLevel != "" {
+		s.Log.Level = c.options.LogLevel
+	}
 	if c.options.Grace > 0 {
 		s.Drain.Grace = c.options.Grace
 	}
--- a/internal/quickstart/cluster_test.go
+++ b/internal/quickstart/cluster_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/gooseberryslip/gooseberryslip/examples"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
@@ -26,10 +24,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	c, err := Start(context.Background(), Options{
-		Daemons: daemons, Documents: docs, Log: log, Grace: 10 * time.Second,
+		Daemons: daemons, Documents: docs, Log: io.Discard, Grace: 10 * time.Second,
 		Engine: standin.EngineConfig{FirstToken: time.Millisecond, BetweenTokens: time.Millisecond},
 	})
 	if err != nil {
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -58,6 +58,7 @@
 	Place       entity.Place      `cbor:"4,keyasint"`
 	Incarnation uint32            `cbor:"5,keyasint"` // raised by the member to refute a suspicion
 	State       State             `cbor:"6,keyasint"`
+	AdminAddr   string            `cbor:"7,keyasint,omitempty"` // operators' API, host and port
 }
 
 // row is a member with what only this daemon knows of it.
--- a/internal/system/membership/message.go
+++ b/internal/system/membership/message.go
@@ -65,6 +65,7 @@
 	Addr       string       `cbor:"1,keyasint"`
 	CallerAddr string       `cbor:"2,keyasint,omitempty"`
 	Place      entity.Place `cbor:"3,keyasint,omitzero"`
+	AdminAddr  string       `cbor:"4,keyasint,omitempty"`
 }
 
 // NewsRecord is a piece of news on its way. Its age is relative, so that no
@@ -80,7 +81,7 @@
 func (r *row) update(full bool) Update {
 	u := Update{ID: r.ID, Incarnation: r.Incarnation, Leaving: r.leaving, Suspected: r.suspected}
 	if full {
-		u.Detail = &Detail{Addr: r.Addr, CallerAddr: r.CallerAddr, Place: r.Place}
+		u.Detail = &Detail{Addr: r.Addr, CallerAddr: r.CallerAddr, Place: r.Place, AdminAddr: r.AdminAddr}
 	}
 	return u
 }
@@ -95,7 +96,7 @@
 func (u *Update) size() int {
 	n := updateBytes + len(u.ID)
 	if d := u.Detail; d != nil {
-		n += detailBytes + len(d.Addr) + len(d.CallerAddr) + len(d.Place.Region) + len(d.Place.DataCentre)
+		n += detailBytes + len(d.Addr) + len(d.CallerAddr) + len(d.AdminAddr) + len(d.Place.Region) + len(d.Place.DataCentre)
 	}
 	return n
 }
@@ -128,7 +129,7 @@
 }
 
 func (d *Detail) valid() bool {
-	return d.Addr != "" && len(d.Addr) <= maxAddrBytes && len(d.CallerAddr) <= maxAddrBytes &&
+	return d.Addr != "" && len(d.Addr) <= maxAddrBytes && len(d.CallerAddr) <= maxAddrBytes && len(d.AdminAddr) <= maxAddrBytes &&
 		len(d.Place.Region) <= maxPlaceBytes && len(d.Place.DataCentre) <= maxPlaceBytes
 }
 
--- a/internal/system/membership/update.go
+++ b/internal/system/membership/update.go
@@ -59,7 +59,7 @@
 		return
 	}
 	r := &row{Member: Member{
-		ID: u.ID, Addr: u.Detail.Addr, CallerAddr: u.Detail.CallerAddr,
+		ID: u.ID, Addr: u.Detail.Addr, CallerAddr: u.Detail.CallerAddr, AdminAddr: u.Detail.AdminAddr,
 		Place: u.Detail.Place, Incarnation: u.Incarnation,
 	}}
 	m.rows.Put(r.ID, r)
