--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -39,6 +39,10 @@
 	Status        *status        `arg:"subcommand:status" help:"show the daemons, their configuration and the services"`
 	Drain         *drain         `arg:"subcommand:drain" help:"stop a daemon gracefully"`
 	Timeline      *timelineOf    `arg:"subcommand:timeline" help:"merge the events of all daemons into one time line"`
+	Daemon        *daemon        `arg:"subcommand:daemon" help:"run a daemon"`
+	Quickstart    *quickStart    `arg:"subcommand:quickstart" help:"run a small system on loopback, stand-ins included"`
+	StandIn       *standIn       `arg:"subcommand:standin" help:"run stand-ins of the platform and of backend servers"`
+	Load          *loadDriver    `arg:"subcommand:load" help:"send load, check every answer, report percentiles"`
 	Version       *version       `arg:"subcommand:version" help:"print the version"`
 
 	Output string `arg:"--output" default:"text" placeholder:"FORMAT" help:"text or json"`
@@ -52,6 +56,8 @@
 // Epilogue returns the last lines of the help.
 func (arguments) Epilogue() string {
 	return `Examples:
+  gooseberryslip quickstart
+  gooseberryslip daemon daemon.toml
   gooseberryslip check-settings daemon.toml --set listen.callers=10.0.0.5:7001
   gooseberryslip validate services/*.toml
   export GOOSEBERRYSLIP_ADMIN=10.0.0.5:7201 GOOSEBERRYSLIP_TOKEN_FILE=token
--- /dev/null
+++ b/internal/command/daemon.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/logging"
+	"github.com/gooseberryslip/gooseberryslip/internal/node"
+	"github.com/gooseberryslip/gooseberryslip/internal/settings"
+)
+
+type daemon struct {
+	Settings string   `arg:"positional,required" placeholder:"FILE" help:"settings in TOML"`
+	Set      []string `arg:"--set,separate" placeholder:"KEY=VALUE" help:"override a setting"`
+}
+
+// daemonReport says where a daemon listens.
+type daemonReport struct {
+	Instance string `json:"instance"`
+	Callers  string `json:"callers"`
+	Peers    string `json:"peers"`
+	Admin    string `json:"admin"`
+}
+
+func (d *daemon) run(ctx context.Context, e *environment) error {
+	s, err := loadSettings(d.Settings, d.Set)
+	if err != nil {
+		return err
+	}
+	log, err := logging.New(os.Stderr, logging.Options{
+		Level: s.Log.Level, Format: s.Log.Format, Process: s.Instance.ID, DataCentre: s.Instance.DataCentre,
+	})
+	if err != nil {
+		return err
+	}
+	n, err := node.FromSettings(s, log, Version)
+	if err != nil {
+		return err
+	}
+	r := daemonReport{
+		Instance: string(s.Instance.ID), Callers: n.CallerAddress(), Peers: n.PeerAddress(), Admin: n.AdminAddress(),
+	}
+	e.print(r, func(w io.Writer) {
+		_, _ = io.WriteString(w, "callers "+r.Callers+", peers "+r.Peers+", admin "+r.Admin+"\n")
+	})
+	return n.Run(ctx)
+}
+
+// loadSettings reads and checks settings with their overrides.
+func loadSettings(file string, set []string) (*settings.Settings, error) {
+	overrides, err := parseOverrides(set)
+	if err != nil {
+		return nil, err
+	}
+	s, err := settings.Load(file, overrides...)
+	if err != nil {
+		return nil, err
+	}
+	return s, s.Check()
+}
--- /dev/null
+++ b/internal/command/load.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/load"
+)
+
+type loadDriver struct {
+	Addresses     []string      `arg:"--address,separate,required" placeholder:"HOST:PORT" help:"a daemon's callers' API, to ask for the others"`
+	Service       string        `arg:"--service" default:"forecast" help:"service to call"`
+	Organisations []string      `arg:"--organisation,separate,required" placeholder:"ID=TOKEN" help:"an organisation and its credential"`
+	Rate          float64       `arg:"--rate" default:"20" help:"arrivals a second"`
+	Duration      time.Duration `arg:"--duration" default:"10s" help:"of the arrivals"`
+	Seed          uint64        `arg:"--seed" default:"1" help:"of arrivals and of what is sent"`
+	Stream        float64       `arg:"--stream" default:"0.5" help:"share of streamed requests"`
+	Keyed         float64       `arg:"--keyed" default:"0.2" help:"share with an idempotency key"`
+	NotRepeatable float64       `arg:"--not-repeatable" default:"0.05" help:"share that must not run twice"`
+	Retry         float64       `arg:"--retry" default:"0.3" help:"share of the keyed that is sent twice"`
+	PromptTokens  int           `arg:"--prompt-tokens" default:"64" help:"tokens of a prompt"`
+	MaxTokens     int           `arg:"--max-tokens" default:"32" help:"most tokens of an answer"`
+	Deadline      time.Duration `arg:"--deadline" default:"30s" help:"of each request"`
+	Plain         string        `arg:"--plain" placeholder:"PATH" help:"call this path of a plain service instead"`
+	CheckText     bool          `arg:"--check-text" help:"compare answers with what the stand-ins give"`
+	Engines       []string      `arg:"--engine,separate" placeholder:"URL" help:"stand-in whose record of runs is compared"`
+}
+
+func (l *loadDriver) run(ctx context.Context, e *environment) error {
+	cfg, err := l.config()
+	if err != nil {
+		return err
+	}
+	report, err := load.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	if e.output == "json" {
+		err = report.WriteJSON(e.out)
+	} else {
+		err = report.WriteText(e.out)
+	}
+	if err == nil && len(report.Violations()) > 0 {
+		return errReported
+	}
+	return err
+}
+
+// config converts the flags.
+func (l *loadDriver) config() (load.Config, error) {
+	cfg := load.Config{
+		Addresses: l.Addresses, Service: entity.ServiceName(l.Service), Rate: l.Rate, Duration: l.Duration,
+		Seed: l.Seed, StreamShare: l.Stream, KeyedShare: l.Keyed, NotRepeatableShare: l.NotRepeatable,
+		RetryShare: l.Retry, PromptTokens: l.PromptTokens, MaxTokens: l.MaxTokens, Deadline: l.Deadline,
+		Patience: l.Deadline, Plain: l.Plain, CheckText: l.CheckText, EngineURLs: l.Engines,
+	}
+	for _, o := range l.Organisations {
+		id, token, ok := strings.Cut(o, "=")
+		if !ok {
+			return cfg, usage("--organisation %s: write ID=TOKEN", o)
+		}
+		cfg.Callers = append(cfg.Callers, load.Caller{Organisation: entity.OrganisationID(id), Credential: token, Share: 1})
+	}
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/command/standin.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/standin"
+)
+
+type standIn struct {
+	Engines       int           `arg:"--engines" default:"3" help:"model engines"`
+	Plains        int           `arg:"--plains" default:"2" help:"plain backend servers"`
+	Slots         int           `arg:"--slots" default:"8" help:"requests of an engine at once"`
+	FirstToken    time.Duration `arg:"--first-token" default:"20ms" help:"time to the first token"`
+	BetweenTokens time.Duration `arg:"--between-tokens" default:"5ms" help:"time between tokens"`
+}
+
+func (s *standIn) run(ctx context.Context, e *environment) error {
+	cfg := standin.Config{}
+	for i := range s.Engines {
+		cfg.Engines = append(cfg.Engines, standin.EngineConfig{
+			ID: fmt.Sprintf("engine-%d", i+1), Slots: s.Slots,
+			FirstToken: s.FirstToken, BetweenTokens: s.BetweenTokens,
+		})
+	}
+	for i := range s.Plains {
+		cfg.Plains = append(cfg.Plains, standin.PlainConfig{ID: fmt.Sprintf("plain-%d", i+1), Slots: s.Slots})
+	}
+	p, err := standin.Start(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	a := p.Addresses()
+	e.print(a, func(w io.Writer) { printStandIn(w, a) })
+	<-ctx.Done()
+	return nil
+}
+
+// printStandIn tells where the stand-ins listen.
+func printStandIn(w io.Writer, a standin.Addresses) {
+	fmt.Fprintln(w, "table", a.Table)
+	fmt.Fprintln(w, "objects", a.Objects)
+	fmt.Fprintln(w, "cloud", a.Cloud)
+	fmt.Fprintln(w, "control", a.Control)
+	for _, b := range append(a.Engines, a.Plains...) {
+		fmt.Fprintln(w, b.ID, b.Address)
+	}
+}
