--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -145,3 +145,16 @@
 		t.Error("file that others may read accepted")
 	}
 }
+
+// TestDefault_PageNamesEverySetting keeps docs/operations/settings.md whole.
+func TestDefault_PageNamesEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range tomldoc.Keys(Default()) {
+		if !strings.Contains(string(page), "| `"+key+"` |") {
+			t.Errorf("docs/operations/settings.md lacks %s", key)
+		}
+	}
+}
--- a/internal/system/configuration/world_test.go
+++ b/internal/system/configuration/world_test.go
@@ -134,7 +134,7 @@
 
 // world runs systems against one table in virtual time.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	now      time.Time
 	rand     *rand.Rand
 	queue    schedule
@@ -150,7 +150,7 @@
 	check    func(daemon int)
 }
 
-func newWorld(t *testing.T, daemons int) *world {
+func newWorld(t testing.TB, daemons int) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(1, 2)),
 		table: newFakeTable(), latency: func() time.Duration { return 5 * time.Millisecond },
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"pgregory.net/rapid"
 
@@ -149,4 +150,5 @@
 	for b.Loop() {
 		r.Record(start, e)
 	}
+	b.ReportMetric(float64(cap(r.ring))*float64(unsafe.Sizeof(Entry{})), "ring-B")
 }
