--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -28,6 +28,7 @@
 	documents []configuration.Document // all changes, oldest first
 	peers     []adminapi.PeerStatus
 	tableDown bool
+	inFlight  int
 	drained   func()
 	recorder  *timeline.Recorder
 }
@@ -78,6 +79,9 @@
 	return adminapi.Status{
 		Daemon: adminapi.DaemonStatus{Instance: d.name, Revision: uint64(len(d.documents)), Current: true},
 		Peers:  d.peers,
+		Services: []adminapi.ServiceStatus{{
+			Service: "prices", BackendServers: []adminapi.BackendServerStatus{{ID: "app-1", InFlight: d.inFlight}},
+		}},
 	}, nil
 }
 
@@ -227,7 +231,8 @@
 
 func TestRun_StatusAsksPeers(t *testing.T) {
 	c := newCLI(t)
-	_, other := startDaemon(t, "d2")
+	peer, other := startDaemon(t, "d2")
+	c.daemon.inFlight, peer.inFlight = 3, 4
 	c.run(ExitOK, "apply", forecast)
 	c.daemon.peers = []adminapi.PeerStatus{
 		{Instance: "d2", State: "alive", Admin: strings.TrimPrefix(other.URL, "http://")},
@@ -237,7 +242,7 @@
 	c.has(c.out, "d1", "d2", "d3", "daemon does not answer", "revision 1; 1 daemons behind it")
 	c.run(ExitOK, "status", "--output", "json")
 	var s fleetStatus
-	if err := json.Unmarshal([]byte(c.out), &s); err != nil || len(s.Daemons) != 3 || s.Revision != 1 {
+	if err := json.Unmarshal([]byte(c.out), &s); err != nil || len(s.Daemons) != 3 || s.Revision != 1 || s.Services[0].BackendServers[0].InFlight != 7 {
 		t.Fatalf("%v %s", err, c.out)
 	}
 }
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -7,6 +7,7 @@
 	"text/tabwriter"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/adminapi"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
 type status struct {
@@ -17,7 +18,7 @@
 type fleetStatus struct {
 	Revision uint64                   `json:"revision"` // the highest that any daemon knows of
 	Daemons  []daemonLine             `json:"daemons"`
-	Services []adminapi.ServiceStatus `json:"services"`
+	Services []adminapi.ServiceStatus `json:"services"` // requests in flight of all daemons that answered
 }
 
 // daemonLine is one daemon: as it says itself, or as the asked one knows it.
@@ -50,6 +51,7 @@
 			line.DaemonStatus = adminapi.DaemonStatus{Instance: r.peer.Instance, Place: r.peer.Place}
 			line.Error = r.err.Error()
 		}
+		fleet.addInFlight(r.value.Services)
 		fleet.Daemons = append(fleet.Daemons, line)
 	}
 	for _, d := range fleet.Daemons {
@@ -58,6 +60,21 @@
 	return fleet
 }
 
+// addInFlight adds another daemon's requests to those of each backend server.
+func (f *fleetStatus) addInFlight(services []adminapi.ServiceStatus) {
+	inFlight := map[entity.BackendServerID]int{}
+	for _, s := range services {
+		for _, b := range s.BackendServers {
+			inFlight[b.ID] += b.InFlight
+		}
+	}
+	for _, s := range f.Services {
+		for i := range s.BackendServers {
+			s.BackendServers[i].InFlight += inFlight[s.BackendServers[i].ID]
+		}
+	}
+}
+
 func (f *fleetStatus) write(w io.Writer) {
 	behind := 0
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
@@ -75,14 +92,14 @@
 	}
 	_ = t.Flush()
 	fmt.Fprintf(w, "\nrevision %d; %d daemons behind it\n\n", f.Revision, behind)
-	fmt.Fprintln(t, "SERVICE\tREVISION\tMODE\tKIND\tBACK END\tADDRESS\tDATA CENTRE\tSTATE\tSLOTS")
+	fmt.Fprintln(t, "SERVICE\tREVISION\tMODE\tKIND\tBACK END\tADDRESS\tDATA CENTRE\tSTATE\tIN FLIGHT\tSLOTS")
 	for _, s := range f.Services {
 		for _, b := range s.BackendServers {
-			fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\n",
-				s.Service, s.Revision, s.Mode, s.Kind, b.ID, b.Address, b.Place.DataCentre, b.State, b.Slots)
+			fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n",
+				s.Service, s.Revision, s.Mode, s.Kind, b.ID, b.Address, b.Place.DataCentre, b.State, b.InFlight, b.Slots)
 		}
 		if len(s.BackendServers) == 0 {
-			fmt.Fprintf(t, "%s\t%d\t%s\t%s\t-\t-\t-\t-\t-\n", s.Service, s.Revision, s.Mode, s.Kind)
+			fmt.Fprintf(t, "%s\t%d\t%s\t%s\t-\t-\t-\t-\t-\t-\n", s.Service, s.Revision, s.Mode, s.Kind)
 		}
 	}
 	_ = t.Flush()
