Give each write of a change a token of its own, short enough for table services

The token named the operation and the rows only, so that the same operation repeated at another daemon, or after it was given up, came with the same token and another time inside: a table service refuses that. It now names the daemon and the time too, as 32 hex digits.

--- a/internal/system/configuration/apply.go
+++ b/internal/system/configuration/apply.go
@@ -1,6 +1,8 @@
 package configuration
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"slices"
@@ -54,6 +56,7 @@
 const (
 	maxOperationBytes = 128
 	applyRetry        = 300 * time.Millisecond
+	tokenBytes        = 16
 )
 
 // change is a Change on its way.
@@ -249,9 +252,16 @@
 	return nil
 }
 
-// write asks for the transaction that makes the change. Its token depends only
-// on the operation and the rows it was decided on, so that a repetition of the
-// very same write is harmless and any other write fails its conditions.
+// token names the very write that a daemon decides on, so that its repetition
+// is harmless; any other write of the operation fails its conditions. It has 32
+// bytes, since table services limit the length of tokens.
+func (c *Configuration) token(ch *change) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s\x00%s\x00%d\x00%d\x00%d",
+		ch.Operation, c.cfg.Self, ch.acceptedAt.UnixMicro(), ch.version, ch.headRow))
+	return hex.EncodeToString(sum[:tokenBytes])
+}
+
+// write asks for the transaction that makes the change.
 func (c *Configuration) write(ch *change) {
 	revision := max(ch.head.Revision, c.revision) + 1
 	doc := Document{
@@ -269,7 +279,7 @@
 	ch.writing = true
 	c.issue(platform.Operation{
 		Kind:  platform.TransactRows,
-		Token: fmt.Sprintf("%s/%d/%d", ch.Operation, ch.version, ch.headRow),
+		Token: c.token(ch),
 		Writes: []platform.Write{
 			{Partition: configPartition, Sort: documentSort(ch.Service), Value: value, IfVersion: ch.version},
 			{Partition: configPartition, Sort: headSort, Value: head, IfVersion: ch.headRow},
--- a/internal/system/configuration/world_test.go
+++ b/internal/system/configuration/world_test.go
@@ -22,7 +22,8 @@
 	rows     map[rowKey]platform.Row
 	old      map[rowKey]platform.Row // what a stale replica returns
 	down     bool
-	lose     func() bool // whether the reply of a write is lost
+	lose     func() bool       // whether the reply of a write is lost
+	tokens   map[string]string // writes accepted by token
 	reads    int
 	accepted []Document // in order
 }
@@ -30,7 +31,7 @@
 func newFakeTable() *fakeTable {
 	return &fakeTable{
 		rows: map[rowKey]platform.Row{}, old: map[rowKey]platform.Row{},
-		lose: func() bool { return false },
+		lose: func() bool { return false }, tokens: map[string]string{},
 	}
 }
 
@@ -40,7 +41,7 @@
 	case f.down:
 		r.Err = platform.ErrUnavailable
 	case op.Kind == platform.TransactRows:
-		r.Err = f.transact(op.Writes)
+		r.Err = f.transactOnce(op.Token, op.Writes)
 		if f.lose() {
 			r.Err = platform.ErrUnknownOutcome
 		}
@@ -75,6 +76,22 @@
 	return out[:min(len(out), op.Limit)]
 }
 
+// transactOnce remembers accepted writes by their token, as table services do.
+func (f *fakeTable) transactOnce(token string, writes []platform.Write) error {
+	content := fmt.Sprint(writes)
+	if before, known := f.tokens[token]; known {
+		if before != content {
+			panic("token " + token + " comes again with other writes")
+		}
+		return nil
+	}
+	err := f.transact(writes)
+	if err == nil {
+		f.tokens[token] = content
+	}
+	return err
+}
+
 func (f *fakeTable) transact(writes []platform.Write) error {
 	for _, w := range writes {
 		if !w.Unconditional && f.rows[rowKey{w.Partition, w.Sort}].Version != w.IfVersion {
