--- a/internal/core/fake_engine_test.go
+++ b/internal/core/fake_engine_test.go
@@ -44,7 +44,6 @@
 	silent  bool
 	streams map[attemptKey]*fakeStream
 	runs    []execution
-	exports map[string][]string
 }
 
 // fakeStream is one run.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -49,7 +49,7 @@
 	case m.DocumentsAsk != nil:
 		c.documentsAsked(in.From, m.DocumentsAsk)
 	case m.DocumentsHave != nil:
-		c.Configuration.PeerHead(c.now, m.DocumentsHave.Snapshot.Head)
+		c.Configuration.PeerHead(c.now, m.DocumentsHave.Snapshot.Revision)
 		c.Configuration.PeerDocuments(c.now, m.DocumentsHave.Snapshot)
 	}
 }
--- a/internal/daemon/mailbox.go
+++ b/internal/daemon/mailbox.go
@@ -99,10 +99,3 @@
 	c.mu.Unlock()
 	c.gone(id)
 }
-
-// count returns the number of waiting callers.
-func (c *callers) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.open)
-}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -9,6 +9,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/adminapi"
 	"github.com/gooseberryslip/gooseberryslip/internal/callerapi"
+	"github.com/gooseberryslip/gooseberryslip/internal/certificate"
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
 )
 
@@ -55,10 +56,10 @@
 	if !pair.Set() {
 		return s.Serve(l)
 	}
-	c, err := newCertificate(pair)
+	c, err := certificate.NewReloader(pair.Cert, pair.Key)
 	if err != nil {
 		return err
 	}
-	s.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: c.get}
+	s.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: c.GetCertificate}
 	return s.ServeTLS(l, "", "")
 }
