--- a/internal/backend/call.go
+++ b/internal/backend/call.go
@@ -51,11 +51,7 @@
 	if w.Query != "" {
 		url += "?" + w.Query
 	}
-	var body io.Reader = &emptyBody{}
-	if len(w.Body) > 0 {
-		body = bytes.NewReader(w.Body)
-	}
-	req, err := http.NewRequestWithContext(ctx, w.Method, url, body)
+	req, err := http.NewRequestWithContext(ctx, w.Method, url, bodyOf(w))
 	if err != nil {
 		return nil, err
 	}
@@ -73,6 +69,19 @@
 	return req, nil
 }
 
+// bodyOf returns the body to send. The transport repeats a request without a
+// body if its method is safe; emptyBody keeps it from that.
+func bodyOf(w *core.PlainCall) io.Reader {
+	switch {
+	case len(w.Body) > 0:
+		return bytes.NewReader(w.Body)
+	case w.Method == http.MethodPost, w.Method == http.MethodPut, w.Method == http.MethodPatch:
+		return http.NoBody
+	default:
+		return &emptyBody{}
+	}
+}
+
 // dropped reports whether a header stays out of calls and replies: those of
 // one connection (RFC 9110, section 7.6.1), credentials, and names that change
 // how Go's transport sends.
