Hedge silent attempts of the top priority within the retry budget

Cause: with a lost reply a station board waited for the whole first-token timeout. Change: after twice the first-token target another backend server is asked for; the silent attempt is replaced only if it is still silent when the grant comes. A leaving daemon that took new requests was not noticed by any test; now one is.

--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -74,6 +74,47 @@
 	w.answered()
 }
 
+// A silent backend server must not freeze a station board until the timeout.
+func TestCore_SilentEngineIsHedgedForTopPriority(t *testing.T) {
+	w := newWorld(t, 23, 3)
+	for _, e := range w.order[:3] {
+		e.silent = true
+	}
+	var waits []time.Duration
+	for i := range 12 {
+		work := modelWork(fmt.Sprintf("alert %d", i), 10)
+		work.Priority = 0
+		c := w.call(w.daemons[i%3], work, 10*time.Second)
+		w.runUntil(10*time.Second, c.done)
+		waits = append(waits, c.endedAt.Sub(c.started))
+	}
+	w.verify()
+	w.answered()
+	for i, wait := range waits {
+		if wait >= 2*time.Second {
+			t.Errorf("call %d waited %v, as long as the timeout", i, wait)
+		}
+	}
+}
+
+func TestCore_LeavingDaemonTakesNoNewRequests(t *testing.T) {
+	w := newWorld(t, 24, 3)
+	slow := w.call(w.daemons[0], plainWork("GET", "slow"), 10*time.Second)
+	w.daemons[0].post(Drain{})
+	w.runFor(2 * time.Millisecond)
+	c := w.call(w.daemons[0], modelWork("late", 5), 10*time.Second)
+	c.patient = false
+	w.runUntil(time.Second, c.done)
+	if verdict.CodeOf(c.err) != "leaving" || verdict.Of(c.err) != verdict.NotRun {
+		t.Errorf("outcome %v", c.err)
+	}
+	w.finishAll(10 * time.Second)
+	w.verify()
+	if slow.answer == nil {
+		t.Errorf("the call in flight: %v", slow.err)
+	}
+}
+
 func TestCore_OwnerKilled(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -47,6 +47,9 @@
 	begun bool
 	// exclude lists the backend servers that the next attempt avoids.
 	exclude []entity.BackendServerID
+	// hedged: another backend server was asked for because the attempt had no
+	// token in time.
+	hedged bool
 	// handle names an exported KV cache for the next attempt.
 	handle string
 	// stream is the request whose run is resumed, if it is another one with the
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -82,6 +82,11 @@
 		c.ungranted(r, d.Err)
 		return
 	}
+	if c.hedgeUseless(r) {
+		c.dropPending(r)
+		c.Grants.Withdraw(c.now, d.Request, d.Attempt)
+		return
+	}
 	r.pendingBackend = d.Backend
 	if !r.needsClaim() {
 		c.dispatch(r)
@@ -127,6 +132,9 @@
 	r.handle = ""
 	c.emit(event.AttemptDispatched, r, "")
 	c.wakeBy(r, c.silenceAt(r))
+	if c.mayHedge(r) {
+		c.wakeBy(r, c.hedgeAt(r))
+	}
 }
 
 // resume reads on from a stream that an earlier attempt has started. No grant
@@ -396,6 +404,7 @@
 	at := c.silenceAt(r)
 	if c.now.Before(at) {
 		c.wakeBy(r, at)
+		c.hedge(r)
 		return
 	}
 	if a := c.attempts.Get(attemptKey{r.id, r.current}); a != nil {
--- a/internal/event/numbers_request.go
+++ b/internal/event/numbers_request.go
@@ -11,6 +11,7 @@
 	AttemptRetried    = define(1012, Info, "another attempt will be made")
 	ReplyDropped      = define(1013, Info, "late or crossed reply dropped")
 	CallerLost        = define(1014, Info, "caller's connection closed before the answer")
+	AttemptHedged     = define(1015, Info, "another backend server is asked for beside a silent attempt")
 	HandoffOffered    = define(1020, Info, "request offered to another daemon")
 	HandoffAccepted   = define(1021, Info, "request taken over from another daemon")
 	HandoffConfirmed  = define(1022, Info, "another daemon has taken the request over")
