End a livelock when an ask expires at the instant of its timer

Cause: a queued ask whose latest start equals now was not yet expired, and its timer was set to now again, so that Tick never returned. Seen as a test that ran 600 s; the stack was in tend. Change: an ask expires at its latest start, and Tick takes only the timers that were due when it was called.

--- a/internal/system/fairshare/queue.go
+++ b/internal/system/fairshare/queue.go
@@ -157,10 +157,10 @@
 	f.finish += float64(actual-charged) / f.weight
 }
 
-// Expire takes out the requests that can no longer start in time.
+// Expire takes out the requests whose latest start has come.
 func (q *Queue[K]) Expire(now time.Time) []K {
 	var out []K
-	for len(q.latest) > 0 && q.latest[0].Latest.Before(now) {
+	for len(q.latest) > 0 && !q.latest[0].Latest.After(now) {
 		k := q.latest[0].Key
 		q.Remove(k)
 		out = append(out, k)
--- a/internal/system/grant/grants.go
+++ b/internal/system/grant/grants.go
@@ -110,11 +110,7 @@
 
 // Tick does what is due. It may be called at any time.
 func (g *Grants) Tick(now time.Time) {
-	for {
-		t, ok := g.schedule.next(now)
-		if !ok {
-			break
-		}
+	for _, t := range g.schedule.due(now) {
 		g.fire(now, t)
 	}
 	for _, c := range g.suspects.Tick(now) {
--- a/internal/system/grant/schedule.go
+++ b/internal/system/grant/schedule.go
@@ -39,12 +39,14 @@
 	return s.timers[0].at
 }
 
-// next takes a timer that is due.
-func (s *schedule) next(now time.Time) (timer, bool) {
-	if len(s.timers) == 0 || s.timers[0].at.After(now) {
-		return timer{}, false
+// due takes the timers that are due. Those that they lead to stay, even if
+// they are due at once, so that no call goes on for ever.
+func (s *schedule) due(now time.Time) []timer {
+	var out []timer
+	for len(s.timers) > 0 && !s.timers[0].at.After(now) {
+		out = append(out, heap.Pop(&s.timers).(timer))
 	}
-	return heap.Pop(&s.timers).(timer), true
+	return out
 }
 
 type timerHeap []timer
