--- a/internal/system/grant/asker.go
+++ b/internal/system/grant/asker.go
@@ -18,6 +18,7 @@
 	maxReprobes    = 5                      // doublings of the time between reprobes
 	parkedRetry    = time.Second            // a parked want is looked at again
 	overloadedBack = 500 * time.Millisecond // time to come back when there is no capacity
+	moveRatio      = 2                      // a queued ask moves where it waits less than one part in so many
 	maxAskPrefixes = 2                      // prefixes that an ask carries
 )
 
--- a/internal/system/grant/reply.go
+++ b/internal/system/grant/reply.go
@@ -29,6 +29,7 @@
 	switch r.Kind {
 	case Queued:
 		o.queued, o.wait = true, true
+		o.until = now.Add(time.Duration(r.Hint.Wait) * time.Microsecond)
 		g.wakeWant(w, now.Add(g.cfg.ReprobeAfter<<min(w.reprobes, maxReprobes)))
 	case Busy:
 		g.busy(now, w, o, r)
@@ -69,12 +70,26 @@
 	g.own(id, -1)
 	w.dropAsk(o.sequence)
 	wait := time.Duration(r.Hint.Wait) * time.Microsecond
+	if q := w.waiting(); q != nil {
+		g.moveIfShorter(now, w, *q, id, wait)
+		return
+	}
 	if w.best == "" || wait < w.bestWait {
 		w.best, w.bestWait = id, wait
 	}
 	g.advance(now, w)
 }
 
+// moveIfShorter moves a queued ask to a server where it would wait much less
+// than where it is.
+func (g *Grants) moveIfShorter(now time.Time, w *want, q outstanding, id entity.BackendServerID, wait time.Duration) {
+	if wait*moveRatio >= q.until.Sub(now) {
+		return
+	}
+	g.withdrawAsk(now, w, q)
+	g.ask(now, w, id, true)
+}
+
 // elsewhere goes on without the server.
 func (g *Grants) elsewhere(now time.Time, w *want, o *outstanding, r *Reply) {
 	id := o.backend
--- a/internal/system/grant/want.go
+++ b/internal/system/grant/want.go
@@ -41,8 +41,9 @@
 	coordinator entity.InstanceID
 	sequence    uint32
 	sent        time.Time
-	queued      bool // it waits in the coordinator's queue
-	wait        bool // it is to wait there
+	queued      bool      // it waits in the coordinator's queue
+	wait        bool      // it is to wait there
+	until       time.Time // estimated end of the wait, once queued
 }
 
 func (w *want) key() wantKey { return wantKey{w.Request, w.Attempt} }
