Quarantine: keep content apart after one death, alone only after two

Cause: everything that ran on an engine when it died had to rerun alone, one after the other, on a quarter of the pool. An ordinary unannounced death made six innocent reports wait in a row. Ruled out: more places to run alone (takes engines from everybody). Change: after one death content is watched: routed by its digest, so that companions of one death seldom meet again; after two it runs alone.

--- a/internal/core/fake_engine_test.go
+++ b/internal/core/fake_engine_test.go
@@ -33,6 +33,7 @@
 	at      time.Time
 	engine  entity.BackendServerID
 	prefix  int // tokens that the run continues
+	again   int // tokens, prompt included, that were computed before
 }
 
 // fakeEngine plays a model engine or a plain backend server.
@@ -44,6 +45,7 @@
 	silent  bool
 	streams map[attemptKey]*fakeStream
 	runs    []execution
+	onCrash func()
 }
 
 // fakeStream is one run.
@@ -150,10 +152,23 @@
 func (e *fakeEngine) record(d Dispatch) {
 	e.runs = append(e.runs, execution{
 		request: d.Request, attempt: d.Attempt, key: d.Work.Key, digest: d.Work.Digest, at: e.w.now,
-		engine: e.server.ID, prefix: len(d.Prefix),
+		engine: e.server.ID, prefix: len(d.Prefix), again: recomputed(d),
 	})
 }
 
+// recomputed counts the tokens that a run has to compute a second time: all it
+// continues but those in an imported KV cache.
+func recomputed(d Dispatch) int {
+	if len(d.Prefix) == 0 || d.Work.Completion == nil {
+		return 0
+	}
+	var cached int
+	if _, err := fmt.Sscanf(d.KVHandle, "kv:%d", &cached); err == nil {
+		return len(d.Prefix) - cached
+	}
+	return len(d.Prefix) + len(d.Work.Completion.Prompt)/bytesPerToken
+}
+
 // run starts a run.
 func (e *fakeEngine) run(from *fakeDaemon, d Dispatch) {
 	e.record(d)
@@ -263,11 +278,15 @@
 
 // export saves the state of a stream.
 func (e *fakeEngine) export(from *fakeDaemon, x Export) {
+	stream := x.Request
+	if x.Stream != "" {
+		stream = x.Stream
+	}
+	handle := ""
+	if s := e.streams[attemptKey{stream, x.Attempt}]; s != nil && !e.dead && !e.w.noExport {
+		handle = fmt.Sprintf("kv:%d", len(s.tokens))
+	}
 	e.w.after(5*time.Millisecond, func() {
-		handle := ""
-		if !e.dead {
-			handle = "kv"
-		}
 		from.post(Exported{Request: x.Request, Attempt: x.Attempt, Handle: handle})
 	})
 }
@@ -284,6 +303,9 @@
 		return
 	}
 	e.dead = true
+	if e.onCrash != nil {
+		e.onCrash()
+	}
 	for _, k := range e.streamKeys() {
 		s := e.streams[k]
 		if !s.gone && s.reader != nil {
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -33,6 +33,8 @@
 	loss    float64 // share of peer messages lost
 	last    CallerID
 	ids     int
+	// noExport: the engines cannot export KV caches.
+	noExport bool
 }
 
 // fakeDaemon is one core and its links.
--- a/internal/system/grant/asker.go
+++ b/internal/system/grant/asker.go
@@ -157,6 +157,7 @@
 		g.wakeWant(w, later(now, g.suspects.Settled(w.Digest)))
 		return false
 	}
+	w.watched = standing == quarantine.Watched
 	if alone := standing == quarantine.Suspect; alone != w.alone {
 		w.alone = alone
 		g.withdrawAsks(now, w)
@@ -186,6 +187,9 @@
 	w.rounds++
 	w.parked = false
 	w.best = ""
+	if w.watched {
+		pool = spread(pool, w.Digest)
+	}
 	w.candidates = g.cfg.Policy.Choose(now, g.cfg.Rand, g.routingQuery(w), pool, g.cfg.MaxProbes)
 	if w.alone {
 		w.candidates = w.candidates[:1]
--- a/internal/system/grant/want.go
+++ b/internal/system/grant/want.go
@@ -29,6 +29,7 @@
 	reprobes   int
 	parked     bool
 	alone      bool
+	watched    bool
 
 	backend     *entity.BackendServer // granted; nil: undecided
 	coordinator entity.InstanceID     // that granted it
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -1,12 +1,13 @@
 // Package quarantine finds content that crashes the backend servers that run
 // it, whatever request ids it comes under.
 //
-// When a backend server dies, all content that it was running is suspect.
-// Suspect content runs alone. If a backend server dies while it runs there
-// alone, the content is convicted and refused; if it completes, it is cleared.
-// Deaths of several backend servers of one data centre at about the same time
-// point to the data centre: they make suspect only what was running on two of
-// them, and convict nothing.
+// When a backend server dies, all content that it was running is watched: it
+// is spread over the pool, so that few such contents meet again. Content that
+// was running on two backend servers when they died is suspect and runs alone.
+// If a backend server dies while it runs there alone, the content is convicted
+// and refused; if it completes, it is cleared. Deaths of several backend
+// servers of one data centre at about the same time point to the data centre
+// and convict nothing.
 package quarantine
 
 import (
@@ -44,6 +45,8 @@
 const (
 	// Innocent content runs anywhere.
 	Innocent Standing = iota
+	// Watched content has seen one death and is kept apart from others like it.
+	Watched
 	// Suspect content runs alone.
 	Suspect
 	// Settling content has killed a backend server alone; it waits until it
@@ -192,8 +195,8 @@
 	if !s.settled.IsZero() {
 		return Settling
 	}
-	if len(s.deaths) < maxEvidence && r.burst(s.deaths[0]) {
-		return Innocent
+	if len(s.deaths) < maxEvidence {
+		return Watched
 	}
 	return Suspect
 }
