Export the KV cache of long runs when their output has doubled

Cause: an engine that dies without notice lost all output of its long reports; the next one prefilled every token again. Change: runs expected to last 5 s or more are exported at 64 tokens and at each doubling since; the newest handle goes with the next attempt and with hand-overs.

--- a/internal/backend/completion.go
+++ b/internal/backend/completion.go
@@ -83,11 +83,14 @@
 }
 
 // streamID returns the name of the stream on the engine.
-func streamID(d *core.Dispatch) entity.RequestID {
-	if d.Stream != "" {
-		return d.Stream
+func streamID(d *core.Dispatch) entity.RequestID { return streamOf(d.Request, d.Stream) }
+
+// streamOf returns the request that started a stream.
+func streamOf(request, stream entity.RequestID) entity.RequestID {
+	if stream != "" {
+		return stream
 	}
-	return d.Request
+	return request
 }
 
 // completionCall builds the HTTP request.
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -17,11 +17,8 @@
 func (c *Client) cancelStream(s core.StopAttempt) {
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
-	stream := s.Stream
-	if stream == "" {
-		stream = s.Request
-	}
-	u := fmt.Sprintf("http://%s/v1/streams/%s/%d", s.Backend.Address, url.PathEscape(string(stream)), s.Attempt)
+	u := fmt.Sprintf("http://%s/v1/streams/%s/%d",
+		s.Backend.Address, url.PathEscape(string(streamOf(s.Request, s.Stream))), s.Attempt)
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, u, nil)
 	if err != nil {
 		return
@@ -55,7 +52,7 @@
 func (c *Client) export(e core.Export) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
-	body, err := json.Marshal(exportRequest{RequestID: e.Request, Attempt: e.Attempt})
+	body, err := json.Marshal(exportRequest{RequestID: streamOf(e.Request, e.Stream), Attempt: e.Attempt})
 	if err != nil {
 		return "", err
 	}
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -157,7 +157,7 @@
 
 // whereabouts says where the request runs, without its tokens.
 func (c *Core) whereabouts(r *request) *Progress {
-	p := &Progress{Attempt: r.last}
+	p := &Progress{Attempt: r.last, Handle: r.handle}
 	if a := c.attempts.Get(attemptKey{r.id, r.current}); a != nil {
 		b := a.backend
 		p.Attempt, p.Backend = r.current, &b
--- a/internal/core/migrate.go
+++ b/internal/core/migrate.go
@@ -11,6 +11,10 @@
 // is when its backend server leaves.
 const migrateMinimum = 5 * time.Second
 
+// firstCheckpoint is the number of tokens after which a long run is exported
+// for the first time.
+const firstCheckpoint = 64
+
 // leavingBody and stayingBody are the bodies of leaving news.
 var (
 	leavingBody = []byte{1}
@@ -60,8 +64,7 @@
 	c.attempts.All(func(k attemptKey, a *attempt) bool {
 		r := c.requests.Get(k.request)
 		if a.backend.ID == b && r != nil && r.current == k.number && c.worthMoving(r, a) {
-			a.exporting = true
-			c.out.Exports = append(c.out.Exports, Export{Request: k.request, Attempt: k.number, Backend: a.backend})
+			c.export(r, a)
 		}
 		return true
 	})
@@ -80,15 +83,42 @@
 	return time.Duration(left)*between >= migrateMinimum
 }
 
-// exported asks for another backend server once the KV cache is saved, or
-// cannot be. The run goes on where it is until the other one is granted.
+// checkpoint exports the KV cache of a long run when its output has doubled
+// since the last export. If the backend server dies without notice, at most
+// half of the output has to be computed again, for a number of exports that
+// grows with the logarithm of the output.
+func (c *Core) checkpoint(r *request, a *attempt) {
+	if r.checkpointAt == 0 {
+		r.checkpointAt = firstCheckpoint
+	}
+	if len(r.tokens) < r.checkpointAt || !c.worthMoving(r, a) {
+		return
+	}
+	r.checkpointAt = 2 * len(r.tokens)
+	c.export(r, a)
+}
+
+// export asks for the KV cache of the current attempt.
+func (c *Core) export(r *request, a *attempt) {
+	a.exporting = true
+	c.out.Exports = append(c.out.Exports, Export{Request: r.id, Attempt: r.current, Backend: a.backend, Stream: r.stream})
+}
+
+// exported notes a saved KV cache. If the backend server leaves, it asks for
+// another one, whether the cache was saved or not; the run goes on where it is
+// until that is granted.
 func (c *Core) exported(in Exported) {
 	r, a := c.running(in.Request, in.Attempt)
-	if a == nil || !a.exporting || r.pending != 0 {
+	if a == nil || !a.exporting {
 		return
 	}
 	a.exporting = false
-	r.handle = in.Handle
+	if in.Handle != "" {
+		r.handle = in.Handle
+	}
+	if !c.isLeaving(a.backend.ID) || !c.worthMoving(r, a) {
+		return
+	}
 	r.exclude = []entity.BackendServerID{a.backend.ID}
 	c.want(r)
 }
--- a/internal/core/outbox.go
+++ b/internal/core/outbox.go
@@ -77,6 +77,7 @@
 	Request entity.RequestID
 	Attempt entity.AttemptNumber
 	Backend entity.BackendServer
+	Stream  entity.RequestID // as in Dispatch
 }
 
 // Envelope is a message to another daemon.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -50,8 +50,10 @@
 	// hedged: another backend server was asked for because the attempt had no
 	// token in time.
 	hedged bool
-	// handle names an exported KV cache for the next attempt.
+	// handle names the newest exported KV cache of the run.
 	handle string
+	// checkpointAt is the number of tokens at which the next export is due.
+	checkpointAt int
 	// stream is the request whose run is resumed, if it is another one with the
 	// same key.
 	stream entity.RequestID
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -18,6 +18,7 @@
 		return
 	}
 	r.last = max(r.last, p.Attempt)
+	r.handle = p.Handle
 	r.mayHaveRun = r.mayHaveRun || p.Attempt > 0
 	if p.Backend == nil {
 		c.want(r)
@@ -129,7 +130,6 @@
 		KVHandle: r.handle,
 		Timeout:  r.deadline.Sub(c.now),
 	})
-	r.handle = ""
 	c.emit(event.AttemptDispatched, r, "")
 	c.wakeBy(r, c.silenceAt(r))
 	if c.mayHedge(r) {
@@ -230,6 +230,7 @@
 	a.tokens += len(fresh)
 	a.lastToken = c.now
 	c.touch(r)
+	c.checkpoint(r, a)
 }
 
 // dropReply records a late or crossed reply.
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -136,6 +136,7 @@
 	Attempt entity.AttemptNumber  `cbor:"1,keyasint,omitempty"`
 	Backend *entity.BackendServer `cbor:"2,keyasint,omitempty"` // nil: not on a backend server
 	Tokens  []string              `cbor:"3,keyasint,omitempty"`
+	Handle  string                `cbor:"4,keyasint,omitempty"` // newest exported KV cache
 }
 
 // micros converts a duration for a message.
