Plan the fleets of managed services

One planner per service by a lease row whose version is the fencing number. Intents are recorded before orders, orders carry tokens, stops follow a drain that is never taken back. While the table is down, up to one data centre's share is ordered under tokens that the lease row has announced; instances with our tag but without an intent are adopted. The plan is the cheapest set of servers that carries the load and keeps the minimum over the loss of any one data centre; a property test holds it against trying all counts.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -188,6 +188,10 @@
 		return
 	}
 	i.notice = at
+	if i.State == statePending || i.State == stateRunning {
+		i.State = stateShuttingDown // the list tells leaving instances
+		i.record()
+	}
 	time.AfterFunc(time.Until(at), func() { c.terminate(id) })
 }
 
--- /dev/null
+++ b/internal/system/fleet/fleet_test.go
@@ -0,0 +1,342 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+// settled fails the test unless the fleet is what the policy asks for.
+func settled(t rapid.TB, w *world, want int) {
+	t.Helper()
+	total, by := w.running()
+	most := 0
+	for _, n := range by {
+		most = max(most, n)
+	}
+	minimum := testService(4, 30).Fleet.MinServers
+	if total != want || total-most < minimum || w.live() != total {
+		t.Fatalf("%d run in %v, %d live, want %d and %d without the fullest", total, by, w.live(), want, minimum)
+	}
+	safe(t, w)
+}
+
+func safe(t rapid.TB, w *world) {
+	t.Helper()
+	if len(w.wrong) > 0 {
+		t.Fatalf("%d faults, first:\n%s", len(w.wrong), strings.Join(w.wrong[:min(len(w.wrong), 5)], "\n"))
+	}
+}
+
+func TestSystem_ReachesTheTarget(t *testing.T) {
+	w := newWorld(1, 3, testService(4, 30))
+	w.load = Load{Busy: 80}
+	w.run(15 * time.Minute)
+	settled(t, w, 10)
+	if w.holders() != 1 || w.starts != 10 {
+		t.Fatalf("%d holders, %d starts", w.holders(), w.starts)
+	}
+}
+
+// Lost replies start no instance twice and do not cost the lease, even when a
+// transaction is sent again so late that the table has forgotten its token.
+func TestSystem_LostRepliesStartNoneTwice(t *testing.T) {
+	for _, forgetful := range []bool{false, true} {
+		w := newWorld(1, 3, testService(4, 30))
+		w.load = Load{Busy: 80}
+		w.loseTable, w.loseOrders, w.forgetful = 0.3, 0.5, forgetful
+		w.run(30 * time.Minute)
+		settled(t, w, 10)
+		if w.starts != 10 || w.events[event.FleetOrderUncertain] == 0 || w.events[event.FleetLeaseLost] != 0 {
+			t.Fatalf("%d starts, events %v", w.starts, w.events)
+		}
+	}
+}
+
+func TestSystem_ScalesInGracefully(t *testing.T) {
+	for _, fences := range []bool{true, false} {
+		svc := testService(4, 30)
+		svc.Fleet.ChecksFences = fences
+		w := newWorld(1, 3, svc)
+		w.load = Load{Busy: 160}
+		w.run(15 * time.Minute)
+		w.load = Load{Busy: 80}
+		w.run(30 * time.Minute)
+		settled(t, w, 10)
+	}
+}
+
+// Backend servers that ignore fencing numbers are stopped one by one, each
+// after the list has shown the last one's end, and none until orders of an
+// earlier holder have ended.
+func TestSystem_StopsUnfencedServersOneByOne(t *testing.T) {
+	svc := testService(4, 30)
+	svc.Fleet.ChecksFences = false
+	w := newWorld(1, 2, svc)
+	w.load = Load{Busy: 160}
+	w.run(15 * time.Minute)
+	w.load = Load{Busy: 80}
+	for len(w.stops) < 2 {
+		w.run(step)
+	}
+	w.holder().sys.Leave(w.now)
+	left := w.now
+	w.run(30 * time.Minute)
+	settled(t, w, 10)
+	for n, at := range w.stops[1:] {
+		if at.Sub(w.stops[n]) < listLag {
+			t.Fatalf("stops at %v", w.stops)
+		}
+		if at.After(left.Add(2*time.Second)) && at.Sub(left) < defaultTakeoverWait {
+			t.Fatalf("stop %v after the lease was given up", at.Sub(left))
+		}
+	}
+}
+
+func TestSystem_LeavesOtherInstancesAlone(t *testing.T) {
+	w := newWorld(1, 2, testService(4, 30))
+	w.load = Load{Busy: 80}
+	for n, tags := range []map[string]string{nil, {ServiceTag: "b"}} {
+		w.instances = append(w.instances, &fakeInstance{Instance: platform.Instance{
+			ID: entity.InstanceID(fmt.Sprintf("script-%d", n)), DataCentre: "x", Class: someClass,
+			Market: platform.OnDemand, State: platform.Running, Tags: tags,
+		}})
+	}
+	w.run(15 * time.Minute)
+	w.load = Load{}
+	w.run(30 * time.Minute)
+	safe(t, w)
+	for _, i := range w.instances[:2] {
+		if !i.ended.IsZero() {
+			t.Fatalf("%s was stopped", i.ID)
+		}
+	}
+}
+
+func TestSystem_ReplacesAWaveAndPassesRefusalsBy(t *testing.T) {
+	w := newWorld(1, 3, testService(4, 30))
+	w.load = Load{Busy: 80}
+	w.run(15 * time.Minute)
+	w.refuse["x"], w.refuse["y"] = true, true
+	w.reclaim("x", 30*time.Second)
+	w.run(10 * time.Minute)
+	total, by := w.running()
+	if total < 10 || by["x"] != 0 {
+		t.Fatalf("%d run in %v", total, by)
+	}
+	if w.events[event.FleetStartRefused] == 0 {
+		t.Fatal("no refusal was met")
+	}
+	w.refuse["x"], w.refuse["y"] = false, false
+	w.run(time.Hour)
+	settled(t, w, 10)
+}
+
+func TestSystem_FallsBackToOnDemandAndReturns(t *testing.T) {
+	w := newWorld(1, 1, testService(4, 30))
+	w.load = Load{Busy: 80}
+	prices := w.prices
+	w.prices = nil
+	for _, p := range prices {
+		if p.Market == platform.OnDemand {
+			w.prices = append(w.prices, p)
+		}
+	}
+	w.run(15 * time.Minute)
+	settled(t, w, 10)
+	w.prices = prices
+	w.run(2 * time.Hour)
+	settled(t, w, 10)
+	for _, i := range w.instances {
+		if i.ended.IsZero() && i.Market == platform.OnDemand {
+			t.Fatalf("%s still runs on demand", i.ID)
+		}
+	}
+}
+
+// The table is down across a wave: one data centre's share is replaced by
+// reserved orders, without doubles once the table is back.
+func TestSystem_ReplacesAWaveWhileTheTableIsDown(t *testing.T) {
+	w := newWorld(1, 3, testService(4, 30))
+	w.load = Load{Busy: 80}
+	w.run(15 * time.Minute)
+	w.tableDown = true
+	w.run(time.Minute)
+	w.reclaim("x", 30*time.Second)
+	w.run(20 * time.Minute)
+	if total, by := w.running(); total != 10 {
+		t.Fatalf("while the table is down: %d run in %v", total, by)
+	}
+	w.tableDown = false
+	w.run(time.Hour)
+	settled(t, w, 10)
+	if w.starts > 16 {
+		t.Fatalf("%d starts", w.starts)
+	}
+}
+
+// While the table is down, no more than the reserve is ordered.
+func TestSystem_OrdersNoMoreThanTheReserve(t *testing.T) {
+	w := newWorld(1, 3, testService(4, 30))
+	w.load = Load{Busy: 240}
+	w.run(15 * time.Minute)
+	before := w.starts
+	w.tableDown = true
+	w.run(time.Minute)
+	w.reclaim("x", 30*time.Second)
+	w.reclaim("y", 30*time.Second)
+	w.run(20 * time.Minute)
+	if reserve := 10; w.starts-before != reserve {
+		t.Fatalf("%d orders of %d reserved", w.starts-before, reserve)
+	}
+	w.tableDown = false
+	w.run(time.Hour)
+	settled(t, w, 30)
+}
+
+// A load that comes and goes within the window moves no servers.
+func TestSystem_ShortLullTakesNothingAway(t *testing.T) {
+	w := newWorld(1, 1, testService(4, 30))
+	for range 6 {
+		w.load = Load{Busy: 160}
+		w.run(5 * time.Minute)
+		w.load = Load{Busy: 40}
+		w.run(5 * time.Minute)
+	}
+	w.load = Load{Busy: 160}
+	w.run(5 * time.Minute)
+	w.nodes[0].sys.Leave(w.now) // its successor knows of no earlier load
+	w.nodes = append(w.nodes, newNode(w, 1, 1, testService(4, 30)))
+	w.load = Load{Busy: 40}
+	w.run(8 * time.Minute)
+	if w.starts != 20 || w.live() != 20 || w.holders() != 1 {
+		t.Fatalf("%d starts, %d live", w.starts, w.live())
+	}
+	safe(t, w)
+}
+
+// A refused choice is left alone for a while instead of being tried at each
+// plan.
+func TestSystem_RefusalsAreNotRepeatedAtOnce(t *testing.T) {
+	w := newWorld(1, 1, testService(4, 30))
+	w.load = Load{Busy: 80}
+	for dc := range map[entity.DataCentreID]bool{"x": true, "y": true, "z": true} {
+		w.refuse[dc] = true
+	}
+	w.run(time.Hour)
+	// Both markets of 3 data centres, each at 30 s, 60 s, ... up to 10 min apart
+	// and half of that with jitter, 8 orders at once.
+	if n := w.events[event.FleetStartRefused]; n == 0 || n > 6*8*(4+12) {
+		t.Fatalf("%d refused orders in an hour", n)
+	}
+	safe(t, w)
+}
+
+// A holder that is paused over a takeover wakes up with orders of its own on
+// their way.
+func TestSystem_PausedHolderDoesNoHarm(t *testing.T) {
+	w := newWorld(1, 3, testService(4, 30))
+	w.load = Load{Busy: 80}
+	w.run(15 * time.Minute)
+	first := w.holder()
+	first.paused = true
+	w.run(2 * time.Minute)
+	if second := w.holder(); second == nil || second == first {
+		t.Fatal("no other daemon took the lease")
+	}
+	w.load = Load{Busy: 160}
+	w.run(5 * time.Minute)
+	first.resume()
+	w.run(20 * time.Minute)
+	settled(t, w, 20)
+	if w.starts != 20 || w.holders() != 1 {
+		t.Fatalf("%d starts, %d holders", w.starts, w.holders())
+	}
+}
+
+func TestSystem_LeaveHandsOverAtOnce(t *testing.T) {
+	w := newWorld(1, 2, testService(4, 30))
+	w.load = Load{Busy: 80}
+	w.run(15 * time.Minute)
+	first := w.holder()
+	first.sys.Leave(w.now)
+	w.run(12 * time.Second) // less than the lease's term
+	if second := w.holder(); second == nil || second == first {
+		t.Fatal("the lease was not taken over")
+	}
+}
+
+func TestSystem_RouteModeTouchesNothing(t *testing.T) {
+	svc := testService(4, 30)
+	svc.Mode = entity.ModeRoute
+	w := newWorld(1, 1, svc)
+	w.run(5 * time.Minute)
+	if w.starts != 0 || len(w.rows) != 0 {
+		t.Fatalf("%d starts, %d rows", w.starts, len(w.rows))
+	}
+}
+
+// Any mixture of faults: pauses, a table that is down or loses replies, orders
+// that are late or lose theirs, waves, refusals and loads. Safety holds
+// throughout; once all is well again the fleet is what the policy asks for.
+func TestSystem_SurvivesMixedFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		svc := testService(4, 30)
+		svc.Fleet.ChecksFences = rapid.Bool().Draw(t, "fences")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 3, svc)
+		w.load = Load{Busy: 80}
+		w.run(10 * time.Minute)
+		for range rapid.IntRange(1, 6).Draw(t, "faults") {
+			w.fault(t)
+			w.run(time.Duration(rapid.IntRange(10, 400).Draw(t, "seconds")) * time.Second)
+		}
+		w.heal()
+		w.run(time.Hour)
+		settled(t, w, 10)
+		if w.holders() != 1 {
+			t.Fatalf("%d holders", w.holders())
+		}
+	})
+}
+
+// fault brings one fault about, or ends one.
+func (w *world) fault(t *rapid.T) {
+	node := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+	dc := rapid.SampledFrom(testService(0, 0).Fleet.DataCentres).Draw(t, "data centre")
+	switch rapid.IntRange(0, 8).Draw(t, "fault") {
+	case 0:
+		node.paused = true
+	case 1:
+		node.resume()
+	case 2:
+		w.tableDown = !w.tableDown
+	case 3:
+		w.loseTable, w.forgetful = 0.3, true
+	case 4:
+		w.loseOrders = 0.3
+	case 5:
+		w.orderDelay = 90 * time.Second
+	case 6:
+		w.reclaim(dc, 30*time.Second)
+	case 7:
+		w.refuse[dc] = !w.refuse[dc]
+	case 8:
+		w.load.Busy = rapid.IntRange(0, 200).Draw(t, "busy")
+	}
+}
+
+func (w *world) heal() {
+	w.tableDown, w.loseTable, w.loseOrders, w.orderDelay = false, 0, 0, 0
+	clear(w.refuse)
+	w.load = Load{Busy: 80}
+	for _, n := range w.nodes {
+		n.resume()
+	}
+}
--- /dev/null
+++ b/internal/system/fleet/plan_test.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+var testDataCentres = []entity.DataCentreID{"x", "y", "z"}
+
+// cheapestCounts finds by trying all what an empty fleet should become: the
+// cheapest counts per data centre that carry need and keep minimum when the
+// fullest data centre is lost.
+func cheapestCounts(need, minimum, most int, prices [3]float64) float64 {
+	best := math.Inf(1)
+	for a := range most + 1 {
+		for b := range most + 1 - a {
+			for c := range most + 1 - a - b {
+				total := a + b + c
+				if total < max(need, minimum) || total-max(a, b, c) < minimum {
+					continue
+				}
+				best = min(best, float64(a)*prices[0]+float64(b)*prices[1]+float64(c)*prices[2])
+			}
+		}
+	}
+	return best
+}
+
+func TestMakePlan_IsTheCheapestThatKeepsTheMinimum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var prices [3]float64
+		s := State{Policy: entity.FleetPolicy{
+			MinServers:  rapid.IntRange(0, 6).Draw(t, "minimum"),
+			MaxServers:  rapid.IntRange(6, 12).Draw(t, "most"),
+			Classes:     []string{someClass},
+			DataCentres: testDataCentres,
+		}, Need: rapid.IntRange(0, 12).Draw(t, "need"), MayStart: 99}
+		for i, dc := range testDataCentres {
+			prices[i] = float64(rapid.IntRange(1, 100).Draw(t, "price"))
+			s.Prices = append(s.Prices, platform.Price{DataCentre: dc, Class: someClass, Market: platform.OnDemand, PerHour: prices[i]})
+		}
+		need := min(s.Need, s.Policy.MaxServers)
+		want := cheapestCounts(need, s.Policy.MinServers, s.Policy.MaxServers, prices)
+		p := MakePlan(s)
+		switch {
+		case math.IsInf(want, 1) && !p.Short:
+			t.Fatalf("plan %+v of an impossible policy is not short", p)
+		case !math.IsInf(want, 1) && (p.Short || p.Cost != want || p.Keep < s.Policy.MinServers):
+			t.Fatalf("plan %+v, cheapest %v", p, want)
+		}
+	})
+}
+
+// planState is a fleet of servers in data centre x that serve.
+func planState(servers int, state ServerState) State {
+	s := State{
+		Service: "a", Need: servers, MayStart: 99, MayDrain: 99, WarmUp: time.Minute,
+		Policy: testService(0, 30).Fleet, Prices: testPrices(0.3),
+	}
+	for n := range servers {
+		s.Servers = append(s.Servers, Server{
+			Token: fmt.Sprint(n), State: state,
+			Choice: Choice{DataCentre: "x", Class: someClass, Market: platform.Reclaimable},
+		})
+	}
+	return s
+}
+
+func TestMakePlan_DrainsOnlyWhatOthersCarry(t *testing.T) {
+	s := planState(6, Serving)
+	s.Need = 4
+	if p := MakePlan(s); len(p.Drain) != 2 || len(p.Start) != 0 {
+		t.Fatalf("%+v", p)
+	}
+	s.Policy.MinServers = 3 // all in one data centre: others must serve first
+	if p := MakePlan(s); len(p.Drain) != 0 || len(p.Start) == 0 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func TestMakePlan_SmallPriceMovesMoveNothing(t *testing.T) {
+	s := planState(6, Serving)
+	s.Prices[0].PerHour = 0.35
+	if p := MakePlan(s); len(p.Start)+len(p.Drain) != 0 {
+		t.Fatalf("%+v", p)
+	}
+	s.Prices[0].PerHour = 0.6
+	if p := MakePlan(s); len(p.Start) != 6 || len(p.Drain) != 0 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func TestMakePlan_ReclaimsMakeAChoiceDearer(t *testing.T) {
+	s := planState(0, Serving)
+	s.Need = 6
+	s.Rates = []Rate{{DataCentre: "x", Class: someClass, Reclaims: 40, Hours: 10}}
+	for _, start := range MakePlan(s).Start {
+		if start.Choice.DataCentre == "x" {
+			t.Fatalf("%+v", start)
+		}
+	}
+}
+
+func TestMakePlan_CostLimitHolds(t *testing.T) {
+	s := planState(0, Serving)
+	s.Need = 10
+	s.Policy.MaxHourlyCost = 2
+	p := MakePlan(s)
+	if p.Cost > 2 || len(p.Start) != 6 || !p.Short {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func TestMakePlan_ServersOutsideThePolicyAreReplaced(t *testing.T) {
+	s := planState(3, Serving)
+	s.Policy.Classes = []string{otherClass}
+	for i := range s.Prices {
+		s.Prices[i].Class = otherClass
+	}
+	if p := MakePlan(s); len(p.Start) != 3 || len(p.Drain) != 0 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func TestPlan_ExplainsItself(t *testing.T) {
+	s := planState(2, Serving)
+	s.Need = 4
+	s.Refused = []Choice{{DataCentre: "y", Class: someClass, Market: platform.Reclaimable}}
+	text := MakePlan(s).Explain()
+	for _, want := range []string{"the load needs 4 servers; 2 serve", "start reclaimable big in x", "no capacity now: reclaimable big in y", "an hour"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in:\n%s", want, text)
+		}
+	}
+}
+
+// BenchmarkMakePlan plans the fleet of the stated size: 600 servers in 7 data
+// centres.
+func BenchmarkMakePlan(b *testing.B) {
+	s := State{Need: 560, MayStart: 8, MayDrain: 4, WarmUp: time.Minute, Policy: entity.FleetPolicy{
+		MinServers: 400, MaxServers: 700, Classes: []string{"big", "small", "old"},
+	}}
+	for n := range 7 {
+		dc := entity.DataCentreID(fmt.Sprint("dc", n))
+		s.Policy.DataCentres = append(s.Policy.DataCentres, dc)
+		for k, class := range s.Policy.Classes {
+			s.Prices = append(s.Prices,
+				platform.Price{DataCentre: dc, Class: class, Market: platform.Reclaimable, PerHour: 0.3 + float64(n+k)/100},
+				platform.Price{DataCentre: dc, Class: class, Market: platform.OnDemand, PerHour: 1})
+		}
+	}
+	for n := range 600 {
+		s.Servers = append(s.Servers, Server{Token: fmt.Sprint(n), State: Serving, Choice: Choice{
+			DataCentre: s.Policy.DataCentres[n%7], Class: "big", Market: platform.Reclaimable,
+		}})
+	}
+	for b.Loop() {
+		MakePlan(s)
+	}
+}
--- /dev/null
+++ b/internal/system/fleet/world_test.go
@@ -0,0 +1,483 @@
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/codec"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+const (
+	step       = 500 * time.Millisecond
+	listEvery  = 10 * time.Second
+	listLag    = 8 * time.Second
+	bootTime   = 60 * time.Second
+	drainTime  = 20 * time.Second
+	serviceA   = entity.ServiceName("a")
+	someClass  = "big"
+	otherClass = "small"
+)
+
+// action is something that happens at a moment of virtual time.
+type action struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type actions []action
+
+func (a actions) Len() int { return len(a) }
+func (a actions) Less(i, j int) bool {
+	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq
+}
+func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// fakeInstance is an instance of the fake cloud, with its own history.
+type fakeInstance struct {
+	platform.Instance
+	token   string
+	started time.Time
+	ended   time.Time // zero: it runs
+	serving time.Time
+	drains  time.Time // when a planner asked for the drain; zero: never
+	noticed time.Time // when a reclaim was announced
+}
+
+// world is a table, a cloud and some planners in virtual time. It keeps its
+// own record of what was done and says nothing about policy.
+type world struct {
+	now     time.Time
+	rng     *rand.Rand
+	queue   actions
+	seq     int
+	version map[string]uint64
+	rows    map[string][]byte
+	applied map[string]bool // transaction tokens
+
+	tableDown  bool
+	forgetful  bool    // the table has forgotten the tokens of its transactions
+	loseTable  float64 // share of transactions whose reply is lost
+	loseOrders float64 // share of orders whose reply is lost
+	refuse     map[entity.DataCentreID]bool
+	orderDelay time.Duration // longest delay of an order on its way
+
+	instances []*fakeInstance
+	byToken   map[string]*fakeInstance
+	prices    []platform.Price
+	load      Load
+	announced map[string]bool // tokens that rows have announced, ever
+	stops     []time.Time
+	nodes     []*node
+	wrong     []string // what must not happen and did
+	starts    int
+	events    map[event.Number]int
+}
+
+// node is one daemon's planner.
+type node struct {
+	w      *world
+	sys    *System
+	paused bool
+	inbox  []func() // what arrived while it was paused
+}
+
+func newWorld(seed uint64, nodes int, svc entity.Service) *world {
+	w := &world{
+		now:       time.Unix(1_700_000_000, 0),
+		rng:       rand.New(rand.NewPCG(seed, 7)),
+		version:   make(map[string]uint64),
+		rows:      make(map[string][]byte),
+		applied:   make(map[string]bool),
+		refuse:    make(map[entity.DataCentreID]bool),
+		byToken:   make(map[string]*fakeInstance),
+		events:    make(map[event.Number]int),
+		announced: make(map[string]bool),
+		prices:    testPrices(0.3),
+	}
+	for i := range nodes {
+		w.nodes = append(w.nodes, newNode(w, seed, i, svc))
+	}
+	return w
+}
+
+func newNode(w *world, seed uint64, i int, svc entity.Service) *node {
+	n := &node{w: w, sys: New(Config{
+		Self: entity.InstanceID(fmt.Sprintf("daemon-%d", i)),
+		Rand: rand.New(rand.NewPCG(seed, uint64(i)+100)),
+	})}
+	n.sys.SetServices(w.now, []entity.Service{svc})
+	return n
+}
+
+func testService(minimum, maximum int) entity.Service {
+	return entity.Service{Name: serviceA, Mode: entity.ModeManage, Fleet: entity.FleetPolicy{
+		MinServers: minimum, MaxServers: maximum, SlotsPerHost: 10, ChecksFences: true,
+		Classes: []string{someClass}, DataCentres: []entity.DataCentreID{"x", "y", "z"},
+	}}
+}
+
+func testPrices(ratio float64) []platform.Price {
+	var out []platform.Price
+	for i, dc := range []entity.DataCentreID{"x", "y", "z"} {
+		out = append(out,
+			platform.Price{DataCentre: dc, Class: someClass, Market: platform.Reclaimable, PerHour: ratio + float64(i)*0.001},
+			platform.Price{DataCentre: dc, Class: someClass, Market: platform.OnDemand, PerHour: 1})
+	}
+	return out
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, action{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+func (w *world) delay(most time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(most) + 1))
+}
+
+// run lets virtual time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(step)
+		for len(w.queue) > 0 && !w.queue[0].at.After(w.now) {
+			heap.Pop(&w.queue).(action).do()
+		}
+		w.boot()
+		if w.now.UnixMilli()%listEvery.Milliseconds() == 0 {
+			w.tellNodes()
+		}
+		for _, n := range w.nodes {
+			n.tick()
+		}
+	}
+}
+
+func (w *world) boot() {
+	for _, i := range w.instances {
+		if i.State == platform.Pending && w.now.Sub(i.started) >= bootTime {
+			i.State, i.serving = platform.Running, w.now
+		}
+	}
+}
+
+// tellNodes gives each planner the lagging list, prices and load, and the
+// drained servers.
+func (w *world) tellNodes() {
+	list := w.list()
+	w.after(listLag, func() {
+		for _, n := range w.nodes {
+			n.input(func() {
+				n.sys.SetPrices(w.now, w.prices)
+				n.sys.SetInstances(w.now, list)
+				n.sys.SetLoad(w.now, serviceA, w.load)
+			})
+		}
+	})
+}
+
+func (w *world) list() []platform.Instance {
+	var out []platform.Instance
+	for _, i := range w.instances {
+		if i.ended.IsZero() || w.now.Sub(i.ended) < 10*time.Minute {
+			out = append(out, i.Instance)
+		}
+	}
+	return out
+}
+
+// input gives a planner something, after its pause if it is paused.
+func (n *node) input(f func()) {
+	if n.paused {
+		n.inbox = append(n.inbox, f)
+		return
+	}
+	f()
+}
+
+func (n *node) resume() {
+	n.paused = false
+	for _, f := range n.inbox {
+		f()
+	}
+	n.inbox = nil
+}
+
+func (n *node) tick() {
+	if n.paused {
+		return
+	}
+	n.sys.Tick(n.w.now)
+	r := n.sys.Ready()
+	for _, op := range r.Table {
+		n.table(op)
+	}
+	for _, o := range r.Cloud {
+		n.order(o)
+	}
+	for _, id := range r.Drain {
+		n.drain(id)
+	}
+	for _, e := range r.Events {
+		n.w.events[e.Number]++
+	}
+}
+
+func (n *node) drain(id entity.BackendServerID) {
+	w := n.w
+	i := w.find(entity.InstanceID(id))
+	if i == nil {
+		w.fail("drain of unknown instance %s", id)
+		return
+	}
+	if i.Tags[ServiceTag] != string(serviceA) {
+		w.fail("drain of %s, which is not ours", id)
+	}
+	if i.drains.IsZero() {
+		i.drains = w.now
+	}
+	w.after(drainTime, func() { n.input(func() { n.sys.Drained(w.now, id) }) })
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.wrong = append(w.wrong, fmt.Sprintf("%s: ", w.now.UTC().Format(time.TimeOnly))+fmt.Sprintf(format, args...))
+}
+
+func (w *world) find(id entity.InstanceID) *fakeInstance {
+	i := slices.IndexFunc(w.instances, func(i *fakeInstance) bool { return i.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return w.instances[i]
+}
+
+// table carries an operation out, with delays and lost replies.
+func (n *node) table(op platform.Operation) {
+	w := n.w
+	w.after(w.delay(300*time.Millisecond), func() {
+		result := w.perform(op)
+		if op.Kind == platform.TransactRows && !w.tableDown && w.rng.Float64() < w.loseTable {
+			result.Err = platform.ErrUnknownOutcome
+		}
+		w.after(w.delay(300*time.Millisecond), func() {
+			n.input(func() { n.sys.TableResult(w.now, result) })
+		})
+	})
+}
+
+func (w *world) perform(op platform.Operation) platform.Result {
+	r := platform.Result{ID: op.ID}
+	if w.tableDown {
+		r.Err = platform.ErrUnavailable
+		if op.Kind == platform.TransactRows && w.rng.IntN(2) == 0 {
+			r.Err = platform.ErrUnknownOutcome
+		}
+		return r
+	}
+	switch op.Kind {
+	case platform.GetRow:
+		key := op.Partition + "|" + op.Sort
+		if w.version[key] == 0 {
+			r.Err = platform.ErrNotFound
+			return r
+		}
+		r.Row = platform.Row{Sort: op.Sort, Version: w.version[key], Value: w.rows[key]}
+	case platform.QueryRows:
+		r.Rows = w.query(op)
+	case platform.TransactRows:
+		r.Err = w.transact(op)
+	}
+	return r
+}
+
+func (w *world) query(op platform.Operation) []platform.Row {
+	var sorts []string
+	for key := range w.version {
+		partition, sort, _ := strings.Cut(key, "|")
+		if partition == op.Partition && sort > op.After {
+			sorts = append(sorts, sort)
+		}
+	}
+	slices.Sort(sorts)
+	var rows []platform.Row
+	for _, sort := range sorts[:min(len(sorts), op.Limit)] {
+		key := op.Partition + "|" + sort
+		rows = append(rows, platform.Row{Sort: sort, Version: w.version[key], Value: w.rows[key]})
+	}
+	return rows
+}
+
+func (w *world) transact(op platform.Operation) error {
+	if w.applied[op.Token] && !w.forgetful {
+		return nil
+	}
+	for _, wr := range op.Writes {
+		if !wr.Unconditional && w.version[wr.Partition+"|"+wr.Sort] != wr.IfVersion {
+			return platform.ErrConditionFailed
+		}
+	}
+	for _, wr := range op.Writes {
+		key := wr.Partition + "|" + wr.Sort
+		if wr.Delete {
+			delete(w.version, key)
+			delete(w.rows, key)
+			continue
+		}
+		w.version[key]++
+		w.rows[key] = wr.Value
+		w.noteAnnounced(wr)
+	}
+	w.applied[op.Token] = true
+	return nil
+}
+
+func (w *world) noteAnnounced(wr platform.Write) {
+	if token, ok := strings.CutPrefix(wr.Sort, intentPrefix); ok {
+		w.announced[token] = true
+		return
+	}
+	var row leaseRow
+	if codec.Decode(wr.Value, &row) != nil {
+		return
+	}
+	for k := range row.ReserveCount {
+		w.announced[reserveToken(serviceA, row.Term, row.ReserveFrom+k)] = true
+	}
+}
+
+// order carries a cloud order out. Orders may be long on their way, as those
+// of a planner that is paused between record and order.
+func (n *node) order(o CloudOrder) {
+	w := n.w
+	w.after(w.delay(time.Second+w.orderDelay), func() {
+		result := CloudResult{Service: o.Service, Kind: o.Kind, Token: o.Token}
+		switch o.Kind {
+		case StartInstance:
+			result.Instance, result.Err = w.start(o)
+		case StopInstance:
+			result.Err = w.stop(o)
+		}
+		if w.rng.Float64() < w.loseOrders {
+			result.Err = platform.ErrUnknownOutcome
+		}
+		w.after(w.delay(time.Second), func() {
+			n.input(func() { n.sys.CloudResult(w.now, result) })
+		})
+	})
+}
+
+func (w *world) start(o CloudOrder) (platform.Instance, error) {
+	if !w.announced[o.Token] {
+		w.fail("order %s without a recorded intent", o.Token)
+	}
+	if i := w.byToken[o.Token]; i != nil {
+		if i.DataCentre != o.Order.DataCentre || i.Class != o.Order.Class || i.Market != o.Order.Market {
+			w.fail("token %s used for two orders", o.Token)
+		}
+		return i.Instance, nil
+	}
+	if w.refuse[o.Order.DataCentre] {
+		return platform.Instance{}, platform.ErrRefused
+	}
+	w.starts++
+	i := &fakeInstance{token: o.Token, started: w.now, Instance: platform.Instance{
+		ID: entity.InstanceID(fmt.Sprintf("i-%04d", len(w.instances))), DataCentre: o.Order.DataCentre,
+		Class: o.Order.Class, Market: o.Order.Market, State: platform.Pending, Tags: o.Order.Tags,
+	}}
+	w.instances = append(w.instances, i)
+	w.byToken[o.Token] = i
+	return i.Instance, nil
+}
+
+func (w *world) stop(o CloudOrder) error {
+	i := w.find(o.Instance)
+	switch {
+	case i == nil:
+		return platform.ErrNotFound
+	case i.Tags[ServiceTag] != string(serviceA):
+		w.fail("stop of %s, which is not ours", i.ID)
+	case !i.ended.IsZero():
+		return nil
+	case i.drains.IsZero() || w.now.Sub(i.drains) < drainTime:
+		w.fail("stop of %s, which was not drained", i.ID)
+	}
+	w.end(i)
+	w.stops = append(w.stops, w.now)
+	return nil
+}
+
+func (w *world) end(i *fakeInstance) {
+	i.State = platform.Gone
+	i.ended = w.now
+}
+
+// reclaim takes all reclaimable instances of a data centre after a notice.
+func (w *world) reclaim(dc entity.DataCentreID, notice time.Duration) {
+	for _, i := range w.instances {
+		if i.DataCentre != dc || i.Market != platform.Reclaimable || !i.ended.IsZero() {
+			continue
+		}
+		i.State, i.noticed = platform.Leaving, w.now
+		w.after(notice, func() {
+			if i.ended.IsZero() {
+				w.end(i)
+			}
+		})
+	}
+}
+
+// running counts the instances of ours that run, by data centre.
+func (w *world) running() (total int, by map[entity.DataCentreID]int) {
+	by = make(map[entity.DataCentreID]int)
+	for _, i := range w.instances {
+		if i.State == platform.Running && i.Tags[ServiceTag] == string(serviceA) {
+			total++
+			by[i.DataCentre]++
+		}
+	}
+	return total, by
+}
+
+// live counts the instances of ours that cost money.
+func (w *world) live() int {
+	n := 0
+	for _, i := range w.instances {
+		if i.ended.IsZero() && i.Tags[ServiceTag] == string(serviceA) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) holders() int {
+	n := 0
+	for _, node := range w.nodes {
+		if node.sys.planners.Get(serviceA).role == roleHolder {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) holder() *node {
+	for _, n := range w.nodes {
+		if p := n.sys.planners.Get(serviceA); p.role == roleHolder && !n.paused {
+			return n
+		}
+	}
+	return nil
+}
