--- a/internal/system/fleet/plan_test.go
+++ b/internal/system/fleet/plan_test.go
@@ -166,3 +166,23 @@
 		MakePlan(s)
 	}
 }
+
+func TestBackendServers_AreOurRunningInstances(t *testing.T) {
+	svc := testService(0, 3)
+	svc.Fleet.Port = 80
+	tags := map[string]string{ServiceTag: string(serviceA)}
+	list := []platform.Instance{
+		{ID: "i-1", State: platform.Running, Address: "10.0.0.1", Tags: tags, DataCentre: "x"},
+		{ID: "i-2", State: platform.Leaving, Address: "10.0.0.2", Tags: tags},
+		{ID: "i-3", State: platform.Running, Address: "10.0.0.3", Tags: map[string]string{ServiceTag: "b"}},
+		{ID: "i-4", State: platform.Running, Tags: map[string]string{ServiceTag: string(serviceA), AddressTag: "127.0.0.1:9"}},
+	}
+	got := BackendServers(svc, list)
+	if len(got) != 2 || got[0].Address != "10.0.0.1:80" || got[0].ID != "i-1" || got[1].Address != "127.0.0.1:9" {
+		t.Fatalf("%+v", got)
+	}
+	svc.Mode = entity.ModeRoute
+	if got := BackendServers(svc, list); got != nil {
+		t.Fatalf("%+v", got)
+	}
+}
--- /dev/null
+++ b/internal/system/fleet/servers.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"net"
+	"strconv"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+// BackendServers returns the backend servers that run on the instances of ours
+// in the platform's list: one on each running instance, named by the
+// instance's id. Places carry no region, which the list does not tell.
+func BackendServers(svc entity.Service, list []platform.Instance) []entity.BackendServer {
+	if svc.Mode != entity.ModeManage {
+		return nil
+	}
+	var out []entity.BackendServer
+	for _, i := range list {
+		if i.Tags[ServiceTag] != string(svc.Name) || i.State != platform.Running {
+			continue
+		}
+		out = append(out, entity.BackendServer{
+			ID:           entity.BackendServerID(i.ID),
+			Service:      svc.Name,
+			Address:      addressOf(svc, i),
+			Place:        entity.Place{DataCentre: i.DataCentre},
+			Slots:        svc.Fleet.SlotsPerHost,
+			ChecksFences: svc.Fleet.ChecksFences,
+		})
+	}
+	return out
+}
+
+func addressOf(svc entity.Service, i platform.Instance) string {
+	if address := i.Tags[AddressTag]; address != "" {
+		return address
+	}
+	return net.JoinHostPort(i.Address, strconv.Itoa(svc.Fleet.Port))
+}
--- /dev/null
+++ b/internal/system/fleet/size_test.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+// A settled service costs the table less than one write and three reads a
+// second, whatever its size: renewals of the lease, and its few watchers.
+func TestSystem_SettledServiceIsCheapForTheTable(t *testing.T) {
+	w := newWorld(1, 12, testService(4, 30))
+	members := idsOf(w)
+	for _, n := range w.nodes {
+		n.sys.SetMembers(w.now, members)
+	}
+	w.load = Load{Busy: 80}
+	w.run(15 * time.Minute)
+	clear(w.calls)
+	w.run(time.Hour)
+	settled(t, w, 10)
+	writes, reads := w.calls[platform.TransactRows], w.calls[platform.GetRow]
+	t.Logf("%d writes and %d reads in an hour", writes, reads)
+	if writes > 3600 || reads > 3*3600 {
+		t.Fatalf("%d writes and %d reads in an hour", writes, reads)
+	}
+}
+
+// BenchmarkSystem_IdleTick ticks the holder of a settled service of 600 servers.
+func BenchmarkSystem_IdleTick(b *testing.B) {
+	w := newWorld(1, 1, testService(400, 650))
+	w.load = Load{Busy: 600 * 8}
+	w.run(3 * time.Hour)
+	if total, _ := w.running(); total < 600 {
+		b.Fatalf("%d run", total)
+	}
+	sys := w.nodes[0].sys
+	sys.Ready()
+	b.ReportAllocs()
+	for b.Loop() {
+		sys.Tick(w.now)
+		sys.Deadline()
+	}
+}
+
+// BenchmarkSystem_List takes a list of 600 instances and plans.
+func BenchmarkSystem_List(b *testing.B) {
+	w := newWorld(1, 1, testService(400, 650))
+	w.load = Load{Busy: 600 * 8}
+	w.run(3 * time.Hour)
+	sys := w.nodes[0].sys
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now = w.now.Add(listEvery)
+		sys.SetInstances(w.now, w.list())
+		sys.Tick(w.now)
+		sys.Ready()
+	}
+}
--- a/internal/system/fleet/world_test.go
+++ b/internal/system/fleet/world_test.go
@@ -82,6 +82,7 @@
 	load      Load
 	announced map[string]bool // tokens that rows have announced, ever
 	stops     []time.Time
+	calls     map[platform.OperationKind]int
 	nodes     []*node
 	wrong     []string // what must not happen and did
 	starts    int
@@ -107,6 +108,7 @@
 		byToken:   make(map[string]*fakeInstance),
 		events:    make(map[event.Number]int),
 		announced: make(map[string]bool),
+		calls:     make(map[platform.OperationKind]int),
 		prices:    testPrices(0.3),
 	}
 	for i := range nodes {
@@ -268,6 +270,7 @@
 // table carries an operation out, with delays and lost replies.
 func (n *node) table(op platform.Operation) {
 	w := n.w
+	w.calls[op.Kind]++
 	w.after(w.delay(300*time.Millisecond), func() {
 		result := w.perform(op)
 		if op.Kind == platform.TransactRows && !w.tableDown && w.rng.Float64() < w.loseTable {
@@ -463,6 +466,14 @@
 	return n
 }
 
+func idsOf(w *world) []entity.InstanceID {
+	var out []entity.InstanceID
+	for _, n := range w.nodes {
+		out = append(out, n.sys.cfg.Self)
+	}
+	return out
+}
+
 func (w *world) holders() int {
 	n := 0
 	for _, node := range w.nodes {
