--- a/internal/system/journal/ownership.go
+++ b/internal/system/journal/ownership.go
@@ -10,9 +10,11 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
+// refreshPause is the least time between two reads that Refresh starts.
+const refreshPause = 200 * time.Millisecond
+
 // SetMembers tells which live daemons may own shards; leaving ones may not.
 func (j *Journal) SetMembers(now time.Time, members []entity.InstanceID) {
 	j.members = slices.Sorted(slices.Values(members))
@@ -28,9 +30,25 @@
 	}
 }
 
+// SetLeaving tells which daemons are about to leave. They keep the shards that
+// they own until they release them or vanish, and get no others. It must be
+// called before SetMembers.
+func (j *Journal) SetLeaving(daemons []entity.InstanceID) { j.leavers = daemons }
+
+// alive reports whether a daemon can own shards, be it only those that it has.
 func (j *Journal) alive(id entity.InstanceID) bool {
 	_, found := slices.BinarySearch(j.members, id)
-	return found
+	return found || slices.Contains(j.leavers, id)
+}
+
+// Refresh reads the shard rows soon, because another daemon has said that it
+// does not own what it was taken to own.
+func (j *Journal) Refresh(now time.Time) {
+	if j.polling || now.Sub(j.refreshed) < refreshPause {
+		return
+	}
+	j.refreshed = now
+	j.poll(now)
 }
 
 // Owner returns whom this daemon believes to own the key's shard.
@@ -374,9 +392,7 @@
 func (j *Journal) markJoined(s *shard) {
 	for _, id := range s.requests.Keys() {
 		r := s.requests.Get(id)
-		if r.phase == phaseRunning && r.Repeatable || r.phase == phaseFinishing || r.phase == phaseAwaiting {
-			r.mayRun = true
-		}
+		r.mayRun = r.dispatchable() || r.phase == phaseAwaiting
 	}
 	for _, id := range s.requests.Keys() {
 		r := s.requests.Get(id)
@@ -385,7 +401,7 @@
 		}
 		e := s.entries[r.hash]
 		if leader := j.requests[e.leader]; leader != nil {
-			r.mayRun = leader.mayRun
+			r.mayRun = r.mayRun || leader.mayRun
 		}
 	}
 }
@@ -406,17 +422,6 @@
 	s.releasing = false
 }
 
-// refuseLost ends a request of which the winner's journal holds no answer.
-func (j *Journal) refuseLost(s *shard, r *request) {
-	v := verdict.NotRun
-	if r.mayRun {
-		v = verdict.MayHaveRun
-	}
-	j.forget(r)
-	err := verdict.New(v, CodeNotOwner, "another daemon has taken the key's shard over")
-	j.outcome(Outcome{Request: r.Request, Kind: Refused, Owner: j.owner(s), Err: err})
-}
-
 // release hands the shard over as soon as nothing runs, or after ReleaseGrace.
 func (j *Journal) release(now time.Time, s *shard) {
 	if s.state == stateForeign || s.state == stateTaking {
