membership: prove each mechanism by a test that fails without it

A cut of 2 s, too short to be noticed, still raises 2 to 5 suspicions, which are refuted.

Not shown by a test: repeating the direct ping within a probe.

--- a/internal/system/membership/faults_test.go
+++ b/internal/system/membership/faults_test.go
@@ -20,6 +20,21 @@
 	t.Logf("%d suspicions seen", f.changesTo(Suspect))
 }
 
+// Two data centres lose each other while a third reaches both: probes go
+// round, and nobody is suspected.
+func TestMembership_PartlyCutIsNoDeath(t *testing.T) {
+	f := joined(t, 30, 11)
+	a, b := placeOf(0, 30).DataCentre, placeOf(1, 30).DataCentre
+	f.cut = func(x, y *node) bool {
+		p, q := x.place.DataCentre, y.place.DataCentre
+		return (p == a && q == b) || (p == b && q == a)
+	}
+	f.run(time.Minute)
+	if n := f.changesTo(Suspect); n != 0 {
+		t.Fatalf("%d suspicions", n)
+	}
+}
+
 // A member that was frozen is held dead; woken, it learns of that, refutes it
 // and suspects nobody for its own pause.
 func TestMembership_FrozenMemberRefutes(t *testing.T) {
@@ -101,6 +116,37 @@
 	}
 }
 
+// Leave tells several members at once, without a tick, and repeats it.
+func TestMembership_LeaveIsToldAtOnce(t *testing.T) {
+	f := joined(t, 100, 10)
+	m := f.members[7]
+	m.Leave(f.now)
+	if told := leavingTold(m); told < leaveExtra {
+		t.Fatalf("%d members told at once", told)
+	}
+	now := f.now
+	for i := range leaveRepeats {
+		now = now.Add(leaveInterval)
+		m.Tick(now)
+		if told := leavingTold(m); told < leaveExtra {
+			t.Fatalf("%d members told at repeat %d", told, i)
+		}
+	}
+}
+
+// leavingTold counts the members that are sent m's own leaving.
+func leavingTold(m *memberNode) int {
+	told := make(map[entity.InstanceID]bool)
+	for _, e := range m.Ready().Send {
+		for _, u := range e.Message.Updates {
+			if u.ID == m.self.ID && u.Leaving {
+				told[e.To] = true
+			}
+		}
+	}
+	return len(told)
+}
+
 // A data centre's worth and more dies without a word.
 func TestMembership_ThreeQuartersCrash(t *testing.T) {
 	f := joined(t, 100, 6)
@@ -149,6 +195,50 @@
 	}
 }
 
+// At the size of the target and with messages lost, the wave of suspicions
+// that healing brings is refuted in time.
+func TestMembership_HealingOutrunsSuspicion(t *testing.T) {
+	f := joined(t, fleetSize, 12)
+	f.cut = func(a, b *node) bool { return a.place.Region != b.place.Region }
+	f.run(time.Minute)
+	f.forgetChanges()
+	f.cut = nil
+	f.loss = targetLoss
+	took, ok := f.runUntil(time.Minute, f.complete)
+	if !ok {
+		t.Fatal("the regions have not found each other again")
+	}
+	t.Logf("whole again after %v", took)
+	f.run(10 * time.Second)
+	if dead := f.changesTo(Dead); dead != 0 {
+		t.Fatalf("%d members held dead after the split", dead)
+	}
+}
+
+// A pause that ends before anyone was held dead: the woken daemon's timers
+// fire before it has read what arrived, and yet it suspects nobody and holds
+// no suspect dead.
+func TestMembership_ShortPauseRaisesNoDoubt(t *testing.T) {
+	m := New(Config{Self: memberOf(0, 9)})
+	now := idle(m, epoch, time.Second)
+	suspect, live := memberOf(1, 9), memberOf(2, 9)
+	for _, x := range []Member{suspect, live} {
+		m.Step(now, x.ID, x.Addr, Message{Kind: Gossip, Updates: []Update{{
+			ID: x.ID, Detail: &Detail{Addr: x.Addr, Place: x.Place}, Suspected: x.ID == suspect.ID,
+		}}})
+	}
+	now = now.Add(m.cfg.ProbeInterval)
+	m.Tick(now)
+	if len(m.prober.probes) == 0 {
+		t.Fatal("no probe is on its way")
+	}
+	m.Ready()
+	m.Tick(now.Add(m.cfg.SuspicionTimeout))
+	if got := m.Ready().Changes; len(got) != 0 {
+		t.Fatalf("after the pause: %v", got)
+	}
+}
+
 // One daemon alone is cut off: on its return, it does not make others doubt
 // each other.
 func TestMembership_CutOffDaemonComesBackQuietly(t *testing.T) {
--- a/internal/system/membership/gossip.go
+++ b/internal/system/membership/gossip.go
@@ -120,7 +120,7 @@
 		}
 		if i.member != "" {
 			if r := m.rows.Get(i.member); r != nil {
-				packet.addUpdate(r.update(i.full))
+				packet.addUpdate(m.updateOf(r, i.full))
 			}
 			continue
 		}
--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -119,14 +119,23 @@
 	}
 }
 
-// askHelpers asks one member of the target's data centre and others anywhere.
+// askHelpers asks members to ping the target: one near the target, since it
+// most likely reaches it, and others that are near neither, so that the way
+// round avoids a broken link between two data centres.
 func (m *Membership) askHelpers(p *probe) {
+	here, there := m.self.Place, p.target.Place
 	var asked []*row
 	for i := range helpers {
-		h := m.randomPeer(func(r *row) bool {
-			near := r.Place == p.target.Place
-			return r != p.target && !holds(asked, r) && (i > 0 || near)
-		})
+		isNear := func(r *row) bool { return r.Place == there }
+		isElsewhere := func(r *row) bool { return r.Place != here && r.Place != there }
+		fits := isElsewhere
+		if i == 0 {
+			fits = isNear
+		}
+		h := m.randomPeer(func(r *row) bool { return fits(r) && r != p.target && !holds(asked, r) })
+		if h == nil {
+			h = m.randomPeer(func(r *row) bool { return r != p.target && !holds(asked, r) })
+		}
 		if h == nil {
 			continue
 		}
--- a/internal/system/membership/step.go
+++ b/internal/system/membership/step.go
@@ -15,6 +15,9 @@
 		m.emit(now, event.MembershipDamage, from, "")
 		return
 	}
+	if msg.Kind == SyncReply || msg.Kind == SyncPush {
+		m.contact(now) // both answer a message of ours
+	}
 	m.merge(now, from, Update{ID: from, Incarnation: msg.Incarnation, Leaving: msg.Leaving})
 	older := m.mergeAll(now, from, msg)
 	switch msg.Kind {
@@ -68,11 +71,12 @@
 	m.passOn(now)
 }
 
-// start spreads the first probes of daemons that start together.
+// start spreads the first probes, and attempts to rejoin, of daemons that
+// start together.
 func (m *Membership) start(now time.Time) {
 	m.started = true
 	m.prober.nextAt = now.Add(time.Duration(m.cfg.Rand.Int64N(int64(m.cfg.ProbeInterval))))
-	m.nextRejoin = now.Add(m.jitter(m.cfg.RejoinInterval))
+	m.nextRejoin = now.Add(time.Duration(m.cfg.Rand.Int64N(int64(m.cfg.RejoinInterval))))
 	m.nextSweep = now.Add(sweepInterval)
 	m.lastContact = now
 }
--- a/internal/system/membership/sync.go
+++ b/internal/system/membership/sync.go
@@ -67,7 +67,7 @@
 	}
 	m.rows.All(func(id entity.InstanceID, r *row) bool {
 		if r.State != Dead && id != from && want[memberHash(r)%bucketCount] {
-			reply.Updates = append(reply.Updates, r.update(true))
+			reply.Updates = append(reply.Updates, m.updateOf(r, true))
 		}
 		return true
 	})
@@ -83,7 +83,6 @@
 // onSyncReply sends back what the peer lacks of the buckets it wants, and
 // what it holds too old.
 func (m *Membership) onSyncReply(now time.Time, from entity.InstanceID, addr string, msg Message, older corrections) {
-	m.contact(now)
 	p := newPacket(m, from, addr, SyncPush)
 	told := toldBy(msg)
 	var want [bucketCount]bool
@@ -95,7 +94,7 @@
 	m.rows.All(func(id entity.InstanceID, r *row) bool {
 		lacks := r.State != Dead && id != from && want[memberHash(r)%bucketCount] && !told[itemKey{member: id}]
 		if lacks {
-			p.addUpdate(r.update(true))
+			p.addUpdate(m.updateOf(r, true))
 		}
 		return true
 	})
@@ -130,7 +129,7 @@
 func (m *Membership) addCorrections(now time.Time, p *packet, older corrections) {
 	for _, id := range older.members {
 		if r := m.rows.Get(id); r != nil {
-			p.addUpdate(r.update(true))
+			p.addUpdate(m.updateOf(r, true))
 		}
 	}
 	for _, k := range older.news {
--- a/internal/system/membership/update.go
+++ b/internal/system/membership/update.go
@@ -29,13 +29,24 @@
 	case u.Incarnation < r.Incarnation:
 		return false
 	case r.State == Dead || r.suspected:
-		return u.Suspected
+		// Own doubts count for nothing while this daemon is cut off.
+		return u.Suspected || (m.cutOff && r.bySelf)
 	case u.Suspected:
 		m.suspect(now, from, r)
 	}
 	return true
 }
 
+// updateOf returns what this daemon tells others of a member. While it takes
+// itself for cut off, it keeps its own suspicions to itself.
+func (m *Membership) updateOf(r *row, full bool) Update {
+	u := r.update(full)
+	if m.cutOff && r.bySelf {
+		u.Suspected = false
+	}
+	return u
+}
+
 // mergeSelf refutes what a peer holds against this daemon.
 func (m *Membership) mergeSelf(now time.Time, u Update) {
 	if u.Incarnation < m.self.Incarnation || (u.Incarnation == m.self.Incarnation && !u.Suspected) {
