--- a/internal/system/journal/config.go
+++ b/internal/system/journal/config.go
@@ -18,13 +18,15 @@
 	defaultInlineLimit   = 8 << 10   // bytes
 	defaultBatchBytes    = 192 << 10 // bytes
 	defaultHotKeys       = 16384
+	defaultHotBytes      = 4 << 20  // bytes
 	defaultPartBytes     = 64 << 10 // bytes
 	defaultMergeCount    = 16
+	defaultMergeKeys     = 1 << 18
 
 	retryDelayMax = 2 * time.Second
 	downPollEvery = time.Second
 	heldBytesMax  = 8 << 20 // bytes of unwritten answers kept for each shard
-	queryLimit    = 64      // rows of one page
+	queryLimit    = 400     // rows of one page
 	trimLimit     = 50      // rows deleted in one transaction
 )
 
@@ -44,8 +46,10 @@
 	setDefault(&c.InlineLimit, defaultInlineLimit)
 	setDefault(&c.BatchBytes, defaultBatchBytes)
 	setDefault(&c.HotKeys, defaultHotKeys)
+	setDefault(&c.HotBytes, defaultHotBytes)
 	setDefault(&c.PartBytes, defaultPartBytes)
 	setDefault(&c.MergeCount, defaultMergeCount)
+	setDefault(&c.MergeKeys, defaultMergeKeys)
 	return c
 }
 
--- a/internal/system/journal/load.go
+++ b/internal/system/journal/load.go
@@ -20,6 +20,7 @@
 func (j *Journal) readShard(now time.Time, s *shard, done func(time.Time)) {
 	s.entries = make(map[keyHash]*entry)
 	s.order = nil
+	s.hotBytes = 0
 	s.segments = nil
 	j.readFilters(now, s, 0, func(now time.Time) {
 		j.readRows(now, s, s.row.Sealed, 0, done)
--- /dev/null
+++ b/internal/system/journal/load_test.go
@@ -0,0 +1,296 @@
+package journal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+const (
+	keyedPerSecond     = 500 // a tenth of 5,000 requests a second
+	maxWritesPerSecond = 300 // whole fleet
+	maxFilterBytes     = 4 << 20
+)
+
+// fleet returns daemons that share the shards among them.
+func fleet(t failer, daemons int) *world {
+	w := newWorld(t, 1)
+	var ids []entity.InstanceID
+	for i := range daemons {
+		id := entity.InstanceID(fmt.Sprintf("d%03d", i))
+		ids = append(ids, id)
+		w.add(id, func(c *Config) { c.Shards = defaultShards })
+	}
+	w.members(ids...)
+	w.run(10 * time.Second)
+	return w
+}
+
+func (w *world) daemonOf(k Key) *daemon {
+	for _, d := range w.daemons {
+		if d.journal.Owner(k) == d.id {
+			return d
+		}
+	}
+	w.t.Fatalf("nobody owns %v", k)
+	return nil
+}
+
+// offer begins keyed requests at random times, a share of them not repeatable.
+func (w *world) offer(perSecond float64, d time.Duration, notRepeatable float64) int {
+	owners := map[int]*daemon{}
+	n := 0
+	end := w.now.Add(d)
+	for w.now.Before(end) {
+		n++
+		b := keyed(entity.RequestID(fmt.Sprintf("r%d", n)), fmt.Sprintf("k%d", n), w.rand.Float64() >= notRepeatable)
+		shard := w.daemons[0].journal.ShardOf(b.Key)
+		if owners[shard] == nil {
+			owners[shard] = w.daemonOf(b.Key)
+		}
+		owners[shard].begin(b)
+		w.run(time.Duration(w.rand.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+	w.run(5 * time.Second)
+	return n
+}
+
+func (w *world) wantAllCommitted(n int) {
+	w.t.Helper()
+	for i := 1; i <= n; i++ {
+		if o := w.final[entity.RequestID(fmt.Sprintf("r%d", i))]; o.Kind != Committed {
+			w.t.Fatalf("r%d ended with %v %v", i, o.Kind, o.Err)
+		}
+	}
+}
+
+func TestJournal_WritesStayWithinTheFleetsBudget(t *testing.T) {
+	for _, daemons := range []int{9, 410} {
+		for _, notRepeatable := range []float64{0, 1} {
+			w := fleet(t, daemons)
+			before, rows, reads := w.store.transactions, w.store.rowWrites, w.store.reads
+			const span = 20 * time.Second
+			n := w.offer(keyedPerSecond, span, notRepeatable)
+			w.wantAllCommitted(n)
+			perSecond := func(count int) float64 { return float64(count) / span.Seconds() }
+			writes := perSecond(w.store.transactions - before)
+			t.Logf("%d daemons, %.0f%% not repeatable: %d keyed requests, %.1f transactions/s, %.1f rows/s, %.1f reads/s",
+				daemons, 100*notRepeatable, n, writes, perSecond(w.store.rowWrites-rows), perSecond(w.store.reads-reads))
+			if writes > maxWritesPerSecond {
+				t.Fatalf("%.0f writes/s, want at most %d", writes, maxWritesPerSecond)
+			}
+		}
+	}
+}
+
+// An idle shard commits at once: a claim and an answer each take one trip.
+func TestJournal_IdleShardCommitsAtOnce(t *testing.T) {
+	w, a := owned(t, "a")
+	a.runTime = 100 * time.Millisecond
+	a.begin(keyed("r1", "k", false))
+	w.run(a.runTime + 2*w.store.latency)
+	w.wantCommitted("r1", "r1")
+}
+
+func randomRecords(r *rand.Rand, n, body int) []record {
+	records := make([]record, n)
+	for i := range records {
+		binary.BigEndian.PutUint64(records[i].Hash[:8], r.Uint64())
+		binary.BigEndian.PutUint64(records[i].Hash[8:], r.Uint64())
+		records[i].Kind = recordAnswered
+		records[i].At = epochStart.UnixMicro()
+		records[i].Answer = &Answer{
+			Status: 200, ContentType: "application/json", Request: entity.RequestID(fmt.Sprintf("%032x", r.Uint64())),
+			Body: make([]byte, body),
+		}
+	}
+	return records
+}
+
+// dayOfKeys fills the store with what a shard's owner leaves behind after a
+// day at 500 keyed requests a second over 16 shards: merged segments, new ones
+// and the rows of the hot keys. Only the segments' filters are stored.
+func dayOfKeys(w *world, body int) (keys int) {
+	r := rand.New(rand.NewPCG(1, 2))
+	row := shardRow{Epoch: 1, Owner: "gone", Sealed: rowSort(0, 0)}
+	addSegment := func(n, level int) {
+		positions := make([]uint64, n)
+		for i := range positions {
+			positions[i] = r.Uint64()
+		}
+		ref := segmentRef{
+			Name: fmt.Sprintf("s%d", len(row.Segments)), Keys: n, Bits: 10, Level: level, Until: epochStart.UnixMicro(),
+		}
+		w.store.objects[ref.filterObject(0)] = encodeFilter(newFilter(positions))
+		row.Segments = append(row.Segments, ref)
+		keys += n
+	}
+	for range 10 {
+		addSegment(defaultMergeKeys, 1)
+	}
+	for range 5 {
+		addSegment(defaultHotKeys, 0)
+	}
+	const perRow = 2 // 31 answers a second in 16 appends
+	const hot = 2 * defaultHotBytes
+	records := randomRecords(r, min(hot/(recordOverhead+body), 2*defaultHotKeys)/perRow*perRow, body)
+	for i := 0; i < len(records); i += perRow {
+		w.store.put(platform.Row{
+			Partition: entryPartition(0), Sort: rowSort(1, uint64(i+1)), Version: 1,
+			Value: mustEncode(batchRow{Operation: "x", Records: records[i : i+perRow]}),
+		})
+	}
+	keys += len(records)
+	w.store.put(platform.Row{Partition: shardPartition, Sort: shardSort(0), Version: 1, Value: mustEncode(row)})
+	return keys
+}
+
+// takeover runs one takeover and returns its length in virtual time from the
+// moment that the takeover is due.
+func takeover(w *world, d *daemon) time.Duration {
+	d.members(d.id)
+	w.run(defaultUnseenGrace)
+	s := d.journal.shards[0]
+	for s.state != stateTaking && s.state != stateOwned {
+		w.run(time.Millisecond)
+	}
+	start := w.now
+	for s.state != stateOwned {
+		w.run(time.Millisecond)
+	}
+	return w.now.Sub(start)
+}
+
+func filterBytes(s *shard) int {
+	n := 0
+	for _, seg := range s.segments {
+		n += len(seg.filter.Fingerprints)
+	}
+	return n
+}
+
+func TestJournal_TakeoverOfADayOfKeys(t *testing.T) {
+	w := newWorld(t, 1)
+	keys := dayOfKeys(w, 512)
+	d := w.add("a", nil)
+	took := takeover(w, d)
+	s := d.journal.shards[0]
+	got := filterBytes(s)
+	t.Logf("%d keys: %d segments, filters %d bytes (%.2f a key), %d reads, %d bytes read, %v at %v a call",
+		keys, len(s.segments), got, float64(got)/float64(keys), w.store.reads, w.store.readBytes, took, w.store.latency)
+	if keys < 2_700_000 {
+		t.Fatalf("%d keys", keys)
+	}
+	if got > maxFilterBytes {
+		t.Fatalf("filters of %d bytes, want at most %d", got, maxFilterBytes)
+	}
+}
+
+// heapBytes collects twice, since pooled buffers outlive one collection.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkJournal_HotKey gives the heap of one hot key with a body of 512 bytes.
+func BenchmarkJournal_HotKey(b *testing.B) {
+	const keys, body = 20_000, 512
+	for b.Loop() {
+		s := newShard(0)
+		s.entries = map[keyHash]*entry{}
+		j := New(Config{Self: "a"})
+		row := platform.Row{
+			Sort:  rowSort(1, 1),
+			Value: mustEncode(batchRow{Records: randomRecords(rand.New(rand.NewPCG(1, 2)), keys, body)}),
+		}
+		before := heapBytes()
+		j.replay(epochStart, s, row)
+		b.ReportMetric((float64(heapBytes())-float64(before))/keys, "bytes/key")
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(row)
+	}
+}
+
+// BenchmarkJournal_Takeover gives the processor time of a takeover at 2.7
+// million keys.
+func BenchmarkJournal_Takeover(b *testing.B) {
+	w := newWorld(b, 1)
+	dayOfKeys(w, 512)
+	rows := w.store.query(platform.Operation{Partition: entryPartition(0), Limit: 1 << 30, Consistent: true})
+	before := heapBytes()
+	for b.Loop() {
+		d := &daemon{w: w, id: "a", journal: New(Config{Self: "a", Shards: 1, Rand: rand.New(rand.NewPCG(1, 1))})}
+		s := d.journal.shards[0]
+		row, _ := d.journal.decodeShard(w.now, w.store.rows[shardPartition][shardSort(0)])
+		s.setRow(row, 1)
+		s.enter(stateLoading)
+		s.entries = map[keyHash]*entry{}
+		for _, ref := range row.Segments {
+			s.segments = append(s.segments, &segment{ref: ref, filter: decodeFilter(w.store.objects[ref.filterObject(0)])})
+		}
+		for i := range rows {
+			d.journal.replay(w.now, s, rows[i])
+		}
+		b.ReportMetric((float64(heapBytes())-float64(before))/1e6, "MB")
+		runtime.KeepAlive(s)
+	}
+}
+
+// BenchmarkJournal_Request gives the processor time and allocations of one
+// repeatable request from Begin to Committed, the store included.
+func BenchmarkJournal_Request(b *testing.B) {
+	w := fleet(b, 1)
+	d := w.daemons[0]
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		d.begin(keyed(entity.RequestID(fmt.Sprintf("r%d", n)), fmt.Sprintf("k%d", n), true))
+		w.run(2 * time.Millisecond)
+	}
+}
+
+// BenchmarkJournal_Upkeep gives what one shard writes in three hours at its
+// share of 500 keyed requests a second, sealing and merging included.
+func BenchmarkJournal_Upkeep(b *testing.B) {
+	for b.Loop() {
+		w := newWorld(b, 1)
+		w.add("a", nil)
+		w.members("a")
+		w.run(time.Second)
+		w.daemons[0].body = 512
+		const span = 3 * time.Hour
+		w.offer(keyedPerSecond/defaultShards, span, 0)
+		s := w.daemons[0].journal.shards[0]
+		b.ReportMetric(float64(w.store.transactions)/span.Seconds(), "transactions/s")
+		b.ReportMetric(float64(w.store.rowWrites)/span.Seconds(), "rows/s")
+		b.ReportMetric(float64(w.store.puts)/span.Seconds(), "puts/s")
+		b.ReportMetric(float64(w.store.reads)/span.Seconds(), "reads/s")
+		b.ReportMetric(float64(w.store.readBytes)/span.Seconds(), "read-B/s")
+		b.ReportMetric(float64(len(s.segments)), "segments")
+		b.ReportMetric(float64(len(s.entries)), "hot-keys")
+	}
+}
+
+// BenchmarkJournal_MergeFilter gives the time of building a merged segment's
+// filter, the longest single step.
+func BenchmarkJournal_MergeFilter(b *testing.B) {
+	r := rand.New(rand.NewPCG(1, 2))
+	positions := make([]uint64, defaultMergeKeys)
+	for i := range positions {
+		positions[i] = r.Uint64()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		newFilter(positions)
+	}
+}
--- a/internal/system/journal/merge.go
+++ b/internal/system/journal/merge.go
@@ -9,9 +9,6 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 )
 
-// mergedLevel is the level of a merged segment; merged ones stay as they are.
-const mergedLevel = 1
-
 // merge makes one segment of several, part by part, so that memory holds one
 // part of each only.
 type merge struct {
@@ -29,25 +26,38 @@
 	records []record
 }
 
-// mayMerge merges the oldest new segments once there are MergeCount of them,
-// so that the number of filters to ask stays small.
+// mayMerge merges MergeCount neighbours of one level, so that the number of
+// filters to ask stays small.
 func (j *Journal) mayMerge(now time.Time, s *shard) {
-	var fresh []*segment
-	for _, seg := range s.segments {
-		if seg.ref.Level < mergedLevel {
-			fresh = append(fresh, seg)
-		}
-	}
-	if len(fresh) < j.cfg.MergeCount {
+	inputs := j.mergeable(s)
+	if inputs == nil {
 		s.sealing = false
 		j.maySeal(now, s)
 		return
 	}
-	j.mergeGroup(now, s, newMerge(s, fresh[:j.cfg.MergeCount]))
+	j.mergeGroup(now, s, newMerge(s, inputs))
+}
+
+// mergeable returns neighbours of one level that make a segment of at most
+// MergeKeys, or nil.
+func (j *Journal) mergeable(s *shard) []*segment {
+	for end := j.cfg.MergeCount; end <= len(s.segments); end++ {
+		inputs := s.segments[end-j.cfg.MergeCount : end]
+		keys := 0
+		sameLevel := true
+		for _, seg := range inputs {
+			keys += seg.ref.Keys
+			sameLevel = sameLevel && seg.ref.Level == inputs[0].ref.Level
+		}
+		if sameLevel && keys <= j.cfg.MergeKeys {
+			return inputs
+		}
+	}
+	return nil
 }
 
 func newMerge(s *shard, segs []*segment) *merge {
-	m := &merge{output: &segment{ref: segmentRef{Name: s.name(), Level: mergedLevel}}}
+	m := &merge{output: &segment{ref: segmentRef{Name: s.name(), Level: segs[0].ref.Level + 1}}}
 	parts := 0
 	for _, seg := range segs {
 		m.inputs = append(m.inputs, &mergeInput{seg: seg, part: -1})
@@ -161,8 +171,7 @@
 			done: func(now time.Time) {
 				j.replaceSegments(now, s, m.output)
 				j.emit(now, event.JournalSegmentMerged, m.output.ref.Name)
-				s.sealing = false
-				j.maySeal(now, s)
+				j.mayMerge(now, s)
 			},
 		}
 		j.startWrite(now, s)
--- a/internal/system/journal/ownership.go
+++ b/internal/system/journal/ownership.go
@@ -396,6 +396,7 @@
 	s.write = nil
 	s.manifest = nil
 	s.order = nil
+	s.hotBytes = 0
 	s.cached = nil
 	s.segments = nil
 	s.sealing = false
--- a/internal/system/journal/seal.go
+++ b/internal/system/journal/seal.go
@@ -8,14 +8,15 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 )
 
-// maySeal moves the older half of the hot keys into a segment once there are
-// twice as many as are to be kept.
+// maySeal moves the older half of the hot records into a segment once there
+// are twice as many as are to be kept, by count or by bytes.
 func (j *Journal) maySeal(now time.Time, s *shard) {
-	if s.state != stateOwned || s.sealing || s.releasing || len(s.order) < 2*j.cfg.HotKeys {
+	full := len(s.order) >= 2*j.cfg.HotKeys || s.hotBytes >= 2*j.cfg.HotBytes
+	if s.state != stateOwned || s.sealing || s.releasing || !full {
 		return
 	}
 	s.sealing = true
-	cut := s.order[j.cfg.HotKeys-1].row
+	cut := j.sealCut(s)
 	records := j.sealable(now, s, cut)
 	if len(records) == 0 {
 		j.sealed(now, s, nil, cut)
@@ -39,6 +40,21 @@
 	j.upload(now, s, next, func(now time.Time) { j.sealed(now, s, seg, cut) })
 }
 
+// sealCut returns the row up to which records are to be sealed.
+func (j *Journal) sealCut(s *shard) string {
+	count, size := len(s.order), s.hotBytes
+	cut := s.order[0].row
+	for i := range s.order {
+		if count <= j.cfg.HotKeys && size <= j.cfg.HotBytes {
+			break
+		}
+		count--
+		size -= s.order[i].size
+		cut = s.order[i].row
+	}
+	return cut
+}
+
 // sealable returns, in the order of their hashes, the records whose row is
 // not above cut and that no later record has replaced.
 func (j *Journal) sealable(now time.Time, s *shard, cut string) []record {
@@ -118,6 +134,7 @@
 	for n < len(s.order) && s.order[n].row <= cut {
 		o := s.order[n]
 		n++
+		s.hotBytes -= o.size
 		e := s.entries[o.hash]
 		if e == nil || e.row != o.row {
 			continue
--- a/internal/system/journal/shard.go
+++ b/internal/system/journal/shard.go
@@ -54,6 +54,7 @@
 	manifest  *manifestChange
 
 	order    []ordered // committed entries by the row of their record
+	hotBytes int       // their size
 	cached   []keyHash // entries read back from segments
 	segments []*segment
 	named    uint64 // segments named under any epoch so far
@@ -69,6 +70,7 @@
 type ordered struct {
 	hash keyHash
 	row  string
+	size int // bytes
 }
 
 // entry is what the owner knows of one key.
@@ -118,7 +120,8 @@
 	}
 	e.digest, e.repeatable = rec.Digest, rec.Repeatable
 	e.record, e.row = rec, row
-	s.order = append(s.order, ordered{hash: rec.Hash, row: row})
+	s.order = append(s.order, ordered{hash: rec.Hash, row: row, size: rec.size()})
+	s.hotBytes += rec.size()
 	return e
 }
 
--- a/internal/system/journal/traps_test.go
+++ b/internal/system/journal/traps_test.go
@@ -342,7 +342,7 @@
 	a.begin(keyed("r1", "k", true))
 	w.run(time.Second)
 	w.wantCommitted("r1", "r1")
-	for _, row := range w.store.rows {
+	for _, row := range w.store.rows[entryPartition(0)] {
 		if len(row.Value) > defaultInlineLimit {
 			t.Fatalf("row of %d bytes", len(row.Value))
 		}
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -44,8 +44,10 @@
 	InlineLimit int // largest body in bytes kept in a table row; 8 KiB
 	BatchBytes  int // largest batch row in bytes; 192 KiB
 	HotKeys     int // committed records of a shard kept in memory, at most twice as many; 16384
-	PartBytes   int // aimed size of a segment's part in bytes; 128 KiB
-	MergeCount  int // segments of a level that are merged into one; 8
+	HotBytes    int // their size in bytes, at most twice as much; 4 MiB
+	PartBytes   int // aimed size of a segment's part in bytes; 64 KiB
+	MergeCount  int // segments of a level that are merged into one; 16
+	MergeKeys   int // most keys of a merged segment; 262144
 }
 
 // Key names a keyed request of one organisation and service.
--- a/internal/system/journal/world_test.go
+++ b/internal/system/journal/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -75,7 +76,7 @@
 		begun: map[entity.RequestID]Begin{}, leaderOf: map[entity.RequestID]entity.RequestID{},
 	}
 	w.store = &store{
-		w: w, rows: map[string]platform.Row{}, objects: map[string][]byte{},
+		w: w, rows: tableRows{}, objects: map[string][]byte{},
 		answers: map[keyHash]entity.RequestID{}, latency: 5 * time.Millisecond,
 	}
 	return w
@@ -300,9 +301,9 @@
 // store is the table service and the object store.
 type store struct {
 	w       *world
-	rows    map[string]platform.Row // by partition and sort key
+	rows    tableRows
 	objects map[string][]byte
-	old     map[string]platform.Row // what a stale read sees
+	old     tableRows // what a stale read sees
 	answers map[keyHash]entity.RequestID
 
 	latency     time.Duration
@@ -325,7 +326,8 @@
 	reply time.Duration // the reply comes this much later
 }
 
-func rowKey(partition, sort string) string { return partition + "\x00" + sort }
+// tableRows holds rows by partition and sort key.
+type tableRows map[string]map[string]platform.Row
 
 func (s *store) submit(d *daemon, op platform.Operation) {
 	w := s.w
@@ -362,7 +364,7 @@
 	switch op.Kind {
 	case platform.GetRow:
 		s.reads++
-		row, ok := s.view(op.Consistent)[rowKey(op.Partition, op.Sort)]
+		row, ok := s.view(op.Consistent)[op.Partition][op.Sort]
 		r.Row = row
 		if !ok {
 			r.Err = platform.ErrNotFound
@@ -389,7 +391,7 @@
 	return r
 }
 
-func (s *store) view(consistent bool) map[string]platform.Row {
+func (s *store) view(consistent bool) tableRows {
 	if !consistent && s.stale && s.old != nil {
 		return s.old
 	}
@@ -398,8 +400,8 @@
 
 func (s *store) query(op platform.Operation) []platform.Row {
 	var rows []platform.Row
-	for _, row := range s.view(op.Consistent) {
-		if row.Partition == op.Partition && row.Sort > op.After {
+	for _, row := range s.view(op.Consistent)[op.Partition] {
+		if row.Sort > op.After {
 			rows = append(rows, row)
 		}
 	}
@@ -418,7 +420,7 @@
 
 func (s *store) transact(op platform.Operation) error {
 	for _, write := range op.Writes {
-		if !write.Unconditional && s.rows[rowKey(write.Partition, write.Sort)].Version != write.IfVersion {
+		if !write.Unconditional && s.rows[write.Partition][write.Sort].Version != write.IfVersion {
 			return platform.ErrConditionFailed
 		}
 	}
@@ -428,21 +430,27 @@
 			continue
 		}
 		s.rowWrites++
-		key := rowKey(write.Partition, write.Sort)
 		if write.Delete {
-			delete(s.rows, key)
+			delete(s.rows[write.Partition], write.Sort)
 			continue
 		}
 		row := platform.Row{
 			Partition: write.Partition, Sort: write.Sort,
-			Version: s.rows[key].Version + 1, Value: slices.Clone(write.Value),
+			Version: s.rows[write.Partition][write.Sort].Version + 1, Value: slices.Clone(write.Value),
 		}
-		s.rows[key] = row
+		s.put(row)
 		s.noteAnswers(row)
 	}
 	return nil
 }
 
+func (s *store) put(row platform.Row) {
+	if s.rows[row.Partition] == nil {
+		s.rows[row.Partition] = map[string]platform.Row{}
+	}
+	s.rows[row.Partition][row.Sort] = row
+}
+
 // noteAnswers keeps the store's own record of answers, and checks that no key
 // gets a second one.
 func (s *store) noteAnswers(row platform.Row) {
@@ -463,9 +471,9 @@
 
 // snapshot keeps the present rows for stale reads.
 func (s *store) snapshot() {
-	s.old = map[string]platform.Row{}
-	for k, row := range s.rows {
-		s.old[k] = row
+	s.old = tableRows{}
+	for partition, rows := range s.rows {
+		s.old[partition] = maps.Clone(rows)
 	}
 }
 
