--- a/internal/system/journal/config.go
+++ b/internal/system/journal/config.go
@@ -14,7 +14,7 @@
 	defaultTakeoverDelay = time.Second
 	defaultTakeoverMax   = time.Minute
 	defaultUnseenGrace   = 5 * time.Second
-	defaultReleaseGrace  = 2 * time.Second
+	defaultReleaseGrace  = 500 * time.Millisecond
 	defaultInlineLimit   = 8 << 10   // bytes
 	defaultBatchBytes    = 192 << 10 // bytes
 	defaultHotKeys       = 16384
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -56,7 +56,7 @@
 		cfg:      cfg,
 		requests: make(map[entity.RequestID]*request),
 		calls:    make(map[platform.OperationID]func(time.Time, platform.Result)),
-		opPrefix: fmt.Sprintf("%x", self[:8]),
+		opPrefix: fmt.Sprintf("%x%08x", self[:4], cfg.Rand.Uint32()),
 	}
 	for i := range cfg.Shards {
 		j.shards = append(j.shards, newShard(i))
--- a/internal/system/journal/key.go
+++ b/internal/system/journal/key.go
@@ -4,11 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
-
-	"github.com/cespare/xxhash/v2"
-	rendezvous "github.com/dgryski/go-rendezvous"
-
-	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
 // keyHash stands for a key: the first half of the SHA-256 of its parts.
@@ -47,15 +42,3 @@
 
 // rowSort orders the rows of a shard by epoch, then by sequence.
 func rowSort(epoch, sequence uint64) string { return fmt.Sprintf("%012x/%012x", epoch, sequence) }
-
-// wantedOwner chooses the owner of a shard by rendezvous hashing.
-func wantedOwner(members []entity.InstanceID, shard int) entity.InstanceID {
-	if len(members) == 0 {
-		return ""
-	}
-	nodes := make([]string, len(members))
-	for i, m := range members {
-		nodes[i] = string(m)
-	}
-	return entity.InstanceID(rendezvous.New(nodes, xxhash.Sum64String).Lookup(shardSort(shard)))
-}
--- a/internal/system/journal/load_test.go
+++ b/internal/system/journal/load_test.go
@@ -207,7 +207,7 @@
 	for b.Loop() {
 		s := newShard(0)
 		s.entries = map[keyHash]*entry{}
-		j := New(Config{Self: "a"})
+		j := New(Config{Self: "a", Rand: rand.New(rand.NewPCG(1, 1))})
 		row := platform.Row{
 			Sort:  rowSort(1, 1),
 			Value: mustEncode(batchRow{Records: randomRecords(rand.New(rand.NewPCG(1, 2)), keys, body)}),
--- a/internal/system/journal/ownership.go
+++ b/internal/system/journal/ownership.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	rendezvous "github.com/dgryski/go-rendezvous"
+
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
@@ -14,7 +17,12 @@
 
 // SetMembers tells which live daemons may own shards; leaving ones may not.
 func (j *Journal) SetMembers(now time.Time, members []entity.InstanceID) {
-	j.members = slices.Sorted(slices.Values(members))
+	sorted := slices.Sorted(slices.Values(members))
+	if j.joined && slices.Equal(sorted, j.members) {
+		return
+	}
+	j.members = sorted
+	j.place()
 	if !j.joined {
 		j.joined = true
 		j.poll(now)
@@ -43,17 +51,25 @@
 	case s.row.Owner != "" && s.row.Owner != self && !s.row.Released && j.alive(s.row.Owner):
 		return s.row.Owner
 	default:
-		return j.wanted(s)
+		return s.wanted
 	}
 }
 
-// wanted returns who should own the shard if nobody does.
-func (j *Journal) wanted(s *shard) entity.InstanceID {
-	members := j.members
-	if j.leaving {
-		members = slices.DeleteFunc(slices.Clone(members), func(m entity.InstanceID) bool { return m == j.cfg.Self })
+// place chooses the wanted owner of each shard by rendezvous hashing.
+func (j *Journal) place() {
+	nodes := make([]string, 0, len(j.members))
+	for _, m := range j.members {
+		if !j.leaving || m != j.cfg.Self {
+			nodes = append(nodes, string(m))
+		}
+	}
+	ring := rendezvous.New(nodes, xxhash.Sum64String)
+	for _, s := range j.shards {
+		s.wanted = ""
+		if len(nodes) > 0 {
+			s.wanted = entity.InstanceID(ring.Lookup(shardSort(s.index)))
+		}
 	}
-	return wantedOwner(members, s.index)
 }
 
 // pollIn sets the time of the next poll anew.
@@ -77,17 +93,27 @@
 	op := platform.Operation{Kind: platform.QueryRows, Partition: shardPartition, Limit: j.cfg.Shards}
 	j.callTable(op, func(now time.Time, r platform.Result) {
 		j.polling = false
-		next := j.cfg.RefreshEvery
-		if r.Err != nil {
-			next = min(next, downPollEvery)
-		}
-		j.pollIn(now, next)
+		j.pollIn(now, j.nextPoll(r.Err != nil))
 		for _, row := range r.Rows {
 			j.polled(now, row)
 		}
 	})
 }
 
+// nextPoll returns the time to the next poll: a short one while the table does
+// not answer, or while a shard whose owner is gone may be released.
+func (j *Journal) nextPoll(failed bool) time.Duration {
+	if failed {
+		return min(j.cfg.RefreshEvery, downPollEvery)
+	}
+	for _, s := range j.shards {
+		if !s.evaluateAt.IsZero() {
+			return min(j.cfg.RefreshEvery, j.cfg.TakeoverDelay/2)
+		}
+	}
+	return j.cfg.RefreshEvery
+}
+
 func (j *Journal) polled(now time.Time, row platform.Row) {
 	var index int
 	if n, err := fmt.Sscanf(row.Sort, "shard/%d", &index); n != 1 || err != nil || index >= len(j.shards) || index < 0 {
@@ -150,6 +176,7 @@
 			s.evaluateAt = time.Time{}
 			j.evaluate(now, s)
 		})
+		j.poll(now)
 		return
 	}
 	j.take(now, s)
@@ -159,7 +186,7 @@
 // not as things are.
 func (j *Journal) takeoverDue(now time.Time, s *shard) (time.Time, bool) {
 	owner := s.row.Owner
-	if owner != j.cfg.Self && j.wanted(s) != j.cfg.Self {
+	if owner != j.cfg.Self && s.wanted != j.cfg.Self {
 		return time.Time{}, false
 	}
 	due := s.notBefore
@@ -322,6 +349,7 @@
 		return
 	}
 	j.admitWaiting(now, s)
+	j.sweep(now, s, 0)
 	j.maySeal(now, s)
 }
 
@@ -400,7 +428,6 @@
 	s.cached = nil
 	s.segments = nil
 	s.sealing = false
-	s.trimming = false
 	s.releasing = false
 }
 
--- a/internal/system/journal/request.go
+++ b/internal/system/journal/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -222,6 +223,7 @@
 	r.phase = phaseRunning
 	r.wait++
 	r.mayRun = true
+	j.emitRequest(now, event.JournalClaimed, r.Request)
 	j.outcome(Outcome{Request: r.Request, Kind: Claimed, Claim: c})
 }
 
@@ -300,11 +302,22 @@
 		return
 	}
 	j.leaving = true
+	j.place()
 	for _, s := range j.shards {
 		j.release(now, s)
 	}
 }
 
+// Disowned tells whether the hand-over that Disown has started is over.
+func (j *Journal) Disowned() bool {
+	for _, s := range j.shards {
+		if s.state != stateForeign {
+			return false
+		}
+	}
+	return j.leaving
+}
+
 // arm sets the limit of the request's present wait.
 func (j *Journal) arm(now time.Time, r *request) {
 	r.wait++
--- a/internal/system/journal/seal.go
+++ b/internal/system/journal/seal.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 )
 
 // maySeal moves the older half of the hot records into a segment once there
@@ -117,24 +116,29 @@
 		},
 		done: func(now time.Time) {
 			j.replaceSegments(now, s, seg)
-			s.dropSealed(cut, j.cfg.HotKeys)
+			rows := s.dropSealed(cut, j.cfg.HotKeys)
 			if seg != nil {
 				j.emit(now, event.JournalSegmentSealed, seg.ref.Name)
 			}
-			j.trim(now, s)
+			j.trim(now, s, rows, 0, func(time.Time) {})
 			j.mayMerge(now, s)
 		},
 	}
 	j.startWrite(now, s)
 }
 
-// dropSealed drops the entries whose record is in a segment now.
-func (s *shard) dropSealed(cut string, hotKeys int) {
+// dropSealed drops the entries whose record is in a segment now, and returns
+// the rows that held them.
+func (s *shard) dropSealed(cut string, hotKeys int) []string {
+	var rows []string
 	n := 0
 	for n < len(s.order) && s.order[n].row <= cut {
 		o := s.order[n]
 		n++
 		s.hotBytes -= o.size
+		if len(rows) == 0 || rows[len(rows)-1] != o.row {
+			rows = append(rows, o.row)
+		}
 		e := s.entries[o.hash]
 		if e == nil || e.row != o.row {
 			continue
@@ -147,58 +151,5 @@
 		s.cache(o.hash, hotKeys)
 	}
 	s.order = slices.Clone(s.order[n:])
-}
-
-// trim deletes rows that are in segments. It needs no condition: a row that
-// was sealed once is never read again.
-func (j *Journal) trim(now time.Time, s *shard) {
-	if s.trimming {
-		return
-	}
-	s.trimming = true
-	j.trimSome(now, s, 0)
-}
-
-func (j *Journal) trimSome(_ time.Time, s *shard, failures int) {
-	op := platform.Operation{
-		Kind: platform.QueryRows, Partition: entryPartition(s.index), Limit: trimLimit, Consistent: true,
-	}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
-		if r.Err != nil {
-			j.trimLater(now, s, failures+1)
-			return
-		}
-		writes := sealedRows(r.Rows, s.row.Sealed)
-		if len(writes) == 0 {
-			s.trimming = false
-			return
-		}
-		j.spendWrite(now)
-		del := platform.Operation{Kind: platform.TransactRows, Token: j.newOperation(), Writes: writes}
-		j.callTable(del, j.whileIn(s, func(now time.Time, r platform.Result) {
-			if r.Err != nil {
-				j.trimLater(now, s, failures+1)
-				return
-			}
-			j.later(now, s, j.cfg.GroupDelay, func(now time.Time) { j.trimSome(now, s, 0) })
-		}))
-	}))
-}
-
-func sealedRows(rows []platform.Row, sealed string) []platform.Write {
-	var writes []platform.Write
-	for _, row := range rows {
-		if row.Sort <= sealed {
-			writes = append(writes, platform.Write{
-				Partition: row.Partition, Sort: row.Sort, Delete: true, Unconditional: true,
-			})
-		}
-	}
-	return writes
-}
-
-func (j *Journal) trimLater(now time.Time, s *shard, failures int) {
-	j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
-		j.trimSome(now, s, failures)
-	})
+	return rows
 }
--- a/internal/system/journal/shard.go
+++ b/internal/system/journal/shard.go
@@ -30,6 +30,7 @@
 	// earlier operations void.
 	generation uint64
 
+	wanted  entity.InstanceID // who should own the shard if nobody does
 	row     shardRow
 	version uint64 // of the row; 0: not known or not there
 
@@ -59,7 +60,6 @@
 	segments []*segment
 	named    uint64 // segments named under any epoch so far
 	sealing  bool
-	trimming bool
 }
 
 func newShard(index int) *shard {
--- a/internal/system/journal/traps_test.go
+++ b/internal/system/journal/traps_test.go
@@ -375,6 +375,9 @@
 	if got := w.final["r2"].Owner; got != "b" {
 		t.Fatalf("owner %q, want b", got)
 	}
+	if !a.journal.Disowned() {
+		t.Fatal("the hand-over is not over")
+	}
 	b.members("b")
 	w.run(100 * time.Millisecond)
 	b.begin(keyed("r3", "k", true))
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -39,7 +39,7 @@
 	TakeoverDelay time.Duration // wait before a vanished owner's shard is taken; 1 s
 	TakeoverMax   time.Duration // longest back-off between takeovers of one shard; 1 min
 	UnseenGrace   time.Duration // wait for an owner that was never seen alive; 5 s
-	ReleaseGrace  time.Duration // time that Disown leaves to running requests; 2 s
+	ReleaseGrace  time.Duration // time that Disown leaves to running requests; 500 ms
 
 	InlineLimit int // largest body in bytes kept in a table row; 8 KiB
 	BatchBytes  int // largest batch row in bytes; 192 KiB
