--- /dev/null
+++ b/internal/system/journal/store_test.go
@@ -0,0 +1,190 @@
+package journal
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/codec"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+)
+
+// store is the table service and the object store.
+type store struct {
+	w       *world
+	rows    tableRows
+	objects map[string][]byte
+	old     tableRows // what a stale read sees
+	answers map[keyHash]entity.RequestID
+
+	latency     time.Duration
+	jitter      time.Duration
+	down        bool
+	objectsDown bool
+	stale       bool
+	// fault may change what becomes of an operation.
+	fault func(d *daemon, op platform.Operation) fault
+
+	transactions, rowWrites, puts, reads int
+	readBytes                            int
+}
+
+// fault is what goes wrong with one operation.
+type fault struct {
+	lose  bool          // the effect is made, the reply is lost
+	drop  bool          // neither
+	land  time.Duration // the effect is made this much later; with lose, after the reply
+	reply time.Duration // the reply comes this much later
+}
+
+// tableRows holds rows by partition and sort key.
+type tableRows map[string]map[string]platform.Row
+
+func (s *store) submit(d *daemon, op platform.Operation) {
+	w := s.w
+	var f fault
+	if s.fault != nil {
+		f = s.fault(d, op)
+	}
+	trip := s.latency
+	if s.jitter > 0 {
+		trip += time.Duration(w.rand.Int64N(int64(s.jitter)))
+	}
+	reply := func(r platform.Result) {
+		w.after(trip/2+f.reply, d, func() { d.journal.TableResult(w.now, r) })
+	}
+	if f.lose || f.drop {
+		if !f.drop {
+			w.after(trip/2+f.land, nil, func() { s.perform(op) })
+		}
+		w.after(trip, d, func() {
+			d.journal.TableResult(w.now, platform.Result{ID: op.ID, Err: platform.ErrUnknownOutcome})
+		})
+		return
+	}
+	w.after(trip/2+f.land, nil, func() { reply(s.perform(op)) })
+}
+
+func (s *store) perform(op platform.Operation) platform.Result {
+	r := platform.Result{ID: op.ID}
+	object := op.Kind >= platform.PutObject
+	if s.down && !object || s.objectsDown && object {
+		r.Err = platform.ErrUnavailable
+		return r
+	}
+	switch op.Kind {
+	case platform.GetRow:
+		s.reads++
+		row, ok := s.view(op.Consistent)[op.Partition][op.Sort]
+		r.Row = row
+		if !ok {
+			r.Err = platform.ErrNotFound
+		}
+	case platform.QueryRows:
+		s.reads++
+		r.Rows = s.query(op)
+	case platform.TransactRows:
+		r.Err = s.transact(op)
+	case platform.PutObject:
+		s.puts++
+		s.objects[op.Key] = slices.Clone(op.Value)
+	case platform.GetObject:
+		s.reads++
+		value, ok := s.objects[op.Key]
+		s.readBytes += len(value)
+		r.Value = value
+		if !ok {
+			r.Err = platform.ErrNotFound
+		}
+	case platform.DeleteObject:
+		delete(s.objects, op.Key)
+	}
+	return r
+}
+
+func (s *store) view(consistent bool) tableRows {
+	if !consistent && s.stale && s.old != nil {
+		return s.old
+	}
+	return s.rows
+}
+
+func (s *store) query(op platform.Operation) []platform.Row {
+	var rows []platform.Row
+	for _, row := range s.view(op.Consistent)[op.Partition] {
+		if row.Sort > op.After {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int {
+		if a.Sort < b.Sort {
+			return -1
+		}
+		return 1
+	})
+	rows = rows[:min(len(rows), op.Limit)]
+	for _, row := range rows {
+		s.readBytes += len(row.Value)
+	}
+	return rows
+}
+
+func (s *store) transact(op platform.Operation) error {
+	for _, write := range op.Writes {
+		if !write.Unconditional && s.rows[write.Partition][write.Sort].Version != write.IfVersion {
+			return platform.ErrConditionFailed
+		}
+	}
+	s.transactions++
+	for _, write := range op.Writes {
+		if write.CheckOnly {
+			continue
+		}
+		s.rowWrites++
+		if write.Delete {
+			delete(s.rows[write.Partition], write.Sort)
+			continue
+		}
+		row := platform.Row{
+			Partition: write.Partition, Sort: write.Sort,
+			Version: s.rows[write.Partition][write.Sort].Version + 1, Value: slices.Clone(write.Value),
+		}
+		s.put(row)
+		s.noteAnswers(row)
+	}
+	return nil
+}
+
+func (s *store) put(row platform.Row) {
+	if s.rows[row.Partition] == nil {
+		s.rows[row.Partition] = map[string]platform.Row{}
+	}
+	s.rows[row.Partition][row.Sort] = row
+}
+
+// noteAnswers keeps the store's own record of answers, and checks that no key
+// gets a second one.
+func (s *store) noteAnswers(row platform.Row) {
+	var b batchRow
+	if row.Partition == shardPartition || codec.Decode(row.Value, &b) != nil {
+		return
+	}
+	for _, rec := range b.Records {
+		if rec.Kind != recordAnswered {
+			continue
+		}
+		if first, ok := s.answers[rec.Hash]; ok && first != rec.Answer.Request {
+			s.w.t.Fatalf("answers of %s and %s were committed for one key", first, rec.Answer.Request)
+		}
+		s.answers[rec.Hash] = rec.Answer.Request
+	}
+}
+
+// snapshot keeps the present rows for stale reads.
+func (s *store) snapshot() {
+	s.old = tableRows{}
+	for partition, rows := range s.rows {
+		s.old[partition] = maps.Clone(rows)
+	}
+}
