Keep the list of segments out of the rows that every daemon polls

Cause: with 25 segments a shard's row is about 1.5 KB; 16 of them polled every 3.75 s on average are 6 KB/s of the 11 KB/s that a daemon may use.

Change: sealed rows and segments stand in a manifest row, which is written together with the shard's row only and read at a takeover.

--- a/internal/system/journal/answer.go
+++ b/internal/system/journal/answer.go
@@ -12,7 +12,8 @@
 )
 
 // Finish commits the final outcome of a request. Committed follows for it and
-// for all that have joined it, or Refused.
+// for all that have joined it, or Refused. The body must not be changed
+// afterwards.
 func (j *Journal) Finish(now time.Time, id entity.RequestID, a Answer) {
 	r, e := j.leads(id)
 	if r == nil || r.phase != phaseRunning {
--- a/internal/system/journal/key.go
+++ b/internal/system/journal/key.go
@@ -34,7 +34,12 @@
 // position returns the key's place in the order of a segment.
 func (h keyHash) position() uint64 { return binary.BigEndian.Uint64(h[:8]) }
 
-const shardPartition = "journal"
+const (
+	// shardPartition holds the shards' rows, which every daemon polls.
+	shardPartition = "journal"
+	// manifestPartition holds the shards' manifests, under the same sort keys.
+	manifestPartition = "journal/manifest"
+)
 
 func shardSort(shard int) string { return fmt.Sprintf("shard/%02d", shard) }
 
--- a/internal/system/journal/load.go
+++ b/internal/system/journal/load.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"errors"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
@@ -22,11 +23,34 @@
 	s.order = nil
 	s.hotBytes = 0
 	s.segments = nil
-	j.readFilters(now, s, 0, func(now time.Time) {
-		j.readRows(now, s, s.row.Sealed, 0, done)
+	j.readManifest(now, s, 0, func(now time.Time) {
+		j.readFilters(now, s, 0, func(now time.Time) {
+			j.readRows(now, s, s.manifest.Sealed, 0, done)
+		})
 	})
 }
 
+func (j *Journal) readManifest(_ time.Time, s *shard, failures int, done func(time.Time)) {
+	op := platform.Operation{
+		Kind: platform.GetRow, Partition: manifestPartition, Sort: shardSort(s.index), Consistent: true,
+	}
+	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+		s.manifest = manifest{}
+		err := r.Err
+		if err == nil {
+			err = codec.Decode(r.Row.Value, &s.manifest)
+		}
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			failures++
+			j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
+				j.readManifest(now, s, failures, done)
+			})
+			return
+		}
+		done(now)
+	}))
+}
+
 func (j *Journal) readRows(_ time.Time, s *shard, after string, failures int, done func(time.Time)) {
 	op := platform.Operation{
 		Kind: platform.QueryRows, Partition: entryPartition(s.index), After: after, Limit: queryLimit, Consistent: true,
--- a/internal/system/journal/load_test.go
+++ b/internal/system/journal/load_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 )
@@ -16,6 +17,7 @@
 	keyedPerSecond     = 500 // a tenth of 5,000 requests a second
 	maxWritesPerSecond = 300 // whole fleet
 	maxFilterBytes     = 4 << 20
+	maxControlBytes    = 11 << 10 // a second, of one daemon
 )
 
 // fleet returns daemons that share the shards among them.
@@ -118,17 +120,17 @@
 // and the rows of the hot keys. Only the segments' filters are stored.
 func dayOfKeys(w *world, body int) (keys int) {
 	r := rand.New(rand.NewPCG(1, 2))
-	row := shardRow{Epoch: 1, Owner: "gone", Sealed: rowSort(0, 0)}
+	held := manifest{Sealed: rowSort(0, 0)}
 	addSegment := func(n, level int) {
 		positions := make([]uint64, n)
 		for i := range positions {
 			positions[i] = r.Uint64()
 		}
 		ref := segmentRef{
-			Name: fmt.Sprintf("s%d", len(row.Segments)), Keys: n, Bits: 10, Level: level, Until: epochStart.UnixMicro(),
+			Name: fmt.Sprintf("s%d", len(held.Segments)), Keys: n, Bits: 10, Level: level, Until: epochStart.UnixMicro(),
 		}
 		w.store.objects[ref.filterObject(0)] = encodeFilter(newFilter(positions))
-		row.Segments = append(row.Segments, ref)
+		held.Segments = append(held.Segments, ref)
 		keys += n
 	}
 	for range 10 {
@@ -147,7 +149,9 @@
 		})
 	}
 	keys += len(records)
+	row := shardRow{Epoch: 1, Owner: "gone"}
 	w.store.put(platform.Row{Partition: shardPartition, Sort: shardSort(0), Version: 1, Value: mustEncode(row)})
+	w.store.put(platform.Row{Partition: manifestPartition, Sort: shardSort(0), Version: 1, Value: mustEncode(held)})
 	return keys
 }
 
@@ -190,6 +194,14 @@
 	if got > maxFilterBytes {
 		t.Fatalf("filters of %d bytes, want at most %d", got, maxFilterBytes)
 	}
+	before := w.store.readBytes
+	const idle = 5 * time.Minute
+	w.run(idle)
+	polled := defaultShards * float64(w.store.readBytes-before) / idle.Seconds()
+	t.Logf("polls read %.0f bytes a second when all shards hold a day of keys", polled)
+	if polled > maxControlBytes {
+		t.Fatalf("polls read %.0f bytes a second, want at most %d", polled, maxControlBytes)
+	}
 }
 
 // heapBytes collects twice, since pooled buffers outlive one collection.
@@ -230,11 +242,12 @@
 	for b.Loop() {
 		d := &daemon{w: w, id: "a", journal: New(Config{Self: "a", Shards: 1, Rand: rand.New(rand.NewPCG(1, 1))})}
 		s := d.journal.shards[0]
-		row, _ := d.journal.decodeShard(w.now, w.store.rows[shardPartition][shardSort(0)])
-		s.setRow(row, 1)
+		if err := codec.Decode(w.store.rows[manifestPartition][shardSort(0)].Value, &s.manifest); err != nil {
+			b.Fatal(err)
+		}
 		s.enter(stateLoading)
 		s.entries = map[keyHash]*entry{}
-		for _, ref := range row.Segments {
+		for _, ref := range s.manifest.Segments {
 			s.segments = append(s.segments, &segment{ref: ref, filter: decodeFilter(w.store.objects[ref.filterObject(0)])})
 		}
 		for i := range rows {
--- a/internal/system/journal/merge.go
+++ b/internal/system/journal/merge.go
@@ -162,11 +162,10 @@
 	m.output.filter = newFilter(m.positions)
 	m.positions = nil
 	j.put(s, m.output.ref.filterObject(s.index), encodeFilter(m.output.filter), 0, func(now time.Time) {
-		s.manifest = &manifestChange{
-			change: func(row *shardRow) {
-				row.Named = s.named
-				row.Segments = m.replace(row.Segments)
-				j.dropExpired(now, row)
+		s.change = &rowChange{
+			change: func(_ *shardRow, held *manifest) {
+				held.Segments = m.replace(held.Segments)
+				j.dropExpired(now, held)
 			},
 			done: func(now time.Time) {
 				j.replaceSegments(now, s, m.output)
--- a/internal/system/journal/record.go
+++ b/internal/system/journal/record.go
@@ -52,10 +52,14 @@
 	Owner     entity.InstanceID `cbor:"2,keyasint"`
 	Operation string            `cbor:"3,keyasint"` // of the last writer
 	Released  bool              `cbor:"4,keyasint,omitempty"`
-	Sequence  uint64            `cbor:"5,keyasint"`           // last row when this was written
-	Sealed    string            `cbor:"6,keyasint,omitempty"` // rows up to this sort key are in segments
-	Segments  []segmentRef      `cbor:"7,keyasint,omitempty"` // oldest first
-	Named     uint64            `cbor:"8,keyasint,omitempty"` // segments named so far
+	Sequence  uint64            `cbor:"5,keyasint"` // last row when this was written
+}
+
+// manifest is the value of the row that says where a shard's older records
+// are. It is written together with the shard's row only.
+type manifest struct {
+	Sealed   string       `cbor:"1,keyasint"` // rows up to this sort key are in segments
+	Segments []segmentRef `cbor:"2,keyasint"` // oldest first
 }
 
 // segmentRef describes one segment.
--- a/internal/system/journal/release.go
+++ b/internal/system/journal/release.go
@@ -66,7 +66,8 @@
 	s.pending = nil
 	s.heldBytes = 0
 	s.write = nil
-	s.manifest = nil
+	s.change = nil
+	s.manifest = manifest{}
 	s.order = nil
 	s.hotBytes = 0
 	s.cached = nil
@@ -112,8 +113,8 @@
 	if s.state != stateOwned {
 		return
 	}
-	s.manifest = &manifestChange{
-		change: func(row *shardRow) { row.Released = true },
+	s.change = &rowChange{
+		change: func(row *shardRow, _ *manifest) { row.Released = true },
 		done: func(now time.Time) {
 			j.emit(now, event.JournalShardReleased, fmt.Sprintf("shard %d epoch %d", s.index, s.row.Epoch))
 			j.vacate(now, s)
--- a/internal/system/journal/seal.go
+++ b/internal/system/journal/seal.go
@@ -102,17 +102,16 @@
 	return parts
 }
 
-// sealed writes the shard's row that names the segment. Only then are the
+// sealed writes the manifest that names the segment. Only then are the
 // keys dropped from memory and their rows deleted.
 func (j *Journal) sealed(now time.Time, s *shard, seg *segment, cut string) {
-	s.manifest = &manifestChange{
-		change: func(row *shardRow) {
-			row.Sealed = cut
-			row.Named = s.named
+	s.change = &rowChange{
+		change: func(_ *shardRow, held *manifest) {
+			held.Sealed = cut
 			if seg != nil {
-				row.Segments = append(row.Segments, seg.ref)
+				held.Segments = append(held.Segments, seg.ref)
 			}
-			j.dropExpired(now, row)
+			j.dropExpired(now, held)
 		},
 		done: func(now time.Time) {
 			j.replaceSegments(now, s, seg)
--- a/internal/system/journal/segment.go
+++ b/internal/system/journal/segment.go
@@ -85,14 +85,14 @@
 	return f
 }
 
-// readFilters reads the filters of the segments that the shard's row names.
+// readFilters reads the filters of the segments that the manifest names.
 func (j *Journal) readFilters(now time.Time, s *shard, failures int, done func(time.Time)) {
 	i := len(s.segments)
-	if i == len(s.row.Segments) {
+	if i == len(s.manifest.Segments) {
 		done(now)
 		return
 	}
-	ref := s.row.Segments[i]
+	ref := s.manifest.Segments[i]
 	op := platform.Operation{Kind: platform.GetObject, Key: ref.filterObject(s.index)}
 	j.call(op, j.whileIn(s, func(now time.Time, r platform.Result) {
 		if r.Err != nil && !errors.Is(r.Err, platform.ErrNotFound) {
@@ -127,15 +127,15 @@
 	return now.Sub(time.UnixMicro(at)) > j.cfg.Retention
 }
 
-// dropExpired removes segments past their retention from the row.
-func (j *Journal) dropExpired(now time.Time, row *shardRow) {
-	row.Segments = slices.DeleteFunc(row.Segments, func(r segmentRef) bool { return j.expired(now, r.Until) })
+// dropExpired removes segments past their retention from the manifest.
+func (j *Journal) dropExpired(now time.Time, held *manifest) {
+	held.Segments = slices.DeleteFunc(held.Segments, func(r segmentRef) bool { return j.expired(now, r.Until) })
 }
 
-// replaceSegments makes the segments in memory agree with the shard's row.
+// replaceSegments makes the segments in memory agree with the manifest.
 func (j *Journal) replaceSegments(now time.Time, s *shard, added *segment) {
-	kept := make([]*segment, 0, len(s.row.Segments))
-	for _, ref := range s.row.Segments {
+	kept := make([]*segment, 0, len(s.manifest.Segments))
+	for _, ref := range s.manifest.Segments {
 		i := slices.IndexFunc(s.segments, func(seg *segment) bool { return seg.ref.Name == ref.Name })
 		switch {
 		case i >= 0:
--- a/internal/system/journal/segment_test.go
+++ b/internal/system/journal/segment_test.go
@@ -73,7 +73,7 @@
 	}
 	for name := range w.store.objects {
 		parts := strings.Split(name, "/")
-		if !strings.Contains(fmt.Sprintf("%+v", s.row.Segments), parts[3]) {
+		if !strings.Contains(fmt.Sprintf("%+v", s.manifest.Segments), parts[3]) {
 			t.Fatalf("object %s is left behind", name)
 		}
 	}
@@ -124,7 +124,7 @@
 	commit(w, a, 0, 50)
 	w.run(2 * time.Hour)
 	commit(w, a, 50, 100)
-	for _, ref := range a.journal.shards[0].row.Segments {
+	for _, ref := range a.journal.shards[0].manifest.Segments {
 		if ref.Until < w.now.Add(-time.Hour).UnixMicro() {
 			t.Fatalf("segment %+v is kept", ref)
 		}
--- a/internal/system/journal/shard.go
+++ b/internal/system/journal/shard.go
@@ -30,9 +30,10 @@
 	// earlier operations void.
 	generation uint64
 
-	wanted  entity.InstanceID // who should own the shard if nobody does
-	row     shardRow
-	version uint64 // of the row; 0: not known or not there
+	wanted   entity.InstanceID // who should own the shard if nobody does
+	row      shardRow
+	version  uint64   // of the row; 0: not known or not there
+	manifest manifest // as long as entries are held
 
 	ownerSeen   bool      // the row's owner was seen among the members
 	absentSince time.Time // the row's owner is not among the members since
@@ -52,13 +53,13 @@
 	sequence  uint64
 	lastWrite time.Time
 	armed     bool // a timer will start the next write
-	manifest  *manifestChange
+	change    *rowChange
 
 	order    []ordered // committed entries by the row of their record
 	hotBytes int       // their size
 	cached   []keyHash // entries read back from segments
 	segments []*segment
-	named    uint64 // segments named under any epoch so far
+	named    uint64 // segments named under this epoch so far
 	sealing  bool
 }
 
--- a/internal/system/journal/store_test.go
+++ b/internal/system/journal/store_test.go
@@ -167,7 +167,7 @@
 // gets a second one.
 func (s *store) noteAnswers(row platform.Row) {
 	var b batchRow
-	if row.Partition == shardPartition || codec.Decode(row.Value, &b) != nil {
+	if row.Partition == shardPartition || row.Partition == manifestPartition || codec.Decode(row.Value, &b) != nil {
 		return
 	}
 	for _, rec := range b.Records {
--- a/internal/system/journal/takeover.go
+++ b/internal/system/journal/takeover.go
@@ -158,7 +158,7 @@
 func (j *Journal) taken(now time.Time, s *shard, row shardRow, version uint64) {
 	s.setRow(row, version)
 	s.sequence = 0
-	s.named = row.Named
+	s.named = 0
 	s.enter(stateLoading)
 	j.emit(now, event.JournalShardTaken, fmt.Sprintf("shard %d epoch %d", s.index, row.Epoch))
 	j.load(now, s)
--- a/internal/system/journal/trim.go
+++ b/internal/system/journal/trim.go
@@ -34,7 +34,7 @@
 
 // sweep deletes the sealed rows that an earlier owner has left behind.
 func (j *Journal) sweep(now time.Time, s *shard, failures int) {
-	if s.row.Sealed == "" {
+	if s.manifest.Sealed == "" {
 		return
 	}
 	op := platform.Operation{
@@ -59,7 +59,7 @@
 func (s *shard) sealedRows(rows []platform.Row) []string {
 	var sealed []string
 	for _, row := range rows {
-		if row.Sort <= s.row.Sealed {
+		if row.Sort <= s.manifest.Sealed {
 			sealed = append(sealed, row.Sort)
 		}
 	}
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -135,7 +135,8 @@
 }
 
 // Outcome is news of one request. After Committed or Refused the journal
-// knows the request no more and ignores calls that name it.
+// knows the request no more and ignores calls that name it. Answer and Claim
+// are shared and must not be changed.
 type Outcome struct {
 	Request entity.RequestID
 	Kind    OutcomeKind
--- a/internal/system/journal/world_test.go
+++ b/internal/system/journal/world_test.go
@@ -323,4 +323,4 @@
 
 func isTransact(op platform.Operation) bool { return op.Kind == platform.TransactRows }
 
-func isAppend(op platform.Operation) bool { return isTransact(op) && len(op.Writes) == 2 }
+func isAppend(op platform.Operation) bool { return isTransact(op) && op.Writes[0].CheckOnly }
--- a/internal/system/journal/write.go
+++ b/internal/system/journal/write.go
@@ -31,9 +31,10 @@
 	done      func(now time.Time)
 }
 
-// manifestChange is a change of the shard's row that waits to be written.
-type manifestChange struct {
-	change func(row *shardRow)
+// rowChange is a change of the shard's row and its manifest that waits to be
+// written.
+type rowChange struct {
+	change func(row *shardRow, held *manifest)
 	done   func(now time.Time)
 }
 
@@ -63,7 +64,7 @@
 // startWrite starts the shard's next write when it may: one at a time, spaced
 // by the group delay and the write budget.
 func (j *Journal) startWrite(now time.Time, s *shard) {
-	if s.state != stateOwned || s.write != nil || s.armed || (len(s.pending) == 0 && s.manifest == nil) {
+	if s.state != stateOwned || s.write != nil || s.armed || (len(s.pending) == 0 && s.change == nil) {
 		return
 	}
 	start := s.lastWrite.Add(j.cfg.GroupDelay)
@@ -80,8 +81,8 @@
 	}
 	s.lastWrite = now
 	j.spendWrite(now)
-	if len(s.pending) == 0 || (s.manifest != nil && !s.releasing) {
-		j.writeManifest(now, s)
+	if len(s.pending) == 0 || (s.change != nil && !s.releasing) {
+		j.writeChange(now, s)
 		return
 	}
 	j.append(now, s)
@@ -129,23 +130,25 @@
 	})
 }
 
-func (j *Journal) writeManifest(now time.Time, s *shard) {
-	m := s.manifest
-	s.manifest = nil
-	row := s.row
-	row.Segments = slices.Clone(row.Segments)
+func (j *Journal) writeChange(now time.Time, s *shard) {
+	c := s.change
+	s.change = nil
+	row, held := s.row, s.manifest
+	held.Segments = slices.Clone(held.Segments)
 	row.Operation = j.newOperation()
 	row.Sequence = s.sequence
-	m.change(&row)
+	c.change(&row, &held)
+	sort := shardSort(s.index)
 	j.send(now, s, &write{
 		operation: row.Operation,
 		writes: []platform.Write{
-			{Partition: shardPartition, Sort: shardSort(s.index), IfVersion: s.version, Value: mustEncode(row)},
+			{Partition: shardPartition, Sort: sort, IfVersion: s.version, Value: mustEncode(row)},
+			{Partition: manifestPartition, Sort: sort, Unconditional: true, Value: mustEncode(held)},
 		},
 		done: func(now time.Time) {
-			s.row = row
+			s.row, s.manifest = row, held
 			s.version++
-			m.done(now)
+			c.done(now)
 		},
 	})
 }
