Remember that an owner was alive also where another daemon is wanted

Cause: only the wanted daemon noted that a shard's owner was a member. An owner is mostly the wanted one itself, so that its successor had never seen it alive and waited UnseenGrace, 5 s, instead of TakeoverDelay, 1 s.

Change: every daemon notes it at each poll and change of membership; trimming does not count towards whether the table answers.

--- a/internal/system/journal/request.go
+++ b/internal/system/journal/request.go
@@ -177,11 +177,11 @@
 // leads returns the request and its entry if it runs for its key.
 func (j *Journal) leads(id entity.RequestID) (*request, *entry) {
 	r := j.requests[id]
-	if r == nil || r.shard.state != stateOwned {
+	if r == nil {
 		return nil, nil
 	}
 	e := r.shard.entries[r.hash]
-	if e == nil || e.leader != id {
+	if e == nil || e.leader != id { // only an owner's entries have leaders
 		return nil, nil
 	}
 	return r, e
--- a/internal/system/journal/segment_test.go
+++ b/internal/system/journal/segment_test.go
@@ -79,10 +79,53 @@
 	}
 	wantAll(w, a, keys)
 	w.takeOver(a, b)
+	c := w.add("c", nil)
+	w.takeOver(b, c)
 	for id := range w.final {
 		delete(w.final, id)
 	}
-	wantAll(w, b, keys)
+	wantAll(w, c, keys)
+}
+
+// The owner dies between the manifest and the deletion of the sealed rows.
+func TestJournal_SuccessorSweepsSealedRows(t *testing.T) {
+	w, a, b := sealing(t)
+	w.store.fault = func(_ *daemon, op platform.Operation) fault {
+		return fault{drop: isTransact(op) && op.Writes[0].Delete}
+	}
+	const keys = 40
+	commit(w, a, 0, keys)
+	rows := func() int { return len(w.store.rows[entryPartition(0)]) }
+	if rows() != 2*keys {
+		t.Fatalf("%d rows, want a claim and an answer for each key", rows())
+	}
+	w.store.fault = nil
+	w.takeOver(a, b)
+	if rows() > 4*testHotKeys {
+		t.Fatalf("%d rows, want at most a claim and an answer for each hot key", rows())
+	}
+	c := w.add("c", nil)
+	w.takeOver(b, c)
+	wantAll(w, c, keys)
+}
+
+// A wait for the shard and then for a segment has one limit.
+func TestJournal_WaitsShareOneLimit(t *testing.T) {
+	w, a, b := sealing(t)
+	commit(w, a, 0, 50)
+	w.members("a", "b")
+	w.run(10 * time.Second)
+	a.dead = true
+	b.members("b")
+	w.run(200 * time.Millisecond)
+	b.begin(keyed("again", "k0", false))
+	start := w.now
+	for b.journal.shards[0].state != stateOwned {
+		w.run(time.Millisecond)
+	}
+	w.store.objectsDown = true
+	w.run(defaultTryFor + 10*time.Millisecond - w.now.Sub(start))
+	w.wantRefused("again", verdict.MayHaveRun, CodeStoreUnavailable)
 }
 
 // The owner dies with the segment stored and the shard's row not written.
--- a/internal/system/journal/takeover.go
+++ b/internal/system/journal/takeover.go
@@ -12,6 +12,7 @@
 // evaluate starts a takeover of the shard if it is due, and else sets a timer
 // for when it may be.
 func (j *Journal) evaluate(now time.Time, s *shard) {
+	s.noteOwner(now, j.alive(s.row.Owner))
 	if s.state != stateForeign || j.leaving || !j.alive(j.cfg.Self) {
 		return
 	}
@@ -34,6 +35,17 @@
 	j.take(now, s)
 }
 
+// noteOwner keeps track of whether the row's owner is, and was, a member.
+func (s *shard) noteOwner(now time.Time, alive bool) {
+	switch {
+	case alive:
+		s.ownerSeen = true
+		s.absentSince = time.Time{}
+	case s.absentSince.IsZero():
+		s.absentSince = now
+	}
+}
+
 // takeoverDue returns when the shard may be taken over, and false if it may
 // not as things are.
 func (j *Journal) takeoverDue(now time.Time, s *shard) (time.Time, bool) {
@@ -45,13 +57,9 @@
 	if owner == "" || owner == j.cfg.Self || s.row.Released {
 		return due, true
 	}
-	if j.alive(owner) {
-		s.ownerSeen = true
-		s.absentSince = time.Time{}
-		return time.Time{}, false
-	}
+	s.noteOwner(now, j.alive(owner))
 	if s.absentSince.IsZero() {
-		s.absentSince = now
+		return time.Time{}, false
 	}
 	grace := j.cfg.UnseenGrace
 	if s.ownerSeen {
--- a/internal/system/journal/traps_test.go
+++ b/internal/system/journal/traps_test.go
@@ -35,7 +35,10 @@
 	a.begin(other)
 	w.run(time.Second)
 	w.wantRefused("r2", verdict.NotRun, CodeKeyReused)
+	a.begin(keyed("r4", "k", false))
+	w.run(time.Second)
 	w.wantRefused("r3", verdict.NotRun, CodeKeyReused)
+	w.wantRefused("r4", verdict.NotRun, CodeKeyReused)
 }
 
 func TestJournal_NotOwnerNamesTheOwner(t *testing.T) {
@@ -170,6 +173,44 @@
 	t.Fatalf("no resume in %+v", b.outcomes)
 }
 
+// The claim of a successor cannot be committed; the stream that it was to
+// resume may have run.
+func TestJournal_ResumedRequestIsNotRefusedAsNotRun(t *testing.T) {
+	w, a := owned(t, "a", "b")
+	a.manual = true
+	a.begin(keyed("r1", "k", true))
+	w.run(10 * time.Millisecond)
+	w.after(0, a, func() { a.journal.Claim(w.now, "r1", Claim{Attempt: 1, Backend: "gpu"}) })
+	w.run(100 * time.Millisecond)
+	a.dead = true
+	b := w.daemons[1]
+	b.manual = true
+	b.members("b")
+	w.run(10 * time.Second)
+	b.begin(keyed("r2", "k", true))
+	w.run(100 * time.Millisecond)
+	w.store.down = true
+	w.after(0, b, func() { b.journal.Claim(w.now, "r2", Claim{Attempt: 1, Backend: "gpu"}) })
+	w.run(2 * defaultTryFor)
+	w.wantRefused("r2", verdict.MayHaveRun, CodeStoreUnavailable)
+}
+
+func TestJournal_StalePollKeepsTheNewerOwner(t *testing.T) {
+	w, a := owned(t, "a", "b", "c")
+	w.store.snapshot()
+	a.dead = true
+	b, c := w.daemons[1], w.daemons[2]
+	b.members("b")
+	w.run(10 * time.Second)
+	c.members("a", "b", "c")
+	w.run(10 * time.Second)
+	w.store.stale = true
+	w.run(time.Minute)
+	if got := c.journal.Owner(key("k")); got != "b" {
+		t.Fatalf("owner %q, want b", got)
+	}
+}
+
 func TestJournal_ClaimGivenUpUndispatchedMayRunAgain(t *testing.T) {
 	w, a := owned(t, "a", "b")
 	a.giveUp = func() bool { return true }
@@ -313,6 +354,9 @@
 	w.wantRefused("r2", verdict.Ran, CodeStoreUnavailable)
 	w.run(defaultTryFor)
 	w.wantRefused("r1", verdict.Ran, CodeStoreUnavailable)
+	a.begin(keyed("r4", "k", true))
+	w.run(defaultTryFor + 100*time.Millisecond)
+	w.wantRefused("r4", verdict.MayHaveRun, CodeStoreUnavailable)
 	w.store.down = false
 	w.run(10 * time.Second)
 	a.begin(keyed("r3", "k", true))
--- a/internal/system/journal/trim.go
+++ b/internal/system/journal/trim.go
@@ -20,7 +20,7 @@
 	}
 	j.spendWrite(now)
 	op := platform.Operation{Kind: platform.TransactRows, Token: j.newOperation(), Writes: writes}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	j.call(op, j.whileIn(s, func(now time.Time, r platform.Result) {
 		if r.Err != nil {
 			failures++
 			j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
