--- a/internal/system/journal/key.go
+++ b/internal/system/journal/key.go
@@ -4,11 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
-
-	"github.com/cespare/xxhash/v2"
-	rendezvous "github.com/dgryski/go-rendezvous"
-
-	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
 // keyHash stands for a key: the first half of the SHA-256 of its parts.
@@ -39,7 +34,12 @@
 // position returns the key's place in the order of a segment.
 func (h keyHash) position() uint64 { return binary.BigEndian.Uint64(h[:8]) }
 
-const shardPartition = "journal"
+const (
+	// shardPartition holds the shards' rows, which every daemon polls.
+	shardPartition = "journal"
+	// manifestPartition holds the shards' manifests, under the same sort keys.
+	manifestPartition = "journal/manifest"
+)
 
 func shardSort(shard int) string { return fmt.Sprintf("shard/%02d", shard) }
 
@@ -47,15 +47,3 @@
 
 // rowSort orders the rows of a shard by epoch, then by sequence.
 func rowSort(epoch, sequence uint64) string { return fmt.Sprintf("%012x/%012x", epoch, sequence) }
-
-// wantedOwner chooses the owner of a shard by rendezvous hashing.
-func wantedOwner(members []entity.InstanceID, shard int) entity.InstanceID {
-	if len(members) == 0 {
-		return ""
-	}
-	nodes := make([]string, len(members))
-	for i, m := range members {
-		nodes[i] = string(m)
-	}
-	return entity.InstanceID(rendezvous.New(nodes, xxhash.Sum64String).Lookup(shardSort(shard)))
-}
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -39,13 +39,15 @@
 	TakeoverDelay time.Duration // wait before a vanished owner's shard is taken; 1 s
 	TakeoverMax   time.Duration // longest back-off between takeovers of one shard; 1 min
 	UnseenGrace   time.Duration // wait for an owner that was never seen alive; 5 s
-	ReleaseGrace  time.Duration // time that Disown leaves to running requests; 2 s
+	ReleaseGrace  time.Duration // time that Disown leaves to running requests; 500 ms
 
 	InlineLimit int // largest body in bytes kept in a table row; 8 KiB
 	BatchBytes  int // largest batch row in bytes; 192 KiB
 	HotKeys     int // committed records of a shard kept in memory, at most twice as many; 16384
-	PartBytes   int // aimed size of a segment's part in bytes; 128 KiB
-	MergeCount  int // segments of a level that are merged into one; 8
+	HotBytes    int // their size in bytes, at most twice as much; 4 MiB
+	PartBytes   int // aimed size of a segment's part in bytes; 64 KiB
+	MergeCount  int // segments of a level that are merged into one; 16
+	MergeKeys   int // most keys of a merged segment; 262144
 }
 
 // Key names a keyed request of one organisation and service.
@@ -136,7 +138,8 @@
 }
 
 // Outcome is news of one request. After Committed or Refused the journal
-// knows the request no more and ignores calls that name it.
+// knows the request no more and ignores calls that name it. Answer and Claim
+// are shared and must not be changed.
 type Outcome struct {
 	Request entity.RequestID
 	Kind    OutcomeKind
--- a/internal/system/journal/world_test.go
+++ b/internal/system/journal/world_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
@@ -52,14 +51,18 @@
 type worldEvents []worldEvent
 
 func (e worldEvents) Len() int { return len(e) }
+
 func (e worldEvents) Less(a, b int) bool {
 	if e[a].at.Equal(e[b].at) {
 		return e[a].seq < e[b].seq
 	}
 	return e[a].at.Before(e[b].at)
 }
+
 func (e worldEvents) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
-func (e *worldEvents) Push(x any)   { *e = append(*e, x.(worldEvent)) }
+
+func (e *worldEvents) Push(x any) { *e = append(*e, x.(worldEvent)) }
+
 func (e *worldEvents) Pop() any {
 	old := *e
 	x := old[len(old)-1]
@@ -75,7 +78,7 @@
 		begun: map[entity.RequestID]Begin{}, leaderOf: map[entity.RequestID]entity.RequestID{},
 	}
 	w.store = &store{
-		w: w, rows: map[string]platform.Row{}, objects: map[string][]byte{},
+		w: w, rows: tableRows{}, objects: map[string][]byte{},
 		answers: map[keyHash]entity.RequestID{}, latency: 5 * time.Millisecond,
 	}
 	return w
@@ -297,178 +300,6 @@
 	}
 }
 
-// store is the table service and the object store.
-type store struct {
-	w       *world
-	rows    map[string]platform.Row // by partition and sort key
-	objects map[string][]byte
-	old     map[string]platform.Row // what a stale read sees
-	answers map[keyHash]entity.RequestID
-
-	latency     time.Duration
-	jitter      time.Duration
-	down        bool
-	objectsDown bool
-	stale       bool
-	// fault may change what becomes of an operation.
-	fault func(d *daemon, op platform.Operation) fault
-
-	transactions, rowWrites, puts, reads int
-	readBytes                            int
-}
-
-// fault is what goes wrong with one operation.
-type fault struct {
-	lose  bool          // the effect is made, the reply is lost
-	drop  bool          // neither
-	land  time.Duration // the effect is made this much later; with lose, after the reply
-	reply time.Duration // the reply comes this much later
-}
-
-func rowKey(partition, sort string) string { return partition + "\x00" + sort }
-
-func (s *store) submit(d *daemon, op platform.Operation) {
-	w := s.w
-	var f fault
-	if s.fault != nil {
-		f = s.fault(d, op)
-	}
-	trip := s.latency
-	if s.jitter > 0 {
-		trip += time.Duration(w.rand.Int64N(int64(s.jitter)))
-	}
-	reply := func(r platform.Result) {
-		w.after(trip/2+f.reply, d, func() { d.journal.TableResult(w.now, r) })
-	}
-	if f.lose || f.drop {
-		if !f.drop {
-			w.after(trip/2+f.land, nil, func() { s.perform(op) })
-		}
-		w.after(trip, d, func() {
-			d.journal.TableResult(w.now, platform.Result{ID: op.ID, Err: platform.ErrUnknownOutcome})
-		})
-		return
-	}
-	w.after(trip/2+f.land, nil, func() { reply(s.perform(op)) })
-}
-
-func (s *store) perform(op platform.Operation) platform.Result {
-	r := platform.Result{ID: op.ID}
-	object := op.Kind >= platform.PutObject
-	if s.down && !object || s.objectsDown && object {
-		r.Err = platform.ErrUnavailable
-		return r
-	}
-	switch op.Kind {
-	case platform.GetRow:
-		s.reads++
-		row, ok := s.view(op.Consistent)[rowKey(op.Partition, op.Sort)]
-		r.Row = row
-		if !ok {
-			r.Err = platform.ErrNotFound
-		}
-	case platform.QueryRows:
-		s.reads++
-		r.Rows = s.query(op)
-	case platform.TransactRows:
-		r.Err = s.transact(op)
-	case platform.PutObject:
-		s.puts++
-		s.objects[op.Key] = slices.Clone(op.Value)
-	case platform.GetObject:
-		s.reads++
-		value, ok := s.objects[op.Key]
-		s.readBytes += len(value)
-		r.Value = value
-		if !ok {
-			r.Err = platform.ErrNotFound
-		}
-	case platform.DeleteObject:
-		delete(s.objects, op.Key)
-	}
-	return r
-}
-
-func (s *store) view(consistent bool) map[string]platform.Row {
-	if !consistent && s.stale && s.old != nil {
-		return s.old
-	}
-	return s.rows
-}
-
-func (s *store) query(op platform.Operation) []platform.Row {
-	var rows []platform.Row
-	for _, row := range s.view(op.Consistent) {
-		if row.Partition == op.Partition && row.Sort > op.After {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b platform.Row) int {
-		if a.Sort < b.Sort {
-			return -1
-		}
-		return 1
-	})
-	rows = rows[:min(len(rows), op.Limit)]
-	for _, row := range rows {
-		s.readBytes += len(row.Value)
-	}
-	return rows
-}
-
-func (s *store) transact(op platform.Operation) error {
-	for _, write := range op.Writes {
-		if !write.Unconditional && s.rows[rowKey(write.Partition, write.Sort)].Version != write.IfVersion {
-			return platform.ErrConditionFailed
-		}
-	}
-	s.transactions++
-	for _, write := range op.Writes {
-		if write.CheckOnly {
-			continue
-		}
-		s.rowWrites++
-		key := rowKey(write.Partition, write.Sort)
-		if write.Delete {
-			delete(s.rows, key)
-			continue
-		}
-		row := platform.Row{
-			Partition: write.Partition, Sort: write.Sort,
-			Version: s.rows[key].Version + 1, Value: slices.Clone(write.Value),
-		}
-		s.rows[key] = row
-		s.noteAnswers(row)
-	}
-	return nil
-}
-
-// noteAnswers keeps the store's own record of answers, and checks that no key
-// gets a second one.
-func (s *store) noteAnswers(row platform.Row) {
-	var b batchRow
-	if row.Partition == shardPartition || codec.Decode(row.Value, &b) != nil {
-		return
-	}
-	for _, rec := range b.Records {
-		if rec.Kind != recordAnswered {
-			continue
-		}
-		if first, ok := s.answers[rec.Hash]; ok && first != rec.Answer.Request {
-			s.w.t.Fatalf("answers of %s and %s were committed for one key", first, rec.Answer.Request)
-		}
-		s.answers[rec.Hash] = rec.Answer.Request
-	}
-}
-
-// snapshot keeps the present rows for stale reads.
-func (s *store) snapshot() {
-	s.old = map[string]platform.Row{}
-	for k, row := range s.rows {
-		s.old[k] = row
-	}
-}
-
 func key(value string) Key { return Key{Organisation: "o", Service: "s", Value: value} }
 
 func keyed(id entity.RequestID, value string, repeatable bool) Begin {
@@ -492,4 +323,4 @@
 
 func isTransact(op platform.Operation) bool { return op.Kind == platform.TransactRows }
 
-func isAppend(op platform.Operation) bool { return isTransact(op) && len(op.Writes) == 2 }
+func isAppend(op platform.Operation) bool { return isTransact(op) && op.Writes[0].CheckOnly }
