Advertise the real address when a daemon listens on port 0

Cause: the settings default advertise_callers and advertise_admin to the listen address, so that a daemon on 127.0.0.1:0 told callers and peers port 0. Change: where the advertised address is only that default, the socket's own goes out. Conclusion: an explicit advertise_* setting still goes first.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,13 +140,23 @@
 	l := n.cfg.Settings.Listen
 	return membership.Member{
 		ID:         n.cfg.Settings.Instance.ID,
-		Addr:       orElse(l.AdvertisePeers, n.peers.Addr()),
-		CallerAddr: orElse(l.AdvertiseCallers, n.callers.Addr().String()),
-		AdminAddr:  orElse(l.AdvertiseAdmin, n.admin.Addr().String()),
+		Addr:       advertised(l.AdvertisePeers, l.Peers, n.peers.Addr()),
+		CallerAddr: advertised(l.AdvertiseCallers, l.Callers, n.callers.Addr().String()),
+		AdminAddr:  advertised(l.AdvertiseAdmin, l.Admin, n.admin.Addr().String()),
 		Place:      n.cfg.Settings.Instance.Place(),
 	}
 }
 
+// advertised returns what others connect to: the address that the settings
+// give to others or, where that is only the default, the one that the socket
+// really has, since port 0 stands for any.
+func advertised(given, listen, actual string) string {
+	if given == "" || given == listen {
+		return actual
+	}
+	return given
+}
+
 // orElse returns the first text that is not empty.
 func orElse(a, b string) string {
 	if a != "" {
