Stand-ins: variants, slow plain servers, reclaimed instances in the list

The standin command can give each backend server answers of its own (--variants) and plain servers a duration (--plain-delay). An instance of the stand-in cloud with a reclaim notice is listed as shutting down, as platform.Leaving says.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -15,28 +15,47 @@
 	Slots         int           `arg:"--slots" default:"8" help:"requests of an engine at once"`
 	FirstToken    time.Duration `arg:"--first-token" default:"20ms" help:"time to the first token"`
 	BetweenTokens time.Duration `arg:"--between-tokens" default:"5ms" help:"time between tokens"`
+	PlainDelay    time.Duration `arg:"--plain-delay" help:"time that a call of a plain backend server takes"`
+	Variants      bool          `arg:"--variants" help:"each backend server answers differently"`
 }
 
 func (s *standIn) run(ctx context.Context, e *environment) error {
+	p, err := standin.Start(ctx, s.config())
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	a := p.Addresses()
+	e.print(a, func(w io.Writer) { printStandIn(w, a) })
+	<-ctx.Done()
+	return nil
+}
+
+// config converts the flags.
+func (s *standIn) config() standin.Config {
 	cfg := standin.Config{}
 	for i := range s.Engines {
+		id := fmt.Sprintf("engine-%d", i+1)
 		cfg.Engines = append(cfg.Engines, standin.EngineConfig{
-			ID: fmt.Sprintf("engine-%d", i+1), Slots: s.Slots,
+			ID: id, Slots: s.Slots, Variant: s.variant(id),
 			FirstToken: s.FirstToken, BetweenTokens: s.BetweenTokens,
 		})
 	}
 	for i := range s.Plains {
-		cfg.Plains = append(cfg.Plains, standin.PlainConfig{ID: fmt.Sprintf("plain-%d", i+1), Slots: s.Slots})
+		id := fmt.Sprintf("plain-%d", i+1)
+		cfg.Plains = append(cfg.Plains, standin.PlainConfig{
+			ID: id, Slots: s.Slots, Variant: s.variant(id), Delay: s.PlainDelay,
+		})
 	}
-	p, err := standin.Start(ctx, cfg)
-	if err != nil {
-		return err
+	return cfg
+}
+
+// variant returns what sets the answers of a backend server apart, if anything.
+func (s *standIn) variant(id string) string {
+	if !s.Variants {
+		return ""
 	}
-	defer p.Close()
-	a := p.Addresses()
-	e.print(a, func(w io.Writer) { printStandIn(w, a) })
-	<-ctx.Done()
-	return nil
+	return id
 }
 
 // printStandIn tells where the stand-ins listen.
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -180,7 +180,8 @@
 	}
 }
 
-// reclaim sets the notice. The caller holds the lock.
+// reclaim sets the notice, which the list shows as an instance that is shutting
+// down. The caller holds the lock.
 func (c *Cloud) reclaim(id string, at time.Time) {
 	i := c.instances[id]
 	if i == nil {
@@ -188,6 +189,10 @@
 		return
 	}
 	i.notice = at
+	if i.State != stateTerminated {
+		i.State = stateShuttingDown
+		i.record()
+	}
 	time.AfterFunc(time.Until(at), func() { c.terminate(id) })
 }
 
