--- /dev/null
+++ b/internal/processtest/host_test.go
@@ -0,0 +1,32 @@
+package processtest
+
+import (
+	"context"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform/ec2cloud"
+	"github.com/gooseberryslip/gooseberryslip/internal/standin"
+)
+
+// hostOf starts an instance in the cloud's list that stands for the host of a
+// backend server, and returns its id.
+func (c *cluster) hostOf(b standin.BackendEndpoint) string {
+	c.t.Helper()
+	cloud := ec2cloud.New(ec2cloud.Config{
+		Endpoint: c.addresses.Cloud, Region: "local", AccessKey: "test", SecretKey: "test", Timeout: 5 * time.Second,
+	})
+	i, err := cloud.Start(context.Background(), platform.Order{
+		Token: "host-of-" + b.ID, DataCentre: "dc-a", Class: "small", Market: platform.Reclaimable,
+		Tags: map[string]string{core.TagBackendServer: b.ID},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.await(startLimit, "the host to run", func() bool {
+		list, err := cloud.Instances(context.Background(), nil)
+		return err == nil && len(list) > 0 && list[len(list)-1].State == platform.Running
+	})
+	return string(i.ID)
+}
