--- /dev/null
+++ b/internal/processtest/answers_test.go
@@ -0,0 +1,273 @@
+package processtest
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/standin"
+	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
+)
+
+// TestAnswer_WholeDespiteUnsoundEngines: replies that are crossed, doubled or
+// cut short never reach a caller as they are.
+func TestAnswer_WholeDespiteUnsoundEngines(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{engines: 4})
+	c.engineFaults(0, standin.EngineFaults{CrossedReply: true})
+	c.engineFaults(1, standin.EngineFaults{DuplicateEvents: true})
+	c.engineFaults(2, standin.EngineFaults{TruncateAfter: 3})
+	cfg := c.loadConfig(20, 4*time.Second)
+	r := c.startLoad(cfg).safe()
+	if r.Answered < r.Offered/2 {
+		t.Errorf("only %d of %d were answered with one sound engine of four", r.Answered, r.Offered)
+	}
+}
+
+// TestNotRun_OfRefusingEngines: a refusal that precedes any work is told as
+// not run, and it is true.
+func TestNotRun_OfRefusingEngines(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	for i := range c.addresses.Engines {
+		c.engineFaults(i, standin.EngineFaults{Refuse: true})
+	}
+	for i, a := range []ask{
+		{prompt: "refused 1"}, {prompt: "refused 2", key: "refused"}, {prompt: "refused 3", key: "once", unrepeatable: true},
+	} {
+		a.deadline = 3 * time.Second
+		r := c.submit(i, a)
+		if r.answered() || r.verdict != verdict.NotRun {
+			t.Errorf("%s: %s", a.prompt, r)
+		}
+		if n := c.runsOf(a.prompt, c.addresses.Engines); n != 0 {
+			t.Errorf("%s ran %d times", a.prompt, n)
+		}
+	}
+}
+
+// TestNotRun_UnderMixedFaults: daemons are killed and frozen, the platform
+// loses replies and is slow; no refusal is false and nothing runs twice that
+// must not.
+func TestNotRun_UnderMixedFaults(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{daemons: 4})
+	cfg := c.loadConfig(25, 9*time.Second)
+	cfg.KeyedShare, cfg.NotRepeatableShare, cfg.AllowLost = 0.6, 0.5, true
+	l := c.startLoad(cfg)
+	time.Sleep(time.Second)
+	c.tableFaults(standin.FaultSettings{LoseNext: 20, DelayMS: 50})
+	time.Sleep(time.Second)
+	c.engineFaults(0, standin.EngineFaults{Refuse: true})
+	c.daemons[0].kill()
+	time.Sleep(time.Second)
+	c.daemons[1].freeze()
+	time.Sleep(4 * time.Second)
+	c.tableFaults(standin.FaultSettings{})
+	c.engineFaults(0, standin.EngineFaults{})
+	c.daemons[1].thaw()
+	l.safe()
+}
+
+// TestNotRepeatable_OwnerFrozenPastItsLease: the owner of journal shards is
+// frozen until others have taken them over, and wakes up with claims under way.
+func TestNotRepeatable_OwnerFrozenPastItsLease(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	cfg := c.loadConfig(25, 14*time.Second)
+	cfg.NotRepeatableShare, cfg.RetryShare, cfg.AllowLost = 1, 1, true
+	l := c.startLoad(cfg)
+	time.Sleep(warmUp)
+	c.daemons[0].freeze()
+	time.Sleep(11 * time.Second) // suspicion, death and takeover are over
+	c.daemons[0].thaw()
+	l.safe()
+}
+
+// TestNotRepeatable_TableLosesReplies: writes take effect and their replies
+// are lost.
+func TestNotRepeatable_TableLosesReplies(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	cfg := c.loadConfig(25, 7*time.Second)
+	cfg.NotRepeatableShare, cfg.RetryShare = 1, 1
+	l := c.startLoad(cfg)
+	for range 6 {
+		time.Sleep(time.Second)
+		c.tableFaults(standin.FaultSettings{LoseNext: 3})
+	}
+	l.safe()
+}
+
+// TestNotRepeatable_PlainCallsOfOneKeyAtTwoDaemons: both connections bring the
+// same write-down at the same moment.
+func TestNotRepeatable_PlainCallsOfOneKeyAtTwoDaemons(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{plainDelay: 150 * time.Millisecond, variants: true})
+	const keys = 20
+	replies := make([][2]reply, keys)
+	var wg sync.WaitGroup
+	for k := range keys {
+		for n := range 2 {
+			wg.Go(func() { replies[k][n] = c.call((k+n)%3, fmt.Sprint("write-down ", k), fmt.Sprint("key-", k)) })
+		}
+	}
+	wg.Wait()
+	for k, pair := range replies {
+		if n := c.runsOf(fmt.Sprint("write-down ", k), c.addresses.Plains); n != 1 {
+			t.Errorf("write-down %d ran %d times", k, n)
+		}
+		if !pair[0].answered() || !pair[1].answered() || pair[0].text != pair[1].text {
+			t.Errorf("write-down %d: %s; %s", k, pair[0], pair[1])
+		}
+	}
+}
+
+// TestNotRepeatable_CallerRetriesAfterItsDaemonDied: the daemon dies while the
+// write-down runs; the caller sends it again, under the same key, elsewhere.
+func TestNotRepeatable_CallerRetriesAfterItsDaemonDied(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{plainDelay: 2 * time.Second})
+	const keys = 12
+	var wg sync.WaitGroup
+	for k := range keys {
+		wg.Go(func() {
+			body, key := fmt.Sprint("write-down ", k), fmt.Sprint("key-", k)
+			if r := c.call(0, body, key); r.err == nil {
+				return
+			}
+			for n := range 4 {
+				if r := c.call(1+n%2, body, key); r.err == nil && r.code != "not-owner" && r.code != "store-unavailable" {
+					return
+				}
+				time.Sleep(time.Second)
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	c.daemons[0].kill()
+	wg.Wait()
+	ran := 0
+	for k := range keys {
+		n := c.runsOf(fmt.Sprint("write-down ", k), c.addresses.Plains)
+		if n > 1 {
+			t.Errorf("write-down %d ran %d times", k, n)
+		}
+		ran += n
+	}
+	if ran == 0 {
+		t.Error("nothing has run")
+	}
+}
+
+// TestIdempotent_AnswersAgree: each engine answers differently, daemons die
+// and freeze, the table loses replies; all answers for a key are the same.
+func TestIdempotent_AnswersAgree(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{daemons: 4, variants: true})
+	cfg := c.loadConfig(25, 10*time.Second)
+	cfg.KeyedShare, cfg.NotRepeatableShare, cfg.RetryShare, cfg.AllowLost = 1, 0, 1, true
+	l := c.startLoad(cfg)
+	time.Sleep(warmUp)
+	c.tableFaults(standin.FaultSettings{LoseNext: 5})
+	c.daemons[0].kill()
+	time.Sleep(time.Second)
+	c.daemons[1].freeze()
+	time.Sleep(7 * time.Second)
+	c.daemons[1].thaw()
+	l.safe()
+}
+
+// TestTable_DownForAWhile: unkeyed work goes on; keyed work is refused, within
+// a bounded time and not at its deadline, as not run and with a time to come
+// back; afterwards it is served again.
+func TestTable_DownForAWhile(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	if r := c.submit(0, ask{prompt: "before", key: "before"}); !r.answered() {
+		t.Fatal(r)
+	}
+	c.tableFaults(standin.FaultSettings{Down: true})
+	for i := range c.daemons {
+		if r := c.submit(i, ask{prompt: "unkeyed"}); !r.answered() {
+			t.Errorf("unkeyed: %s", r)
+		}
+		a := ask{prompt: fmt.Sprint("keyed ", i), key: fmt.Sprint("key-", i), unrepeatable: true, deadline: 30 * time.Second}
+		r := c.submit(i, a)
+		if r.status != http.StatusServiceUnavailable || r.verdict != verdict.NotRun || r.retryMS <= 0 {
+			t.Errorf("keyed: %s, retry after %d ms", r, r.retryMS)
+		}
+		if r.took > 15*time.Second {
+			t.Errorf("keyed: refused only after %s", r.took)
+		}
+		if n := c.runsOf(a.prompt, c.addresses.Engines); n != 0 {
+			t.Errorf("keyed %d ran %d times", i, n)
+		}
+	}
+	if r := c.submit(1, ask{prompt: "before", key: "before"}); !r.answered() {
+		t.Errorf("committed before: %s", r)
+	}
+	c.tableFaults(standin.FaultSettings{})
+	c.await(20*time.Second, "keyed work to be served again", func() bool {
+		return c.submit(0, ask{prompt: "after", key: "after"}).answered()
+	})
+}
+
+// TestConviction_CrashingContent: content that kills each engine that runs it,
+// sent again under new ids, is refused on every daemon; innocents are served.
+func TestConviction_CrashingContent(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { c.reviveEngines(stop) })
+	cfg := c.loadConfig(10, 14*time.Second)
+	cfg.KeyedShare, cfg.NotRepeatableShare = 0, 0
+	l := c.startLoad(cfg)
+	guilty := ask{prompt: "please " + standin.CrashMarker + " now", deadline: 5 * time.Second}
+	c.await(35*time.Second, "the conviction on every daemon", func() bool {
+		for i := range c.daemons {
+			if c.submit(i, guilty).code != "convicted" {
+				return false
+			}
+		}
+		return true
+	})
+	before := c.runsOf(guilty.prompt, c.addresses.Engines)
+	for i := range c.daemons {
+		r := c.submit(i, guilty)
+		if r.status != http.StatusUnprocessableEntity || r.verdict != verdict.NotRun {
+			t.Errorf("after the conviction: %s", r)
+		}
+	}
+	if after := c.runsOf(guilty.prompt, c.addresses.Engines); after != before {
+		t.Errorf("%d runs after the conviction", after-before)
+	}
+	r := l.safe()
+	close(stop)
+	wg.Wait()
+	for _, code := range r.Codes {
+		if code.Code == "convicted" {
+			t.Errorf("%d innocents were convicted", code.Count)
+		}
+	}
+	if r.Answered < r.Offered*8/10 {
+		t.Errorf("only %d of %d innocents were answered", r.Answered, r.Offered)
+	}
+}
+
+// reviveEngines starts crashed engines again, as their hosts would.
+func (c *cluster) reviveEngines(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+		for _, e := range c.addresses.Engines {
+			c.backend("/_restart", e.ID)
+		}
+	}
+}
