--- /dev/null
+++ b/internal/system/fleet/platform_test.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform/dynamo"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform/ec2cloud"
+	"github.com/gooseberryslip/gooseberryslip/internal/standin"
+)
+
+// driver runs one planner against the stand-in platform over sockets, one call
+// after the other.
+type driver struct {
+	t     *testing.T
+	sys   *System
+	table platform.Table
+	cloud platform.Cloud
+
+	faults  *standin.Faults // of the cloud
+	lost    bool            // the first order's reply is lost
+	unknown int             // orders whose outcome was unknown
+}
+
+func newDriver(t *testing.T, p *standin.Platform, svc entity.Service) *driver {
+	a := p.Addresses()
+	d := &driver{
+		t: t, faults: &p.Cloud.Faults,
+		sys: New(Config{
+			Self: "daemon-1", Rand: rand.New(rand.NewPCG(1, 1)),
+			LeaseTerm: 200 * time.Millisecond, TakeoverWait: time.Millisecond, Window: time.Millisecond,
+		}),
+		table: dynamo.New(dynamo.Config{
+			Endpoint: a.Table, Region: "west", AccessKey: "a", SecretKey: "s", TableName: "t", Timeout: 5 * time.Second,
+		}),
+		cloud: ec2cloud.New(ec2cloud.Config{
+			Endpoint: a.Cloud, Region: "west", AccessKey: "a", SecretKey: "s", ImageID: "ami-1", Timeout: 5 * time.Second,
+			OnDemandPrices: onDemandOnly(testPrices(meanRatio)),
+		}),
+	}
+	d.sys.SetServices(time.Now(), []entity.Service{svc})
+	return d
+}
+
+// until runs the planner until the condition holds.
+func (d *driver) until(load Load, ok func() bool) {
+	d.t.Helper()
+	for limit := time.Now().Add(30 * time.Second); !ok(); {
+		if time.Now().After(limit) {
+			plan, _ := d.sys.Plan(serviceA)
+			d.t.Fatalf("the condition never held; last plan:\n%s", plan.Explain())
+		}
+		d.inputs(load)
+		d.sys.Tick(time.Now())
+		d.perform(d.sys.Ready())
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (d *driver) inputs(load Load) {
+	list, err := d.cloud.Instances(context.Background(), map[string]string{ServiceTag: string(serviceA)})
+	if err == nil {
+		d.sys.SetInstances(time.Now(), list)
+	}
+	if prices, err := d.cloud.Prices(context.Background()); err == nil {
+		d.sys.SetPrices(time.Now(), prices)
+	}
+	d.sys.SetLoad(time.Now(), serviceA, load)
+}
+
+func (d *driver) perform(r Ready) {
+	ctx := context.Background()
+	for _, op := range r.Table {
+		d.sys.TableResult(time.Now(), platform.Perform(ctx, d.table, nil, op))
+	}
+	for _, o := range r.Cloud {
+		if !d.lost {
+			d.lost = true
+			d.faults.Set(standin.FaultSettings{LoseNext: 1})
+		}
+		result := CloudResult{Service: o.Service, Kind: o.Kind, Token: o.Token}
+		if o.Kind == StartInstance {
+			result.Instance, result.Err = d.cloud.Start(ctx, o.Order)
+		} else {
+			result.Err = d.cloud.Stop(ctx, o.Instance)
+		}
+		if errors.Is(result.Err, platform.ErrUnknownOutcome) {
+			d.unknown++
+		}
+		d.sys.CloudResult(time.Now(), result)
+	}
+	for _, id := range r.Drain {
+		d.sys.Drained(time.Now(), id)
+	}
+}
+
+// The planner, the clients and the stand-in platform agree on the protocols:
+// a fleet starts, survives lost replies and shrinks.
+func TestSystem_RunsAgainstThePlatformsProtocols(t *testing.T) {
+	p, err := standin.Start(context.Background(), standin.Config{
+		Cloud: standin.CloudConfig{Prices: []standin.CloudPrice{
+			{DataCentre: "x", Class: someClass, PerHour: 0.3},
+			{DataCentre: "y", Class: someClass, PerHour: 0.31},
+			{DataCentre: "z", Class: someClass, PerHour: 0.32},
+		}},
+		CloudEngine: &standin.EngineConfig{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	d := newDriver(t, p, testService(2, 10))
+	p.Table.Faults.Set(standin.FaultSettings{LoseNext: 2})
+	d.until(Load{Busy: 30}, func() bool { return running(p) == 4 })
+	if c := p.Cloud.Counts(); c.Started != 4 || d.unknown != 1 {
+		t.Fatalf("%+v, %d orders with unknown outcome", c, d.unknown)
+	}
+	d.until(Load{}, func() bool { return running(p) == 3 }) // 2 without the fullest data centre
+	for _, i := range p.Cloud.Instances() {
+		if !i.Spot {
+			t.Fatalf("%+v", i)
+		}
+	}
+}
+
+func running(p *standin.Platform) int {
+	n := 0
+	for _, i := range p.Cloud.Instances() {
+		if i.State == "running" {
+			n++
+		}
+	}
+	return n
+}
