Keep the SDK's closed bodies from breaking connections under the reply

The SDK closes a request's body as soon as there is a reply; its WriteTo then fails with io.EOF. The new test fails without it: the first call already breaks with EOF.

--- a/internal/platform/onesend/onesend.go
+++ b/internal/platform/onesend/onesend.go
@@ -64,6 +64,8 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		r.Body = emptyBody{}
 		r.ContentLength = 0
+	} else {
+		r.Body = readOnce{r.Body}
 	}
 	resp, err := c.http.Do(r)
 	if err != nil {
@@ -84,6 +86,19 @@
 
 func (emptyBody) Close() error { return nil }
 
+// readOnce is a body that can only be read and closed. The SDK closes a body as
+// soon as there is a reply, and its WriteTo then fails with io.EOF, where Read
+// merely ends. The transport may just then be probing for bytes beyond the
+// content's length; it would take the failure for a broken request and close
+// the connection under the reply.
+type readOnce struct {
+	body io.ReadCloser
+}
+
+func (b readOnce) Read(p []byte) (int, error) { return b.body.Read(p) }
+
+func (b readOnce) Close() error { return b.body.Close() }
+
 // Sent tells about the calls made under one context.
 type Sent struct {
 	mu     sync.Mutex
--- a/internal/platform/onesend/onesend_test.go
+++ b/internal/platform/onesend/onesend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,6 +57,41 @@
 	}
 }
 
+// closedBody has a WriteTo that fails as that of a closed body of the SDK does.
+type closedBody struct{ *strings.Reader }
+
+func (closedBody) WriteTo(io.Writer) (int64, error) { return 0, io.EOF }
+
+func TestClient_KeepsTheConnectionOfAClosedBody(t *testing.T) {
+	connections := &atomic.Int64{}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	client := NewClient(5 * time.Second)
+	for range 20 {
+		r, _ := http.NewRequest(http.MethodPost, server.URL, io.NopCloser(closedBody{strings.NewReader("body")}))
+		r.ContentLength = 4
+		resp, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "body" {
+			t.Fatalf("%q %v", body, err)
+		}
+		_ = resp.Body.Close()
+	}
+	if n := connections.Load(); n != 1 {
+		t.Fatalf("%d connections for 20 calls", n)
+	}
+}
+
 func TestSent_NothingOnAClosedPort(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
