--- a/internal/system/journal/config.go
+++ b/internal/system/journal/config.go
@@ -19,7 +19,7 @@
 	defaultBatchBytes    = 192 << 10 // bytes
 	defaultHotKeys       = 16384
 	defaultHotBytes      = 4 << 20  // bytes
-	defaultPartBytes     = 64 << 10 // bytes
+	defaultPartBytes     = 32 << 10 // bytes
 	defaultMergeCount    = 16
 	defaultMergeKeys     = 1 << 18
 
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -45,7 +45,7 @@
 	BatchBytes  int // largest batch row in bytes; 192 KiB
 	HotKeys     int // committed records of a shard kept in memory, at most twice as many; 16384
 	HotBytes    int // their size in bytes, at most twice as much; 4 MiB
-	PartBytes   int // aimed size of a segment's part in bytes; 64 KiB
+	PartBytes   int // aimed size of a segment's part in bytes; 32 KiB
 	MergeCount  int // segments of a level that are merged into one; 16
 	MergeKeys   int // most keys of a merged segment; 262144
 }
