Prove that a loser reads again after a seal

The test failed with the second read of the shard's row taken out ('request loser ended with refused another daemon owns the key's shard, want the answer of r0') and passes with it.

--- a/internal/system/journal/segment_test.go
+++ b/internal/system/journal/segment_test.go
@@ -109,6 +109,37 @@
 	wantAll(w, c, keys)
 }
 
+// The winner seals the key's row, and deletes it, after the loser has read the
+// manifest and before it reads the rows.
+func TestJournal_LoserReadsAgainAfterASeal(t *testing.T) {
+	w, a, b := sealing(t)
+	a.journal.cfg.RefreshEvery = time.Hour
+	w.run(10 * time.Second)
+	a.manual = true
+	a.begin(keyed("loser", "k0", false))
+	w.run(time.Second)
+	b.members("b")
+	w.run(10 * time.Second)
+	commit(w, b, 0, testHotKeys-1)
+	sealed := false
+	w.store.fault = func(d *daemon, op platform.Operation) fault {
+		if d != a || op.Kind != platform.QueryRows || op.Partition == shardPartition || sealed {
+			return fault{}
+		}
+		sealed = true
+		for i := range 2 * testHotKeys {
+			b.begin(keyed(entity.RequestID(fmt.Sprintf("more%d", i)), fmt.Sprintf("more%d", i), true))
+		}
+		return fault{land: time.Second}
+	}
+	w.after(0, a, func() { a.journal.Claim(w.now, "loser", Claim{Attempt: 1}) })
+	w.run(defaultTryFor)
+	if !sealed || b.journal.shards[0].manifest.Sealed == "" {
+		t.Fatal("nothing was sealed meanwhile")
+	}
+	w.wantCommitted("loser", "r0")
+}
+
 // A wait for the shard and then for a segment has one limit.
 func TestJournal_WaitsShareOneLimit(t *testing.T) {
 	w, a, b := sealing(t)
