--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -138,9 +138,14 @@
 }
 
 // startDaemon starts a daemon, or starts it again after its process has ended.
+// As on an instance, the peers' port stays the same.
 func (c *cluster) startDaemon(d *daemonProcess) {
 	c.t.Helper()
-	d.process = startProcess(c.t, &d.report, "--output", "json", "daemon", d.file)
+	args := []string{"--output", "json", "daemon", d.file}
+	if d.report.Peers != "" {
+		args = append(args, "--set", "listen.peers="+d.report.Peers)
+	}
+	d.process = startProcess(c.t, &d.report, args...)
 	d.relay.setTarget(d.report.Peers)
 }
 
@@ -429,7 +434,7 @@
 
 // dumpLogs shows the ends of the daemons' logs.
 func (c *cluster) dumpLogs() {
-	const tail = 3000
+	const tail = 12000
 	for _, d := range c.daemons {
 		text := d.output.String()
 		c.t.Logf("daemon-%d:\n%s", d.index, text[max(0, len(text)-tail):])
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -17,7 +17,7 @@
 	startLimit = 30 * time.Second
 	stopLimit  = 40 * time.Second
 	// clusterLimit is the number of clusters at once.
-	clusterLimit = 4
+	clusterLimit = 6
 )
 
 var (
