--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -18,6 +18,7 @@
 		return
 	}
 	r.last = max(r.last, p.Attempt)
+	r.handle = p.Handle
 	r.mayHaveRun = r.mayHaveRun || p.Attempt > 0
 	if p.Backend == nil {
 		c.want(r)
@@ -82,6 +83,11 @@
 		c.ungranted(r, d.Err)
 		return
 	}
+	if c.hedgeUseless(r) {
+		c.dropPending(r)
+		c.Grants.Withdraw(c.now, d.Request, d.Attempt)
+		return
+	}
 	r.pendingBackend = d.Backend
 	if !r.needsClaim() {
 		c.dispatch(r)
@@ -124,9 +130,11 @@
 		KVHandle: r.handle,
 		Timeout:  r.deadline.Sub(c.now),
 	})
-	r.handle = ""
 	c.emit(event.AttemptDispatched, r, "")
 	c.wakeBy(r, c.silenceAt(r))
+	if c.mayHedge(r) {
+		c.wakeBy(r, c.hedgeAt(r))
+	}
 }
 
 // resume reads on from a stream that an earlier attempt has started. No grant
@@ -222,6 +230,7 @@
 	a.tokens += len(fresh)
 	a.lastToken = c.now
 	c.touch(r)
+	c.checkpoint(r, a)
 }
 
 // dropReply records a late or crossed reply.
@@ -396,6 +405,7 @@
 	at := c.silenceAt(r)
 	if c.now.Before(at) {
 		c.wakeBy(r, at)
+		c.hedge(r)
 		return
 	}
 	if a := c.attempts.Get(attemptKey{r.id, r.current}); a != nil {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -189,7 +189,7 @@
 		return
 	}
 	i.notice = at
-	if i.State != stateTerminated {
+	if i.State == statePending || i.State == stateRunning {
 		i.State = stateShuttingDown
 		i.record()
 	}
--- a/internal/system/journal/seal.go
+++ b/internal/system/journal/seal.go
@@ -5,17 +5,17 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 )
 
-// maySeal moves the older half of the hot keys into a segment once there are
-// twice as many as are to be kept.
+// maySeal moves the older half of the hot records into a segment once there
+// are twice as many as are to be kept, by count or by bytes.
 func (j *Journal) maySeal(now time.Time, s *shard) {
-	if s.state != stateOwned || s.sealing || s.releasing || len(s.order) < 2*j.cfg.HotKeys {
+	full := len(s.order) >= 2*j.cfg.HotKeys || s.hotBytes >= 2*j.cfg.HotBytes
+	if s.state != stateOwned || s.sealing || s.releasing || !full {
 		return
 	}
 	s.sealing = true
-	cut := s.order[j.cfg.HotKeys-1].row
+	cut := j.sealCut(s)
 	records := j.sealable(now, s, cut)
 	if len(records) == 0 {
 		j.sealed(now, s, nil, cut)
@@ -39,6 +39,21 @@
 	j.upload(now, s, next, func(now time.Time) { j.sealed(now, s, seg, cut) })
 }
 
+// sealCut returns the row up to which records are to be sealed.
+func (j *Journal) sealCut(s *shard) string {
+	count, size := len(s.order), s.hotBytes
+	cut := s.order[0].row
+	for i := range s.order {
+		if count <= j.cfg.HotKeys && size <= j.cfg.HotBytes {
+			break
+		}
+		count--
+		size -= s.order[i].size
+		cut = s.order[i].row
+	}
+	return cut
+}
+
 // sealable returns, in the order of their hashes, the records whose row is
 // not above cut and that no later record has replaced.
 func (j *Journal) sealable(now time.Time, s *shard, cut string) []record {
@@ -87,37 +102,42 @@
 	return parts
 }
 
-// sealed writes the shard's row that names the segment. Only then are the
+// sealed writes the manifest that names the segment. Only then are the
 // keys dropped from memory and their rows deleted.
 func (j *Journal) sealed(now time.Time, s *shard, seg *segment, cut string) {
-	s.manifest = &manifestChange{
-		change: func(row *shardRow) {
-			row.Sealed = cut
-			row.Named = s.named
+	s.change = &rowChange{
+		change: func(_ *shardRow, held *manifest) {
+			held.Sealed = cut
 			if seg != nil {
-				row.Segments = append(row.Segments, seg.ref)
+				held.Segments = append(held.Segments, seg.ref)
 			}
-			j.dropExpired(now, row)
+			j.dropExpired(now, held)
 		},
 		done: func(now time.Time) {
 			j.replaceSegments(now, s, seg)
-			s.dropSealed(cut, j.cfg.HotKeys)
+			rows := s.dropSealed(cut, j.cfg.HotKeys)
 			if seg != nil {
 				j.emit(now, event.JournalSegmentSealed, seg.ref.Name)
 			}
-			j.trim(now, s)
+			j.trim(now, s, rows, 0, func(time.Time) {})
 			j.mayMerge(now, s)
 		},
 	}
 	j.startWrite(now, s)
 }
 
-// dropSealed drops the entries whose record is in a segment now.
-func (s *shard) dropSealed(cut string, hotKeys int) {
+// dropSealed drops the entries whose record is in a segment now, and returns
+// the rows that held them.
+func (s *shard) dropSealed(cut string, hotKeys int) []string {
+	var rows []string
 	n := 0
 	for n < len(s.order) && s.order[n].row <= cut {
 		o := s.order[n]
 		n++
+		s.hotBytes -= o.size
+		if len(rows) == 0 || rows[len(rows)-1] != o.row {
+			rows = append(rows, o.row)
+		}
 		e := s.entries[o.hash]
 		if e == nil || e.row != o.row {
 			continue
@@ -130,58 +150,5 @@
 		s.cache(o.hash, hotKeys)
 	}
 	s.order = slices.Clone(s.order[n:])
-}
-
-// trim deletes rows that are in segments. It needs no condition: a row that
-// was sealed once is never read again.
-func (j *Journal) trim(now time.Time, s *shard) {
-	if s.trimming {
-		return
-	}
-	s.trimming = true
-	j.trimSome(now, s, 0)
-}
-
-func (j *Journal) trimSome(_ time.Time, s *shard, failures int) {
-	op := platform.Operation{
-		Kind: platform.QueryRows, Partition: entryPartition(s.index), Limit: trimLimit, Consistent: true,
-	}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
-		if r.Err != nil {
-			j.trimLater(now, s, failures+1)
-			return
-		}
-		writes := sealedRows(r.Rows, s.row.Sealed)
-		if len(writes) == 0 {
-			s.trimming = false
-			return
-		}
-		j.spendWrite(now)
-		del := platform.Operation{Kind: platform.TransactRows, Token: j.newOperation(), Writes: writes}
-		j.callTable(del, j.whileIn(s, func(now time.Time, r platform.Result) {
-			if r.Err != nil {
-				j.trimLater(now, s, failures+1)
-				return
-			}
-			j.later(now, s, j.cfg.GroupDelay, func(now time.Time) { j.trimSome(now, s, 0) })
-		}))
-	}))
-}
-
-func sealedRows(rows []platform.Row, sealed string) []platform.Write {
-	var writes []platform.Write
-	for _, row := range rows {
-		if row.Sort <= sealed {
-			writes = append(writes, platform.Write{
-				Partition: row.Partition, Sort: row.Sort, Delete: true, Unconditional: true,
-			})
-		}
-	}
-	return writes
-}
-
-func (j *Journal) trimLater(now time.Time, s *shard, failures int) {
-	j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
-		j.trimSome(now, s, failures)
-	})
+	return rows
 }
