Resume streams by index and checksum; name a daemon by its instance and boot

Cause 1: a caller that had seen more tokens than the successor knew was given the rest of another run, when daemon and engine died together. Change: the id of a token event carries a checksum of all tokens so far; a resume whose checksum differs is answered 409 restarted, and the caller reads anew.

--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -147,11 +147,11 @@
 func TestServer_Stream(t *testing.T) {
 	d := &fakeDaemon{replies: []core.Reply{
 		{Accepted: &core.Accepted{Request: "r~d"}},
-		{First: 1, Tokens: []string{"a", "b"}},
+		{First: 1, Tokens: []string{"a", "b"}, Sums: []uint32{0x1, 0xabcdef01}},
 		{Moved: &core.Moved{Request: "r~d", Address: "10.0.0.2:7001"}},
 	}}
 	resp, body := do(t, d, "POST", submitPath, `{"prompt":"a","stream":true}`, nil)
-	want := "id: 1\nevent: token\ndata: {\"text\":\"a\"}\n\nid: 2\nevent: token\ndata: {\"text\":\"b\"}\n\n" +
+	want := "id: 1-00000001\nevent: token\ndata: {\"text\":\"a\"}\n\nid: 2-abcdef01\nevent: token\ndata: {\"text\":\"b\"}\n\n" +
 		"event: moved\ndata: {\"address\":\"10.0.0.2:7001\",\"request\":\"r~d\"}\n\n"
 	if body != want || resp.Header.Get(headerRequest) != "r~d" {
 		t.Errorf("id %q, body %q", resp.Header.Get(headerRequest), body)
--- a/internal/callerapi/handlers.go
+++ b/internal/callerapi/handlers.go
@@ -129,18 +129,15 @@
 
 // fetch serves GET /v1/requests/{id}.
 func (s *server) fetch(w http.ResponseWriter, r *http.Request, org entity.OrganisationID) {
-	after, err := headerNumber(r, "Last-Event-ID")
+	last, err := lastEventID(r)
 	if err != nil {
 		s.fail(w, err)
 		return
 	}
-	n := orDefault(after, 0)
-	if n < 0 || n > maxTokens {
-		s.fail(w, badRequest("Last-Event-ID is out of range"))
-		return
-	}
 	stream := strings.Contains(r.Header.Get("Accept"), "text/event-stream")
-	replies := s.daemon.Fetch(core.Fetch{Request: requestID(r), Organisation: org, Stream: stream, After: int(n)})
+	replies := s.daemon.Fetch(core.Fetch{
+		Request: requestID(r), Organisation: org, Stream: stream, After: last.after, Sum: last.sum,
+	})
 	defer replies.Close()
 	s.write(w, r, replies, stream)
 }
--- a/internal/callerapi/reply.go
+++ b/internal/callerapi/reply.go
@@ -69,7 +69,7 @@
 		rw.accepted(reply.Accepted.Request)
 		return false
 	case len(reply.Tokens) > 0:
-		rw.tokens(reply.First, reply.Tokens)
+		rw.tokens(reply)
 		return false
 	case reply.Moved != nil:
 		rw.moved(reply.Moved)
@@ -109,25 +109,26 @@
 	_ = http.NewResponseController(rw.w).Flush()
 }
 
-// event writes one server-sent event. An id of 0 is left out.
-func (rw *replyWriter) event(name string, id int, data any) {
+// event writes one server-sent event. An empty id is left out.
+func (rw *replyWriter) event(name, id string, data any) {
 	body, err := json.Marshal(data)
 	if err != nil {
 		return
 	}
-	if id > 0 {
-		_, _ = fmt.Fprintf(rw.w, "id: %d\n", id)
+	if id != "" {
+		_, _ = fmt.Fprintf(rw.w, "id: %s\n", id)
 	}
 	_, _ = fmt.Fprintf(rw.w, "event: %s\ndata: %s\n\n", name, body)
 }
 
 // tokens writes new tokens.
-func (rw *replyWriter) tokens(first int, tokens []string) {
+func (rw *replyWriter) tokens(reply core.Reply) {
 	if !rw.started {
 		return
 	}
-	for i, t := range tokens {
-		rw.event("token", first+i, tokenEvent{Text: t})
+	for i, t := range reply.Tokens {
+		id := eventID{after: reply.First + i, sum: reply.Sums[i]}
+		rw.event("token", id.String(), tokenEvent{Text: t})
 	}
 	rw.flush()
 }
@@ -135,7 +136,7 @@
 // moved sends the caller to another daemon.
 func (rw *replyWriter) moved(m *core.Moved) {
 	if rw.started {
-		rw.event("moved", 0, movedEvent{Address: m.Address, Request: m.Request})
+		rw.event("moved", "", movedEvent{Address: m.Address, Request: m.Request})
 		rw.flush()
 		return
 	}
@@ -150,7 +151,7 @@
 // failed writes the final error.
 func (rw *replyWriter) failed(err error) {
 	if rw.started {
-		rw.event("error", 0, errorBody{Error: rw.s.detail(err)})
+		rw.event("error", "", errorBody{Error: rw.s.detail(err)})
 		rw.flush()
 		return
 	}
@@ -160,7 +161,7 @@
 // done writes the end of the answer.
 func (rw *replyWriter) done(a *core.Answer) {
 	if rw.started {
-		rw.event("done", 0, doneEvent{FinishReason: a.FinishReason, Usage: a.Usage})
+		rw.event("done", "", doneEvent{FinishReason: a.FinishReason, Usage: a.Usage})
 		rw.flush()
 		return
 	}
--- a/internal/core/fake_caller_test.go
+++ b/internal/core/fake_caller_test.go
@@ -22,6 +22,7 @@
 	daemon   *fakeDaemon
 	id       CallerID
 	tokens   []string
+	sum      uint32 // as told with the last token
 	firstAt  time.Time
 	answer   *Answer
 	err      error
@@ -76,7 +77,7 @@
 	c.w.ids++
 	id := NewRequestID(fmt.Sprintf("r%d", c.w.ids), d.id)
 	c.requests = append(c.requests, id)
-	c.request, c.accepted, c.tokens = id, false, nil
+	c.request, c.accepted, c.tokens, c.sum = id, false, nil, 0
 	d.post(Submit{Caller: c.id, Request: id, Work: c.work, Timeout: c.timeout - c.w.now.Sub(c.started)})
 }
 
@@ -85,7 +86,7 @@
 	c.connect(d)
 	d.post(Fetch{
 		Caller: c.id, Request: c.request, Organisation: c.work.Organisation,
-		Stream: c.work.Stream, After: len(c.tokens),
+		Stream: c.work.Stream, After: len(c.tokens), Sum: c.sum,
 	})
 }
 
@@ -105,6 +106,7 @@
 		}
 	case len(r.Tokens) > 0:
 		c.take(r.First, r.Tokens)
+		c.sum = r.Sums[len(r.Sums)-1]
 	case r.Moved != nil:
 		c.moved(r.Moved)
 	case r.Failed != nil:
@@ -146,6 +148,11 @@
 			return
 		}
 	}
+	if verdict.CodeOf(err) == "restarted" {
+		c.tokens, c.sum = nil, 0
+		c.w.after(time.Millisecond, func() { c.fetch(c.daemon) })
+		return
+	}
 	if verdict.CodeOf(err) == "unknown-request" && c.work.Key != "" && c.w.now.Sub(c.started) < c.timeout {
 		c.again()
 		return
--- a/internal/core/fetch.go
+++ b/internal/core/fetch.go
@@ -31,7 +31,9 @@
 func (c *Core) fetch(in Fetch) {
 	r := c.requests.Get(in.Request)
 	if r != nil && r.work.Organisation == in.Organisation {
-		r.addFollower(follower{caller: in.Caller, stream: in.Stream, sent: in.After})
+		r.addFollower(follower{
+			caller: in.Caller, stream: in.Stream, sent: in.After, sum: in.Sum, unchecked: in.After > 0,
+		})
 		c.callers[in.Caller] = r.id
 		c.out.Replies = append(c.out.Replies, Reply{Caller: in.Caller, Accepted: &Accepted{Request: r.id}})
 		c.touch(r)
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"hash/crc32"
 	"slices"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
@@ -89,7 +90,7 @@
 func (c *Core) dropDisagreeing(r *request) {
 	kept := r.followers[:0]
 	for _, f := range r.followers {
-		if r.err == nil && disagrees(f.seen, r.tokens, r.finished()) {
+		if r.err == nil && (disagrees(f.seen, r.tokens, r.finished()) || f.disagreesBySum(r)) {
 			c.tellDisagreement(r, f)
 			continue
 		}
@@ -107,6 +108,28 @@
 	return !slices.Equal(seen[:n], tokens[:n])
 }
 
+// disagreesBySum compares what the caller says it has seen with the run, once
+// the run is that far.
+func (f *follower) disagreesBySum(r *request) bool {
+	if !f.unchecked {
+		return false
+	}
+	if len(r.tokens) < f.sent {
+		return r.finished()
+	}
+	f.unchecked = false
+	return checksum(0, r.tokens[:f.sent]) != f.sum
+}
+
+// checksum extends the CRC-32 of a list of tokens. Each token counts with its
+// end, so that other cuts of the same text differ.
+func checksum(sum uint32, tokens []string) uint32 {
+	for _, t := range tokens {
+		sum = crc32.Update(sum, crc32.IEEETable, append([]byte(t), 0))
+	}
+	return sum
+}
+
 // tellDisagreement gives one follower its final error.
 func (c *Core) tellDisagreement(r *request, f follower) {
 	err := verdict.New(verdict.MayHaveRun, "restarted", "the answer differs from what was streamed before; fetch it anew")
@@ -121,11 +144,7 @@
 // deliverCaller tells one caller of this daemon.
 func (c *Core) deliverCaller(r *request, f *follower) {
 	if f.stream && f.sent < len(r.tokens) && r.err == nil {
-		c.out.Replies = append(c.out.Replies, Reply{
-			Caller: f.caller, First: f.sent + 1,
-			Tokens: append([]string(nil), r.tokens[f.sent:]...),
-		})
-		f.sent = len(r.tokens)
+		c.deliverTokens(r, f)
 	}
 	if !r.finished() {
 		return
@@ -134,6 +153,18 @@
 	c.out.Replies = append(c.out.Replies, Reply{Caller: f.caller, Done: r.answer, Failed: r.err})
 }
 
+// deliverTokens tells one caller the tokens that it does not have.
+func (c *Core) deliverTokens(r *request, f *follower) {
+	reply := Reply{Caller: f.caller, First: f.sent + 1}
+	reply.Tokens = append(reply.Tokens, r.tokens[f.sent:]...)
+	for i := range reply.Tokens {
+		f.sum = checksum(f.sum, reply.Tokens[i:i+1])
+		reply.Sums = append(reply.Sums, f.sum)
+	}
+	c.out.Replies = append(c.out.Replies, reply)
+	f.sent = len(r.tokens)
+}
+
 // deliverPeer tells a daemon that has relayed the request here.
 func (c *Core) deliverPeer(r *request, f *follower) {
 	if f.sent < len(r.tokens) && r.err == nil {
--- a/internal/core/input.go
+++ b/internal/core/input.go
@@ -29,7 +29,8 @@
 	Request      entity.RequestID
 	Organisation entity.OrganisationID
 	Stream       bool
-	After        int // tokens that the caller has already seen
+	After        int    // tokens that the caller has already seen
+	Sum          uint32 // checksum of those tokens, as it was told with the last
 }
 
 // Cancel withdraws a request.
--- a/internal/core/outbox.go
+++ b/internal/core/outbox.go
@@ -32,9 +32,10 @@
 	Accepted *Accepted
 	First    int // index of the first token, from 1
 	Tokens   []string
-	Done     *Answer // final
-	Failed   error   // final; carries a verdict
-	Moved    *Moved  // final
+	Sums     []uint32 // of each token: checksum of all tokens up to it
+	Done     *Answer  // final
+	Failed   error    // final; carries a verdict
+	Moved    *Moved   // final
 }
 
 // Accepted tells the caller the request's id.
--- a/internal/core/reclaim_test.go
+++ b/internal/core/reclaim_test.go
@@ -131,3 +131,20 @@
 	w.verify()
 	w.answered()
 }
+
+// The daemon and the engine die together after the caller has seen more than
+// the successor knows: what follows is another run, which must not be spliced.
+func TestCore_ResumedStreamIsNotSpliced(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newWorld(t, 70+seed, 3)
+		c := w.call(w.daemons[0], streamed(modelWork("long briefing", 400)), 60*time.Second)
+		w.runUntil(5*time.Second, func() bool { return len(c.tokens) > 20 })
+		w.daemons[0].post(Drain{})
+		w.runUntil(5*time.Second, func() bool { return len(c.tokens) > 60 })
+		w.engineOf(c).crash()
+		w.daemons[0].kill()
+		w.finishAll(60 * time.Second)
+		w.verify()
+		w.answered()
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -89,6 +89,10 @@
 	// seen holds tokens that the receiver got from an earlier run. What is
 	// delivered has to begin with them.
 	seen []string
+	// sum is the checksum of the tokens delivered. With unchecked, it is what
+	// the caller says, and has to be compared before anything is delivered.
+	sum       uint32
+	unchecked bool
 }
 
 // attempt is the row of one send to a backend server.
--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -136,7 +136,8 @@
 		e.violate(Gap, "malformed token event")
 		return
 	}
-	index, err := strconv.Atoi(ev.id)
+	number, _, _ := strings.Cut(ev.id, "-")
+	index, err := strconv.Atoi(number)
 	switch {
 	case err != nil:
 		e.violate(Gap, "token without an index")
@@ -148,6 +149,7 @@
 		e.violate(Gap, "token "+ev.id+" follows "+strconv.Itoa(e.index))
 	}
 	e.index = index
+	e.lastID = ev.id
 	e.text.WriteString(t.Text)
 	e.timeToken(time.Now())
 }
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -111,7 +111,9 @@
 	e.authorise(req)
 	if e.plan.stream {
 		req.Header.Set("Accept", "text/event-stream")
-		req.Header.Set("Last-Event-ID", strconv.Itoa(e.index))
+		if e.lastID != "" {
+			req.Header.Set("Last-Event-ID", e.lastID)
+		}
 	}
 	return e.exchange(req)
 }
--- a/internal/load/execution.go
+++ b/internal/load/execution.go
@@ -17,6 +17,10 @@
 
 	// codeUnreachable is the driver's own: no daemon could be reached.
 	codeUnreachable verdict.Code = "unreachable"
+
+	// codeRestarted says that the stream's start has been lost: what there is
+	// now is another run, to be read from its start.
+	codeRestarted verdict.Code = "restarted"
 )
 
 // outcomeKind says what became of a request from its caller's view.
@@ -53,7 +57,8 @@
 	mu      sync.Mutex // guards request against the transport's goroutine
 	request string     // the accepted request's id; empty until then
 
-	index  int // of the last token
+	index  int    // of the last token
+	lastID string // event id of the last token
 	text   strings.Builder
 	answer string
 	notRun []string
@@ -115,7 +120,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.request = ""
+	e.startOver()
+}
+
+// startOver forgets the tokens of a stream that will be read from its start.
+func (e *execution) startOver() {
 	e.index = 0
+	e.lastID = ""
 	e.text.Reset()
 }
 
@@ -165,6 +176,8 @@
 		switch {
 		case r.kind == resultWhole:
 			return e.end(outcome{kind: outcomeAnswered})
+		case r.kind == resultError && r.code == codeRestarted:
+			e.startOver()
 		case r.kind == resultError && e.concerns(r):
 			return e.followError(r)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -57,6 +58,7 @@
 // Node is one daemon process.
 type Node struct {
 	cfg     Config
+	id      entity.InstanceID
 	daemon  *daemon.Daemon
 	peers   *peer.Transport
 	events  *timeline.Recorder
@@ -71,9 +73,10 @@
 	s := cfg.Settings
 	n := &Node{
 		cfg:     cfg,
-		events:  timeline.NewRecorder(s.Instance.ID, s.Instance.DataCentre, timeline.DefaultCapacity),
 		started: time.Now(),
 	}
+	n.id = daemonID(s.Instance.ID, n.started)
+	n.events = timeline.NewRecorder(n.id, s.Instance.DataCentre, timeline.DefaultCapacity)
 	inbox := daemon.NewInbox()
 	if err := n.listen(inbox); err != nil {
 		n.closeListeners()
@@ -121,7 +124,7 @@
 func (n *Node) newTransport(inbox *daemon.Inbox) (*peer.Transport, error) {
 	s := n.cfg.Settings
 	return peer.New(peer.Config{
-		Self:   s.Instance.ID,
+		Self:   n.id,
 		Listen: s.Listen.Peers,
 		TLS:    n.cfg.PeerTLS,
 		TLSFiles: peer.TLSFiles{
@@ -135,11 +138,18 @@
 	})
 }
 
+// daemonID names this daemon: its instance and its boot. A restarted daemon is
+// a new one, so that nothing said of the earlier one is taken for it.
+func daemonID(instance entity.InstanceID, boot time.Time) entity.InstanceID {
+	const base = 36
+	return instance + entity.InstanceID("."+strconv.FormatInt(boot.UnixMilli(), base))
+}
+
 // self describes this daemon to the others.
 func (n *Node) self() membership.Member {
 	l := n.cfg.Settings.Listen
 	return membership.Member{
-		ID:         n.cfg.Settings.Instance.ID,
+		ID:         n.id,
 		Addr:       advertised(l.AdvertisePeers, l.Peers, n.peers.Addr()),
 		CallerAddr: advertised(l.AdvertiseCallers, l.Callers, n.callers.Addr().String()),
 		AdminAddr:  advertised(l.AdvertiseAdmin, l.Admin, n.admin.Addr().String()),
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -74,7 +74,7 @@
 func (b *operatorsBackend) peerStatus(v *core.View) []adminapi.PeerStatus {
 	var out []adminapi.PeerStatus
 	for _, m := range v.Members {
-		if m.ID != b.n.cfg.Settings.Instance.ID {
+		if m.ID != b.n.id {
 			out = append(out, adminapi.PeerStatus{
 				Instance: m.ID, Place: m.Place, State: m.State.String(), Admin: m.AdminAddr,
 			})
