Prove the quarantine under faults; measure and trim the grants' messages

Faults found by the tests and mended: an innocent suspect that ran alone on a server already dead was convicted (a server that died lately no longer proves anything, takes no suspects, and a failed connection counts as refused); a lost reply left a suspect waiting for ever; copies of one content ran alone on several servers at once (its digest now chooses the server); the content's own kills excused it as a loss of the data centre. Bound: content that is resent under new ids kills 2 servers without other faults; with reclaims, a lost data centre and 5% loss at most 6 beyond those that ran it at the first death.

Replies to grants no longer tell a wait, the pace goes into each fourth reply, releases no longer carry the first token's time.

--- a/internal/system/grant/asker.go
+++ b/internal/system/grant/asker.go
@@ -68,7 +68,6 @@
 		Reference:     w.reference(w.backend.ID),
 		Kind:          o.Kind,
 		Tokens:        o.Tokens,
-		FirstToken:    o.FirstToken.Microseconds(),
 		BetweenTokens: o.BetweenTokens.Microseconds(),
 	}
 	for _, to := range g.releaseTo(w) {
@@ -233,7 +232,7 @@
 		pool = g.filter(now, sv, w, false, false)
 	}
 	if w.alone && w.Only == "" {
-		pool = wards(pool)
+		pool = ward(g.living(now, pool), w.Digest)
 	}
 	return pool
 }
@@ -340,7 +339,7 @@
 	if g.wants.Get(w.key()) != w || w.backend != nil {
 		return
 	}
-	if q = w.waiting(); q != nil && q.queued && w.probing() == nil && !w.alone {
+	if q = w.waiting(); q != nil && q.queued && w.probing() == nil {
 		g.reprobe(now, w, q)
 	}
 	g.wakeAgain(now, w)
@@ -390,7 +389,7 @@
 		m.Asks = append(m.Asks, g.askPart(now, w, q))
 	}
 	sv := g.services.Get(w.Service)
-	if sv == nil {
+	if sv == nil || w.alone {
 		return
 	}
 	pool := g.candidates(now, sv, w)
--- a/internal/system/grant/coordinator.go
+++ b/internal/system/grant/coordinator.go
@@ -50,7 +50,7 @@
 func (g *Grants) answer(now time.Time, s *server, h holder, a *Ask, r Reply) {
 	r.Reference, r.Sequence = a.Reference, a.Sequence
 	if s != nil && s.lot != nil {
-		r.Hint = s.lot.hint(a)
+		r.Hint = s.lot.hint(a, r.Kind)
 	}
 	m := g.send(now, h.asker, true)
 	m.Replies = append(m.Replies, r)
@@ -98,6 +98,8 @@
 		return ReasonCoordinator
 	case s.lot != nil && now.Before(s.lot.deadUntil):
 		return ReasonDead
+	case s.lot != nil && s.lot.trial && a.Alone:
+		return ReasonDead
 	default:
 		return 0
 	}
--- a/internal/system/grant/fakes_test.go
+++ b/internal/system/grant/fakes_test.go
@@ -39,6 +39,7 @@
 	onStart  func(*request, *engine)
 	baseline routing.Policy // dispatch without grants, by lagged reports
 	tuneWant func(*Want)
+	exposed  int // servers that ran crashing content at the first crash
 }
 
 type node struct {
@@ -271,7 +272,7 @@
 	}
 	j.r.run++
 	if e.dead {
-		e.w.after(time.Millisecond, func() { e.w.lost(j, e) })
+		e.w.after(time.Millisecond, func() { e.w.lost(j, e, Refused) }) // no connection
 		return
 	}
 	e.peak = max(e.peak, e.running.Len()+len(e.queue)+1)
@@ -290,6 +291,7 @@
 	if j.r.crash {
 		e.w.after(prefill, func() {
 			if !j.ended && !e.dead {
+				e.w.countExposed()
 				e.die()
 			}
 		})
@@ -340,18 +342,18 @@
 	e.running = entity.NewTable[wantKey, job]()
 	for _, j := range jobs {
 		j.ended = true
-		e.w.after(time.Millisecond, func() { e.w.lost(j, e) })
+		e.w.after(time.Millisecond, func() { e.w.lost(j, e, BackendDied) })
 	}
 }
 
 // lost tells the daemon that its attempt's engine has died; it tries again.
-func (w *world) lost(j *job, e *engine) {
+func (w *world) lost(j *job, e *engine, kind OutcomeKind) {
 	n, r := j.r.node, j.r
 	if n.dead {
 		return
 	}
 	r.deaths++
-	n.g.Release(w.now, j.key.request, j.key.attempt, Outcome{Kind: BackendDied})
+	n.g.Release(w.now, j.key.request, j.key.attempt, Outcome{Kind: kind})
 	n.drain()
 	r.want.Attempt++
 	r.want.Exclude = []entity.BackendServerID{e.backend.ID}
--- a/internal/system/grant/lot.go
+++ b/internal/system/grant/lot.go
@@ -14,10 +14,12 @@
 	urgentPart      = 16               // one slot in so many is kept free, and at least one
 	trialPause      = time.Second      // after the first death; doubled with each
 	maxTrialPause   = 30 * time.Second
+	maxRefusals     = 5 // doublings of the pause
 	refusalPause    = 100 * time.Millisecond
 	cacheWait       = 100 * time.Millisecond // an ask waits that long for its cached prefix
 	smoothingPart   = 8                      // weight of a new sample in a mean
 	cachedPrefixes  = 1024                   // remembered for each backend server
+	paceEvery       = 4                      // one reply in so many tells the time between tokens
 	probablyFirst   = time.Millisecond       // lowest estimate of a run
 	queryInterval   = time.Second            // between questions to the holder of an old grant
 	queryRuns       = 2                      // a grant is old when held for so many mean runs
@@ -56,6 +58,7 @@
 	deadUntil time.Time
 	trial     bool
 	pause     time.Time
+	refusals  int       // in a row
 	urgent    time.Time // last ask of the most urgent class
 
 	run      time.Duration // mean time that a grant is held
@@ -152,13 +155,15 @@
 	return mean + (sample-mean)/smoothingPart
 }
 
-// hint tells an asker the state of the server.
-func (l *lot) hint(a *Ask) Hint {
-	return Hint{
-		Busy:    l.slots - max(0, l.free()),
-		Queued:  l.waiting.Len(),
-		Slots:   l.slots,
-		Wait:    l.wait(a).Microseconds(),
-		Between: l.between.Microseconds(),
+// hint tells an asker the state of the server. The wait matters only to an ask
+// without a grant; the pace changes slowly and is told now and then.
+func (l *lot) hint(a *Ask, kind ReplyKind) Hint {
+	h := Hint{Busy: l.slots - max(0, l.free()), Queued: l.waiting.Len(), Slots: l.slots}
+	if kind != Granted {
+		h.Wait = l.wait(a).Microseconds()
 	}
+	if a.Sequence%paceEvery == 0 {
+		h.Between = l.between.Microseconds()
+	}
+	return h
 }
--- a/internal/system/grant/message.go
+++ b/internal/system/grant/message.go
@@ -42,8 +42,7 @@
 	Reference     Reference     `cbor:"1,keyasint"`
 	Kind          OutcomeKind   `cbor:"2,keyasint"`
 	Tokens        entity.Tokens `cbor:"3,keyasint,omitempty"`
-	FirstToken    int64         `cbor:"4,keyasint,omitempty"` // µs
-	BetweenTokens int64         `cbor:"5,keyasint,omitempty"` // µs
+	BetweenTokens int64         `cbor:"4,keyasint,omitempty"` // µs
 }
 
 // ReplyKind says what a coordinator answers to an ask.
--- /dev/null
+++ b/internal/system/grant/quarantine_test.go
@@ -0,0 +1,174 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
+)
+
+func digestOf(i int) entity.Digest { return entity.Digest{byte(i), byte(i >> 8), 1} }
+
+// knownDeaths bounds the servers that content kills besides those that ran it
+// at the first death: it may start elsewhere before the news comes or where it
+// is lost, and other deaths near by put its conviction off.
+const knownDeaths = 6
+
+var crashing = entity.Digest{0xff, 0xff, 0xff}
+
+// crashWorld runs innocent requests, each of its own content, while a caller
+// sends crashing content again and again under new ids.
+func crashWorld(seed uint64, sends int, every time.Duration) *world {
+	w := newWorld(seed, testService(12, 4))
+	for i := range 6 {
+		w.addNode(testPlaces[i%len(testPlaces)], nil)
+	}
+	w.meet()
+	w.after(30*time.Second, w.replaceDead)
+	w.arrivals(40, 8*time.Second, func(i int) *request {
+		r := testRequest(fmt.Sprintf("innocent-%d", i), 10+w.rng.IntN(30))
+		r.want.Digest = digestOf(i)
+		return r
+	})
+	for i := range sends {
+		w.after(2*time.Second+time.Duration(i)*every, func() {
+			r := testRequest(fmt.Sprintf("crash-%d", i), 10)
+			r.want.Digest, r.crash = crashing, true
+			w.nodes[w.rng.IntN(len(w.nodes))].submit(r)
+		})
+	}
+	return w
+}
+
+// countExposed notes on how many servers the content ran when it first killed
+// one: nobody could have known.
+func (w *world) countExposed() {
+	if w.exposed > 0 {
+		return
+	}
+	for _, e := range w.engines {
+		e.running.All(func(_ wantKey, j *job) bool {
+			if j.r.crash {
+				w.exposed++
+			}
+			return !j.r.crash
+		})
+	}
+}
+
+// replaceDead lists new servers in place of dead ones, every 5 s.
+func (w *world) replaceDead() {
+	w.after(5*time.Second, w.replaceDead)
+	for i, b := range w.doc.BackendServers {
+		if !w.engine(b.ID).dead {
+			continue
+		}
+		next := testServer(100+len(w.engines), b.Slots)
+		next.Place = b.Place
+		w.addEngine(next)
+		w.doc.BackendServers[i] = next
+	}
+	w.meet()
+}
+
+func (w *world) deadEngines() int {
+	n := 0
+	for _, e := range w.engines {
+		if e.dead {
+			n++
+		}
+	}
+	return n
+}
+
+func convictions(w *world) []entity.Digest {
+	var out []entity.Digest
+	for _, r := range w.refused {
+		if verdict.CodeOf(r.err) == "convicted" {
+			out = append(out, r.want.Digest)
+		}
+	}
+	return out
+}
+
+func TestGrants_CrashingContentIsConvicted(t *testing.T) {
+	w := crashWorld(1, 20, time.Second)
+	w.run(120 * time.Second)
+	if n := w.deadEngines(); n > 2 {
+		t.Errorf("%d servers died, want 2 at most", n)
+	}
+	if n := len(convictions(w)); n != 20 {
+		t.Errorf("%d of 20 crashing requests refused as convicted", n)
+	}
+	for _, r := range w.refused {
+		if !r.crash || verdict.Of(r.err) != verdict.NotRun {
+			t.Errorf("%s refused: %v", r.want.Request, r.err)
+		}
+	}
+	for _, n := range w.nodes {
+		n.open.All(func(id entity.RequestID, _ *request) bool {
+			t.Errorf("%s not finished", id)
+			return true
+		})
+	}
+}
+
+// With announced reclaims and the loss of a whole data centre among the
+// crashes, few servers die of the content, and no innocent is refused.
+func TestGrants_NoInnocentIsConvicted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64Range(0, 1000).Draw(t, "seed")
+		w := crashWorld(seed, rapid.IntRange(1, 8).Draw(t, "sends"), time.Duration(rapid.IntRange(100, 4000).Draw(t, "every"))*time.Millisecond)
+		w.loss = 0.05
+		others := 0
+		for range rapid.IntRange(0, 3).Draw(t, "reclaims") {
+			b := w.doc.BackendServers[rapid.IntRange(0, 11).Draw(t, "server")]
+			at := time.Duration(rapid.IntRange(2000, 7000).Draw(t, "at")) * time.Millisecond
+			w.after(at, func() {
+				for _, n := range w.nodes {
+					n.g.SetLeaving(w.now, b.ID, "reclaim", true)
+					n.drain()
+				}
+			})
+			w.after(at+time.Second, func() { others += w.kill(b.ID) })
+		}
+		if rapid.Bool().Draw(t, "data centre lost") {
+			at := time.Duration(rapid.IntRange(2000, 7000).Draw(t, "lost at")) * time.Millisecond
+			w.after(at, func() {
+				for _, e := range w.engines {
+					if e.backend.Place == testPlaces[1] {
+						others += w.kill(e.backend.ID)
+					}
+				}
+			})
+		}
+		w.run(60 * time.Second)
+		if n := w.deadEngines() - others; n > w.exposed+knownDeaths {
+			t.Errorf("%d servers died of the content, %d ran it at the first death", n, w.exposed)
+		}
+		for _, d := range convictions(w) {
+			if d != crashing {
+				t.Errorf("innocent %v convicted", d[:2])
+			}
+		}
+		for _, n := range w.nodes {
+			n.open.All(func(id entity.RequestID, r *request) bool {
+				t.Errorf("%s not finished after %d runs", id, r.run)
+				return true
+			})
+		}
+	})
+}
+
+func (w *world) kill(id entity.BackendServerID) int {
+	e := w.engine(id)
+	if e.dead {
+		return 0
+	}
+	e.die()
+	return 1
+}
--- a/internal/system/grant/release.go
+++ b/internal/system/grant/release.go
@@ -39,7 +39,8 @@
 	case BackendDied:
 		g.died(now, s)
 	case Refused:
-		l.pause = now.Add(refusalPause)
+		l.pause = now.Add(refusalPause << min(l.refusals, maxRefusals))
+		l.refusals++
 		g.wakeServer(s, l.pause)
 	}
 	g.serve(now, s)
@@ -80,7 +81,7 @@
 // proved ends the trial of a server that has completed an attempt.
 func (g *Grants) proved(now time.Time, s *server) {
 	l := s.lot
-	l.deaths = 0
+	l.deaths, l.refusals = 0, 0
 	l.trial = false
 }
 
--- a/internal/system/grant/types.go
+++ b/internal/system/grant/types.go
@@ -39,9 +39,11 @@
 	// Failed attempts broke without the death of the backend server, or were
 	// cancelled.
 	Failed
-	// BackendDied attempts ended with the death of their backend server.
+	// BackendDied attempts ended with the death of their backend server while
+	// it ran them. What it ran becomes suspect.
 	BackendDied
-	// Refused attempts were turned away by the backend server before any work.
+	// Refused attempts were turned away by the backend server before any work,
+	// or no connection to it could be made.
 	Refused
 )
 
--- a/internal/system/grant/ward.go
+++ b/internal/system/grant/ward.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/routing"
 )
 
@@ -13,7 +16,32 @@
 // runs alone. All daemons choose the same servers.
 const wardPart = 4
 
-// wards returns the servers on which suspect content may run.
+// living returns the servers that have not died lately, or all if none is left.
+func (g *Grants) living(now time.Time, pool []routing.Candidate) []routing.Candidate {
+	var out []routing.Candidate
+	for i := range pool {
+		if !g.suspects.Dead(now, pool[i].Backend) {
+			out = append(out, pool[i])
+		}
+	}
+	if len(out) == 0 {
+		return pool
+	}
+	return out
+}
+
+// ward returns the server on which suspect content may run; none if the pool
+// is empty. It depends on the content, so that copies of it wait for each other.
+func ward(pool []routing.Candidate, d entity.Digest) []routing.Candidate {
+	all := wards(pool)
+	if len(all) == 0 {
+		return nil
+	}
+	i := binary.BigEndian.Uint64(d[:]) % uint64(len(all))
+	return all[i : i+1]
+}
+
+// wards returns the servers on which any suspect content may run.
 func wards(pool []routing.Candidate) []routing.Candidate {
 	slices.SortFunc(pool, func(a, b routing.Candidate) int {
 		return cmp.Or(cmp.Compare(wardHash(a), wardHash(b)), cmp.Compare(a.Backend, b.Backend))
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -6,7 +6,8 @@
 // alone, the content is convicted and refused; if it completes, it is cleared.
 // Deaths of several backend servers of one data centre at about the same time
 // point to the data centre: they make suspect only what was running on two of
-// them, and convict nothing.
+// them. Another death near the one that would convict puts the verdict off to
+// the next run alone.
 package quarantine
 
 import (
@@ -96,8 +97,16 @@
 	forget  time.Time // until then older news of it is ignored
 }
 
-// maxEvidence deaths on different backend servers suffice for any rule.
-const maxEvidence = 2
+// deadMemory is how long a death speaks against a backend server itself.
+const deadMemory = time.Minute
+
+const (
+	// maxEvidence bounds the deaths that are kept for one digest.
+	maxEvidence = 8
+	// enoughDeaths of backend servers that ran the same content make it suspect
+	// whatever else has died.
+	enoughDeaths = 2
+)
 
 // New returns an empty registry.
 func New(cfg Config) *Registry {
@@ -134,6 +143,7 @@
 
 // Died records that content was running on a backend server when it died.
 func (r *Registry) Died(now time.Time, d Death) {
+	again := r.Dead(now, d.Backend)
 	seen := r.recordDeath(now, d)
 	s := r.suspects.Get(d.Digest)
 	if s == nil {
@@ -143,7 +153,7 @@
 	}
 	s.since = now
 	s.addEvidence(seen)
-	if !d.Alone || !s.settled.IsZero() {
+	if !d.Alone || again || !s.settled.IsZero() {
 		return
 	}
 	s.alone = seen
@@ -151,6 +161,17 @@
 	r.settling = append(r.settling, d.Digest)
 }
 
+// Dead reports whether a backend server has died lately. It may still be
+// dead, so that a failure there proves nothing about content.
+func (r *Registry) Dead(now time.Time, id entity.BackendServerID) bool {
+	for _, d := range r.deaths {
+		if d.backend == id && now.Sub(d.at) <= deadMemory {
+			return true
+		}
+	}
+	return false
+}
+
 // Cleared records that content has completed. News of its deaths before that
 // no longer counts.
 func (r *Registry) Cleared(d entity.Digest) { r.suspects.Delete(d) }
@@ -192,7 +213,7 @@
 	if !s.settled.IsZero() {
 		return Settling
 	}
-	if len(s.deaths) < maxEvidence && r.burst(s.deaths[0]) {
+	if len(s.deaths) < enoughDeaths && r.near(s, s.deaths[0])+1 >= r.cfg.BurstServers {
 		return Innocent
 	}
 	return Suspect
@@ -216,7 +237,7 @@
 		case s == nil || s.settled.IsZero():
 		case s.settled.After(now):
 			waiting = append(waiting, d)
-		case r.burst(s.alone):
+		case r.near(s, s.alone) > 0:
 			s.settled = time.Time{}
 		default:
 			c := Conviction{Digest: d, Version: now.UnixMicro()}
@@ -247,7 +268,7 @@
 // returns it with the time at which it was first known.
 func (r *Registry) recordDeath(now time.Time, d Death) death {
 	for _, known := range r.deaths {
-		if known.backend == d.Backend && now.Sub(known.at) <= r.cfg.Settle+r.cfg.BurstWindow {
+		if known.backend == d.Backend && now.Sub(known.at) <= deadMemory {
 			return known
 		}
 	}
@@ -259,25 +280,30 @@
 	return added
 }
 
-// burst reports whether a death is one of several near it in one data centre.
-func (r *Registry) burst(d death) bool {
+// near counts the deaths near to one in time and in its data centre, without
+// those of backend servers that ran the content itself: they do not excuse it.
+func (r *Registry) near(s *suspect, d death) int {
 	n := 0
 	for _, other := range r.deaths {
 		near := other.at.Sub(d.at).Abs() <= r.cfg.BurstWindow
-		if near && other.dataCentre == d.dataCentre {
+		if near && other.dataCentre == d.dataCentre && !s.evident(other.backend) {
 			n++
 		}
 	}
-	return n >= r.cfg.BurstServers
+	return n
 }
 
-func (s *suspect) addEvidence(d death) {
+func (s *suspect) evident(id entity.BackendServerID) bool {
 	for _, known := range s.deaths {
-		if known.backend == d.backend {
-			return
+		if known.backend == id {
+			return true
 		}
 	}
-	if len(s.deaths) < maxEvidence {
+	return false
+}
+
+func (s *suspect) addEvidence(d death) {
+	if len(s.deaths) < maxEvidence && !s.evident(d.backend) {
 		s.deaths = append(s.deaths, d)
 	}
 }
