--- a/internal/system/grant/fakes_test.go
+++ b/internal/system/grant/fakes_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,6 +77,10 @@
 	peak    int    // most requests at once, with those beyond the slots
 	served  entity.Tokens
 	busy    int // lagging report for baselines
+	began   int // requests
+	cache   []uint64 // prefixes, the latest last
+	hits    int // cached prefixes of the requests begun
+	asked   int // all their prefixes
 }
 
 type job struct {
@@ -287,6 +292,8 @@
 
 func (e *engine) begin(j *job) {
 	j.began = e.w.now
+	e.began++
+	e.remember(j.r.want.Prefix)
 	e.running.Put(j.key, j)
 	if j.r.crash {
 		e.w.after(prefill, func() {
@@ -305,6 +312,21 @@
 	e.w.after(prefill+time.Duration(j.r.tokens)*e.between, func() { e.complete(j) })
 }
 
+// cacheSize is how many prefixes an engine keeps.
+const cacheSize = 200
+
+func (e *engine) remember(prefixes []uint64) {
+	for _, p := range prefixes {
+		e.asked++
+		if i := slices.Index(e.cache, p); i >= 0 {
+			e.hits++
+			e.cache = slices.Delete(e.cache, i, i+1)
+		}
+		e.cache = append(e.cache, p)
+	}
+	e.cache = e.cache[max(0, len(e.cache)-cacheSize):]
+}
+
 func (e *engine) complete(j *job) {
 	if j.ended {
 		return
--- /dev/null
+++ b/internal/system/grant/routing_test.go
@@ -0,0 +1,165 @@
+package grant
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/routing"
+)
+
+// conversations runs turns of many conversations, with callers that change
+// daemons, at 60% load, and returns the part of the prefixes found cached.
+func conversations(policy func() routing.Policy) float64 {
+	w := newWorld(1, testService(12, 8))
+	for i := range 9 {
+		w.addNode(testPlaces[i%len(testPlaces)], func(c *Config) { c.Policy = policy() })
+	}
+	w.meet()
+	turns := make([]uint64, 400)
+	w.arrivals(52, 60*time.Second, func(i int) *request {
+		c := w.rng.IntN(len(turns))
+		turns[c]++
+		r := testRequest(fmt.Sprintf("r-%d", i), 20+w.rng.IntN(40))
+		r.want.Prefix = []uint64{uint64(c % 3), uint64(c)<<32 | 1<<31}
+		for t := range turns[c] {
+			r.want.Prefix = append(r.want.Prefix, uint64(c)<<32|(t+1))
+		}
+		r.want.Prefix = r.want.Prefix[:min(len(r.want.Prefix), 12)]
+		return r
+	})
+	w.run(70 * time.Second)
+	hits, asked := 0, 0
+	for _, e := range w.engines {
+		hits += e.hits
+		asked += e.asked
+	}
+	return float64(hits) / float64(asked)
+}
+
+func BenchmarkGrants_CachedPrefixes(b *testing.B) {
+	for range b.N {
+		affinity := conversations(func() routing.Policy { return routing.NewAffinity() })
+		robin := conversations(func() routing.Policy { return &routing.RoundRobin{} })
+		two := conversations(func() routing.Policy { return routing.PowerOfTwo{} })
+		b.ReportMetric(affinity, "cached")
+		b.ReportMetric(robin, "cached-round-robin")
+		b.ReportMetric(two, "cached-power-of-two")
+		b.ReportMetric((1-affinity)/(1-robin), "recomputed-ratio")
+	}
+}
+
+func TestGrants_SlowServerGetsLittleWork(t *testing.T) {
+	w := testWorld(1, 6, 12, 8)
+	slow := w.engines[4]
+	slow.between *= 8
+	w.arrivals(40, 60*time.Second, func(i int) *request { return testRequest(fmt.Sprintf("r-%d", i), 40) })
+	w.run(20 * time.Second)
+	before, all := slow.began, len(w.finished)
+	w.run(60 * time.Second)
+	part := float64(slow.began-before) / float64(len(w.finished)-all)
+	t.Logf("%.4f of the requests, an even part is %.4f", part, 1.0/12)
+	if part > 0.25/12 || slow.began == before {
+		t.Errorf("the slow server got %d requests, %.4f of all", slow.began-before, part)
+	}
+	slow.between /= 8
+	w.arrivals(40, 60*time.Second, func(i int) *request { return testRequest(fmt.Sprintf("s-%d", i), 40) })
+	w.run(110 * time.Second)
+	before, all = slow.began, len(w.finished)
+	w.run(120 * time.Second)
+	if part := float64(slow.began-before) / float64(len(w.finished)-all); part < 0.5/12 {
+		t.Errorf("recovered, it still gets only %.4f", part)
+	}
+}
+
+func TestGrants_SlotsUsedByOthersAreLeftFree(t *testing.T) {
+	w := testWorld(1, 1, 1, 4)
+	g := w.nodes[0].g
+	for range loadSamples {
+		g.LoadReport(w.now, "server-000", Load{Running: 3, Slots: 4})
+	}
+	submitMany(w, "r", 4, 40)
+	if got := w.engines[0].running.Len(); got != 1 {
+		t.Fatalf("%d granted beside 3 of another system on 4 slots", got)
+	}
+	g.LoadReport(w.now, "server-000", Load{Running: 1, Slots: 4})
+	w.nodes[0].drain()
+	if got := w.engines[0].running.Len(); got != 4 {
+		t.Fatalf("%d granted when the others have gone, want 4", got)
+	}
+}
+
+func TestGrants_CacheEventsLateAndWithGaps(t *testing.T) {
+	w := testWorld(1, 1, 1, 4)
+	g := w.nodes[0].g
+	g.CacheEvent(w.now, "server-000", CacheEvent{Seq: 9, Kind: PrefixStored, Prefix: 7})
+	g.CacheEvent(w.now, "server-000", CacheEvent{Seq: 4, Kind: PrefixRemoved, Prefix: 7})
+	c := &g.servers.Get("server-000").lot.prefixes
+	if c.count([]uint64{7}) != 1 {
+		t.Fatal("a late removal undid a newer event")
+	}
+	g.CacheEvent(w.now, "server-000", CacheEvent{Seq: 30, Kind: PrefixRemoved, Prefix: 7})
+	if c.count([]uint64{7}) != 0 {
+		t.Fatal("removed prefix still counts")
+	}
+	for i := range uint64(10 * cachedPrefixes) {
+		g.CacheEvent(w.now, "server-000", CacheEvent{Seq: 31 + i, Kind: PrefixStored, Prefix: 100 + i})
+	}
+	if len(c.known) > cachedPrefixes {
+		t.Fatalf("%d prefixes kept", len(c.known))
+	}
+}
+
+// BenchmarkGrants_State reports the heap of one daemon's system at full size,
+// with its part of the grants, and the time for a change of the members.
+func BenchmarkGrants_State(b *testing.B) {
+	place := func(i int) entity.Place {
+		return entity.Place{Region: "r", DataCentre: entity.DataCentreID(fmt.Sprint("dc", i%7))}
+	}
+	doc := testService(600, 64)
+	for i := range doc.BackendServers {
+		doc.BackendServers[i].Place = place(i)
+	}
+	var members []Member
+	for i := range 410 {
+		members = append(members, Member{ID: entity.InstanceID(fmt.Sprintf("daemon-%03d", i)), Place: place(i)})
+	}
+	now := time.UnixMicro(1_700_000_000_000_000)
+	var before, after runtime.MemStats
+	for range b.N {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		w := newWorld(1, doc)
+		n := w.addNode(place(0), nil)
+		n.g.SetMembers(now, members)
+		n.g.SetServices(now, []entity.Service{doc})
+		for i := range 80 {
+			r := testRequest(fmt.Sprintf("0123456789abcdef-%08d", i), 200)
+			r.want.Prefix = []uint64{1, uint64(i), uint64(i) << 20}
+			n.submit(r)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B-heap")
+		began := time.Now()
+		n.g.SetMembers(now, members[:350])
+		b.ReportMetric(float64(time.Since(began).Microseconds()), "µs-60-members-lost")
+		runtime.KeepAlive(w)
+	}
+}
+
+// BenchmarkGrants_Request is the processor time of all daemons' systems for
+// one request, from the wish to the release, at full size.
+func BenchmarkGrants_Request(b *testing.B) {
+	w := testWorld(1, 41, 60, 64)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		r := testRequest(fmt.Sprintf("0123456789abcdef-%08d", i), 1)
+		r.want.Prefix = []uint64{1, uint64(i % 100), uint64(i)}
+		w.nodes[i%len(w.nodes)].submit(r)
+		w.run(w.now.Sub(w.start) + time.Second/500)
+	}
+}
