Give a conversation one place in the region instead of one in each data centre

The bound on load compared candidates with the penalty for another data centre included, so that the bound always failed. Change: prompts deep enough to be conversations have one place in the region; the bound looks at load alone and is 0.6 of the slots.

--- a/internal/system/grant/fakes_test.go
+++ b/internal/system/grant/fakes_test.go
@@ -313,7 +313,7 @@
 }
 
 // cacheSize is how many prefixes an engine keeps.
-const cacheSize = 200
+const cacheSize = 600
 
 func (e *engine) remember(prefixes []uint64) {
 	for _, p := range prefixes {
--- a/internal/system/routing/affinity.go
+++ b/internal/system/routing/affinity.go
@@ -17,7 +17,7 @@
 	hintLife = time.Second
 	// loadBound is how much fuller than the least loaded sampled candidate one
 	// with a cached prefix may be and still go first.
-	loadBound = 0.25
+	loadBound = 0.6
 	// samples is how many candidates are drawn for their load.
 	samples = 4
 	// defaultMemory is the number of prefixes whose place is remembered.
@@ -30,6 +30,8 @@
 	penaltyRemote = 8   // another region
 	penaltySlow   = 4
 	penaltyFull   = 16
+	preferPlace   = -2 // the place on which all daemons agree
+	preferKnown   = -1 // where this daemon placed the prefix last
 )
 
 // Affinity places requests with a common prompt prefix on the same backend
@@ -55,7 +57,7 @@
 		c := &pool[i]
 		ranked = append(ranked, rank{index: i, load: cost(now, rng, q, c), tie: rng.Uint64()})
 	}
-	a.prefer(q, pool, ranked)
+	a.prefer(now, q, pool, ranked)
 	return lowest(ranked, pool, limit)
 }
 
@@ -74,8 +76,7 @@
 		if i := a.remembered(q, pool); i >= 0 {
 			picked = append(picked, i)
 		}
-		picked = addIndex(picked, rendezvous(q, pool, q.Prefix[min(len(q.Prefix)-1, affinityDepth)]))
-		picked = addIndex(picked, rendezvous(q, pool, q.Prefix[0]))
+		picked = addIndex(picked, home(q, pool))
 	}
 	near := indexesNear(q, pool)
 	for range min(samples, len(near)) {
@@ -88,31 +89,41 @@
 }
 
 // prefer moves the places of the prefix to the front while they are not much
-// fuller than the best.
-func (a *Affinity) prefer(q Query, pool []Candidate, ranked []rank) {
+// fuller than the best, nor slow or far away.
+func (a *Affinity) prefer(now time.Time, q Query, pool []Candidate, ranked []rank) {
 	if len(q.Prefix) == 0 {
 		return
 	}
-	best := ranked[0].load
+	least := estimate(now, &pool[ranked[0].index])
 	for _, r := range ranked {
-		best = min(best, r.load)
+		least = min(least, estimate(now, &pool[r.index]))
 	}
-	home := rendezvous(q, pool, q.Prefix[min(len(q.Prefix)-1, affinityDepth)])
-	known := a.remembered(q, pool)
+	place, known := home(q, pool), a.remembered(q, pool)
 	for i := range ranked {
 		r := &ranked[i]
-		if r.load > best+loadBound {
+		if r.load >= penaltySlow || estimate(now, &pool[r.index]) > least+loadBound {
 			continue
 		}
 		switch r.index {
+		case place:
+			r.load = preferPlace
 		case known:
-			r.load = best - 2
-		case home:
-			r.load = best - 1
+			r.load = preferKnown
 		}
 	}
 }
 
+// home returns the candidate on which all daemons place the prefix. A
+// conversation has one place in the whole region, since its prefix is worth
+// more than the way to another data centre; a short prompt, which many share,
+// has one in each data centre.
+func home(q Query, pool []Candidate) int {
+	if len(q.Prefix) > affinityDepth {
+		return rendezvous(q, pool, q.Prefix[affinityDepth], sameRegion)
+	}
+	return rendezvous(q, pool, q.Prefix[len(q.Prefix)-1], sameDataCentre)
+}
+
 // remembered returns the candidate that got the longest known prefix, or -1.
 func (a *Affinity) remembered(q Query, pool []Candidate) int {
 	for i := len(q.Prefix) - 1; i >= 0; i-- {
@@ -162,11 +173,12 @@
 }
 
 // rendezvous returns the candidate with the highest hash for the prefix, of
-// the nearest place that has any (Thaler and Ravishankar, 1998).
-func rendezvous(q Query, pool []Candidate, prefix uint64) int {
+// the nearest place that has any (Thaler and Ravishankar, 1998). Places nearer
+// than the given one count as equal.
+func rendezvous(q Query, pool []Candidate, prefix uint64, nearest int) int {
 	best, bestNear, bestScore := 0, -1, uint64(0)
 	for i := range pool {
-		near := nearness(q.Place, pool[i].Place)
+		near := min(nearest, nearness(q.Place, pool[i].Place))
 		if near < bestNear {
 			continue
 		}
