--- a/internal/processtest/caller_test.go
+++ b/internal/processtest/caller_test.go
@@ -182,6 +182,15 @@
 	return cfg
 }
 
+// loadConfigAt is loadConfig for unkeyed requests to one daemon alone.
+func (c *cluster) loadConfigAt(i int, rate float64, d time.Duration) load.Config {
+	cfg := c.loadConfig(rate, d)
+	cfg.Addresses = cfg.Addresses[i : i+1]
+	cfg.KeyedShare, cfg.NotRepeatableShare = 0, 0
+	cfg.Deadline = 5 * time.Second
+	return cfg
+}
+
 // runningLoad is a load under way.
 type runningLoad struct {
 	t    *testing.T
--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -137,18 +137,22 @@
 	c.standin = startProcess(c.t, &c.addresses, args...)
 }
 
-// startDaemon starts a daemon, or starts it again after its process has ended.
-// As on an instance, the peers' port stays the same.
-func (c *cluster) startDaemon(d *daemonProcess) {
+// startDaemon starts a daemon on ports that are free.
+func (c *cluster) startDaemon(d *daemonProcess, set ...string) {
 	c.t.Helper()
-	args := []string{"--output", "json", "daemon", d.file}
-	if d.report.Peers != "" {
-		args = append(args, "--set", "listen.peers="+d.report.Peers)
-	}
+	args := append([]string{"--output", "json", "daemon", d.file}, set...)
 	d.process = startProcess(c.t, &d.report, args...)
 	d.relay.setTarget(d.report.Peers)
 }
 
+// restartDaemon starts a daemon again after its process has ended. As on an
+// instance, its ports stay the same.
+func (c *cluster) restartDaemon(d *daemonProcess) {
+	c.t.Helper()
+	c.startDaemon(d, "--set", "listen.callers="+d.report.Callers,
+		"--set", "listen.peers="+d.report.Peers, "--set", "listen.admin="+d.report.Admin)
+}
+
 // writeFile writes a file that only its owner may read.
 func (c *cluster) writeFile(name, text string) string {
 	c.t.Helper()
@@ -434,7 +438,7 @@
 
 // dumpLogs shows the ends of the daemons' logs.
 func (c *cluster) dumpLogs() {
-	const tail = 12000
+	const tail = 3000
 	for _, d := range c.daemons {
 		text := d.output.String()
 		c.t.Logf("daemon-%d:\n%s", d.index, text[max(0, len(text)-tail):])
--- a/internal/processtest/configuration_test.go
+++ b/internal/processtest/configuration_test.go
@@ -84,7 +84,7 @@
 	c.await(inForceLimit, "the change to be in force", func() bool { return c.inForce(revision) })
 	c.tableFaults(standin.FaultSettings{Down: true})
 	c.daemons[2].kill()
-	c.startDaemon(c.daemons[2])
+	c.restartDaemon(c.daemons[2])
 	c.await(30*time.Second, "the restarted daemon to have the revision", func() bool {
 		s, ok := c.status(2)
 		if ok && s.Daemon.Current && s.Daemon.Revision < revision {
--- a/internal/processtest/stops_test.go
+++ b/internal/processtest/stops_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -81,13 +83,47 @@
 	host := c.hostOf(c.addresses.Engines[0])
 	c.network.isolate(0, len(c.daemons), true)
 	time.Sleep(7 * time.Second)
-	l := c.startLoad(c.loadConfig(40, 12*time.Second))
+	cfg := c.loadConfig(40, 12*time.Second)
+	cfg.Deadline = 5 * time.Second
+	l := c.startLoad(cfg)
 	time.Sleep(time.Second)
 	c.reclaim(host, time.Minute)
 	c.await(8*time.Second, "a daemon to learn of it", func() bool { return !c.firstLearned(c.addresses.Engines[0]).IsZero() })
 	c.checkLeaving(l)
 }
 
+// TestLeaving_CutOffDaemonThatReadsTheListLate: the daemon that is cut off reads
+// the platform's list at other moments than the others, so that they learn of
+// the notice seconds before it.
+func TestLeaving_CutOffDaemonThatReadsTheListLate(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	host := c.hostOf(c.addresses.Engines[0])
+	const listInterval, phase = 5 * time.Second, 4300 * time.Millisecond
+	c.daemons[0].kill()
+	s, ok := c.status(1)
+	if !ok {
+		t.Fatal("no status")
+	}
+	started := s.Daemon.StartedAt
+	next := started.Add((time.Since(started)/listInterval + 1) * listInterval)
+	time.Sleep(time.Until(next.Add(phase)))
+	c.restartDaemon(c.daemons[0])
+	c.await(togetherLimit, "the daemons to know each other", c.together)
+	c.network.isolate(0, len(c.daemons), true)
+	l := c.startLoad(c.loadConfigAt(0, 40, 13*time.Second))
+	next = started.Add((time.Since(started)/listInterval + 2) * listInterval)
+	time.Sleep(time.Until(next.Add(-500 * time.Millisecond)))
+	c.reclaim(host, time.Minute)
+	c.await(8*time.Second, "a daemon to learn of it", func() bool { return !c.firstLearned(c.addresses.Engines[0]).IsZero() })
+	first := c.firstLearned(c.addresses.Engines[0])
+	l.safe()
+	if runs := c.newWorkAfter(c.addresses.Engines[0], first.Add(leavingLimit)); len(runs) > 0 {
+		t.Errorf("%d runs began later than %s after the first daemon had learned, the last %s after it",
+			len(runs), leavingLimit, runs[len(runs)-1].At.Sub(first).Round(time.Millisecond))
+	}
+}
+
 // TestLeaving_EngineTakenOutOfTheDocument: once the change is in force
 // everywhere, the engine gets nothing more.
 func TestLeaving_EngineTakenOutOfTheDocument(t *testing.T) {
@@ -145,7 +181,7 @@
 	time.Sleep(time.Second)
 	for _, d := range c.daemons {
 		d.terminate()
-		c.startDaemon(d)
+		c.restartDaemon(d)
 		c.await(20*time.Second, "the restarted daemon to serve", func() bool {
 			s, ok := c.status(d.index)
 			return ok && s.Daemon.Current && s.Daemon.NotReady == ""
@@ -179,3 +215,21 @@
 		}
 	}
 }
+
+// TestPlannedStop_ComesBackOnOtherPorts: a daemon that starts again under its
+// name with other addresses is known by the new ones.
+func TestPlannedStop_ComesBackOnOtherPorts(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	c.daemons[0].terminate()
+	c.startDaemon(c.daemons[0])
+	want := c.daemons[0].report.Callers
+	c.await(20*time.Second, "the other daemons to name the new address", func() bool {
+		for i := 1; i < len(c.daemons); i++ {
+			if !strings.Contains(c.exchange(i, http.MethodGet, "/v1/addresses", nil, "").text, want) {
+				return false
+			}
+		}
+		return true
+	})
+}
