--- a/internal/processtest/answers_test.go
+++ b/internal/processtest/answers_test.go
@@ -26,6 +26,50 @@
 	}
 }
 
+// TestAnswer_CrossedRepliesAreDropped: where every reply is in another
+// request's name, nothing is taken for an answer.
+func TestAnswer_CrossedRepliesAreDropped(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	for i := range c.addresses.Engines {
+		c.engineFaults(i, standin.EngineFaults{CrossedReply: true})
+	}
+	for _, p := range c.addresses.Plains {
+		c.post("http://"+p.Address+"/_faults", standin.EngineFaults{CrossedReply: true})
+	}
+	for i := range c.daemons {
+		for _, stream := range []bool{false, true} {
+			if r := c.submit(i, ask{prompt: "crossed", stream: stream, deadline: 3 * time.Second}); r.answered() || r.tokens > 0 {
+				t.Errorf("a crossed reply was taken for an answer: %s", r)
+			}
+		}
+		if r := c.call(i, "crossed call", fmt.Sprint("crossed-", i)); r.answered() {
+			t.Errorf("a crossed reply was taken for the answer of a call: %s", r)
+		}
+	}
+}
+
+// TestNotRun_OfFailingEngines: an engine that has run a request and then fails
+// makes no refusal.
+func TestNotRun_OfFailingEngines(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	for i := range c.addresses.Engines {
+		c.engineFaults(i, standin.EngineFaults{Fail: true})
+	}
+	for i, a := range []ask{{prompt: "failed 1"}, {prompt: "failed 2", key: "once", unrepeatable: true}} {
+		a.deadline = 3 * time.Second
+		r := c.submit(i, a)
+		n := c.runsOf(a.prompt, c.addresses.Engines)
+		if n == 0 || r.answered() || r.verdict == verdict.NotRun {
+			t.Errorf("%s ran %d times: %s", a.prompt, n, r)
+		}
+		if a.unrepeatable && n > 1 {
+			t.Errorf("%s ran %d times", a.prompt, n)
+		}
+	}
+}
+
 // TestNotRun_OfRefusingEngines: a refusal that precedes any work is told as
 // not run, and it is true.
 func TestNotRun_OfRefusingEngines(t *testing.T) {
--- a/internal/processtest/network_test.go
+++ b/internal/processtest/network_test.go
@@ -19,7 +19,6 @@
 	cut   map[[2]int]bool
 	loss  float64 // share of datagrams that are lost
 	rng   *rand.Rand
-	lost  int
 	conns []net.PacketConn
 }
 
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -48,7 +48,6 @@
 type process struct {
 	t      *testing.T
 	cmd    *exec.Cmd
-	first  chan []byte // the JSON report on its standard output
 	output *lockedBuffer
 	ended  chan struct{}
 	err    error // set once ended
--- a/internal/processtest/stops_test.go
+++ b/internal/processtest/stops_test.go
@@ -83,13 +83,15 @@
 	host := c.hostOf(c.addresses.Engines[0])
 	c.network.isolate(0, len(c.daemons), true)
 	time.Sleep(7 * time.Second)
-	cfg := c.loadConfig(40, 12*time.Second)
-	cfg.Deadline = 5 * time.Second
+	cutOff := c.startLoad(c.loadConfigAt(0, 20, 12*time.Second))
+	cfg := c.loadConfig(30, 12*time.Second)
+	cfg.Addresses, cfg.Seed = cfg.Addresses[1:], 2
 	l := c.startLoad(cfg)
 	time.Sleep(time.Second)
 	c.reclaim(host, time.Minute)
 	c.await(8*time.Second, "a daemon to learn of it", func() bool { return !c.firstLearned(c.addresses.Engines[0]).IsZero() })
 	c.checkLeaving(l)
+	cutOff.safe()
 }
 
 // TestLeaving_CutOffDaemonThatReadsTheListLate: the daemon that is cut off reads
