--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -46,6 +46,7 @@
 		c.emit(event.RequestFailed, r, string(verdict.CodeOf(err)))
 	} else {
 		c.emit(event.RequestAnswered, r, "")
+		c.observeAnswer(r, answer)
 	}
 	c.touch(r)
 }
--- a/internal/core/handoff.go
+++ b/internal/core/handoff.go
@@ -40,6 +40,7 @@
 	// successor takes everything over. Another one is chosen if it goes.
 	successor entity.InstanceID
 	version   uint64
+	warned    bool // event HandoffFailed was emitted
 	closing   bool // no further keyed request is begun
 	disowned  bool
 	quietAt   time.Time // when the last work ended
@@ -104,6 +105,7 @@
 	}
 	if len(pool) == 0 {
 		c.drain.successor = ""
+		c.warnAlone()
 		return
 	}
 	c.drain.successor = pool[c.Rand.IntN(len(pool))].ID
@@ -115,6 +117,15 @@
 	})
 }
 
+// warnAlone tells, once, that nobody can take the requests over.
+func (c *Core) warnAlone() {
+	if c.drain.warned || c.active == 0 {
+		return
+	}
+	c.drain.warned = true
+	c.emit(event.HandoffFailed, nil, "")
+}
+
 // livePeers returns the live daemons of this data centre and of the others.
 func (c *Core) livePeers() (near, far []membership.Member) {
 	for _, m := range c.Membership.Members() {
--- a/internal/core/outbox.go
+++ b/internal/core/outbox.go
@@ -22,6 +22,8 @@
 	Histories  []configuration.HistoryOutcome
 	Events     []event.Event
 	View       *View // set when it has changed
+	// Observations are for metrics.
+	Observations []Observation
 	// Finished: the daemon has nothing left to do and may exit.
 	Finished bool
 }
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -228,6 +228,7 @@
 	}
 	r.tokens = append(r.tokens, fresh...)
 	a.tokens += len(fresh)
+	c.observeTokens(r, a, len(fresh))
 	a.lastToken = c.now
 	c.touch(r)
 	c.checkpoint(r, a)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,11 +50,12 @@
 	platform  *performer
 	operators *operators
 	view      atomic.Pointer[view]
+	meter     *meter
 }
 
 // New returns a daemon. It does nothing before Run.
 func New(p Parts) *Daemon {
-	d := &Daemon{Parts: p}
+	d := &Daemon{Parts: p, meter: newMeter()}
 	d.callers = newCallers(func(id core.CallerID) { d.Inbox.Post(core.CallerGone{Caller: id}) })
 	d.backend = backend.New(p.Inbox.Post)
 	d.platform = newPerformer(p.Table, p.Objects, p.Inbox.Post)
@@ -126,6 +127,7 @@
 	}
 	d.operators.finish(out.Applied, out.Histories)
 	d.record(out.Events)
+	d.meter.take(&out)
 	return out.Finished
 }
 
