Let joined streams follow the run live

Change: the running request passes its tokens on to those that have joined it; what a follower has seen of an earlier run is compared first. Seen to fail with the passing on taken out: 35 tokens against 10 after 0.5 s. After: within 5 tokens (TestCore_JoinedStreamFollowsLive).

--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -156,6 +156,24 @@
 	w.answered()
 }
 
+// A second stream with the same key gets its tokens as they come, not when the
+// first one has ended.
+func TestCore_JoinedStreamFollowsLive(t *testing.T) {
+	w := newWorld(t, 52, 3)
+	work := streamed(modelWork("platform 4", 100))
+	work.Key = "live"
+	first := w.call(w.daemons[0], work, 20*time.Second)
+	w.runUntil(5*time.Second, func() bool { return len(first.tokens) > 10 })
+	second := w.call(w.daemons[1], work, 20*time.Second)
+	w.runFor(500 * time.Millisecond)
+	if first.done() || len(second.tokens) < len(first.tokens)-5 {
+		t.Errorf("after 0.5 s the second stream has %d tokens, the first %d", len(second.tokens), len(first.tokens))
+	}
+	w.finishAll(20 * time.Second)
+	w.verify()
+	w.answered()
+}
+
 func TestCore_SameKeyOtherContentIsRefused(t *testing.T) {
 	w := newWorld(t, 51, 3)
 	work := modelWork("a", 5)
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/journal"
@@ -61,7 +63,7 @@
 	case journal.Started:
 		c.start(r)
 	case journal.Joined:
-		r.stage = stageJoined
+		c.join(r, o.Leader)
 	case journal.Resume:
 		c.resumeClaim(r, o.Claim)
 	case journal.Claimed:
@@ -126,14 +128,44 @@
 		c.finish(r, nil, verdict.Wrap(err, verdict.Ran, "internal"))
 		return
 	}
+	r.replaceTokens(answer.Tokens)
+	c.finish(r, &answer, nil)
+}
+
+// replaceTokens takes the tokens of another run. What followers have seen of
+// the earlier one is compared before anything more is delivered.
+func (r *request) replaceTokens(tokens []string) {
 	for i := range r.followers {
 		f := &r.followers[i]
 		if f.sent > 0 && f.sent <= len(r.tokens) {
 			f.seen = r.tokens[:f.sent]
 		}
 	}
-	r.tokens = answer.Tokens
-	c.finish(r, &answer, nil)
+	r.tokens = slices.Clip(tokens)
+}
+
+// join lets a request follow the one that runs for its key.
+func (c *Core) join(r *request, leader entity.RequestID) {
+	r.stage = stageJoined
+	l := c.requests.Get(leader)
+	if l == nil {
+		return
+	}
+	l.joined = append(l.joined, r.id)
+	r.replaceTokens(l.tokens)
+	c.touch(r)
+}
+
+// mirror passes new tokens on to the requests that have joined this one.
+func (c *Core) mirror(leader *request) {
+	for _, id := range leader.joined {
+		r := c.requests.Get(id)
+		if r == nil || r.stage != stageJoined {
+			continue
+		}
+		r.tokens = slices.Clip(leader.tokens)
+		c.touch(r)
+	}
 }
 
 // journalRefused ends the request, or sends it to another owner. A run that
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -67,6 +67,8 @@
 	err    error
 	doneAt time.Time
 
+	// joined lists the requests with the same key that follow this one.
+	joined    []entity.RequestID
 	followers []follower
 	// dirty: followers may have something to be told.
 	dirty bool
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -231,6 +231,7 @@
 	c.observeTokens(r, a, len(fresh))
 	a.lastToken = c.now
 	c.touch(r)
+	c.mirror(r)
 	c.checkpoint(r, a)
 }
 
