Let a daemon that takes a request over keep the running attempt's slot

Cause: after a hand-off the heir would have waited for a second slot of the backend server on which the stream already runs, and got none if that is leaving. Change: Want.Resume moves the slot. Seen to fail with the former holder kept (3 slots in use, want 2) and with leaving servers refusing it (no grant).

--- a/internal/system/grant/asker.go
+++ b/internal/system/grant/asker.go
@@ -231,7 +231,7 @@
 	if len(pool) == 0 {
 		pool = g.filter(now, sv, w, false, false)
 	}
-	if w.alone && w.Only == "" {
+	if w.alone && w.Only == "" && !w.Resume {
 		pool = ward(g.living(now, pool), w.Digest)
 	}
 	return pool
@@ -241,7 +241,7 @@
 	g.pool = g.pool[:0]
 	for i, s := range sv.servers {
 		switch {
-		case s.leaving:
+		case s.leaving && !w.Resume:
 		case w.Only != "" && w.Only != s.backend.ID:
 		case exclude && excluded(w, s.backend.ID):
 		case avoid && now.Before(s.avoid):
@@ -283,7 +283,7 @@
 // ask sends an ask to the coordinator of a server.
 func (g *Grants) ask(now time.Time, w *want, id entity.BackendServerID, wait bool) {
 	s := g.servers.Get(id)
-	if s == nil || s.leaving {
+	if s == nil || s.leaving && !w.Resume {
 		g.wakeWant(w, now)
 		return
 	}
@@ -308,6 +308,7 @@
 		Prefix:       w.Prefix[max(0, len(w.Prefix)-maxAskPrefixes):],
 		Wait:         o.wait,
 		Alone:        w.alone,
+		Resume:       w.Resume,
 	}
 	if s := g.servers.Get(o.backend); s != nil {
 		a.Insist = now.Before(s.disputed)
--- a/internal/system/grant/coordinator.go
+++ b/internal/system/grant/coordinator.go
@@ -77,6 +77,10 @@
 		g.answer(now, s, h, a, Reply{Kind: Queued})
 		return
 	}
+	if a.Resume {
+		g.transfer(now, s, h, a)
+		return
+	}
 	if a.Priority == 0 {
 		l.urgent = now
 	}
@@ -87,12 +91,27 @@
 	}
 }
 
+// transfer moves the slot of a running attempt to the daemon that has taken
+// its request over. If the former holder is not known, it counts besides the
+// slots: the attempt runs in any case.
+func (g *Grants) transfer(now time.Time, s *server, h holder, a *Ask) {
+	l := s.lot
+	for _, other := range l.held.Keys() {
+		if other.request == h.request && other != h {
+			l.vacate(other)
+		}
+	}
+	l.waiting.Put(h, &waiter{ask: *a, arrived: now})
+	l.aloneRuns = l.aloneRuns || a.Alone
+	g.grant(now, s, h)
+}
+
 // notServing returns why an ask cannot be served here; 0: it can.
 func (g *Grants) notServing(now time.Time, s *server, a *Ask) Reason {
 	switch {
 	case s == nil:
 		return ReasonUnknown
-	case s.leaving:
+	case s.leaving && !a.Resume:
 		return ReasonLeaving
 	case s.coordinator.id != g.cfg.Self && !a.Insist:
 		return ReasonCoordinator
--- a/internal/system/grant/fakes_test.go
+++ b/internal/system/grant/fakes_test.go
@@ -76,11 +76,11 @@
 	queue   []*job // beyond the slots, in order
 	peak    int    // most requests at once, with those beyond the slots
 	served  entity.Tokens
-	busy    int // lagging report for baselines
-	began   int // requests
+	busy    int      // lagging report for baselines
+	began   int      // requests
 	cache   []uint64 // prefixes, the latest last
-	hits    int // cached prefixes of the requests begun
-	asked   int // all their prefixes
+	hits    int      // cached prefixes of the requests begun
+	asked   int      // all their prefixes
 }
 
 type job struct {
--- a/internal/system/grant/grants_test.go
+++ b/internal/system/grant/grants_test.go
@@ -253,3 +253,31 @@
 	w.run(20 * time.Second)
 	mustFinish(t, w, requests)
 }
+
+func TestGrants_ResumedAttemptKeepsItsSlot(t *testing.T) {
+	w := testWorld(9, 3, 1, 2)
+	submitMany(w, "r", 6, 200) // two run, four wait
+	w.run(2 * time.Second)
+	first := w.engines[0].running.Keys()[0]
+	n := w.nodes[0].g
+	n.SetLeaving(w.now, "server-000", "reclaim", true)
+	w.nodes[0].drain()
+	w.run(2100 * time.Millisecond)
+	heir := w.nodes[1]
+	if heir.open.Get(first.request) != nil {
+		heir = w.nodes[2]
+	}
+	heir.g.Want(w.now, Want{Request: first.request, Attempt: first.attempt + 1, Service: "model", Only: "server-000", Resume: true})
+	heir.drain()
+	w.run(2110 * time.Millisecond)
+	if x := heir.g.wants.Get(wantKey{first.request, first.attempt + 1}); x == nil || x.backend == nil {
+		t.Fatalf("no grant: %+v", x)
+	}
+	for _, o := range w.nodes {
+		for _, s := range o.g.Snapshot().Backends {
+			if s.Exact && s.Busy != 2 {
+				t.Errorf("%d slots in use, want 2", s.Busy)
+			}
+		}
+	}
+}
--- a/internal/system/grant/leaving.go
+++ b/internal/system/grant/leaving.go
@@ -81,6 +81,9 @@
 func (g *Grants) leaveQueue(now time.Time, s *server) {
 	for _, k := range g.wants.Keys() {
 		w := g.wants.Get(k)
+		if w.Resume {
+			continue
+		}
 		for _, a := range w.asksAt(s.backend.ID) {
 			g.withdrawAsk(now, w, a)
 			g.wakeWant(w, now)
--- a/internal/system/grant/message.go
+++ b/internal/system/grant/message.go
@@ -35,6 +35,7 @@
 	Wait         bool                  `cbor:"8,keyasint,omitempty"` // queue it if there is no free slot
 	Alone        bool                  `cbor:"9,keyasint,omitempty"`
 	Insist       bool                  `cbor:"10,keyasint,omitempty"` // serve it although another daemon coordinates
+	Resume       bool                  `cbor:"11,keyasint,omitempty"` // it runs there already, for another daemon
 }
 
 // Release gives a slot back.
--- a/internal/system/grant/reply.go
+++ b/internal/system/grant/reply.go
@@ -47,7 +47,7 @@
 		return
 	}
 	s := g.servers.Get(id)
-	if w == nil || w.backend != nil || s == nil || s.leaving || len(w.asksAt(id)) == 0 {
+	if w == nil || w.backend != nil || s == nil || s.leaving && !w.Resume || len(w.asksAt(id)) == 0 {
 		m := g.send(now, from, true)
 		m.Withdrawn = append(m.Withdrawn, r.Reference)
 		return
--- a/internal/system/grant/types.go
+++ b/internal/system/grant/types.go
@@ -28,6 +28,10 @@
 	Exclude      []entity.BackendServerID
 	Only         entity.BackendServerID // empty: any
 	Repeatable   bool
+	// Resume takes a running attempt over from another daemon: it goes on on
+	// the backend server Only and needs no slot of its own, even if the backend
+	// server is leaving.
+	Resume bool
 }
 
 // OutcomeKind says how an attempt that had a grant ended.
