--- a/internal/system/grant/routing_test.go
+++ b/internal/system/grant/routing_test.go
@@ -112,42 +112,52 @@
 	}
 }
 
-// BenchmarkGrants_State reports the heap of one daemon's system at full size,
-// with its part of the grants, and the time for a change of the members.
+// BenchmarkGrants_State reports the heap of one daemon's system with its part
+// of the grants, and the time for the loss of a seventh of the members.
 func BenchmarkGrants_State(b *testing.B) {
+	for _, z := range []struct{ daemons, workers, held int }{
+		{9, 12, 10}, {100, 600, 80}, {410, 150, 80}, {410, 600, 80}, {410, 600, 1080},
+	} {
+		b.Run(fmt.Sprintf("daemons=%d/workers=%d/held=%d", z.daemons, z.workers, z.held), func(b *testing.B) {
+			for range b.N {
+				stateOf(b, z.daemons, z.workers, z.held)
+			}
+		})
+	}
+}
+
+func stateOf(b *testing.B, daemons, workers, held int) {
 	place := func(i int) entity.Place {
 		return entity.Place{Region: "r", DataCentre: entity.DataCentreID(fmt.Sprint("dc", i%7))}
 	}
-	doc := testService(600, 64)
+	doc := testService(workers, 64)
 	for i := range doc.BackendServers {
 		doc.BackendServers[i].Place = place(i)
 	}
 	var members []Member
-	for i := range 410 {
+	for i := range daemons {
 		members = append(members, Member{ID: entity.InstanceID(fmt.Sprintf("daemon-%03d", i)), Place: place(i)})
 	}
 	now := time.UnixMicro(1_700_000_000_000_000)
 	var before, after runtime.MemStats
-	for range b.N {
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		w := newWorld(1, doc)
-		n := w.addNode(place(0), nil)
-		n.g.SetMembers(now, members)
-		n.g.SetServices(now, []entity.Service{doc})
-		for i := range 80 {
-			r := testRequest(fmt.Sprintf("0123456789abcdef-%08d", i), 200)
-			r.want.Prefix = []uint64{1, uint64(i), uint64(i) << 20}
-			n.submit(r)
-		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B-heap")
-		began := time.Now()
-		n.g.SetMembers(now, members[:350])
-		b.ReportMetric(float64(time.Since(began).Microseconds()), "µs-60-members-lost")
-		runtime.KeepAlive(w)
-	}
+	w := newWorld(1, doc)
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	n := w.addNode(place(0), nil)
+	n.g.SetMembers(now, members)
+	n.g.SetServices(now, []entity.Service{doc})
+	for i := range held {
+		r := testRequest(fmt.Sprintf("0123456789abcdef-%08d", i), 200)
+		r.want.Prefix = []uint64{1, uint64(i), uint64(i) << 20}
+		n.submit(r)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B-heap")
+	began := time.Now()
+	n.g.SetMembers(now, members[:daemons*6/7])
+	b.ReportMetric(float64(time.Since(began).Microseconds()), "µs-members-lost")
+	runtime.KeepAlive(w)
 }
 
 // BenchmarkGrants_Request is the processor time of all daemons' systems for
