Test grants under mixed faults; a stopped backend server accuses nobody

Under lost messages, dead daemons, wrong member lists, reclaimed servers and one sudden death, each attempt is decided once, all requests of live daemons finish and nothing stays held (3,000 cases). Fault found and mended: a server that was taken off the list in the moment of its reclaim counted as a sudden death, and a suspect that ran alone there was convicted. A second sudden death that hits a suspect running alone convicts it; that is a known limit and left out here. Seen to fail: without reclaim of silent grants, slots stay held.

--- a/internal/system/grant/fakes_test.go
+++ b/internal/system/grant/fakes_test.go
@@ -52,6 +52,8 @@
 	ticking time.Time
 	open    *entity.Table[entity.RequestID, request]
 	sent    int
+	last    time.Time // of the latest tick
+	ticks   int       // at that time
 }
 
 type request struct {
@@ -65,6 +67,7 @@
 	crash   bool
 	run     int // sends to engines
 	deaths  int
+	decided entity.AttemptNumber // the latest attempt with a decision
 }
 
 type engine struct {
@@ -205,11 +208,23 @@
 	n.w.after(max(0, due.Sub(n.w.now)), func() {
 		if !n.dead {
 			n.g.Tick(n.w.now)
+			n.countTick()
 			n.drain()
 		}
 	})
 }
 
+// countTick fails on a system that wants to be ticked at one instant for ever.
+func (n *node) countTick() {
+	if !n.w.now.Equal(n.last) {
+		n.last, n.ticks = n.w.now, 0
+	}
+	n.ticks++
+	if n.ticks > 100 {
+		panic("endless ticks at one instant")
+	}
+}
+
 func (n *node) deliver(e Envelope) {
 	w := n.w
 	w.messages++
@@ -262,6 +277,10 @@
 	if r == nil || r.want.Attempt != d.Attempt {
 		return
 	}
+	if r.decided == d.Attempt {
+		panic("two decisions for one attempt")
+	}
+	r.decided = d.Attempt
 	if d.Err != nil {
 		r.err = d.Err
 		n.open.Delete(d.Request)
--- a/internal/system/grant/news.go
+++ b/internal/system/grant/news.go
@@ -74,10 +74,10 @@
 }
 
 // suspect records that content was running on a backend server that died, and
-// tells the others.
+// tells the others. One that was leaving, or is no longer listed, was stopped.
 func (g *Grants) suspect(now time.Time, w *want) {
 	s := g.servers.Get(w.backend.ID)
-	if w.Digest == (entity.Digest{}) || (s != nil && s.leaving) {
+	if w.Digest == (entity.Digest{}) || s == nil || s.leaving {
 		return
 	}
 	part := Suspicion{
