--- a/internal/backend/call.go
+++ b/internal/backend/call.go
@@ -21,23 +21,11 @@
 
 // runCall sends a call of a plain service and reads its reply.
 func (c *Client) runCall(ctx context.Context, d *core.Dispatch) core.Input {
-	var trace sendTrace
-	req, err := plainCall(trace.attach(ctx), d)
-	if err != nil {
-		return unsound(d, err.Error())
-	}
-	client := c.http
-	if !d.Work.Repeatable {
-		client = c.fresh
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return c.failed(d, &trace, err)
+	resp, failure := c.send(ctx, d, plainCall)
+	if failure != nil {
+		return *failure
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if crossed(d, resp) {
-		return unsound(d, "the reply belongs to another request")
-	}
 	if resp.Header.Get(headerNotRun) == "true" {
 		return badStatus(d, resp)
 	}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -103,6 +103,35 @@
 	return c.runCall(ctx, d)
 }
 
+// buildCall builds the HTTP request of a dispatch.
+type buildCall func(context.Context, *core.Dispatch) (*http.Request, error)
+
+// send sends a dispatch, once, and returns the response if it belongs to it.
+// Work that is not repeatable gets a connection of its own.
+func (c *Client) send(ctx context.Context, d *core.Dispatch, build buildCall) (*http.Response, *core.AttemptFailed) {
+	var trace sendTrace
+	req, err := build(trace.attach(ctx), d)
+	if err != nil {
+		f := unsound(d, err.Error())
+		return nil, &f
+	}
+	client := c.http
+	if !d.Work.Repeatable {
+		client = c.fresh
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		f := c.failed(d, &trace, err)
+		return nil, &f
+	}
+	if crossed(d, resp) {
+		_ = resp.Body.Close()
+		f := unsound(d, "the reply belongs to another request")
+		return nil, &f
+	}
+	return resp, nil
+}
+
 // forget ends an attempt's handle.
 func (c *Client) forget(key attemptKey, h runningAttempt) {
 	h.cancel()
--- a/internal/backend/completion.go
+++ b/internal/backend/completion.go
@@ -59,26 +59,14 @@
 
 // runCompletion sends or resumes a completion and reads its stream.
 func (c *Client) runCompletion(ctx context.Context, d *core.Dispatch) core.Input {
-	var trace sendTrace
-	req, err := completionCall(trace.attach(ctx), d)
-	if err != nil {
-		return unsound(d, err.Error())
-	}
-	client := c.http
-	if !d.Work.Repeatable {
-		client = c.fresh
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return c.failed(d, &trace, err)
+	resp, failure := c.send(ctx, d, completionCall)
+	if failure != nil {
+		return *failure
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return badStatus(d, resp)
 	}
-	if crossed(d, resp) {
-		return unsound(d, "the reply belongs to another request")
-	}
 	return c.readStream(d, resp.Body)
 }
 
