Keep the news of a lost data centre small

Cause: at 410 daemons and 600 workers the sudden death of a data centre's 86 workers cost each daemon 475 KB in 6 s (one worker: 12.7 KB), most of it suspicions that the burst rule then ignores. Change: a suspicion waits 10 ms and is not told if other deaths have made its content innocent; clearing such content is not told either; suspicions of one instant share a message.

--- a/internal/system/grant/news.go
+++ b/internal/system/grant/news.go
@@ -10,6 +10,7 @@
 
 const (
 	newsRepeats  = 6                      // sends of each piece of news
+	gatherTime   = 10 * time.Millisecond  // other deaths may show that a data centre is lost
 	newsInterval = 150 * time.Millisecond // between the first two; then twice that, and so on
 )
 
@@ -24,6 +25,9 @@
 
 func (g *Grants) spread(now time.Time, n repeatedNews) {
 	n.at = now
+	if n.accuses() {
+		n.at = now.Add(gatherTime)
+	}
 	g.news = append(g.news, n)
 	g.repeatNews(now)
 }
@@ -32,6 +36,9 @@
 func (g *Grants) repeatNews(now time.Time) {
 	kept := g.news[:0]
 	for _, n := range g.news {
+		if n.accuses() && g.suspects.Check(now, n.suspicion.Digest) == quarantine.Innocent {
+			continue
+		}
 		if !n.at.After(now) {
 			g.tell(now, &n)
 			n.at = now.Add(newsInterval << n.sent)
@@ -53,6 +60,11 @@
 	return newsRepeats
 }
 
+// accuses reports whether the news is a death that content may have caused.
+func (n *repeatedNews) accuses() bool {
+	return n.suspicion != nil && !n.suspicion.Cleared && n.suspicion.Convicted == 0
+}
+
 func (g *Grants) tell(now time.Time, n *repeatedNews) {
 	if n.leaving != nil {
 		s := g.servers.Get(n.leaving.Backend)
@@ -68,7 +80,7 @@
 		if id == g.cfg.Self {
 			continue
 		}
-		m := g.send(now, id, true)
+		m := g.send(now, id, false)
 		m.Suspicions = append(m.Suspicions, *n.suspicion)
 	}
 }
@@ -91,11 +103,16 @@
 	g.spread(now, repeatedNews{suspicion: &part})
 }
 
-// clear records that content has completed, if that is news.
+// clear records that content has completed. The others are told if it was
+// suspect; what a lost data centre made innocent again is no news.
 func (g *Grants) clear(now time.Time, w *want) {
 	if !g.suspects.Suspected(w.Digest) {
 		return
 	}
+	if g.suspects.Check(now, w.Digest) != quarantine.Suspect {
+		g.suspects.Cleared(w.Digest)
+		return
+	}
 	part := Suspicion{Digest: w.Digest, Cleared: true}
 	g.emit(event.Event{Number: event.ContentCleared, At: now, Service: w.Service, Request: w.Request, Attempt: w.Attempt, Backend: w.backend.ID})
 	g.learnSuspicion(now, &part)
--- a/internal/system/grant/size_test.go
+++ b/internal/system/grant/size_test.go
@@ -19,9 +19,8 @@
 	daemons, workers, slots, rate, dataCentres int
 }
 
-// measure runs the size for some seconds and returns the messages for each
-// request, and the bytes that a daemon sends in a second, packets included.
-func (z size) measure(flush time.Duration) (perRequest, perDaemon float64) {
+// run starts the size's load and returns the world after some seconds.
+func (z size) run(flush time.Duration) *world {
 	w := newWorld(1, entity.Service{})
 	place := func(i int) entity.Place {
 		dc := i % z.dataCentres
@@ -39,10 +38,7 @@
 	}
 	w.meet()
 	w.measure = true
-	const warm, length = 8 * time.Second, 14 * time.Second
-	requests := 0
-	w.arrivals(float64(z.rate), length, func(i int) *request {
-		requests++
+	w.arrivals(float64(z.rate), sizeLength, func(i int) *request {
 		r := testRequest(fmt.Sprintf("0123456789abcdef-%08d", i), 100+w.rng.IntN(200))
 		r.want.Priority = entity.Priority(w.rng.IntN(4))
 		r.want.Deadline = w.now.Add(30 * time.Second)
@@ -51,13 +47,22 @@
 		r.want.Prefix = []uint64{p / 100, p, p<<32 | uint64(i)}
 		return r
 	})
-	w.run(warm)
-	messages, bytes, before := w.messages, w.bytes, requests
-	w.run(length)
-	messages, bytes, requests = w.messages-messages, w.bytes-bytes, requests-before
-	seconds := (length - warm).Seconds()
+	w.run(sizeWarm)
+	return w
+}
+
+const sizeWarm, sizeLength = 8 * time.Second, 14 * time.Second
+
+// measure returns the messages for each request, and the bytes that a daemon
+// sends in a second, packets included.
+func (z size) measure(flush time.Duration) (perRequest, perDaemon float64) {
+	w := z.run(flush)
+	messages, bytes := w.messages, w.bytes
+	w.run(sizeLength)
+	messages, bytes = w.messages-messages, w.bytes-bytes
+	seconds := (sizeLength - sizeWarm).Seconds()
 	total := float64(bytes + messages*packetOverhead)
-	return float64(messages) / float64(requests), total / float64(z.daemons) / seconds
+	return float64(messages) / seconds / float64(z.rate), total / float64(z.daemons) / seconds
 }
 
 func TestGrants_TrafficAtFullSize(t *testing.T) {
@@ -90,3 +95,27 @@
 		}
 	}
 }
+
+// BenchmarkGrants_Death reports what the sudden death of one backend server, or
+// of a data centre's, costs each daemon in bytes sent over 6 s.
+func BenchmarkGrants_Death(b *testing.B) {
+	z := size{daemons: 410, workers: 600, slots: 64, rate: 5000, dataCentres: 7}
+	_, usual := z.measure(defaultFlushDelay)
+	for _, all := range []bool{false, true} {
+		b.Run(fmt.Sprintf("data-centre=%v", all), func(b *testing.B) {
+			for range b.N {
+				w := z.run(defaultFlushDelay)
+				messages, bytes := w.messages, w.bytes
+				first := w.engines[0].backend.Place
+				for i, e := range w.engines {
+					if i == 0 || all && e.backend.Place == first {
+						e.die()
+					}
+				}
+				w.run(sizeLength)
+				total := float64(w.bytes - bytes + (w.messages-messages)*packetOverhead)
+				b.ReportMetric(total/float64(z.daemons)-usual*(sizeLength-sizeWarm).Seconds(), "B/daemon")
+			}
+		})
+	}
+}
