--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -132,9 +132,10 @@
 		if i == 0 {
 			fits = isNear
 		}
-		h := m.randomPeer(func(r *row) bool { return fits(r) && r != p.target && !holds(asked, r) })
+		isFree := func(r *row) bool { return r != p.target && !holds(asked, r) }
+		h := m.helper(func(r *row) bool { return fits(r) && isFree(r) })
 		if h == nil {
-			h = m.randomPeer(func(r *row) bool { return r != p.target && !holds(asked, r) })
+			h = m.helper(isFree)
 		}
 		if h == nil {
 			continue
@@ -147,6 +148,20 @@
 	}
 }
 
+// helper returns a member that fits: a neighbour if possible, since there is
+// a connection to it already, otherwise any.
+func (m *Membership) helper(fits func(*row) bool) *row {
+	neighbours := m.overlay.neighbours()
+	first := m.cfg.Rand.IntN(len(neighbours) + 1)
+	for i := range neighbours {
+		r := neighbours[(first+i)%len(neighbours)]
+		if !r.suspected && fits(r) {
+			return r
+		}
+	}
+	return m.randomPeer(fits)
+}
+
 func holds(rows []*row, r *row) bool {
 	for _, x := range rows {
 		if x == r {
--- a/internal/system/membership/rings.go
+++ b/internal/system/membership/rings.go
@@ -163,8 +163,9 @@
 }
 
 // neighbours returns, for each direction on each ring, the next member that
-// is not suspected, and the next one in any case: when many are suspected at
-// once, changes still reach everybody, the suspects included.
+// is not suspected, and the very next one unless this daemon itself has found
+// it silent: when many are suspected on hearsay, changes still reach
+// everybody, the suspects included.
 func (o *rings) neighbours() []*row {
 	if o.known != nil {
 		return o.known
@@ -182,7 +183,7 @@
 	passed := 0
 	g.walk(o.self, step, func(r *row) bool {
 		passed++
-		if (passed == 1 || !r.suspected) && !holds(o.known, r) {
+		if (passed == 1 && !r.bySelf || !r.suspected) && !holds(o.known, r) {
 			o.known = append(o.known, r)
 		}
 		return r.suspected
--- a/internal/system/membership/rings_test.go
+++ b/internal/system/membership/rings_test.go
@@ -55,3 +55,26 @@
 		}
 	}
 }
+
+// A member suspected on hearsay is still passed changes, so that it hears of
+// them; one that this daemon has found silent itself is not.
+func TestRings_HearsayKeepsNeighbours(t *testing.T) {
+	o := newRings(Config{Self: memberOf(0, 9), GlobalRings: 1})
+	for i := range 9 {
+		o.insert(&row{Member: memberOf(i, 9)})
+	}
+	next := o.neighbours()[0]
+	next.suspected = true
+	o.touched()
+	if !holds(o.neighbours(), next) {
+		t.Fatal("a member suspected on hearsay hears no changes")
+	}
+	next.bySelf = true
+	o.touched()
+	if holds(o.neighbours(), next) {
+		t.Fatal("changes are still sent to a member that is silent")
+	}
+	if len(o.neighbours()) != 2 {
+		t.Fatalf("%d neighbours, want 2", len(o.neighbours()))
+	}
+}
