Wire the fleet planner into the core and the shell

Cause: internal/system/fleet was written and proved, and nothing called it.

Change: core.Config.Fleet (nil without a cloud). The core gives the planner documents, members, table results, order outcomes, prices and the list; its orders leave in Outbox.Orders and are performed once each. When the list and the prices are due is the core's word too (ReadList, ReadPrices), in place of the shell's ticker: every 1 to 2 s in a small system and on a daemon that plans, stretched by 160 ms for each daemon up to 60 s, so that all daemons together read about 8 times a second.

Loads and drains: the planner asks every daemon once a round (5 s, stretched by 50 ms for each daemon). Each answers with the load of what it coordinates and with those of the draining backend servers on which it runs nothing. The question itself tells who plans and what drains. A server counts as drained after two rounds in a row in which every daemon found it idle. Gossip of loads would go from every daemon to every other; this goes to one.

Backend servers on instances of ours join those of the document on every daemon; one that leaves stays known, without new work, until it is gone.

Tests (virtual time, fake cloud with a lagging list). Each was seen to fail with its mechanism out: - StartsFromNothing: orders dropped, list not given, or servers not added: no instance runs, or no answer. - StartsForWaitingRequests: waiting requests not counted, or no loads: every request ends at its deadline. - ReclaimedManagedDataCentre: leaving not told: runs begin on i3 101 ms to more than 1.3 s after the time allowed; leaving instances dropped at once: i3 is not known any more. - ScaleInWaitsForSlowCalls: idle always true, or only this daemon asked: i5, i6, i8 and i9 are stopped with 1 or 2 runs. - InstancesOfOthers: every instance taken for ours: 8 runs on each of three. - RouteManageRoute: planner not told of route mode: 2 starts after the return; document's servers dropped in manage mode: they get no work.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/admission"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/journal"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
@@ -23,6 +24,7 @@
 	Grants        *grant.Grants
 	Admission     *admission.Limiter
 	Retry         *retry.Budget
+	Fleet         *fleet.System // nil: no cloud, and so no managed services
 	Rand          *rand.Rand
 	Limits        Limits
 }
@@ -67,8 +69,10 @@
 	successors  map[entity.InstanceID]entity.InstanceID // never iterated
 	leaving     map[entity.BackendServerID]uint64       // news versions; never iterated
 	drain       drainState
-	askAt       time.Time // next question to a peer for documents
-	headTold    uint64    // highest revision that news told
+	fleet       fleetState
+	inForce     []entity.Service // with the backend servers of ours
+	askAt       time.Time        // next question to a peer for documents
+	headTold    uint64           // highest revision that news told
 	isolated    bool
 	viewOld     bool
 	viewCurrent bool
@@ -84,6 +88,7 @@
 		callers:    make(map[CallerID]entity.RequestID),
 		successors: make(map[entity.InstanceID]entity.InstanceID),
 		leaving:    make(map[entity.BackendServerID]uint64),
+		fleet:      newFleetState(),
 		membersOld: true,
 		isolated:   true,
 	}
@@ -101,6 +106,7 @@
 	c.runSystems()
 	c.watchCurrency()
 	c.askForDocuments()
+	c.runFleet()
 	c.runDrain()
 	c.settle()
 	c.deliver()
@@ -146,6 +152,10 @@
 		c.Grants.CacheEvent(c.now, in.Backend, in.Event)
 	case ApplyChange:
 		c.Configuration.Apply(c.now, in.Change)
+	case CloudOutcome:
+		c.cloudOutcome(in)
+	case PriceList:
+		c.priceList(in)
 	case ReadHistory:
 		c.Configuration.History(in.Service)
 	}
@@ -177,6 +187,7 @@
 	any = c.collectConfiguration() || any
 	any = c.collectJournal() || any
 	any = c.collectGrants() || any
+	any = c.collectFleet() || any
 	return any
 }
 
@@ -187,6 +198,7 @@
 	at = earliest(at, c.Grants.Deadline())
 	at = earliest(at, c.askAt)
 	at = earliest(at, c.drainDeadline())
+	at = earliest(at, c.fleetDeadline())
 	if len(c.timers) > 0 {
 		at = earliest(at, c.timers[0].at)
 	}
--- a/internal/core/fake_engine_test.go
+++ b/internal/core/fake_engine_test.go
@@ -41,6 +41,7 @@
 	w       *world
 	server  entity.BackendServer
 	plain   bool
+	slow    time.Duration // of one plain call; 0: plainDelay
 	dead    bool
 	silent  bool
 	streams map[attemptKey]*fakeStream
@@ -179,7 +180,7 @@
 	s := &fakeStream{d: d, reader: from, as: key, tokens: append([]string(nil), d.Prefix...), sent: len(d.Prefix)}
 	e.streams[key] = s
 	if e.plain {
-		e.w.after(plainDelay, func() { e.endPlain(s) })
+		e.w.after(max(plainDelay, e.slow), func() { e.endPlain(s) })
 		return
 	}
 	if strings.HasPrefix(d.Work.Completion.Prompt, crashPrompt) {
--- a/internal/core/input.go
+++ b/internal/core/input.go
@@ -6,6 +6,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
 )
 
@@ -107,6 +108,12 @@
 // InstanceList is a reading of the platform's lagging list.
 type InstanceList struct{ Instances []platform.Instance }
 
+// CloudOutcome is the outcome of an order to the cloud.
+type CloudOutcome struct{ Result fleet.CloudResult }
+
+// PriceList is a reading of the cloud's prices.
+type PriceList struct{ Prices []platform.Price }
+
 // ReclaimNotice announces the reclaim of this daemon's instance.
 type ReclaimNotice struct{ Notice platform.Notice }
 
@@ -150,6 +157,8 @@
 func (PeerMessage) isInput()    {}
 func (PlatformResult) isInput() {}
 func (InstanceList) isInput()   {}
+func (CloudOutcome) isInput()   {}
+func (PriceList) isInput()      {}
 func (ReclaimNotice) isInput()  {}
 func (Drain) isInput()          {}
 func (BackendLeaving) isInput() {}
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -91,8 +91,8 @@
 
 // backendServer finds a backend server in the service document.
 func (c *Core) backendServer(s entity.ServiceName, id entity.BackendServerID) *entity.BackendServer {
-	service, ok := c.Configuration.Service(s)
-	if !ok {
+	service := c.service(s)
+	if service == nil {
 		return nil
 	}
 	for i := range service.BackendServers {
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -23,6 +23,8 @@
 	DocumentsAsk  *DocumentsAsk       `cbor:"10,keyasint,omitempty"`
 	DocumentsHave *DocumentsHave      `cbor:"11,keyasint,omitempty"`
 	RelayPoll     *RelayPoll          `cbor:"12,keyasint,omitempty"`
+	FleetAsk      *FleetAsk           `cbor:"20,keyasint,omitempty"`
+	FleetHave     *FleetHave          `cbor:"21,keyasint,omitempty"`
 	// Stamp is the sender's hybrid logical clock; the shell sets it.
 	Stamp timeline.Stamp `cbor:"13,keyasint,omitzero"`
 }
--- a/internal/core/migrate.go
+++ b/internal/core/migrate.go
@@ -24,7 +24,7 @@
 // backendLeaving takes word from the platform or an operator that a backend
 // server leaves, and tells all daemons.
 func (c *Core) backendLeaving(in BackendLeaving) {
-	if c.isLeaving(in.Backend) == in.Leaving {
+	if c.isLeaving(in.Backend) == in.Leaving || c.draining(in.Backend) && !in.Leaving {
 		return
 	}
 	version := c.leaving[in.Backend] + 1
--- a/internal/core/outbox.go
+++ b/internal/core/outbox.go
@@ -7,6 +7,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 )
 
 // Outbox is all that the caller of Tick has to perform. The order within each
@@ -18,6 +19,9 @@
 	Exports    []Export
 	Sends      []Envelope
 	Operations []Operation
+	Orders     []fleet.CloudOrder // to the cloud, once each
+	ReadList   bool               // read the platform's list of instances
+	ReadPrices bool               // read the cloud's prices
 	Applied    []configuration.ApplyOutcome
 	Histories  []configuration.HistoryOutcome
 	Events     []event.Event
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -48,6 +48,10 @@
 		c.offerCommitted(m.OfferCommit)
 	case m.DocumentsAsk != nil:
 		c.documentsAsked(in.From, m.DocumentsAsk)
+	case m.FleetAsk != nil:
+		c.fleetAsked(in.From, m.FleetAsk)
+	case m.FleetHave != nil:
+		c.fleetAnswered(in.From, m.FleetHave)
 	case m.DocumentsHave != nil:
 		c.Configuration.PeerHead(c.now, m.DocumentsHave.Snapshot.Revision)
 		c.Configuration.PeerDocuments(c.now, m.DocumentsHave.Snapshot)
@@ -91,6 +95,7 @@
 	c.Journal.SetLeaving(leavers)
 	c.Journal.SetMembers(c.now, owners)
 	c.Grants.SetMembers(c.now, daemons)
+	c.setPlannerMembers(owners)
 	c.Admission.SetDaemons(len(owners))
 	c.Configuration.SetDaemons(len(owners))
 	c.viewOld = true
@@ -141,11 +146,12 @@
 
 // servicesChanged tells the systems what is in force.
 func (c *Core) servicesChanged() {
-	services := c.Configuration.Services()
-	c.viewOld = true
-	c.Grants.SetServices(c.now, services)
-	c.Admission.SetServices(c.now, services)
-	c.Retry.SetServices(services)
+	c.refreshServices()
+	c.Admission.SetServices(c.now, c.inForce)
+	c.Retry.SetServices(c.inForce)
+	if c.Fleet != nil {
+		c.Fleet.SetServices(c.now, c.inForce)
+	}
 }
 
 // watchCurrency notes when the daemon stops, or starts again, to take callers.
@@ -193,6 +199,8 @@
 		c.Journal.TableResult(c.now, in.Result)
 	case SystemConfiguration:
 		c.Configuration.TableResult(c.now, in.Result)
+	case SystemFleet:
+		c.Fleet.TableResult(c.now, in.Result)
 	}
 }
 
@@ -204,12 +212,12 @@
 		if a := i.Tags[TagDaemon]; a != "" && i.State == platform.Running {
 			seeds = append(seeds, a)
 		}
-		b := i.Tags[TagBackendServer]
-		if b != "" && (i.State == platform.Leaving || i.State == platform.Gone) {
-			c.backendLeaving(BackendLeaving{Backend: entity.BackendServerID(b), Reason: "platform list", Leaving: true})
+		if b := c.leavingServer(i); b != "" {
+			c.backendLeaving(BackendLeaving{Backend: b, Reason: "platform list", Leaving: true})
 		}
 	}
 	c.Membership.Seed(c.now, seeds)
+	c.setInstances(in.Instances)
 }
 
 // decodeMessage is used by DecodeMessage and its fuzz target.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -30,6 +31,8 @@
 	ReclaimAt time.Time // zero: no reclaim announced
 	InFlight  int       // requests that are not finished
 	Load      grant.Snapshot
+	Plans     []ServicePlan    // of the services that this daemon plans
+	Planners  []ServicePlanner // of all managed services
 }
 
 // LoadByBackend indexes the load by backend server.
@@ -54,7 +57,7 @@
 	c.out.View = &View{
 		Members:   c.members,
 		Addresses: c.addresses(),
-		Services:  c.Configuration.Services(),
+		Services:  c.inForce,
 		Documents: c.Configuration.Documents(),
 		Revision:  c.Configuration.Revision(),
 		Head:      c.Configuration.HeadRevision(),
@@ -63,6 +66,8 @@
 		ReclaimAt: c.drain.reclaimAt,
 		InFlight:  c.active,
 		Load:      c.Grants.Snapshot(),
+		Plans:     c.plans(),
+		Planners:  slices.Clone(c.fleet.planners),
 	}
 }
 
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -29,6 +29,7 @@
 	engines map[entity.BackendServerID]*fakeEngine
 	order   []*fakeEngine
 	table   *fakeTable
+	cloud   *fakeCloud // nil: no daemon plans
 	callers []*fakeCaller
 	loss    float64 // share of peer messages lost
 	last    CallerID
@@ -79,6 +80,11 @@
 // newWorld starts daemons over three data centres and waits until they know
 // each other and the service documents.
 func newWorld(t testing.TB, seed uint64, daemons int) *world {
+	return startWorld(emptyWorld(t, seed), daemons)
+}
+
+// emptyWorld returns a world without daemons.
+func emptyWorld(t testing.TB, seed uint64) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)),
 		start: time.Unix(1_700_000_000, 0), engines: map[entity.BackendServerID]*fakeEngine{},
@@ -86,6 +92,11 @@
 	w.now = w.start
 	w.table = newFakeTable()
 	w.addEngines()
+	return w
+}
+
+// startWorld starts daemons and puts the first documents into force.
+func startWorld(w *world, daemons int) *world {
 	for i := range daemons {
 		w.addDaemon(i)
 	}
@@ -94,7 +105,7 @@
 	w.runFor(12 * time.Second)
 	for _, d := range w.daemons {
 		if !d.core.Configuration.Current(w.now) || len(d.core.Configuration.Services()) != 2 {
-			t.Fatalf("%s does not have the documents", d.id)
+			w.t.Fatalf("%s does not have the documents", d.id)
 		}
 	}
 	return w
@@ -119,6 +130,7 @@
 		Retry:         retry.New(retry.Config{Rand: w.newRand()}),
 		Rand:          w.newRand(),
 		Limits:        limits,
+		Fleet:         w.newFleet(d.id),
 	})
 	w.daemons = append(w.daemons, d)
 	d.wake(w.now)
@@ -200,6 +212,9 @@
 	for _, op := range out.Operations {
 		d.w.table.perform(d, op)
 	}
+	if d.w.cloud != nil {
+		d.w.cloud.perform(d, &out)
+	}
 	for i := range out.Sends {
 		d.send(&out.Sends[i])
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,8 +38,7 @@
 
 // Options are the settings that the shell itself needs.
 type Options struct {
-	AddressTTL   time.Duration // told to callers
-	ListInterval time.Duration // between readings of the platform's list
+	AddressTTL time.Duration // told to callers
 }
 
 // Daemon runs one core. Its methods are safe for concurrent use.
@@ -57,7 +56,7 @@
 	d := &Daemon{Parts: p}
 	d.callers = newCallers(func(id core.CallerID) { d.Inbox.Post(core.CallerGone{Caller: id}) })
 	d.backend = backend.New(p.Inbox.Post)
-	d.platform = newPerformer(p.Table, p.Objects, p.Inbox.Post)
+	d.platform = newPerformer(p)
 	d.operators = newOperators(p.Inbox.Post)
 	d.view.Store(newView(&core.View{}))
 	return d
@@ -70,7 +69,6 @@
 // starts the drain.
 func (d *Daemon) Run(ctx context.Context) {
 	defer d.close()
-	d.watchList(ctx)
 	stop := ctx.Done()
 	d.tick(nil)
 	timer := d.nextTimer()
@@ -124,6 +122,7 @@
 	for _, op := range out.Operations {
 		d.platform.perform(op)
 	}
+	d.order(&out)
 	d.operators.finish(out.Applied, out.Histories)
 	d.record(out.Events)
 	return out.Finished
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 )
 
@@ -23,6 +24,8 @@
 type performer struct {
 	table   platform.Table
 	objects platform.ObjectStore
+	cloud   platform.Cloud // may be nil
+	log     *logging.Log
 	post    func(core.Input)
 	slots   chan struct{}
 	ctx     context.Context
@@ -32,24 +35,31 @@
 }
 
 // newPerformer returns an idle performer.
-func newPerformer(t platform.Table, o platform.ObjectStore, post func(core.Input)) *performer {
+func newPerformer(p Parts) *performer {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &performer{
-		table: t, objects: o, post: post,
+		table: p.Table, objects: p.Objects, cloud: p.Cloud, log: p.Log, post: p.Inbox.Post,
 		slots: make(chan struct{}, maxOperations), ctx: ctx, cancel: cancel,
 	}
 }
 
 // perform starts an operation. It never blocks.
 func (p *performer) perform(op core.Operation) {
+	p.start(func(ctx context.Context) {
+		result := platform.Perform(ctx, p.table, p.objects, op.Operation)
+		p.failing.Store(errors.Is(result.Err, platform.ErrUnavailable) || errors.Is(result.Err, platform.ErrUnknownOutcome))
+		p.post(core.PlatformResult{System: op.System, Result: result})
+	})
+}
+
+// start runs a call of the platform as soon as there is a slot for it.
+func (p *performer) start(call func(ctx context.Context)) {
 	p.wg.Go(func() {
 		p.slots <- struct{}{}
 		defer func() { <-p.slots }()
 		ctx, cancel := context.WithTimeout(p.ctx, operationTimeout)
 		defer cancel()
-		result := platform.Perform(ctx, p.table, p.objects, op.Operation)
-		p.failing.Store(errors.Is(result.Err, platform.ErrUnavailable) || errors.Is(result.Err, platform.ErrUnknownOutcome))
-		p.post(core.PlatformResult{System: op.System, Result: result})
+		call(ctx)
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/admission"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/journal"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
@@ -34,8 +35,6 @@
 	// journalShards is the number of shards of the journal. It is the same on
 	// all daemons, for ever.
 	journalShards = 16
-	// listInterval is the time between readings of the platform's list.
-	listInterval = 5 * time.Second
 	// closeTimeout bounds the end of the sockets.
 	closeTimeout = 2 * time.Second
 )
@@ -88,7 +87,7 @@
 		Cloud:   cfg.Cloud,
 		Log:     cfg.Log,
 		Events:  n.events,
-		Options: daemon.Options{AddressTTL: s.Limits.AddressTTL, ListInterval: listInterval},
+		Options: daemon.Options{AddressTTL: s.Limits.AddressTTL},
 	})
 	return n, nil
 }
@@ -181,11 +180,20 @@
 		Grants:    grant.New(grant.Config{Self: self.ID, Place: self.Place, Rand: newRand()}),
 		Admission: admission.New(admission.Config{Rand: newRand()}),
 		Retry:     retry.New(retry.Config{Rand: newRand()}),
+		Fleet:     newFleet(cfg, self),
 		Rand:      newRand(),
 		Limits:    limits,
 	})
 }
 
+// newFleet returns the planner, or nil without a cloud.
+func newFleet(cfg Config, self membership.Member) *fleet.System {
+	if cfg.Cloud == nil {
+		return nil
+	}
+	return fleet.New(fleet.Config{Self: self.ID, Rand: newRand()})
+}
+
 // newRand returns a randomly seeded source.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
