--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -49,6 +49,10 @@
 	return Status{Daemon: DaemonStatus{Instance: "d1", Revision: 7}}, b.broken
 }
 
+func (b *fakeBackend) Plan(_ context.Context, s entity.ServiceName) (Plan, bool, error) {
+	return Plan{Service: s, Planner: "d2", Admin: "10.0.0.2:7201"}, s == "prices", b.broken
+}
+
 func (b *fakeBackend) Drain(context.Context) error { b.drained = true; return b.broken }
 
 func (b *fakeBackend) Events(_ context.Context, f timeline.Filter) (timeline.Export, error) {
@@ -223,3 +227,15 @@
 		t.Fatalf("%v", err)
 	}
 }
+
+func TestClient_Plan(t *testing.T) {
+	c := serve(t, &fakeBackend{})
+	p, err := c.Plan(ctx, "prices")
+	if err != nil || p.Planner != "d2" || p.Last != nil {
+		t.Errorf("%+v, %v", p, err)
+	}
+	var f *Failure
+	if _, err := c.Plan(ctx, "none"); !errors.As(err, &f) || f.Code != CodeNotFound {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/adminapi/backend.go
+++ b/internal/adminapi/backend.go
@@ -26,6 +26,8 @@
 	History(ctx context.Context, s entity.ServiceName) ([]configuration.Document, error)
 	// Status returns what this daemon knows of itself and of the others.
 	Status(ctx context.Context) (Status, error)
+	// Plan returns the fleet plan of a service, or which daemon has it.
+	Plan(ctx context.Context, s entity.ServiceName) (Plan, bool, error)
 	// Drain starts a graceful stop of this daemon. It returns at once.
 	Drain(ctx context.Context) error
 	// Events returns the events that this daemon keeps.
--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -39,6 +39,7 @@
 	admin.HandleFunc("/services/{name}", h.getService).Methods(http.MethodGet)
 	admin.HandleFunc("/services/{name}", h.changeService).Methods(http.MethodPut, http.MethodDelete)
 	admin.HandleFunc("/services/{name}/history", h.history).Methods(http.MethodGet)
+	admin.HandleFunc("/plan/{name}", h.plan).Methods(http.MethodGet)
 	admin.HandleFunc("/status", h.status).Methods(http.MethodGet)
 	admin.HandleFunc("/drain", h.drain).Methods(http.MethodPost)
 	admin.HandleFunc("/events", h.events).Methods(http.MethodGet)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -37,6 +37,7 @@
 	Get           *get           `arg:"subcommand:get" help:"print a service document, or list the services"`
 	History       *history       `arg:"subcommand:history" help:"list past documents of a service, or print one"`
 	Status        *status        `arg:"subcommand:status" help:"show the daemons, their configuration and the services"`
+	Plan          *plan          `arg:"subcommand:plan" help:"show what the fleet planner does for a service, and why"`
 	Drain         *drain         `arg:"subcommand:drain" help:"stop a daemon gracefully"`
 	Timeline      *timelineOf    `arg:"subcommand:timeline" help:"merge the events of all daemons into one time line"`
 	Daemon        *daemon        `arg:"subcommand:daemon" help:"run a daemon"`
@@ -66,6 +67,7 @@
   gooseberryslip apply forecast.toml
   gooseberryslip history forecast --revision 12 > forecast.toml
   gooseberryslip status --output json
+  gooseberryslip plan forecast --explain
   gooseberryslip drain --wait
   gooseberryslip timeline --request 0b6f --html timeline.html
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -29,6 +29,7 @@
 	peers     []adminapi.PeerStatus
 	tableDown bool
 	inFlight  int
+	plan      *adminapi.Plan // nil: knows of no planner
 	drained   func()
 	recorder  *timeline.Recorder
 }
@@ -85,6 +86,13 @@
 	}, nil
 }
 
+func (d *fakeDaemon) Plan(context.Context, entity.ServiceName) (adminapi.Plan, bool, error) {
+	if d.plan == nil {
+		return adminapi.Plan{}, false, nil
+	}
+	return *d.plan, true, nil
+}
+
 func (d *fakeDaemon) Drain(context.Context) error { go d.drained(); return nil }
 
 func (d *fakeDaemon) Events(_ context.Context, f timeline.Filter) (timeline.Export, error) {
--- /dev/null
+++ b/internal/node/plan.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/adminapi"
+	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
+)
+
+// Plan returns the plan of a service if this daemon plans it, else the daemon
+// that says that it does.
+func (b *operatorsBackend) Plan(_ context.Context, s entity.ServiceName) (adminapi.Plan, bool, error) {
+	v := b.n.daemon.View()
+	self := b.n.self()
+	for i := range v.Plans {
+		if v.Plans[i].Service == s {
+			return adminapi.Plan{
+				Service: s, Planner: self.ID, Admin: self.AdminAddr, Last: planDetail(&v.Plans[i].Plan),
+			}, true, nil
+		}
+	}
+	for _, p := range v.Planners {
+		if p.Service == s && p.Daemon != self.ID {
+			return adminapi.Plan{Service: s, Planner: p.Daemon, Admin: adminOf(&v, p.Daemon)}, true, nil
+		}
+	}
+	return adminapi.Plan{}, false, nil
+}
+
+// adminOf returns the advertised address of a daemon's API, or "".
+func adminOf(v *core.View, id entity.InstanceID) string {
+	for i := range v.Members {
+		if v.Members[i].ID == id {
+			return v.Members[i].AdminAddr
+		}
+	}
+	return ""
+}
+
+// planDetail converts a plan for operators.
+func planDetail(p *fleet.Plan) *adminapi.PlanDetail {
+	out := &adminapi.PlanDetail{
+		Target: p.Target, Keep: p.Keep, Cost: p.Cost, Short: p.Short, Drain: p.Drain, Why: p.Explain(),
+	}
+	for _, s := range p.Start {
+		out.Start = append(out.Start, adminapi.PlanStart{
+			DataCentre: s.Choice.DataCentre, Class: s.Choice.Class, Market: s.Choice.Market, PerHour: s.PerHour,
+		})
+	}
+	return out
+}
