Run a managed service in the quick start's world

The quick start's daemons have the cloud stand-in, so that a service in manage mode starts engines there.

--- a/internal/quickstart/cluster.go
+++ b/internal/quickstart/cluster.go
@@ -19,6 +19,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/node"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform/dynamo"
+	"github.com/gooseberryslip/gooseberryslip/internal/platform/ec2cloud"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform/s3store"
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
@@ -40,9 +41,12 @@
 	Daemons   int
 	Documents fs.FS // service documents, *.toml
 	Engine    standin.EngineConfig
-	Grace     time.Duration // of a planned stop; 0: the default
-	Log       io.Writer     // where the daemons' logs go
-	LogLevel  string        // "": info
+	// Cloud offers instances for services in manage mode; each runs an engine
+	// as in Engine.
+	Cloud    standin.CloudConfig
+	Grace    time.Duration // of a planned stop; 0: the default
+	Log      io.Writer     // where the daemons' logs go
+	LogLevel string        // "": info
 	// Operators may use the administration API.
 	Operators adminapi.Operators
 }
@@ -71,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Platform, err = standin.Start(ctx, standin.Config{})
+	c.Platform, err = standin.Start(ctx, standin.Config{Cloud: o.Cloud, CloudEngine: &o.Engine})
 	if err != nil {
 		return nil, err
 	}
@@ -152,6 +156,9 @@
 			Endpoint: addresses.Objects, Region: region, AccessKey: "quickstart", SecretKey: "quickstart",
 			Bucket: s.ObjectStore.Bucket, Timeout: callTimeout,
 		}),
+		Cloud: ec2cloud.New(ec2cloud.Config{
+			Endpoint: addresses.Cloud, Region: region, AccessKey: "quickstart", SecretKey: "quickstart", Timeout: callTimeout,
+		}),
 		Log:       log,
 		Operators: c.options.Operators,
 	})
