--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -79,11 +79,23 @@
 		return nil, err
 	}
 	return ec2cloud.New(ec2cloud.Config{
-		Endpoint: s.Cloud.Endpoint, Region: s.Table.Region,
-		AccessKey: keys.AccessKeyID, SecretKey: keys.SecretAccessKey, Timeout: platformTimeout,
+		Endpoint: s.Cloud.Endpoint, Region: s.Table.Region, ImageID: s.Cloud.Image,
+		OnDemandPrices: onDemandPrices(s.Cloud.OnDemand),
+		AccessKey:      keys.AccessKeyID, SecretKey: keys.SecretAccessKey, Timeout: platformTimeout,
 	}), nil
 }
 
+// onDemandPrices converts the list prices of the settings.
+func onDemandPrices(list []settings.OnDemandPrice) []platform.Price {
+	var out []platform.Price
+	for _, p := range list {
+		out = append(out, platform.Price{
+			DataCentre: p.DataCentre, Class: p.Class, Market: platform.OnDemand, PerHour: p.PerHour,
+		})
+	}
+	return out
+}
+
 // credentials reads a credentials file; without one, the calls are signed with
 // an empty key.
 func credentials(file string) (settings.Credentials, error) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"net/url"
 	"os"
@@ -101,9 +102,21 @@
 	checkRequired(d, "object_store.region", s.ObjectStore.Region)
 	checkRequired(d, "object_store.bucket", s.ObjectStore.Bucket)
 	checkURL(d, "cloud.endpoint", s.Cloud.Endpoint, false)
+	s.checkOnDemand()
 	checkURL(d, "metadata.url", s.Metadata.URL, false)
 }
 
+func (s *Settings) checkOnDemand() {
+	for i, p := range s.Cloud.OnDemand {
+		at := fmt.Sprintf("cloud.on_demand[%d]", i)
+		checkRequired(s.document, at+".data_centre", string(p.DataCentre))
+		checkRequired(s.document, at+".class", p.Class)
+		if !(p.PerHour > 0) {
+			s.document.Add(at+".per_hour", "must be above 0")
+		}
+	}
+}
+
 func (s *Settings) checkLog() {
 	if _, err := event.ParseLevel(s.Log.Level); err != nil {
 		s.document.Add("log.level", "%v", err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,8 +103,18 @@
 
 // Cloud says where the cloud API is; empty where no service is managed.
 type Cloud struct {
-	Endpoint    string `toml:"endpoint"` // URL
-	Credentials string `toml:"credentials"`
+	Endpoint    string          `toml:"endpoint"` // URL
+	Credentials string          `toml:"credentials"`
+	Image       string          `toml:"image"` // what instances are started from
+	OnDemand    []OnDemandPrice `toml:"on_demand"`
+}
+
+// OnDemandPrice is the list price of a machine class on demand, which the
+// cloud API does not tell. Without one, the class is only started reclaimable.
+type OnDemandPrice struct {
+	DataCentre entity.DataCentreID `toml:"data_centre"`
+	Class      string              `toml:"class"`
+	PerHour    float64             `toml:"per_hour"`
 }
 
 // Metadata says where the reclaim notice of this instance is read.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -158,3 +158,17 @@
 		}
 	}
 }
+
+func TestParse_OnDemandPrices(t *testing.T) {
+	const table = "[[cloud.on_demand]]\ndata_centre = \"a\"\nclass = \"gpu\"\nper_hour = "
+	s, err := Parse("d.toml", []byte(minimal+table+"1.5\n"), nil)
+	if err != nil || len(s.Cloud.OnDemand) != 1 || s.Cloud.OnDemand[0].PerHour != 1.5 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	if s, err = Parse("d.toml", []byte(minimal+table+"0.0\n"), nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.CheckValues(); err == nil || !strings.Contains(err.Error(), "cloud.on_demand[0].per_hour") {
+		t.Fatalf("%v", err)
+	}
+}
