--- a/internal/core/fleet_round.go
+++ b/internal/core/fleet_round.go
@@ -27,7 +27,6 @@
 type fleetRounds struct {
 	at     time.Time // of the next round
 	number uint32
-	asked  []entity.InstanceID
 	loads  *entity.Table[loadKey, loadRow]
 	drains *entity.Table[entity.BackendServerID, drainRow]
 }
@@ -100,7 +99,6 @@
 func (c *Core) startRound() {
 	f := &c.fleet.rounds
 	f.number++
-	f.asked = f.asked[:0]
 	m := &FleetAsk{Round: f.number, Services: c.planned()}
 	f.drains.All(func(b entity.BackendServerID, d *drainRow) bool {
 		d.asked = true
@@ -110,7 +108,6 @@
 	})
 	for i := range c.members {
 		if to := c.members[i].ID; to != c.Self.ID {
-			f.asked = append(f.asked, to)
 			c.send(to, Message{FleetAsk: m})
 		}
 	}
