--- a/internal/core/standby.go
+++ b/internal/core/standby.go
@@ -28,7 +28,7 @@
 	r.from = from
 	p := m.Progress
 	r.progress = &p
-	r.mayHaveRun = p.Attempt > 0
+	r.mayHaveRun = p.MayHaveRun
 	c.emit(event.HandoffAccepted, r, string(from))
 	c.wakeBy(r, c.now.Add(standbyCheck))
 }
@@ -53,6 +53,12 @@
 		return
 	}
 	p := m.Progress
+	if m.Answer != nil || m.Failure != nil {
+		r.tokens = p.Tokens
+		r.mayHaveRun = p.MayHaveRun
+		c.finish(r, m.Answer, m.Failure.err())
+		return
+	}
 	c.activate(r, &p)
 }
 
@@ -70,13 +76,10 @@
 func (c *Core) activate(r *request, p *Progress) {
 	r.tokens = p.Tokens
 	r.last = max(r.last, p.Attempt)
-	r.mayHaveRun = p.Attempt > 0
-	r.progress = nil
-	if p.Attempt > 0 {
-		r.progress = p
-	}
+	r.mayHaveRun = p.MayHaveRun
+	r.progress = p
 	c.touch(r)
-	if r.progress != nil && !r.keyed() && !r.work.Repeatable && r.work.Call != nil {
+	if r.mayHaveRun && !r.keyed() && !r.work.Repeatable && r.work.Call != nil {
 		c.fail(r, verdict.New(verdict.MayHaveRun, "backend-failed", "the daemon that waited for the reply has left"))
 		return
 	}
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -137,6 +137,9 @@
 	Backend *entity.BackendServer `cbor:"2,keyasint,omitempty"` // nil: not on a backend server
 	Tokens  []string              `cbor:"3,keyasint,omitempty"`
 	Handle  string                `cbor:"4,keyasint,omitempty"` // newest exported KV cache
+	// MayHaveRun: some attempt was sent, or may have been by a daemon that has
+	// not told of it.
+	MayHaveRun bool `cbor:"5,keyasint,omitempty"`
 }
 
 // micros converts a duration for a message.
