--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -6,6 +6,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 )
 
 const (
@@ -19,6 +20,9 @@
 	listShare = 160 * time.Millisecond
 	// listLongest bounds the time until a daemon knows a new instance.
 	listLongest = time.Minute
+	// listAlone is the longest time while no other daemon answers: then the
+	// list is the only news of backend servers that leave.
+	listAlone = time.Second
 	// pricesInterval is the longest time between a planner's readings of prices.
 	pricesInterval = 30 * time.Second
 )
@@ -90,12 +94,30 @@
 
 // listEvery returns the longest time between this daemon's readings of the list.
 func (c *Core) listEvery() time.Duration {
+	if c.alone() {
+		return listAlone
+	}
 	if c.Fleet.Holding() {
 		return listInterval
 	}
 	return min(max(listInterval, time.Duration(len(c.members))*listShare), listLongest)
 }
 
+// alone reports whether other daemons are known and none of them answers.
+func (c *Core) alone() bool {
+	others := 0
+	for i := range c.members {
+		if c.members[i].ID == c.Self.ID {
+			continue
+		}
+		if c.members[i].State == membership.Alive {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
+
 // fleetDeadline returns when the planner, a reading or a round is due next.
 func (c *Core) fleetDeadline() time.Time {
 	if c.Fleet == nil {
@@ -140,11 +162,14 @@
 	}
 }
 
-// setPlannerMembers tells the planner which daemons may hold leases.
+// setPlannerMembers tells the planner which daemons may hold leases. With
+// fewer daemons the list is due sooner.
 func (c *Core) setPlannerMembers(owners []entity.InstanceID) {
-	if c.Fleet != nil {
-		c.Fleet.SetMembers(c.now, owners)
+	if c.Fleet == nil {
+		return
 	}
+	c.Fleet.SetMembers(c.now, owners)
+	c.fleet.listAt = earliest(c.fleet.listAt, c.now.Add(c.listEvery()))
 }
 
 // plans returns the plans that this daemon has made.
--- a/internal/core/handoff.go
+++ b/internal/core/handoff.go
@@ -6,7 +6,6 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
-	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
 const (
@@ -40,6 +39,7 @@
 	// successor takes everything over. Another one is chosen if it goes.
 	successor entity.InstanceID
 	version   uint64
+	warned    bool // event HandoffFailed was emitted
 	closing   bool // no further keyed request is begun
 	disowned  bool
 	quietAt   time.Time // when the last work ended
@@ -104,6 +104,7 @@
 	}
 	if len(pool) == 0 {
 		c.drain.successor = ""
+		c.warnAlone()
 		return
 	}
 	c.drain.successor = pool[c.Rand.IntN(len(pool))].ID
@@ -115,6 +116,15 @@
 	})
 }
 
+// warnAlone tells, once, that nobody can take the requests over.
+func (c *Core) warnAlone() {
+	if c.drain.warned || c.active == 0 {
+		return
+	}
+	c.drain.warned = true
+	c.emit(event.HandoffFailed, nil, "")
+}
+
 // livePeers returns the live daemons of this data centre and of the others.
 func (c *Core) livePeers() (near, far []membership.Member) {
 	for _, m := range c.Membership.Members() {
@@ -243,156 +253,3 @@
 	}
 	r.followers = nil
 }
-
-// disown gives the journal's shards up once no plain call runs under them, or
-// when the time is almost over, and sends relayed requests back.
-func (c *Core) disown() {
-	c.drain.closing = c.drain.closing || c.drain.urgent || c.now.After(c.halfway())
-	if c.drain.disowned || !c.mayDisown() {
-		return
-	}
-	c.drain.closing = true
-	c.drain.disowned = true
-	for _, id := range c.requests.Keys() {
-		r := c.requests.Get(id)
-		if !r.begun || r.finished() || r.stage == stageCommit {
-			continue
-		}
-		c.suspend(r)
-		r.stage = stageBackoff
-		r.begun = false
-		c.Journal.GiveUp(c.now, r.id, !r.mayHaveRun)
-	}
-	c.Journal.Disown(c.now)
-	for _, id := range c.requests.Keys() {
-		if r := c.requests.Get(id); !r.finished() && r.stage != stageCommit && c.runsForOthers(r) {
-			c.moveFollowers(r)
-			c.active--
-			c.requests.Delete(id)
-		}
-	}
-}
-
-// mayDisown reports whether the shards may be given up now.
-func (c *Core) mayDisown() bool {
-	if c.now.After(c.drain.deadline.Add(-drainMargin)) {
-		return true
-	}
-	if !c.drain.urgent && c.now.Before(c.halfway()) && c.keyedWork(false) {
-		return false
-	}
-	return !c.keyedWork(true)
-}
-
-// keyedWork reports whether keyed requests run here; plain ones only, if asked.
-func (c *Core) keyedWork(plainOnly bool) bool {
-	found := false
-	c.requests.All(func(_ entity.RequestID, r *request) bool {
-		found = r.begun && !r.finished() && (!plainOnly || r.work.Call != nil || r.stage == stageCommit)
-		return !found
-	})
-	return found
-}
-
-// endDrain ends the daemon when it has no work and no callers, or no time.
-func (c *Core) endDrain() {
-	busy := c.active > 0 || len(c.callers) > 0 || c.offersOpen()
-	if busy {
-		c.drain.quietAt = time.Time{}
-	} else if c.drain.quietAt.IsZero() {
-		c.drain.quietAt = c.now
-	}
-	quiet := c.now.Sub(c.drain.quietAt)
-	released := quiet >= lastReplies && c.Journal.Released()
-	idle := !busy && (released || quiet >= releaseWait)
-	if idle || !c.now.Before(c.drain.deadline) {
-		c.out.Finished = true
-	}
-}
-
-// offersOpen reports whether outcomes still have to reach the successor.
-func (c *Core) offersOpen() bool {
-	open := false
-	c.requests.All(func(_ entity.RequestID, r *request) bool {
-		open = c.drain.successor != "" && !r.offer.accepted && r.stage != stageStandby
-		return !open
-	})
-	return open
-}
-
-// offered takes a request that a leaving daemon offers.
-func (c *Core) offered(from entity.InstanceID, m *Offer) {
-	accept := !c.drain.on
-	if accept && c.requests.Get(m.Request) == nil {
-		c.takeOffer(from, m)
-	}
-	c.send(from, Message{OfferReply: &OfferReply{Request: m.Request, Accepted: accept}})
-}
-
-// takeOffer adds the row of an offered request. It stays on standby until the
-// offering daemon commits the offer or dies.
-func (c *Core) takeOffer(from entity.InstanceID, m *Offer) {
-	r := c.adoptRequest(m.Request, m.Work, fromMicros(m.TimeLeft))
-	r.tokens = m.Progress.Tokens
-	if m.Answer != nil || m.Failure != nil {
-		c.finish(r, m.Answer, m.Failure.err())
-		return
-	}
-	r.stage = stageStandby
-	r.from = from
-	p := m.Progress
-	r.progress = &p
-	r.mayHaveRun = p.Attempt > 0
-	c.emit(event.HandoffAccepted, r, string(from))
-	c.wakeBy(r, c.now.Add(standbyCheck))
-}
-
-// offerReplied takes the answer to an offer.
-func (c *Core) offerReplied(from entity.InstanceID, m *OfferReply) {
-	r := c.requests.Get(m.Request)
-	if r == nil || r.offer.to != from {
-		return
-	}
-	if m.Accepted {
-		r.offer.accepted = true
-		return
-	}
-	c.drain.successor = ""
-}
-
-// offerCommitted goes on with a request whose daemon has stopped work on it.
-func (c *Core) offerCommitted(m *OfferCommit) {
-	r := c.requests.Get(m.Request)
-	if r == nil || r.stage != stageStandby {
-		return
-	}
-	p := m.Progress
-	c.activate(r, &p)
-}
-
-// watchStandby goes on with a request whose daemon has died before it could
-// commit its offer.
-func (c *Core) watchStandby(r *request) {
-	if _, alive := c.member(r.from); alive {
-		c.wakeBy(r, c.now.Add(standbyCheck))
-		return
-	}
-	c.activate(r, r.progress)
-}
-
-// activate starts work on a request that was on standby.
-func (c *Core) activate(r *request, p *Progress) {
-	r.tokens = p.Tokens
-	r.last = max(r.last, p.Attempt)
-	r.mayHaveRun = p.Attempt > 0
-	r.progress = nil
-	if p.Attempt > 0 {
-		r.progress = p
-	}
-	c.touch(r)
-	if r.progress != nil && !r.keyed() && !r.work.Repeatable && r.work.Call != nil {
-		c.fail(r, verdict.New(verdict.MayHaveRun, "backend-failed", "the daemon that waited for the reply has left"))
-		return
-	}
-	c.route(r)
-}
--- a/internal/core/outbox.go
+++ b/internal/core/outbox.go
@@ -26,6 +26,8 @@
 	Histories  []configuration.HistoryOutcome
 	Events     []event.Event
 	View       *View // set when it has changed
+	// Observations are for metrics.
+	Observations []Observation
 	// Finished: the daemon has nothing left to do and may exit.
 	Finished bool
 }
@@ -36,9 +38,10 @@
 	Accepted *Accepted
 	First    int // index of the first token, from 1
 	Tokens   []string
-	Done     *Answer // final
-	Failed   error   // final; carries a verdict
-	Moved    *Moved  // final
+	Sums     []uint32 // of each token: checksum of all tokens up to it
+	Done     *Answer  // final
+	Failed   error    // final; carries a verdict
+	Moved    *Moved   // final
 }
 
 // Accepted tells the caller the request's id.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -67,6 +67,8 @@
 	err    error
 	doneAt time.Time
 
+	// joined lists the requests with the same key that follow this one.
+	joined    []entity.RequestID
 	followers []follower
 	// dirty: followers may have something to be told.
 	dirty bool
@@ -89,6 +91,10 @@
 	// seen holds tokens that the receiver got from an earlier run. What is
 	// delivered has to begin with them.
 	seen []string
+	// sum is the checksum of the tokens delivered. With unchecked, it is what
+	// the caller says, and has to be compared before anything is delivered.
+	sum       uint32
+	unchecked bool
 }
 
 // attempt is the row of one send to a backend server.
--- a/internal/processtest/answers_test.go
+++ b/internal/processtest/answers_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
+	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -26,6 +28,50 @@
 	}
 }
 
+// TestAnswer_CrossedRepliesAreDropped: where every reply is in another
+// request's name, nothing is taken for an answer.
+func TestAnswer_CrossedRepliesAreDropped(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	for i := range c.addresses.Engines {
+		c.engineFaults(i, standin.EngineFaults{CrossedReply: true})
+	}
+	for _, p := range c.addresses.Plains {
+		c.post("http://"+p.Address+"/_faults", standin.EngineFaults{CrossedReply: true})
+	}
+	for i := range c.daemons {
+		for _, stream := range []bool{false, true} {
+			if r := c.submit(i, ask{prompt: "crossed", stream: stream, deadline: 3 * time.Second}); r.answered() || r.tokens > 0 {
+				t.Errorf("a crossed reply was taken for an answer: %s", r)
+			}
+		}
+		if r := c.call(i, "crossed call", fmt.Sprint("crossed-", i)); r.answered() {
+			t.Errorf("a crossed reply was taken for the answer of a call: %s", r)
+		}
+	}
+}
+
+// TestNotRun_OfFailingEngines: an engine that has run a request and then fails
+// makes no refusal.
+func TestNotRun_OfFailingEngines(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	for i := range c.addresses.Engines {
+		c.engineFaults(i, standin.EngineFaults{Fail: true})
+	}
+	for i, a := range []ask{{prompt: "failed 1"}, {prompt: "failed 2", key: "once", unrepeatable: true}} {
+		a.deadline = 3 * time.Second
+		r := c.submit(i, a)
+		n := c.runsOf(a.prompt, c.addresses.Engines)
+		if n == 0 || r.answered() || r.verdict == verdict.NotRun {
+			t.Errorf("%s ran %d times: %s", a.prompt, n, r)
+		}
+		if a.unrepeatable && n > 1 {
+			t.Errorf("%s ran %d times", a.prompt, n)
+		}
+	}
+}
+
 // TestNotRun_OfRefusingEngines: a refusal that precedes any work is told as
 // not run, and it is true.
 func TestNotRun_OfRefusingEngines(t *testing.T) {
@@ -125,41 +171,58 @@
 	}
 }
 
-// TestNotRepeatable_CallerRetriesAfterItsDaemonDied: the daemon dies while the
-// write-down runs; the caller sends it again, under the same key, elsewhere.
+// TestNotRepeatable_CallerRetriesAfterItsDaemonDied: the daemon that has sent
+// write-downs to the backend servers dies while they run. Their callers send
+// them again, under the same keys, to other daemons.
 func TestNotRepeatable_CallerRetriesAfterItsDaemonDied(t *testing.T) {
 	t.Parallel()
-	c := startCluster(t, options{plainDelay: 2 * time.Second})
-	const keys = 12
+	c := startCluster(t, options{plainDelay: 2500 * time.Millisecond})
+	const keys = 24
 	var wg sync.WaitGroup
 	for k := range keys {
-		wg.Go(func() {
-			body, key := fmt.Sprint("write-down ", k), fmt.Sprint("key-", k)
-			if r := c.call(0, body, key); r.err == nil {
-				return
-			}
-			for n := range 4 {
-				if r := c.call(1+n%2, body, key); r.err == nil && r.code != "not-owner" && r.code != "store-unavailable" {
-					return
-				}
-				time.Sleep(time.Second)
-			}
-		})
+		wg.Go(func() { c.callUntilAnswered(k%3, fmt.Sprint("write-down ", k), fmt.Sprint("key-", k)) })
 	}
 	time.Sleep(time.Second)
-	c.daemons[0].kill()
+	victim, most := 0, 0
+	for i := range c.daemons {
+		if n := c.dispatches(i); n > most {
+			victim, most = i, n
+		}
+	}
+	c.daemons[victim].kill()
+	if most == 0 {
+		t.Fatal("no daemon has sent anything to a backend server")
+	}
 	wg.Wait()
-	ran := 0
 	for k := range keys {
-		n := c.runsOf(fmt.Sprint("write-down ", k), c.addresses.Plains)
-		if n > 1 {
+		if n := c.runsOf(fmt.Sprint("write-down ", k), c.addresses.Plains); n > 1 {
 			t.Errorf("write-down %d ran %d times", k, n)
 		}
-		ran += n
 	}
-	if ran == 0 {
-		t.Error("nothing has run")
+}
+
+// callUntilAnswered sends a write-down to one daemon after another until one
+// of them says more than that it was not run.
+func (c *cluster) callUntilAnswered(i int, body, key string) {
+	const tries = 8
+	for n := range tries {
+		r := c.call((i+n)%len(c.daemons), body, key)
+		if r.err == nil && (r.code == "" || r.verdict != verdict.NotRun) {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// dispatches counts the attempts that a daemon has sent to backend servers.
+func (c *cluster) dispatches(i int) int {
+	n := 0
+	for _, e := range c.events(i, timeline.Filter{}) {
+		if e.Event.Number == event.AttemptDispatched {
+			n++
+		}
 	}
+	return n
 }
 
 // TestIdempotent_AnswersAgree: each engine answers differently, daemons die
--- a/internal/system/grant/asker.go
+++ b/internal/system/grant/asker.go
@@ -68,7 +68,6 @@
 		Reference:     w.reference(w.backend.ID),
 		Kind:          o.Kind,
 		Tokens:        o.Tokens,
-		FirstToken:    o.FirstToken.Microseconds(),
 		BetweenTokens: o.BetweenTokens.Microseconds(),
 	}
 	for _, to := range g.releaseTo(w) {
@@ -236,8 +235,8 @@
 	if len(pool) == 0 {
 		pool = g.filter(now, sv, w, false, false)
 	}
-	if w.alone && w.Only == "" {
-		pool = wards(pool)
+	if w.alone && w.Only == "" && !w.Resume {
+		pool = ward(g.living(now, pool), w.Digest)
 	}
 	return pool
 }
@@ -246,7 +245,7 @@
 	g.pool = g.pool[:0]
 	for i, s := range sv.servers {
 		switch {
-		case s.leaving:
+		case s.leaving && !w.Resume:
 		case w.Only != "" && w.Only != s.backend.ID:
 		case exclude && excluded(w, s.backend.ID):
 		case avoid && now.Before(s.avoid):
@@ -288,7 +287,7 @@
 // ask sends an ask to the coordinator of a server.
 func (g *Grants) ask(now time.Time, w *want, id entity.BackendServerID, wait bool) {
 	s := g.servers.Get(id)
-	if s == nil || s.leaving {
+	if s == nil || s.leaving && !w.Resume {
 		g.wakeWant(w, now)
 		return
 	}
@@ -313,6 +312,7 @@
 		Prefix:       w.Prefix[max(0, len(w.Prefix)-maxAskPrefixes):],
 		Wait:         o.wait,
 		Alone:        w.alone,
+		Resume:       w.Resume,
 	}
 	if s := g.servers.Get(o.backend); s != nil {
 		a.Insist = now.Before(s.disputed)
@@ -344,7 +344,7 @@
 	if g.wants.Get(w.key()) != w || w.backend != nil {
 		return
 	}
-	if q = w.waiting(); q != nil && q.queued && w.probing() == nil && !w.alone {
+	if q = w.waiting(); q != nil && q.queued && w.probing() == nil {
 		g.reprobe(now, w, q)
 	}
 	g.wakeAgain(now, w)
@@ -394,7 +394,7 @@
 		m.Asks = append(m.Asks, g.askPart(now, w, q))
 	}
 	sv := g.services.Get(w.Service)
-	if sv == nil {
+	if sv == nil || w.alone {
 		return
 	}
 	pool := g.candidates(now, sv, w)
--- a/internal/system/grant/coordinator.go
+++ b/internal/system/grant/coordinator.go
@@ -50,7 +50,7 @@
 func (g *Grants) answer(now time.Time, s *server, h holder, a *Ask, r Reply) {
 	r.Reference, r.Sequence = a.Reference, a.Sequence
 	if s != nil && s.lot != nil {
-		r.Hint = s.lot.hint(a)
+		r.Hint = s.lot.hint(a, r.Kind)
 	}
 	m := g.send(now, h.asker, true)
 	m.Replies = append(m.Replies, r)
@@ -77,6 +77,10 @@
 		g.answer(now, s, h, a, Reply{Kind: Queued})
 		return
 	}
+	if a.Resume {
+		g.transfer(now, s, h, a)
+		return
+	}
 	if a.Priority == 0 {
 		l.urgent = now
 	}
@@ -87,17 +91,34 @@
 	}
 }
 
+// transfer moves the slot of a running attempt to the daemon that has taken
+// its request over. If the former holder is not known, it counts besides the
+// slots: the attempt runs in any case.
+func (g *Grants) transfer(now time.Time, s *server, h holder, a *Ask) {
+	l := s.lot
+	for _, other := range l.held.Keys() {
+		if other.request == h.request && other != h {
+			l.vacate(other)
+		}
+	}
+	l.waiting.Put(h, &waiter{ask: *a, arrived: now})
+	l.aloneRuns = l.aloneRuns || a.Alone
+	g.grant(now, s, h)
+}
+
 // notServing returns why an ask cannot be served here; 0: it can.
 func (g *Grants) notServing(now time.Time, s *server, a *Ask) Reason {
 	switch {
 	case s == nil:
 		return ReasonUnknown
-	case s.leaving:
+	case s.leaving && !a.Resume:
 		return ReasonLeaving
 	case s.coordinator.id != g.cfg.Self && !a.Insist:
 		return ReasonCoordinator
 	case s.lot != nil && now.Before(s.lot.deadUntil):
 		return ReasonDead
+	case s.lot != nil && s.lot.trial && a.Alone:
+		return ReasonDead
 	default:
 		return 0
 	}
