Prove the fleet under mixed faults; forget planners of routed services

A service back in route mode has no planner in the view; with the mode not looked at, every daemon still names d0.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -182,6 +182,17 @@
 	return out
 }
 
+// planners returns the daemons that plan the services in manage mode.
+func (c *Core) planners() []ServicePlanner {
+	var out []ServicePlanner
+	for _, p := range c.fleet.planners {
+		if s := c.service(p.Service); s != nil && s.Mode == entity.ModeManage {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // planned returns the services that this daemon plans.
 func (c *Core) planned() []entity.ServiceName {
 	if c.Fleet == nil {
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -221,6 +221,42 @@
 	}
 }
 
+func TestCore_FleetUnderFaults(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { fleetUnderFaults(t, 50+seed) })
+	}
+}
+
+// fleetUnderFaults loses messages and replies of the table, takes a data
+// centre, kills the planner and cuts its successor off for half a minute.
+func fleetUnderFaults(t *testing.T, seed uint64) {
+	w := newManagedWorld(t, seed, 5)
+	w.loss, w.table.lose = 0.03, 0.03
+	w.apply(managedDocument(w, "manage", fleetBounds))
+	w.grown()
+	w.load(200*time.Millisecond, 90*time.Second, 60)
+	w.runFor(10 * time.Second)
+	w.cloud.reclaim("dc1")
+	w.cloud.refuse["dc1"] = true
+	w.runFor(5 * time.Second)
+	if d := w.planner(); d != nil {
+		d.kill()
+	}
+	w.runUntil(time.Minute, func() bool { return w.planner() != nil })
+	if d := w.planner(); d != nil {
+		d.cut = true
+		w.after(30*time.Second, func() { d.cut = false })
+	}
+	w.runFor(90 * time.Second)
+	w.loss, w.table.lose = 0, 0
+	w.finishAll(90 * time.Second)
+	w.runFor(2 * time.Minute)
+	w.verify()
+	if n := w.cloud.running(); n < 3 || n > 9 || w.cloud.running("dc1") > 0 {
+		t.Errorf("%d instances run, %d of them in the lost data centre", n, w.cloud.running("dc1"))
+	}
+}
+
 // planner returns the live daemon that plans, or nil.
 func (w *world) planner() *fakeDaemon {
 	for _, d := range w.live() {
@@ -314,6 +350,11 @@
 	if w.cloud.starts != starts || w.cloud.stops != stops {
 		t.Errorf("%d starts and %d stops after the return", w.cloud.starts-starts, w.cloud.stops-stops)
 	}
+	for _, d := range w.daemons {
+		if p := d.core.planners(); len(p) > 0 {
+			t.Errorf("%s takes %s for the planner", d.id, p[0].Daemon)
+		}
+	}
 	w.noRetries()
 }
 
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"slices"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -67,7 +66,7 @@
 		InFlight:  c.active,
 		Load:      c.Grants.Snapshot(),
 		Plans:     c.plans(),
-		Planners:  slices.Clone(c.fleet.planners),
+		Planners:  c.planners(),
 	}
 }
 
