--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -20,8 +20,8 @@
 	listShare = 160 * time.Millisecond
 	// listLongest bounds the time until a daemon knows a new instance.
 	listLongest = time.Minute
-	// listAlone is the longest time between readings while no other daemon
-	// answers: then the list is the only news of backend servers that leave.
+	// listAlone is the longest time while no other daemon answers: then the
+	// list is the only news of backend servers that leave.
 	listAlone = time.Second
 	// pricesInterval is the longest time between a planner's readings of prices.
 	pricesInterval = 30 * time.Second
@@ -106,11 +106,11 @@
 // alone reports whether other daemons are known and none of them answers.
 func (c *Core) alone() bool {
 	others := 0
-	for _, m := range c.members {
-		if m.ID == c.Self.ID {
+	for i := range c.members {
+		if c.members[i].ID == c.Self.ID {
 			continue
 		}
-		if m.State == membership.Alive {
+		if c.members[i].State == membership.Alive {
 			return false
 		}
 		others++
@@ -170,11 +170,14 @@
 	}
 }
 
-// setPlannerMembers tells the planner which daemons may hold leases.
+// setPlannerMembers tells the planner which daemons may hold leases. With
+// fewer daemons the list is due sooner.
 func (c *Core) setPlannerMembers(owners []entity.InstanceID) {
-	if c.Fleet != nil {
-		c.Fleet.SetMembers(c.now, owners)
+	if c.Fleet == nil {
+		return
 	}
+	c.Fleet.SetMembers(c.now, owners)
+	c.fleet.listAt = earliest(c.fleet.listAt, c.now.Add(c.listEvery()))
 }
 
 // plans returns the plans that this daemon has made.
@@ -187,6 +190,17 @@
 	return out
 }
 
+// planners returns the daemons that plan the services in manage mode.
+func (c *Core) planners() []ServicePlanner {
+	var out []ServicePlanner
+	for _, p := range c.fleet.planners {
+		if s := c.service(p.Service); s != nil && s.Mode == entity.ModeManage {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // planned returns the services that this daemon plans.
 func (c *Core) planned() []entity.ServiceName {
 	if c.Fleet == nil {
