--- a/internal/system/grant/grants.go
+++ b/internal/system/grant/grants.go
@@ -78,6 +78,7 @@
 	leaving  *entity.Table[entity.BackendServerID, leavingState]
 	reports  *entity.Table[entity.InstanceID, reportTimer] // by coordinator
 	suspects *quarantine.Registry
+	losses   *entity.Table[entity.DataCentreID, time.Time] // when last told
 	out      outbox
 	news     []repeatedNews
 	schedule schedule
@@ -98,6 +99,7 @@
 		leaving:  entity.NewTable[entity.BackendServerID, leavingState](),
 		reports:  entity.NewTable[entity.InstanceID, reportTimer](),
 		suspects: quarantine.New(cfg.Quarantine),
+		losses:   entity.NewTable[entity.DataCentreID, time.Time](),
 		out:      newOutbox(),
 	}
 }
--- a/internal/system/grant/message.go
+++ b/internal/system/grant/message.go
@@ -114,6 +114,7 @@
 
 // Suspicion says that content was running on a backend server when it died;
 // with Cleared, that it has completed; with Convicted, that it is refused.
+// Without a digest only the death is told.
 type Suspicion struct {
 	Digest     entity.Digest          `cbor:"1,keyasint"`
 	Backend    entity.BackendServerID `cbor:"2,keyasint,omitempty"`
--- a/internal/system/grant/news.go
+++ b/internal/system/grant/news.go
@@ -11,6 +11,7 @@
 const (
 	newsRepeats  = 6                      // sends of each piece of news
 	gatherTime   = 10 * time.Millisecond  // other deaths may show that a data centre is lost
+	lossInterval = time.Second            // between two tellings of the loss of a data centre
 	newsInterval = 150 * time.Millisecond // between the first two; then twice that, and so on
 )
 
@@ -34,9 +35,13 @@
 
 // repeatNews sends the news that is due.
 func (g *Grants) repeatNews(now time.Time) {
+	var lost []Suspicion
 	kept := g.news[:0]
 	for _, n := range g.news {
 		if n.accuses() && g.suspects.Check(now, n.suspicion.Digest) == quarantine.Innocent {
+			if n.sent == 0 && g.lossIsNews(now, n.suspicion.DataCentre) {
+				lost = append(lost, Suspicion{Backend: n.suspicion.Backend, DataCentre: n.suspicion.DataCentre})
+			}
 			continue
 		}
 		if !n.at.After(now) {
@@ -49,6 +54,21 @@
 		}
 	}
 	g.news = kept
+	for i := range lost {
+		g.tell(now, &repeatedNews{suspicion: &lost[i]})
+	}
+}
+
+// lossIsNews reports whether the others are to be told of a death in a data
+// centre that seems lost; one of many will do. They need it to judge content
+// that was running alone there.
+func (g *Grants) lossIsNews(now time.Time, dc entity.DataCentreID) bool {
+	told := g.losses.Get(dc)
+	if told != nil && now.Sub(*told) < lossInterval {
+		return false
+	}
+	g.losses.Put(dc, &now)
+	return true
 }
 
 // repeats is lower for suspicions, which go to every daemon and are only
@@ -62,7 +82,7 @@
 
 // accuses reports whether the news is a death that content may have caused.
 func (n *repeatedNews) accuses() bool {
-	return n.suspicion != nil && !n.suspicion.Cleared && n.suspicion.Convicted == 0
+	return n.suspicion != nil && n.suspicion.Digest != (entity.Digest{}) && !n.suspicion.Cleared && n.suspicion.Convicted == 0
 }
 
 func (g *Grants) tell(now time.Time, n *repeatedNews) {
@@ -123,6 +143,8 @@
 	switch {
 	case p.Convicted != 0:
 		g.suspects.Convict(now, quarantine.Conviction{Digest: p.Digest, Version: p.Convicted})
+	case p.Digest == (entity.Digest{}):
+		g.suspects.Lost(now, p.Backend, p.DataCentre)
 	case p.Cleared:
 		g.suspects.Cleared(p.Digest)
 	default:
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -161,6 +161,11 @@
 	r.settling = append(r.settling, d.Digest)
 }
 
+// Lost records the death of a backend server whose content is not accused.
+func (r *Registry) Lost(now time.Time, id entity.BackendServerID, dc entity.DataCentreID) {
+	r.recordDeath(now, Death{Backend: id, DataCentre: dc})
+}
+
 // Dead reports whether a backend server has died lately. It may still be
 // dead, so that a failure there proves nothing about content.
 func (r *Registry) Dead(now time.Time, id entity.BackendServerID) bool {
