--- a/internal/system/grant/roster.go
+++ b/internal/system/grant/roster.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/routing"
 )
 
 // roster holds the live daemons by id.
@@ -63,12 +64,12 @@
 // 1998).
 type bid struct {
 	id    entity.InstanceID
-	near  int
+	near  routing.Proximity
 	score uint64
 }
 
 func (s *seat) bid(b *entity.BackendServer, hash uint64) bid {
-	return bid{id: s.ID, near: nearness(s.Place, b.Place), score: mix(s.hash ^ hash)}
+	return bid{id: s.ID, near: routing.Nearness(s.Place, b.Place), score: routing.Mix(s.hash ^ hash)}
 }
 
 func (b bid) beats(o bid) bool {
@@ -84,7 +85,7 @@
 // best returns the highest bid of all daemons that may coordinate; this
 // daemon's own if none may.
 func (r *roster) best(b *entity.BackendServer, hash uint64) bid {
-	top := bid{id: r.self.ID, near: -1}
+	top := bid{id: r.self.ID, near: routing.OtherRegion - 1}
 	for i := range r.all {
 		if r.all[i].Leaving {
 			continue
@@ -95,23 +96,3 @@
 	}
 	return top
 }
-
-func nearness(a, b entity.Place) int {
-	switch {
-	case a.Region != b.Region:
-		return 0
-	case a.DataCentre != b.DataCentre:
-		return 1
-	default:
-		return 2
-	}
-}
-
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/system/grant/ward.go
+++ b/internal/system/grant/ward.go
@@ -49,4 +49,4 @@
 	return pool[:min(len(pool), max(1, len(pool)/wardPart))]
 }
 
-func wardHash(c routing.Candidate) uint64 { return mix(xxhash.Sum64String(string(c.Backend))) }
+func wardHash(c routing.Candidate) uint64 { return routing.Mix(xxhash.Sum64String(string(c.Backend))) }
--- a/internal/system/routing/affinity.go
+++ b/internal/system/routing/affinity.go
@@ -119,9 +119,9 @@
 // has one in each data centre.
 func home(q Query, pool []Candidate) int {
 	if len(q.Prefix) > affinityDepth {
-		return rendezvous(q, pool, q.Prefix[affinityDepth], sameRegion)
+		return rendezvous(q, pool, q.Prefix[affinityDepth], SameRegion)
 	}
-	return rendezvous(q, pool, q.Prefix[len(q.Prefix)-1], sameDataCentre)
+	return rendezvous(q, pool, q.Prefix[len(q.Prefix)-1], SameDataCentre)
 }
 
 // remembered returns the candidate that got the longest known prefix, or -1.
@@ -175,14 +175,14 @@
 // rendezvous returns the candidate with the highest hash for the prefix, of
 // the nearest place that has any (Thaler and Ravishankar, 1998). Places nearer
 // than the given one count as equal.
-func rendezvous(q Query, pool []Candidate, prefix uint64, nearest int) int {
-	best, bestNear, bestScore := 0, -1, uint64(0)
+func rendezvous(q Query, pool []Candidate, prefix uint64, nearest Proximity) int {
+	best, bestNear, bestScore := 0, OtherRegion-1, uint64(0)
 	for i := range pool {
-		near := min(nearest, nearness(q.Place, pool[i].Place))
+		near := min(nearest, Nearness(q.Place, pool[i].Place))
 		if near < bestNear {
 			continue
 		}
-		score := mix(prefix ^ xxhash.Sum64String(string(pool[i].Backend)))
+		score := Mix(prefix ^ xxhash.Sum64String(string(pool[i].Backend)))
 		if near > bestNear || score > bestScore {
 			best, bestNear, bestScore = i, near, score
 		}
@@ -193,39 +193,13 @@
 func indexesNear(q Query, pool []Candidate) []int {
 	out := make([]int, 0, len(pool))
 	for i := range pool {
-		if nearness(q.Place, pool[i].Place) == sameDataCentre {
+		if Nearness(q.Place, pool[i].Place) == SameDataCentre {
 			out = append(out, i)
 		}
 	}
 	return out
 }
 
-const (
-	otherRegion = iota
-	sameRegion
-	sameDataCentre
-)
-
-func nearness(a, b entity.Place) int {
-	switch {
-	case a.Region != b.Region:
-		return otherRegion
-	case a.DataCentre != b.DataCentre:
-		return sameRegion
-	default:
-		return sameDataCentre
-	}
-}
-
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func addIndex(list []int, i int) []int {
 	for _, have := range list {
 		if have == i {
--- /dev/null
+++ b/internal/system/routing/place.go
@@ -0,0 +1,36 @@
+package routing
+
+import "github.com/gooseberryslip/gooseberryslip/internal/entity"
+
+// Proximity says how near two places are; the higher, the nearer.
+type Proximity int
+
+const (
+	// OtherRegion places are in different regions.
+	OtherRegion Proximity = iota
+	// SameRegion places are in different data centres of one region.
+	SameRegion
+	// SameDataCentre places are in one data centre.
+	SameDataCentre
+)
+
+// Nearness compares two places.
+func Nearness(a, b entity.Place) Proximity {
+	switch {
+	case a.Region != b.Region:
+		return OtherRegion
+	case a.DataCentre != b.DataCentre:
+		return SameRegion
+	default:
+		return SameDataCentre
+	}
+}
+
+// Mix spreads the bits of a hash; it is the finaliser of SplitMix64.
+func Mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
