membership: tell suspicion from death in the test of a mass leave

Before, only deaths were checked. Seen to fail with suspicions raised at random in 2% of probes: 'held the live ... suspect'.

--- a/internal/system/membership/faults_test.go
+++ b/internal/system/membership/faults_test.go
@@ -61,10 +61,20 @@
 }
 
 // Three quarters leave at once: survivors hold the leavers dead after they
-// have stopped, and never suspect each other.
+// have stopped. They never suspect each other; where messages are lost, a
+// suspicion may come from that, but no death.
 func TestMembership_ThreeQuartersLeave(t *testing.T) {
+	for _, c := range []struct {
+		loss     float64
+		unwanted State
+	}{{0, Suspect}, {targetLoss, Dead}} {
+		t.Run(fmt.Sprint("loss=", c.loss), func(t *testing.T) { threeQuartersLeave(t, c.loss, c.unwanted) })
+	}
+}
+
+func threeQuartersLeave(t *testing.T, loss float64, unwanted State) {
 	f := joined(t, 100, 5)
-	f.loss = targetLoss
+	f.loss = loss
 	survivor := func(i int) bool { return i%4 == 0 }
 	for i, m := range f.members {
 		if !survivor(i) {
@@ -88,7 +98,7 @@
 	t.Logf("all survivors agree %v after the stop", took)
 	for i, m := range f.members {
 		if survivor(i) {
-			wantNoDoubt(t, m, func(id entity.InstanceID) bool { return !f.byID[id].crashed })
+			wantNone(t, m, unwanted, func(id entity.InstanceID) bool { return !f.byID[id].crashed })
 		}
 	}
 }
@@ -106,12 +116,12 @@
 	}
 }
 
-// wantNoDoubt fails if a member has held any of some members dead.
-func wantNoDoubt(t *testing.T, m *memberNode, some func(entity.InstanceID) bool) {
+// wantNone fails if a member has held any of some members in a state.
+func wantNone(t *testing.T, m *memberNode, state State, some func(entity.InstanceID) bool) {
 	t.Helper()
 	for _, c := range m.changes {
-		if some(c.Member.ID) && c.Member.State == Dead {
-			t.Fatalf("%s held the live %s dead", m.self.ID, c.Member.ID)
+		if some(c.Member.ID) && c.Member.State == state {
+			t.Fatalf("%s held the live %s %v", m.self.ID, c.Member.ID, state)
 		}
 	}
 }
@@ -160,7 +170,7 @@
 	t.Logf("all survivors agree after %v", took)
 	for i, m := range f.members {
 		if i%4 == 0 {
-			wantNoDoubt(t, m, func(id entity.InstanceID) bool { return !f.byID[id].crashed })
+			wantNone(t, m, Dead, func(id entity.InstanceID) bool { return !f.byID[id].crashed })
 		}
 	}
 }
