--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -134,6 +134,23 @@
 	}
 }
 
+// An unused connection is dropped on both sides, and made anew on use.
+func TestTransport_IdleConnectionIsDropped(t *testing.T) {
+	authority := newAuthority(t)
+	soon := func(c *Config) { c.IdleTimeout = 200 * time.Millisecond }
+	a, b := newEndpoint(t, authority, "a", soon), newEndpoint(t, authority, "b", soon)
+	for range 2 {
+		eventually(t, func() bool {
+			a.Send(b.address(), []byte("x"))
+			return len(b.inbox) > 0
+		})
+		eventually(t, func() bool { return a.Connections() == 0 && b.Connections() == 0 })
+		for len(b.inbox) > 0 {
+			<-b.inbox
+		}
+	}
+}
+
 func TestTransport_WrongCertificateRefused(t *testing.T) {
 	a, b := newEndpoint(t, newAuthority(t), "a", nil), newEndpoint(t, newAuthority(t), "b", nil)
 	before := dialFailures.Get()
