--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"os"
 	"testing"
@@ -58,3 +60,41 @@
 		t.Fatal("sessions may be resumed")
 	}
 }
+
+// certificateFor returns a certificate of the authority with a name and end.
+func certificateFor(t *testing.T, a *Authority, name string, lifetime time.Duration) *x509.Certificate {
+	t.Helper()
+	template := newTemplate("test", lifetime)
+	template.DNSNames = []string{name}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, a.key.Public(), a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestVerify_OnlyDaemonsOfTheAuthority(t *testing.T) {
+	ours, other := newAuthority(t), newAuthority(t)
+	pool := x509.NewCertPool()
+	pool.AddCert(ours.certificate)
+	cases := []struct {
+		name  string
+		chain []*x509.Certificate
+		ok    bool
+	}{
+		{"a daemon", []*x509.Certificate{certificateFor(t, ours, CertificateName, time.Hour)}, true},
+		{"another service", []*x509.Certificate{certificateFor(t, ours, "web.internal", time.Hour)}, false},
+		{"expired", []*x509.Certificate{certificateFor(t, ours, CertificateName, -time.Minute)}, false},
+		{"another authority", []*x509.Certificate{certificateFor(t, other, CertificateName, time.Hour)}, false},
+		{"none", nil, false},
+	}
+	for _, c := range cases {
+		if err := verify(c.chain, pool); (err == nil) != c.ok {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
