membership: be due before the first tick; seed randomness with the ID

Deadline was zero before the first Tick, which callers take for never (TestMembership_DeadlineBeforeStart failed with it: zero time). Without a source of randomness, the process-wide one was used; a pure system must not.

--- a/internal/system/membership/config.go
+++ b/internal/system/membership/config.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -21,9 +23,9 @@
 
 // Config holds the parameters of New. Zero values take defaults.
 type Config struct {
-	Self  Member   // State and Incarnation are ignored
-	Seeds []string // addresses to join through
-	Rand  *rand.Rand
+	Self  Member     // State and Incarnation are ignored
+	Seeds []string   // addresses to join through
+	Rand  *rand.Rand // nil: seeded with the ID
 
 	ProbeInterval    time.Duration // between probes; each takes the next ring
 	ProbeRetry       time.Duration // a probe without answer is repeated after this
@@ -52,7 +54,7 @@
 	setDefault(&c.LocalRings, defaultLocalRings)
 	setDefault(&c.GlobalRings, defaultGlobalRings)
 	if c.Rand == nil {
-		c.Rand = randomSource()
+		c.Rand = rand.New(rand.NewPCG(xxhash.Sum64String(string(c.Self.ID)), 0))
 	}
 	c.Self.Incarnation = 0
 	return c
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -18,7 +18,6 @@
 package membership
 
 import (
-	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -225,5 +224,3 @@
 	}
 	return nil
 }
-
-func randomSource() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/system/membership/membership_test.go
+++ b/internal/system/membership/membership_test.go
@@ -37,3 +37,11 @@
 		t.Fatalf("%d changes to dead, want 99", dead)
 	}
 }
+
+// A caller that ticks at the deadline, and takes zero for never, starts it.
+func TestMembership_DeadlineBeforeStart(t *testing.T) {
+	m := New(Config{Self: memberOf(0, 9)})
+	if d := m.Deadline(); d.IsZero() || d.After(epoch) {
+		t.Fatalf("deadline %v", d)
+	}
+}
--- a/internal/system/membership/step.go
+++ b/internal/system/membership/step.go
@@ -81,10 +81,11 @@
 	m.lastContact = now
 }
 
-// Deadline returns when Tick is next due.
+// Deadline returns when Tick is next due. Before the first Tick, that is a
+// time long past.
 func (m *Membership) Deadline() time.Time {
 	if !m.started {
-		return m.lastRun
+		return time.Unix(0, 0)
 	}
 	due := m.prober.nextAt
 	sooner := func(t time.Time) {
