Process tests: lose the replies of writes alone

A lost reply of any call is mostly that of a read. The stand-in table can lose those of transactions only (lose_next_writes); the tests of lost replies use it. Seen before: with the recognition of a change's own operation taken out, TestConfiguration_LostReplyOfAnAcceptedWrite passed, since no write's reply had been lost.

--- a/internal/processtest/answers_test.go
+++ b/internal/processtest/answers_test.go
@@ -104,7 +104,7 @@
 	cfg.KeyedShare, cfg.NotRepeatableShare, cfg.AllowLost = 0.6, 0.5, true
 	l := c.startLoad(cfg)
 	time.Sleep(time.Second)
-	c.tableFaults(standin.FaultSettings{LoseNext: 20, DelayMS: 50})
+	c.tableFaults(standin.FaultSettings{LoseNext: 10, LoseNextWrites: 10, DelayMS: 50})
 	time.Sleep(time.Second)
 	c.engineFaults(0, standin.EngineFaults{Refuse: true})
 	c.daemons[0].kill()
@@ -142,7 +142,7 @@
 	l := c.startLoad(cfg)
 	for range 6 {
 		time.Sleep(time.Second)
-		c.tableFaults(standin.FaultSettings{LoseNext: 3})
+		c.tableFaults(standin.FaultSettings{LoseNextWrites: 5})
 	}
 	l.safe()
 }
@@ -234,7 +234,7 @@
 	cfg.KeyedShare, cfg.NotRepeatableShare, cfg.RetryShare, cfg.AllowLost = 1, 0, 1, true
 	l := c.startLoad(cfg)
 	time.Sleep(warmUp)
-	c.tableFaults(standin.FaultSettings{LoseNext: 5})
+	c.tableFaults(standin.FaultSettings{LoseNextWrites: 8})
 	c.daemons[0].kill()
 	time.Sleep(time.Second)
 	c.daemons[1].freeze()
--- a/internal/processtest/configuration_test.go
+++ b/internal/processtest/configuration_test.go
@@ -61,7 +61,7 @@
 }
 
 // TestConfiguration_NeverRevertsWithStaleReads: the table answers reads with
-// older rows, is slow, and loses every twentieth datagram's worth of news.
+// older rows and is slow, and one datagram in twenty is lost.
 func TestConfiguration_NeverRevertsWithStaleReads(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, options{daemons: 4})
@@ -164,7 +164,7 @@
 	}
 	text := c.modelDocument(c.addresses.Engines, 42)
 	for _, lost := range []int{1, 2, 3} {
-		c.tableFaults(standin.FaultSettings{LoseNext: lost})
+		c.tableFaults(standin.FaultSettings{LoseNextWrites: lost})
 		text += "\n# changed\n"
 		out, err := c.apply(0, modelService, text, d.Revision)
 		if err != nil || out.Status != configuration.Applied {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -10,13 +10,15 @@
 
 // FaultSettings says how a platform service misbehaves.
 type FaultSettings struct {
-	Down        bool   `json:"down"`         // cut each connection before any effect
-	DelayMS     int    `json:"delay_ms"`     // wait this long before each call
-	LoseReplies bool   `json:"lose_replies"` // take effect, then cut the connection
-	LoseNext    int    `json:"lose_next"`    // the same, for so many calls
-	StaleReads  bool   `json:"stale_reads"`  // reads may return the row's previous state
-	Refuse      bool   `json:"refuse"`       // refuse each call before any effect
-	Seed        uint64 `json:"seed"`         // of the choice which reads are stale
+	Down        bool `json:"down"`         // cut each connection before any effect
+	DelayMS     int  `json:"delay_ms"`     // wait this long before each call
+	LoseReplies bool `json:"lose_replies"` // take effect, then cut the connection
+	LoseNext    int  `json:"lose_next"`    // the same, for so many calls
+	// LoseNextWrites is LoseNext for transactions of the table alone.
+	LoseNextWrites int    `json:"lose_next_writes"`
+	StaleReads     bool   `json:"stale_reads"` // reads may return the row's previous state
+	Refuse         bool   `json:"refuse"`      // refuse each call before any effect
+	Seed           uint64 `json:"seed"`        // of the choice which reads are stale
 }
 
 // Faults holds the present settings of one service. The zero value is a
@@ -63,6 +65,17 @@
 	return true
 }
 
+// loseWrite says whether the reply to this transaction is lost, and counts it.
+func (f *Faults) loseWrite() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.settings.LoseNextWrites == 0 {
+		return false
+	}
+	f.settings.LoseNextWrites--
+	return true
+}
+
 // before applies the faults that precede a call's effect. It does not return
 // when the connection is cut.
 func (f *Faults) before(r *http.Request) (refuse bool) {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -133,8 +133,12 @@
 		writeTableError(w, &tableError{Type: "ProvisionedThroughputExceededException", Message: "refused"})
 		return
 	}
-	out, failure := t.call(strings.TrimPrefix(r.Header.Get("X-Amz-Target"), tableTarget), body)
+	action := strings.TrimPrefix(r.Header.Get("X-Amz-Target"), tableTarget)
+	out, failure := t.call(action, body)
 	t.Faults.after()
+	if action == actionTransact && t.Faults.loseWrite() {
+		cut()
+	}
 	if failure != nil {
 		writeTableError(w, failure)
 		return
@@ -143,13 +147,16 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+// actionTransact is the protocol's name of a transaction.
+const actionTransact = "TransactWriteItems"
+
 func (t *Table) call(action string, body []byte) (any, *tableError) {
 	switch action {
 	case "GetItem":
 		return decodeAnd(body, t.getItem)
 	case "Query":
 		return decodeAnd(body, t.query)
-	case "TransactWriteItems":
+	case actionTransact:
 		return decodeAnd(body, t.transact)
 	default:
 		return nil, &tableError{Type: "UnknownOperationException", Message: action}
