--- a/internal/core/fake_caller_test.go
+++ b/internal/core/fake_caller_test.go
@@ -84,6 +84,10 @@
 // fetch resumes by request id at a daemon.
 func (c *fakeCaller) fetch(d *fakeDaemon) {
 	c.connect(d)
+	if d.dead {
+		c.lostDaemon(d)
+		return
+	}
 	d.post(Fetch{
 		Caller: c.id, Request: c.request, Organisation: c.work.Organisation,
 		Stream: c.work.Stream, After: len(c.tokens), Sum: c.sum,
--- a/internal/system/grant/fakes_test.go
+++ b/internal/system/grant/fakes_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,6 +40,7 @@
 	onStart  func(*request, *engine)
 	baseline routing.Policy // dispatch without grants, by lagged reports
 	tuneWant func(*Want)
+	exposed  int // servers that ran crashing content at the first crash
 }
 
 type node struct {
@@ -50,6 +52,8 @@
 	ticking time.Time
 	open    *entity.Table[entity.RequestID, request]
 	sent    int
+	last    time.Time // of the latest tick
+	ticks   int       // at that time
 }
 
 type request struct {
@@ -63,6 +67,7 @@
 	crash   bool
 	run     int // sends to engines
 	deaths  int
+	decided entity.AttemptNumber // the latest attempt with a decision
 }
 
 type engine struct {
@@ -74,7 +79,11 @@
 	queue   []*job // beyond the slots, in order
 	peak    int    // most requests at once, with those beyond the slots
 	served  entity.Tokens
-	busy    int // lagging report for baselines
+	busy    int      // lagging report for baselines
+	began   int      // requests
+	cache   []uint64 // prefixes, the latest last
+	hits    int      // cached prefixes of the requests begun
+	asked   int      // all their prefixes
 }
 
 type job struct {
@@ -199,11 +208,23 @@
 	n.w.after(max(0, due.Sub(n.w.now)), func() {
 		if !n.dead {
 			n.g.Tick(n.w.now)
+			n.countTick()
 			n.drain()
 		}
 	})
 }
 
+// countTick fails on a system that wants to be ticked at one instant for ever.
+func (n *node) countTick() {
+	if !n.w.now.Equal(n.last) {
+		n.last, n.ticks = n.w.now, 0
+	}
+	n.ticks++
+	if n.ticks > 100 {
+		panic("endless ticks at one instant")
+	}
+}
+
 func (n *node) deliver(e Envelope) {
 	w := n.w
 	w.messages++
@@ -256,6 +277,10 @@
 	if r == nil || r.want.Attempt != d.Attempt {
 		return
 	}
+	if r.decided == d.Attempt {
+		panic("two decisions for one attempt")
+	}
+	r.decided = d.Attempt
 	if d.Err != nil {
 		r.err = d.Err
 		n.open.Delete(d.Request)
@@ -271,7 +296,7 @@
 	}
 	j.r.run++
 	if e.dead {
-		e.w.after(time.Millisecond, func() { e.w.lost(j, e) })
+		e.w.after(time.Millisecond, func() { e.w.lost(j, e, Refused) }) // no connection
 		return
 	}
 	e.peak = max(e.peak, e.running.Len()+len(e.queue)+1)
@@ -286,10 +311,13 @@
 
 func (e *engine) begin(j *job) {
 	j.began = e.w.now
+	e.began++
+	e.remember(j.r.want.Prefix)
 	e.running.Put(j.key, j)
 	if j.r.crash {
 		e.w.after(prefill, func() {
 			if !j.ended && !e.dead {
+				e.w.countExposed()
 				e.die()
 			}
 		})
@@ -303,6 +331,21 @@
 	e.w.after(prefill+time.Duration(j.r.tokens)*e.between, func() { e.complete(j) })
 }
 
+// cacheSize is how many prefixes an engine keeps.
+const cacheSize = 600
+
+func (e *engine) remember(prefixes []uint64) {
+	for _, p := range prefixes {
+		e.asked++
+		if i := slices.Index(e.cache, p); i >= 0 {
+			e.hits++
+			e.cache = slices.Delete(e.cache, i, i+1)
+		}
+		e.cache = append(e.cache, p)
+	}
+	e.cache = e.cache[max(0, len(e.cache)-cacheSize):]
+}
+
 func (e *engine) complete(j *job) {
 	if j.ended {
 		return
@@ -340,18 +383,18 @@
 	e.running = entity.NewTable[wantKey, job]()
 	for _, j := range jobs {
 		j.ended = true
-		e.w.after(time.Millisecond, func() { e.w.lost(j, e) })
+		e.w.after(time.Millisecond, func() { e.w.lost(j, e, BackendDied) })
 	}
 }
 
 // lost tells the daemon that its attempt's engine has died; it tries again.
-func (w *world) lost(j *job, e *engine) {
+func (w *world) lost(j *job, e *engine, kind OutcomeKind) {
 	n, r := j.r.node, j.r
 	if n.dead {
 		return
 	}
 	r.deaths++
-	n.g.Release(w.now, j.key.request, j.key.attempt, Outcome{Kind: BackendDied})
+	n.g.Release(w.now, j.key.request, j.key.attempt, Outcome{Kind: kind})
 	n.drain()
 	r.want.Attempt++
 	r.want.Exclude = []entity.BackendServerID{e.backend.ID}
--- a/internal/system/grant/types.go
+++ b/internal/system/grant/types.go
@@ -28,6 +28,10 @@
 	Exclude      []entity.BackendServerID
 	Only         entity.BackendServerID // empty: any
 	Repeatable   bool
+	// Resume takes a running attempt over from another daemon: it goes on on
+	// the backend server Only and needs no slot of its own, even if the backend
+	// server is leaving.
+	Resume bool
 }
 
 // OutcomeKind says how an attempt that had a grant ended.
@@ -39,9 +43,11 @@
 	// Failed attempts broke without the death of the backend server, or were
 	// cancelled.
 	Failed
-	// BackendDied attempts ended with the death of their backend server.
+	// BackendDied attempts ended with the death of their backend server while
+	// it ran them. What it ran becomes suspect.
 	BackendDied
-	// Refused attempts were turned away by the backend server before any work.
+	// Refused attempts were turned away by the backend server before any work,
+	// or no connection to it could be made.
 	Refused
 )
 
