Process tests: a killed daemon may break a connection before it accepts

TestReclaim_DaemonDiesPartwayThroughItsNotice failed once in four runs with one connection that broke before any request was accepted on it. The check was wrong there: the process is killed, and the promise is about accepted requests. It now demands that each accepted request is answered (kept), as before; planned stops and whole notices still demand that no connection breaks at all (uncut).

--- a/internal/processtest/answers_test.go
+++ b/internal/processtest/answers_test.go
@@ -286,6 +286,10 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	wg.Go(func() { c.reviveEngines(stop) })
+	t.Cleanup(func() {
+		close(stop)
+		wg.Wait()
+	})
 	cfg := c.loadConfig(10, 14*time.Second)
 	cfg.KeyedShare, cfg.NotRepeatableShare = 0, 0
 	l := c.startLoad(cfg)
@@ -309,8 +313,6 @@
 		t.Errorf("%d runs after the conviction", after-before)
 	}
 	r := l.safe()
-	close(stop)
-	wg.Wait()
 	for _, code := range r.Codes {
 		if code.Code == "convicted" {
 			t.Errorf("%d innocents were convicted", code.Count)
--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -70,7 +70,7 @@
 
 // cluster is a set of processes that belong together.
 type cluster struct {
-	t         *testing.T
+	t testing.TB
 	options   options
 	dir       string
 	authority *peer.Authority
@@ -92,7 +92,7 @@
 
 // startCluster runs the stand-ins and the daemons and waits until both
 // services are in force everywhere.
-func startCluster(t *testing.T, o options) *cluster {
+func startCluster(t testing.TB, o options) *cluster {
 	t.Helper()
 	clusters <- struct{}{}
 	t.Cleanup(func() { <-clusters })
@@ -366,20 +366,23 @@
 	}
 }
 
-// post sends a JSON body to a stand-in.
+// post sends a JSON body to a stand-in. It may be called from any goroutine of
+// the test.
 func (c *cluster) post(url string, body any) {
 	c.t.Helper()
 	data, err := json.Marshal(body)
 	if err != nil {
-		c.t.Fatal(err)
+		c.t.Error(err)
+		return
 	}
 	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
 	if err != nil {
-		c.t.Fatal(err)
+		c.t.Error(err)
+		return
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusNoContent {
-		c.t.Fatalf("%s answered %s", url, resp.Status)
+		c.t.Errorf("%s answered %s", url, resp.Status)
 	}
 }
 
--- a/internal/processtest/reclaim_test.go
+++ b/internal/processtest/reclaim_test.go
@@ -45,7 +45,7 @@
 	l := c.reclaimLoad(reclaimLoad)
 	time.Sleep(warmUp)
 	c.reclaimDaemon(0, notice)
-	l.kept()
+	l.uncut()
 }
 
 func TestReclaim_DaemonDiesPartwayThroughItsNotice(t *testing.T) {
@@ -62,7 +62,7 @@
 	l := c.reclaimLoad(workerLoad)
 	time.Sleep(warmUp)
 	gone := c.reclaimWorker(host, c.addresses.Engines[0], workerNotice)
-	l.kept()
+	l.uncut()
 	<-gone
 }
 
@@ -74,7 +74,7 @@
 	gone := c.reclaimWorker(host, c.addresses.Engines[0], workerNotice)
 	time.Sleep(workerNotice - notice)
 	c.reclaimDaemon(0, notice)
-	l.kept()
+	l.uncut()
 	<-gone
 }
 
@@ -85,7 +85,7 @@
 	c.reclaimDaemon(0, notice)
 	time.Sleep(notice / 3)
 	c.reclaimDaemon(1, notice)
-	l.kept()
+	l.uncut()
 }
 
 // reclaimWorker announces the reclaim of a backend server's instance, and
--- a/internal/processtest/stops_test.go
+++ b/internal/processtest/stops_test.go
@@ -169,7 +169,7 @@
 			t.Errorf("stream %d: %s", i, r)
 		}
 	}
-	l.kept()
+	l.uncut()
 }
 
 // TestPlannedStop_RollingRestart: all daemons are restarted one after another
@@ -190,7 +190,7 @@
 		})
 		time.Sleep(time.Second)
 	}
-	l.kept()
+	l.uncut()
 }
 
 // TestPlannedStop_PlainCallsEnd: calls of a plain service that run when the
