--- a/internal/processtest/reclaim_test.go
+++ b/internal/processtest/reclaim_test.go
@@ -31,6 +31,7 @@
 func (c *cluster) reclaimLoad(d time.Duration) *runningLoad {
 	cfg := c.loadConfig(15, d)
 	cfg.MaxTokens = 100
+	cfg.NotRepeatableShare = 0.4 // what a lost worker cannot be replaced for
 	return c.startLoad(cfg)
 }
 
