--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -223,7 +223,7 @@
 }
 
 func TestCore_MixedFaults(t *testing.T) {
-	for seed := range uint64(40) {
+	for seed := range uint64(100) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { mixedFaults(t, 1000+seed) })
 	}
 }
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -23,6 +23,8 @@
 	DocumentsAsk  *DocumentsAsk       `cbor:"10,keyasint,omitempty"`
 	DocumentsHave *DocumentsHave      `cbor:"11,keyasint,omitempty"`
 	RelayPoll     *RelayPoll          `cbor:"12,keyasint,omitempty"`
+	FleetAsk      *FleetAsk           `cbor:"20,keyasint,omitempty"`
+	FleetHave     *FleetHave          `cbor:"21,keyasint,omitempty"`
 	// Stamp is the sender's hybrid logical clock; the shell sets it.
 	Stamp timeline.Stamp `cbor:"13,keyasint,omitzero"`
 }
@@ -56,6 +58,8 @@
 	// Progress goes with TryAgain if the sender has started a run.
 	Progress *Progress `cbor:"6,keyasint,omitempty"`
 	Total    int       `cbor:"7,keyasint,omitempty"` // tokens of the answer
+	// NotRun goes with TryAgain: the relay was turned away on arrival.
+	NotRun bool `cbor:"8,keyasint,omitempty"`
 }
 
 // RelayPoll asks for news of a relayed request.
@@ -63,6 +67,7 @@
 	Request entity.RequestID `cbor:"1,keyasint"`
 	Round   uint32           `cbor:"2,keyasint"`
 	Have    int              `cbor:"3,keyasint"` // tokens received
+	Sum     uint32           `cbor:"4,keyasint"` // their checksum
 }
 
 // RelayCancel withdraws a relayed request.
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -32,9 +32,10 @@
 	}
 	p := r.progress
 	if p == nil {
-		p = &Progress{Attempt: r.last}
+		p = &Progress{}
 	}
 	r.progress = nil
+	p.MayHaveRun = r.mayHaveRun
 	p.Tokens = r.tokens
 	r.stage = stageRelayed
 	r.relay = relayState{owner: owner, round: r.relay.round + 1, heardAt: c.now, progress: p, ranBefore: r.mayHaveRun}
@@ -81,14 +82,15 @@
 	}
 	key := (&request{work: m.Work}).journalKey()
 	if c.Journal.Owner(key) != c.Self.ID || c.drain.closing {
-		c.send(from, Message{RelayEnd: &RelayEnd{Request: m.Request, Round: m.Round, TryAgain: true}})
+		c.send(from, Message{RelayEnd: &RelayEnd{Request: m.Request, Round: m.Round, TryAgain: true, NotRun: true}})
 		return
 	}
 	r := c.adoptRequest(m.Request, m.Work, fromMicros(m.TimeLeft))
 	r.tokens = append([]string(nil), f.seen...)
 	r.addFollower(f)
-	if p := m.Progress; p != nil && p.Attempt > 0 {
-		r.progress = p
+	if m.Progress != nil {
+		r.progress = m.Progress
+		r.mayHaveRun = m.Progress.MayHaveRun
 	}
 	c.begin(r)
 }
@@ -110,13 +112,9 @@
 		c.send(from, Message{RelayEnd: &RelayEnd{Request: m.Request, Round: m.Round, TryAgain: true}})
 		return
 	}
-	f := follower{peer: from, round: m.Round, stream: true, sent: m.Have}
-	for _, old := range r.followers {
-		if old.peer == from {
-			f.seen = old.seen
-		}
-	}
-	r.addFollower(f)
+	r.addFollower(follower{
+		peer: from, round: m.Round, stream: true, sent: m.Have, sum: m.Sum, unchecked: m.Have > 0,
+	})
 	c.send(from, Message{RelayTokens: &RelayTokens{
 		Request: r.id, Round: m.Round, First: m.Have + 1, Progress: c.whereabouts(r),
 	}})
@@ -164,6 +162,9 @@
 		return
 	}
 	if m.TryAgain {
+		if m.NotRun {
+			r.mayHaveRun = r.relay.ranBefore
+		}
 		c.tryAgain(r, m.Progress)
 		return
 	}
@@ -182,11 +183,8 @@
 
 // tryAgain looks for another owner.
 func (c *Core) tryAgain(r *request, p *Progress) {
-	if p == nil && r.relay.progress != nil && r.relay.progress.Attempt > 0 {
-		p = r.relay.progress
-	}
 	if p == nil {
-		r.mayHaveRun = r.relay.ranBefore
+		p = r.relay.progress
 	}
 	r.progress = p
 	c.Journal.Refresh(c.now)
@@ -196,7 +194,9 @@
 // pollOwner asks the owner for what is missing.
 func (c *Core) pollOwner(r *request) {
 	r.relay.unanswered = true
-	c.send(r.relay.owner, Message{RelayPoll: &RelayPoll{Request: r.id, Round: r.relay.round, Have: len(r.tokens)}})
+	c.send(r.relay.owner, Message{RelayPoll: &RelayPoll{
+		Request: r.id, Round: r.relay.round, Have: len(r.tokens), Sum: checksum(0, r.tokens),
+	}})
 	c.wakeBy(r, c.now.Add(relayPoll))
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -92,7 +92,7 @@
 	// delivered has to begin with them.
 	seen []string
 	// sum is the checksum of the tokens delivered. With unchecked, it is what
-	// the caller says, and has to be compared before anything is delivered.
+	// the receiver says, and has to be compared before anything is delivered.
 	sum       uint32
 	unchecked bool
 }
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -17,7 +17,7 @@
 	}
 	r.last = max(r.last, p.Attempt)
 	r.handle = p.Handle
-	r.mayHaveRun = r.mayHaveRun || p.Attempt > 0
+	r.mayHaveRun = r.mayHaveRun || p.MayHaveRun
 	if p.Backend == nil {
 		c.want(r)
 		return
