--- a/internal/system/grant/message.go
+++ b/internal/system/grant/message.go
@@ -35,6 +35,7 @@
 	Wait         bool                  `cbor:"8,keyasint,omitempty"` // queue it if there is no free slot
 	Alone        bool                  `cbor:"9,keyasint,omitempty"`
 	Insist       bool                  `cbor:"10,keyasint,omitempty"` // serve it although another daemon coordinates
+	Resume       bool                  `cbor:"11,keyasint,omitempty"` // it runs there already, for another daemon
 }
 
 // Release gives a slot back.
@@ -42,8 +43,7 @@
 	Reference     Reference     `cbor:"1,keyasint"`
 	Kind          OutcomeKind   `cbor:"2,keyasint"`
 	Tokens        entity.Tokens `cbor:"3,keyasint,omitempty"`
-	FirstToken    int64         `cbor:"4,keyasint,omitempty"` // µs
-	BetweenTokens int64         `cbor:"5,keyasint,omitempty"` // µs
+	BetweenTokens int64         `cbor:"4,keyasint,omitempty"` // µs
 }
 
 // ReplyKind says what a coordinator answers to an ask.
