--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -93,7 +93,7 @@
 	f.reset()
 	pprof.Do(context.Background(), pprof.Labels("phase", phase), func(context.Context) { f.runFor(d) })
 	var sum traffic
-	mostControl, mostAll, mostPlatform, worst := 0, 0, 0, 0
+	mostControl, mostAll, mostPlatform, worst, peers, mostPeers := 0, 0, 0, 0, 0, 0
 	var owners, others group
 	for _, n := range f.nodes {
 		t := &n.traffic
@@ -106,6 +106,7 @@
 		sum.reads, sum.writes, sum.objects = sum.reads+t.reads, sum.writes+t.writes, sum.objects+t.objects
 		sum.platform, sum.ticks, sum.cpu = sum.platform+t.platform, sum.ticks+t.ticks, sum.cpu+t.cpu
 		mostControl, mostAll = max(mostControl, t.control()), max(mostAll, all)
+		peers, mostPeers = peers+len(t.peers), max(mostPeers, len(t.peers))
 		if t.writes > 0 {
 			owners.add(t, all)
 		} else {
@@ -124,6 +125,8 @@
 	f.note(phase, "control bytes, most of a daemon", float64(mostControl)/seconds, "B/s")
 	f.note(phase, "control bytes, worst second of a daemon", float64(worst), "B/s")
 	f.note(phase, "peer bytes, most of a daemon", float64(mostAll)/seconds, "B/s")
+	f.note(phase, "peers spoken to meanwhile", float64(peers)/float64(len(f.nodes)), "daemons")
+	f.note(phase, "peers spoken to meanwhile, most of a daemon", float64(mostPeers), "daemons")
 	owners.note(f, phase, "owners of shards", seconds)
 	others.note(f, phase, "other daemons", seconds)
 	f.note(phase, "platform bytes", float64(sum.platform)/each, "B/s and daemon")
@@ -193,12 +196,15 @@
 			f := newFleet(t, 1, size)
 			f.check("idle", f.measure("idle", 20*time.Second))
 			f.noteHeap("idle")
-			const batch = 20
+			const (
+				batch    = 20
+				loadTime = 10 * time.Second
+			)
 			f.startLoad(batch)
 			f.runFor(10 * time.Second)
 			before := f.load.done
-			f.check("load", f.measure("load", 5*time.Second))
-			f.note("load", "answers", float64(f.load.done-before)/5, "1/s")
+			f.check("load", f.measure("load", loadTime))
+			f.note("load", "answers", float64(f.load.done-before)/loadTime.Seconds(), "1/s")
 			f.noteHeap("load")
 			if len(f.load.failed) > 0 {
 				t.Errorf("requests failed: %v", f.load.failed)
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -112,7 +112,7 @@
 // addNode starts a daemon. The first two are the seeds of the others.
 func (f *fleet) addNode(i int) {
 	n := &node{fleet: f, id: entity.InstanceID(fmt.Sprintf("daemon-%03d", i))}
-	n.traffic.second = map[int64]int{}
+	n.traffic = newTraffic()
 	dc := i % dataCentres
 	self := membership.Member{
 		ID: n.id, Addr: fmt.Sprintf("10.%d.0.%d:7400", dc, i), CallerAddr: fmt.Sprintf("10.%d.0.%d:7000", dc, i),
@@ -246,7 +246,7 @@
 // reset starts the count of traffic anew.
 func (f *fleet) reset() {
 	for _, n := range f.nodes {
-		n.traffic = traffic{second: map[int64]int{}}
+		n.traffic = newTraffic()
 	}
 	f.calls = calls{reads: map[int64]int{}, writes: map[int64]int{}}
 }
@@ -338,6 +338,7 @@
 		} else {
 			stream[peerKind{e.Addr, k}] += len(body) + frameHeader
 		}
+		n.traffic.peers[e.Addr] = true
 		n.carry(e, body)
 	}
 	for p, size := range stream { // sums only: the order does not matter
@@ -363,6 +364,7 @@
 		if err != nil {
 			f.t.Fatal(err)
 		}
+		to.traffic.peers[n.core.Self.Addr] = true
 		to.post(core.PeerMessage{From: n.id, Addr: n.core.Self.Addr, Message: m})
 	})
 }
--- a/internal/capacity/traffic_test.go
+++ b/internal/capacity/traffic_test.go
@@ -62,8 +62,13 @@
 	objects  int            // calls of the object store
 	platform int            // bytes to and from the platform
 	ticks    int
-	cpu      time.Duration // of ticks, encoding and decoding, on this machine
-	second   map[int64]int // control bytes by second of virtual time
+	cpu      time.Duration   // of ticks, encoding and decoding, on this machine
+	second   map[int64]int   // control bytes by second of virtual time
+	peers    map[string]bool // addresses of daemons that were sent to or heard
+}
+
+func newTraffic() traffic {
+	return traffic{second: map[int64]int{}, peers: map[string]bool{}}
 }
 
 // control returns the bytes that the budget counts: messages between daemons
--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -70,7 +70,7 @@
 
 // cluster is a set of processes that belong together.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	options   options
 	dir       string
 	authority *peer.Authority
@@ -92,7 +92,7 @@
 
 // startCluster runs the stand-ins and the daemons and waits until both
 // services are in force everywhere.
-func startCluster(t *testing.T, o options) *cluster {
+func startCluster(t testing.TB, o options) *cluster {
 	t.Helper()
 	clusters <- struct{}{}
 	t.Cleanup(func() { <-clusters })
--- a/internal/processtest/network_test.go
+++ b/internal/processtest/network_test.go
@@ -22,7 +22,7 @@
 	conns []net.PacketConn
 }
 
-func newNetwork(t *testing.T) *network {
+func newNetwork(t testing.TB) *network {
 	n := &network{real: map[netip.AddrPort]int{}, cut: map[[2]int]bool{}, rng: rand.New(rand.NewPCG(1, 1))}
 	t.Cleanup(n.close)
 	return n
@@ -72,7 +72,7 @@
 	return n.loss == 0 || n.rng.Float64() >= n.loss
 }
 
-func (n *network) listen(t *testing.T) *net.UDPConn {
+func (n *network) listen(t testing.TB) *net.UDPConn {
 	t.Helper()
 	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	if err != nil {
@@ -96,7 +96,7 @@
 	back   map[netip.AddrPort]*net.UDPConn
 }
 
-func (n *network) relay(t *testing.T, index int) *udpRelay {
+func (n *network) relay(t testing.TB, index int) *udpRelay {
 	t.Helper()
 	r := &udpRelay{network: n, index: index, front: n.listen(t), back: map[netip.AddrPort]*net.UDPConn{}}
 	go r.forward(t)
@@ -118,7 +118,7 @@
 }
 
 // forward passes datagrams on to the daemon.
-func (r *udpRelay) forward(t *testing.T) {
+func (r *udpRelay) forward(t testing.TB) {
 	buf := make([]byte, maxDatagram)
 	for {
 		size, from, err := r.front.ReadFromUDPAddrPort(buf)
@@ -134,7 +134,7 @@
 	}
 }
 
-func (r *udpRelay) socketFor(t *testing.T, from netip.AddrPort) (*net.UDPConn, netip.AddrPort) {
+func (r *udpRelay) socketFor(t testing.TB, from netip.AddrPort) (*net.UDPConn, netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.target.IsValid() {
@@ -173,7 +173,7 @@
 	conns []net.Conn
 }
 
-func newTCPRelay(t *testing.T, target string) *tcpRelay {
+func newTCPRelay(t testing.TB, target string) *tcpRelay {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -46,7 +46,7 @@
 
 // process is one process of the binary. It is killed when its test ends.
 type process struct {
-	t      *testing.T
+	t      testing.TB
 	cmd    *exec.Cmd
 	output *lockedBuffer
 	ended  chan struct{}
@@ -54,7 +54,7 @@
 }
 
 // startProcess starts the binary and decodes the report that it prints.
-func startProcess(t *testing.T, report any, args ...string) *process {
+func startProcess(t testing.TB, report any, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, output: &lockedBuffer{}, ended: make(chan struct{})}
 	p.cmd = exec.Command(binary, args...)
