--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -70,7 +70,7 @@
 
 // cluster is a set of processes that belong together.
 type cluster struct {
-	t testing.TB
+	t         testing.TB
 	options   options
 	dir       string
 	authority *peer.Authority
@@ -366,23 +366,20 @@
 	}
 }
 
-// post sends a JSON body to a stand-in. It may be called from any goroutine of
-// the test.
+// post sends a JSON body to a stand-in.
 func (c *cluster) post(url string, body any) {
 	c.t.Helper()
 	data, err := json.Marshal(body)
 	if err != nil {
-		c.t.Error(err)
-		return
+		c.t.Fatal(err)
 	}
 	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
 	if err != nil {
-		c.t.Error(err)
-		return
+		c.t.Fatal(err)
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusNoContent {
-		c.t.Errorf("%s answered %s", url, resp.Status)
+		c.t.Fatalf("%s answered %s", url, resp.Status)
 	}
 }
 
