Exchange unused limits between daemons; keep the slot of resumed runs

Change: limits travel as a message of their own; a resumed run asks for its slot beside reading on, and the pace of attempts is told on release.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
@@ -26,15 +28,29 @@
 func (c *Core) releaseAttempt(r *request, key attemptKey, a *attempt, kind grant.OutcomeKind) {
 	c.attempts.Delete(key)
 	if !a.granted {
+		c.Grants.Withdraw(c.now, key.request, key.number)
 		return
 	}
-	o := grant.Outcome{Kind: kind}
+	o := grant.Outcome{Kind: kind, BetweenTokens: a.pace(c.now, kind)}
 	if kind == grant.Completed {
 		o.Tokens = entity.Tokens(a.tokens) + entity.Tokens(len(promptOf(&r.work))/bytesPerToken)
 	}
 	c.Grants.Release(c.now, key.request, key.number, o)
 }
 
+// pace returns the mean time between the tokens of an attempt that has ended;
+// for one that has failed, at least the time of its last silence.
+func (a *attempt) pace(now time.Time, kind grant.OutcomeKind) time.Duration {
+	var mean time.Duration
+	if a.tokens > 1 {
+		mean = a.lastToken.Sub(a.firstToken) / time.Duration(a.tokens-1)
+	}
+	if kind == grant.Failed {
+		return max(mean, now.Sub(a.lastToken))
+	}
+	return mean
+}
+
 // promptOf returns the prompt, or nothing for a plain call.
 func promptOf(w *Work) string {
 	if w.Completion == nil {
@@ -77,6 +93,9 @@
 	a.tokens += len(fresh)
 	c.observeTokens(r, a, len(fresh))
 	a.lastToken = c.now
+	if a.tokens == len(fresh) {
+		a.firstToken = c.now
+	}
 	c.touch(r)
 	c.mirror(r)
 	c.checkpoint(r, a)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -109,6 +109,7 @@
 	c.runFleet()
 	c.runDrain()
 	c.settle()
+	c.collectAdmission()
 	c.deliver()
 	c.forget()
 	c.publishView()
@@ -167,6 +168,7 @@
 	c.Configuration.Tick(c.now)
 	c.Journal.Tick(c.now)
 	c.Grants.Tick(c.now)
+	c.Admission.Tick(c.now)
 }
 
 // settle passes the outputs of the systems on until none is left. Each round
@@ -196,6 +198,7 @@
 	at := earliest(c.Membership.Deadline(), c.Configuration.Deadline())
 	at = earliest(at, c.Journal.Deadline())
 	at = earliest(at, c.Grants.Deadline())
+	at = earliest(at, c.Admission.Deadline())
 	at = earliest(at, c.askAt)
 	at = earliest(at, c.drainDeadline())
 	at = earliest(at, c.fleetDeadline())
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/admission"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
@@ -25,6 +26,7 @@
 	RelayPoll     *RelayPoll          `cbor:"12,keyasint,omitempty"`
 	FleetAsk      *FleetAsk           `cbor:"20,keyasint,omitempty"`
 	FleetHave     *FleetHave          `cbor:"21,keyasint,omitempty"`
+	Admission     *admission.Message  `cbor:"14,keyasint,omitempty"`
 	// Stamp is the sender's hybrid logical clock; the shell sets it.
 	Stamp timeline.Stamp `cbor:"13,keyasint,omitzero"`
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -30,6 +30,8 @@
 		c.Membership.Step(c.now, in.From, in.Addr, *m.Membership)
 	case m.Grant != nil:
 		c.Grants.Step(c.now, in.From, *m.Grant)
+	case m.Admission != nil:
+		c.Admission.Step(c.now, in.From, *m.Admission)
 	case m.Relay != nil:
 		c.relayed(in.From, m.Relay)
 	case m.RelayTokens != nil:
@@ -77,6 +79,13 @@
 	return len(ready.News) > 0
 }
 
+// collectAdmission sends what the daemons tell each other about limits.
+func (c *Core) collectAdmission() {
+	for _, e := range c.Admission.Ready() {
+		c.send(e.To, Message{Admission: &e.Message})
+	}
+}
+
 // membersChanged tells the systems who is there.
 func (c *Core) membersChanged() {
 	c.membersOld = false
@@ -98,6 +107,7 @@
 	c.setPlannerMembers(owners)
 	c.hastenList()
 	c.Admission.SetDaemons(len(owners))
+	c.Admission.SetMembers(owners)
 	c.Configuration.SetDaemons(len(owners))
 	c.viewOld = true
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -99,15 +99,16 @@
 
 // attempt is the row of one send to a backend server.
 type attempt struct {
-	backend   entity.BackendServer
-	granted   bool // a grant is held and has to be released
-	resumed   bool // reads a stream that ran before
-	ranBefore bool // the request may have run before this attempt
-	started   time.Time
-	lastToken time.Time
-	tokens    int       // received in this attempt
-	brokenAt  time.Time // when the connection of a resumed stream broke
-	exporting bool      // its KV cache is being exported
+	backend    entity.BackendServer
+	granted    bool // a grant is held and has to be released
+	resumed    bool // reads a stream that ran before
+	ranBefore  bool // the request may have run before this attempt
+	started    time.Time
+	lastToken  time.Time // or the start, before the first
+	firstToken time.Time
+	tokens     int       // received in this attempt
+	brokenAt   time.Time // when the connection of a resumed stream broke
+	exporting  bool      // its KV cache is being exported
 }
 
 // attemptKey names an attempt.
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -70,6 +70,9 @@
 
 // decided takes one decision.
 func (c *Core) decided(d grant.Decision) {
+	if c.slotKept(d) {
+		return
+	}
 	r := c.requests.Get(d.Request)
 	if r == nil || r.finished() || d.Attempt != r.pending {
 		if d.Err == nil {
@@ -135,8 +138,8 @@
 	}
 }
 
-// resume reads on from a stream that an earlier attempt has started. No grant
-// is asked for: the run already has its slot.
+// resume reads on from a stream that an earlier attempt has started. It does
+// not wait for a grant: the run already has its slot.
 func (c *Core) resume(r *request, n entity.AttemptNumber, b entity.BackendServer) {
 	r.last = max(r.last, n)
 	r.current, r.pending = n, 0
@@ -154,6 +157,38 @@
 		Prefix:  append([]string(nil), r.tokens...),
 		Timeout: r.deadline.Sub(c.now),
 	})
+	if !granted {
+		c.keepSlot(r, n, b.ID)
+	}
 	c.emit(event.AttemptDispatched, r, "resume")
 	c.wakeBy(r, c.silenceAt(r))
 }
+
+// keepSlot tells the coordinator that a running attempt now belongs to this
+// daemon.
+func (c *Core) keepSlot(r *request, n entity.AttemptNumber, b entity.BackendServerID) {
+	c.Grants.Want(c.now, grant.Want{
+		Request:      r.id,
+		Attempt:      n,
+		Service:      r.work.Service,
+		Organisation: r.work.Organisation,
+		Priority:     r.work.Priority,
+		Cost:         r.work.cost(),
+		Deadline:     r.deadline,
+		Digest:       r.work.Digest,
+		Only:         b,
+		Repeatable:   r.work.Repeatable,
+		Resume:       true,
+	})
+}
+
+// slotKept notes the outcome of keepSlot. Without the slot the attempt goes on
+// all the same, at the cost of some overload.
+func (c *Core) slotKept(d grant.Decision) bool {
+	_, a := c.running(d.Request, d.Attempt)
+	if a == nil || a.granted {
+		return false
+	}
+	a.granted = d.Err == nil
+	return true
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -126,7 +126,7 @@
 		Configuration: configuration.New(configuration.Config{Self: d.id, Rand: w.newRand()}),
 		Journal:       journal.New(journal.Config{Self: d.id, Shards: 4, Rand: w.newRand(), WriteBudget: 300}),
 		Grants:        grant.New(grant.Config{Self: d.id, Place: self.Place, Rand: w.newRand()}),
-		Admission:     admission.New(admission.Config{Rand: w.newRand()}),
+		Admission:     admission.New(admission.Config{Self: d.id, Rand: w.newRand()}),
 		Retry:         retry.New(retry.Config{Rand: w.newRand()}),
 		Rand:          w.newRand(),
 		Limits:        limits,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,7 @@
 			Self: self.ID, Shards: journalShards, Rand: newRand(), WriteBudget: float64(s.Table.WritesPerSecond),
 		}),
 		Grants:    grant.New(grant.Config{Self: self.ID, Place: self.Place, Rand: newRand()}),
-		Admission: admission.New(admission.Config{Rand: newRand()}),
+		Admission: admission.New(admission.Config{Self: self.ID, Rand: newRand()}),
 		Retry:     retry.New(retry.Config{Rand: newRand()}),
 		Fleet:     newFleet(cfg, self),
 		Rand:      newRand(),
