--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -33,7 +33,9 @@
 	if r.current != 0 {
 		c.stopAttempt(r, true, grant.Failed)
 	}
-	if err != nil && r.mayHaveRun && verdict.Of(err) == verdict.NotRun {
+	// A standby that has not heard of this end may still run the request.
+	mayRun := r.mayHaveRun || r.offered()
+	if err != nil && mayRun && verdict.Of(err) == verdict.NotRun {
 		err = withVerdict(err, verdict.MayHaveRun)
 	}
 	r.stage = stageDone
@@ -42,6 +44,7 @@
 	r.doneAt = c.now
 	c.active--
 	c.finished = append(c.finished, r.id)
+	c.concludeOffer(r)
 	if err != nil {
 		c.emit(event.RequestFailed, r, string(verdict.CodeOf(err)))
 	} else {
@@ -189,7 +192,7 @@
 
 // whereabouts says where the request runs, without its tokens.
 func (c *Core) whereabouts(r *request) *Progress {
-	p := &Progress{Attempt: r.last, Handle: r.handle}
+	p := &Progress{Attempt: r.last, Handle: r.handle, MayHaveRun: r.mayHaveRun}
 	if a := c.attempts.Get(attemptKey{r.id, r.current}); a != nil {
 		b := a.backend
 		p.Attempt, p.Backend = r.current, &b
--- a/internal/core/handoff.go
+++ b/internal/core/handoff.go
@@ -193,9 +193,7 @@
 	if r.progress != nil {
 		*p = *r.progress
 	}
-	if !r.mayHaveRun {
-		p.Attempt = 0
-	}
+	p.MayHaveRun = r.mayHaveRun
 	p.Tokens = r.tokens
 	return p
 }
@@ -235,6 +233,19 @@
 	c.requests.Delete(r.id)
 }
 
+// offered reports whether another daemon may hold the request on standby.
+func (r *request) offered() bool { return !r.offer.at.IsZero() }
+
+// concludeOffer tells the standby that the request has ended here.
+func (c *Core) concludeOffer(r *request) {
+	if !r.offered() {
+		return
+	}
+	c.send(r.offer.to, Message{OfferCommit: &OfferCommit{
+		Request: r.id, Progress: *c.fullProgress(r), Answer: r.answer, Failure: failureOf(r.err),
+	}})
+}
+
 // moveFollowers sends the callers of a request to the successor.
 func (c *Core) moveFollowers(r *request) {
 	m, _ := c.member(r.offer.to)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -30,6 +30,8 @@
 	ReclaimAt time.Time // zero: no reclaim announced
 	InFlight  int       // requests that are not finished
 	Load      grant.Snapshot
+	Plans     []ServicePlan    // of the services that this daemon plans
+	Planners  []ServicePlanner // of all managed services
 }
 
 // LoadByBackend indexes the load by backend server.
@@ -54,7 +56,7 @@
 	c.out.View = &View{
 		Members:   c.members,
 		Addresses: c.addresses(),
-		Services:  c.Configuration.Services(),
+		Services:  c.inForce,
 		Documents: c.Configuration.Documents(),
 		Revision:  c.Configuration.Revision(),
 		Head:      c.Configuration.HeadRevision(),
@@ -63,6 +65,8 @@
 		ReclaimAt: c.drain.reclaimAt,
 		InFlight:  c.active,
 		Load:      c.Grants.Snapshot(),
+		Plans:     c.plans(),
+		Planners:  c.planners(),
 	}
 }
 
