--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -8,6 +8,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/tls"
@@ -71,22 +72,15 @@
 
 // withDefaults fills in zero values.
 func (c Config) withDefaults() Config {
-	setDefault(&c.IdleTimeout, defaultIdleTimeout)
-	setDefault(&c.HandshakeTimeout, defaultHandshakeTimeout)
-	setDefault(&c.RedialDelay, defaultRedialDelay)
-	setDefault(&c.MaxFrame, defaultMaxFrame)
-	setDefault(&c.QueueMessages, defaultQueueMessages)
-	setDefault(&c.QueueBytes, defaultQueueBytes)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, defaultIdleTimeout)
+	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, defaultHandshakeTimeout)
+	c.RedialDelay = cmp.Or(c.RedialDelay, defaultRedialDelay)
+	c.MaxFrame = cmp.Or(c.MaxFrame, defaultMaxFrame)
+	c.QueueMessages = cmp.Or(c.QueueMessages, defaultQueueMessages)
+	c.QueueBytes = cmp.Or(c.QueueBytes, defaultQueueBytes)
 	return c
 }
 
-func setDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
-}
-
 // Transport sends to and receives from other daemons on one UDP socket.
 type Transport struct {
 	cfg      Config
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"os"
 	"path/filepath"
 	"slices"
@@ -92,15 +93,10 @@
 
 // complete derives settings whose default is another setting.
 func (s *Settings) complete() {
-	setDefault := func(field *string, value string) {
-		if *field == "" {
-			*field = value
-		}
-	}
-	setDefault(&s.Listen.AdvertiseCallers, s.Listen.Callers)
-	setDefault(&s.Listen.AdvertisePeers, s.Listen.Peers)
-	setDefault(&s.Listen.AdvertiseAdmin, s.Listen.Admin)
-	setDefault(&s.ObjectStore.Credentials, s.Table.Credentials)
+	s.Listen.AdvertiseCallers = cmp.Or(s.Listen.AdvertiseCallers, s.Listen.Callers)
+	s.Listen.AdvertisePeers = cmp.Or(s.Listen.AdvertisePeers, s.Listen.Peers)
+	s.Listen.AdvertiseAdmin = cmp.Or(s.Listen.AdvertiseAdmin, s.Listen.Admin)
+	s.ObjectStore.Credentials = cmp.Or(s.ObjectStore.Credentials, s.Table.Credentials)
 	if s.document == nil {
 		s.document = tomldoc.Empty("settings")
 	}
--- a/internal/system/admission/admission.go
+++ b/internal/system/admission/admission.go
@@ -2,7 +2,7 @@
 //
 // The limits hold for the whole fleet. Each daemon starts with an even part of
 // them. A daemon that needs more than its part says so to the limit's
-// accountant, one daemon chosen by rendezvous hashing, which lends it what the
+// coordinator, one daemon chosen by rendezvous hashing, which lends it what the
 // others do not use. So a caller that sticks to one daemon gets the whole
 // limit after about a second, while the sum of the parts stays bounded.
 package admission
@@ -53,7 +53,7 @@
 type account struct {
 	share    entity.OrganisationShare
 	part     float64   // of the whole limit
-	lent     time.Time // when the accountant last set the part; zero: even part
+	lent     time.Time // when the coordinator last set the part; zero: even part
 	requests *rate.Limiter
 	tokens   *rate.Limiter // nil: no limit
 	wanted   float64       // requests since the last exchange, refused ones too
--- a/internal/system/admission/lending.go
+++ b/internal/system/admission/lending.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	exchangeInterval = time.Second     // between exchanges with the accountants
+	exchangeInterval = time.Second     // between exchanges with the coordinators
 	lendingLife      = 3 * time.Second // a part that is not renewed becomes even again
 	needPart         = 0.5             // a daemon asks for more above this use of its part
 	headroom         = 1.25            // over what a daemon wanted, so that it can grow
@@ -18,7 +18,7 @@
 	quietEvery       = 5               // exchanges between two demands of a daemon with no need
 )
 
-// Message is what one daemon has to tell another. Demands go to an accountant,
+// Message is what one daemon has to tell another. Demands go to a coordinator,
 // parts come back.
 type Message struct {
 	Demands []Demand `cbor:"1,keyasint,omitempty"`
@@ -44,7 +44,7 @@
 	Message Message
 }
 
-// book is an accountant's knowledge of one limit.
+// book is a coordinator's knowledge of one limit.
 type book struct {
 	rows *entity.Table[entity.InstanceID, bookRow]
 }
@@ -110,7 +110,7 @@
 	return out
 }
 
-// expire makes a part even again that the accountant no longer renews.
+// expire makes a part even again that the coordinator no longer renews.
 func (l *Limiter) expire(now time.Time, a *account) {
 	if a.lent.IsZero() || now.Sub(a.lent) < lendingLife {
 		return
@@ -120,7 +120,7 @@
 	a.apply(now)
 }
 
-// demand tells the accountant what this daemon wanted since the last exchange.
+// demand tells the coordinator what this daemon wanted since the last exchange.
 func (l *Limiter) demand(now time.Time, key Limit, a *account, elapsed time.Duration, quiet bool) {
 	wanted := 0.0
 	if a.share.RequestsPerSecond > 0 {
@@ -134,12 +134,12 @@
 	if !short && (!quiet || wanted < quietPart*even) {
 		return
 	}
-	m := l.message(l.accountant(key))
+	m := l.message(l.coordinator(key))
 	m.Demands = append(m.Demands, Demand{Limit: key, Wanted: wanted, Short: short})
 }
 
-// accountant returns the daemon that keeps the book of a limit.
-func (l *Limiter) accountant(key Limit) entity.InstanceID {
+// coordinator returns the daemon that keeps the account of a limit.
+func (l *Limiter) coordinator(key Limit) entity.InstanceID {
 	var best entity.InstanceID
 	var top uint64
 	for _, id := range l.members {
@@ -177,7 +177,7 @@
 	}
 }
 
-// record takes a demand as an accountant and answers it if the daemon needs
+// record takes a demand as a coordinator and answers it if the daemon needs
 // more than its even part.
 func (l *Limiter) record(now time.Time, from entity.InstanceID, d Demand) {
 	b := l.books.Get(d.Limit)
@@ -236,7 +236,7 @@
 	return own * headroom
 }
 
-// accept takes the part that the accountant has set.
+// accept takes the part that the coordinator has set.
 func (l *Limiter) accept(now time.Time, p Part) {
 	a := l.limits.Get(p.Limit)
 	if a == nil {
--- a/internal/system/grant/cache.go
+++ b/internal/system/grant/cache.go
@@ -58,10 +58,10 @@
 // coordinator keeps it.
 func (g *Grants) CacheEvent(_ time.Time, id entity.BackendServerID, e CacheEvent) {
 	s := g.servers.Get(id)
-	if s == nil || s.lot == nil {
+	if s == nil || s.coordination == nil {
 		return
 	}
-	c := &s.lot.prefixes
+	c := &s.coordination.prefixes
 	c.sequence = max(c.sequence, e.Seq)
 	switch e.Kind {
 	case PrefixStored:
--- a/internal/system/grant/candidates.go
+++ b/internal/system/grant/candidates.go
@@ -79,7 +79,7 @@
 		pool = g.filter(now, sv, w, false, false)
 	}
 	if w.alone && w.Only == "" && !w.Resume {
-		pool = ward(g.living(now, pool), w.Digest)
+		pool = isolationServer(g.living(now, pool), w.Digest)
 	}
 	return pool
 }
--- a/internal/system/grant/lot.go
+++ b/internal/system/grant/coordination.go
@@ -38,8 +38,8 @@
 	return holder{from, r.Request, r.Attempt}
 }
 
-// lot is the state that a coordinator keeps of a backend server.
-type lot struct {
+// coordination is the state that a coordinator keeps of a backend server.
+type coordination struct {
 	slots   int
 	held    *entity.Table[holder, grant]
 	waiting *entity.Table[holder, waiter]
@@ -83,8 +83,8 @@
 	deadline time.Time
 }
 
-func newLot(s *server) *lot {
-	l := &lot{
+func newCoordination(s *server) *coordination {
+	l := &coordination{
 		slots:    s.backend.Slots,
 		held:     entity.NewTable[holder, grant](),
 		waiting:  entity.NewTable[holder, waiter](),
@@ -96,7 +96,7 @@
 }
 
 // free returns the number of slots that may be granted.
-func (l *lot) free() int {
+func (l *coordination) free() int {
 	if l.trial {
 		return 1 - l.held.Len()
 	}
@@ -105,7 +105,7 @@
 
 // others returns how many requests of other systems run there. Reports lag
 // behind the grants, so that the least of the latest counts.
-func (l *lot) others() int {
+func (l *coordination) others() int {
 	if l.reports < loadSamples {
 		return 0
 	}
@@ -117,7 +117,7 @@
 }
 
 // reserve returns how many slots stay free for the most urgent class.
-func (l *lot) reserve(now time.Time) int {
+func (l *coordination) reserve(now time.Time) int {
 	if l.slots < urgentMinSlots || l.urgent.IsZero() || now.Sub(l.urgent) > urgentMemory {
 		return 0
 	}
@@ -125,19 +125,19 @@
 }
 
 // wait estimates how long a new ask would wait in the queue.
-func (l *lot) wait(a *Ask) time.Duration {
+func (l *coordination) wait(a *Ask) time.Duration {
 	ahead := float64(l.queue.Ahead(a.Organisation, a.Priority, a.Cost))
 	seconds := ahead * l.perToken / float64(max(l.slots, 1))
 	return time.Duration(seconds*float64(time.Second)) + l.run/time.Duration(max(l.slots, 1))
 }
 
 // estimate returns the time that the ask would hold a slot; 0: unknown.
-func (l *lot) estimate(a *Ask) time.Duration {
+func (l *coordination) estimate(a *Ask) time.Duration {
 	return time.Duration(float64(a.Cost) * l.perToken * float64(time.Second))
 }
 
 // learnRun takes the time for which a grant was held.
-func (l *lot) learnRun(a *Ask, held time.Duration) {
+func (l *coordination) learnRun(a *Ask, held time.Duration) {
 	held = max(held, probablyFirst)
 	l.run = smooth(l.run, held)
 	perToken := held.Seconds() / float64(max(a.Cost, 1))
@@ -157,7 +157,7 @@
 
 // hint tells an asker the state of the server. The wait matters only to an ask
 // without a grant; the pace changes slowly and is told now and then.
-func (l *lot) hint(a *Ask, kind ReplyKind) Hint {
+func (l *coordination) hint(a *Ask, kind ReplyKind) Hint {
 	h := Hint{Busy: l.slots - max(0, l.free()), Queued: l.waiting.Len(), Slots: l.slots}
 	if kind != Granted {
 		h.Wait = l.wait(a).Microseconds()
--- a/internal/system/grant/coordinator.go
+++ b/internal/system/grant/coordinator.go
@@ -8,31 +8,31 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 )
 
-// openLot starts to coordinate a server. Others may hold grants from a former
+// openCoordination starts to coordinate a server. Others may hold grants from a former
 // coordinator, so that nothing is granted before they can have reported.
-func (g *Grants) openLot(now time.Time, s *server) {
-	if s.lot != nil {
+func (g *Grants) openCoordination(now time.Time, s *server) {
+	if s.coordination != nil {
 		return
 	}
-	s.lot = newLot(s)
+	s.coordination = newCoordination(s)
 	if len(g.members.all) > 1 {
-		s.lot.opens = now.Add(g.cfg.RebuildWindow)
-		g.wakeServer(s, s.lot.opens)
+		s.coordination.opens = now.Add(g.cfg.RebuildWindow)
+		g.wakeServer(s, s.coordination.opens)
 	}
 }
 
-// closeLot stops coordinating a server; waiting asks are sent elsewhere.
-func (g *Grants) closeLot(now time.Time, s *server, reason Reason) {
-	if s.lot == nil {
+// closeCoordination stops coordinating a server; waiting asks are sent elsewhere.
+func (g *Grants) closeCoordination(now time.Time, s *server, reason Reason) {
+	if s.coordination == nil {
 		return
 	}
 	g.sendAway(now, s, reason)
-	s.lot = nil
+	s.coordination = nil
 }
 
 // sendAway answers all waiting asks of a server.
 func (g *Grants) sendAway(now time.Time, s *server, reason Reason) {
-	l := s.lot
+	l := s.coordination
 	waiting := l.queue.Drain()
 	waiting = append(waiting, l.alone...)
 	l.alone = nil
@@ -49,8 +49,8 @@
 // filled in.
 func (g *Grants) answer(now time.Time, s *server, h holder, a *Ask, r Reply) {
 	r.Reference, r.Sequence = a.Reference, a.Sequence
-	if s != nil && s.lot != nil {
-		r.Hint = s.lot.hint(a, r.Kind)
+	if s != nil && s.coordination != nil {
+		r.Hint = s.coordination.hint(a, r.Kind)
 	}
 	m := g.send(now, h.asker, true)
 	m.Replies = append(m.Replies, r)
@@ -64,10 +64,10 @@
 		g.answer(now, s, h, a, Reply{Kind: Elsewhere, Reason: reason})
 		return
 	}
-	if s.lot == nil {
-		g.openLot(now, s)
+	if s.coordination == nil {
+		g.openCoordination(now, s)
 	}
-	l := s.lot
+	l := s.coordination
 	if held := l.held.Get(h); held != nil {
 		held.heard = now
 		g.answer(now, s, h, a, Reply{Kind: Granted, Cached: l.prefixes.count(a.Prefix)})
@@ -95,7 +95,7 @@
 // its request over. If the former holder is not known, it counts besides the
 // slots: the attempt runs in any case.
 func (g *Grants) transfer(now time.Time, s *server, h holder, a *Ask) {
-	l := s.lot
+	l := s.coordination
 	for _, other := range l.held.Keys() {
 		if other.request == h.request && other != h {
 			l.vacate(other)
@@ -115,9 +115,9 @@
 		return ReasonLeaving
 	case s.coordinator.id != g.cfg.Self && !a.Insist:
 		return ReasonCoordinator
-	case s.lot != nil && now.Before(s.lot.deadUntil):
+	case s.coordination != nil && now.Before(s.coordination.deadUntil):
 		return ReasonDead
-	case s.lot != nil && s.lot.trial && a.Alone:
+	case s.coordination != nil && s.coordination.trial && a.Alone:
 		return ReasonDead
 	default:
 		return 0
@@ -125,7 +125,7 @@
 }
 
 func (g *Grants) enqueue(now time.Time, s *server, h holder, a *Ask) {
-	l := s.lot
+	l := s.coordination
 	w := &waiter{ask: *a, arrived: now}
 	if a.Left > 0 {
 		w.deadline = now.Add(time.Duration(a.Left) * time.Microsecond)
@@ -145,7 +145,7 @@
 
 // keepOrReturn decides on an ask that found no free slot.
 func (g *Grants) keepOrReturn(now time.Time, s *server, h holder, a *Ask) {
-	l := s.lot
+	l := s.coordination
 	left := time.Duration(a.Left) * time.Microsecond
 	wait := l.wait(a)
 	late := a.Left > 0 && wait+l.estimate(a) > left
@@ -165,7 +165,7 @@
 }
 
 func (g *Grants) unqueue(s *server, h holder) {
-	l := s.lot
+	l := s.coordination
 	l.waiting.Delete(h)
 	l.queue.Remove(h)
 	l.alone = slices.DeleteFunc(l.alone, func(o holder) bool { return o == h })
@@ -173,7 +173,7 @@
 
 // serve grants what is free.
 func (g *Grants) serve(now time.Time, s *server) {
-	l := s.lot
+	l := s.coordination
 	for l.open(now) && !s.leaving {
 		if l.aloneRuns {
 			return
@@ -192,13 +192,13 @@
 }
 
 // open reports whether anything may be granted now.
-func (l *lot) open(now time.Time) bool {
+func (l *coordination) open(now time.Time) bool {
 	return !now.Before(l.opens) && !now.Before(l.deadUntil) && !now.Before(l.pause)
 }
 
 // grantNext grants the next waiting ask that may have a slot.
 func (g *Grants) grantNext(now time.Time, s *server) bool {
-	l := s.lot
+	l := s.coordination
 	free := l.free()
 	if free <= 0 {
 		l.aloneTurn = len(l.alone) > 0
@@ -218,7 +218,7 @@
 }
 
 func (g *Grants) grantAlone(now time.Time, s *server) {
-	l := s.lot
+	l := s.coordination
 	h := l.alone[0]
 	l.alone = l.alone[1:]
 	l.aloneRuns, l.aloneTurn = true, false
@@ -226,7 +226,7 @@
 }
 
 func (g *Grants) grant(now time.Time, s *server, h holder) {
-	l := s.lot
+	l := s.coordination
 	w := l.waiting.Get(h)
 	l.waiting.Delete(h)
 	l.held.Put(h, &grant{ask: w.ask, since: now, heard: now})
--- a/internal/system/grant/grants.go
+++ b/internal/system/grant/grants.go
@@ -8,6 +8,7 @@
 package grant
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -48,26 +49,20 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.AskTimeout, defaultAskTimeout)
-	setDefault(&c.ReportInterval, defaultReportInterval)
-	setDefault(&c.SilenceLimit, defaultSilenceLimit)
-	setDefault(&c.RebuildWindow, defaultRebuildWindow)
-	setDefault(&c.ReprobeAfter, defaultReprobeAfter)
-	setDefault(&c.FlushDelay, defaultFlushDelay)
-	setDefault(&c.ParkLimit, defaultParkLimit)
-	setDefault(&c.MaxProbes, defaultMaxProbes)
+	c.AskTimeout = cmp.Or(c.AskTimeout, defaultAskTimeout)
+	c.ReportInterval = cmp.Or(c.ReportInterval, defaultReportInterval)
+	c.SilenceLimit = cmp.Or(c.SilenceLimit, defaultSilenceLimit)
+	c.RebuildWindow = cmp.Or(c.RebuildWindow, defaultRebuildWindow)
+	c.ReprobeAfter = cmp.Or(c.ReprobeAfter, defaultReprobeAfter)
+	c.FlushDelay = cmp.Or(c.FlushDelay, defaultFlushDelay)
+	c.ParkLimit = cmp.Or(c.ParkLimit, defaultParkLimit)
+	c.MaxProbes = cmp.Or(c.MaxProbes, defaultMaxProbes)
 	if c.Policy == nil {
 		c.Policy = routing.NewAffinity()
 	}
 	return c
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // Grants is the system; see the package. It is not safe for concurrent use.
 type Grants struct {
 	cfg      Config
--- a/internal/system/grant/leaving.go
+++ b/internal/system/grant/leaving.go
@@ -71,7 +71,7 @@
 		g.wakeParked(now)
 		return
 	}
-	if s.lot != nil {
+	if s.coordination != nil {
 		g.sendAway(now, s, ReasonLeaving)
 	}
 	g.leaveQueue(now, s)
--- a/internal/system/grant/release.go
+++ b/internal/system/grant/release.go
@@ -9,7 +9,7 @@
 )
 
 // entry returns the queue's row of a waiter.
-func (l *lot) entry(h holder, w *waiter) fairshare.Entry[holder] {
+func (l *coordination) entry(h holder, w *waiter) fairshare.Entry[holder] {
 	return fairshare.Entry[holder]{
 		Key:          h,
 		Organisation: w.ask.Organisation,
@@ -22,10 +22,10 @@
 // releaseAt takes a grant back as a coordinator.
 func (g *Grants) releaseAt(now time.Time, from entity.InstanceID, r *Release) {
 	s := g.servers.Get(r.Reference.Backend)
-	if s == nil || s.lot == nil {
+	if s == nil || s.coordination == nil {
 		return
 	}
-	l := s.lot
+	l := s.coordination
 	h := holderOf(from, r.Reference)
 	held := l.held.Get(h)
 	if held == nil {
@@ -46,7 +46,7 @@
 	g.serve(now, s)
 }
 
-func (l *lot) learnRelease(now time.Time, held *grant, r *Release) {
+func (l *coordination) learnRelease(now time.Time, held *grant, r *Release) {
 	if r.Tokens > 0 {
 		l.queue.Correct(held.ask.Organisation, held.ask.Priority, held.ask.Cost, r.Tokens)
 	}
@@ -65,10 +65,10 @@
 // withdrawAt takes an ask or an unused grant back as a coordinator.
 func (g *Grants) withdrawAt(now time.Time, from entity.InstanceID, r Reference) {
 	s := g.servers.Get(r.Backend)
-	if s == nil || s.lot == nil {
+	if s == nil || s.coordination == nil {
 		return
 	}
-	l := s.lot
+	l := s.coordination
 	h := holderOf(from, r)
 	if held := l.held.Get(h); held != nil {
 		l.queue.Correct(held.ask.Organisation, held.ask.Priority, held.ask.Cost, 0)
@@ -80,7 +80,7 @@
 
 // proved ends the trial of a server that has completed an attempt.
 func (g *Grants) proved(now time.Time, s *server) {
-	l := s.lot
+	l := s.coordination
 	l.deaths, l.refusals = 0, 0
 	l.trial = false
 }
@@ -88,7 +88,7 @@
 // died takes a server out of use for a while. What else it ran is lost; the
 // other askers say so themselves.
 func (g *Grants) died(now time.Time, s *server) {
-	l := s.lot
+	l := s.coordination
 	pause := min(trialPause<<min(l.deaths, 8), maxTrialPause)
 	l.deaths++
 	l.deadUntil = now.Add(pause)
@@ -103,7 +103,7 @@
 
 // endPause notes that a server that died may be tried again.
 func (g *Grants) endPause(now time.Time, s *server) {
-	l := s.lot
+	l := s.coordination
 	if l.deadUntil.IsZero() || now.Before(l.deadUntil) {
 		return
 	}
@@ -123,7 +123,7 @@
 		reported.Put(holderOf(from, r.Waiting[i].Reference), &r.Waiting[i])
 	}
 	for _, id := range g.servers.Keys() {
-		if s := g.servers.Get(id); s.lot != nil {
+		if s := g.servers.Get(id); s.coordination != nil {
 			g.endUnreported(now, s, from, r.Sequence, reported)
 		}
 	}
@@ -136,18 +136,18 @@
 // slots until enough are released.
 func (g *Grants) restore(now time.Time, from entity.InstanceID, a *Ask) {
 	s := g.servers.Get(a.Reference.Backend)
-	if s == nil || s.lot == nil {
+	if s == nil || s.coordination == nil {
 		return
 	}
 	h := holderOf(from, a.Reference)
-	if held := s.lot.held.Get(h); held != nil {
+	if held := s.coordination.held.Get(h); held != nil {
 		held.heard = now
 		return
 	}
 	g.unqueue(s, h)
-	s.lot.held.Put(h, &grant{ask: *a, since: now, heard: now})
+	s.coordination.held.Put(h, &grant{ask: *a, since: now, heard: now})
 	if a.Alone {
-		s.lot.aloneRuns = true
+		s.coordination.aloneRuns = true
 	}
 	g.wakeServer(s, now.Add(silenceInterval))
 }
@@ -155,7 +155,7 @@
 // endUnreported ends what an asker held or asked for up to a sequence number
 // and does not report.
 func (g *Grants) endUnreported(now time.Time, s *server, from entity.InstanceID, sequence uint32, reported *entity.Table[holder, Ask]) {
-	l := s.lot
+	l := s.coordination
 	for _, h := range l.held.Keys() {
 		if h.asker == from && l.held.Get(h).ask.Sequence <= sequence && reported.Get(h) == nil {
 			g.reclaim(now, s, h)
@@ -173,10 +173,10 @@
 // uses it: what runs there besides its grants takes slots.
 func (g *Grants) LoadReport(now time.Time, id entity.BackendServerID, r Load) {
 	s := g.servers.Get(id)
-	if s == nil || s.lot == nil {
+	if s == nil || s.coordination == nil {
 		return
 	}
-	l := s.lot
+	l := s.coordination
 	l.external[l.reports%loadSamples] = max(0, r.Running+r.Queued-l.held.Len())
 	l.reports++
 	if r.Slots > 0 {
--- a/internal/system/grant/routing_test.go
+++ b/internal/system/grant/routing_test.go
@@ -96,7 +96,7 @@
 	g := w.nodes[0].g
 	g.CacheEvent(w.now, "server-000", CacheEvent{Seq: 9, Kind: PrefixStored, Prefix: 7})
 	g.CacheEvent(w.now, "server-000", CacheEvent{Seq: 4, Kind: PrefixRemoved, Prefix: 7})
-	c := &g.servers.Get("server-000").lot.prefixes
+	c := &g.servers.Get("server-000").coordination.prefixes
 	if c.count([]uint64{7}) != 1 {
 		t.Fatal("a late removal undid a newer event")
 	}
--- a/internal/system/grant/schedule.go
+++ b/internal/system/grant/schedule.go
@@ -76,8 +76,8 @@
 			g.wake(now, w)
 		}
 	case timerServer:
-		if s := g.servers.Get(t.server); s != nil && s.lot != nil && !s.lot.due.IsZero() && !s.lot.due.After(now) {
-			s.lot.due = time.Time{}
+		if s := g.servers.Get(t.server); s != nil && s.coordination != nil && !s.coordination.due.IsZero() && !s.coordination.due.After(now) {
+			s.coordination.due = time.Time{}
 			g.tend(now, s)
 		}
 	case timerReport:
@@ -96,11 +96,11 @@
 	g.schedule.add(timer{at: at, kind: timerWant, want: w.key()})
 }
 
-// wakeServer has the lot of a server tended no later than at.
+// wakeServer has the coordination of a server tended no later than at.
 func (g *Grants) wakeServer(s *server, at time.Time) {
-	if at.IsZero() || (!s.lot.due.IsZero() && !s.lot.due.After(at)) {
+	if at.IsZero() || (!s.coordination.due.IsZero() && !s.coordination.due.After(at)) {
 		return
 	}
-	s.lot.due = at
+	s.coordination.due = at
 	g.schedule.add(timer{at: at, kind: timerServer, server: s.backend.ID})
 }
--- a/internal/system/grant/servers.go
+++ b/internal/system/grant/servers.go
@@ -18,18 +18,18 @@
 	pool     []routing.Candidate
 }
 
-// server is a backend server as any daemon knows it; lot is what its
+// server is a backend server as any daemon knows it; coordination is what its
 // coordinator knows besides.
 type server struct {
-	backend     entity.BackendServer
-	hash        uint64
-	service     *service
-	index       int // in the service's pool
-	coordinator bid
-	avoid       time.Time // nothing is asked before that
-	disputed    time.Time // asks insist until then
-	leaving     bool
-	lot         *lot
+	backend      entity.BackendServer
+	hash         uint64
+	service      *service
+	index        int // in the service's pool
+	coordinator  bid
+	avoid        time.Time // nothing is asked before that
+	disputed     time.Time // asks insist until then
+	leaving      bool
+	coordination *coordination
 }
 
 func (s *server) candidate() *routing.Candidate { return &s.service.pool[s.index] }
@@ -94,11 +94,11 @@
 	was := s.coordinator.id
 	s.coordinator = next
 	if was == g.cfg.Self {
-		g.closeLot(now, s, ReasonCoordinator)
+		g.closeCoordination(now, s, ReasonCoordinator)
 		g.emit(event.Event{Number: event.CoordinatorLeft, At: now, Backend: s.backend.ID, Peer: next.id})
 	}
 	if next.id == g.cfg.Self {
-		g.openLot(now, s)
+		g.openCoordination(now, s)
 		g.emit(event.Event{Number: event.CoordinatorTaken, At: now, Backend: s.backend.ID, Peer: was})
 	}
 	if was == "" {
@@ -162,16 +162,16 @@
 		g.moveCoordinator(now, s, top)
 	}
 	s.coordinator = top
-	if s.lot == nil {
+	if s.coordination == nil {
 		return
 	}
-	s.lot.slots = s.backend.Slots
-	s.lot.queue.SetShares(s.service.document.Organisations)
+	s.coordination.slots = s.backend.Slots
+	s.coordination.queue.SetShares(s.service.document.Organisations)
 	g.serve(now, s)
 }
 
 func (g *Grants) dropServer(now time.Time, s *server) {
-	g.closeLot(now, s, ReasonUnknown)
+	g.closeCoordination(now, s, ReasonUnknown)
 	for _, k := range g.wants.Keys() {
 		if w := g.wants.Get(k); w.dropAsks(s.backend.ID) {
 			g.wakeWant(w, now)
--- a/internal/system/grant/snapshot.go
+++ b/internal/system/grant/snapshot.go
@@ -10,7 +10,7 @@
 // asks, as far as this daemon knows: all if it is the coordinator, else its own.
 func (g *Grants) Drained(id entity.BackendServerID) bool {
 	s := g.servers.Get(id)
-	if s != nil && s.lot != nil && s.lot.held.Len()+s.lot.waiting.Len() > 0 {
+	if s != nil && s.coordination != nil && s.coordination.held.Len()+s.coordination.waiting.Len() > 0 {
 		return false
 	}
 	drained := true
@@ -54,11 +54,11 @@
 		Leaving:     s.leaving,
 		At:          c.At,
 	}
-	if s.lot != nil {
+	if s.coordination != nil {
 		out.Exact = true
-		out.Slots = s.lot.slots
-		out.Busy = s.lot.held.Len() + s.lot.others()
-		out.Queued = s.lot.waiting.Len()
+		out.Slots = s.coordination.slots
+		out.Busy = s.coordination.held.Len() + s.coordination.others()
+		out.Queued = s.coordination.waiting.Len()
 		out.At = time.Time{}
 	}
 	return out
--- a/internal/system/grant/upkeep.go
+++ b/internal/system/grant/upkeep.go
@@ -7,9 +7,9 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 )
 
-// tend does what is due for a server's lot.
+// tend does what is due for a server's coordination.
 func (g *Grants) tend(now time.Time, s *server) {
-	l := s.lot
+	l := s.coordination
 	if l.trial || !l.deadUntil.IsZero() && !now.Before(l.deadUntil) {
 		g.endPause(now, s)
 	}
@@ -25,7 +25,7 @@
 	g.query(now, s)
 	g.serve(now, s)
 	if s.coordinator.id != g.cfg.Self && l.held.Len()+l.waiting.Len() == 0 {
-		s.lot = nil
+		s.coordination = nil
 		return
 	}
 	g.wakeServer(s, l.queue.NextExpiry())
@@ -49,7 +49,7 @@
 // query asks the holders of old grants whether they still have them, while
 // others wait: a release may have been lost.
 func (g *Grants) query(now time.Time, s *server) {
-	l := s.lot
+	l := s.coordination
 	if l.waiting.Len() == 0 {
 		return
 	}
@@ -68,17 +68,17 @@
 // confirmedAt notes that a grant is still held.
 func (g *Grants) confirmedAt(now time.Time, from entity.InstanceID, r Reference) {
 	s := g.servers.Get(r.Backend)
-	if s == nil || s.lot == nil {
+	if s == nil || s.coordination == nil {
 		return
 	}
-	if held := s.lot.held.Get(holderOf(from, r)); held != nil {
+	if held := s.coordination.held.Get(holderOf(from, r)); held != nil {
 		held.heard = now
 	}
 }
 
 // reclaimSilent takes back the grants whose askers no longer confirm them.
 func (g *Grants) reclaimSilent(now time.Time, s *server) {
-	l := s.lot
+	l := s.coordination
 	for _, h := range l.held.Keys() {
 		if h.asker != g.cfg.Self && now.Sub(l.held.Get(h).heard) > g.cfg.SilenceLimit {
 			g.reclaim(now, s, h)
@@ -87,7 +87,7 @@
 }
 
 func (g *Grants) reclaim(now time.Time, s *server, h holder) {
-	s.lot.vacate(h)
+	s.coordination.vacate(h)
 	g.emit(event.Event{
 		Number: event.GrantReclaimed, At: now, Service: s.backend.Service, Request: h.request, Attempt: h.attempt,
 		Backend: s.backend.ID, Peer: h.asker,
@@ -95,7 +95,7 @@
 }
 
 // vacate frees the slot of a holder.
-func (l *lot) vacate(h holder) {
+func (l *coordination) vacate(h holder) {
 	held := l.held.Get(h)
 	if held == nil {
 		return
@@ -110,15 +110,15 @@
 func (g *Grants) dropAsker(now time.Time, id entity.InstanceID) {
 	for _, sid := range g.servers.Keys() {
 		s := g.servers.Get(sid)
-		if s.lot == nil {
+		if s.coordination == nil {
 			continue
 		}
-		for _, h := range s.lot.held.Keys() {
+		for _, h := range s.coordination.held.Keys() {
 			if h.asker == id {
 				g.reclaim(now, s, h)
 			}
 		}
-		for _, h := range s.lot.waiting.Keys() {
+		for _, h := range s.coordination.waiting.Keys() {
 			if h.asker == id {
 				g.unqueue(s, h)
 			}
--- a/internal/system/journal/config.go
+++ b/internal/system/journal/config.go
@@ -1,6 +1,9 @@
 package journal
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	defaultShards        = 16
@@ -31,31 +34,24 @@
 )
 
 func withDefaults(c Config) Config {
-	setDefault(&c.Shards, defaultShards)
-	setDefault(&c.WriteBudget, defaultWriteBudget)
-	setDefault(&c.GroupDelay, defaultGroupDelay)
-	setDefault(&c.RetryAfter, defaultRetryAfter)
-	setDefault(&c.TryFor, defaultTryFor)
-	setDefault(&c.Retention, defaultRetention)
-	setDefault(&c.RefreshEvery, defaultRefreshEvery)
-	setDefault(&c.RetryDelay, defaultRetryDelay)
-	setDefault(&c.TakeoverDelay, defaultTakeoverDelay)
-	setDefault(&c.TakeoverMax, defaultTakeoverMax)
-	setDefault(&c.UnseenGrace, defaultUnseenGrace)
-	setDefault(&c.ReleaseGrace, defaultReleaseGrace)
-	setDefault(&c.InlineLimit, defaultInlineLimit)
-	setDefault(&c.BatchBytes, defaultBatchBytes)
-	setDefault(&c.HotKeys, defaultHotKeys)
-	setDefault(&c.HotBytes, defaultHotBytes)
-	setDefault(&c.PartBytes, defaultPartBytes)
-	setDefault(&c.MergeCount, defaultMergeCount)
-	setDefault(&c.MergeKeys, defaultMergeKeys)
+	c.Shards = cmp.Or(c.Shards, defaultShards)
+	c.WriteBudget = cmp.Or(c.WriteBudget, defaultWriteBudget)
+	c.GroupDelay = cmp.Or(c.GroupDelay, defaultGroupDelay)
+	c.RetryAfter = cmp.Or(c.RetryAfter, defaultRetryAfter)
+	c.TryFor = cmp.Or(c.TryFor, defaultTryFor)
+	c.Retention = cmp.Or(c.Retention, defaultRetention)
+	c.RefreshEvery = cmp.Or(c.RefreshEvery, defaultRefreshEvery)
+	c.RetryDelay = cmp.Or(c.RetryDelay, defaultRetryDelay)
+	c.TakeoverDelay = cmp.Or(c.TakeoverDelay, defaultTakeoverDelay)
+	c.TakeoverMax = cmp.Or(c.TakeoverMax, defaultTakeoverMax)
+	c.UnseenGrace = cmp.Or(c.UnseenGrace, defaultUnseenGrace)
+	c.ReleaseGrace = cmp.Or(c.ReleaseGrace, defaultReleaseGrace)
+	c.InlineLimit = cmp.Or(c.InlineLimit, defaultInlineLimit)
+	c.BatchBytes = cmp.Or(c.BatchBytes, defaultBatchBytes)
+	c.HotKeys = cmp.Or(c.HotKeys, defaultHotKeys)
+	c.HotBytes = cmp.Or(c.HotBytes, defaultHotBytes)
+	c.PartBytes = cmp.Or(c.PartBytes, defaultPartBytes)
+	c.MergeCount = cmp.Or(c.MergeCount, defaultMergeCount)
+	c.MergeKeys = cmp.Or(c.MergeKeys, defaultMergeKeys)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/system/membership/config.go
+++ b/internal/system/membership/config.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -42,17 +43,17 @@
 
 // Defaults returns c with its zero values filled in.
 func (c Config) Defaults() Config {
-	setDefault(&c.ProbeInterval, defaultProbeInterval)
-	setDefault(&c.ProbeRetry, defaultProbeRetry)
-	setDefault(&c.ProbeTimeout, defaultProbeTimeout)
-	setDefault(&c.SuspicionTimeout, defaultSuspicionTimeout)
-	setDefault(&c.GossipInterval, defaultGossipInterval)
-	setDefault(&c.SyncInterval, defaultSyncInterval)
-	setDefault(&c.JoinInterval, defaultJoinInterval)
-	setDefault(&c.RejoinInterval, defaultRejoinInterval)
-	setDefault(&c.DeadRetention, defaultDeadRetention)
-	setDefault(&c.LocalRings, defaultLocalRings)
-	setDefault(&c.GlobalRings, defaultGlobalRings)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, defaultProbeInterval)
+	c.ProbeRetry = cmp.Or(c.ProbeRetry, defaultProbeRetry)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, defaultProbeTimeout)
+	c.SuspicionTimeout = cmp.Or(c.SuspicionTimeout, defaultSuspicionTimeout)
+	c.GossipInterval = cmp.Or(c.GossipInterval, defaultGossipInterval)
+	c.SyncInterval = cmp.Or(c.SyncInterval, defaultSyncInterval)
+	c.JoinInterval = cmp.Or(c.JoinInterval, defaultJoinInterval)
+	c.RejoinInterval = cmp.Or(c.RejoinInterval, defaultRejoinInterval)
+	c.DeadRetention = cmp.Or(c.DeadRetention, defaultDeadRetention)
+	c.LocalRings = cmp.Or(c.LocalRings, defaultLocalRings)
+	c.GlobalRings = cmp.Or(c.GlobalRings, defaultGlobalRings)
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(xxhash.Sum64String(string(c.Self.ID)), 0))
 	}
@@ -60,13 +61,6 @@
 	return c
 }
 
-func setDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
-}
-
 // Limits on memory and on what a message may hold.
 const (
 	maxMembers      = 8192
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -119,29 +120,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDuration(&c.Settle, defaultSettle)
-	setDuration(&c.BurstWindow, defaultBurstWindow)
-	setDuration(&c.SuspectExpiry, defaultSuspectExpiry)
-	setDuration(&c.Expiry, defaultExpiry)
-	setInt(&c.BurstServers, defaultBurstServers)
-	setInt(&c.MaxSuspects, defaultMaxSuspects)
-	setInt(&c.MaxConvictions, defaultMaxConvictions)
-	setInt(&c.MaxDeaths, defaultMaxDeaths)
+	c.Settle = cmp.Or(c.Settle, defaultSettle)
+	c.BurstWindow = cmp.Or(c.BurstWindow, defaultBurstWindow)
+	c.SuspectExpiry = cmp.Or(c.SuspectExpiry, defaultSuspectExpiry)
+	c.Expiry = cmp.Or(c.Expiry, defaultExpiry)
+	c.BurstServers = cmp.Or(c.BurstServers, defaultBurstServers)
+	c.MaxSuspects = cmp.Or(c.MaxSuspects, defaultMaxSuspects)
+	c.MaxConvictions = cmp.Or(c.MaxConvictions, defaultMaxConvictions)
+	c.MaxDeaths = cmp.Or(c.MaxDeaths, defaultMaxDeaths)
 	return c
 }
 
-func setDuration(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
-
-func setInt(n *int, v int) {
-	if *n == 0 {
-		*n = v
-	}
-}
-
 // Died records that content was running on a backend server when it died.
 func (r *Registry) Died(now time.Time, d Death) {
 	again := r.Dead(now, d.Backend)
