Give up keyed work whose owner is out of reach of a daemon that is cut off

Cause: a daemon that hears no other keeps its suspects for about 35 s before it holds them dead. Meanwhile it relayed keyed requests to owners that it could not reach, and held them until then or until their deadline. Change: while no other daemon is heard and the key's owner is suspected, new keyed requests are refused as not run; accepted ones wait 5 s and are given up with what is known of them. Conclusion: unkeyed requests without a free backend server in reach still wait for their deadline.

--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -206,6 +206,10 @@
 		c.tryAgain(r, r.relay.progress)
 		return
 	}
+	if c.now.Sub(r.relay.heardAt) >= reachPatience && c.ownerOutOfReach(&r.work) {
+		c.failOutOfReach(r)
+		return
+	}
 	at := r.relay.heardAt.Add(relayPoll)
 	if c.now.Before(at) {
 		c.wakeBy(r, at)
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -6,6 +6,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -14,6 +15,9 @@
 	retryAfterFull = 500 * time.Millisecond
 	// retryAfterLeaving is told to callers of a daemon that takes no more.
 	retryAfterLeaving = 50 * time.Millisecond
+	// reachPatience is how long an accepted request waits for the owner of its
+	// key while no other daemon is heard.
+	reachPatience = 5 * time.Second
 )
 
 // submit admits or refuses a new request.
@@ -57,10 +61,28 @@
 	if err := fitToService(&in.Work, service); err != nil {
 		return err
 	}
+	if in.Work.Key != "" && c.ownerOutOfReach(&in.Work) {
+		err := verdict.New(verdict.NotRun, "isolated", "this daemon hears none of the others, and another one owns the key")
+		return verdict.WithRetryAfter(err, retryAfterLeaving)
+	}
 	in.Work.Digest = in.Work.computeDigest()
 	return c.Admission.Admit(c.now, in.Work.Service, in.Work.Organisation, in.Work.Priority, in.Work.cost())
 }
 
+// ownerOutOfReach reports whether the key belongs to a daemon that is suspected
+// while no other daemon is heard either. Most likely this daemon is cut off:
+// its suspects are not held dead for a while, and the key's shard cannot be
+// taken over. Nothing of the request has been sent, so that it is not run.
+func (c *Core) ownerOutOfReach(w *Work) bool {
+	owner := c.Journal.Owner((&request{work: *w}).journalKey())
+	m, known := c.member(owner)
+	if owner == c.Self.ID || !known || m.State != membership.Suspect {
+		return false
+	}
+	near, far := c.livePeers()
+	return len(near)+len(far) == 0
+}
+
 // fitToService checks the work against the service document and sets the
 // priority and, for plain services, whether the call is repeatable.
 func fitToService(w *Work, s *entity.Service) error {
@@ -112,5 +134,28 @@
 		c.begin(r)
 		return
 	}
+	if c.ownerOutOfReach(&r.work) {
+		c.awaitOwner(r)
+		return
+	}
 	c.relay(r, owner)
 }
+
+// awaitOwner keeps a request whose owner is out of reach for a short time, and
+// then gives it up. Its caller can send it again elsewhere.
+func (c *Core) awaitOwner(r *request) {
+	if c.now.Sub(r.acceptedAt) < reachPatience {
+		c.reroute(r)
+		return
+	}
+	c.failOutOfReach(r)
+}
+
+// failOutOfReach gives up a request whose owner is out of reach.
+func (c *Core) failOutOfReach(r *request) {
+	code := verdict.Code("isolated")
+	if r.mayHaveRun {
+		code = "outcome-unknown"
+	}
+	c.fail(r, verdict.New(r.verdict(), code, "this daemon hears none of the others, and another one owns the key"))
+}
--- a/internal/processtest/answers_test.go
+++ b/internal/processtest/answers_test.go
@@ -278,6 +278,39 @@
 	})
 }
 
+// TestCutOff_DaemonAnswersBeforeTheDeadline: a daemon that no other daemon
+// hears, but that reaches the table, gives keyed and unkeyed requests their final
+// answer, be it an error, rather than hold them until their deadline.
+func TestCutOff_DaemonAnswersBeforeTheDeadline(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, options{})
+	c.network.isolate(0, len(c.daemons), true)
+	time.Sleep(8 * time.Second)
+	const requests = 24
+	replies := make([]reply, requests)
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			a := ask{prompt: fmt.Sprint("cut off ", i), deadline: 30 * time.Second}
+			if i%2 == 0 {
+				a.key = fmt.Sprint("cut-off-", i)
+			}
+			replies[i] = c.submit(0, a)
+		})
+	}
+	wg.Wait()
+	for i, r := range replies {
+		refused := r.verdict == verdict.NotRun && r.code != ""
+		final := r.answered() || r.code != ""
+		if r.err != nil || r.took > 20*time.Second || !final {
+			t.Errorf("request %d: %s", i, r)
+		}
+		if n := c.runsOf(fmt.Sprint("cut off ", i), c.addresses.Engines); refused && n > 0 {
+			t.Errorf("request %d was told as not run and ran", i)
+		}
+	}
+}
+
 // TestConviction_CrashingContent: content that kills each engine that runs it,
 // sent again under new ids, is refused on every daemon; innocents are served.
 func TestConviction_CrashingContent(t *testing.T) {
--- a/internal/processtest/caller_test.go
+++ b/internal/processtest/caller_test.go
@@ -193,7 +193,7 @@
 
 // runningLoad is a load under way.
 type runningLoad struct {
-	t testing.TB
+	t    testing.TB
 	done chan load.Report
 }
 
--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -70,7 +70,7 @@
 
 // cluster is a set of processes that belong together.
 type cluster struct {
-	t testing.TB
+	t         testing.TB
 	options   options
 	dir       string
 	authority *peer.Authority
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -46,7 +46,7 @@
 
 // process is one process of the binary. It is killed when its test ends.
 type process struct {
-	t testing.TB
+	t      testing.TB
 	cmd    *exec.Cmd
 	output *lockedBuffer
 	ended  chan struct{}
