--- a/internal/system/grant/ward.go
+++ b/internal/system/grant/ward.go
@@ -49,7 +49,7 @@
 	return pool[:min(len(pool), max(1, len(pool)/wardPart))]
 }
 
-func wardHash(c routing.Candidate) uint64 { return mix(xxhash.Sum64String(string(c.Backend))) }
+func wardHash(c routing.Candidate) uint64 { return routing.Mix(xxhash.Sum64String(string(c.Backend))) }
 
 // spread returns the few servers of a pool on which watched content may run.
 // They depend on the content, so that contents that have seen the death of one
@@ -57,7 +57,7 @@
 func spread(pool []routing.Candidate, d entity.Digest) []routing.Candidate {
 	seed := binary.BigEndian.Uint64(d[:])
 	slices.SortFunc(pool, func(a, b routing.Candidate) int {
-		return cmp.Or(cmp.Compare(mix(seed^wardHash(a)), mix(seed^wardHash(b))), cmp.Compare(a.Backend, b.Backend))
+		return cmp.Or(cmp.Compare(routing.Mix(seed^wardHash(a)), routing.Mix(seed^wardHash(b))), cmp.Compare(a.Backend, b.Backend))
 	})
 	const choices = 2
 	return pool[:min(len(pool), choices)]
