--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -104,6 +104,7 @@
 			all += t.bytes[k]
 		}
 		sum.reads, sum.writes, sum.objects = sum.reads+t.reads, sum.writes+t.writes, sum.objects+t.objects
+		sum.lists += t.lists
 		sum.platform, sum.ticks, sum.cpu = sum.platform+t.platform, sum.ticks+t.ticks, sum.cpu+t.cpu
 		mostControl, mostAll = max(mostControl, t.control()), max(mostAll, all)
 		peers, mostPeers = peers+len(t.peers), max(mostPeers, len(t.peers))
@@ -134,6 +135,7 @@
 	f.note(phase, "table reads", r.reads, "1/s")
 	f.note(phase, "table transactions", r.writes, "1/s")
 	f.note(phase, "object calls", float64(sum.objects)/seconds, "1/s")
+	f.note(phase, "list readings", float64(sum.lists)/seconds, "1/s")
 	f.note(phase, "ticks", float64(sum.ticks)/each, "1/s and daemon")
 	f.note(phase, "processor time", 100*sum.cpu.Seconds()/each, "% of a core and daemon")
 	return r
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/admission"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	planner "github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/journal"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
@@ -124,6 +125,7 @@
 		Membership:    membership.New(membership.Config{Self: self, Seeds: seeds, Rand: f.newRand()}),
 		Configuration: configuration.New(configuration.Config{Self: n.id, Rand: f.newRand()}),
 		Journal:       journal.New(journal.Config{Self: n.id, Shards: journalShards, Rand: f.newRand(), WriteBudget: writeBudget}),
+		Fleet:         planner.New(planner.Config{Self: n.id, Rand: f.newRand()}),
 		Grants:        grant.New(grant.Config{Self: n.id, Place: self.Place, Rand: f.newRand()}),
 		Admission:     admission.New(admission.Config{Rand: f.newRand()}),
 		Retry:         retry.New(retry.Config{Rand: f.newRand()}),
@@ -297,6 +299,9 @@
 			f.appliedAt = f.now
 		}
 	}
+	if out.ReadList {
+		n.traffic.lists++
+	}
 	for _, op := range out.Operations {
 		f.table.perform(n, op)
 	}
--- a/internal/capacity/traffic_test.go
+++ b/internal/capacity/traffic_test.go
@@ -59,6 +59,7 @@
 	bytes    [kindCount]int // packet overhead and acknowledgements included
 	reads    int            // rows or pages of the table service
 	writes   int            // transactions
+	lists    int            // readings of the list of instances
 	objects  int            // calls of the object store
 	platform int            // bytes to and from the platform
 	ticks    int
