Read the engines' load reports and cache events

Cause: the core took both as inputs, but nothing sent them: work that others give an engine in route mode and prefixes that it has dropped were never seen.

--- /dev/null
+++ b/internal/backend/watch_test.go
@@ -0,0 +1,50 @@
+package backend
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/standin"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
+)
+
+func TestWatcher_ReadsLoadAndCacheEvents(t *testing.T) {
+	server, err := standin.StartServer(standin.NewEngine(standin.EngineConfig{ID: "e", Slots: 5, CacheBlocks: 16}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Kill()
+	s := newSink()
+	w := NewWatcher(s.take)
+	defer w.Close()
+	w.Set([]entity.BackendServer{{ID: "e", Address: server.Address()}})
+	if in, ok := s.wait(t).(core.EngineLoad); !ok || in.Load.Slots != 5 {
+		t.Fatalf("got %+v, want a load report with 5 slots", in)
+	}
+	client := New(func(core.Input) {})
+	defer client.Close()
+	d := completion(server.Address())
+	d.Work.Completion.Prompt = strings.Repeat("p", standin.PrefixBlockBytes)
+	client.Dispatch(d)
+	for {
+		in, ok := s.wait(t).(core.EngineCache)
+		if !ok {
+			continue
+		}
+		if in.Event.Kind != grant.PrefixStored || in.Event.Prefix == 0 || in.Backend != "e" {
+			t.Fatalf("got %+v", in)
+		}
+		return
+	}
+}
+
+func FuzzParseCacheEvent(f *testing.F) {
+	f.Add([]byte(`{"seq":1,"kind":"stored","prefix":"0123456789abcdef"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if e, ok := parseCacheEvent(data); ok && e.Kind == 0 {
+			t.Error("event without a kind")
+		}
+	})
+}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -43,6 +43,23 @@
 	return out
 }
 
+// Coordinated returns the model engines that this daemon coordinates.
+func (v *View) Coordinated() []entity.BackendServer {
+	load := v.LoadByBackend()
+	var out []entity.BackendServer
+	for i := range v.Services {
+		if v.Services[i].Kind != entity.KindModel {
+			continue
+		}
+		for _, b := range v.Services[i].BackendServers {
+			if load[b.ID].Exact {
+				out = append(out, b)
+			}
+		}
+	}
+	return out
+}
+
 // publishView puts a new view into the outbox if something in it has changed,
 // and now and then for the load.
 func (c *Core) publishView() {
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -7,10 +7,9 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"io"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
@@ -97,17 +96,19 @@
 	return d
 }
 
-// prefixes returns hashes of the growing prefixes of the prompt.
+// prefixes returns hashes of the growing prefixes of the prompt: the first 64
+// bits of their SHA-256, by which the engines name them in cache events.
 func (w *Work) prefixes() []uint64 {
 	if w.Completion == nil {
 		return nil
 	}
-	d := xxhash.New()
+	h := sha256.New()
 	p := w.Completion.Prompt
+	var sum [sha256.Size]byte
 	var out []uint64
 	for len(p) >= prefixBlock && len(out) < maxPrefixHashes {
-		_, _ = d.WriteString(p[:prefixBlock])
-		out = append(out, d.Sum64())
+		_, _ = io.WriteString(h, p[:prefixBlock])
+		out = append(out, binary.BigEndian.Uint64(h.Sum(sum[:0])))
 		p = p[prefixBlock:]
 	}
 	return out
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	Parts
 	callers   *callers
 	backend   *backend.Client
+	watcher   *backend.Watcher
 	platform  *performer
 	operators *operators
 	view      atomic.Pointer[view]
@@ -57,6 +58,7 @@
 	d := &Daemon{Parts: p, meter: newMeter()}
 	d.callers = newCallers(func(id core.CallerID) { d.Inbox.Post(core.CallerGone{Caller: id}) })
 	d.backend = backend.New(p.Inbox.Post)
+	d.watcher = backend.NewWatcher(p.Inbox.Post)
 	d.platform = newPerformer(p)
 	d.operators = newOperators(p.Inbox.Post)
 	d.view.Store(newView(&core.View{}))
@@ -104,6 +106,7 @@
 	out := d.Core.Tick(time.Now(), inputs)
 	if out.View != nil {
 		d.view.Store(newView(out.View))
+		d.watcher.Set(out.View.Coordinated())
 	}
 	for _, r := range out.Replies {
 		d.callers.put(r)
@@ -150,5 +153,6 @@
 func (d *Daemon) close() {
 	close(d.Inbox.done)
 	d.backend.Close()
+	d.watcher.Close()
 	d.platform.close()
 }
