--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,7 +72,6 @@
 	fleet       fleetState
 	inForce     []entity.Service // with the backend servers of ours
 	askAt       time.Time        // next question to a peer for documents
-	headTold    uint64           // highest revision that news told
 	isolated    bool
 	viewOld     bool
 	viewCurrent bool
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -65,7 +65,7 @@
 		c.drain.quietAt = c.now
 	}
 	quiet := c.now.Sub(c.drain.quietAt)
-	released := quiet >= lastReplies && c.Journal.Released()
+	released := quiet >= lastReplies && c.Journal.Disowned()
 	idle := !busy && (released || quiet >= releaseWait)
 	if idle || !c.now.Before(c.drain.deadline) {
 		c.out.Finished = true
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -116,7 +116,6 @@
 func (c *Core) news(n membership.News) {
 	switch n.Topic {
 	case membership.TopicConfigHead:
-		c.headTold = max(c.headTold, n.Version)
 		c.Configuration.Head(c.now, n.Version)
 	case membership.TopicConviction:
 		var d entity.Digest
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -16,12 +16,11 @@
 
 // relayState is what the relaying daemon knows of a request's run.
 type relayState struct {
-	owner      entity.InstanceID
-	round      uint32 // counts the relays of the request
-	heardAt    time.Time
-	progress   *Progress // where the run was last, without tokens
-	ranBefore  bool      // the request may have run before this relay
-	unanswered bool      // polled since the last news
+	owner     entity.InstanceID
+	round     uint32 // counts the relays of the request
+	heardAt   time.Time
+	progress  *Progress // where the run was last, without tokens
+	ranBefore bool      // the request may have run before this relay
 }
 
 // relay gives a keyed request to the owner of its shard.
@@ -129,7 +128,6 @@
 		return nil
 	}
 	r.relay.heardAt = c.now
-	r.relay.unanswered = false
 	return r
 }
 
@@ -193,7 +191,6 @@
 
 // pollOwner asks the owner for what is missing.
 func (c *Core) pollOwner(r *request) {
-	r.relay.unanswered = true
 	c.send(r.relay.owner, Message{RelayPoll: &RelayPoll{
 		Request: r.id, Round: r.relay.round, Have: len(r.tokens), Sum: checksum(0, r.tokens),
 	}})
--- a/internal/system/journal/ownership.go
+++ b/internal/system/journal/ownership.go
@@ -48,16 +48,6 @@
 	return found || slices.Contains(j.leavers, id)
 }
 
-// Released reports whether this daemon owns no shard and is about to own none.
-func (j *Journal) Released() bool {
-	for _, s := range j.shards {
-		if s.state != stateForeign {
-			return false
-		}
-	}
-	return true
-}
-
 // Refresh reads the shard rows soon, because another daemon has said that it
 // does not own what it was taken to own.
 func (j *Journal) Refresh(now time.Time) {
