--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -81,6 +81,7 @@
 	}
 	key := (&request{work: m.Work}).journalKey()
 	if c.Journal.Owner(key) != c.Self.ID || c.drain.closing {
+		c.Journal.Refresh(c.now) // the sender may know of a release before this daemon
 		c.send(from, Message{RelayEnd: &RelayEnd{Request: m.Request, Round: m.Round, TryAgain: true, NotRun: true}})
 		return
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -124,7 +124,7 @@
 		Self:          self,
 		Membership:    membership.New(membership.Config{Self: self, Seeds: []string{"peer-d0", "peer-d1"}, Rand: w.newRand()}),
 		Configuration: configuration.New(configuration.Config{Self: d.id, Rand: w.newRand()}),
-		Journal:       journal.New(journal.Config{Self: d.id, Shards: 4, Rand: w.newRand(), WriteBudget: 300}),
+		Journal:       journal.New(journal.Config{Self: d.id, Shards: 4, Rand: w.newRand(), WriteBudget: 300, RebalanceAfter: 5 * time.Second}),
 		Grants:        grant.New(grant.Config{Self: d.id, Place: self.Place, Rand: w.newRand()}),
 		Admission:     admission.New(admission.Config{Self: d.id, Rand: w.newRand()}),
 		Retry:         retry.New(retry.Config{Rand: w.newRand()}),
--- a/internal/system/journal/config.go
+++ b/internal/system/journal/config.go
@@ -6,25 +6,26 @@
 )
 
 const (
-	defaultShards        = 16
-	defaultWriteBudget   = 300 // writes per second
-	defaultGroupDelay    = 60 * time.Millisecond
-	defaultRetryAfter    = 2 * time.Second
-	defaultTryFor        = 2 * time.Second
-	defaultRetention     = 24 * time.Hour
-	defaultRefreshEvery  = 5 * time.Second
-	defaultRetryDelay    = 100 * time.Millisecond
-	defaultTakeoverDelay = time.Second
-	defaultTakeoverMax   = time.Minute
-	defaultUnseenGrace   = 5 * time.Second
-	defaultReleaseGrace  = 500 * time.Millisecond
-	defaultInlineLimit   = 8 << 10   // bytes
-	defaultBatchBytes    = 192 << 10 // bytes
-	defaultHotKeys       = 16384
-	defaultHotBytes      = 4 << 20  // bytes
-	defaultPartBytes     = 32 << 10 // bytes
-	defaultMergeCount    = 16
-	defaultMergeKeys     = 1 << 18
+	defaultShards         = 16
+	defaultWriteBudget    = 300 // writes per second
+	defaultGroupDelay     = 60 * time.Millisecond
+	defaultRetryAfter     = 2 * time.Second
+	defaultTryFor         = 2 * time.Second
+	defaultRetention      = 24 * time.Hour
+	defaultRefreshEvery   = 5 * time.Second
+	defaultRetryDelay     = 100 * time.Millisecond
+	defaultTakeoverDelay  = time.Second
+	defaultTakeoverMax    = time.Minute
+	defaultUnseenGrace    = 5 * time.Second
+	defaultRebalanceAfter = 30 * time.Second
+	defaultReleaseGrace   = 500 * time.Millisecond
+	defaultInlineLimit    = 8 << 10   // bytes
+	defaultBatchBytes     = 192 << 10 // bytes
+	defaultHotKeys        = 16384
+	defaultHotBytes       = 4 << 20  // bytes
+	defaultPartBytes      = 32 << 10 // bytes
+	defaultMergeCount     = 16
+	defaultMergeKeys      = 1 << 18
 
 	retryDelayMax = 2 * time.Second
 	downPollEvery = time.Second
@@ -45,6 +46,7 @@
 	c.TakeoverDelay = cmp.Or(c.TakeoverDelay, defaultTakeoverDelay)
 	c.TakeoverMax = cmp.Or(c.TakeoverMax, defaultTakeoverMax)
 	c.UnseenGrace = cmp.Or(c.UnseenGrace, defaultUnseenGrace)
+	c.RebalanceAfter = cmp.Or(c.RebalanceAfter, defaultRebalanceAfter)
 	c.ReleaseGrace = cmp.Or(c.ReleaseGrace, defaultReleaseGrace)
 	c.InlineLimit = cmp.Or(c.InlineLimit, defaultInlineLimit)
 	c.BatchBytes = cmp.Or(c.BatchBytes, defaultBatchBytes)
--- a/internal/system/journal/faults_test.go
+++ b/internal/system/journal/faults_test.go
@@ -39,6 +39,7 @@
 			c.InlineLimit = 64
 			c.PartBytes = 512
 			c.TakeoverMax = 4 * time.Second
+			c.RebalanceAfter = 2 * time.Second
 			c.RefreshEvery = refresh
 			c.UnseenGrace = 2 * time.Second
 		})
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -31,8 +31,10 @@
 	requests map[entity.RequestID]*request
 	members  []entity.InstanceID
 	leavers  []entity.InstanceID
-	leaving  bool
-	joined   bool // SetMembers was called
+	// membersSince is when the members changed last.
+	membersSince time.Time
+	leaving      bool
+	joined       bool // SetMembers was called
 
 	calls    map[platform.OperationID]func(now time.Time, r platform.Result)
 	lastCall platform.OperationID
--- a/internal/system/journal/ownership.go
+++ b/internal/system/journal/ownership.go
@@ -24,6 +24,7 @@
 		return
 	}
 	j.members = sorted
+	j.membersSince = now
 	j.place()
 	if !j.joined {
 		j.joined = true
@@ -115,6 +116,9 @@
 		for _, row := range r.Rows {
 			j.polled(now, row)
 		}
+		if r.Err == nil {
+			j.rebalance(now)
+		}
 	})
 }
 
--- a/internal/system/journal/takeover.go
+++ b/internal/system/journal/takeover.go
@@ -50,7 +50,8 @@
 // not as things are.
 func (j *Journal) takeoverDue(now time.Time, s *shard) (time.Time, bool) {
 	owner := s.row.Owner
-	if owner != j.cfg.Self && s.wanted != j.cfg.Self {
+	given := owner != j.cfg.Self || s.row.Released
+	if given && s.wanted != j.cfg.Self {
 		return time.Time{}, false
 	}
 	due := s.notBefore
--- a/internal/system/journal/traps_test.go
+++ b/internal/system/journal/traps_test.go
@@ -429,6 +429,43 @@
 	w.wantCommitted("r3", "r1")
 }
 
+// The first daemon to start takes every shard; an idle one that another daemon
+// should own moves there, and its keys with it.
+func TestJournal_IdleShardMovesToItsWantedOwner(t *testing.T) {
+	w := newWorld(t, 1)
+	for _, id := range []entity.InstanceID{"a", "b"} {
+		w.add(id, func(c *Config) { c.Shards = 8 })
+	}
+	w.members("a")
+	w.run(time.Second)
+	a, b := w.daemons[0], w.daemons[1]
+	a.begin(keyed("r1", "k", true))
+	w.run(time.Second)
+	w.wantCommitted("r1", "r1")
+	w.members("a", "b")
+	w.run(3 * time.Minute)
+	moved := 0
+	for i, s := range a.journal.shards {
+		if s.state == stateOwned && s.wanted != a.id {
+			t.Errorf("shard %d is still owned by a", i)
+		}
+		if b.journal.shards[i].state == stateOwned {
+			moved++
+		}
+	}
+	if moved == 0 {
+		t.Fatal("no shard has moved")
+	}
+	next := keyed("r2", "k", true)
+	owner := a
+	if a.journal.Owner(next.Key) == b.id {
+		owner = b
+	}
+	owner.begin(next)
+	w.run(time.Second)
+	w.wantCommitted("r2", "r1")
+}
+
 // Two daemons that each believe the other to be gone do not alternate.
 func TestJournal_TakeoverBacksOff(t *testing.T) {
 	w := newWorld(t, 1)
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -34,12 +34,13 @@
 	TryFor      time.Duration // longest wait for the store; 2 s
 	Retention   time.Duration // an answer is kept at least this long; 24 h
 
-	RefreshEvery  time.Duration // between reads of all shard rows; 5 s
-	RetryDelay    time.Duration // first wait before a failed call is made again; 100 ms
-	TakeoverDelay time.Duration // wait before a vanished owner's shard is taken; 1 s
-	TakeoverMax   time.Duration // longest back-off between takeovers of one shard; 1 min
-	UnseenGrace   time.Duration // wait for an owner that was never seen alive; 5 s
-	ReleaseGrace  time.Duration // time that Disown leaves to running requests; 500 ms
+	RefreshEvery   time.Duration // between reads of all shard rows; 5 s
+	RetryDelay     time.Duration // first wait before a failed call is made again; 100 ms
+	TakeoverDelay  time.Duration // wait before a vanished owner's shard is taken; 1 s
+	TakeoverMax    time.Duration // longest back-off between takeovers of one shard; 1 min
+	RebalanceAfter time.Duration // members unchanged so long: a misplaced idle shard is released; 30 s
+	UnseenGrace    time.Duration // wait for an owner that was never seen alive; 5 s
+	ReleaseGrace   time.Duration // time that Disown leaves to running requests; 500 ms
 
 	InlineLimit int // largest body in bytes kept in a table row; 8 KiB
 	BatchBytes  int // largest batch row in bytes; 192 KiB
