--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -174,7 +174,7 @@
 		return ExitOK
 	case errors.As(err, &wrong):
 		return ExitUsage
-	case errors.Is(err, adminapi.ErrUnreachable):
+	case errors.Is(err, adminapi.ErrUnreachable), errors.Is(err, errNoDaemon):
 		return ExitUnavailable
 	case errors.As(err, &f) && f.Code == adminapi.CodeConflict:
 		return ExitConflict
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -298,3 +299,17 @@
 	c.run(ExitOK, "version", "--output", "json")
 	c.has(c.out, `"version"`)
 }
+
+func TestLoad_NobodyAnswers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	var out, errs bytes.Buffer
+	args := []string{"load", "--address", address, "--organisation", "a=b", "--rate", "50", "--duration", "100ms"}
+	if code := Run(t.Context(), args, &out, &errs); code != ExitUnavailable {
+		t.Fatalf("exit code %d, want %d: %s%s", code, ExitUnavailable, out.String(), errs.String())
+	}
+}
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -42,10 +43,29 @@
 	} else {
 		err = report.WriteText(e.out)
 	}
-	if err == nil && len(report.Violations()) > 0 {
+	switch {
+	case err != nil:
+		return err
+	case len(report.Violations()) > 0:
 		return errReported
+	case report.Offered > 0 && report.Accepted+report.Failed+report.Unknown == 0 && onlyUnreachable(report):
+		return errNoDaemon
+	default:
+		return nil
+	}
+}
+
+// errNoDaemon ends a load run that reached nobody.
+var errNoDaemon = errors.New("no daemon answers; is --address a daemon's address for callers (listen.callers)?")
+
+// onlyUnreachable reports whether every refusal is the driver's own.
+func onlyUnreachable(r load.Report) bool {
+	for _, c := range r.Codes {
+		if c.Code != load.CodeUnreachable {
+			return false
+		}
 	}
-	return err
+	return true
 }
 
 // config converts the flags.
--- a/internal/load/execution.go
+++ b/internal/load/execution.go
@@ -15,8 +15,8 @@
 	resumePause    = 100 * time.Millisecond
 	sendPause      = 50 * time.Millisecond
 
-	// codeUnreachable is the driver's own: no daemon could be reached.
-	codeUnreachable verdict.Code = "unreachable"
+	// CodeUnreachable is the driver's own refusal: no daemon could be reached.
+	CodeUnreachable verdict.Code = "unreachable"
 
 	// codeRestarted says that the stream's start has been lost: what there is
 	// now is another run, to be read from its start.
@@ -112,7 +112,7 @@
 	if e.broken {
 		return e.end(outcome{kind: outcomeUnknown})
 	}
-	return e.end(outcome{kind: outcomeRefused, code: codeUnreachable, verdict: verdict.NotRun})
+	return e.end(outcome{kind: outcomeRefused, code: CodeUnreachable, verdict: verdict.NotRun})
 }
 
 // reset forgets what an earlier submission, which was not run, has brought.
