--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -56,9 +57,7 @@
 	if change.Operation == "" {
 		change.Operation = uuid.NewString()
 	}
-	if change.ReadRevision == 0 {
-		change.ReadRevision = doc.revision
-	}
+	change.ReadRevision = cmp.Or(change.ReadRevision, doc.revision)
 	if change.ReadRevision > 0 {
 		return change, nil
 	}
--- a/internal/core/migrate.go
+++ b/internal/core/migrate.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -88,9 +89,7 @@
 // half of the output has to be computed again, for a number of exports that
 // grows with the logarithm of the output.
 func (c *Core) checkpoint(r *request, a *attempt) {
-	if r.checkpointAt == 0 {
-		r.checkpointAt = firstCheckpoint
-	}
+	r.checkpointAt = cmp.Or(r.checkpointAt, firstCheckpoint)
 	if len(r.tokens) < r.checkpointAt || !c.worthMoving(r, a) {
 		return
 	}
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -4,6 +4,7 @@
 package load
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -57,21 +58,11 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.PromptTokens == 0 {
-		c.PromptTokens = defaultPromptTokens
-	}
-	if c.MaxTokens == 0 {
-		c.MaxTokens = defaultMaxTokens
-	}
-	if c.Deadline == 0 {
-		c.Deadline = defaultDeadline
-	}
-	if c.Patience == 0 {
-		c.Patience = defaultPatience
-	}
-	if c.Model == "" {
-		c.Model = "m"
-	}
+	c.PromptTokens = cmp.Or(c.PromptTokens, defaultPromptTokens)
+	c.MaxTokens = cmp.Or(c.MaxTokens, defaultMaxTokens)
+	c.Deadline = cmp.Or(c.Deadline, defaultDeadline)
+	c.Patience = cmp.Or(c.Patience, defaultPatience)
+	c.Model = cmp.Or(c.Model, "m")
 	return c
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"time"
@@ -92,18 +93,10 @@
 
 // NewEngine returns an idle engine.
 func NewEngine(cfg EngineConfig) *Engine {
-	if cfg.Slots == 0 {
-		cfg.Slots = 8
-	}
-	if cfg.LoadLag == 0 {
-		cfg.LoadLag = defaultLoadLag
-	}
-	if cfg.CacheEventLag == 0 {
-		cfg.CacheEventLag = defaultCacheEventLag
-	}
-	if cfg.CacheBlocks == 0 {
-		cfg.CacheBlocks = defaultCacheBlocks
-	}
+	cfg.Slots = cmp.Or(cfg.Slots, 8)
+	cfg.LoadLag = cmp.Or(cfg.LoadLag, defaultLoadLag)
+	cfg.CacheEventLag = cmp.Or(cfg.CacheEventLag, defaultCacheEventLag)
+	cfg.CacheBlocks = cmp.Or(cfg.CacheBlocks, defaultCacheBlocks)
 	e := &Engine{cfg: cfg, cache: newPrefixCache(cfg.CacheBlocks, cfg.CacheEventLag)}
 	e.reset()
 	e.route()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -122,13 +122,7 @@
 // its port until Restart.
 func (p *Platform) AddEngine(c EngineConfig) (string, error) {
 	b := &backend{}
-	crashed := c.OnCrash
-	c.OnCrash = func() {
-		b.server.Kill()
-		if crashed != nil {
-			crashed()
-		}
-	}
+	c.OnCrash = b.killThen(c.OnCrash)
 	b.engine = NewEngine(c)
 	return p.add(c.ID, b, b.engine)
 }
@@ -136,15 +130,20 @@
 // AddPlain starts another plain backend server and returns its host:port.
 func (p *Platform) AddPlain(c PlainConfig) (string, error) {
 	b := &backend{}
-	crashed := c.OnCrash
-	c.OnCrash = func() {
+	c.OnCrash = b.killThen(c.OnCrash)
+	b.plain = NewPlain(c)
+	return p.add(c.ID, b, b.plain)
+}
+
+// killThen returns what a crash does: the server's port closes, then f is
+// called if there is one.
+func (b *backend) killThen(f func()) func() {
+	return func() {
 		b.server.Kill()
-		if crashed != nil {
-			crashed()
+		if f != nil {
+			f()
 		}
 	}
-	b.plain = NewPlain(c)
-	return p.add(c.ID, b, b.plain)
 }
 
 func (p *Platform) add(id string, b *backend, h http.Handler) (string, error) {
--- a/internal/system/configuration/refresh.go
+++ b/internal/system/configuration/refresh.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -219,9 +220,7 @@
 // scan reads a page of all documents. The head was read before the first page
 // and rows only get newer, so that the pages hold every change up to the target.
 func (c *Configuration) scan(after string) {
-	if after == "" {
-		after = documentPrefix
-	}
+	after = cmp.Or(after, documentPrefix)
 	c.issue(platform.Operation{
 		Kind: platform.QueryRows, Partition: configPartition, After: after, Limit: scanLimit, Consistent: true,
 	}, c.pageRead)
--- a/internal/system/fleet/types.go
+++ b/internal/system/fleet/types.go
@@ -14,6 +14,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -60,21 +61,11 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.LeaseTerm == 0 {
-		c.LeaseTerm = defaultLeaseTerm
-	}
-	if c.TakeoverWait == 0 {
-		c.TakeoverWait = defaultTakeoverWait
-	}
-	if c.Window == 0 {
-		c.Window = defaultWindow
-	}
-	if c.WarmUp == 0 {
-		c.WarmUp = defaultWarmUp
-	}
-	if c.MaxOutstanding == 0 {
-		c.MaxOutstanding = defaultMaxOutstanding
-	}
+	c.LeaseTerm = cmp.Or(c.LeaseTerm, defaultLeaseTerm)
+	c.TakeoverWait = cmp.Or(c.TakeoverWait, defaultTakeoverWait)
+	c.Window = cmp.Or(c.Window, defaultWindow)
+	c.WarmUp = cmp.Or(c.WarmUp, defaultWarmUp)
+	c.MaxOutstanding = cmp.Or(c.MaxOutstanding, defaultMaxOutstanding)
 	return c
 }
 
--- a/internal/system/retry/retry.go
+++ b/internal/system/retry/retry.go
@@ -3,6 +3,7 @@
 package retry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -41,18 +42,10 @@
 
 // New returns a budget in which every service starts with a full reserve.
 func New(cfg Config) *Budget {
-	if cfg.Ratio == 0 {
-		cfg.Ratio = defaultRatio
-	}
-	if cfg.Reserve == 0 {
-		cfg.Reserve = defaultReserve
-	}
-	if cfg.Backoff == 0 {
-		cfg.Backoff = defaultBackoff
-	}
-	if cfg.MaxBackoff == 0 {
-		cfg.MaxBackoff = defaultMaxBackoff
-	}
+	cfg.Ratio = cmp.Or(cfg.Ratio, defaultRatio)
+	cfg.Reserve = cmp.Or(cfg.Reserve, defaultReserve)
+	cfg.Backoff = cmp.Or(cfg.Backoff, defaultBackoff)
+	cfg.MaxBackoff = cmp.Or(cfg.MaxBackoff, defaultMaxBackoff)
 	return &Budget{cfg: cfg, services: entity.NewTable[entity.ServiceName, account]()}
 }
 
