Refuse messages of other daemons that cannot be meant

Cause: a poll with a negative count, or work that is neither a completion nor a call, would have ended the daemon's process. Change: such messages are dropped.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -230,15 +230,12 @@
 	c.setInstances(in.Instances)
 }
 
-// decodeMessage is used by DecodeMessage and its fuzz target.
-func decodeMessage(body []byte) (Message, error) {
-	var m Message
-	err := codec.Decode(body, &m)
-	return m, err
-}
-
 // EncodeMessage returns the encoding of a message between daemons.
 func EncodeMessage(m *Message) ([]byte, error) { return codec.Encode(m) }
 
 // DecodeMessage decodes a message of another daemon.
-func DecodeMessage(body []byte) (Message, error) { return decodeMessage(body) }
+func DecodeMessage(body []byte) (Message, error) {
+	var m Message
+	err := codec.Decode(body, &m)
+	return m, err
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -70,6 +70,9 @@
 
 // relayed takes a request that another daemon relays here.
 func (c *Core) relayed(from entity.InstanceID, m *Relay) {
+	if !m.Work.valid() || m.Work.Key == "" {
+		return
+	}
 	f := follower{peer: from, round: m.Round, stream: true}
 	if m.Progress != nil {
 		f.seen = m.Progress.Tokens
@@ -107,6 +110,9 @@
 
 // relayPolled answers a daemon that has heard nothing for a while.
 func (c *Core) relayPolled(from entity.InstanceID, m *RelayPoll) {
+	if m.Have < 0 {
+		return
+	}
 	r := c.requests.Get(m.Request)
 	if r == nil || r.stage == stageRelayed || r.stage == stageStandby {
 		c.send(from, Message{RelayEnd: &RelayEnd{Request: m.Request, Round: m.Round, TryAgain: true}})
--- a/internal/core/standby.go
+++ b/internal/core/standby.go
@@ -8,6 +8,9 @@
 
 // offered takes a request that a leaving daemon offers.
 func (c *Core) offered(from entity.InstanceID, m *Offer) {
+	if !m.Work.valid() {
+		return
+	}
 	accept := !c.drain.on
 	if accept && c.requests.Get(m.Request) == nil {
 		c.takeOffer(from, m)
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -59,6 +59,14 @@
 	Digest       entity.Digest         `cbor:"9,keyasint"`
 }
 
+// valid reports whether work from another daemon can be run at all.
+func (w *Work) valid() bool {
+	if (w.Completion == nil) == (w.Call == nil) || w.Priority >= entity.PriorityCount {
+		return false
+	}
+	return w.Completion == nil || w.Completion.MaxTokens > 0
+}
+
 // cost estimates the tokens that the work will take.
 func (w *Work) cost() entity.Tokens {
 	if w.Completion == nil {
