Look for the next owner while a relay hears nothing

Ruled out: saturation (the engines had free slots), shard takeover (the rows were released at once). Change: a relay that hears nothing for 1 s has the shard rows read again and goes to the owner that they name.

--- a/internal/core/reclaim_test.go
+++ b/internal/core/reclaim_test.go
@@ -148,3 +148,26 @@
 		w.answered()
 	}
 }
+
+// Keyed requests that are relayed to a daemon just as it ends must not wait
+// until the others hold it dead.
+func TestCore_RelaysDoNotWaitForAnEndedOwner(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newWorld(t, 80+seed, 3)
+		for i := range 400 {
+			work := modelWork(fmt.Sprintf("check %d", i), 5)
+			work.Key = fmt.Sprintf("check-%d", i)
+			w.after(time.Duration(i)*20*time.Millisecond, func() { w.call(w.daemons[1+i%2], work, 30*time.Second) })
+		}
+		w.after(2*time.Second, func() { w.daemons[0].post(ReclaimNotice{Notice: platform.Notice{At: w.now.Add(10 * time.Second)}}) })
+		w.runFor(8 * time.Second)
+		w.finishAll(30 * time.Second)
+		w.verify()
+		w.answered()
+		for _, c := range w.callers {
+			if took := c.endedAt.Sub(c.started); took > 4*time.Second {
+				t.Errorf("seed %d: %s took %v", 80+seed, c.request, took)
+			}
+		}
+	}
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -219,6 +219,11 @@
 		c.wakeBy(r, at)
 		return
 	}
+	c.Journal.Refresh(c.now)
+	if c.Journal.Owner(r.journalKey()) != r.relay.owner {
+		c.tryAgain(r, r.relay.progress) // the owner has released the shard and ended
+		return
+	}
 	c.pollOwner(r)
 }
 
