Make one piece serve for due times, the work's key and the removal of followers

The core and the grants each had the same comparison of due times; the key of a request was taken by way of a throw-away row that copied the whole work, once for each keyed submission and relay; a follower was removed by two like loops.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/admission"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/duetime"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/journal"
@@ -194,27 +195,19 @@
 
 // Deadline returns when Tick is due next without inputs; zero for never.
 func (c *Core) Deadline() time.Time {
-	at := earliest(c.Membership.Deadline(), c.Configuration.Deadline())
-	at = earliest(at, c.Journal.Deadline())
-	at = earliest(at, c.Grants.Deadline())
-	at = earliest(at, c.Admission.Deadline())
-	at = earliest(at, c.askAt)
-	at = earliest(at, c.drainDeadline())
-	at = earliest(at, c.fleetDeadline())
+	at := duetime.Earliest(c.Membership.Deadline(), c.Configuration.Deadline())
+	at = duetime.Earliest(at, c.Journal.Deadline())
+	at = duetime.Earliest(at, c.Grants.Deadline())
+	at = duetime.Earliest(at, c.Admission.Deadline())
+	at = duetime.Earliest(at, c.askAt)
+	at = duetime.Earliest(at, c.drainDeadline())
+	at = duetime.Earliest(at, c.fleetDeadline())
 	if len(c.timers) > 0 {
-		at = earliest(at, c.timers[0].at)
+		at = duetime.Earliest(at, c.timers[0].at)
 	}
 	return at
 }
 
-// earliest returns the earlier of two times; zero stands for never.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
-	}
-	return a
-}
-
 // emit adds an event about a request.
 func (c *Core) emit(n event.Number, r *request, detail string) {
 	e := event.Event{Number: n, At: c.now, Detail: detail}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/duetime"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 )
@@ -131,10 +132,10 @@
 	if c.Fleet == nil {
 		return time.Time{}
 	}
-	at := earliest(c.Fleet.Deadline(), c.fleet.listAt)
+	at := duetime.Earliest(c.Fleet.Deadline(), c.fleet.listAt)
 	if c.Fleet.Holding() {
-		at = earliest(at, c.fleet.pricesAt)
-		at = earliest(at, c.fleet.rounds.at)
+		at = duetime.Earliest(at, c.fleet.pricesAt)
+		at = duetime.Earliest(at, c.fleet.rounds.at)
 	}
 	return at
 }
@@ -177,7 +178,7 @@
 		return
 	}
 	c.Fleet.SetMembers(c.now, owners)
-	c.fleet.listAt = earliest(c.fleet.listAt, c.now.Add(c.listEvery()))
+	c.fleet.listAt = duetime.Earliest(c.fleet.listAt, c.now.Add(c.listEvery()))
 }
 
 // plans returns the plans that this daemon has made.
--- a/internal/core/handoff.go
+++ b/internal/core/handoff.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/duetime"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 )
 
@@ -58,7 +59,7 @@
 func (c *Core) startDrain(deadline time.Time, urgent bool) {
 	if c.drain.on {
 		c.drain.urgent = c.drain.urgent || urgent
-		c.drain.deadline = earliest(c.drain.deadline, deadline)
+		c.drain.deadline = duetime.Earliest(c.drain.deadline, deadline)
 		return
 	}
 	c.drain = drainState{on: true, urgent: urgent, started: c.now, deadline: deadline}
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -9,9 +9,9 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
-// journalKey returns the name of the request's key.
-func (r *request) journalKey() journal.Key {
-	return journal.Key{Organisation: r.work.Organisation, Service: r.work.Service, Value: r.work.Key}
+// journalKey returns the name of the work's key.
+func (w *Work) journalKey() journal.Key {
+	return journal.Key{Organisation: w.Organisation, Service: w.Service, Value: w.Key}
 }
 
 // begin asks the journal whether the request is to be run here.
@@ -19,7 +19,7 @@
 	r.stage = stageJournal
 	r.begun = true
 	c.Journal.Begin(c.now, journal.Begin{
-		Request: r.id, Key: r.journalKey(), Digest: r.work.Digest,
+		Request: r.id, Key: r.work.journalKey(), Digest: r.work.Digest,
 		Repeatable: r.work.Repeatable, Resumable: r.work.Completion != nil,
 		Deadline: r.deadline,
 	})
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -82,7 +82,7 @@
 		c.relayedAgain(r, f)
 		return
 	}
-	key := (&request{work: m.Work}).journalKey()
+	key := m.Work.journalKey()
 	if c.Journal.Owner(key) != c.Self.ID || c.drain.closing {
 		c.Journal.Refresh(c.now) // the sender may know of a release before this daemon
 		c.send(from, Message{RelayEnd: &RelayEnd{Request: m.Request, Round: m.Round, TryAgain: true, NotRun: true}})
@@ -220,7 +220,7 @@
 		return
 	}
 	c.Journal.Refresh(c.now)
-	if c.Journal.Owner(r.journalKey()) != r.relay.owner {
+	if c.Journal.Owner(r.work.journalKey()) != r.relay.owner {
 		c.tryAgain(r, r.relay.progress) // the owner has released the shard and ended
 		return
 	}
@@ -233,12 +233,7 @@
 	if r == nil || r.finished() {
 		return
 	}
-	for i := range r.followers {
-		if r.followers[i].peer == from {
-			r.followers = append(r.followers[:i], r.followers[i+1:]...)
-			break
-		}
-	}
+	r.removePeer(from)
 	if len(r.followers) == 0 {
 		c.fail(r, errCancelled(r))
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -156,8 +156,18 @@
 
 // removeCaller removes a caller and reports whether it was there.
 func (r *request) removeCaller(id CallerID) bool {
+	return r.removeFollower(func(f *follower) bool { return f.peer == "" && f.caller == id })
+}
+
+// removePeer removes a daemon and reports whether it was there.
+func (r *request) removePeer(id entity.InstanceID) bool {
+	return r.removeFollower(func(f *follower) bool { return f.peer == id })
+}
+
+// removeFollower removes the first follower that matches.
+func (r *request) removeFollower(matches func(*follower) bool) bool {
 	for i := range r.followers {
-		if r.followers[i].peer == "" && r.followers[i].caller == id {
+		if matches(&r.followers[i]) {
 			r.followers = append(r.followers[:i], r.followers[i+1:]...)
 			return true
 		}
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -74,7 +74,7 @@
 // its suspects are not held dead for a while, and the key's shard cannot be
 // taken over. Nothing of the request has been sent, so that it is not run.
 func (c *Core) ownerOutOfReach(w *Work) bool {
-	owner := c.Journal.Owner((&request{work: *w}).journalKey())
+	owner := c.Journal.Owner(w.journalKey())
 	m, known := c.member(owner)
 	if owner == c.Self.ID || !known || m.State != membership.Suspect {
 		return false
@@ -129,7 +129,7 @@
 		c.start(r)
 		return
 	}
-	owner := c.Journal.Owner(r.journalKey())
+	owner := c.Journal.Owner(r.work.journalKey())
 	if owner == c.Self.ID {
 		c.begin(r)
 		return
--- a/internal/system/grant/grants.go
+++ b/internal/system/grant/grants.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/duetime"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quarantine"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/routing"
 )
@@ -119,10 +120,10 @@
 
 // Deadline returns when Tick is due next; zero: not before the next input.
 func (g *Grants) Deadline() time.Time {
-	due := earliest(g.schedule.first(), g.suspects.Deadline())
-	due = earliest(due, g.out.flushAt)
+	due := duetime.Earliest(g.schedule.first(), g.suspects.Deadline())
+	due = duetime.Earliest(due, g.out.flushAt)
 	for i := range g.news {
-		due = earliest(due, g.news[i].at)
+		due = duetime.Earliest(due, g.news[i].at)
 	}
 	return due
 }
@@ -189,10 +190,3 @@
 }
 
 func (g *Grants) emit(e event.Event) { g.ready.Events = append(g.ready.Events, e) }
-
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
-	}
-	return a
-}
--- a/internal/system/grant/outbox.go
+++ b/internal/system/grant/outbox.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/duetime"
 )
 
 // outbox gathers the parts of one message for each daemon.
@@ -44,7 +45,7 @@
 	if urgent {
 		p.due = now
 	}
-	o.flushAt = earliest(o.flushAt, p.due)
+	o.flushAt = duetime.Earliest(o.flushAt, p.due)
 	return &p.message
 }
 
@@ -57,7 +58,7 @@
 	for _, id := range o.peers.Keys() {
 		p := o.peers.Get(id)
 		if now.Before(p.due) {
-			o.flushAt = earliest(o.flushAt, p.due)
+			o.flushAt = duetime.Earliest(o.flushAt, p.due)
 			continue
 		}
 		out = append(out, Envelope{To: id, Message: p.message})
