--- a/internal/adminapi/plan.go
+++ b/internal/adminapi/plan.go
@@ -6,7 +6,7 @@
 	"net/url"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // Plan is the fleet planner's last plan of a service, or which daemon has it.
@@ -32,7 +32,7 @@
 type PlanStart struct {
 	DataCentre entity.DataCentreID `json:"data_centre"`
 	Class      string              `json:"class"`
-	Market     platform.Market     `json:"market"`
+	Market     provider.Market     `json:"market"`
 	PerHour    float64             `json:"per_hour"`
 }
 
--- a/internal/capacity/events_test.go
+++ b/internal/capacity/events_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 )
 
@@ -73,7 +73,7 @@
 		switch {
 		case !w.goes(f, i):
 		case w.notice > 0:
-			n.post(core.ReclaimNotice{Notice: platform.Notice{At: f.now.Add(w.notice)}})
+			n.post(core.ReclaimNotice{Notice: provider.Notice{At: f.now.Add(w.notice)}})
 		default:
 			n.dead = true
 		}
--- a/internal/capacity/table_test.go
+++ b/internal/capacity/table_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // rowKey names a row.
@@ -13,7 +13,7 @@
 
 // table plays the table service and the object store.
 type table struct {
-	rows    map[rowKey]platform.Row
+	rows    map[rowKey]provider.Row
 	sorted  map[string][]string // sort keys by partition, in order
 	objects map[string][]byte
 	delay   time.Duration // of each call; from the half of it to three halves
@@ -21,7 +21,7 @@
 
 func newTable() *table {
 	return &table{
-		rows: map[rowKey]platform.Row{}, sorted: map[string][]string{},
+		rows: map[rowKey]provider.Row{}, sorted: map[string][]string{},
 		objects: map[string][]byte{}, delay: 5 * time.Millisecond,
 	}
 }
@@ -31,7 +31,7 @@
 	f := n.fleet
 	half := t.delay/4 + time.Duration(f.rng.Int64N(int64(t.delay/2)))
 	f.after(half, func() {
-		r := platform.Result{ID: op.Operation.ID}
+		r := provider.Result{ID: op.Operation.ID}
 		t.apply(&op.Operation, &r)
 		n.traffic.operation(&op.Operation, &r)
 		f.calls.add(&op.Operation, f.now)
@@ -40,31 +40,31 @@
 }
 
 // apply carries out an operation.
-func (t *table) apply(op *platform.Operation, r *platform.Result) {
+func (t *table) apply(op *provider.Operation, r *provider.Result) {
 	found := true
 	switch op.Kind {
-	case platform.GetRow:
+	case provider.GetRow:
 		r.Row, found = t.rows[rowKey{op.Partition, op.Sort}]
-	case platform.QueryRows:
+	case provider.QueryRows:
 		r.Rows = t.query(op)
-	case platform.TransactRows:
+	case provider.TransactRows:
 		r.Err = t.transact(op.Writes)
-	case platform.PutObject:
+	case provider.PutObject:
 		t.objects[op.Key] = op.Value
-	case platform.GetObject:
+	case provider.GetObject:
 		r.Value, found = t.objects[op.Key]
-	case platform.DeleteObject:
+	case provider.DeleteObject:
 		delete(t.objects, op.Key)
 	}
 	if !found {
-		r.Err = platform.ErrNotFound
+		r.Err = provider.ErrNotFound
 	}
 }
 
 // query returns rows of a partition in order.
-func (t *table) query(op *platform.Operation) []platform.Row {
+func (t *table) query(op *provider.Operation) []provider.Row {
 	keys := t.sorted[op.Partition]
-	var out []platform.Row
+	var out []provider.Row
 	for _, k := range keys[sort.SearchStrings(keys, op.After):] {
 		if k > op.After && (op.Limit <= 0 || len(out) < op.Limit) {
 			out = append(out, t.rows[rowKey{op.Partition, k}])
@@ -74,10 +74,10 @@
 }
 
 // transact applies all writes or none.
-func (t *table) transact(writes []platform.Write) error {
+func (t *table) transact(writes []provider.Write) error {
 	for _, w := range writes {
 		if !w.Unconditional && t.rows[rowKey{w.Partition, w.Sort}].Version != w.IfVersion {
-			return platform.ErrConditionFailed
+			return provider.ErrConditionFailed
 		}
 	}
 	for _, w := range writes {
@@ -87,7 +87,7 @@
 }
 
 // write applies one write and keeps the order of the sort keys.
-func (t *table) write(w platform.Write) {
+func (t *table) write(w provider.Write) {
 	if w.CheckOnly {
 		return
 	}
@@ -107,6 +107,6 @@
 			keys[i] = w.Sort
 			t.sorted[w.Partition] = keys
 		}
-		t.rows[k] = platform.Row{Partition: w.Partition, Sort: w.Sort, Version: old.Version + 1, Value: w.Value}
+		t.rows[k] = provider.Row{Partition: w.Partition, Sort: w.Sort, Version: old.Version + 1, Value: w.Value}
 	}
 }
--- a/internal/capacity/traffic_test.go
+++ b/internal/capacity/traffic_test.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -94,7 +94,7 @@
 }
 
 // operation counts a call of the platform and its reply.
-func (t *traffic) operation(op *platform.Operation, r *platform.Result) {
+func (t *traffic) operation(op *provider.Operation, r *provider.Result) {
 	t.platform += callOverhead + len(op.Value) + len(r.Value) + len(r.Row.Value)
 	for _, w := range op.Writes {
 		t.platform += len(w.Value)
@@ -103,9 +103,9 @@
 		t.platform += len(row.Value)
 	}
 	switch op.Kind {
-	case platform.GetRow, platform.QueryRows:
+	case provider.GetRow, provider.QueryRows:
 		t.reads++
-	case platform.TransactRows:
+	case provider.TransactRows:
 		t.writes++
 	default:
 		t.objects++
@@ -116,11 +116,11 @@
 type calls struct{ reads, writes map[int64]int }
 
 // add counts a call.
-func (c *calls) add(op *platform.Operation, at time.Time) {
+func (c *calls) add(op *provider.Operation, at time.Time) {
 	switch op.Kind {
-	case platform.GetRow, platform.QueryRows:
+	case provider.GetRow, provider.QueryRows:
 		c.reads[at.Unix()]++
-	case platform.TransactRows:
+	case provider.TransactRows:
 		c.writes[at.Unix()]++
 	}
 }
--- a/internal/core/fake_cloud_test.go
+++ b/internal/core/fake_cloud_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 )
 
@@ -23,8 +23,8 @@
 // each of its instances.
 type fakeCloud struct {
 	w         *world
-	instances []*platform.Instance
-	tokens    map[string]*platform.Instance
+	instances []*provider.Instance
+	tokens    map[string]*provider.Instance
 	refuse    map[entity.DataCentreID]bool
 	starts    int
 	refused   int
@@ -35,7 +35,7 @@
 
 // newFakeCloud returns a cloud without instances.
 func newFakeCloud(w *world) *fakeCloud {
-	return &fakeCloud{w: w, tokens: map[string]*platform.Instance{}, refuse: map[entity.DataCentreID]bool{}}
+	return &fakeCloud{w: w, tokens: map[string]*provider.Instance{}, refuse: map[entity.DataCentreID]bool{}}
 }
 
 // newFleet returns a planner, or nil in a world without a cloud.
@@ -73,30 +73,30 @@
 }
 
 // start starts an instance, one for each token.
-func (f *fakeCloud) start(o fleet.CloudOrder) (platform.Instance, error) {
+func (f *fakeCloud) start(o fleet.CloudOrder) (provider.Instance, error) {
 	if i := f.tokens[o.Order.Token]; i != nil {
 		return *i, nil
 	}
 	if f.refuse[o.Order.DataCentre] {
 		f.refused++
-		return platform.Instance{}, platform.ErrRefused
+		return provider.Instance{}, provider.ErrRefused
 	}
 	f.starts++
-	i := f.add(fmt.Sprintf("i%d", f.starts), o.Order.DataCentre, platform.Pending, o.Order.Tags)
+	i := f.add(fmt.Sprintf("i%d", f.starts), o.Order.DataCentre, provider.Pending, o.Order.Tags)
 	i.Class, i.Market = o.Order.Class, o.Order.Market
 	f.tokens[o.Order.Token] = i
 	f.w.after(cloudBoot, func() {
-		if i.State == platform.Pending {
-			i.State = platform.Running
+		if i.State == provider.Pending {
+			i.State = provider.Running
 		}
 	})
 	return *i, nil
 }
 
 // add makes an instance with an engine.
-func (f *fakeCloud) add(id string, dc entity.DataCentreID, s platform.InstanceState, tags map[string]string) *platform.Instance {
-	i := &platform.Instance{
-		ID: entity.InstanceID(id), DataCentre: dc, Class: "c", Market: platform.OnDemand, State: s,
+func (f *fakeCloud) add(id string, dc entity.DataCentreID, s provider.InstanceState, tags map[string]string) *provider.Instance {
+	i := &provider.Instance{
+		ID: entity.InstanceID(id), DataCentre: dc, Class: "c", Market: provider.OnDemand, State: s,
 		Address: "10.0.0." + id, Tags: tags,
 	}
 	f.instances = append(f.instances, i)
@@ -108,7 +108,7 @@
 // stop ends an instance. Nothing may run there, and it must be ours.
 func (f *fakeCloud) stop(o fleet.CloudOrder) {
 	for _, i := range f.instances {
-		if i.ID != o.Instance || i.State == platform.Gone {
+		if i.ID != o.Instance || i.State == provider.Gone {
 			continue
 		}
 		e := f.w.engines[entity.BackendServerID(i.ID)]
@@ -119,7 +119,7 @@
 			f.w.t.Errorf("%s was stopped and is not ours", i.ID)
 		}
 		f.stops++
-		i.State = platform.Gone
+		i.State = provider.Gone
 		e.crash()
 	}
 }
@@ -127,20 +127,20 @@
 // reclaim takes the instances of a data centre on notice.
 func (f *fakeCloud) reclaim(dc entity.DataCentreID) {
 	for _, i := range f.instances {
-		if i.DataCentre != dc || i.State == platform.Gone {
+		if i.DataCentre != dc || i.State == provider.Gone {
 			continue
 		}
-		i.State = platform.Leaving
+		i.State = provider.Leaving
 		f.w.after(cloudNotice, func() {
-			i.State = platform.Gone
+			i.State = provider.Gone
 			f.w.engines[entity.BackendServerID(i.ID)].crash()
 		})
 	}
 }
 
 // list returns all instances as they are now.
-func (f *fakeCloud) list() []platform.Instance {
-	var out []platform.Instance
+func (f *fakeCloud) list() []provider.Instance {
+	var out []provider.Instance
 	for _, i := range f.instances {
 		out = append(out, *i)
 	}
@@ -148,13 +148,13 @@
 }
 
 // prices returns one class at two prices in three data centres.
-func (f *fakeCloud) prices() []platform.Price {
-	var out []platform.Price
+func (f *fakeCloud) prices() []provider.Price {
+	var out []provider.Price
 	for dc := range 3 {
 		id := entity.DataCentreID(fmt.Sprintf("dc%d", dc))
 		out = append(out,
-			platform.Price{DataCentre: id, Class: "c", Market: platform.Reclaimable, PerHour: 0.3},
-			platform.Price{DataCentre: id, Class: "c", Market: platform.OnDemand, PerHour: 1})
+			provider.Price{DataCentre: id, Class: "c", Market: provider.Reclaimable, PerHour: 0.3},
+			provider.Price{DataCentre: id, Class: "c", Market: provider.OnDemand, PerHour: 1})
 	}
 	return out
 }
@@ -164,7 +164,7 @@
 func (f *fakeCloud) running(dcs ...entity.DataCentreID) int {
 	n := 0
 	for _, i := range f.instances {
-		if i.State == platform.Running && i.Tags[fleet.ServiceTag] != "" &&
+		if i.State == provider.Running && i.Tags[fleet.ServiceTag] != "" &&
 			(len(dcs) == 0 || slices.Contains(dcs, i.DataCentre)) {
 			n++
 		}
--- a/internal/core/fake_table_test.go
+++ b/internal/core/fake_table_test.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // rowKey names a row.
@@ -12,7 +12,7 @@
 
 // fakeTable plays the table service and the object store.
 type fakeTable struct {
-	rows    map[rowKey]platform.Row
+	rows    map[rowKey]provider.Row
 	tokens  map[string]error // transactions by token
 	objects map[string][]byte
 	down    bool
@@ -24,7 +24,7 @@
 // newFakeTable returns an empty table.
 func newFakeTable() *fakeTable {
 	return &fakeTable{
-		rows: map[rowKey]platform.Row{}, tokens: map[string]error{}, objects: map[string][]byte{},
+		rows: map[rowKey]provider.Row{}, tokens: map[string]error{}, objects: map[string][]byte{},
 		delay: 3 * time.Millisecond,
 	}
 }
@@ -35,48 +35,48 @@
 	w := d.w
 	half := f.delay/2 + time.Duration(w.rng.Int64N(int64(f.delay)))
 	w.after(half, func() {
-		r := platform.Result{ID: op.Operation.ID}
+		r := provider.Result{ID: op.Operation.ID}
 		if f.down {
-			r.Err = platform.ErrUnavailable
+			r.Err = provider.ErrUnavailable
 		} else {
 			f.apply(op.Operation, &r)
 		}
 		if !f.down && w.rng.Float64() < f.lose {
-			r = platform.Result{ID: op.Operation.ID, Err: platform.ErrUnknownOutcome}
+			r = provider.Result{ID: op.Operation.ID, Err: provider.ErrUnknownOutcome}
 		}
 		w.after(half, func() { d.post(PlatformResult{System: op.System, Result: r}) })
 	})
 }
 
 // apply carries an operation out.
-func (f *fakeTable) apply(op platform.Operation, r *platform.Result) {
+func (f *fakeTable) apply(op provider.Operation, r *provider.Result) {
 	switch op.Kind {
-	case platform.GetRow:
+	case provider.GetRow:
 		row, ok := f.rows[rowKey{op.Partition, op.Sort}]
 		r.Row = row
 		if !ok {
-			r.Err = platform.ErrNotFound
+			r.Err = provider.ErrNotFound
 		}
-	case platform.QueryRows:
+	case provider.QueryRows:
 		r.Rows = f.query(op)
-	case platform.TransactRows:
+	case provider.TransactRows:
 		r.Err = f.transact(op)
-	case platform.PutObject:
+	case provider.PutObject:
 		f.objects[op.Key] = op.Value
-	case platform.GetObject:
+	case provider.GetObject:
 		v, ok := f.objects[op.Key]
 		r.Value = v
 		if !ok {
-			r.Err = platform.ErrNotFound
+			r.Err = provider.ErrNotFound
 		}
-	case platform.DeleteObject:
+	case provider.DeleteObject:
 		delete(f.objects, op.Key)
 	}
 }
 
 // query returns the rows of a partition in order.
-func (f *fakeTable) query(op platform.Operation) []platform.Row {
-	var out []platform.Row
+func (f *fakeTable) query(op provider.Operation) []provider.Row {
+	var out []provider.Row
 	for k, row := range f.rows {
 		if k.partition == op.Partition && k.sort > op.After {
 			out = append(out, row)
@@ -90,7 +90,7 @@
 }
 
 // transact applies all writes or none. A token counts once.
-func (f *fakeTable) transact(op platform.Operation) error {
+func (f *fakeTable) transact(op provider.Operation) error {
 	if err, done := f.tokens[op.Token]; done && op.Token != "" {
 		return err
 	}
@@ -103,17 +103,17 @@
 }
 
 // check tests the conditions of all writes.
-func (f *fakeTable) check(writes []platform.Write) error {
+func (f *fakeTable) check(writes []provider.Write) error {
 	for _, wr := range writes {
 		if !wr.Unconditional && f.rows[rowKey{wr.Partition, wr.Sort}].Version != wr.IfVersion {
-			return platform.ErrConditionFailed
+			return provider.ErrConditionFailed
 		}
 	}
 	return nil
 }
 
 // write applies writes whose conditions hold.
-func (f *fakeTable) write(writes []platform.Write) {
+func (f *fakeTable) write(writes []provider.Write) {
 	for _, wr := range writes {
 		k := rowKey{wr.Partition, wr.Sort}
 		switch {
@@ -122,7 +122,7 @@
 			delete(f.rows, k)
 		default:
 			f.writes++
-			f.rows[k] = platform.Row{Partition: k.partition, Sort: k.sort, Version: f.rows[k].Version + 1, Value: wr.Value}
+			f.rows[k] = provider.Row{Partition: k.partition, Sort: k.sort, Version: f.rows[k].Version + 1, Value: wr.Value}
 		}
 	}
 }
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -271,7 +271,7 @@
 		w.after(pause, e.restart)
 	case 5:
 		if len(live) > 3 {
-			d.post(ReclaimNotice{Notice: platform.Notice{At: w.now.Add(pause)}})
+			d.post(ReclaimNotice{Notice: provider.Notice{At: w.now.Add(pause)}})
 			w.after(pause, d.kill)
 		}
 	case 6:
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/duetime"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
@@ -30,7 +30,7 @@
 
 // fleetState is what the core keeps of managed services beside the planner.
 type fleetState struct {
-	instances []platform.Instance // the newest list
+	instances []provider.Instance // the newest list
 	// hosts names the backend server on each instance of ours; never iterated.
 	hosts    map[entity.InstanceID]entity.BackendServerID
 	listAt   time.Time // next reading of the list
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 )
@@ -298,7 +298,7 @@
 	w := newManagedWorld(t, 44, 3)
 	others := []map[string]string{nil, {fleet.ServiceTag: "another"}, {"gooseberryslip-services": "managed"}}
 	for i, tags := range others {
-		w.cloud.add(fmt.Sprintf("x%d", i), "dc0", platform.Running, tags)
+		w.cloud.add(fmt.Sprintf("x%d", i), "dc0", provider.Running, tags)
 	}
 	w.apply(managedDocument(w, "manage", fleetBounds))
 	w.grown()
--- a/internal/core/input.go
+++ b/internal/core/input.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
@@ -103,20 +103,20 @@
 // PlatformResult is the outcome of a platform operation.
 type PlatformResult struct {
 	System SystemID
-	Result platform.Result
+	Result provider.Result
 }
 
 // InstanceList is a reading of the platform's lagging list.
-type InstanceList struct{ Instances []platform.Instance }
+type InstanceList struct{ Instances []provider.Instance }
 
 // CloudOutcome is the outcome of an order to the cloud.
 type CloudOutcome struct{ Result fleet.CloudResult }
 
 // PriceList is a reading of the cloud's prices.
-type PriceList struct{ Prices []platform.Price }
+type PriceList struct{ Prices []provider.Price }
 
 // ReclaimNotice announces the reclaim of this daemon's instance.
-type ReclaimNotice struct{ Notice platform.Notice }
+type ReclaimNotice struct{ Notice provider.Notice }
 
 // Drain asks the daemon to stop gracefully.
 type Drain struct{}
--- a/internal/core/managed.go
+++ b/internal/core/managed.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 )
 
@@ -76,16 +76,16 @@
 // setInstances takes the instances of ours from a reading of the list. Those
 // that leave still run what was begun there, so they stay until they are gone;
 // they are marked as leaving before.
-func (c *Core) setInstances(list []platform.Instance) {
-	var ours []platform.Instance
+func (c *Core) setInstances(list []provider.Instance) {
+	var ours []provider.Instance
 	for _, i := range list {
-		if i.Tags[fleet.ServiceTag] == "" || (i.State != platform.Running && i.State != platform.Leaving) {
+		if i.Tags[fleet.ServiceTag] == "" || (i.State != provider.Running && i.State != provider.Leaving) {
 			continue
 		}
-		i.State = platform.Running
+		i.State = provider.Running
 		ours = append(ours, i)
 	}
-	slices.SortFunc(ours, func(a, b platform.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(ours, func(a, b provider.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	if !slices.EqualFunc(ours, c.fleet.instances, sameInstance) {
 		c.fleet.instances = ours
 		c.refreshServices()
@@ -97,18 +97,18 @@
 
 // sameInstance reports whether an instance has the same backend server as
 // before.
-func sameInstance(a, b platform.Instance) bool {
+func sameInstance(a, b provider.Instance) bool {
 	return a.ID == b.ID && a.Address == b.Address && a.DataCentre == b.DataCentre &&
 		a.Tags[fleet.ServiceTag] == b.Tags[fleet.ServiceTag] && a.Tags[fleet.AddressTag] == b.Tags[fleet.AddressTag]
 }
 
 // leavingServer returns the backend server whose instance the list shows as
 // leaving, or "".
-func (c *Core) leavingServer(i platform.Instance) entity.BackendServerID {
-	if b := i.Tags[TagBackendServer]; b != "" && (i.State == platform.Leaving || i.State == platform.Gone) {
+func (c *Core) leavingServer(i provider.Instance) entity.BackendServerID {
+	if b := i.Tags[TagBackendServer]; b != "" && (i.State == provider.Leaving || i.State == provider.Gone) {
 		return entity.BackendServerID(b)
 	}
-	if i.Tags[fleet.ServiceTag] != "" && i.State == platform.Leaving {
+	if i.Tags[fleet.ServiceTag] != "" && i.State == provider.Leaving {
 		return c.hostedBy(i.ID)
 	}
 	return ""
--- a/internal/core/outbox.go
+++ b/internal/core/outbox.go
@@ -5,7 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/fleet"
 )
@@ -99,5 +99,5 @@
 // Operation is a platform operation and the system that gets its result.
 type Operation struct {
 	System    SystemID
-	Operation platform.Operation
+	Operation provider.Operation
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -7,7 +7,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/grant"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 )
@@ -219,7 +219,7 @@
 func (c *Core) instanceList(in InstanceList) {
 	var seeds []string
 	for _, i := range in.Instances {
-		if a := i.Tags[TagDaemon]; a != "" && i.State == platform.Running {
+		if a := i.Tags[TagDaemon]; a != "" && i.State == provider.Running {
 			seeds = append(seeds, a)
 		}
 		if b := c.leavingServer(i); b != "" {
--- a/internal/core/reclaim_test.go
+++ b/internal/core/reclaim_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // offer starts n callers of mixed kinds at the daemons in turn, over a second.
@@ -59,7 +59,7 @@
 	w.offer(140, w.daemons...)
 	w.runFor(700 * time.Millisecond)
 	d := w.daemons[1]
-	d.post(ReclaimNotice{Notice: platform.Notice{At: w.now.Add(10 * time.Second)}})
+	d.post(ReclaimNotice{Notice: provider.Notice{At: w.now.Add(10 * time.Second)}})
 	w.after(10*time.Second, d.kill)
 	w.runFor(time.Second)
 	w.finishAll(60 * time.Second)
@@ -97,7 +97,7 @@
 	w := newWorld(t, seed, 6)
 	w.offer(210, w.daemons...)
 	w.runFor(600 * time.Millisecond)
-	notice := platform.Notice{At: w.now.Add(10 * time.Second)}
+	notice := provider.Notice{At: w.now.Add(10 * time.Second)}
 	for _, d := range w.daemons {
 		if d.core.Self.Place.DataCentre == "dc0" {
 			d.post(ReclaimNotice{Notice: notice})
@@ -159,7 +159,7 @@
 			work.Key = fmt.Sprintf("check-%d", i)
 			w.after(time.Duration(i)*20*time.Millisecond, func() { w.call(w.daemons[1+i%2], work, 30*time.Second) })
 		}
-		w.after(2*time.Second, func() { w.daemons[0].post(ReclaimNotice{Notice: platform.Notice{At: w.now.Add(10 * time.Second)}}) })
+		w.after(2*time.Second, func() { w.daemons[0].post(ReclaimNotice{Notice: provider.Notice{At: w.now.Add(10 * time.Second)}}) })
 		w.runFor(8 * time.Second)
 		w.finishAll(30 * time.Second)
 		w.verify()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
 )
 
@@ -28,9 +28,9 @@
 	Core    *core.Core
 	Inbox   *Inbox
 	Peers   *peer.Transport
-	Table   platform.Table
-	Objects platform.ObjectStore
-	Cloud   platform.Cloud
+	Table   provider.Table
+	Objects provider.ObjectStore
+	Cloud   provider.Cloud
 	Log     *logging.Log
 	Events  *timeline.Recorder
 	Options Options
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -9,7 +9,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -22,9 +22,9 @@
 // performer carries out platform operations, each exactly once, and posts
 // their results.
 type performer struct {
-	table   platform.Table
-	objects platform.ObjectStore
-	cloud   platform.Cloud // may be nil
+	table   provider.Table
+	objects provider.ObjectStore
+	cloud   provider.Cloud // may be nil
 	log     *logging.Log
 	post    func(core.Input)
 	slots   chan struct{}
@@ -46,8 +46,8 @@
 // perform starts an operation. It never blocks.
 func (p *performer) perform(op core.Operation) {
 	p.start(func(ctx context.Context) {
-		result := platform.Perform(ctx, p.table, p.objects, op.Operation)
-		p.failing.Store(errors.Is(result.Err, platform.ErrUnavailable) || errors.Is(result.Err, platform.ErrUnknownOutcome))
+		result := provider.Perform(ctx, p.table, p.objects, op.Operation)
+		p.failing.Store(errors.Is(result.Err, provider.ErrUnavailable) || errors.Is(result.Err, provider.ErrUnknownOutcome))
 		p.post(core.PlatformResult{System: op.System, Result: result})
 	})
 }
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
 
--- a/internal/load/directory.go
+++ b/internal/load/directory.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 )
 
 const (
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -11,7 +11,7 @@
 	"net/url"
 	"strconv"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
--- a/internal/load/execution.go
+++ b/internal/load/execution.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,7 +20,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/admission"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
@@ -45,9 +45,9 @@
 	Settings *settings.Settings
 	// PeerTLS replaces the files named in the settings, for quick starts.
 	PeerTLS *tls.Config
-	Table   platform.Table
-	Objects platform.ObjectStore
-	Cloud   platform.Cloud // nil: no list, no managed services
+	Table   provider.Table
+	Objects provider.ObjectStore
+	Cloud   provider.Cloud // nil: no list, no managed services
 	Log     *logging.Log
 	// Operators may use the administration API.
 	Operators adminapi.Operators
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/dynamo"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/ec2cloud"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/reclaimnotice"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/s3store"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/dynamo"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/ec2cloud"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/reclaimnotice"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/s3store"
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
 )
 
@@ -46,7 +46,7 @@
 }
 
 // tableClient returns the client of the table service.
-func tableClient(s *settings.Settings) (platform.Table, error) {
+func tableClient(s *settings.Settings) (provider.Table, error) {
 	keys, err := credentials(s.Table.Credentials)
 	if err != nil {
 		return nil, err
@@ -58,7 +58,7 @@
 }
 
 // objectClient returns the client of the object store.
-func objectClient(s *settings.Settings) (platform.ObjectStore, error) {
+func objectClient(s *settings.Settings) (provider.ObjectStore, error) {
 	keys, err := credentials(orElse(s.ObjectStore.Credentials, s.Table.Credentials))
 	if err != nil {
 		return nil, err
@@ -70,7 +70,7 @@
 }
 
 // cloudClient returns the client of the cloud API, or nil if none is named.
-func cloudClient(s *settings.Settings) (platform.Cloud, error) {
+func cloudClient(s *settings.Settings) (provider.Cloud, error) {
 	if s.Cloud.Endpoint == "" {
 		return nil, nil
 	}
@@ -86,11 +86,11 @@
 }
 
 // onDemandPrices converts the list prices of the settings.
-func onDemandPrices(list []settings.OnDemandPrice) []platform.Price {
-	var out []platform.Price
+func onDemandPrices(list []settings.OnDemandPrice) []provider.Price {
+	var out []provider.Price
 	for _, p := range list {
-		out = append(out, platform.Price{
-			DataCentre: p.DataCentre, Class: p.Class, Market: platform.OnDemand, PerHour: p.PerHour,
+		out = append(out, provider.Price{
+			DataCentre: p.DataCentre, Class: p.Class, Market: provider.OnDemand, PerHour: p.PerHour,
 		})
 	}
 	return out
--- a/internal/processtest/caller_test.go
+++ b/internal/processtest/caller_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/load"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
--- a/internal/processtest/host_test.go
+++ b/internal/processtest/host_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/ec2cloud"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/ec2cloud"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
 
@@ -17,8 +17,8 @@
 	cloud := ec2cloud.New(ec2cloud.Config{
 		Endpoint: c.addresses.Cloud, Region: "local", AccessKey: "test", SecretKey: "test", Timeout: 5 * time.Second,
 	})
-	i, err := cloud.Start(context.Background(), platform.Order{
-		Token: "host-of-" + b.ID, DataCentre: "dc-a", Class: "small", Market: platform.Reclaimable,
+	i, err := cloud.Start(context.Background(), provider.Order{
+		Token: "host-of-" + b.ID, DataCentre: "dc-a", Class: "small", Market: provider.Reclaimable,
 		Tags: map[string]string{core.TagBackendServer: b.ID},
 	})
 	if err != nil {
@@ -26,7 +26,7 @@
 	}
 	c.await(startLimit, "the host to run", func() bool {
 		list, err := cloud.Instances(context.Background(), nil)
-		return err == nil && len(list) > 0 && list[len(list)-1].State == platform.Running
+		return err == nil && len(list) > 0 && list[len(list)-1].State == provider.Running
 	})
 	return string(i.ID)
 }
--- a/internal/platform/dynamo/dynamo.go
+++ b/internal/provider/dynamo/dynamo.go
@@ -15,8 +15,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 )
 
 const maxTokenLength = 36 // of ClientRequestToken
@@ -37,7 +37,7 @@
 	name string
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ provider.Table = (*Table)(nil)
 
 // New returns a client. It makes no call.
 func New(c Config) *Table {
@@ -51,18 +51,18 @@
 	return &Table{api: api, name: c.TableName}
 }
 
-// Get reads one row; platform.ErrNotFound when there is none.
-func (t *Table) Get(ctx context.Context, partition, sort string, consistent bool) (platform.Row, error) {
+// Get reads one row; provider.ErrNotFound when there is none.
+func (t *Table) Get(ctx context.Context, partition, sort string, consistent bool) (provider.Row, error) {
 	out, err := t.api.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName:      &t.name,
 		Key:            key(partition, sort),
 		ConsistentRead: &consistent,
 	})
 	if err != nil {
-		return platform.Row{}, readError(err)
+		return provider.Row{}, readError(err)
 	}
 	if len(out.Item) == 0 {
-		return platform.Row{}, platform.ErrNotFound
+		return provider.Row{}, provider.ErrNotFound
 	}
 	return row(out.Item)
 }
@@ -70,8 +70,8 @@
 // Query returns rows of a partition whose sort key is above after, in order,
 // at most limit of them; no limit when it is 0. A long partition takes several
 // calls.
-func (t *Table) Query(ctx context.Context, partition, after string, limit int, consistent bool) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *Table) Query(ctx context.Context, partition, after string, limit int, consistent bool) ([]provider.Row, error) {
+	var rows []provider.Row
 	for {
 		page, more, err := t.page(ctx, partition, after, limit-len(rows), consistent)
 		if err != nil {
@@ -85,7 +85,7 @@
 	}
 }
 
-func (t *Table) page(ctx context.Context, partition, after string, limit int, consistent bool) ([]platform.Row, bool, error) {
+func (t *Table) page(ctx context.Context, partition, after string, limit int, consistent bool) ([]provider.Row, bool, error) {
 	in := &dynamodb.QueryInput{
 		TableName:                 &t.name,
 		KeyConditionExpression:    aws.String("pk = :pk"),
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, false, readError(err)
 	}
-	rows := make([]platform.Row, 0, len(out.Items))
+	rows := make([]provider.Row, 0, len(out.Items))
 	for _, it := range out.Items {
 		r, err := row(it)
 		if err != nil {
@@ -115,7 +115,7 @@
 }
 
 // Transact applies all writes or none.
-func (t *Table) Transact(ctx context.Context, token string, writes []platform.Write) error {
+func (t *Table) Transact(ctx context.Context, token string, writes []provider.Write) error {
 	ctx, sent := onesend.Track(ctx)
 	items := make([]types.TransactWriteItem, len(writes))
 	for i, w := range writes {
@@ -138,7 +138,7 @@
 	return hex.EncodeToString(sum[:])[:maxTokenLength]
 }
 
-func (t *Table) item(w platform.Write) types.TransactWriteItem {
+func (t *Table) item(w provider.Write) types.TransactWriteItem {
 	condition, values := condition(w)
 	switch {
 	case w.CheckOnly:
@@ -170,7 +170,7 @@
 	}
 }
 
-func condition(w platform.Write) (*string, map[string]types.AttributeValue) {
+func condition(w provider.Write) (*string, map[string]types.AttributeValue) {
 	switch {
 	case w.Unconditional:
 		return nil, nil
--- a/internal/platform/dynamo/dynamo_test.go
+++ b/internal/provider/dynamo/dynamo_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
 
@@ -42,8 +42,8 @@
 }
 
 func (f fixture) put(sort, value string, version uint64) error {
-	w := platform.Write{Partition: "p", Sort: sort, Value: []byte(value), IfVersion: version}
-	return f.Transact(context.Background(), "", []platform.Write{w})
+	w := provider.Write{Partition: "p", Sort: sort, Value: []byte(value), IfVersion: version}
+	return f.Transact(context.Background(), "", []provider.Write{w})
 }
 
 func TestTable_ReadsWhatItWrote(t *testing.T) {
@@ -58,11 +58,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := platform.Row{Partition: "p", Sort: "a", Version: 2, Value: []byte("two")}
+	want := provider.Row{Partition: "p", Sort: "a", Version: 2, Value: []byte("two")}
 	if fmt.Sprint(row) != fmt.Sprint(want) {
 		t.Fatalf("got %v, want %v", row, want)
 	}
-	if _, err := f.Get(context.Background(), "p", "b", true); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := f.Get(context.Background(), "p", "b", true); !errors.Is(err, provider.ErrNotFound) {
 		t.Fatalf("absent row: %v", err)
 	}
 }
@@ -72,20 +72,20 @@
 	if err := f.put("a", "one", 0); err != nil {
 		t.Fatal(err)
 	}
-	for name, w := range map[string]platform.Write{
+	for name, w := range map[string]provider.Write{
 		"put exists":  {Partition: "p", Sort: "a"},
 		"put old":     {Partition: "p", Sort: "a", IfVersion: 7},
 		"delete old":  {Partition: "p", Sort: "a", IfVersion: 7, Delete: true},
 		"check only":  {Partition: "p", Sort: "a", IfVersion: 7, CheckOnly: true},
 		"check empty": {Partition: "p", Sort: "a", CheckOnly: true},
 	} {
-		other := platform.Write{Partition: "p", Sort: "b", Unconditional: true}
-		err := f.Transact(context.Background(), "", []platform.Write{other, w})
-		if !errors.Is(err, platform.ErrConditionFailed) {
+		other := provider.Write{Partition: "p", Sort: "b", Unconditional: true}
+		err := f.Transact(context.Background(), "", []provider.Write{other, w})
+		if !errors.Is(err, provider.ErrConditionFailed) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if _, err := f.Get(context.Background(), "p", "b", true); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := f.Get(context.Background(), "p", "b", true); !errors.Is(err, provider.ErrNotFound) {
 		t.Fatalf("a cancelled transaction wrote: %v", err)
 	}
 }
@@ -93,8 +93,8 @@
 func TestTable_UnconditionalWritesRaiseTheVersion(t *testing.T) {
 	f := newFixture(t)
 	for want := uint64(1); want <= 3; want++ {
-		w := platform.Write{Partition: "p", Sort: "a", Unconditional: true}
-		if err := f.Transact(context.Background(), "", []platform.Write{w}); err != nil {
+		w := provider.Write{Partition: "p", Sort: "a", Unconditional: true}
+		if err := f.Transact(context.Background(), "", []provider.Write{w}); err != nil {
 			t.Fatal(err)
 		}
 		if row, err := f.Get(context.Background(), "p", "a", true); err != nil || row.Version != want {
@@ -145,13 +145,13 @@
 
 func TestTable_LostReplyIsUnknownAndResendHarmless(t *testing.T) {
 	f := newFixture(t)
-	writes := []platform.Write{
+	writes := []provider.Write{
 		{Partition: "p", Sort: "a", Value: []byte("v")},
 		{Partition: "p", Sort: "b", Value: []byte("v")},
 	}
 	token := strings.Repeat("long token ", 9)
 	f.fake.Faults.Set(standin.FaultSettings{LoseNext: 1})
-	if err := f.Transact(context.Background(), token, writes); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if err := f.Transact(context.Background(), token, writes); !errors.Is(err, provider.ErrUnknownOutcome) {
 		t.Fatalf("lost reply: %v", err)
 	}
 	if n := f.fake.Counts().Calls; n != 1 {
@@ -168,11 +168,11 @@
 func TestTable_RefusalAndClosedPortHaveNoEffect(t *testing.T) {
 	f := newFixture(t)
 	f.fake.Faults.Set(standin.FaultSettings{Refuse: true})
-	if err := f.put("a", "v", 0); !errors.Is(err, platform.ErrUnavailable) {
+	if err := f.put("a", "v", 0); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("refused: %v", err)
 	}
 	f.withoutServer()
-	if err := f.put("a", "v", 0); !errors.Is(err, platform.ErrUnavailable) {
+	if err := f.put("a", "v", 0); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("closed port: %v", err)
 	}
 }
@@ -180,10 +180,10 @@
 func TestTable_CutConnectionIsUnknown(t *testing.T) {
 	f := newFixture(t)
 	f.fake.Faults.Set(standin.FaultSettings{Down: true})
-	if err := f.put("a", "v", 0); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if err := f.put("a", "v", 0); !errors.Is(err, provider.ErrUnknownOutcome) {
 		t.Fatalf("cut: %v", err)
 	}
-	if _, err := f.Get(context.Background(), "p", "a", true); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := f.Get(context.Background(), "p", "a", true); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("read: %v", err)
 	}
 }
--- a/internal/platform/ec2cloud/call.go
+++ b/internal/provider/ec2cloud/call.go
@@ -16,8 +16,8 @@
 	"github.com/ansel1/merry/v2"
 	v4 "github.com/aws/aws-sdk-go-v2/aws/signer/v4"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 )
 
 const (
@@ -57,7 +57,7 @@
 // read makes a call without effect.
 func (c *Cloud) read(ctx context.Context, form url.Values, out any) error {
 	if err := c.call(ctx, form, out); err != nil {
-		return wrap(platform.ErrUnavailable, err)
+		return wrap(provider.ErrUnavailable, err)
 	}
 	return nil
 }
@@ -74,23 +74,23 @@
 		return wrap(sentinelOf(answer), err)
 	}
 	if sent.Nothing() {
-		return wrap(platform.ErrUnavailable, err)
+		return wrap(provider.ErrUnavailable, err)
 	}
-	return wrap(platform.ErrUnknownOutcome, err)
+	return wrap(provider.ErrUnknownOutcome, err)
 }
 
 func sentinelOf(e *apiError) error {
 	switch {
 	case noCapacity[e.Code]:
-		return platform.ErrRefused
+		return provider.ErrRefused
 	case e.Code == codeUnknownInstance:
-		return platform.ErrNotFound
+		return provider.ErrNotFound
 	case e.Code == codeThrottled:
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	case e.Status >= 400 && e.Status < 500:
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	default:
-		return platform.ErrUnknownOutcome
+		return provider.ErrUnknownOutcome
 	}
 }
 
--- a/internal/platform/ec2cloud/ec2cloud.go
+++ b/internal/provider/ec2cloud/ec2cloud.go
@@ -14,8 +14,8 @@
 	"github.com/aws/aws-sdk-go-v2/credentials"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 )
 
 const (
@@ -35,7 +35,7 @@
 	ImageID   string
 	// OnDemandPrices are the list prices, which the Query protocol does not
 	// tell.
-	OnDemandPrices []platform.Price
+	OnDemandPrices []provider.Price
 	Timeout        time.Duration // of one call
 }
 
@@ -46,7 +46,7 @@
 	credentials credentials.StaticCredentialsProvider
 }
 
-var _ platform.Cloud = (*Cloud)(nil)
+var _ provider.Cloud = (*Cloud)(nil)
 
 // New returns a client. It makes no call.
 func New(c Config) *Cloud {
@@ -57,10 +57,10 @@
 	}
 }
 
-// Start orders one instance. It returns platform.ErrRefused when there is no
-// capacity. After platform.ErrUnknownOutcome the same order with the same
+// Start orders one instance. It returns provider.ErrRefused when there is no
+// capacity. After provider.ErrUnknownOutcome the same order with the same
 // token is harmless.
-func (c *Cloud) Start(ctx context.Context, o platform.Order) (platform.Instance, error) {
+func (c *Cloud) Start(ctx context.Context, o provider.Order) (provider.Instance, error) {
 	form := action("RunInstances")
 	form.Set("ImageId", c.cfg.ImageID)
 	form.Set("InstanceType", o.Class)
@@ -68,16 +68,16 @@
 	form.Set("MaxCount", "1")
 	form.Set("ClientToken", o.Token)
 	form.Set("Placement.AvailabilityZone", string(o.DataCentre))
-	if o.Market == platform.Reclaimable {
+	if o.Market == provider.Reclaimable {
 		form.Set("InstanceMarketOptions.MarketType", spotMarket)
 	}
 	setTags(form, o.Tags)
 	var out runInstancesResponse
 	if err := c.write(ctx, form, &out); err != nil {
-		return platform.Instance{}, err
+		return provider.Instance{}, err
 	}
 	if len(out.Instances) != 1 {
-		return platform.Instance{}, wrap(platform.ErrUnknownOutcome, fmt.Errorf("%d instances for one order", len(out.Instances)))
+		return provider.Instance{}, wrap(provider.ErrUnknownOutcome, fmt.Errorf("%d instances for one order", len(out.Instances)))
 	}
 	return out.Instances[0].instance(), nil
 }
@@ -94,7 +94,7 @@
 	}
 }
 
-// Stop terminates an instance; platform.ErrNotFound when there is none.
+// Stop terminates an instance; provider.ErrNotFound when there is none.
 func (c *Cloud) Stop(ctx context.Context, id entity.InstanceID) error {
 	form := action("TerminateInstances")
 	form.Set("InstanceId.1", string(id))
@@ -104,11 +104,11 @@
 
 // Prices returns the present prices of reclaimable instances and the
 // configured ones of on-demand instances.
-func (c *Cloud) Prices(ctx context.Context) ([]platform.Price, error) {
+func (c *Cloud) Prices(ctx context.Context) ([]provider.Price, error) {
 	form := action("DescribeSpotPriceHistory")
 	form.Set("ProductDescription.1", product)
 	form.Set("StartTime", time.Now().UTC().Format(time.RFC3339))
-	var out []platform.Price
+	var out []provider.Price
 	for range maxPages {
 		var page describeSpotPriceHistoryResponse
 		if err := c.read(ctx, form, &page); err != nil {
@@ -117,7 +117,7 @@
 		for _, p := range page.Prices {
 			price, err := p.price()
 			if err != nil {
-				return nil, wrap(platform.ErrUnavailable, err)
+				return nil, wrap(provider.ErrUnavailable, err)
 			}
 			out = append(out, price)
 		}
@@ -130,7 +130,7 @@
 }
 
 // Instances returns the lagging list, filtered by tags.
-func (c *Cloud) Instances(ctx context.Context, tags map[string]string) ([]platform.Instance, error) {
+func (c *Cloud) Instances(ctx context.Context, tags map[string]string) ([]provider.Instance, error) {
 	form := action("DescribeInstances")
 	form.Set("MaxResults", strconv.Itoa(listPageSize))
 	for n, k := range sortedKeys(tags) {
@@ -138,7 +138,7 @@
 		form.Set(prefix+"Name", "tag:"+k)
 		form.Set(prefix+"Value.1", tags[k])
 	}
-	var out []platform.Instance
+	var out []provider.Instance
 	for range maxPages {
 		var page describeInstancesResponse
 		if err := c.read(ctx, form, &page); err != nil {
--- a/internal/platform/ec2cloud/ec2cloud_test.go
+++ b/internal/provider/ec2cloud/ec2cloud_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
 
@@ -35,15 +35,15 @@
 	t.Cleanup(server.Kill)
 	settings := Config{
 		Endpoint: server.URL(), Region: "west", AccessKey: "a", SecretKey: "s", ImageID: "ami-1",
-		OnDemandPrices: []platform.Price{{DataCentre: "a", Class: "big", Market: platform.OnDemand, PerHour: 1}},
+		OnDemandPrices: []provider.Price{{DataCentre: "a", Class: "big", Market: provider.OnDemand, PerHour: 1}},
 		Timeout:        5 * time.Second,
 	}
 	return fixture{Cloud: New(settings), fake: fake, server: server, cfg: settings}
 }
 
-func order(token string) platform.Order {
-	return platform.Order{
-		Token: token, DataCentre: "a", Class: "big", Market: platform.Reclaimable,
+func order(token string) provider.Order {
+	return provider.Order{
+		Token: token, DataCentre: "a", Class: "big", Market: provider.Reclaimable,
 		Tags: map[string]string{"gooseberryslip-service": "s", "other": "x"},
 	}
 }
@@ -52,7 +52,7 @@
 	f := newFixture(t, standin.CloudConfig{})
 	ctx := context.Background()
 	started, err := f.Start(ctx, order("t"))
-	if err != nil || started.DataCentre != "a" || started.Class != "big" || started.Market != platform.Reclaimable {
+	if err != nil || started.DataCentre != "a" || started.Class != "big" || started.Market != provider.Reclaimable {
 		t.Fatalf("%+v %v", started, err)
 	}
 	f.fake.Adopt(standin.CloudInstance{ID: "i-script", DataCentre: "a"})
@@ -66,10 +66,10 @@
 	if err := f.Stop(ctx, started.ID); err != nil {
 		t.Fatal(err)
 	}
-	if mine, _ := f.Instances(ctx, map[string]string{"gooseberryslip-service": "s"}); mine[0].State != platform.Gone {
+	if mine, _ := f.Instances(ctx, map[string]string{"gooseberryslip-service": "s"}); mine[0].State != provider.Gone {
 		t.Fatalf("%+v", mine)
 	}
-	if err := f.Stop(ctx, "i-none"); !errors.Is(err, platform.ErrNotFound) {
+	if err := f.Stop(ctx, "i-none"); !errors.Is(err, provider.ErrNotFound) {
 		t.Fatalf("unknown instance: %v", err)
 	}
 }
@@ -78,7 +78,7 @@
 	f := newFixture(t, standin.CloudConfig{})
 	ctx := context.Background()
 	f.fake.Faults.Set(standin.FaultSettings{LoseNext: 1})
-	if _, err := f.Start(ctx, order("t")); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if _, err := f.Start(ctx, order("t")); !errors.Is(err, provider.ErrUnknownOutcome) {
 		t.Fatalf("lost reply: %v", err)
 	}
 	if _, err := f.Start(ctx, order("t")); err != nil {
@@ -89,7 +89,7 @@
 	}
 	other := order("t")
 	other.Class = "small"
-	if _, err := f.Start(ctx, other); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := f.Start(ctx, other); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("another order with the token: %v", err)
 	}
 }
@@ -98,15 +98,15 @@
 	f := newFixture(t, standin.CloudConfig{})
 	ctx := context.Background()
 	f.fake.RefuseIn("a", true)
-	if _, err := f.Start(ctx, order("t")); !errors.Is(err, platform.ErrRefused) {
+	if _, err := f.Start(ctx, order("t")); !errors.Is(err, provider.ErrRefused) {
 		t.Fatalf("no capacity: %v", err)
 	}
 	f.fake.RefuseIn("a", false)
-	if _, err := f.Start(ctx, order(strings.Repeat("x", 65))); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := f.Start(ctx, order(strings.Repeat("x", 65))); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("long token: %v", err)
 	}
 	f.withoutServer()
-	if _, err := f.Start(ctx, order("t")); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := f.Start(ctx, order("t")); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("closed port: %v", err)
 	}
 }
@@ -125,10 +125,10 @@
 func TestCloud_TellsPricesOfBothMarkets(t *testing.T) {
 	f := newFixture(t, standin.CloudConfig{Prices: []standin.CloudPrice{{DataCentre: "a", Class: "big", PerHour: 0.3}}})
 	prices, err := f.Prices(context.Background())
-	if err != nil || len(prices) != 2 || prices[0].PerHour != 0.3 || prices[0].Market != platform.Reclaimable {
+	if err != nil || len(prices) != 2 || prices[0].PerHour != 0.3 || prices[0].Market != provider.Reclaimable {
 		t.Fatalf("%+v %v", prices, err)
 	}
-	if prices[1].Market != platform.OnDemand {
+	if prices[1].Market != provider.OnDemand {
 		t.Fatalf("%+v", prices)
 	}
 }
--- a/internal/platform/ec2cloud/response.go
+++ b/internal/provider/ec2cloud/response.go
@@ -5,7 +5,7 @@
 	"strconv"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 type tagItem struct {
@@ -60,18 +60,18 @@
 	Message string   `xml:"Errors>Error>Message"`
 }
 
-func (i instanceItem) instance() platform.Instance {
-	out := platform.Instance{
+func (i instanceItem) instance() provider.Instance {
+	out := provider.Instance{
 		ID:         entity.InstanceID(i.InstanceID),
 		DataCentre: entity.DataCentreID(i.AvailabilityZone),
 		Class:      i.InstanceType,
-		Market:     platform.OnDemand,
+		Market:     provider.OnDemand,
 		State:      stateOf(i.State),
 		Address:    i.PrivateIPAddress,
 		Tags:       make(map[string]string, len(i.Tags)),
 	}
 	if i.Lifecycle == spotMarket {
-		out.Market = platform.Reclaimable
+		out.Market = provider.Reclaimable
 	}
 	for _, t := range i.Tags {
 		out.Tags[t.Key] = t.Value
@@ -79,28 +79,28 @@
 	return out
 }
 
-func stateOf(name string) platform.InstanceState {
+func stateOf(name string) provider.InstanceState {
 	switch name {
 	case "pending":
-		return platform.Pending
+		return provider.Pending
 	case "running":
-		return platform.Running
+		return provider.Running
 	case "shutting-down", "stopping":
-		return platform.Leaving
+		return provider.Leaving
 	default:
-		return platform.Gone
+		return provider.Gone
 	}
 }
 
-func (p spotPriceItem) price() (platform.Price, error) {
+func (p spotPriceItem) price() (provider.Price, error) {
 	perHour, err := strconv.ParseFloat(p.SpotPrice, 64)
 	if err != nil {
-		return platform.Price{}, err
+		return provider.Price{}, err
 	}
-	return platform.Price{
+	return provider.Price{
 		DataCentre: entity.DataCentreID(p.AvailabilityZone),
 		Class:      p.InstanceType,
-		Market:     platform.Reclaimable,
+		Market:     provider.Reclaimable,
 		PerHour:    perHour,
 	}, nil
 }
--- a/internal/platform/operation.go
+++ b/internal/provider/operation.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import "context"
 
--- a/internal/platform/platform.go
+++ b/internal/provider/platform.go
@@ -1,7 +1,7 @@
-// Package platform defines what the system needs of the platform: a
+// Package provider defines what the system needs of the platform: a
 // transactional table service, an object store, a cloud API and a list of
 // instances. Clients and stand-ins implement these interfaces.
-package platform
+package provider
 
 import (
 	"context"
--- a/internal/platform/reclaimnotice/reclaimnotice.go
+++ b/internal/provider/reclaimnotice/reclaimnotice.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 )
 
 const (
@@ -27,7 +27,7 @@
 // Watch polls the metadata service at the base URL until ctx ends. It calls f
 // for the first notice and for each one whose time differs from the last. A
 // failed poll is no news.
-func Watch(ctx context.Context, url string, interval time.Duration, f func(platform.Notice)) {
+func Watch(ctx context.Context, url string, interval time.Duration, f func(provider.Notice)) {
 	w := &watcher{base: strings.TrimSuffix(url, "/"), http: onesend.NewClient(callTimeout)}
 	defer w.http.CloseIdleConnections()
 	ticker := time.NewTicker(interval)
@@ -49,7 +49,7 @@
 	base  string
 	http  *onesend.Client
 	token string
-	last  platform.Notice
+	last  provider.Notice
 }
 
 // action is the body of the notice.
@@ -58,7 +58,7 @@
 	Time   time.Time `json:"time"`
 }
 
-func (w *watcher) poll(ctx context.Context) (platform.Notice, bool) {
+func (w *watcher) poll(ctx context.Context) (provider.Notice, bool) {
 	if w.token == "" {
 		w.token = w.fetchToken(ctx)
 	}
@@ -67,13 +67,13 @@
 		w.token = ""
 	}
 	if status != http.StatusOK {
-		return platform.Notice{}, false
+		return provider.Notice{}, false
 	}
 	var a action
 	if json.Unmarshal(body, &a) != nil || a.Time.IsZero() {
-		return platform.Notice{}, false
+		return provider.Notice{}, false
 	}
-	return platform.Notice{At: a.Time}, true
+	return provider.Notice{At: a.Time}, true
 }
 
 // fetchToken returns a session token, or none where the metadata service needs
--- a/internal/platform/reclaimnotice/reclaimnotice_test.go
+++ b/internal/provider/reclaimnotice/reclaimnotice_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
 
@@ -17,11 +17,11 @@
 	}
 	t.Cleanup(server.Kill)
 	ctx, cancel := context.WithCancel(context.Background())
-	notices := make(chan platform.Notice, 10)
+	notices := make(chan provider.Notice, 10)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		Watch(ctx, server.URL()+"/imds/i-1", time.Millisecond, func(n platform.Notice) { notices <- n })
+		Watch(ctx, server.URL()+"/imds/i-1", time.Millisecond, func(n provider.Notice) { notices <- n })
 	}()
 	cloud.Reclaim("i-2", time.Hour)
 	cloud.Reclaim("i-1", 2*time.Hour)
--- a/internal/platform/s3store/s3store.go
+++ b/internal/provider/s3store/s3store.go
@@ -15,8 +15,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/smithy-go"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/onesend"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 )
 
 // Config says where the bucket is.
@@ -35,7 +35,7 @@
 	bucket string
 }
 
-var _ platform.ObjectStore = (*Store)(nil)
+var _ provider.ObjectStore = (*Store)(nil)
 
 // New returns a client. It makes no call.
 func New(c Config) *Store {
@@ -65,7 +65,7 @@
 	return writeError(err, sent)
 }
 
-// Get reads an object; platform.ErrNotFound when there is none.
+// Get reads an object; provider.ErrNotFound when there is none.
 func (s *Store) Get(ctx context.Context, key string) ([]byte, error) {
 	out, err := s.api.GetObject(ctx, &s3.GetObjectInput{Bucket: &s.bucket, Key: &key})
 	if err != nil {
@@ -89,9 +89,9 @@
 // readError maps a failed read. A read has no effect, whatever went wrong.
 func readError(err error) error {
 	if codeOf(err) == "NoSuchKey" {
-		return wrap(platform.ErrNotFound, err)
+		return wrap(provider.ErrNotFound, err)
 	}
-	return wrap(platform.ErrUnavailable, err)
+	return wrap(provider.ErrUnavailable, err)
 }
 
 // writeError maps a failed write. Only an answer that says so, or a call of
@@ -101,9 +101,9 @@
 		return nil
 	}
 	if refusedCodes[codeOf(err)] || sent.Nothing() {
-		return wrap(platform.ErrUnavailable, err)
+		return wrap(provider.ErrUnavailable, err)
 	}
-	return wrap(platform.ErrUnknownOutcome, err)
+	return wrap(provider.ErrUnknownOutcome, err)
 }
 
 // refusedCodes are answers that precede any effect.
--- a/internal/platform/s3store/s3store_test.go
+++ b/internal/provider/s3store/s3store_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
 
@@ -54,7 +54,7 @@
 	if err := f.Delete(ctx, "a/b c"); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := f.Get(ctx, "a/b c"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := f.Get(ctx, "a/b c"); !errors.Is(err, provider.ErrNotFound) {
 		t.Fatalf("deleted object: %v", err)
 	}
 }
@@ -63,18 +63,18 @@
 	f := newFixture(t)
 	ctx := context.Background()
 	f.fake.Faults.Set(standin.FaultSettings{LoseNext: 1})
-	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, provider.ErrUnknownOutcome) {
 		t.Fatalf("lost reply: %v", err)
 	}
 	if got, err := f.Get(ctx, "a"); err != nil || string(got) != "v" {
 		t.Fatalf("the write whose reply was lost: %q, %v", got, err)
 	}
 	f.fake.Faults.Set(standin.FaultSettings{Refuse: true})
-	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, platform.ErrUnavailable) {
+	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("refused: %v", err)
 	}
 	f.withoutServer()
-	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, platform.ErrUnavailable) {
+	if err := f.Put(ctx, "a", []byte("v")); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("closed port: %v", err)
 	}
 }
@@ -89,7 +89,7 @@
 	}
 	before := f.fake.Counts()
 	f.fake.Faults.Set(standin.FaultSettings{Down: true})
-	if _, err := f.Get(ctx, "a"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := f.Get(ctx, "a"); !errors.Is(err, provider.ErrUnavailable) {
 		t.Fatalf("read: %v", err)
 	}
 	f.fake.Faults.Set(standin.FaultSettings{})
--- a/internal/system/configuration/apply.go
+++ b/internal/system/configuration/apply.go
@@ -11,7 +11,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/servicedoc"
 	"github.com/gooseberryslip/gooseberryslip/internal/tomldoc"
 )
@@ -152,15 +152,15 @@
 }
 
 // step returns a continuation that does nothing once the change has ended.
-func (c *Configuration) step(ch *change, f func(time.Time, *change, platform.Result)) func(time.Time, platform.Result) {
-	return func(now time.Time, r platform.Result) {
+func (c *Configuration) step(ch *change, f func(time.Time, *change, provider.Result)) func(time.Time, provider.Result) {
+	return func(now time.Time, r provider.Result) {
 		if !ch.done {
 			f(now, ch, r)
 		}
 	}
 }
 
-func (c *Configuration) changeDocumentRead(now time.Time, ch *change, r platform.Result) {
+func (c *Configuration) changeDocumentRead(now time.Time, ch *change, r provider.Result) {
 	ch.document, ch.version = Document{Deleted: true}, 0
 	if r.Err == nil {
 		ch.version = r.Row.Version
@@ -169,7 +169,7 @@
 	c.rowRead(now, ch, r.Err)
 }
 
-func (c *Configuration) changeHeadRead(now time.Time, ch *change, r platform.Result) {
+func (c *Configuration) changeHeadRead(now time.Time, ch *change, r provider.Result) {
 	ch.head, ch.headRow = headRow{}, 0
 	if r.Err == nil {
 		ch.headRow = r.Row.Version
@@ -179,7 +179,7 @@
 }
 
 func (c *Configuration) rowRead(now time.Time, ch *change, err error) {
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, provider.ErrNotFound) {
 		ch.err = err
 	}
 	ch.waiting--
@@ -277,25 +277,25 @@
 		panic(err)
 	}
 	ch.writing = true
-	c.issue(platform.Operation{
-		Kind:  platform.TransactRows,
+	c.issue(provider.Operation{
+		Kind:  provider.TransactRows,
 		Token: c.token(ch),
-		Writes: []platform.Write{
+		Writes: []provider.Write{
 			{Partition: configPartition, Sort: documentSort(ch.Service), Value: value, IfVersion: ch.version},
 			{Partition: configPartition, Sort: headSort, Value: head, IfVersion: ch.headRow},
 			{Partition: historyOf(ch.Service), Sort: historySort(ch.version + 1), Value: value, Unconditional: true},
 		},
-	}, c.step(ch, func(now time.Time, ch *change, r platform.Result) { c.written(now, ch, doc, r) }))
+	}, c.step(ch, func(now time.Time, ch *change, r provider.Result) { c.written(now, ch, doc, r) }))
 }
 
-func (c *Configuration) written(now time.Time, ch *change, doc Document, r platform.Result) {
+func (c *Configuration) written(now time.Time, ch *change, doc Document, r provider.Result) {
 	ch.writing = false
 	switch {
 	case r.Err == nil:
 		c.applied(now, ch, doc)
-	case errors.Is(r.Err, platform.ErrConditionFailed):
+	case errors.Is(r.Err, provider.ErrConditionFailed):
 		c.readRows(ch) // somebody else changed the document or the head
-	case errors.Is(r.Err, platform.ErrUnavailable):
+	case errors.Is(r.Err, provider.ErrUnavailable):
 		c.retry(now, ch)
 	default:
 		ch.unknown = true
@@ -309,7 +309,7 @@
 	c.issue(readHistory(ch.Service), c.step(ch, c.historySearched))
 }
 
-func (c *Configuration) historySearched(now time.Time, ch *change, r platform.Result) {
+func (c *Configuration) historySearched(now time.Time, ch *change, r provider.Result) {
 	if r.Err != nil {
 		c.retry(now, ch)
 		return
--- a/internal/system/configuration/configuration.go
+++ b/internal/system/configuration/configuration.go
@@ -14,7 +14,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -70,8 +70,8 @@
 	changes   []*change
 	histories []entity.ServiceName // asked for, in order
 
-	nextID  platform.OperationID
-	pending map[platform.OperationID]func(now time.Time, r platform.Result)
+	nextID  provider.OperationID
+	pending map[provider.OperationID]func(now time.Time, r provider.Result)
 	ready   Ready
 }
 
@@ -87,7 +87,7 @@
 		cfg:       cfg,
 		daemons:   1,
 		documents: entity.NewTable[entity.ServiceName, held](),
-		pending:   map[platform.OperationID]func(time.Time, platform.Result){},
+		pending:   map[provider.OperationID]func(time.Time, provider.Result){},
 	}
 }
 
@@ -97,7 +97,7 @@
 
 // Ready holds what the caller must perform and pass on.
 type Ready struct {
-	Operations []platform.Operation
+	Operations []provider.Operation
 	Changed    []entity.Service     // now in force
 	Removed    []entity.ServiceName // no longer there
 	Head       uint64               // risen to this, to be gossiped; 0: has not risen
@@ -138,7 +138,7 @@
 
 // TableResult takes the result of an operation. Results of unknown operations
 // are ignored.
-func (c *Configuration) TableResult(now time.Time, r platform.Result) {
+func (c *Configuration) TableResult(now time.Time, r provider.Result) {
 	done, ok := c.pending[r.ID]
 	if !ok {
 		return
@@ -148,7 +148,7 @@
 }
 
 // issue asks the caller to perform an operation and remembers what to do next.
-func (c *Configuration) issue(op platform.Operation, done func(time.Time, platform.Result)) {
+func (c *Configuration) issue(op provider.Operation, done func(time.Time, provider.Result)) {
 	c.nextID++
 	op.ID = c.nextID
 	c.pending[op.ID] = done
--- a/internal/system/configuration/configuration_test.go
+++ b/internal/system/configuration/configuration_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 func edit(op string, service entity.ServiceName, weight int, read uint64) Change {
@@ -347,5 +347,5 @@
 
 func TestConfiguration_ResultOfUnknownOperationIgnored(t *testing.T) {
 	w := newWorld(t, 1)
-	w.daemons[0].TableResult(w.now, platform.Result{ID: 99})
+	w.daemons[0].TableResult(w.now, provider.Result{ID: 99})
 }
--- a/internal/system/configuration/document.go
+++ b/internal/system/configuration/document.go
@@ -7,7 +7,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/servicedoc"
 )
 
@@ -79,17 +79,17 @@
 
 func documentSort(service entity.ServiceName) string { return documentPrefix + string(service) }
 
-func readDocument(service entity.ServiceName, consistent bool) platform.Operation {
-	return platform.Operation{
-		Kind: platform.GetRow, Partition: configPartition, Sort: documentSort(service), Consistent: consistent,
+func readDocument(service entity.ServiceName, consistent bool) provider.Operation {
+	return provider.Operation{
+		Kind: provider.GetRow, Partition: configPartition, Sort: documentSort(service), Consistent: consistent,
 	}
 }
 
-func readHead() platform.Operation {
-	return platform.Operation{Kind: platform.GetRow, Partition: configPartition, Sort: headSort, Consistent: true}
+func readHead() provider.Operation {
+	return provider.Operation{Kind: provider.GetRow, Partition: configPartition, Sort: headSort, Consistent: true}
 }
 
-func decodeDocument(row platform.Row) (Document, error) {
+func decodeDocument(row provider.Row) (Document, error) {
 	var d Document
 	err := codec.Decode(row.Value, &d)
 	return d, err
--- a/internal/system/configuration/history.go
+++ b/internal/system/configuration/history.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // HistoryOutcome answers History.
@@ -23,7 +23,7 @@
 		return
 	}
 	c.histories = append(c.histories, service)
-	c.issue(readHistory(service), func(_ time.Time, r platform.Result) {
+	c.issue(readHistory(service), func(_ time.Time, r provider.Result) {
 		c.histories = slices.DeleteFunc(c.histories, func(s entity.ServiceName) bool { return s == service })
 		c.ready.Histories = append(c.ready.Histories, HistoryOutcome{
 			Service: service, Documents: decodeHistory(r.Rows), Err: r.Err,
@@ -36,14 +36,14 @@
 // historySort returns the row of a document's version. The rows form a ring.
 func historySort(version uint64) string { return fmt.Sprintf("%04d", version%HistoryLength) }
 
-func readHistory(service entity.ServiceName) platform.Operation {
-	return platform.Operation{
-		Kind: platform.QueryRows, Partition: historyOf(service), Limit: HistoryLength, Consistent: true,
+func readHistory(service entity.ServiceName) provider.Operation {
+	return provider.Operation{
+		Kind: provider.QueryRows, Partition: historyOf(service), Limit: HistoryLength, Consistent: true,
 	}
 }
 
 // decodeHistory returns the documents of a ring's rows, newest first.
-func decodeHistory(rows []platform.Row) []Document {
+func decodeHistory(rows []provider.Row) []Document {
 	var out []Document
 	for _, row := range rows {
 		if d, err := decodeDocument(row); err == nil {
--- a/internal/system/configuration/refresh.go
+++ b/internal/system/configuration/refresh.go
@@ -9,7 +9,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // scanLimit is the number of documents read at once.
@@ -91,11 +91,11 @@
 	}
 }
 
-func (c *Configuration) headRead(now time.Time, res platform.Result) {
+func (c *Configuration) headRead(now time.Time, res provider.Result) {
 	var head headRow
 	err := res.Err
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, provider.ErrNotFound):
 		err = nil
 	case err == nil:
 		err = codec.Decode(res.Row.Value, &head)
@@ -166,7 +166,7 @@
 			continue
 		}
 		r.waiting++
-		c.issue(readDocument(change.Service, true), func(now time.Time, res platform.Result) {
+		c.issue(readDocument(change.Service, true), func(now time.Time, res provider.Result) {
 			c.documentRead(now, change, res)
 		})
 	}
@@ -175,7 +175,7 @@
 	}
 }
 
-func (c *Configuration) documentRead(now time.Time, want recentChange, res platform.Result) {
+func (c *Configuration) documentRead(now time.Time, want recentChange, res provider.Result) {
 	r := &c.refresh
 	r.waiting--
 	if err := c.takeRow(now, res); err != nil || c.heldRevision(want.Service) < want.Revision {
@@ -185,7 +185,7 @@
 		return
 	}
 	if r.failed {
-		c.finishRefresh(now, platform.ErrUnavailable)
+		c.finishRefresh(now, provider.ErrUnavailable)
 		return
 	}
 	c.caughtUp(now)
@@ -205,7 +205,7 @@
 	return 0
 }
 
-func (c *Configuration) takeRow(now time.Time, res platform.Result) error {
+func (c *Configuration) takeRow(now time.Time, res provider.Result) error {
 	if res.Err != nil {
 		return res.Err
 	}
@@ -221,18 +221,18 @@
 // and rows only get newer, so that the pages hold every change up to the target.
 func (c *Configuration) scan(after string) {
 	after = cmp.Or(after, documentPrefix)
-	c.issue(platform.Operation{
-		Kind: platform.QueryRows, Partition: configPartition, After: after, Limit: scanLimit, Consistent: true,
+	c.issue(provider.Operation{
+		Kind: provider.QueryRows, Partition: configPartition, After: after, Limit: scanLimit, Consistent: true,
 	}, c.pageRead)
 }
 
-func (c *Configuration) pageRead(now time.Time, res platform.Result) {
+func (c *Configuration) pageRead(now time.Time, res provider.Result) {
 	if res.Err != nil {
 		c.finishRefresh(now, res.Err)
 		return
 	}
 	for _, row := range res.Rows {
-		if err := c.takeRow(now, platform.Result{Row: row}); err != nil {
+		if err := c.takeRow(now, provider.Result{Row: row}); err != nil {
 			c.finishRefresh(now, err)
 			return
 		}
--- a/internal/system/configuration/world_test.go
+++ b/internal/system/configuration/world_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // rowKey names a row of the fake table.
@@ -19,8 +19,8 @@
 
 // fakeTable keeps rows in memory. Its record of accepted changes is its own.
 type fakeTable struct {
-	rows     map[rowKey]platform.Row
-	old      map[rowKey]platform.Row // what a stale replica returns
+	rows     map[rowKey]provider.Row
+	old      map[rowKey]provider.Row // what a stale replica returns
 	down     bool
 	lose     func() bool       // whether the reply of a write is lost
 	tokens   map[string]string // writes accepted by token
@@ -30,43 +30,43 @@
 
 func newFakeTable() *fakeTable {
 	return &fakeTable{
-		rows: map[rowKey]platform.Row{}, old: map[rowKey]platform.Row{},
+		rows: map[rowKey]provider.Row{}, old: map[rowKey]provider.Row{},
 		lose: func() bool { return false }, tokens: map[string]string{},
 	}
 }
 
-func (f *fakeTable) perform(op platform.Operation) platform.Result {
-	r := platform.Result{ID: op.ID}
+func (f *fakeTable) perform(op provider.Operation) provider.Result {
+	r := provider.Result{ID: op.ID}
 	switch {
 	case f.down:
-		r.Err = platform.ErrUnavailable
-	case op.Kind == platform.TransactRows:
+		r.Err = provider.ErrUnavailable
+	case op.Kind == provider.TransactRows:
 		r.Err = f.transactOnce(op.Token, op.Writes)
 		if f.lose() {
-			r.Err = platform.ErrUnknownOutcome
+			r.Err = provider.ErrUnknownOutcome
 		}
-	case op.Kind == platform.QueryRows:
+	case op.Kind == provider.QueryRows:
 		f.reads++
 		r.Rows = f.query(op)
 	default:
 		f.reads++
 		var ok bool
 		if r.Row, ok = f.replica(op.Consistent)[rowKey{op.Partition, op.Sort}]; !ok {
-			r.Err = platform.ErrNotFound
+			r.Err = provider.ErrNotFound
 		}
 	}
 	return r
 }
 
-func (f *fakeTable) replica(consistent bool) map[rowKey]platform.Row {
+func (f *fakeTable) replica(consistent bool) map[rowKey]provider.Row {
 	if consistent {
 		return f.rows
 	}
 	return f.old
 }
 
-func (f *fakeTable) query(op platform.Operation) []platform.Row {
-	var out []platform.Row
+func (f *fakeTable) query(op provider.Operation) []provider.Row {
+	var out []provider.Row
 	for k, row := range f.replica(op.Consistent) {
 		if k.partition == op.Partition && k.sort > op.After {
 			out = append(out, row)
@@ -77,7 +77,7 @@
 }
 
 // transactOnce remembers accepted writes by their token, as table services do.
-func (f *fakeTable) transactOnce(token string, writes []platform.Write) error {
+func (f *fakeTable) transactOnce(token string, writes []provider.Write) error {
 	content := fmt.Sprint(writes)
 	if before, known := f.tokens[token]; known {
 		if before != content {
@@ -92,15 +92,15 @@
 	return err
 }
 
-func (f *fakeTable) transact(writes []platform.Write) error {
+func (f *fakeTable) transact(writes []provider.Write) error {
 	for _, w := range writes {
 		if !w.Unconditional && f.rows[rowKey{w.Partition, w.Sort}].Version != w.IfVersion {
-			return platform.ErrConditionFailed
+			return provider.ErrConditionFailed
 		}
 	}
 	for _, w := range writes {
 		k := rowKey{w.Partition, w.Sort}
-		row := platform.Row{Partition: w.Partition, Sort: w.Sort, Version: f.rows[k].Version + 1, Value: w.Value}
+		row := provider.Row{Partition: w.Partition, Sort: w.Sort, Version: f.rows[k].Version + 1, Value: w.Value}
 		f.rows[k] = row
 		if w.Partition == configPartition && strings.HasPrefix(w.Sort, documentPrefix) {
 			d, _ := decodeDocument(row)
@@ -240,7 +240,7 @@
 	}
 }
 
-func (w *world) perform(i int, c *Configuration, op platform.Operation) {
+func (w *world) perform(i int, c *Configuration, op provider.Operation) {
 	out, back := w.latency()/2, w.latency()/2
 	w.at(w.now.Add(out), func() {
 		r := w.table.perform(op)
--- a/internal/system/fleet/commit.go
+++ b/internal/system/fleet/commit.go
@@ -7,7 +7,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -112,7 +112,7 @@
 	if c.verify {
 		op, done = p.readLease(), p.verified
 	}
-	p.sys.call(op, func(now time.Time, r platform.Result) {
+	p.sys.call(op, func(now time.Time, r provider.Result) {
 		if p.change == c {
 			c.inFlight = false
 			done(now, c, r)
@@ -122,26 +122,26 @@
 
 // transaction raises the lease row's version, on the condition that it is
 // still this holder's, and writes the items.
-func (p *planner) transaction(operation string, row leaseRow, items []changeItem) platform.Operation {
+func (p *planner) transaction(operation string, row leaseRow, items []changeItem) provider.Operation {
 	row.Operation = operation
 	partition := partitionOf(p.svc.Name)
-	writes := []platform.Write{{Partition: partition, Sort: leaseSort, Value: encode(row), IfVersion: p.fence}}
+	writes := []provider.Write{{Partition: partition, Sort: leaseSort, Value: encode(row), IfVersion: p.fence}}
 	for _, it := range items {
-		w := platform.Write{Partition: partition, Sort: intentSort(it.row.Token), Unconditional: true, Delete: it.removed}
+		w := provider.Write{Partition: partition, Sort: intentSort(it.row.Token), Unconditional: true, Delete: it.removed}
 		if !it.removed {
 			w.Value = encode(it.row)
 		}
 		writes = append(writes, w)
 	}
-	return platform.Operation{Kind: platform.TransactRows, Token: operation, Writes: writes}
+	return provider.Operation{Kind: provider.TransactRows, Token: operation, Writes: writes}
 }
 
 // changed takes the outcome of a transaction.
-func (p *planner) changed(now time.Time, c *change, r platform.Result) {
+func (p *planner) changed(now time.Time, c *change, r provider.Result) {
 	switch {
 	case r.Err == nil:
 		p.recorded(now, c)
-	case errors.Is(r.Err, platform.ErrConditionFailed):
+	case errors.Is(r.Err, provider.ErrConditionFailed):
 		c.verify = true
 		c.retryAt = now
 		p.sendChange(now)
@@ -152,10 +152,10 @@
 
 // verified takes the lease row after a failed condition. The condition also
 // fails when an earlier send of the same transaction has taken effect.
-func (p *planner) verified(now time.Time, c *change, r platform.Result) {
+func (p *planner) verified(now time.Time, c *change, r provider.Result) {
 	var row leaseRow
 	switch {
-	case errors.Is(r.Err, platform.ErrNotFound):
+	case errors.Is(r.Err, provider.ErrNotFound):
 		p.lost(now)
 	case r.Err != nil:
 		p.retryChange(now, c)
--- a/internal/system/fleet/cost_test.go
+++ b/internal/system/fleet/cost_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -22,14 +22,14 @@
 )
 
 // policyView says which prices a planner is told.
-type policyView func(real []platform.Price) []platform.Price
+type policyView func(real []provider.Price) []provider.Price
 
-func realPrices(p []platform.Price) []platform.Price { return p }
+func realPrices(p []provider.Price) []provider.Price { return p }
 
-func onDemandOnly(p []platform.Price) []platform.Price {
-	var out []platform.Price
+func onDemandOnly(p []provider.Price) []provider.Price {
+	var out []provider.Price
 	for _, price := range p {
-		if price.Market == platform.OnDemand {
+		if price.Market == provider.OnDemand {
 			out = append(out, price)
 		}
 	}
@@ -38,10 +38,10 @@
 
 // withoutPrices tells the mean in place of the price, so that servers are
 // spread evenly.
-func withoutPrices(p []platform.Price) []platform.Price {
-	out := append([]platform.Price{}, p...)
+func withoutPrices(p []provider.Price) []provider.Price {
+	out := append([]provider.Price{}, p...)
 	for i := range out {
-		if out[i].Market == platform.Reclaimable {
+		if out[i].Market == provider.Reclaimable {
 			out[i].PerHour = meanRatio
 		}
 	}
@@ -102,7 +102,7 @@
 }
 
 // bill returns what all live instances cost an hour.
-func bill(w *world, prices []platform.Price) float64 {
+func bill(w *world, prices []provider.Price) float64 {
 	m := newMarket(State{Prices: prices})
 	total := 0.0
 	for _, i := range w.instances {
@@ -115,7 +115,7 @@
 
 // weather is what the planner cannot choose.
 type weather struct {
-	prices []platform.Price
+	prices []provider.Price
 	level  map[entity.DataCentreID]float64 // logarithm of the price against the mean
 	rng    interface{ Float64() float64 }
 	norm   interface{ NormFloat64() float64 }
@@ -136,7 +136,7 @@
 	const pull = 0.98
 	variance := e.spread * e.spread / (1 - pull*pull)
 	for i, p := range e.prices {
-		if p.Market != platform.Reclaimable {
+		if p.Market != provider.Reclaimable {
 			continue
 		}
 		e.level[p.DataCentre] = pull*e.level[p.DataCentre] + e.spread*e.norm.NormFloat64()
@@ -146,8 +146,8 @@
 		}
 	}
 	for _, i := range w.instances {
-		if e.rng.Float64() < singlesPerHour*every.Hours() && i.Market == platform.Reclaimable && i.ended.IsZero() && i.State != platform.Leaving {
-			i.State = platform.Leaving
+		if e.rng.Float64() < singlesPerHour*every.Hours() && i.Market == provider.Reclaimable && i.ended.IsZero() && i.State != provider.Leaving {
+			i.State = provider.Leaving
 			w.after(notice, func() {
 				if i.ended.IsZero() {
 					w.end(i)
--- a/internal/system/fleet/fleet.go
+++ b/internal/system/fleet/fleet.go
@@ -6,7 +6,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // System plans the fleets of all services in manage mode, as one daemon sees
@@ -16,17 +16,17 @@
 	planners *entity.Table[entity.ServiceName, planner]
 	members  []entity.InstanceID
 	listing  listing
-	prices   []platform.Price
+	prices   []provider.Price
 	leaving  bool
 
-	calls    map[platform.OperationID]func(now time.Time, r platform.Result)
-	lastCall platform.OperationID
+	calls    map[provider.OperationID]func(now time.Time, r provider.Result)
+	lastCall provider.OperationID
 	ready    Ready
 }
 
 // listing is the platform's list of instances.
 type listing struct {
-	instances []platform.Instance
+	instances []provider.Instance
 	at        time.Time // when it came; zero: never
 }
 
@@ -35,7 +35,7 @@
 	return &System{
 		cfg:      cfg.withDefaults(),
 		planners: entity.NewTable[entity.ServiceName, planner](),
-		calls:    make(map[platform.OperationID]func(time.Time, platform.Result)),
+		calls:    make(map[provider.OperationID]func(time.Time, provider.Result)),
 	}
 }
 
@@ -72,13 +72,13 @@
 }
 
 // SetInstances takes the platform's lagging list of all instances.
-func (s *System) SetInstances(now time.Time, list []platform.Instance) {
+func (s *System) SetInstances(now time.Time, list []provider.Instance) {
 	s.listing = listing{instances: slices.Clone(list), at: now}
 	s.each(func(p *planner) { p.reconcile(now) })
 }
 
 // SetPrices takes the present prices.
-func (s *System) SetPrices(now time.Time, prices []platform.Price) {
+func (s *System) SetPrices(now time.Time, prices []provider.Price) {
 	s.prices = slices.Clone(prices)
 	s.each(func(p *planner) { p.planSoon(now) })
 }
@@ -109,7 +109,7 @@
 }
 
 // TableResult takes the result of an operation.
-func (s *System) TableResult(now time.Time, r platform.Result) {
+func (s *System) TableResult(now time.Time, r provider.Result) {
 	done, ok := s.calls[r.ID]
 	if !ok {
 		return
@@ -169,7 +169,7 @@
 }
 
 // call issues a table operation; done gets its result.
-func (s *System) call(op platform.Operation, done func(now time.Time, r platform.Result)) {
+func (s *System) call(op provider.Operation, done func(now time.Time, r provider.Result)) {
 	s.lastCall++
 	op.ID = s.lastCall
 	s.calls[op.ID] = done
--- a/internal/system/fleet/fleet_test.go
+++ b/internal/system/fleet/fleet_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // settled fails the test unless the fleet is what the policy asks for.
@@ -104,9 +104,9 @@
 	w := newWorld(1, 2, testService(4, 30))
 	w.load = Load{Busy: 80}
 	for n, tags := range []map[string]string{nil, {ServiceTag: "b"}} {
-		w.instances = append(w.instances, &fakeInstance{Instance: platform.Instance{
+		w.instances = append(w.instances, &fakeInstance{Instance: provider.Instance{
 			ID: entity.InstanceID(fmt.Sprintf("script-%d", n)), DataCentre: "x", Class: someClass,
-			Market: platform.OnDemand, State: platform.Running, Tags: tags,
+			Market: provider.OnDemand, State: provider.Running, Tags: tags,
 		}})
 	}
 	w.run(15 * time.Minute)
@@ -145,7 +145,7 @@
 	prices := w.prices
 	w.prices = nil
 	for _, p := range prices {
-		if p.Market == platform.OnDemand {
+		if p.Market == provider.OnDemand {
 			w.prices = append(w.prices, p)
 		}
 	}
@@ -155,7 +155,7 @@
 	w.run(2 * time.Hour)
 	settled(t, w, 10)
 	for _, i := range w.instances {
-		if i.ended.IsZero() && i.Market == platform.OnDemand {
+		if i.ended.IsZero() && i.Market == provider.OnDemand {
 			t.Fatalf("%s still runs on demand", i.ID)
 		}
 	}
--- a/internal/system/fleet/lease.go
+++ b/internal/system/fleet/lease.go
@@ -7,7 +7,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // poll reads the lease row as a watcher.
@@ -20,7 +20,7 @@
 		return
 	}
 	p.polling = true
-	p.sys.call(p.readLease(), func(now time.Time, r platform.Result) {
+	p.sys.call(p.readLease(), func(now time.Time, r provider.Result) {
 		p.polling = false
 		if p.role == roleWatching {
 			p.polled(now, r)
@@ -28,16 +28,16 @@
 	})
 }
 
-func (p *planner) readLease() platform.Operation {
-	return platform.Operation{Kind: platform.GetRow, Partition: partitionOf(p.svc.Name), Sort: leaseSort, Consistent: true}
+func (p *planner) readLease() provider.Operation {
+	return provider.Operation{Kind: provider.GetRow, Partition: partitionOf(p.svc.Name), Sort: leaseSort, Consistent: true}
 }
 
 // polled takes the lease over when its row has not changed for a whole term,
 // by this daemon's own clock. The clock decides only when to try: the takeover
 // is a write on the condition that the row has not changed.
-func (p *planner) polled(now time.Time, r platform.Result) {
+func (p *planner) polled(now time.Time, r provider.Result) {
 	p.pollAt = now.Add(p.jitter(p.pollEvery()))
-	if errors.Is(r.Err, platform.ErrNotFound) {
+	if errors.Is(r.Err, provider.ErrNotFound) {
 		p.takeOver(now, 0, leaseRow{})
 		return
 	}
@@ -77,17 +77,17 @@
 	}
 	p.readAt = time.Time{}
 	after := p.reload
-	op := platform.Operation{
-		Kind: platform.QueryRows, Partition: partitionOf(p.svc.Name), After: after, Limit: pageRows, Consistent: true,
+	op := provider.Operation{
+		Kind: provider.QueryRows, Partition: partitionOf(p.svc.Name), After: after, Limit: pageRows, Consistent: true,
 	}
-	p.sys.call(op, func(now time.Time, r platform.Result) {
+	p.sys.call(op, func(now time.Time, r provider.Result) {
 		if p.role == roleLoading {
 			p.loaded(now, r)
 		}
 	})
 }
 
-func (p *planner) loaded(now time.Time, r platform.Result) {
+func (p *planner) loaded(now time.Time, r provider.Result) {
 	if r.Err != nil {
 		p.readAt = now.Add(p.jitter(longestRetry))
 		return
@@ -143,6 +143,6 @@
 	row.ReserveCount = 0
 	row.Rates = p.rates.rows()
 	p.emit(now, event.FleetLeaseReleased, "", "")
-	p.sys.call(p.transaction(p.operation(), row, nil), func(time.Time, platform.Result) {})
+	p.sys.call(p.transaction(p.operation(), row, nil), func(time.Time, provider.Result) {})
 	p.watch(now)
 }
--- a/internal/system/fleet/observe.go
+++ b/internal/system/fleet/observe.go
@@ -5,7 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -18,7 +18,7 @@
 )
 
 // ours says whether an instance is tagged as this service's.
-func (p *planner) ours(i platform.Instance) bool {
+func (p *planner) ours(i provider.Instance) bool {
 	return i.Tags[ServiceTag] == string(p.svc.Name)
 }
 
@@ -51,7 +51,7 @@
 // match returns the intent of a listed instance, and makes one for an instance
 // of ours without: an order of an earlier holder whose intent was reserved or
 // given up.
-func (p *planner) match(now time.Time, inst platform.Instance) *intent {
+func (p *planner) match(now time.Time, inst provider.Instance) *intent {
 	if i := p.findInstance(inst.ID); i != nil {
 		return i
 	}
@@ -63,13 +63,13 @@
 		p.started(now, i, inst.ID)
 		return i
 	}
-	if inst.State != platform.Pending && inst.State != platform.Running {
+	if inst.State != provider.Pending && inst.State != provider.Running {
 		return nil
 	}
 	return p.adopt(now, inst)
 }
 
-func (p *planner) adopt(now time.Time, inst platform.Instance) *intent {
+func (p *planner) adopt(now time.Time, inst provider.Instance) *intent {
 	i := &intent{since: now}
 	i.want = intentRow{
 		Token: adoptedToken(inst.ID), State: intentStarted, Instance: inst.ID,
@@ -85,11 +85,11 @@
 }
 
 // seenAs takes the listed state of an instance.
-func (p *planner) seenAs(now time.Time, i *intent, s platform.InstanceState) {
+func (p *planner) seenAs(now time.Time, i *intent, s provider.InstanceState) {
 	i.listed = true
 	i.absentAt = time.Time{}
-	i.running = s == platform.Running
-	if s == platform.Gone || s == platform.Leaving && i.want.State != intentStopping {
+	i.running = s == provider.Running
+	if s == provider.Gone || s == provider.Leaving && i.want.State != intentStopping {
 		p.gone(now, i)
 	}
 }
@@ -121,7 +121,7 @@
 		p.emit(now, event.FleetStopped, i.want.Instance, "")
 	} else {
 		p.emit(now, event.FleetServerLost, i.want.Instance, i.want.Choice.String())
-		if i.want.Choice.Market == platform.Reclaimable {
+		if i.want.Choice.Market == provider.Reclaimable {
 			p.rates.reclaim(i.want.Choice)
 		}
 	}
@@ -142,7 +142,7 @@
 func (p *planner) servingReclaimable() []Choice {
 	var out []Choice
 	p.intents.All(func(_ string, i *intent) bool {
-		if i.running && !i.removed && i.want.Choice.Market == platform.Reclaimable {
+		if i.running && !i.removed && i.want.Choice.Market == provider.Reclaimable {
 			out = append(out, i.want.Choice)
 		}
 		return true
--- a/internal/system/fleet/orders.go
+++ b/internal/system/fleet/orders.go
@@ -7,7 +7,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -154,7 +154,7 @@
 	c := i.want.Choice
 	p.sys.ready.Cloud = append(p.sys.ready.Cloud, CloudOrder{
 		Service: p.svc.Name, Kind: StartInstance, Token: i.want.Token, Fence: p.fence,
-		Order: platform.Order{
+		Order: provider.Order{
 			Token: i.want.Token, DataCentre: c.DataCentre, Class: c.Class, Market: c.Market,
 			Tags: map[string]string{ServiceTag: string(p.svc.Name), TokenTag: i.want.Token},
 		},
@@ -249,7 +249,7 @@
 	switch {
 	case r.Err == nil:
 		p.started(now, i, r.Instance.ID)
-	case errors.Is(r.Err, platform.ErrRefused):
+	case errors.Is(r.Err, provider.ErrRefused):
 		p.refused(now, i)
 	default:
 		p.retryOrder(now, i, r.Err)
@@ -275,7 +275,7 @@
 }
 
 func (p *planner) stopOrdered(now time.Time, i *intent, r CloudResult) {
-	if r.Err == nil || errors.Is(r.Err, platform.ErrNotFound) {
+	if r.Err == nil || errors.Is(r.Err, provider.ErrNotFound) {
 		i.placed = true // the row stays until the list shows that it is gone
 		return
 	}
@@ -287,7 +287,7 @@
 func (p *planner) retryOrder(now time.Time, i *intent, err error) {
 	i.tries++
 	i.retryAt = now.Add(p.jitter(backoff(i.tries)))
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, provider.ErrUnknownOutcome) {
 		p.emit(now, event.FleetOrderUncertain, i.want.Instance, fmt.Sprintf("%s, try %d", i.want.Choice, i.tries))
 	}
 }
--- a/internal/system/fleet/plan.go
+++ b/internal/system/fleet/plan.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // Choice says where and what to start.
 type Choice struct {
 	DataCentre entity.DataCentreID `cbor:"1,keyasint,omitempty"`
 	Class      string              `cbor:"2,keyasint,omitempty"`
-	Market     platform.Market     `cbor:"3,keyasint,omitempty"`
+	Market     provider.Market     `cbor:"3,keyasint,omitempty"`
 }
 
 // ServerState is the state of a server as the plan sees it.
@@ -41,7 +41,7 @@
 	Policy   entity.FleetPolicy
 	Need     int // servers that the load needs
 	Servers  []Server
-	Prices   []platform.Price
+	Prices   []provider.Price
 	Rates    []Rate   // observed reclaims
 	Refused  []Choice // not to be tried now
 	WarmUp   time.Duration
--- a/internal/system/fleet/plan_test.go
+++ b/internal/system/fleet/plan_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 var testDataCentres = []entity.DataCentreID{"x", "y", "z"}
@@ -45,7 +45,7 @@
 		}, Need: rapid.IntRange(0, 12).Draw(t, "need"), MayStart: 99}
 		for i, dc := range testDataCentres {
 			prices[i] = float64(rapid.IntRange(1, 100).Draw(t, "price"))
-			s.Prices = append(s.Prices, platform.Price{DataCentre: dc, Class: someClass, Market: platform.OnDemand, PerHour: prices[i]})
+			s.Prices = append(s.Prices, provider.Price{DataCentre: dc, Class: someClass, Market: provider.OnDemand, PerHour: prices[i]})
 		}
 		need := min(s.Need, s.Policy.MaxServers)
 		want := cheapestCounts(need, s.Policy.MinServers, s.Policy.MaxServers, prices)
@@ -68,7 +68,7 @@
 	for n := range servers {
 		s.Servers = append(s.Servers, Server{
 			Token: fmt.Sprint(n), State: state,
-			Choice: Choice{DataCentre: "x", Class: someClass, Market: platform.Reclaimable},
+			Choice: Choice{DataCentre: "x", Class: someClass, Market: provider.Reclaimable},
 		})
 	}
 	return s
@@ -133,7 +133,7 @@
 func TestPlan_ExplainsItself(t *testing.T) {
 	s := planState(2, Serving)
 	s.Need = 4
-	s.Refused = []Choice{{DataCentre: "y", Class: someClass, Market: platform.Reclaimable}}
+	s.Refused = []Choice{{DataCentre: "y", Class: someClass, Market: provider.Reclaimable}}
 	text := MakePlan(s).Explain()
 	for _, want := range []string{"the load needs 4 servers; 2 serve", "start reclaimable big in x", "no capacity now: reclaimable big in y", "an hour"} {
 		if !strings.Contains(text, want) {
@@ -153,13 +153,13 @@
 		s.Policy.DataCentres = append(s.Policy.DataCentres, dc)
 		for k, class := range s.Policy.Classes {
 			s.Prices = append(s.Prices,
-				platform.Price{DataCentre: dc, Class: class, Market: platform.Reclaimable, PerHour: 0.3 + float64(n+k)/100},
-				platform.Price{DataCentre: dc, Class: class, Market: platform.OnDemand, PerHour: 1})
+				provider.Price{DataCentre: dc, Class: class, Market: provider.Reclaimable, PerHour: 0.3 + float64(n+k)/100},
+				provider.Price{DataCentre: dc, Class: class, Market: provider.OnDemand, PerHour: 1})
 		}
 	}
 	for n := range 600 {
 		s.Servers = append(s.Servers, Server{Token: fmt.Sprint(n), State: Serving, Choice: Choice{
-			DataCentre: s.Policy.DataCentres[n%7], Class: "big", Market: platform.Reclaimable,
+			DataCentre: s.Policy.DataCentres[n%7], Class: "big", Market: provider.Reclaimable,
 		}})
 	}
 	for b.Loop() {
@@ -171,11 +171,11 @@
 	svc := testService(0, 3)
 	svc.Fleet.Port = 80
 	tags := map[string]string{ServiceTag: string(serviceA)}
-	list := []platform.Instance{
-		{ID: "i-1", State: platform.Running, Address: "10.0.0.1", Tags: tags, DataCentre: "x"},
-		{ID: "i-2", State: platform.Leaving, Address: "10.0.0.2", Tags: tags},
-		{ID: "i-3", State: platform.Running, Address: "10.0.0.3", Tags: map[string]string{ServiceTag: "b"}},
-		{ID: "i-4", State: platform.Running, Tags: map[string]string{ServiceTag: string(serviceA), AddressTag: "127.0.0.1:9"}},
+	list := []provider.Instance{
+		{ID: "i-1", State: provider.Running, Address: "10.0.0.1", Tags: tags, DataCentre: "x"},
+		{ID: "i-2", State: provider.Leaving, Address: "10.0.0.2", Tags: tags},
+		{ID: "i-3", State: provider.Running, Address: "10.0.0.3", Tags: map[string]string{ServiceTag: "b"}},
+		{ID: "i-4", State: provider.Running, Tags: map[string]string{ServiceTag: string(serviceA), AddressTag: "127.0.0.1:9"}},
 	}
 	got := BackendServers(svc, list)
 	if len(got) != 2 || got[0].Address != "10.0.0.1:80" || got[0].ID != "i-1" || got[1].Address != "127.0.0.1:9" {
--- a/internal/system/fleet/platform_test.go
+++ b/internal/system/fleet/platform_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/dynamo"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform/ec2cloud"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/dynamo"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider/ec2cloud"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
 
@@ -19,8 +19,8 @@
 type driver struct {
 	t     *testing.T
 	sys   *System
-	table platform.Table
-	cloud platform.Cloud
+	table provider.Table
+	cloud provider.Cloud
 
 	faults  *standin.Faults // of the cloud
 	lost    bool            // the first order's reply is lost
@@ -76,7 +76,7 @@
 func (d *driver) perform(r Ready) {
 	ctx := context.Background()
 	for _, op := range r.Table {
-		d.sys.TableResult(time.Now(), platform.Perform(ctx, d.table, nil, op))
+		d.sys.TableResult(time.Now(), provider.Perform(ctx, d.table, nil, op))
 	}
 	for _, o := range r.Cloud {
 		if !d.lost {
@@ -89,7 +89,7 @@
 		} else {
 			result.Err = d.cloud.Stop(ctx, o.Instance)
 		}
-		if errors.Is(result.Err, platform.ErrUnknownOutcome) {
+		if errors.Is(result.Err, provider.ErrUnknownOutcome) {
 			d.unknown++
 		}
 		d.sys.CloudResult(time.Now(), result)
--- a/internal/system/fleet/price.go
+++ b/internal/system/fleet/price.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -59,7 +59,7 @@
 	m := market{choices: make(map[Choice]offer)}
 	for _, p := range s.Prices {
 		o := offer{choice: Choice{DataCentre: p.DataCentre, Class: p.Class, Market: p.Market}, perHour: p.PerHour, effective: p.PerHour}
-		if p.Market == platform.Reclaimable {
+		if p.Market == provider.Reclaimable {
 			wasted := (s.WarmUp + reclaimWaste).Hours()
 			o.effective *= 1 + rateOf(s.Rates, o.choice).PerHour()*wasted
 		}
@@ -74,7 +74,7 @@
 func (m *market) addOffers(s State) {
 	for _, dc := range s.Policy.DataCentres {
 		for _, class := range s.Policy.Classes {
-			for _, kind := range []platform.Market{platform.Reclaimable, platform.OnDemand} {
+			for _, kind := range []provider.Market{provider.Reclaimable, provider.OnDemand} {
 				c := Choice{DataCentre: dc, Class: class, Market: kind}
 				if o, known := m.choices[c]; known && !slices.Contains(s.Refused, c) {
 					m.offers = append(m.offers, o)
--- a/internal/system/fleet/servers.go
+++ b/internal/system/fleet/servers.go
@@ -5,19 +5,19 @@
 	"strconv"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // BackendServers returns the backend servers that run on the instances of ours
 // in the platform's list: one on each running instance, named by the
 // instance's id. Places carry no region, which the list does not tell.
-func BackendServers(svc entity.Service, list []platform.Instance) []entity.BackendServer {
+func BackendServers(svc entity.Service, list []provider.Instance) []entity.BackendServer {
 	if svc.Mode != entity.ModeManage {
 		return nil
 	}
 	var out []entity.BackendServer
 	for _, i := range list {
-		if i.Tags[ServiceTag] != string(svc.Name) || i.State != platform.Running {
+		if i.Tags[ServiceTag] != string(svc.Name) || i.State != provider.Running {
 			continue
 		}
 		out = append(out, entity.BackendServer{
@@ -32,7 +32,7 @@
 	return out
 }
 
-func addressOf(svc entity.Service, i platform.Instance) string {
+func addressOf(svc entity.Service, i provider.Instance) string {
 	if address := i.Tags[AddressTag]; address != "" {
 		return address
 	}
--- a/internal/system/fleet/size_test.go
+++ b/internal/system/fleet/size_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // A settled service costs the table less than one write and three reads a
@@ -20,7 +20,7 @@
 	clear(w.calls)
 	w.run(time.Hour)
 	settled(t, w, 10)
-	writes, reads := w.calls[platform.TransactRows], w.calls[platform.GetRow]
+	writes, reads := w.calls[provider.TransactRows], w.calls[provider.GetRow]
 	t.Logf("%d writes and %d reads in an hour", writes, reads)
 	if writes > 3600 || reads > 3*3600 {
 		t.Fatalf("%d writes and %d reads in an hour", writes, reads)
--- a/internal/system/fleet/types.go
+++ b/internal/system/fleet/types.go
@@ -20,7 +20,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // Tags of the instances that the planner starts. Instances without ServiceTag
@@ -92,7 +92,7 @@
 	Kind     OrderKind
 	Token    string
 	Fence    uint64            // the fencing number under which it was recorded
-	Order    platform.Order    // StartInstance
+	Order    provider.Order    // StartInstance
 	Instance entity.InstanceID // StopInstance
 }
 
@@ -102,13 +102,13 @@
 	Service  entity.ServiceName
 	Kind     OrderKind
 	Token    string
-	Instance platform.Instance // StartInstance
+	Instance provider.Instance // StartInstance
 	Err      error
 }
 
 // Ready is what the caller must carry out.
 type Ready struct {
-	Table []platform.Operation
+	Table []provider.Operation
 	Cloud []CloudOrder
 	// Drain names backend servers that shall get no new work, for good. The
 	// caller tells System.Drained when nothing runs on one any more.
--- a/internal/system/fleet/world_test.go
+++ b/internal/system/fleet/world_test.go
@@ -11,7 +11,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -49,7 +49,7 @@
 
 // fakeInstance is an instance of the fake cloud, with its own history.
 type fakeInstance struct {
-	platform.Instance
+	provider.Instance
 	token   string
 	started time.Time
 	ended   time.Time // zero: it runs
@@ -78,11 +78,11 @@
 
 	instances []*fakeInstance
 	byToken   map[string]*fakeInstance
-	prices    []platform.Price
+	prices    []provider.Price
 	load      Load
 	announced map[string]bool // tokens that rows have announced, ever
 	stops     []time.Time
-	calls     map[platform.OperationKind]int
+	calls     map[provider.OperationKind]int
 	nodes     []*node
 	wrong     []string // what must not happen and did
 	starts    int
@@ -108,7 +108,7 @@
 		byToken:   make(map[string]*fakeInstance),
 		events:    make(map[event.Number]int),
 		announced: make(map[string]bool),
-		calls:     make(map[platform.OperationKind]int),
+		calls:     make(map[provider.OperationKind]int),
 		prices:    testPrices(0.3),
 	}
 	for i := range nodes {
@@ -133,12 +133,12 @@
 	}}
 }
 
-func testPrices(ratio float64) []platform.Price {
-	var out []platform.Price
+func testPrices(ratio float64) []provider.Price {
+	var out []provider.Price
 	for i, dc := range []entity.DataCentreID{"x", "y", "z"} {
 		out = append(out,
-			platform.Price{DataCentre: dc, Class: someClass, Market: platform.Reclaimable, PerHour: ratio + float64(i)*0.001},
-			platform.Price{DataCentre: dc, Class: someClass, Market: platform.OnDemand, PerHour: 1})
+			provider.Price{DataCentre: dc, Class: someClass, Market: provider.Reclaimable, PerHour: ratio + float64(i)*0.001},
+			provider.Price{DataCentre: dc, Class: someClass, Market: provider.OnDemand, PerHour: 1})
 	}
 	return out
 }
@@ -171,8 +171,8 @@
 
 func (w *world) boot() {
 	for _, i := range w.instances {
-		if i.State == platform.Pending && w.now.Sub(i.started) >= bootTime {
-			i.State, i.serving = platform.Running, w.now
+		if i.State == provider.Pending && w.now.Sub(i.started) >= bootTime {
+			i.State, i.serving = provider.Running, w.now
 		}
 	}
 }
@@ -192,8 +192,8 @@
 	})
 }
 
-func (w *world) list() []platform.Instance {
-	var out []platform.Instance
+func (w *world) list() []provider.Instance {
+	var out []provider.Instance
 	for _, i := range w.instances {
 		if i.ended.IsZero() || w.now.Sub(i.ended) < 10*time.Minute {
 			out = append(out, i.Instance)
@@ -268,13 +268,13 @@
 }
 
 // table carries an operation out, with delays and lost replies.
-func (n *node) table(op platform.Operation) {
+func (n *node) table(op provider.Operation) {
 	w := n.w
 	w.calls[op.Kind]++
 	w.after(w.delay(300*time.Millisecond), func() {
 		result := w.perform(op)
-		if op.Kind == platform.TransactRows && !w.tableDown && w.rng.Float64() < w.loseTable {
-			result.Err = platform.ErrUnknownOutcome
+		if op.Kind == provider.TransactRows && !w.tableDown && w.rng.Float64() < w.loseTable {
+			result.Err = provider.ErrUnknownOutcome
 		}
 		w.after(w.delay(300*time.Millisecond), func() {
 			n.input(func() { n.sys.TableResult(w.now, result) })
@@ -282,32 +282,32 @@
 	})
 }
 
-func (w *world) perform(op platform.Operation) platform.Result {
-	r := platform.Result{ID: op.ID}
+func (w *world) perform(op provider.Operation) provider.Result {
+	r := provider.Result{ID: op.ID}
 	if w.tableDown {
-		r.Err = platform.ErrUnavailable
-		if op.Kind == platform.TransactRows && w.rng.IntN(2) == 0 {
-			r.Err = platform.ErrUnknownOutcome
+		r.Err = provider.ErrUnavailable
+		if op.Kind == provider.TransactRows && w.rng.IntN(2) == 0 {
+			r.Err = provider.ErrUnknownOutcome
 		}
 		return r
 	}
 	switch op.Kind {
-	case platform.GetRow:
+	case provider.GetRow:
 		key := op.Partition + "|" + op.Sort
 		if w.version[key] == 0 {
-			r.Err = platform.ErrNotFound
+			r.Err = provider.ErrNotFound
 			return r
 		}
-		r.Row = platform.Row{Sort: op.Sort, Version: w.version[key], Value: w.rows[key]}
-	case platform.QueryRows:
+		r.Row = provider.Row{Sort: op.Sort, Version: w.version[key], Value: w.rows[key]}
+	case provider.QueryRows:
 		r.Rows = w.query(op)
-	case platform.TransactRows:
+	case provider.TransactRows:
 		r.Err = w.transact(op)
 	}
 	return r
 }
 
-func (w *world) query(op platform.Operation) []platform.Row {
+func (w *world) query(op provider.Operation) []provider.Row {
 	var sorts []string
 	for key := range w.version {
 		partition, sort, _ := strings.Cut(key, "|")
@@ -316,21 +316,21 @@
 		}
 	}
 	slices.Sort(sorts)
-	var rows []platform.Row
+	var rows []provider.Row
 	for _, sort := range sorts[:min(len(sorts), op.Limit)] {
 		key := op.Partition + "|" + sort
-		rows = append(rows, platform.Row{Sort: sort, Version: w.version[key], Value: w.rows[key]})
+		rows = append(rows, provider.Row{Sort: sort, Version: w.version[key], Value: w.rows[key]})
 	}
 	return rows
 }
 
-func (w *world) transact(op platform.Operation) error {
+func (w *world) transact(op provider.Operation) error {
 	if w.applied[op.Token] && !w.forgetful {
 		return nil
 	}
 	for _, wr := range op.Writes {
 		if !wr.Unconditional && w.version[wr.Partition+"|"+wr.Sort] != wr.IfVersion {
-			return platform.ErrConditionFailed
+			return provider.ErrConditionFailed
 		}
 	}
 	for _, wr := range op.Writes {
@@ -348,7 +348,7 @@
 	return nil
 }
 
-func (w *world) noteAnnounced(wr platform.Write) {
+func (w *world) noteAnnounced(wr provider.Write) {
 	if token, ok := strings.CutPrefix(wr.Sort, intentPrefix); ok {
 		w.announced[token] = true
 		return
@@ -375,7 +375,7 @@
 			result.Err = w.stop(o)
 		}
 		if w.rng.Float64() < w.loseOrders {
-			result.Err = platform.ErrUnknownOutcome
+			result.Err = provider.ErrUnknownOutcome
 		}
 		w.after(w.delay(time.Second), func() {
 			n.input(func() { n.sys.CloudResult(w.now, result) })
@@ -383,7 +383,7 @@
 	})
 }
 
-func (w *world) start(o CloudOrder) (platform.Instance, error) {
+func (w *world) start(o CloudOrder) (provider.Instance, error) {
 	if !w.announced[o.Token] {
 		w.fail("order %s without a recorded intent", o.Token)
 	}
@@ -394,12 +394,12 @@
 		return i.Instance, nil
 	}
 	if w.refuse[o.Order.DataCentre] {
-		return platform.Instance{}, platform.ErrRefused
+		return provider.Instance{}, provider.ErrRefused
 	}
 	w.starts++
-	i := &fakeInstance{token: o.Token, started: w.now, Instance: platform.Instance{
+	i := &fakeInstance{token: o.Token, started: w.now, Instance: provider.Instance{
 		ID: entity.InstanceID(fmt.Sprintf("i-%04d", len(w.instances))), DataCentre: o.Order.DataCentre,
-		Class: o.Order.Class, Market: o.Order.Market, State: platform.Pending, Tags: o.Order.Tags,
+		Class: o.Order.Class, Market: o.Order.Market, State: provider.Pending, Tags: o.Order.Tags,
 	}}
 	w.instances = append(w.instances, i)
 	w.byToken[o.Token] = i
@@ -410,7 +410,7 @@
 	i := w.find(o.Instance)
 	switch {
 	case i == nil:
-		return platform.ErrNotFound
+		return provider.ErrNotFound
 	case i.Tags[ServiceTag] != string(serviceA):
 		w.fail("stop of %s, which is not ours", i.ID)
 	case !i.ended.IsZero():
@@ -424,17 +424,17 @@
 }
 
 func (w *world) end(i *fakeInstance) {
-	i.State = platform.Gone
+	i.State = provider.Gone
 	i.ended = w.now
 }
 
 // reclaim takes all reclaimable instances of a data centre after a notice.
 func (w *world) reclaim(dc entity.DataCentreID, notice time.Duration) {
 	for _, i := range w.instances {
-		if i.DataCentre != dc || i.Market != platform.Reclaimable || !i.ended.IsZero() {
+		if i.DataCentre != dc || i.Market != provider.Reclaimable || !i.ended.IsZero() {
 			continue
 		}
-		i.State, i.noticed = platform.Leaving, w.now
+		i.State, i.noticed = provider.Leaving, w.now
 		w.after(notice, func() {
 			if i.ended.IsZero() {
 				w.end(i)
@@ -447,7 +447,7 @@
 func (w *world) running() (total int, by map[entity.DataCentreID]int) {
 	by = make(map[entity.DataCentreID]int)
 	for _, i := range w.instances {
-		if i.State == platform.Running && i.Tags[ServiceTag] == string(serviceA) {
+		if i.State == provider.Running && i.Tags[ServiceTag] == string(serviceA) {
 			total++
 			by[i.DataCentre]++
 		}
--- a/internal/system/journal/answer.go
+++ b/internal/system/journal/answer.go
@@ -7,7 +7,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -47,8 +47,8 @@
 		if !current() {
 			return
 		}
-		op := platform.Operation{Kind: platform.PutObject, Key: stub.Object, Value: a.Body}
-		j.call(op, func(now time.Time, r platform.Result) {
+		op := provider.Operation{Kind: provider.PutObject, Key: stub.Object, Value: a.Body}
+		j.call(op, func(now time.Time, r provider.Result) {
 			if !current() {
 				return
 			}
@@ -125,7 +125,7 @@
 		if r.wait != wait {
 			return
 		}
-		j.call(platform.Operation{Kind: platform.GetObject, Key: a.Object}, func(now time.Time, res platform.Result) {
+		j.call(provider.Operation{Kind: provider.GetObject, Key: a.Object}, func(now time.Time, res provider.Result) {
 			if r.wait != wait {
 				return
 			}
@@ -134,7 +134,7 @@
 				whole := *a
 				whole.Body = res.Value
 				j.deliver(now, r, &whole)
-			case errors.Is(res.Err, platform.ErrNotFound):
+			case errors.Is(res.Err, provider.ErrNotFound):
 				j.refuse(r, verdict.New(verdict.Ran, CodeStoreUnavailable, "the answer is no longer kept"))
 			default:
 				failures++
--- a/internal/system/journal/faults_test.go
+++ b/internal/system/journal/faults_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -62,7 +62,7 @@
 	return ids
 }
 
-func (m *mix) fault(_ *daemon, op platform.Operation) fault {
+func (m *mix) fault(_ *daemon, op provider.Operation) fault {
 	var f fault
 	if m.rand.IntN(100) < m.late {
 		f.reply = time.Duration(m.rand.Int64N(int64(8 * time.Second)))
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -20,7 +20,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // Journal is the journal of keyed requests as one daemon sees it. It is not
@@ -36,8 +36,8 @@
 	leaving      bool
 	joined       bool // SetMembers was called
 
-	calls    map[platform.OperationID]func(now time.Time, r platform.Result)
-	lastCall platform.OperationID
+	calls    map[provider.OperationID]func(now time.Time, r provider.Result)
+	lastCall provider.OperationID
 	lastOp   uint64
 	opPrefix string
 
@@ -59,7 +59,7 @@
 	j := &Journal{
 		cfg:      cfg,
 		requests: make(map[entity.RequestID]*request),
-		calls:    make(map[platform.OperationID]func(time.Time, platform.Result)),
+		calls:    make(map[provider.OperationID]func(time.Time, provider.Result)),
 		opPrefix: fmt.Sprintf("%x%08x", self[:4], cfg.Rand.Uint32()),
 	}
 	for i := range cfg.Shards {
@@ -72,7 +72,7 @@
 func (j *Journal) ShardOf(k Key) int { return hashOf(k).shard(j.cfg.Shards) }
 
 // TableResult takes the result of an operation.
-func (j *Journal) TableResult(now time.Time, r platform.Result) {
+func (j *Journal) TableResult(now time.Time, r provider.Result) {
 	done, ok := j.calls[r.ID]
 	if !ok {
 		return
@@ -104,7 +104,7 @@
 }
 
 // call issues an operation; done gets its result.
-func (j *Journal) call(op platform.Operation, done func(now time.Time, r platform.Result)) {
+func (j *Journal) call(op provider.Operation, done func(now time.Time, r provider.Result)) {
 	j.lastCall++
 	op.ID = j.lastCall
 	j.calls[op.ID] = done
@@ -112,8 +112,8 @@
 }
 
 // callTable is call for operations on the table; it notes whether the table answers.
-func (j *Journal) callTable(op platform.Operation, done func(now time.Time, r platform.Result)) {
-	j.call(op, func(now time.Time, r platform.Result) {
+func (j *Journal) callTable(op provider.Operation, done func(now time.Time, r provider.Result)) {
+	j.call(op, func(now time.Time, r provider.Result) {
 		j.noteTable(now, answered(r.Err))
 		done(now, r)
 	})
@@ -121,7 +121,7 @@
 
 // answered tells whether the table service gave a definite answer.
 func answered(err error) bool {
-	return err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConditionFailed)
+	return err == nil || errors.Is(err, provider.ErrNotFound) || errors.Is(err, provider.ErrConditionFailed)
 }
 
 // noteTable keeps track of whether the table answers.
--- a/internal/system/journal/load.go
+++ b/internal/system/journal/load.go
@@ -6,7 +6,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -31,16 +31,16 @@
 }
 
 func (j *Journal) readManifest(_ time.Time, s *shard, failures int, done func(time.Time)) {
-	op := platform.Operation{
-		Kind: platform.GetRow, Partition: manifestPartition, Sort: shardSort(s.index), Consistent: true,
+	op := provider.Operation{
+		Kind: provider.GetRow, Partition: manifestPartition, Sort: shardSort(s.index), Consistent: true,
 	}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	j.callTable(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		s.manifest = manifest{}
 		err := r.Err
 		if err == nil {
 			err = codec.Decode(r.Row.Value, &s.manifest)
 		}
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, provider.ErrNotFound) {
 			failures++
 			j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
 				j.readManifest(now, s, failures, done)
@@ -52,10 +52,10 @@
 }
 
 func (j *Journal) readRows(_ time.Time, s *shard, after string, failures int, done func(time.Time)) {
-	op := platform.Operation{
-		Kind: platform.QueryRows, Partition: entryPartition(s.index), After: after, Limit: queryLimit, Consistent: true,
+	op := provider.Operation{
+		Kind: provider.QueryRows, Partition: entryPartition(s.index), After: after, Limit: queryLimit, Consistent: true,
 	}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	j.callTable(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		if r.Err != nil {
 			failures++
 			j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
@@ -75,7 +75,7 @@
 }
 
 // replay applies one row that was read.
-func (j *Journal) replay(now time.Time, s *shard, row platform.Row) {
+func (j *Journal) replay(now time.Time, s *shard, row provider.Row) {
 	var b batchRow
 	if err := codec.Decode(row.Value, &b); err != nil {
 		j.emit(now, event.JournalRowUnreadable, row.Partition+" "+row.Sort)
@@ -92,8 +92,8 @@
 		j.followed(now, s)
 		return
 	}
-	op := platform.Operation{Kind: platform.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
+	j.callTable(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		row, ok := shardRow{}, false
 		if r.Err == nil {
 			row, ok = j.decodeShard(now, r.Row)
@@ -110,8 +110,8 @@
 // confirmFollowed reads the shard's row again: rows may have been moved into
 // a segment while they were read.
 func (j *Journal) confirmFollowed(now time.Time, s *shard) {
-	op := platform.Operation{Kind: platform.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
+	j.callTable(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		if r.Err != nil || r.Row.Version != s.version {
 			j.later(now, s, j.jitter(j.cfg.RetryDelay), func(now time.Time) { j.follow(now, s) })
 			return
--- a/internal/system/journal/load_test.go
+++ b/internal/system/journal/load_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 const (
@@ -143,15 +143,15 @@
 	const hot = 2 * defaultHotBytes
 	records := randomRecords(r, min(hot/(recordOverhead+body), 2*defaultHotKeys)/perRow*perRow, body)
 	for i := 0; i < len(records); i += perRow {
-		w.store.put(platform.Row{
+		w.store.put(provider.Row{
 			Partition: entryPartition(0), Sort: rowSort(1, uint64(i+1)), Version: 1,
 			Value: mustEncode(batchRow{Operation: "x", Records: records[i : i+perRow]}),
 		})
 	}
 	keys += len(records)
 	row := shardRow{Epoch: 1, Owner: "gone"}
-	w.store.put(platform.Row{Partition: shardPartition, Sort: shardSort(0), Version: 1, Value: mustEncode(row)})
-	w.store.put(platform.Row{Partition: manifestPartition, Sort: shardSort(0), Version: 1, Value: mustEncode(held)})
+	w.store.put(provider.Row{Partition: shardPartition, Sort: shardSort(0), Version: 1, Value: mustEncode(row)})
+	w.store.put(provider.Row{Partition: manifestPartition, Sort: shardSort(0), Version: 1, Value: mustEncode(held)})
 	return keys
 }
 
@@ -221,7 +221,7 @@
 		s := newShard(0)
 		s.entries = map[keyHash]*entry{}
 		j := New(Config{Self: "a", Rand: rand.New(rand.NewPCG(1, 1))})
-		row := platform.Row{
+		row := provider.Row{
 			Sort:  rowSort(1, 1),
 			Value: mustEncode(batchRow{Records: randomRecords(rand.New(rand.NewPCG(1, 2)), keys, body)}),
 		}
@@ -238,7 +238,7 @@
 func BenchmarkJournal_Takeover(b *testing.B) {
 	w := newWorld(b, 1)
 	dayOfKeys(w, 512)
-	rows := w.store.query(platform.Operation{Partition: entryPartition(0), Limit: 1 << 30, Consistent: true})
+	rows := w.store.query(provider.Operation{Partition: entryPartition(0), Limit: 1 << 30, Consistent: true})
 	before := heapBytes()
 	for b.Loop() {
 		d := &daemon{w: w, id: "a", journal: New(Config{Self: "a", Shards: 1, Rand: rand.New(rand.NewPCG(1, 1))})}
--- a/internal/system/journal/lookup.go
+++ b/internal/system/journal/lookup.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // findRecord looks a key up in a part.
@@ -61,9 +61,9 @@
 		return
 	}
 	ref := &candidates[0].ref
-	op := platform.Operation{Kind: platform.GetObject, Key: ref.partObject(s.index, partOf(r.hash, ref.Bits))}
-	j.call(op, j.whileIn(s, func(now time.Time, res platform.Result) {
-		if errors.Is(res.Err, platform.ErrNotFound) && version != s.version {
+	op := provider.Operation{Kind: provider.GetObject, Key: ref.partObject(s.index, partOf(r.hash, ref.Bits))}
+	j.call(op, j.whileIn(s, func(now time.Time, res provider.Result) {
+		if errors.Is(res.Err, provider.ErrNotFound) && version != s.version {
 			j.searched(now, s, r) // the segment was merged or dropped: look again
 			return
 		}
--- a/internal/system/journal/merge.go
+++ b/internal/system/journal/merge.go
@@ -6,7 +6,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // merge makes one segment of several, part by part, so that memory holds one
@@ -101,8 +101,8 @@
 	}
 	in := m.inputs[i]
 	part := m.partOf(in)
-	op := platform.Operation{Kind: platform.GetObject, Key: in.seg.ref.partObject(s.index, part)}
-	j.call(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.GetObject, Key: in.seg.ref.partObject(s.index, part)}
+	j.call(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		var value partObject
 		err := r.Err
 		if err == nil {
--- a/internal/system/journal/object.go
+++ b/internal/system/journal/object.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // upload puts objects one after another; next returns the next one, and false
@@ -18,8 +18,8 @@
 }
 
 func (j *Journal) put(s *shard, key string, value []byte, failures int, done func(time.Time)) {
-	op := platform.Operation{Kind: platform.PutObject, Key: key, Value: value}
-	j.call(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.PutObject, Key: key, Value: value}
+	j.call(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		if r.Err == nil {
 			done(now)
 			return
@@ -34,7 +34,7 @@
 // remove deletes the objects of a segment that no row names any more. What is
 // left behind costs room only.
 func (j *Journal) remove(s *shard, ref segmentRef) {
-	j.call(platform.Operation{Kind: platform.DeleteObject, Key: ref.filterObject(s.index)}, ignoreResult)
+	j.call(provider.Operation{Kind: provider.DeleteObject, Key: ref.filterObject(s.index)}, ignoreResult)
 	j.removePart(s.index, ref, 0)
 }
 
@@ -42,8 +42,8 @@
 	if part == ref.parts() {
 		return
 	}
-	op := platform.Operation{Kind: platform.DeleteObject, Key: ref.partObject(shard, part)}
-	j.call(op, func(time.Time, platform.Result) { j.removePart(shard, ref, part+1) })
+	op := provider.Operation{Kind: provider.DeleteObject, Key: ref.partObject(shard, part)}
+	j.call(op, func(time.Time, provider.Result) { j.removePart(shard, ref, part+1) })
 }
 
-func ignoreResult(time.Time, platform.Result) {}
+func ignoreResult(time.Time, provider.Result) {}
--- a/internal/system/journal/ownership.go
+++ b/internal/system/journal/ownership.go
@@ -11,7 +11,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // refreshPause is the least time between two reads that Refresh starts.
@@ -109,8 +109,8 @@
 		return
 	}
 	j.polling = true
-	op := platform.Operation{Kind: platform.QueryRows, Partition: shardPartition, Limit: j.cfg.Shards}
-	j.callTable(op, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.QueryRows, Partition: shardPartition, Limit: j.cfg.Shards}
+	j.callTable(op, func(now time.Time, r provider.Result) {
 		j.polling = false
 		j.pollIn(now, j.nextPoll(r.Err != nil))
 		for _, row := range r.Rows {
@@ -136,7 +136,7 @@
 	return j.cfg.RefreshEvery
 }
 
-func (j *Journal) polled(now time.Time, row platform.Row) {
+func (j *Journal) polled(now time.Time, row provider.Row) {
 	var index int
 	if n, err := fmt.Sscanf(row.Sort, "shard/%d", &index); n != 1 || err != nil || index >= len(j.shards) || index < 0 {
 		return
@@ -146,7 +146,7 @@
 	}
 }
 
-func (j *Journal) decodeShard(now time.Time, row platform.Row) (shardRow, bool) {
+func (j *Journal) decodeShard(now time.Time, row provider.Row) (shardRow, bool) {
 	var value shardRow
 	if err := codec.Decode(row.Value, &value); err != nil {
 		j.emit(now, event.JournalRowUnreadable, row.Partition+" "+row.Sort)
@@ -187,9 +187,9 @@
 }
 
 // whileIn calls f only if the shard has not changed its state meanwhile.
-func (j *Journal) whileIn(s *shard, f func(time.Time, platform.Result)) func(time.Time, platform.Result) {
+func (j *Journal) whileIn(s *shard, f func(time.Time, provider.Result)) func(time.Time, provider.Result) {
 	generation := s.generation
-	return func(now time.Time, r platform.Result) {
+	return func(now time.Time, r provider.Result) {
 		if s.generation == generation {
 			f(now, r)
 		}
--- a/internal/system/journal/segment.go
+++ b/internal/system/journal/segment.go
@@ -11,7 +11,7 @@
 	"github.com/FastFilter/xorfilter"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // A segment holds the records of older keys in the object store, cut by the
@@ -93,9 +93,9 @@
 		return
 	}
 	ref := s.manifest.Segments[i]
-	op := platform.Operation{Kind: platform.GetObject, Key: ref.filterObject(s.index)}
-	j.call(op, j.whileIn(s, func(now time.Time, r platform.Result) {
-		if r.Err != nil && !errors.Is(r.Err, platform.ErrNotFound) {
+	op := provider.Operation{Kind: provider.GetObject, Key: ref.filterObject(s.index)}
+	j.call(op, j.whileIn(s, func(now time.Time, r provider.Result) {
+		if r.Err != nil && !errors.Is(r.Err, provider.ErrNotFound) {
 			failures++
 			j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
 				j.readFilters(now, s, failures, done)
--- a/internal/system/journal/segment_test.go
+++ b/internal/system/journal/segment_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -60,7 +60,7 @@
 	if n := len(s.entries); n > 2*testHotKeys {
 		t.Fatalf("%d keys in memory, want at most %d", n, 2*testHotKeys)
 	}
-	rows := w.store.query(platform.Operation{Partition: entryPartition(0), Limit: keys * 4, Consistent: true})
+	rows := w.store.query(provider.Operation{Partition: entryPartition(0), Limit: keys * 4, Consistent: true})
 	if len(rows) > 4*testHotKeys {
 		t.Fatalf("%d rows, want at most a claim and an answer for each hot key", len(rows))
 	}
@@ -90,7 +90,7 @@
 // The owner dies between the manifest and the deletion of the sealed rows.
 func TestJournal_SuccessorSweepsSealedRows(t *testing.T) {
 	w, a, b := sealing(t)
-	w.store.fault = func(_ *daemon, op platform.Operation) fault {
+	w.store.fault = func(_ *daemon, op provider.Operation) fault {
 		return fault{drop: isTransact(op) && op.Writes[0].Delete}
 	}
 	const keys = 40
@@ -122,8 +122,8 @@
 	w.run(10 * time.Second)
 	commit(w, b, 0, testHotKeys-1)
 	sealed := false
-	w.store.fault = func(d *daemon, op platform.Operation) fault {
-		if d != a || op.Kind != platform.QueryRows || op.Partition == shardPartition || sealed {
+	w.store.fault = func(d *daemon, op provider.Operation) fault {
+		if d != a || op.Kind != provider.QueryRows || op.Partition == shardPartition || sealed {
 			return fault{}
 		}
 		sealed = true
@@ -163,7 +163,7 @@
 func TestJournal_DeathBeforeSealLosesNoKey(t *testing.T) {
 	w, a, b := sealing(t)
 	commit(w, a, 0, 2*testHotKeys-1)
-	w.store.fault = func(_ *daemon, op platform.Operation) fault {
+	w.store.fault = func(_ *daemon, op provider.Operation) fault {
 		return fault{drop: isTransact(op) && op.Writes[0].Partition == shardPartition && !op.Writes[0].CheckOnly}
 	}
 	commit(w, a, 2*testHotKeys-1, 2*testHotKeys+2)
--- a/internal/system/journal/store_test.go
+++ b/internal/system/journal/store_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // store is the table service and the object store.
@@ -24,7 +24,7 @@
 	objectsDown bool
 	stale       bool
 	// fault may change what becomes of an operation.
-	fault func(d *daemon, op platform.Operation) fault
+	fault func(d *daemon, op provider.Operation) fault
 
 	transactions, rowWrites, puts, reads int
 	readBytes                            int
@@ -39,9 +39,9 @@
 }
 
 // tableRows holds rows by partition and sort key.
-type tableRows map[string]map[string]platform.Row
+type tableRows map[string]map[string]provider.Row
 
-func (s *store) submit(d *daemon, op platform.Operation) {
+func (s *store) submit(d *daemon, op provider.Operation) {
 	w := s.w
 	var f fault
 	if s.fault != nil {
@@ -51,7 +51,7 @@
 	if s.jitter > 0 {
 		trip += time.Duration(w.rand.Int64N(int64(s.jitter)))
 	}
-	reply := func(r platform.Result) {
+	reply := func(r provider.Result) {
 		w.after(trip/2+f.reply, d, func() { d.journal.TableResult(w.now, r) })
 	}
 	if f.lose || f.drop {
@@ -59,45 +59,45 @@
 			w.after(trip/2+f.land, nil, func() { s.perform(op) })
 		}
 		w.after(trip, d, func() {
-			d.journal.TableResult(w.now, platform.Result{ID: op.ID, Err: platform.ErrUnknownOutcome})
+			d.journal.TableResult(w.now, provider.Result{ID: op.ID, Err: provider.ErrUnknownOutcome})
 		})
 		return
 	}
 	w.after(trip/2+f.land, nil, func() { reply(s.perform(op)) })
 }
 
-func (s *store) perform(op platform.Operation) platform.Result {
-	r := platform.Result{ID: op.ID}
-	object := op.Kind >= platform.PutObject
+func (s *store) perform(op provider.Operation) provider.Result {
+	r := provider.Result{ID: op.ID}
+	object := op.Kind >= provider.PutObject
 	if s.down && !object || s.objectsDown && object {
-		r.Err = platform.ErrUnavailable
+		r.Err = provider.ErrUnavailable
 		return r
 	}
 	switch op.Kind {
-	case platform.GetRow:
+	case provider.GetRow:
 		s.reads++
 		row, ok := s.view(op.Consistent)[op.Partition][op.Sort]
 		r.Row = row
 		if !ok {
-			r.Err = platform.ErrNotFound
+			r.Err = provider.ErrNotFound
 		}
-	case platform.QueryRows:
+	case provider.QueryRows:
 		s.reads++
 		r.Rows = s.query(op)
-	case platform.TransactRows:
+	case provider.TransactRows:
 		r.Err = s.transact(op)
-	case platform.PutObject:
+	case provider.PutObject:
 		s.puts++
 		s.objects[op.Key] = slices.Clone(op.Value)
-	case platform.GetObject:
+	case provider.GetObject:
 		s.reads++
 		value, ok := s.objects[op.Key]
 		s.readBytes += len(value)
 		r.Value = value
 		if !ok {
-			r.Err = platform.ErrNotFound
+			r.Err = provider.ErrNotFound
 		}
-	case platform.DeleteObject:
+	case provider.DeleteObject:
 		delete(s.objects, op.Key)
 	}
 	return r
@@ -110,14 +110,14 @@
 	return s.rows
 }
 
-func (s *store) query(op platform.Operation) []platform.Row {
-	var rows []platform.Row
+func (s *store) query(op provider.Operation) []provider.Row {
+	var rows []provider.Row
 	for _, row := range s.view(op.Consistent)[op.Partition] {
 		if row.Sort > op.After {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int {
+	slices.SortFunc(rows, func(a, b provider.Row) int {
 		if a.Sort < b.Sort {
 			return -1
 		}
@@ -130,10 +130,10 @@
 	return rows
 }
 
-func (s *store) transact(op platform.Operation) error {
+func (s *store) transact(op provider.Operation) error {
 	for _, write := range op.Writes {
 		if !write.Unconditional && s.rows[write.Partition][write.Sort].Version != write.IfVersion {
-			return platform.ErrConditionFailed
+			return provider.ErrConditionFailed
 		}
 	}
 	s.transactions++
@@ -146,7 +146,7 @@
 			delete(s.rows[write.Partition], write.Sort)
 			continue
 		}
-		row := platform.Row{
+		row := provider.Row{
 			Partition: write.Partition, Sort: write.Sort,
 			Version: s.rows[write.Partition][write.Sort].Version + 1, Value: slices.Clone(write.Value),
 		}
@@ -156,16 +156,16 @@
 	return nil
 }
 
-func (s *store) put(row platform.Row) {
+func (s *store) put(row provider.Row) {
 	if s.rows[row.Partition] == nil {
-		s.rows[row.Partition] = map[string]platform.Row{}
+		s.rows[row.Partition] = map[string]provider.Row{}
 	}
 	s.rows[row.Partition][row.Sort] = row
 }
 
 // noteAnswers keeps the store's own record of answers, and checks that no key
 // gets a second one.
-func (s *store) noteAnswers(row platform.Row) {
+func (s *store) noteAnswers(row provider.Row) {
 	var b batchRow
 	if row.Partition == shardPartition || row.Partition == manifestPartition || codec.Decode(row.Value, &b) != nil {
 		return
--- a/internal/system/journal/takeover.go
+++ b/internal/system/journal/takeover.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // evaluate starts a takeover of the shard if it is due, and else sets a timer
@@ -86,9 +86,9 @@
 }
 
 func (j *Journal) readForTake(_ time.Time, s *shard) {
-	op := platform.Operation{Kind: platform.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
-		if errors.Is(r.Err, platform.ErrNotFound) {
+	op := provider.Operation{Kind: provider.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
+	j.callTable(op, j.whileIn(s, func(now time.Time, r provider.Result) {
+		if errors.Is(r.Err, provider.ErrNotFound) {
 			j.writeTake(now, s, shardRow{}, 0)
 			return
 		}
@@ -127,14 +127,14 @@
 	row.Released = false
 	row.Operation = j.newOperation()
 	j.spendWrite(now)
-	op := platform.Operation{Kind: platform.TransactRows, Token: row.Operation, Writes: []platform.Write{
+	op := provider.Operation{Kind: provider.TransactRows, Token: row.Operation, Writes: []provider.Write{
 		{Partition: shardPartition, Sort: shardSort(s.index), IfVersion: version, Value: mustEncode(row)},
 	}}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	j.callTable(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		switch {
 		case r.Err == nil:
 			j.taken(now, s, row, version+1)
-		case errors.Is(r.Err, platform.ErrUnavailable):
+		case errors.Is(r.Err, provider.ErrUnavailable):
 			j.abandonTake(now, s)
 		default:
 			j.rereadTake(now, s, row.Operation)
@@ -144,8 +144,8 @@
 
 // rereadTake looks whether a takeover whose reply is lost has taken effect.
 func (j *Journal) rereadTake(_ time.Time, s *shard, operation string) {
-	op := platform.Operation{Kind: platform.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
+	j.callTable(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		if r.Err != nil {
 			j.abandonTake(now, s)
 			return
--- a/internal/system/journal/traps_test.go
+++ b/internal/system/journal/traps_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -131,7 +131,7 @@
 // committed after the takeover.
 func TestJournal_PausedOwnerCommitsNothingAfterTakeover(t *testing.T) {
 	w, a := owned(t, "a", "b")
-	w.store.fault = func(d *daemon, op platform.Operation) fault {
+	w.store.fault = func(d *daemon, op provider.Operation) fault {
 		if d == a && isAppend(op) {
 			return fault{land: 15 * time.Second}
 		}
@@ -229,7 +229,7 @@
 func TestJournal_LostReplyIsResolvedByReading(t *testing.T) {
 	w, a := owned(t, "a")
 	sends := map[string]int{}
-	w.store.fault = func(_ *daemon, op platform.Operation) fault {
+	w.store.fault = func(_ *daemon, op provider.Operation) fault {
 		if !isAppend(op) {
 			return fault{}
 		}
@@ -252,7 +252,7 @@
 	w.store.snapshot()
 	w.store.stale = true
 	lost := false
-	w.store.fault = func(_ *daemon, op platform.Operation) fault {
+	w.store.fault = func(_ *daemon, op provider.Operation) fault {
 		f := fault{lose: isAppend(op) && !lost}
 		lost = lost || f.lose
 		return f
@@ -274,7 +274,7 @@
 func TestJournal_DelayedWriteTakesEffectOnce(t *testing.T) {
 	w, a := owned(t, "a")
 	first := true
-	w.store.fault = func(_ *daemon, op platform.Operation) fault {
+	w.store.fault = func(_ *daemon, op provider.Operation) fault {
 		if !isAppend(op) || !first {
 			return fault{}
 		}
@@ -284,7 +284,7 @@
 	a.begin(keyed("r1", "k", false))
 	w.run(3 * time.Second)
 	w.wantCommitted("r1", "r1")
-	if n := len(w.store.query(platform.Operation{Partition: entryPartition(0), Limit: 10, Consistent: true})); n != 2 {
+	if n := len(w.store.query(provider.Operation{Partition: entryPartition(0), Limit: 10, Consistent: true})); n != 2 {
 		t.Fatalf("%d rows, want a claim and an answer", n)
 	}
 }
@@ -293,7 +293,7 @@
 // in the journal and is recorded as given up once the table is back.
 func TestJournal_GivenUpClaimIsRecordedAfterOutage(t *testing.T) {
 	w, a := owned(t, "a", "b")
-	w.store.fault = func(_ *daemon, op platform.Operation) fault {
+	w.store.fault = func(_ *daemon, op provider.Operation) fault {
 		if isAppend(op) && !w.store.down {
 			w.after(10*time.Millisecond, nil, func() { w.store.down = true })
 			return fault{lose: true}
--- a/internal/system/journal/trim.go
+++ b/internal/system/journal/trim.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // trim deletes rows that are in segments. It needs no condition: a row that
@@ -14,13 +14,13 @@
 		return
 	}
 	some := rows[:min(len(rows), trimLimit)]
-	writes := make([]platform.Write, len(some))
+	writes := make([]provider.Write, len(some))
 	for i, sort := range some {
-		writes[i] = platform.Write{Partition: entryPartition(s.index), Sort: sort, Delete: true, Unconditional: true}
+		writes[i] = provider.Write{Partition: entryPartition(s.index), Sort: sort, Delete: true, Unconditional: true}
 	}
 	j.spendWrite(now)
-	op := platform.Operation{Kind: platform.TransactRows, Token: j.newOperation(), Writes: writes}
-	j.call(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.TransactRows, Token: j.newOperation(), Writes: writes}
+	j.call(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		if r.Err != nil {
 			failures++
 			j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
@@ -37,10 +37,10 @@
 	if s.manifest.Sealed == "" {
 		return
 	}
-	op := platform.Operation{
-		Kind: platform.QueryRows, Partition: entryPartition(s.index), Limit: trimLimit, Consistent: true,
+	op := provider.Operation{
+		Kind: provider.QueryRows, Partition: entryPartition(s.index), Limit: trimLimit, Consistent: true,
 	}
-	j.callTable(op, j.whileIn(s, func(now time.Time, r platform.Result) {
+	j.callTable(op, j.whileIn(s, func(now time.Time, r provider.Result) {
 		if r.Err != nil {
 			failures++
 			j.later(now, s, j.backoff(j.cfg.RetryDelay, retryDelayMax, failures), func(now time.Time) {
@@ -56,7 +56,7 @@
 	}))
 }
 
-func (s *shard) sealedRows(rows []platform.Row) []string {
+func (s *shard) sealedRows(rows []provider.Row) []string {
 	var sealed []string
 	for _, row := range rows {
 		if row.Sort <= s.manifest.Sealed {
--- a/internal/system/journal/types.go
+++ b/internal/system/journal/types.go
@@ -6,7 +6,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -154,7 +154,7 @@
 // Ready is what the caller must carry out. Each operation must be followed by
 // exactly one TableResult, however late.
 type Ready struct {
-	Operations []platform.Operation
+	Operations []provider.Operation
 	Outcomes   []Outcome
 	Events     []event.Event
 }
--- a/internal/system/journal/world_test.go
+++ b/internal/system/journal/world_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -321,6 +321,6 @@
 	return w, w.daemons[0]
 }
 
-func isTransact(op platform.Operation) bool { return op.Kind == platform.TransactRows }
+func isTransact(op provider.Operation) bool { return op.Kind == provider.TransactRows }
 
-func isAppend(op platform.Operation) bool { return isTransact(op) && op.Writes[0].CheckOnly }
+func isAppend(op provider.Operation) bool { return isTransact(op) && op.Writes[0].CheckOnly }
--- a/internal/system/journal/write.go
+++ b/internal/system/journal/write.go
@@ -8,7 +8,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/platform"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // pendingRecord waits to be appended. Body is the answer's whole body when
@@ -24,7 +24,7 @@
 // absent row, it takes effect at most once, however many sends are delayed.
 type write struct {
 	operation string
-	writes    []platform.Write
+	writes    []provider.Write
 	sort      string // row that proves the effect; empty: the shard's row
 	started   time.Time
 	failures  int
@@ -122,7 +122,7 @@
 	j.send(now, s, &write{
 		operation: row.Operation,
 		sort:      sort,
-		writes: []platform.Write{
+		writes: []provider.Write{
 			{Partition: shardPartition, Sort: shardSort(s.index), IfVersion: s.version, CheckOnly: true},
 			{Partition: entryPartition(s.index), Sort: sort, Value: mustEncode(row)},
 		},
@@ -141,7 +141,7 @@
 	sort := shardSort(s.index)
 	j.send(now, s, &write{
 		operation: row.Operation,
-		writes: []platform.Write{
+		writes: []provider.Write{
 			{Partition: shardPartition, Sort: sort, IfVersion: s.version, Value: mustEncode(row)},
 			{Partition: manifestPartition, Sort: sort, Unconditional: true, Value: mustEncode(held)},
 		},
@@ -161,14 +161,14 @@
 }
 
 func (j *Journal) transact(s *shard, w *write) {
-	op := platform.Operation{Kind: platform.TransactRows, Token: w.operation, Writes: w.writes}
-	j.callTable(op, j.whileWriting(s, w, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.TransactRows, Token: w.operation, Writes: w.writes}
+	j.callTable(op, j.whileWriting(s, w, func(now time.Time, r provider.Result) {
 		switch {
 		case r.Err == nil:
 			j.wrote(now, s, w)
-		case errors.Is(r.Err, platform.ErrConditionFailed):
+		case errors.Is(r.Err, provider.ErrConditionFailed):
 			j.reread(s, w)
-		case errors.Is(r.Err, platform.ErrUnavailable):
+		case errors.Is(r.Err, provider.ErrUnavailable):
 			j.retry(now, s, w, j.transact)
 		default:
 			j.retry(now, s, w, j.reread)
@@ -177,8 +177,8 @@
 }
 
 // whileWriting calls f only if the write is still the one under way.
-func (j *Journal) whileWriting(s *shard, w *write, f func(time.Time, platform.Result)) func(time.Time, platform.Result) {
-	return func(now time.Time, r platform.Result) {
+func (j *Journal) whileWriting(s *shard, w *write, f func(time.Time, provider.Result)) func(time.Time, provider.Result) {
+	return func(now time.Time, r provider.Result) {
 		if s.write == w {
 			f(now, r)
 		}
@@ -200,8 +200,8 @@
 		j.rereadShard(s, w)
 		return
 	}
-	op := platform.Operation{Kind: platform.GetRow, Partition: entryPartition(s.index), Sort: w.sort, Consistent: true}
-	j.callTable(op, j.whileWriting(s, w, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.GetRow, Partition: entryPartition(s.index), Sort: w.sort, Consistent: true}
+	j.callTable(op, j.whileWriting(s, w, func(now time.Time, r provider.Result) {
 		switch {
 		case r.Err == nil && batchOperation(r.Row) == w.operation:
 			j.wrote(now, s, w)
@@ -213,7 +213,7 @@
 	}))
 }
 
-func batchOperation(row platform.Row) string {
+func batchOperation(row provider.Row) string {
 	var b batchRow
 	if codec.Decode(row.Value, &b) != nil {
 		return ""
@@ -224,8 +224,8 @@
 // rereadShard looks whether the shard is still owned. If it is, a write
 // without effect may be made again.
 func (j *Journal) rereadShard(s *shard, w *write) {
-	op := platform.Operation{Kind: platform.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
-	j.callTable(op, j.whileWriting(s, w, func(now time.Time, r platform.Result) {
+	op := provider.Operation{Kind: provider.GetRow, Partition: shardPartition, Sort: shardSort(s.index), Consistent: true}
+	j.callTable(op, j.whileWriting(s, w, func(now time.Time, r provider.Result) {
 		if r.Err != nil {
 			j.retry(now, s, w, j.reread)
 			return
