--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -41,6 +41,7 @@
 	Drain         *drain         `arg:"subcommand:drain" help:"stop a daemon gracefully"`
 	Timeline      *timelineOf    `arg:"subcommand:timeline" help:"merge the events of all daemons into one time line"`
 	Daemon        *daemon        `arg:"subcommand:daemon" help:"run a daemon"`
+	Gateway       *gatewayRole   `arg:"subcommand:gateway" help:"forward exchanges on the users' platform"`
 	Quickstart    *quickStart    `arg:"subcommand:quickstart" help:"run a small system on loopback, stand-ins included"`
 	StandIn       *standIn       `arg:"subcommand:standin" help:"run stand-ins of the platform and of backend servers"`
 	Load          *loadDriver    `arg:"subcommand:load" help:"send load, check every answer, report percentiles"`
@@ -59,6 +60,7 @@
 	return `Examples:
   gooseberryslip quickstart
   gooseberryslip daemon daemon.toml
+  gooseberryslip gateway node.toml
   gooseberryslip check-settings daemon.toml --set listen.callers=10.0.0.5:7001
   gooseberryslip validate services/*.toml
   export GOOSEBERRYSLIP_ADMIN=10.0.0.5:7201 GOOSEBERRYSLIP_TOKEN_FILE=token
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -68,8 +68,18 @@
 	Backend entity.BackendServerID `cbor:"6,keyasint,omitempty" json:"backend_server,omitempty"`
 	Peer    entity.InstanceID      `cbor:"7,keyasint,omitempty" json:"peer,omitempty"`
 	Detail  string                 `cbor:"8,keyasint,omitempty" json:"detail,omitempty"`
+	Attrs   []Attr                 `cbor:"9,keyasint,omitempty" json:"attrs,omitempty"`
 }
 
+// Attr is an input or a result of the decision that an event tells of.
+type Attr struct {
+	Name  string `cbor:"1,keyasint" json:"name"`
+	Value any    `cbor:"2,keyasint" json:"value"`
+}
+
+// A returns an attribute.
+func A(name string, value any) Attr { return Attr{Name: name, Value: value} }
+
 var kinds = map[Number]Kind{}
 
 // define adds a kind to the catalogue. It panics on a number that is taken,
--- /dev/null
+++ b/internal/event/numbers_gateway.go
@@ -0,0 +1,31 @@
+package event
+
+// Events of forwarded exchanges: 6000 to 6999.
+var (
+	ExchangeAnswered  = define(6000, Info, "exchange answered")
+	ExchangeRefused   = define(6001, Info, "exchange refused or failed")
+	ExchangeAbandoned = define(6002, Info, "caller left before the end of the answer")
+	ExchangeCutOff    = define(6003, Warn, "answer cut off midway")
+
+	ConfigurationTaken   = define(6100, Info, "configuration in force")
+	ConfigurationIgnored = define(6101, Warn, "configuration ignored")
+	ServerListed         = define(6110, Info, "backend server listed or changed")
+	ServerUnlisted       = define(6111, Info, "backend server no longer listed")
+	ServerUnreadable     = define(6112, Warn, "entry of a backend server ignored")
+	DependencyLost       = define(6120, Warn, "dependency lost")
+	DependencyRegained   = define(6121, Info, "dependency regained")
+	ReadinessChanged     = define(6122, Info, "readiness changed")
+	PeerHeard            = define(6130, Info, "daemon heard")
+	PeerSilent           = define(6131, Warn, "daemon silent")
+
+	LeaseTaken    = define(6200, Info, "lease of the fleet's duties taken")
+	LeaseLost     = define(6201, Warn, "lease of the fleet's duties lost")
+	UsageReported = define(6210, Info, "usage reported")
+	UsageFailed   = define(6211, Warn, "usage report failed")
+	ServersWanted = define(6220, Info, "backend servers ordered")
+	OrderFailed   = define(6221, Warn, "order of backend servers failed")
+
+	GatewayStarted  = define(6900, Info, "gateway started")
+	GatewayDraining = define(6901, Info, "gateway stops taking callers")
+	GatewayStopped  = define(6902, Info, "gateway stopped")
+)
--- /dev/null
+++ b/internal/exchange/core.go
@@ -0,0 +1,242 @@
+package exchange
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/lease"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/quota"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/usage"
+)
+
+// Bounds are the limits that the settings set.
+type Bounds struct {
+	StaleAfter   time.Duration // an older confirmation of the configuration serves nobody
+	RetryRatio   float64       // further sends for each first one, over all daemons
+	RetrySlack   float64       // further sends beside, over all daemons
+	UsageWindow  time.Duration
+	ForgetServer time.Duration // after a server has gone
+	PeerSilence  time.Duration // a daemon is heard if it spoke within this
+	PeerForget   time.Duration // a silent daemon's part of a quota is set aside until then
+}
+
+// Config of a Core.
+type Config struct {
+	Self        Member
+	DataCentres []entity.DataCentreID // of the fleet
+	Bounds      Bounds
+	Rand        *rand.Rand
+	Started     time.Time
+}
+
+// Core holds everything that this daemon knows and decides with. It is not
+// safe for concurrent use.
+type Core struct {
+	cfg       Config
+	routes    *routes   // nil before the first configuration
+	confirmed time.Time // start of the call that last confirmed the configuration
+	storeBack time.Time // when the store last answered after an outage
+	leaving   bool
+	trueTime  time.Duration // since 1970, at the zero of the clock
+	timeKnown bool
+
+	servers *entity.Table[entity.BackendServerID, serverRow]
+	peers   *entity.Table[entity.InstanceID, peerRow]
+	placer  *placement.Placer
+	quota   *quota.Ledger
+	budget  *retry.Budget
+	usage   *usage.Counter
+	lease   *lease.Lease
+	placed  []Placed // prompts placed since the last message to the others
+	seq     uint32
+	demand  demand
+}
+
+// New returns a core that knows no configuration.
+func New(cfg Config) *Core {
+	c := &Core{
+		cfg:     cfg,
+		servers: entity.NewTable[entity.BackendServerID, serverRow](),
+		peers:   entity.NewTable[entity.InstanceID, peerRow](),
+		placer:  placement.New(cfg.Rand),
+		quota:   quota.New(),
+		usage:   usage.New(cfg.Self.process(), cfg.Bounds.UsageWindow),
+		lease:   lease.New(cfg.Self.Name, cfg.Started),
+	}
+	c.budget = retry.New(retry.Config{Rand: cfg.Rand, Ratio: cfg.Bounds.RetryRatio, Reserve: cfg.Bounds.RetrySlack})
+	return c
+}
+
+// SetDocument takes a version of the configuration. Older versions than the one
+// in force are ignored.
+func (c *Core) SetDocument(now time.Time, doc *Document) bool {
+	if c.routes != nil && doc.Version <= c.routes.doc.Version {
+		return false
+	}
+	c.routes = index(doc)
+	for i := range doc.Organisations {
+		o := &doc.Organisations[i]
+		if o.QuotaDefined {
+			c.quota.SetLimit(now, o.ID, quota.Limit{Rate: o.RatePerSec, Burst: o.Burst})
+		}
+	}
+	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
+		c.placer.SetServer(c.placementServer(&row.BackendServer))
+		return true
+	})
+	return true
+}
+
+// Confirm notes that the configuration was the newest at some moment after the
+// given one.
+func (c *Core) Confirm(at time.Time) {
+	if at.After(c.confirmed) {
+		c.confirmed = at
+	}
+}
+
+// StoreBack notes that the store answers again after an outage.
+func (c *Core) StoreBack(now time.Time) { c.storeBack = now }
+
+// SetTrueTime sets the time since 1970 that belongs to the zero of the clock.
+func (c *Core) SetTrueTime(zero time.Duration) { c.trueTime, c.timeKnown = zero, true }
+
+// Leave notes that this daemon is stopping.
+func (c *Core) Leave() { c.leaving = true }
+
+// Leaving reports whether this daemon is stopping.
+func (c *Core) Leaving() bool { return c.leaving }
+
+// Version returns the version in force and how old its confirmation is.
+func (c *Core) Version(now time.Time) (version uint64, age time.Duration) {
+	if c.routes == nil {
+		return 0, now.Sub(c.cfg.Started)
+	}
+	return c.routes.doc.Version, now.Sub(c.confirmed)
+}
+
+// fresh reports whether the configuration may be acted on.
+func (c *Core) fresh(now time.Time) bool {
+	return c.routes != nil && now.Sub(c.confirmed) < c.cfg.Bounds.StaleAfter
+}
+
+// Serving reports whether this daemon can serve requests now.
+func (c *Core) Serving(now time.Time) bool {
+	return c.fresh(now) && !c.leaving && c.servers.Len() > 0
+}
+
+const (
+	// staleRetry is when callers of a daemon with a stale configuration may come
+	// back; they will probably reach another daemon.
+	staleRetry = 50 * time.Millisecond
+	// emptyRetry is when callers may come back to a service without a usable
+	// backend server.
+	emptyRetry = 400 * time.Millisecond
+)
+
+// Admit decides whether a request may enter. Its time counts from its arrival.
+func (c *Core) Admit(now, arrived time.Time, req Request) (*Ticket, *Refusal) {
+	if !c.fresh(now) {
+		return nil, &Refusal{Status: Unavailable, Code: "stale-configuration", RetryAfter: staleRetry}
+	}
+	if !strings.HasPrefix(req.Path, "/") || req.ID == "" {
+		return nil, Refuse(Malformed, "malformed")
+	}
+	route := c.routes.match(req.Host, req.Path)
+	if route == nil || len(route.Targets) == 0 {
+		return nil, Refuse(NoRoute, "no-route")
+	}
+	t := &Ticket{Request: req, Route: route, Arrived: arrived}
+	if !route.Public {
+		t.Org = c.routes.byKey[req.Key]
+		if t.Org == nil {
+			return nil, Refuse(Unauthorised, "unknown-key")
+		}
+	}
+	t.Service = pick(route.Targets, req.ID)
+	t.priority = rank(t)
+	t.Deadline = deadline(arrived, route, req.Patience)
+	if r := c.takeQuota(now, t); r != nil {
+		return nil, r
+	}
+	c.demand.add(now, t)
+	return t, nil
+}
+
+// takeQuota books the request on its organisation's quota.
+func (c *Core) takeQuota(now time.Time, t *Ticket) *Refusal {
+	if t.Org == nil {
+		return nil
+	}
+	t.cost = t.Request.Work.cost(t.Org)
+	wait, ok := c.quota.Take(now, t.Org.ID, t.cost)
+	if ok {
+		return nil
+	}
+	return &Refusal{Status: OverQuota, Code: "over-quota", RetryAfter: wait}
+}
+
+// deadline returns when a request must have its final answer.
+func deadline(arrived time.Time, r *Route, patience time.Duration) time.Time {
+	left := r.Timeout
+	if patience > 0 && (left == 0 || patience < left) {
+		left = patience
+	}
+	if left == 0 {
+		return time.Time{}
+	}
+	return arrived.Add(left)
+}
+
+// pick draws a target by weight. All sends of a request draw the same.
+func pick(targets []Target, id entity.RequestID) entity.ServiceName {
+	total := 0
+	for _, t := range targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 {
+		return targets[0].Service
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	left := int(h.Sum32() % uint32(total))
+	for _, t := range targets {
+		left -= max(t.Weight, 0)
+		if left < 0 {
+			return t.Service
+		}
+	}
+	return targets[0].Service
+}
+
+const (
+	// ranks is the number of priorities that backend servers know.
+	ranks = 10
+	// routeRanks is the number of route priorities told apart for one
+	// organisation priority.
+	routeRanks = 3
+)
+
+// rank orders requests at a backend server: by the organisation's priority,
+// then by the route's.
+func rank(t *Ticket) int {
+	route := min(t.Route.Priority, routeRanks-1)
+	if t.Org == nil || !t.Org.HasPriority {
+		return min(t.Route.Priority*routeRanks, ranks-1)
+	}
+	return min(t.Org.Priority*routeRanks+route, ranks-1)
+}
+
+// keyValid reports whether the request's key is still in the configuration.
+func (c *Core) keyValid(t *Ticket) bool {
+	if t.Org == nil {
+		return true
+	}
+	o := c.routes.byKey[t.Request.Key]
+	return o != nil && o.ID == t.Org.ID
+}
--- /dev/null
+++ b/internal/exchange/duties.go
@@ -0,0 +1,97 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
+)
+
+// UsageWindow returns the number of the present window, if the true time is
+// known.
+func (c *Core) UsageWindow(now time.Time) (window int64, known bool) {
+	if !c.timeKnown || c.routes == nil {
+		return 0, false
+	}
+	return c.usage.Window(c.sinceEpoch(now)), true
+}
+
+// UsageComplete reports whether all counts of a window should have come in.
+func (c *Core) UsageComplete(now time.Time, window int64, settle time.Duration) bool {
+	return c.sinceEpoch(now) >= c.usage.End(window)+settle
+}
+
+// UsageCounts returns the counts of all organisations in a window.
+func (c *Core) UsageCounts(window int64) map[entity.OrganisationID]uint32 {
+	out := c.usage.Sum(window)
+	for i := range c.routes.doc.Organisations {
+		id := c.routes.doc.Organisations[i].ID
+		if _, ok := out[id]; !ok {
+			out[id] = 0
+		}
+	}
+	return out
+}
+
+// ServerCount is a number of backend servers of one service, data centre and
+// class.
+type ServerCount struct {
+	Service     entity.ServiceName
+	DataCentre  entity.DataCentreID
+	Reclaimable bool
+	Count       int
+}
+
+// Listed returns how many backend servers are listed as ready.
+func (c *Core) Listed() []ServerCount {
+	counts := entity.NewTable[ServerCount, int]()
+	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
+		if row.listed && row.State == Ready {
+			key := ServerCount{Service: row.Service, DataCentre: row.DataCentre, Reclaimable: row.Reclaimable}
+			n := counts.Get(key)
+			if n == nil {
+				n = new(int)
+				counts.Put(key, n)
+			}
+			*n++
+		}
+		return true
+	})
+	var out []ServerCount
+	counts.All(func(key ServerCount, n *int) bool {
+		key.Count = *n
+		out = append(out, key)
+		return true
+	})
+	return out
+}
+
+// Wanted returns how many backend servers should be ordered.
+func (c *Core) Wanted(now time.Time) []ServerCount {
+	if c.routes == nil {
+		return nil
+	}
+	var out []ServerCount
+	for i := range c.routes.doc.Services {
+		s := &c.routes.doc.Services[i]
+		if s.Scale == nil {
+			continue
+		}
+		for _, w := range capacity.Plan(c.capacityInput(now, s)) {
+			out = append(out,
+				ServerCount{s.Name, w.DataCentre, false, w.OnDemand},
+				ServerCount{s.Name, w.DataCentre, true, w.Reclaimable})
+		}
+	}
+	return out
+}
+
+func (c *Core) capacityInput(now time.Time, s *Service) capacity.Input {
+	in := capacity.Input{Min: s.Scale.Min, Max: s.Scale.Max, ReclaimablePrice: s.Scale.ReclaimablePrice}
+	for _, dc := range c.cfg.DataCentres {
+		in.Places = append(in.Places, capacity.Place{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc]})
+	}
+	d := c.Demand(now, s.Name)
+	in.Work = c.placer.Work(s.Name, d.Prompt)
+	return in
+}
--- /dev/null
+++ b/internal/exchange/peers.go
@@ -0,0 +1,232 @@
+package exchange
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/quota"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/usage"
+)
+
+// Member is a daemon as it introduces itself.
+type Member struct {
+	Name       entity.InstanceID   `cbor:"1,keyasint" json:"name"`
+	Start      int64               `cbor:"2,keyasint" json:"start"` // distinguishes the processes of one name
+	PeerAddr   string              `cbor:"3,keyasint" json:"peer_addr"`
+	CallerAddr string              `cbor:"4,keyasint" json:"caller_addr"`
+	DataCentre entity.DataCentreID `cbor:"5,keyasint" json:"data_centre"`
+}
+
+// process names one process of a daemon, so that a restarted one is not taken
+// for its predecessor.
+func (m *Member) process() entity.InstanceID {
+	return m.Name + entity.InstanceID("#"+strconv.FormatInt(m.Start, 36))
+}
+
+// Placed says where a prompt was placed.
+type Placed struct {
+	Server entity.BackendServerID `cbor:"1,keyasint"`
+	Parts  []placement.CachedPart `cbor:"2,keyasint"`
+}
+
+// News is what a daemon tells all others several times a second.
+type News struct {
+	From       Member          `cbor:"1,keyasint"`
+	Sequence   uint32          `cbor:"2,keyasint"`
+	Leaving    bool            `cbor:"3,keyasint,omitempty"`
+	Serving    bool            `cbor:"4,keyasint,omitempty"`
+	Version    uint64          `cbor:"5,keyasint"`
+	LeaseEpoch uint64          `cbor:"6,keyasint,omitempty"` // only from the holder
+	Loads      []placement.Sum `cbor:"7,keyasint,omitempty"`
+	Quota      []quota.Use     `cbor:"8,keyasint,omitempty"`
+	Usage      []usage.Count   `cbor:"9,keyasint,omitempty"`
+	Placed     []Placed        `cbor:"10,keyasint,omitempty"`
+	Demand     []ServiceDemand `cbor:"11,keyasint,omitempty"`
+}
+
+// peerRow is another daemon as this one knows it.
+type peerRow struct {
+	Member
+	heard    time.Time // zero: only known from the store
+	sequence uint32
+	leaving  bool
+	serving  bool
+	version  uint64
+	demand   []ServiceDemand
+}
+
+// Introduce takes a daemon that the store lists.
+func (c *Core) Introduce(m Member) {
+	if m.Name == c.cfg.Self.Name || c.peers.Get(m.Name) != nil {
+		return
+	}
+	c.peers.Put(m.Name, &peerRow{Member: m})
+}
+
+// News returns what to tell the other daemons now.
+func (c *Core) News(now time.Time) News {
+	c.seq++
+	n := News{
+		From: c.cfg.Self, Sequence: c.seq, Leaving: c.leaving, Serving: c.Serving(now),
+		Loads: c.placer.Sums(), Quota: c.quota.Uses(now), Placed: c.placed, Demand: c.demand.rates(now),
+	}
+	c.placed = nil
+	if c.routes != nil {
+		n.Version = c.routes.doc.Version
+	}
+	if c.timeKnown {
+		n.Usage = c.usage.Own(c.usage.Window(c.sinceEpoch(now)))
+	}
+	if epoch, held := c.lease.Epoch(); held {
+		n.LeaseEpoch = epoch
+	}
+	return n
+}
+
+// maxPlaced bounds the placed prompts told in one message.
+const maxPlaced = 12
+
+func (c *Core) notePlaced(id entity.BackendServerID, t *Ticket) {
+	keys := placement.Shared(t.Request.Work.Parts)
+	if len(keys) > 0 && len(c.placed) < maxPlaced {
+		c.placed = append(c.placed, Placed{Server: id, Parts: keys})
+	}
+}
+
+// Heard takes another daemon's news. Overtaken messages are dropped.
+func (c *Core) Heard(now time.Time, n *News) {
+	if n.From.Name == c.cfg.Self.Name || n.From.Name == "" {
+		return
+	}
+	row := c.peers.Get(n.From.Name)
+	if row != nil && row.Start > n.From.Start {
+		return
+	}
+	if row == nil || row.Start != n.From.Start {
+		if row != nil {
+			c.quota.Forget(row.process())
+		}
+		row = &peerRow{}
+		c.peers.Put(n.From.Name, row)
+	}
+	if !row.heard.IsZero() && n.Sequence <= row.sequence {
+		return
+	}
+	row.Member, row.heard, row.sequence = n.From, now, n.Sequence
+	row.leaving, row.serving, row.version, row.demand = n.Leaving, n.Serving, n.Version, n.Demand
+	c.take(now, row, n)
+}
+
+// take hands the parts of a message to those that use them.
+func (c *Core) take(now time.Time, row *peerRow, n *News) {
+	process := row.process()
+	c.placer.Heard(now, row.Name, n.Loads)
+	c.quota.Heard(now, process, n.Quota)
+	c.usage.Heard(process, n.Usage)
+	c.lease.Heard(now, n.LeaseEpoch)
+	for _, p := range n.Placed {
+		c.placer.Cached(now, p.Server, p.Parts)
+	}
+}
+
+// Others returns the endpoints of all daemons that may be alive.
+func (c *Core) Others() []Member {
+	out := make([]Member, 0, c.peers.Len())
+	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
+		out = append(out, r.Member)
+		return true
+	})
+	return out
+}
+
+// heardLately reports whether a daemon spoke within the bound.
+func (c *Core) heardLately(now time.Time, r *peerRow) bool {
+	return !r.heard.IsZero() && now.Sub(r.heard) < c.cfg.Bounds.PeerSilence
+}
+
+// Tick does what is due by time alone.
+func (c *Core) Tick(now time.Time) {
+	c.forgetServers(now)
+	heard, known := 1, 1
+	for _, name := range c.peers.Keys() {
+		r := c.peers.Get(name)
+		switch {
+		case c.heardLately(now, r):
+			heard, known = heard+1, known+1
+		case !r.heard.IsZero() && now.Sub(r.heard) > c.cfg.Bounds.PeerForget:
+			c.quota.Forget(r.process())
+			c.peers.Delete(name)
+		case !r.leaving && !r.heard.IsZero():
+			known++
+		}
+	}
+	c.quota.SetDaemons(now, heard, known)
+	c.budget.SetReserve(max(c.cfg.Bounds.RetrySlack/float64(known), 1))
+}
+
+// rankOfSelf returns this daemon's place among the daemons that are heard.
+func (c *Core) rankOfSelf(now time.Time) int {
+	rank := 0
+	c.peers.All(func(name entity.InstanceID, r *peerRow) bool {
+		if c.heardLately(now, r) && !r.leaving && name < c.cfg.Self.Name {
+			rank++
+		}
+		return true
+	})
+	return rank
+}
+
+// Contend reports whether to try to take the lease of the duties now.
+func (c *Core) Contend(now time.Time) bool {
+	if c.leaving || !c.fresh(now) {
+		return false
+	}
+	return c.lease.Contend(now, c.rankOfSelf(now))
+}
+
+// LeaseTaken, LeaseLost and LeaseEpoch pass on to the lease.
+func (c *Core) LeaseTaken(epoch uint64) { c.lease.Taken(epoch) }
+
+// LeaseLost notes that another daemon holds the lease.
+func (c *Core) LeaseLost(now time.Time) { c.lease.Lost(now) }
+
+// LeaseEpoch returns the fencing number if this daemon holds the lease.
+func (c *Core) LeaseEpoch() (epoch uint64, held bool) { return c.lease.Epoch() }
+
+// maxAddresses is the most addresses that one answer names.
+const maxAddresses = 64
+
+// minAddresses is how many addresses of the caller's own data centre make the
+// others needless.
+const minAddresses = 2
+
+// Addresses returns where callers of a data centre should connect: the daemons
+// that serve, those of the data centre first.
+func (c *Core) Addresses(now time.Time, dc entity.DataCentreID) []string {
+	var near, far []string
+	add := func(m *Member) {
+		if m.DataCentre == dc {
+			near = append(near, m.CallerAddr)
+			return
+		}
+		far = append(far, m.CallerAddr)
+	}
+	if c.Serving(now) {
+		add(&c.cfg.Self)
+	}
+	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
+		if c.heardLately(now, r) && r.serving && !r.leaving {
+			add(&r.Member)
+		}
+		return true
+	})
+	sort.Strings(near)
+	sort.Strings(far)
+	if len(near) < minAddresses {
+		near = append(near, far...)
+	}
+	return near[:min(len(near), maxAddresses)]
+}
--- /dev/null
+++ b/internal/exchange/server.go
@@ -0,0 +1,123 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+)
+
+// ServerState is what a backend server says of itself.
+type ServerState uint8
+
+const (
+	// Ready servers take work.
+	Ready ServerState = iota + 1
+	// Draining servers finish what they have.
+	Draining
+)
+
+// BackendServer is one entry of the list of backend servers.
+type BackendServer struct {
+	ID          entity.BackendServerID
+	Born        int64 // start of the process, Unix milliseconds; 0: not said
+	Service     entity.ServiceName
+	Address     string // IP number and port
+	DataCentre  entity.DataCentreID
+	Slots       int
+	State       ServerState
+	Reclaimable bool
+	LeavesIn    time.Duration // announced with a reclaim; 0: not said
+}
+
+// serverRow is a backend server as the core holds it.
+type serverRow struct {
+	BackendServer
+	listed  bool      // in the newest list
+	goneAt  time.Time // when a server that is no longer listed counts as gone
+	leaving time.Time // when it was first known to leave
+}
+
+// returnGrace is how long entries may be missing after the store's return.
+const returnGrace = 2 * time.Second
+
+// PutServer takes an entry of the list.
+func (c *Core) PutServer(now time.Time, s BackendServer) {
+	old := c.servers.Get(s.ID)
+	if old != nil && old.Born != s.Born && s.Born != 0 {
+		c.placer.Remove(s.ID) // a new process under an old name knows nothing
+		old = nil
+	}
+	row := &serverRow{BackendServer: s, listed: true}
+	if s.State != Ready {
+		row.leaving = now
+		if old != nil && !old.leaving.IsZero() {
+			row.leaving = old.leaving
+		}
+	}
+	c.servers.Put(s.ID, row)
+	c.placer.SetServer(c.placementServer(&s))
+}
+
+// RemoveServer notes that an entry is no longer listed. It counts as gone at
+// once, or, while entries that lapsed in an outage may still come back, after
+// the grace.
+func (c *Core) RemoveServer(now time.Time, id entity.BackendServerID) {
+	row := c.servers.Get(id)
+	if row == nil || !row.listed {
+		return
+	}
+	row.listed = false
+	row.goneAt = now
+	if back := c.storeBack.Add(returnGrace); back.After(now) && row.State == Ready {
+		row.goneAt = back
+	}
+	row.leaving = row.goneAt
+}
+
+// ReplaceServers takes the whole list.
+func (c *Core) ReplaceServers(now time.Time, list []BackendServer) {
+	listed := make(map[entity.BackendServerID]bool, len(list))
+	for _, s := range list {
+		listed[s.ID] = true
+		c.PutServer(now, s)
+	}
+	for _, id := range c.servers.Keys() {
+		if !listed[id] {
+			c.RemoveServer(now, id)
+		}
+	}
+}
+
+// forgetServers drops servers that have been gone for a while.
+func (c *Core) forgetServers(now time.Time) {
+	for _, id := range c.servers.Keys() {
+		row := c.servers.Get(id)
+		if !row.listed && now.Sub(row.goneAt) > c.cfg.Bounds.ForgetServer {
+			c.servers.Delete(id)
+			c.placer.Remove(id)
+		}
+	}
+}
+
+// usable reports whether a server may get new work.
+func (c *Core) usable(now time.Time, id entity.BackendServerID) bool {
+	row := c.servers.Get(id)
+	if row == nil || row.State != Ready {
+		return false
+	}
+	return row.listed || now.Before(row.goneAt)
+}
+
+func (c *Core) placementServer(s *BackendServer) placement.Server {
+	out := placement.Server{
+		ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Slots: max(s.Slots, 1),
+	}
+	if c.routes == nil {
+		return out
+	}
+	if svc := c.routes.byName[s.Service]; svc != nil && svc.Engine != nil {
+		out.Memory = svc.Engine.CacheTokens
+	}
+	return out
+}
--- /dev/null
+++ b/internal/exchange/turnaway.go
@@ -0,0 +1,37 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+)
+
+const (
+	// lateFactor is how far beyond its objective the expected first event of a
+	// request may lie before it is turned away.
+	lateFactor = 1.0
+	// busyCrowd is the part of a service's slots that must be taken before
+	// anybody is turned away.
+	busyCrowd = 0.5
+	// minBack and maxBack bound the time to come back.
+	minBack = 100 * time.Millisecond
+	maxBack = 3 * time.Second
+)
+
+// turnAway refuses a request at once that could not be answered before its
+// deadline, or that would be late at a crowded service.
+func (c *Core) turnAway(now time.Time, t *Ticket, choice placement.Choice) *Refusal {
+	if !t.Deadline.IsZero() && choice.Cost > t.Deadline.Sub(now) {
+		return c.giveUp(t, "hopeless", bounded(choice.Cost))
+	}
+	if choice.Crowd < busyCrowd || t.Route.Objective == 0 || t.Sends > 0 {
+		return nil
+	}
+	over := choice.Cost - time.Duration(lateFactor*float64(t.Route.Objective))
+	if over <= 0 {
+		return nil
+	}
+	return c.giveUp(t, "overload", bounded(over))
+}
+
+func bounded(d time.Duration) time.Duration { return min(max(d, minBack), maxBack) }
--- /dev/null
+++ b/internal/gateway/directory.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
+)
+
+// readyHandler answers whether this daemon can serve callers now.
+func (g *Gateway) readyHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		ready := false
+		g.locked(func(c *exchange.Core, now time.Time) { ready = c.Serving(now) })
+		if !ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// addressHandler answers callers that ask where to connect.
+func (g *Gateway) addressHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/resolve", g.serveAddresses)
+	return r
+}
+
+func (g *Gateway) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	var addresses []string
+	dc := g.Dialect.AddressQuery(r)
+	g.locked(func(c *exchange.Core, now time.Time) { addresses = c.Addresses(now, dc) })
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := g.Dialect.AddressAnswer(addresses, g.Settings.AddressTTL)
+	if err != nil {
+		g.Log.Logger().WithError(err).Error("addresses could not be encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that has gone needs no answer.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/clock"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+)
+
+const (
+	// listTimeout bounds the reading of a whole list.
+	listTimeout = 1500 * time.Millisecond
+	// changesMargin is how much later than asked for an answer may come.
+	changesMargin = 700 * time.Millisecond
+	// watchPause is the pause after a failed call.
+	watchPause = 150 * time.Millisecond
+)
+
+// watcher follows one feed for ever.
+type watcher[T any] struct {
+	g    *Gateway
+	name string
+	feed provider.Feed[T]
+	wait time.Duration
+	// take is called with each answer. Whole says that changes holds all
+	// entries; start is when the call was made.
+	take func(whole bool, changes []provider.Change[T], start time.Time)
+
+	position uint64 // 0: read the whole list next
+	newest   uint64 // version seen
+	failing  bool
+}
+
+func (w *watcher[T]) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		start := clock.Now()
+		err := w.step(ctx, start)
+		switch {
+		case err == nil:
+			w.regained()
+		case errors.Is(err, provider.ErrHistoryLost):
+			w.position = 0
+		default:
+			w.lost(ctx, err)
+			pause(ctx, watchPause+rand.N(watchPause))
+		}
+	}
+}
+
+func (w *watcher[T]) step(ctx context.Context, start time.Time) error {
+	if w.position == 0 {
+		return w.list(ctx, start)
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.wait+changesMargin)
+	defer cancel()
+	changes, at, err := w.feed.Changes(ctx, w.position, w.wait)
+	if err != nil {
+		return err
+	}
+	w.position, w.newest = max(at.Version, w.position), max(at.Version, w.newest)
+	w.take(false, changes, start)
+	return nil
+}
+
+// errOldList: the list is older than what has been seen.
+var errOldList = errors.New("the list is older than an earlier answer")
+
+func (w *watcher[T]) list(ctx context.Context, start time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	changes, at, err := w.feed.List(ctx)
+	if err != nil {
+		return err
+	}
+	if at.Version < w.newest {
+		return errOldList
+	}
+	w.position, w.newest = at.Version, at.Version
+	w.take(true, changes, start)
+	return nil
+}
+
+// regained notes that the feed answers again.
+func (w *watcher[T]) regained() {
+	if !w.failing {
+		return
+	}
+	w.failing = false
+	w.g.locked(func(c *exchange.Core, now time.Time) { c.StoreBack(now) })
+	w.g.event(event.DependencyRegained, "", event.A("dependency", w.name))
+}
+
+func (w *watcher[T]) lost(ctx context.Context, err error) {
+	if w.failing || ctx.Err() != nil {
+		return
+	}
+	w.failing = true
+	w.g.event(event.DependencyLost, "", event.A("dependency", w.name), event.A("error", err.Error()))
+}
+
+// feedWait is how long a call for changes waits: two calls in a row must fit
+// into the time after which a confirmation is stale.
+func (g *Gateway) feedWait() time.Duration {
+	return (g.Settings.Revoke-staleMargin)/2 - 250*time.Millisecond
+}
+
+func (g *Gateway) watchConfiguration(life context.Context) {
+	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.feedWait(), take: g.takeConfiguration}
+	w.run(life)
+}
+
+func (g *Gateway) takeConfiguration(_ bool, changes []provider.Change[*exchange.Document], start time.Time) {
+	readable := true
+	for _, change := range changes {
+		if change.Removed || change.Err != nil {
+			readable = false
+			g.event(event.ConfigurationIgnored, "", event.A("removed", change.Removed), event.A("error", errorText(change.Err)))
+			continue
+		}
+		readable = true
+		taken := false
+		g.locked(func(c *exchange.Core, now time.Time) { taken = c.SetDocument(now, change.Value) })
+		if taken {
+			g.event(event.ConfigurationTaken, "", event.A("version", change.Value.Version), event.A("routes", len(change.Value.Routes)))
+		}
+	}
+	if readable {
+		g.locked(func(c *exchange.Core, _ time.Time) { c.Confirm(start) })
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (g *Gateway) watchServers(life context.Context) {
+	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.Servers, wait: g.feedWait(), take: g.takeServers}
+	w.run(life)
+}
+
+func (g *Gateway) takeServers(whole bool, changes []provider.Change[exchange.BackendServer], _ time.Time) {
+	var list []exchange.BackendServer
+	for _, change := range changes {
+		switch {
+		case change.Removed:
+			g.locked(func(c *exchange.Core, now time.Time) { c.RemoveServer(now, entity.BackendServerID(change.ID)) })
+			g.event(event.ServerUnlisted, "", event.A("backend_server", change.ID))
+		case change.Err != nil:
+			// An entry that cannot be read names no backend server to use.
+			g.locked(func(c *exchange.Core, now time.Time) { c.RemoveServer(now, entity.BackendServerID(change.ID)) })
+			g.event(event.ServerUnreadable, "", event.A("backend_server", change.ID), event.A("error", change.Err.Error()))
+		default:
+			list = append(list, change.Value)
+		}
+	}
+	g.locked(func(c *exchange.Core, now time.Time) {
+		if whole {
+			c.ReplaceServers(now, list)
+			return
+		}
+		for _, s := range list {
+			c.PutServer(now, s)
+		}
+	})
+	for _, s := range list {
+		g.event(event.ServerListed, "", event.A("backend_server", s.ID), event.A("service", s.Service),
+			event.A("address", s.Address), event.A("state", int(s.State)), event.A("reclaimable", s.Reclaimable))
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -137,5 +137,8 @@
 	if e.Attempt > 0 {
 		f["attempt"] = uint32(e.Attempt)
 	}
+	for _, a := range e.Attrs {
+		f[a.Name] = a.Value
+	}
 	return f
 }
--- a/internal/peer/authority.go
+++ b/internal/peer/authority.go
@@ -12,6 +12,10 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 )
 
 // Authority is a certificate authority that lives in memory, for quick starts
@@ -119,3 +123,41 @@
 func writePEM(name, kind string, der []byte, mode os.FileMode) error {
 	return os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), mode)
 }
+
+// authorityFile is the stored form of an authority.
+type authorityFile struct {
+	Certificate []byte        `cbor:"1,keyasint"`
+	Key         []byte        `cbor:"2,keyasint"`
+	Lifetime    time.Duration `cbor:"3,keyasint"`
+}
+
+// Marshal returns the authority with its private key, to be kept where only
+// the fleet's daemons can read it.
+func (a *Authority) Marshal() ([]byte, error) {
+	key, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		return nil, err
+	}
+	return codec.Encode(authorityFile{Certificate: a.certificate.Raw, Key: key, Lifetime: a.lifetime})
+}
+
+// ParseAuthority is the inverse of Marshal.
+func ParseAuthority(b []byte) (*Authority, error) {
+	var f authorityFile
+	if err := codec.Decode(b, &f); err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(f.Certificate)
+	if err != nil {
+		return nil, err
+	}
+	key, err := x509.ParsePKCS8PrivateKey(f.Key)
+	if err != nil {
+		return nil, err
+	}
+	ec, ok := key.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, merry.New("peer: the authority's key is of another kind")
+	}
+	return &Authority{certificate: certificate, key: ec, lifetime: f.Lifetime}, nil
+}
--- /dev/null
+++ b/internal/system/placement/placement.go
@@ -0,0 +1,350 @@
+// Package placement chooses the backend server that runs a request. It answers
+// a steady mixed load in which long prompts delay the answers beside them, many
+// requests share the beginning of their prompts, and every daemon places on its
+// own: each backend server gets a cost in milliseconds until the first token,
+// from the prompt tokens waiting there, the part of the prompt that it should
+// still have cached, and its health.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+const (
+	// otherPlaceCost is what a backend server of another data centre costs more.
+	otherPlaceCost = 2.0 // ms
+	// crowdedCost is what a backend server without a free slot costs more.
+	crowdedCost = 400.0 // ms
+	// fullMemoryCost is what one costs that would have to preempt.
+	fullMemoryCost = 2000.0 // ms
+	// memoryBound is the part of the memory that running requests may take.
+	memoryBound = 0.9
+	// sickCost is what one costs that has just failed, at a failure share of 1.
+	sickCost = 3000.0 // ms
+	// decodeDelay is the slowdown of reading prompts by each running request.
+	decodeDelay = 0.012
+	// plainCost is what each request in flight costs at a plain backend server.
+	plainCost = 30.0 // ms
+	// peerLife is how long another daemon's load counts without news.
+	peerLife = 2 * time.Second
+)
+
+// Server is a backend server as far as its placement matters.
+type Server struct {
+	ID         entity.BackendServerID
+	Service    entity.ServiceName
+	DataCentre entity.DataCentreID
+	Slots      int
+	Memory     entity.Tokens // 0: a plain backend server
+}
+
+// Load is what one request takes of a backend server.
+type Load struct {
+	Server  entity.BackendServerID
+	Pending entity.Tokens // prompt tokens to be read before the first event
+	Memory  entity.Tokens
+	Running bool // the first event has come
+	ahead   entity.Tokens
+	sentAt  time.Time
+	service entity.ServiceName
+}
+
+// Sum is the load of one daemon on one backend server.
+type Sum struct {
+	Server  entity.BackendServerID `cbor:"1,keyasint"`
+	Waiting int                    `cbor:"2,keyasint,omitempty"` // requests before their first event
+	Running int                    `cbor:"3,keyasint,omitempty"`
+	Pending entity.Tokens          `cbor:"4,keyasint,omitempty"`
+	Memory  entity.Tokens          `cbor:"5,keyasint,omitempty"`
+}
+
+// Query describes a request to be placed.
+type Query struct {
+	Service    entity.ServiceName
+	DataCentre entity.DataCentreID // of this daemon
+	Prompt     entity.Tokens
+	Output     entity.Tokens
+	Parts      []Part
+	Exclude    []entity.BackendServerID
+}
+
+// Choice is a placement.
+type Choice struct {
+	Server entity.BackendServerID
+	Cost   time.Duration // expected time to the first event
+	Crowd  float64       // part of the service's slots that are taken
+	load   Load
+}
+
+// Placer holds what is known of all backend servers. It is not safe for
+// concurrent use.
+type Placer struct {
+	rng     *rand.Rand
+	servers *entity.Table[entity.BackendServerID, row]
+	speeds  *entity.Table[entity.ServiceName, speed]
+	peers   *entity.Table[entity.InstanceID, peerLoad]
+}
+
+// row is a backend server with its load and memory of prompts.
+type row struct {
+	Server
+	own    Sum
+	others Sum // of all other daemons
+	cache  promptCache
+	health health
+}
+
+type peerLoad struct {
+	sums []Sum
+	at   time.Time
+}
+
+// New returns a placer that knows no backend servers.
+func New(rng *rand.Rand) *Placer {
+	return &Placer{
+		rng:     rng,
+		servers: entity.NewTable[entity.BackendServerID, row](),
+		speeds:  entity.NewTable[entity.ServiceName, speed](),
+		peers:   entity.NewTable[entity.InstanceID, peerLoad](),
+	}
+}
+
+// SetServer adds a backend server or changes what is known of it.
+func (p *Placer) SetServer(s Server) {
+	r := p.servers.Get(s.ID)
+	if r == nil {
+		r = &row{cache: newPromptCache(s.Memory)}
+		r.own.Server = s.ID
+		p.servers.Put(s.ID, r)
+		defer p.sumPeers()
+	}
+	r.Server = s
+	r.cache.capacity = s.Memory
+}
+
+// Remove forgets a backend server, its cached prompts and its failures.
+func (p *Placer) Remove(id entity.BackendServerID) { p.servers.Delete(id) }
+
+// Choose returns the backend server with the least cost among those that the
+// caller finds usable.
+func (p *Placer) Choose(now time.Time, q Query, usable func(entity.BackendServerID) bool) (Choice, bool) {
+	var best *row
+	var bestCost float64
+	taken, slots := 0, 0
+	p.servers.All(func(id entity.BackendServerID, r *row) bool {
+		if r.Service != q.Service || !usable(id) {
+			return true
+		}
+		taken += r.taken()
+		slots += r.Slots
+		if excluded(q.Exclude, id) {
+			return true
+		}
+		cost := p.cost(now, r, &q) + p.rng.Float64()
+		if best == nil || cost < bestCost {
+			best, bestCost = r, cost
+		}
+		return true
+	})
+	if best == nil {
+		return Choice{}, false
+	}
+	return p.choice(now, best, &q, float64(taken)/float64(max(slots, 1))), true
+}
+
+func excluded(list []entity.BackendServerID, id entity.BackendServerID) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placer) choice(now time.Time, r *row, q *Query, crowd float64) Choice {
+	uncached := r.cache.uncached(q.Prompt, q.Parts)
+	load := Load{
+		Server: r.ID, Pending: uncached, Memory: q.Prompt + q.Output,
+		ahead: r.own.Pending + r.others.Pending, sentAt: now, service: r.Service,
+	}
+	return Choice{
+		Server: r.ID, Crowd: crowd, load: load,
+		Cost: time.Duration(p.firstEvent(r, uncached) * float64(time.Millisecond)),
+	}
+}
+
+func (r *row) taken() int {
+	return r.own.Waiting + r.own.Running + r.others.Waiting + r.others.Running
+}
+
+// cost returns what placing the request there costs, in milliseconds.
+func (p *Placer) cost(now time.Time, r *row, q *Query) float64 {
+	cost := r.health.failing(now) * sickCost
+	if r.DataCentre != q.DataCentre {
+		cost += otherPlaceCost
+	}
+	if r.taken() >= r.Slots {
+		cost += crowdedCost * float64(r.taken()-r.Slots+1)
+	}
+	if r.Memory == 0 {
+		return cost + plainCost*float64(r.taken())
+	}
+	memory := r.own.Memory + r.others.Memory + q.Prompt + q.Output
+	if float64(memory) > memoryBound*float64(r.Memory) {
+		cost += fullMemoryCost
+	}
+	return cost + p.firstEvent(r, r.cache.uncached(q.Prompt, q.Parts))
+}
+
+// firstEvent returns the expected time to the first event in milliseconds.
+func (p *Placer) firstEvent(r *row, uncached entity.Tokens) float64 {
+	if r.Memory == 0 {
+		return plainCost * float64(r.taken()) / float64(max(r.Slots, 1))
+	}
+	tokens := float64(r.own.Pending + r.others.Pending + uncached)
+	running := float64(r.own.Running + r.others.Running)
+	return p.speed(r.Service).predict(tokens * (1 + decodeDelay*running))
+}
+
+func (p *Placer) speed(service entity.ServiceName) *speed {
+	s := p.speeds.Get(service)
+	if s == nil {
+		s = newSpeed()
+		p.speeds.Put(service, s)
+	}
+	return s
+}
+
+// Take books the request on the chosen backend server.
+func (p *Placer) Take(now time.Time, c Choice, parts []Part) *Load {
+	load := c.load
+	if r := p.servers.Get(load.Server); r != nil {
+		r.own.Waiting++
+		r.own.Pending += load.Pending
+		r.own.Memory += load.Memory
+		r.cache.add(now, parts)
+	}
+	return &load
+}
+
+// Began books the first event of a request.
+func (p *Placer) Began(now time.Time, l *Load) {
+	if l.Running {
+		return
+	}
+	l.Running = true
+	r := p.servers.Get(l.Server)
+	if r == nil {
+		return
+	}
+	r.own.Waiting--
+	r.own.Running++
+	r.own.Pending -= l.Pending
+	r.health.good(now)
+	if r.Memory > 0 {
+		running := float64(r.own.Running + r.others.Running)
+		tokens := float64(l.ahead+l.Pending) * (1 + decodeDelay*running)
+		p.speed(l.service).learn(tokens, float64(now.Sub(l.sentAt))/float64(time.Millisecond))
+	}
+}
+
+// End frees what a request took.
+func (p *Placer) End(l *Load) {
+	r := p.servers.Get(l.Server)
+	if r == nil {
+		return
+	}
+	if l.Running {
+		r.own.Running--
+	} else {
+		r.own.Waiting--
+		r.own.Pending -= l.Pending
+	}
+	r.own.Memory -= l.Memory
+}
+
+// Failed notes that a backend server has failed a request. Weight is the part
+// of a whole failure, up to 1.
+func (p *Placer) Failed(now time.Time, id entity.BackendServerID, weight float64) {
+	if r := p.servers.Get(id); r != nil {
+		r.health.bad(now, weight)
+	}
+}
+
+// Sums returns this daemon's load on all backend servers where it has any.
+func (p *Placer) Sums() []Sum {
+	var out []Sum
+	p.servers.All(func(_ entity.BackendServerID, r *row) bool {
+		if r.own.Waiting+r.own.Running > 0 {
+			out = append(out, r.own)
+		}
+		return true
+	})
+	return out
+}
+
+// Heard takes another daemon's load.
+func (p *Placer) Heard(now time.Time, peer entity.InstanceID, sums []Sum) {
+	p.peers.Put(peer, &peerLoad{sums: sums, at: now})
+	p.forget(now)
+	p.sumPeers()
+}
+
+// Cached notes that another daemon has placed a prompt.
+func (p *Placer) Cached(now time.Time, id entity.BackendServerID, keys []CachedPart) {
+	if r := p.servers.Get(id); r != nil {
+		r.cache.addKeys(now, keys)
+	}
+}
+
+// forget drops the load of daemons without recent news.
+func (p *Placer) forget(now time.Time) {
+	for _, id := range p.peers.Keys() {
+		if now.Sub(p.peers.Get(id).at) > peerLife {
+			p.peers.Delete(id)
+		}
+	}
+}
+
+func (p *Placer) sumPeers() {
+	p.servers.All(func(_ entity.BackendServerID, r *row) bool {
+		r.others = Sum{}
+		return true
+	})
+	p.peers.All(func(_ entity.InstanceID, l *peerLoad) bool {
+		for i := range l.sums {
+			p.addOthers(&l.sums[i])
+		}
+		return true
+	})
+}
+
+func (p *Placer) addOthers(s *Sum) {
+	r := p.servers.Get(s.Server)
+	if r == nil {
+		return
+	}
+	r.others.Waiting += s.Waiting
+	r.others.Running += s.Running
+	r.others.Pending += s.Pending
+	r.others.Memory += s.Memory
+}
+
+// Total returns the load of all daemons on a service's backend servers and the
+// slots and memory that they have.
+func (p *Placer) Total(service entity.ServiceName) (total Sum, slots int) {
+	p.servers.All(func(_ entity.BackendServerID, r *row) bool {
+		if r.Service == service {
+			total.Waiting += r.own.Waiting + r.others.Waiting
+			total.Running += r.own.Running + r.others.Running
+			total.Pending += r.own.Pending + r.others.Pending
+			total.Memory += r.own.Memory + r.others.Memory
+			slots += r.Slots
+		}
+		return true
+	})
+	return total, slots
+}
--- /dev/null
+++ b/internal/system/placement/speed.go
@@ -0,0 +1,75 @@
+package placement
+
+import "github.com/gooseberryslip/gooseberryslip/internal/entity"
+
+const (
+	// initialPerToken is the time to read one prompt token before any was seen.
+	initialPerToken = 0.015 // ms
+	// initialBase is the time to the first event that does not depend on size.
+	initialBase = 50.0 // ms
+	// speedMemory is the weight that a sample keeps with each further one.
+	speedMemory = 0.99
+	// minPerToken and maxPerToken bound what a few odd samples can make of it.
+	minPerToken = 0.001 // ms
+	maxPerToken = 0.2   // ms
+	// priorWeight is how many samples the initial values stand for.
+	priorWeight = 20.0
+	// priorSpread is the size of the samples that the initial values stand for.
+	priorSpread = 5000.0 // tokens
+)
+
+// speed learns how long a service's model engines take to the first event:
+// a base time and a time for each token, by least squares with fading weights.
+type speed struct {
+	n, x, y, xx, xy float64
+}
+
+func newSpeed() *speed {
+	s := &speed{}
+	for _, tokens := range []float64{0, 2 * priorSpread} {
+		time := initialBase + initialPerToken*tokens
+		s.add(tokens, time, priorWeight/2)
+	}
+	return s
+}
+
+func (s *speed) add(tokens, time, weight float64) {
+	s.n += weight
+	s.x += weight * tokens
+	s.y += weight * time
+	s.xx += weight * tokens * tokens
+	s.xy += weight * tokens * time
+}
+
+// learn takes the time in ms that passed until the first event, and the tokens
+// that had to be read before it.
+func (s *speed) learn(tokens, time float64) {
+	s.n *= speedMemory
+	s.x *= speedMemory
+	s.y *= speedMemory
+	s.xx *= speedMemory
+	s.xy *= speedMemory
+	s.add(tokens, time, 1)
+}
+
+// perToken returns the time in ms to read one token.
+func (s *speed) perToken() float64 {
+	d := s.n*s.xx - s.x*s.x
+	if d <= 0 {
+		return initialPerToken
+	}
+	slope := (s.n*s.xy - s.x*s.y) / d
+	return min(max(slope, minPerToken), maxPerToken)
+}
+
+// predict returns the time in ms to the first event.
+func (s *speed) predict(tokens float64) float64 {
+	slope := s.perToken()
+	base := (s.y - slope*s.x) / s.n
+	return max(base, 0) + slope*tokens
+}
+
+// Work returns how many backend servers the reading of prompts keeps busy.
+func (p *Placer) Work(service entity.ServiceName, tokensPerSecond float64) float64 {
+	return tokensPerSecond * p.speed(service).perToken() / 1000
+}
--- /dev/null
+++ b/internal/system/quota/quota.go
@@ -0,0 +1,166 @@
+// Package quota keeps organisations within quotas that hold over all daemons
+// together. Every daemon keeps a copy of each organisation's token bucket, takes
+// its own use from it at once and the others' use as they report it. What a
+// daemon that is not heard could be using meanwhile is set aside.
+package quota
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+const (
+	// startShare is the part of one second's rate with which a bucket starts
+	// before a peer has told its level.
+	startShare = 1.0
+	// maxWait bounds the time to come back.
+	maxWait = 5 * time.Second
+)
+
+// Limit is an organisation's quota.
+type Limit struct {
+	Rate  float64 // units a second; 0: no limit
+	Burst float64 // units
+}
+
+// Use is what one daemon says of an organisation's quota.
+type Use struct {
+	Organisation entity.OrganisationID `cbor:"1,keyasint"`
+	Total        float64               `cbor:"2,keyasint"` // used by the daemon since its start
+	Level        float64               `cbor:"3,keyasint"` // of its copy of the bucket
+}
+
+// Ledger holds this daemon's copies of all buckets. It is not safe for
+// concurrent use.
+type Ledger struct {
+	buckets *entity.Table[entity.OrganisationID, bucket]
+	peers   *entity.Table[peerKey, float64] // totals last heard
+	heard   int                             // daemons that are heard, this one included
+	known   int
+}
+
+type peerKey struct {
+	peer         entity.InstanceID
+	organisation entity.OrganisationID
+}
+
+type bucket struct {
+	limit  Limit
+	level  float64
+	at     time.Time
+	used   float64 // by this daemon since its start
+	seeded bool    // the level has been taken from a peer, or has had time to settle
+}
+
+// New returns a ledger without organisations.
+func New() *Ledger {
+	return &Ledger{
+		buckets: entity.NewTable[entity.OrganisationID, bucket](),
+		peers:   entity.NewTable[peerKey, float64](),
+		heard:   1, known: 1,
+	}
+}
+
+// SetLimit sets an organisation's quota.
+func (l *Ledger) SetLimit(now time.Time, id entity.OrganisationID, limit Limit) {
+	b := l.buckets.Get(id)
+	if b == nil {
+		l.buckets.Put(id, &bucket{limit: limit, level: min(limit.Rate*startShare, limit.Burst), at: now})
+		return
+	}
+	l.refill(now, b)
+	b.limit = limit
+	b.level = min(b.level, limit.Burst)
+}
+
+// SetDaemons says how many daemons there are and how many of them are heard.
+func (l *Ledger) SetDaemons(now time.Time, heard, known int) {
+	if heard == l.heard && known == l.known {
+		return
+	}
+	l.buckets.All(func(_ entity.OrganisationID, b *bucket) bool {
+		l.refill(now, b)
+		return true
+	})
+	l.heard, l.known = max(heard, 1), max(known, heard, 1)
+}
+
+// refill adds what has come in since the last call. Daemons that are not heard
+// may be using their part of it.
+func (l *Ledger) refill(now time.Time, b *bucket) {
+	part := float64(l.heard) / float64(l.known)
+	b.level = min(b.level+b.limit.Rate*part*now.Sub(b.at).Seconds(), b.limit.Burst)
+	b.at = now
+}
+
+// Take takes the units of one request, or returns after what time they will be
+// there.
+func (l *Ledger) Take(now time.Time, id entity.OrganisationID, units float64) (wait time.Duration, ok bool) {
+	b := l.buckets.Get(id)
+	if b == nil || b.limit.Rate == 0 {
+		return 0, true
+	}
+	l.refill(now, b)
+	need := min(units, b.limit.Burst)
+	if b.level >= need {
+		b.level -= units
+		b.used += units
+		return 0, true
+	}
+	short := time.Duration((need - b.level) / b.limit.Rate * float64(time.Second))
+	return min(short, maxWait), false
+}
+
+// Return gives back the units of a request that has not run.
+func (l *Ledger) Return(id entity.OrganisationID, units float64) {
+	if b := l.buckets.Get(id); b != nil && b.limit.Rate > 0 {
+		b.level = min(b.level+units, b.limit.Burst)
+		b.used -= units
+	}
+}
+
+// Uses returns what to tell the other daemons.
+func (l *Ledger) Uses(now time.Time) []Use {
+	var out []Use
+	l.buckets.All(func(id entity.OrganisationID, b *bucket) bool {
+		if b.limit.Rate > 0 {
+			l.refill(now, b)
+			out = append(out, Use{Organisation: id, Total: b.used, Level: b.level})
+		}
+		return true
+	})
+	return out
+}
+
+// Heard takes another daemon's use. The peer's name must change when it starts
+// anew.
+func (l *Ledger) Heard(now time.Time, peer entity.InstanceID, uses []Use) {
+	for _, u := range uses {
+		b := l.buckets.Get(u.Organisation)
+		if b == nil {
+			continue
+		}
+		l.refill(now, b)
+		key := peerKey{peer, u.Organisation}
+		before := l.peers.Get(key)
+		if before != nil {
+			b.level -= u.Total - *before
+		}
+		if !b.seeded {
+			b.level = min(u.Level, b.limit.Burst)
+			b.seeded = true
+		}
+		total := u.Total
+		l.peers.Put(key, &total)
+	}
+}
+
+// Forget drops what was heard of a daemon that is gone.
+func (l *Ledger) Forget(peer entity.InstanceID) {
+	for _, key := range l.peers.Keys() {
+		if key.peer == peer {
+			l.peers.Delete(key)
+		}
+	}
+}
--- a/internal/system/retry/retry.go
+++ b/internal/system/retry/retry.go
@@ -63,6 +63,16 @@
 	b.services = kept
 }
 
+// SetReserve changes how many retries of a service can be saved up, when the
+// number of daemons that share its budget changes.
+func (b *Budget) SetReserve(reserve float64) {
+	b.cfg.Reserve = cmp.Or(reserve, defaultReserve)
+	b.services.All(func(_ entity.ServiceName, a *account) bool {
+		a.tokens = min(a.tokens, b.cfg.Reserve)
+		return true
+	})
+}
+
 // First records the first attempt of a request.
 func (b *Budget) First(_ time.Time, service entity.ServiceName) {
 	a := b.account(service)
--- /dev/null
+++ b/internal/system/usage/usage.go
@@ -0,0 +1,91 @@
+// Package usage counts the requests of each organisation that began to run, by
+// windows of true time, over all daemons together. Each daemon keeps the others'
+// counts of the last windows as well, so that they outlive it.
+package usage
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// keptWindows is how many windows are kept and told to the others.
+const keptWindows = 4
+
+// Count is what one daemon counted for one organisation in one window.
+type Count struct {
+	Window       int64                 `cbor:"1,keyasint"`
+	Organisation entity.OrganisationID `cbor:"2,keyasint"`
+	Requests     uint32                `cbor:"3,keyasint"`
+}
+
+// Counter holds the counts of all daemons. It is not safe for concurrent use.
+type Counter struct {
+	window time.Duration
+	self   entity.InstanceID
+	counts *entity.Table[key, uint32]
+}
+
+type key struct {
+	daemon       entity.InstanceID
+	window       int64
+	organisation entity.OrganisationID
+}
+
+// New returns a counter of a daemon. Self must change when the daemon starts
+// anew.
+func New(self entity.InstanceID, window time.Duration) *Counter {
+	return &Counter{window: window, self: self, counts: entity.NewTable[key, uint32]()}
+}
+
+// Window returns the number of the window of a true time, given since 1970.
+func (c *Counter) Window(trueTime time.Duration) int64 { return int64(trueTime / c.window) }
+
+// End returns the true time at which a window ends.
+func (c *Counter) End(window int64) time.Duration { return time.Duration(window+1) * c.window }
+
+// Began counts a request that began to run.
+func (c *Counter) Began(window int64, id entity.OrganisationID) {
+	k := key{c.self, window, id}
+	n := c.counts.Get(k)
+	if n == nil {
+		n = new(uint32)
+		c.counts.Put(k, n)
+	}
+	*n++
+}
+
+// Own returns what this daemon counted in the newest windows.
+func (c *Counter) Own(current int64) []Count {
+	var out []Count
+	for _, k := range c.counts.Keys() {
+		if k.window < current-2*keptWindows {
+			c.counts.Delete(k)
+			continue
+		}
+		if k.daemon == c.self && k.window > current-keptWindows {
+			out = append(out, Count{Window: k.window, Organisation: k.organisation, Requests: *c.counts.Get(k)})
+		}
+	}
+	return out
+}
+
+// Heard takes another daemon's counts.
+func (c *Counter) Heard(daemon entity.InstanceID, counts []Count) {
+	for _, n := range counts {
+		requests := n.Requests
+		c.counts.Put(key{daemon, n.Window, n.Organisation}, &requests)
+	}
+}
+
+// Sum returns the counts of all daemons in a window.
+func (c *Counter) Sum(window int64) map[entity.OrganisationID]uint32 {
+	out := make(map[entity.OrganisationID]uint32)
+	c.counts.All(func(k key, n *uint32) bool {
+		if k.window == window {
+			out[k.organisation] += *n
+		}
+		return true
+	})
+	return out
+}
