Order capacity by work: a base on demand, cheap reclaimable servers beside

Cause: with on-demand servers only, after a demand that was not yet seen, two or three engines served a site's first seconds; reports gave up before their first event (4 s without one). Change: work is uncached prompt tokens a second times the learned time for each; before callers have come, the organisations' quotas stand for it. 0.8 on-demand and 1.5 reclaimable servers for each busy one, up at once, down after 8 s. A daemon that is stopping refuses what would outlast it.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -28,6 +28,7 @@
 		return Attempt{}, c.giveUp(t, "deadline", 0)
 	}
 	choice, ok := c.choose(now, t)
+	c.note(now, t, choice, ok)
 	if !ok {
 		return Attempt{}, c.giveUp(t, "no-backend-server", emptyRetry)
 	}
@@ -42,6 +43,19 @@
 	return c.send(now, t, choice), nil
 }
 
+// note counts a request in the demand once, whether it is sent or not.
+func (c *Core) note(now time.Time, t *Ticket, choice placement.Choice, chosen bool) {
+	if t.noted {
+		return
+	}
+	t.noted = true
+	prompt := t.Request.Work.Prompt
+	if chosen {
+		prompt = choice.Uncached
+	}
+	c.demand.add(now, t, prompt)
+}
+
 func (c *Core) late(now time.Time, t *Ticket) bool {
 	return !t.Deadline.IsZero() && t.Deadline.Sub(now) < leastLeft
 }
@@ -123,7 +137,7 @@
 // Ended notes how the present attempt ended and decides what follows: another
 // attempt (nil), or the final answer. After Answered, nothing follows.
 func (c *Core) Ended(now time.Time, t *Ticket, o Outcome) *Refusal {
-	c.release(t)
+	c.release(now, t, o == Answered)
 	if n := len(t.tried); n > 0 && failureWeights[o] > 0 {
 		c.placer.Failed(now, t.tried[n-1], failureWeights[o])
 	}
@@ -142,10 +156,11 @@
 	return nil
 }
 
-// release frees what the present attempt holds.
-func (c *Core) release(t *Ticket) {
+// release frees what the present attempt holds. Whole says that its answer was
+// complete.
+func (c *Core) release(now time.Time, t *Ticket, whole bool) {
 	if t.load != nil {
-		c.placer.End(t.load)
+		c.placer.End(now, t.load, whole)
 		t.load = nil
 	}
 }
@@ -181,8 +196,8 @@
 }
 
 // Finish frees what a request holds when its final answer is given.
-func (c *Core) Finish(t *Ticket) {
-	c.release(t)
+func (c *Core) Finish(now time.Time, t *Ticket) {
+	c.release(now, t, false)
 	if t.Ran == 0 && t.Org != nil {
 		c.quota.Return(t.Org.ID, t.cost)
 		t.cost = 0
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/lease"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quota"
@@ -42,6 +43,7 @@
 	confirmed time.Time // start of the call that last confirmed the configuration
 	storeBack time.Time // when the store last answered after an outage
 	leaving   bool
+	endsBy    time.Time     // when leaving
 	trueTime  time.Duration // since 1970, at the zero of the clock
 	timeKnown bool
 
@@ -55,6 +57,7 @@
 	placed  []Placed // prompts placed since the last message to the others
 	seq     uint32
 	demand  demand
+	levels  *entity.Table[entity.ServiceName, capacity.Level]
 }
 
 // New returns a core that knows no configuration.
@@ -64,6 +67,7 @@
 		servers: entity.NewTable[entity.BackendServerID, serverRow](),
 		peers:   entity.NewTable[entity.InstanceID, peerRow](),
 		placer:  placement.New(cfg.Rand),
+		levels:  entity.NewTable[entity.ServiceName, capacity.Level](),
 		quota:   quota.New(),
 		usage:   usage.New(cfg.Self.process(), cfg.Bounds.UsageWindow),
 		lease:   lease.New(cfg.Self.Name, cfg.Started),
@@ -106,8 +110,8 @@
 // SetTrueTime sets the time since 1970 that belongs to the zero of the clock.
 func (c *Core) SetTrueTime(zero time.Duration) { c.trueTime, c.timeKnown = zero, true }
 
-// Leave notes that this daemon is stopping.
-func (c *Core) Leave() { c.leaving = true }
+// Leave notes that this daemon is stopping and that its process ends by a time.
+func (c *Core) Leave(by time.Time) { c.leaving, c.endsBy = true, by }
 
 // Leaving reports whether this daemon is stopping.
 func (c *Core) Leaving() bool { return c.leaving }
@@ -164,7 +168,6 @@
 	if r := c.takeQuota(now, t); r != nil {
 		return nil, r
 	}
-	c.demand.add(now, t)
 	return t, nil
 }
 
--- a/internal/exchange/demand.go
+++ b/internal/exchange/demand.go
@@ -13,22 +13,28 @@
 type ServiceDemand struct {
 	Service  entity.ServiceName `cbor:"1,keyasint"`
 	Requests float64            `cbor:"2,keyasint"` // a second
-	Prompt   float64            `cbor:"3,keyasint"` // tokens a second
+	Prompt   float64            `cbor:"3,keyasint"` // tokens a second that engines must read
 	Output   float64            `cbor:"4,keyasint"` // tokens a second
 }
 
 // demand averages the requests of this daemon with fading weights.
 type demand struct {
-	rows []ServiceDemand
-	at   time.Time
+	rows  []ServiceDemand
+	at    time.Time
+	first time.Time // of all requests
+	seen  bool      // requests have come for long enough to tell the demand
 }
 
-// add counts one request.
-func (d *demand) add(now time.Time, t *Ticket) {
+// add counts one request, of whose prompt so much must be read.
+func (d *demand) add(now time.Time, t *Ticket, prompt entity.Tokens) {
 	d.fade(now)
+	if d.first.IsZero() {
+		d.first = now
+	}
+	d.seen = now.Sub(d.first) > demandMemory
 	row := d.row(t.Service)
 	row.Requests++
-	row.Prompt += float64(t.Request.Work.Prompt)
+	row.Prompt += float64(prompt)
 	row.Output += float64(t.Request.Work.expectedOutput())
 }
 
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -91,7 +91,32 @@
 	for _, dc := range c.cfg.DataCentres {
 		in.Places = append(in.Places, capacity.Place{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc]})
 	}
-	d := c.Demand(now, s.Name)
-	in.Work = c.placer.Work(s.Name, d.Prompt)
+	level := c.levels.Get(s.Name)
+	if level == nil {
+		level = &capacity.Level{}
+		c.levels.Put(s.Name, level)
+	}
+	in.Work = level.Follow(now, c.placer.Work(s.Name, c.expectedPrompt(now, s)))
 	return in
 }
+
+// quotaUse is the part of their quotas that organisations use on an ordinary
+// day, as long as their demand has not been seen.
+const quotaUse = 0.4
+
+// expectedPrompt returns the prompt tokens a second that a service's engines
+// will have to read: the present demand, and before callers have come what the
+// organisations' quotas let expect.
+func (c *Core) expectedPrompt(now time.Time, s *Service) float64 {
+	d := c.Demand(now, s.Name)
+	if c.demand.seen {
+		return d.Prompt
+	}
+	sum := 0.0
+	for i := range c.routes.doc.Organisations {
+		if o := &c.routes.doc.Organisations[i]; o.InTokens {
+			sum += o.RatePerSec
+		}
+	}
+	return max(sum*quotaUse, d.Prompt)
+}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -92,6 +92,7 @@
 	priority int
 	load     *placement.Load // the present attempt's; nil between attempts
 	counted  bool            // in the usage of its organisation
+	noted    bool            // in the demand
 	cost     float64
 	sentAt   time.Time
 	first    bool // the present attempt has produced its first event or head
--- a/internal/exchange/turnaway.go
+++ b/internal/exchange/turnaway.go
@@ -13,6 +13,9 @@
 	// busyCrowd is the part of a service's slots that must be taken before
 	// anybody is turned away.
 	busyCrowd = 0.5
+	// leavingMargin is how many times its expected duration a request must have
+	// until this daemon's end.
+	leavingMargin = 2
 	// minBack and maxBack bound the time to come back.
 	minBack = 100 * time.Millisecond
 	maxBack = 3 * time.Second
@@ -24,6 +27,9 @@
 	if !t.Deadline.IsZero() && choice.Cost > t.Deadline.Sub(now) {
 		return c.giveUp(t, "hopeless", bounded(choice.Cost))
 	}
+	if c.leaving && t.Sends == 0 && now.Add(leavingMargin*c.duration(t, choice)).After(c.endsBy) {
+		return c.giveUp(t, "leaving", staleRetry)
+	}
 	if choice.Crowd < busyCrowd || t.Route.Objective == 0 || t.Sends > 0 {
 		return nil
 	}
@@ -34,4 +40,9 @@
 	return c.giveUp(t, "overload", bounded(over))
 }
 
+// duration returns how long the answer will probably take.
+func (c *Core) duration(t *Ticket, choice placement.Choice) time.Duration {
+	return choice.Cost + c.placer.OutputTime(t.Service, t.Request.Work.expectedOutput())
+}
+
 func bounded(d time.Duration) time.Duration { return min(max(d, minBack), maxBack) }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -127,7 +127,7 @@
 // serve makes attempts until one has been answered. It returns the refusal to
 // send, if any.
 func (x *run) serve() *exchange.Refusal {
-	defer x.g.locked(func(c *exchange.Core, _ time.Time) { c.Finish(x.ticket) })
+	defer x.g.locked(func(c *exchange.Core, now time.Time) { c.Finish(now, x.ticket) })
 	ctx, cancel := context.WithCancelCause(x.r.Context())
 	defer cancel(nil)
 	x.ctx = ctx
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -18,7 +18,7 @@
 // those that still come, and waits for the requests in flight.
 func (g *Gateway) stop() {
 	g.event(event.GatewayDraining, "")
-	g.locked(func(c *exchange.Core, _ time.Time) { c.Leave() })
+	g.locked(func(c *exchange.Core, now time.Time) { c.Leave(now.Add(g.Settings.Grace - stopMargin)) })
 	close(g.stopped)
 	linger := min(keptAnswers*g.Settings.AddressTTL+time.Second, g.Settings.Grace-stopMargin)
 	end := time.Now().Add(g.Settings.Grace - stopMargin)
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -1,13 +1,15 @@
 // Package capacity decides how many backend servers of each class to order in
-// each data centre. It answers a demand that swings and waves of reclaims that
+// each data centre. It answers a demand that swings, and waves of reclaims that
 // take all reclaimable servers of a data centre while no others can be had: a
-// base on demand carries the ordinary load, cheap reclaimable servers are added
-// while they last.
+// base on demand carries the urgent part of the load whatever happens, cheap
+// reclaimable servers carry the rest and are spread so that one wave leaves most
+// of them.
 package capacity
 
 import (
 	"math"
 	"sort"
+	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
@@ -23,7 +25,7 @@
 	Places           []Place
 	Min, Max         int     // in one data centre, both classes together
 	ReclaimablePrice float64 // in parts of an on-demand server's price
-	Work             float64 // servers that the present demand keeps busy all the time
+	Work             float64 // servers that the demand keeps busy all the time
 }
 
 // Want is the number of servers wanted in a data centre.
@@ -34,10 +36,14 @@
 }
 
 const (
-	// busyPart is how busy the on-demand servers may be.
-	busyPart = 0.8
-	// reclaimablePart is how many reclaimable servers go with each busy one.
-	reclaimablePart = 0.0
+	// basePart is how many on-demand servers go with each busy one.
+	basePart = 0.8
+	// reclaimablePart is how many reclaimable servers go with each busy one, where
+	// they cost next to nothing.
+	reclaimablePart = 1.5
+	// dearPrice is the price at which reclaimable servers are not worth their
+	// risk, in parts of an on-demand server's.
+	dearPrice = 0.7
 )
 
 // Plan returns the wanted numbers, cheapest data centre first.
@@ -46,12 +52,17 @@
 	sort.SliceStable(places, func(i, j int) bool { return places[i].Price < places[j].Price })
 	wants := make([]Want, len(places))
 	for i, p := range places {
-		wants[i] = Want{DataCentre: p.DataCentre, OnDemand: in.Min}
+		wants[i] = Want{DataCentre: p.DataCentre}
+	}
+	cheap := math.Max(0, 1-in.ReclaimablePrice/dearPrice)
+	base := in.Work * (basePart + (1-cheap)*(1-basePart))
+	spread(wants, int(math.Ceil(base)), in.Max, func(w *Want) *int { return &w.OnDemand })
+	extra := in.Work * reclaimablePart * cheap
+	spread(wants, int(math.Ceil(extra)), in.Max, func(w *Want) *int { return &w.Reclaimable })
+	for i := range wants {
+		w := &wants[i]
+		w.OnDemand = max(w.OnDemand, in.Min-w.Reclaimable, min(in.Min, 1))
 	}
-	base := int(math.Ceil(in.Work / busyPart))
-	spread(wants, base-in.Min*len(places), in.Max, func(w *Want) *int { return &w.OnDemand })
-	extra := int(math.Ceil(in.Work * reclaimablePart))
-	spread(wants, extra, in.Max, func(w *Want) *int { return &w.Reclaimable })
 	return wants
 }
 
@@ -74,3 +85,36 @@
 		*field(least)++
 	}
 }
+
+const (
+	// settle is how long a lower demand must last before fewer servers are wanted.
+	settle = 8 * time.Second
+	// shrinkMargin is how far below the present level the demand must be.
+	shrinkMargin = 0.85
+)
+
+// Level follows the work of one service: up at once, down slowly, so that a
+// short lull takes no servers away.
+type Level struct {
+	work  float64
+	since time.Time // since when the work has been lower
+	most  float64   // the highest work since then
+}
+
+// Follow takes the present work and returns the level to plan for.
+func (l *Level) Follow(now time.Time, work float64) float64 {
+	switch {
+	case work > l.work:
+		l.work, l.since = work, time.Time{}
+	case work > l.work*shrinkMargin:
+		l.since = time.Time{}
+	case l.since.IsZero():
+		l.since, l.most = now, work
+	default:
+		l.most = max(l.most, work)
+		if now.Sub(l.since) >= settle {
+			l.work, l.since = l.most, time.Time{}
+		}
+	}
+	return l.work
+}
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -46,7 +46,9 @@
 	Server  entity.BackendServerID
 	Pending entity.Tokens // prompt tokens to be read before the first event
 	Memory  entity.Tokens
+	Output  entity.Tokens
 	Running bool // the first event has come
+	firstAt time.Time
 	ahead   entity.Tokens
 	sentAt  time.Time
 	service entity.ServiceName
@@ -75,8 +77,10 @@
 type Choice struct {
 	Server entity.BackendServerID
 	Cost   time.Duration // expected time to the first event
-	Crowd  float64       // part of the service's slots that are taken
-	load   Load
+	// Uncached is how much of the prompt must be read.
+	Uncached entity.Tokens
+	Crowd    float64 // part of the service's slots that are taken
+	load     Load
 }
 
 // Placer holds what is known of all backend servers. It is not safe for
@@ -167,11 +171,11 @@
 func (p *Placer) choice(now time.Time, r *row, q *Query, crowd float64) Choice {
 	uncached := r.cache.uncached(q.Prompt, q.Parts)
 	load := Load{
-		Server: r.ID, Pending: uncached, Memory: q.Prompt + q.Output,
+		Server: r.ID, Pending: uncached, Memory: q.Prompt + q.Output, Output: q.Output,
 		ahead: r.own.Pending + r.others.Pending, sentAt: now, service: r.Service,
 	}
 	return Choice{
-		Server: r.ID, Crowd: crowd, load: load,
+		Server: r.ID, Crowd: crowd, Uncached: uncached, load: load,
 		Cost: time.Duration(p.firstEvent(r, uncached) * float64(time.Millisecond)),
 	}
 }
@@ -235,7 +239,7 @@
 	if l.Running {
 		return
 	}
-	l.Running = true
+	l.Running, l.firstAt = true, now
 	r := p.servers.Get(l.Server)
 	if r == nil {
 		return
@@ -251,8 +255,11 @@
 	}
 }
 
-// End frees what a request took.
-func (p *Placer) End(l *Load) {
+// End frees what a request took. Whole says that its answer was complete.
+func (p *Placer) End(now time.Time, l *Load, whole bool) {
+	if whole && l.Running && l.Output > 0 {
+		p.speed(l.service).learnOutput(float64(now.Sub(l.firstAt))/float64(time.Millisecond), float64(l.Output))
+	}
 	r := p.servers.Get(l.Server)
 	if r == nil {
 		return
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -1,12 +1,20 @@
 package placement
 
-import "github.com/gooseberryslip/gooseberryslip/internal/entity"
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
 
 const (
 	// initialPerToken is the time to read one prompt token before any was seen.
 	initialPerToken = 0.015 // ms
 	// initialBase is the time to the first event that does not depend on size.
 	initialBase = 50.0 // ms
+	// initialPerOutput is the time for each token of an answer before any was seen.
+	initialPerOutput = 12.0 // ms
+	// outputGain is the weight of a new sample of it.
+	outputGain = 0.02
 	// speedMemory is the weight that a sample keeps with each further one.
 	speedMemory = 0.99
 	// minPerToken and maxPerToken bound what a few odd samples can make of it.
@@ -22,10 +30,11 @@
 // a base time and a time for each token, by least squares with fading weights.
 type speed struct {
 	n, x, y, xx, xy float64
+	perOutput       float64 // ms for each token of an answer
 }
 
 func newSpeed() *speed {
-	s := &speed{}
+	s := &speed{perOutput: initialPerOutput}
 	for _, tokens := range []float64{0, 2 * priorSpread} {
 		time := initialBase + initialPerToken*tokens
 		s.add(tokens, time, priorWeight/2)
@@ -73,3 +82,14 @@
 func (p *Placer) Work(service entity.ServiceName, tokensPerSecond float64) float64 {
 	return tokensPerSecond * p.speed(service).perToken() / 1000
 }
+
+// learnOutput takes the time in ms that the tokens of an answer took.
+func (s *speed) learnOutput(time, tokens float64) {
+	s.perOutput += outputGain * (time/tokens - s.perOutput)
+}
+
+// OutputTime returns how long an answer of so many tokens takes from its first
+// event to its last.
+func (p *Placer) OutputTime(service entity.ServiceName, tokens entity.Tokens) time.Duration {
+	return time.Duration(p.speed(service).perOutput * float64(tokens) * float64(time.Millisecond))
+}
