Plan capacity with reclaimable servers first; share confirmations of the configuration

Change: 2.0 reclaimable servers for each busy one, on demand what they lack after a wave, the level handed on by news; two daemons confirm the configuration every 0.7 s for all, a confirmation being dated by the echo of the receiver's own message.

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -56,6 +56,7 @@
 	lease   *lease.Lease
 	placed  []Placed // prompts placed since the last message to the others
 	seq     uint32
+	sent    sentTimes
 	demand  demand
 	levels  *entity.Table[entity.ServiceName, capacity.Level]
 }
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -91,13 +91,33 @@
 	for _, dc := range c.cfg.DataCentres {
 		in.Places = append(in.Places, capacity.Place{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc]})
 	}
-	level := c.levels.Get(s.Name)
+	in.Work = c.level(s.Name).Follow(now, c.placer.Work(s.Name, c.expectedPrompt(now, s)))
+	for _, n := range c.Listed() {
+		if n.Service == s.Name && n.Reclaimable {
+			in.Reclaimable += n.Count
+		}
+	}
+	return in
+}
+
+// level returns the level of work that a service's capacity is planned for.
+func (c *Core) level(service entity.ServiceName) *capacity.Level {
+	level := c.levels.Get(service)
 	if level == nil {
 		level = &capacity.Level{}
-		c.levels.Put(s.Name, level)
+		c.levels.Put(service, level)
 	}
-	in.Work = level.Follow(now, c.placer.Work(s.Name, c.expectedPrompt(now, s)))
-	return in
+	return level
+}
+
+// planned returns the levels for the daemon that may hold the lease next.
+func (c *Core) planned() []ServiceLevel {
+	var out []ServiceLevel
+	c.levels.All(func(service entity.ServiceName, l *capacity.Level) bool {
+		out = append(out, ServiceLevel{Service: service, Work: l.Work()})
+		return true
+	})
+	return out
 }
 
 // quotaUse is the part of their quotas that organisations use on an ordinary
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -45,6 +45,23 @@
 	Usage      []usage.Count   `cbor:"9,keyasint,omitempty"`
 	Placed     []Placed        `cbor:"10,keyasint,omitempty"`
 	Demand     []ServiceDemand `cbor:"11,keyasint,omitempty"`
+	// Age is how long before this message the sender's configuration was confirmed
+	// to be the newest; negative: too long ago to act on it.
+	Age     time.Duration   `cbor:"12,keyasint"`
+	Levels  []ServiceLevel  `cbor:"13,keyasint,omitempty"` // only from the lease's holder
+	Leavers []LeavingServer `cbor:"14,keyasint,omitempty"`
+}
+
+// LeavingServer is a backend server that has said that it drains.
+type LeavingServer struct {
+	ID   entity.BackendServerID `cbor:"1,keyasint"`
+	Born int64                  `cbor:"2,keyasint,omitempty"`
+}
+
+// ServiceLevel is the work that the lease's holder plans for.
+type ServiceLevel struct {
+	Service entity.ServiceName `cbor:"1,keyasint"`
+	Work    float64            `cbor:"2,keyasint"`
 }
 
 // peerRow is another daemon as this one knows it.
@@ -72,8 +89,10 @@
 	n := News{
 		From: c.cfg.Self, Sequence: c.seq, Leaving: c.leaving, Serving: c.Serving(now),
 		Loads: c.placer.Sums(), Quota: c.quota.Uses(now), Placed: c.placed, Demand: c.demand.rates(now),
+		Age: c.age(now), Leavers: c.leavers(now),
 	}
 	c.placed = nil
+	c.sent.note(c.seq, now)
 	if c.routes != nil {
 		n.Version = c.routes.doc.Version
 	}
@@ -82,6 +101,7 @@
 	}
 	if epoch, held := c.lease.Epoch(); held {
 		n.LeaseEpoch = epoch
+		n.Levels = c.planned()
 	}
 	return n
 }
@@ -96,8 +116,10 @@
 	}
 }
 
-// Heard takes another daemon's news. Overtaken messages are dropped.
-func (c *Core) Heard(now time.Time, n *News) {
+// Heard takes another daemon's news. Echo is the sequence number of this
+// daemon's last message that the other one had heard when it wrote its own.
+// Overtaken messages are dropped.
+func (c *Core) Heard(now time.Time, n *News, echo uint32) {
 	if n.From.Name == c.cfg.Self.Name || n.From.Name == "" {
 		return
 	}
@@ -118,6 +140,7 @@
 	row.Member, row.heard, row.sequence = n.From, now, n.Sequence
 	row.leaving, row.serving, row.version, row.demand = n.Leaving, n.Serving, n.Version, n.Demand
 	c.take(now, row, n)
+	c.confirmBy(n, echo)
 }
 
 // take hands the parts of a message to those that use them.
@@ -127,6 +150,12 @@
 	c.quota.Heard(now, process, n.Quota)
 	c.usage.Heard(process, n.Usage)
 	c.lease.Heard(now, n.LeaseEpoch)
+	for _, l := range n.Levels {
+		c.level(l.Service).Adopt(l.Work)
+	}
+	for _, l := range n.Leavers {
+		c.heardLeaving(now, l)
+	}
 	for _, p := range n.Placed {
 		c.placer.Cached(now, p.Server, p.Parts)
 	}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -121,3 +121,27 @@
 	}
 	return out
 }
+
+// leaverNews is how long other daemons are told of a server that drains.
+const leaverNews = 3 * time.Second
+
+// leavers returns the servers that began to drain lately.
+func (c *Core) leavers(now time.Time) []LeavingServer {
+	var out []LeavingServer
+	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
+		if row.State == Draining && now.Sub(row.leaving) < leaverNews {
+			out = append(out, LeavingServer{ID: id, Born: row.Born})
+		}
+		return true
+	})
+	return out
+}
+
+// heardLeaving takes another daemon's word that a server drains.
+func (c *Core) heardLeaving(now time.Time, l LeavingServer) {
+	row := c.servers.Get(l.ID)
+	if row == nil || row.Born != l.Born || row.State != Ready {
+		return
+	}
+	row.State, row.leaving = Draining, now.Add(-leaverNews) // not to be told on and on
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -100,6 +101,8 @@
 	flight  sync.WaitGroup
 	stopped chan struct{} // closed when the stop signal has come
 
+	configurationLost atomic.Bool // the table service does not tell the configuration
+
 	mu   sync.Mutex // guards core
 	core *exchange.Core
 	self exchange.Member
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -112,39 +112,115 @@
 	if err != nil {
 		return nil, err
 	}
-	return peer.New(peer.Config{
-		Self: g.self.Name, Listen: g.Settings.Listen.Peers, TLS: config, Handler: g.hearNews, IdleTimeout: peerIdle,
+	var t *peer.Transport
+	opened := make(chan struct{})
+	t, err = peer.New(peer.Config{
+		Self: g.self.Name, Listen: g.Settings.Listen.Peers, TLS: config, IdleTimeout: peerIdle,
+		Handler: func(from entity.InstanceID, addr string, _ peer.Channel, body []byte) {
+			<-opened
+			g.hear(from, addr, func(to peer.Address, m message) { g.send(t.Send, to, m) }, body)
+		},
 	})
+	close(opened)
+	return t, err
 }
 
-func (g *Gateway) hearNews(_ entity.InstanceID, _ string, _ peer.Channel, body []byte) {
+// message is what daemons send each other.
+type message struct {
+	Echo     uint32             `cbor:"1,keyasint,omitempty"` // the receiver's last message that was heard
+	News     []byte             `cbor:"2,keyasint,omitempty"` // encoded once for all receivers
+	Wants    uint64             `cbor:"3,keyasint,omitempty"` // asks for a configuration newer than this version
+	Document *exchange.Document `cbor:"4,keyasint,omitempty"`
+}
+
+// hear takes a message of another daemon.
+func (g *Gateway) hear(from entity.InstanceID, addr string, reply func(peer.Address, message), body []byte) {
+	var m message
+	if err := codec.Decode(body, &m); err != nil {
+		g.Log.Logger().WithError(err).Warn("a message of another daemon cannot be read")
+		return
+	}
+	if m.Document != nil {
+		g.takeDocument(m.Document, "daemon "+string(from))
+	}
+	if m.Wants > 0 {
+		g.locked(func(c *exchange.Core, _ time.Time) { m.Document = c.Document() })
+		if m.Document != nil && m.Document.Version > m.Wants {
+			reply(peer.Address{ID: from, Addr: addr}, message{Document: m.Document})
+		}
+	}
+	if len(m.News) > 0 {
+		g.hearNews(&m)
+	}
+}
+
+func (g *Gateway) hearNews(m *message) {
 	var n exchange.News
-	if err := codec.Decode(body, &n); err != nil {
+	if err := codec.Decode(m.News, &n); err != nil {
 		g.Log.Logger().WithError(err).Warn("news of another daemon cannot be read")
 		return
 	}
-	g.locked(func(c *exchange.Core, now time.Time) { c.Heard(now, &n) })
+	g.locked(func(c *exchange.Core, now time.Time) { c.Heard(now, &n, m.Echo) })
 }
 
 // exchangeNews tells all other daemons what they need to know, until the
 // process ends.
 func (g *Gateway) exchangeNews(life context.Context, t *peer.Transport) {
 	for {
-		var news exchange.News
-		var others []exchange.Member
-		g.locked(func(c *exchange.Core, now time.Time) {
-			news, others = c.News(now), c.Others()
-		})
-		body, err := codec.Encode(news)
-		if err != nil {
-			g.Log.Logger().WithError(err).Error("news cannot be encoded")
+		others := g.tellAll(t)
+		g.askForDocument(t)
+		if !pause(life, newsInterval+time.Duration(others)*newsPerPeer) {
+			return
 		}
+	}
+}
+
+// tellAll sends the news to all other daemons and returns how many they are.
+func (g *Gateway) tellAll(t *peer.Transport) int {
+	var news exchange.News
+	var others []exchange.Member
+	var echoes []uint32
+	g.locked(func(c *exchange.Core, now time.Time) {
+		news, others = c.News(now), c.Others()
 		for _, m := range others {
-			t.Datagram(peer.Address{ID: m.Name, Addr: m.PeerAddr}, body)
-		}
-		if !pause(life, newsInterval+time.Duration(len(others))*newsPerPeer) {
-			return
+			echoes = append(echoes, c.Echo(m.Name))
 		}
+	})
+	body, err := codec.Encode(news)
+	if err != nil {
+		g.Log.Logger().WithError(err).Error("news cannot be encoded")
+		return len(others)
+	}
+	for i, m := range others {
+		g.send(t.Datagram, peer.Address{ID: m.Name, Addr: m.PeerAddr}, message{Echo: echoes[i], News: body})
+	}
+	return len(others)
+}
+
+func (g *Gateway) send(by func(peer.Address, []byte), to peer.Address, m message) {
+	body, err := codec.Encode(m)
+	if err != nil {
+		g.Log.Logger().WithError(err).Error("a message cannot be encoded")
+		return
+	}
+	by(to, body)
+}
+
+// askForDocument asks another daemon for a newer configuration while the table
+// service does not give it.
+func (g *Gateway) askForDocument(t *peer.Transport) {
+	if !g.configurationLost.Load() {
+		return
+	}
+	var from exchange.Member
+	var newer bool
+	var own uint64
+	g.locked(func(c *exchange.Core, now time.Time) {
+		from, newer = c.Newer(now)
+		own, _ = c.Version(now)
+	})
+	if newer && own > 0 {
+		g.send(t.Send, peer.Address{ID: from.Name, Addr: from.PeerAddr}, message{Wants: own})
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -24,10 +25,11 @@
 
 // watcher follows one feed for ever.
 type watcher[T any] struct {
-	g    *Gateway
-	name string
-	feed provider.Feed[T]
-	wait time.Duration
+	g        *Gateway
+	name     string
+	feed     provider.Feed[T]
+	wait     func() time.Duration
+	lostFlag *atomic.Bool // set while the feed fails; may be nil
 	// take is called with each answer. Whole says that changes holds all
 	// entries; start is when the call was made.
 	take func(whole bool, changes []provider.Change[T], start time.Time)
@@ -57,9 +59,10 @@
 	if w.position == 0 {
 		return w.list(ctx, start)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.wait+changesMargin)
+	wait := w.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+changesMargin)
 	defer cancel()
-	changes, at, err := w.feed.Changes(ctx, w.position, w.wait)
+	changes, at, err := w.feed.Changes(ctx, w.position, wait)
 	if err != nil {
 		return err
 	}
@@ -91,7 +94,7 @@
 	if !w.failing {
 		return
 	}
-	w.failing = false
+	w.setFailing(false)
 	w.g.locked(func(c *exchange.Core, now time.Time) { c.StoreBack(now) })
 	w.g.event(event.DependencyRegained, "", event.A("dependency", w.name))
 }
@@ -100,18 +103,40 @@
 	if w.failing || ctx.Err() != nil {
 		return
 	}
-	w.failing = true
+	w.setFailing(true)
 	w.g.event(event.DependencyLost, "", event.A("dependency", w.name), event.A("error", err.Error()))
 }
 
+func (w *watcher[T]) setFailing(failing bool) {
+	w.failing = failing
+	if w.lostFlag != nil {
+		w.lostFlag.Store(failing)
+	}
+}
+
+// confirmWait is how long a call for changes of the configuration waits at the
+// daemons that confirm it for the others.
+const confirmWait = 700 * time.Millisecond
+
 // feedWait is how long a call for changes waits: two calls in a row must fit
 // into the time after which a confirmation is stale.
 func (g *Gateway) feedWait() time.Duration {
 	return (g.Settings.Revoke-staleMargin)/2 - 250*time.Millisecond
 }
 
+// configurationWait is shorter at a few daemons, so that all know of a recent
+// confirmation when the table service goes away.
+func (g *Gateway) configurationWait() time.Duration {
+	often := false
+	g.locked(func(c *exchange.Core, now time.Time) { often = c.Confirmer(now) })
+	if often {
+		return min(confirmWait, g.feedWait())
+	}
+	return g.feedWait()
+}
+
 func (g *Gateway) watchConfiguration(life context.Context) {
-	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.feedWait(), take: g.takeConfiguration}
+	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.configurationWait, take: g.takeConfiguration, lostFlag: &g.configurationLost}
 	w.run(life)
 }
 
@@ -124,17 +149,22 @@
 			continue
 		}
 		readable = true
-		taken := false
-		g.locked(func(c *exchange.Core, now time.Time) { taken = c.SetDocument(now, change.Value) })
-		if taken {
-			g.event(event.ConfigurationTaken, "", event.A("version", change.Value.Version), event.A("routes", len(change.Value.Routes)))
-		}
+		g.takeDocument(change.Value, "table service")
 	}
 	if readable {
 		g.locked(func(c *exchange.Core, _ time.Time) { c.Confirm(start) })
 	}
 }
 
+// takeDocument puts a configuration in force, unless a newer one is.
+func (g *Gateway) takeDocument(doc *exchange.Document, source string) {
+	taken := false
+	g.locked(func(c *exchange.Core, now time.Time) { taken = c.SetDocument(now, doc) })
+	if taken {
+		g.event(event.ConfigurationTaken, "", event.A("version", doc.Version), event.A("routes", len(doc.Routes)), event.A("source", source))
+	}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -143,7 +173,7 @@
 }
 
 func (g *Gateway) watchServers(life context.Context) {
-	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.Servers, wait: g.feedWait(), take: g.takeServers}
+	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.Servers, wait: g.feedWait, take: g.takeServers}
 	w.run(life)
 }
 
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -1,9 +1,9 @@
 // Package capacity decides how many backend servers of each class to order in
 // each data centre. It answers a demand that swings, and waves of reclaims that
-// take all reclaimable servers of a data centre while no others can be had: a
-// base on demand carries the urgent part of the load whatever happens, cheap
-// reclaimable servers carry the rest and are spread so that one wave leaves most
-// of them.
+// take all reclaimable servers of a data centre while no others can be had:
+// cheap reclaimable servers, more than the load needs and spread so that one
+// wave leaves most of them, carry the load; what they lack after a wave is
+// ordered on demand at once, and given back when they return.
 package capacity
 
 import (
@@ -26,6 +26,7 @@
 	Min, Max         int     // in one data centre, both classes together
 	ReclaimablePrice float64 // in parts of an on-demand server's price
 	Work             float64 // servers that the demand keeps busy all the time
+	Reclaimable      int     // reclaimable servers that are there
 }
 
 // Want is the number of servers wanted in a data centre.
@@ -36,17 +37,19 @@
 }
 
 const (
-	// basePart is how many on-demand servers go with each busy one.
-	basePart = 0.8
+	// basePart is how many on-demand servers go with each busy one at least.
+	basePart = 0.4
 	// reclaimablePart is how many reclaimable servers go with each busy one, where
 	// they cost next to nothing.
-	reclaimablePart = 1.5
+	reclaimablePart = 2.0
+	// totalPart is how many servers of both classes go with each busy one at least.
+	totalPart = 1.4
 	// dearPrice is the price at which reclaimable servers are not worth their
 	// risk, in parts of an on-demand server's.
 	dearPrice = 0.7
 )
 
-// Plan returns the wanted numbers, cheapest data centre first.
+// Plan returns the wanted numbers.
 func Plan(in Input) []Want {
 	places := append([]Place(nil), in.Places...)
 	sort.SliceStable(places, func(i, j int) bool { return places[i].Price < places[j].Price })
@@ -55,13 +58,13 @@
 		wants[i] = Want{DataCentre: p.DataCentre}
 	}
 	cheap := math.Max(0, 1-in.ReclaimablePrice/dearPrice)
-	base := in.Work * (basePart + (1-cheap)*(1-basePart))
-	spread(wants, int(math.Ceil(base)), in.Max, func(w *Want) *int { return &w.OnDemand })
-	extra := in.Work * reclaimablePart * cheap
-	spread(wants, int(math.Ceil(extra)), in.Max, func(w *Want) *int { return &w.Reclaimable })
+	reclaimable := int(math.Ceil(in.Work * reclaimablePart * cheap))
+	onDemand := int(math.Ceil(in.Work*totalPart)) - min(in.Reclaimable, reclaimable)
+	spread(wants, max(onDemand, int(math.Ceil(in.Work*basePart))), in.Max, func(w *Want) *int { return &w.OnDemand })
+	spread(wants, reclaimable, in.Max, func(w *Want) *int { return &w.Reclaimable })
 	for i := range wants {
 		w := &wants[i]
-		w.OnDemand = max(w.OnDemand, in.Min-w.Reclaimable, min(in.Min, 1))
+		w.OnDemand = max(w.OnDemand, in.Min-w.Reclaimable)
 	}
 	return wants
 }
@@ -118,3 +121,9 @@
 	}
 	return l.work
 }
+
+// Work returns the level.
+func (l *Level) Work() float64 { return l.work }
+
+// Adopt takes the level of the daemon that has planned until now.
+func (l *Level) Adopt(work float64) { l.work, l.since = work, time.Time{} }
