--- a/internal/exchange/demand.go
+++ b/internal/exchange/demand.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -93,3 +94,11 @@
 	})
 	return sum
 }
+
+// WorkOf describes the inputs of a service's capacity plan, for logs.
+func (c *Core) WorkOf(now time.Time, service entity.ServiceName) string {
+	d := c.Demand(now, service)
+	present := c.placer.Work(service, d.Prompt, d.Output)
+	return fmt.Sprintf("planned %.2f now %.2f requests/s %.1f prompt/s %.0f output/s %.0f %s",
+		c.level(service).Work(), present, d.Requests, d.Prompt, d.Output, c.placer.Speed(service))
+}
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -91,7 +91,8 @@
 	for _, dc := range c.cfg.DataCentres {
 		in.Places = append(in.Places, capacity.Place{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc]})
 	}
-	in.Work = c.level(s.Name).Follow(now, c.placer.Work(s.Name, c.expectedPrompt(now, s)))
+	prompt, output := c.expected(now, s)
+	in.Work = c.level(s.Name).Follow(now, c.placer.Work(s.Name, prompt, output))
 	for _, n := range c.Listed() {
 		if n.Service == s.Name && n.Reclaimable {
 			in.Reclaimable += n.Count
@@ -120,17 +121,21 @@
 	return out
 }
 
-// quotaUse is the part of their quotas that organisations use on an ordinary
-// day, as long as their demand has not been seen.
-const quotaUse = 0.4
+const (
+	// quotaUse is the part of their quotas that organisations use on an ordinary
+	// day, as long as their demand has not been seen.
+	quotaUse = 0.4
+	// outputPart is the part of a quota that pays for generated tokens.
+	outputPart = 0.03
+)
 
-// expectedPrompt returns the prompt tokens a second that a service's engines
-// will have to read: the present demand, and before callers have come what the
-// organisations' quotas let expect.
-func (c *Core) expectedPrompt(now time.Time, s *Service) float64 {
+// expected returns the tokens a second that a service's engines will have to
+// read and to generate: the present demand, and before callers have come what
+// the organisations' quotas let expect.
+func (c *Core) expected(now time.Time, s *Service) (prompt, output float64) {
 	d := c.Demand(now, s.Name)
 	if c.demand.seen {
-		return d.Prompt
+		return d.Prompt, d.Output
 	}
 	sum := 0.0
 	for i := range c.routes.doc.Organisations {
@@ -138,5 +143,6 @@
 			sum += o.RatePerSec
 		}
 	}
-	return max(sum*quotaUse, d.Prompt)
+	sum *= quotaUse
+	return max(sum*(1-outputPart), d.Prompt), max(sum*outputPart, d.Output)
 }
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -197,6 +197,13 @@
 	return row.Version, nil
 }
 
+// work returns the inputs of the plan for a service.
+func (d *duties) work(service entity.ServiceName) string {
+	var out string
+	d.g.locked(func(c *exchange.Core, now time.Time) { out = c.WorkOf(now, service) })
+	return out
+}
+
 // order sends the orders of backend servers that are due.
 func (d *duties) order(life context.Context) {
 	var due []provider.ServerOrder
@@ -213,7 +220,7 @@
 		cancel()
 		d.orders.done(clock.Now(), o, err)
 		if err == nil {
-			d.g.event(event.ServersWanted, "", event.A("order", fmt.Sprint(o)))
+			d.g.event(event.ServersWanted, "", event.A("order", fmt.Sprint(o)), event.A("work", d.work(o.Service)))
 			continue
 		}
 		d.g.event(event.OrderFailed, "", event.A("order", fmt.Sprint(o)), event.A("error", err.Error()))
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -43,7 +43,7 @@
 	// they cost next to nothing.
 	reclaimablePart = 2.0
 	// totalPart is how many servers of both classes go with each busy one at least.
-	totalPart = 1.4
+	totalPart = 1.25
 	// dearPrice is the price at which reclaimable servers are not worth their
 	// risk, in parts of an on-demand server's.
 	dearPrice = 0.7
@@ -91,7 +91,7 @@
 
 const (
 	// settle is how long a lower demand must last before fewer servers are wanted.
-	settle = 8 * time.Second
+	settle = 25 * time.Second
 	// shrinkMargin is how far below the present level the demand must be.
 	shrinkMargin = 0.85
 )
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -78,9 +79,24 @@
 	return max(base, 0) + slope*tokens
 }
 
-// Work returns how many backend servers the reading of prompts keeps busy.
-func (p *Placer) Work(service entity.ServiceName, tokensPerSecond float64) float64 {
-	return tokensPerSecond * p.speed(service).perToken() / 1000
+// Work returns how many backend servers a demand keeps busy: by reading prompts
+// and by generating, with half of the slots of a server running.
+func (p *Placer) Work(service entity.ServiceName, promptPerSecond, outputPerSecond float64) float64 {
+	s := p.speed(service)
+	batch := max(float64(p.slots(service))/2, 1)
+	return (promptPerSecond*s.perToken() + outputPerSecond*s.perOutput/batch) / 1000
+}
+
+// slots returns the slots of a service's backend servers, the most that one has.
+func (p *Placer) slots(service entity.ServiceName) int {
+	most := 0
+	p.servers.All(func(_ entity.BackendServerID, r *row) bool {
+		if r.Service == service {
+			most = max(most, r.Slots)
+		}
+		return true
+	})
+	return most
 }
 
 // learnOutput takes the time in ms that the tokens of an answer took.
@@ -93,3 +109,9 @@
 func (p *Placer) OutputTime(service entity.ServiceName, tokens entity.Tokens) time.Duration {
 	return time.Duration(p.speed(service).perOutput * float64(tokens) * float64(time.Millisecond))
 }
+
+// Speed describes what has been learned of a service's engines, for logs.
+func (p *Placer) Speed(service entity.ServiceName) string {
+	s := p.speed(service)
+	return fmt.Sprintf("first %.0f ms prompt %.4f ms output %.2f ms", s.predict(0), s.perToken(), s.perOutput)
+}
