--- /dev/null
+++ b/internal/exchange/core_test.go
@@ -0,0 +1,369 @@
+package exchange
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+)
+
+var zero = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return zero.Add(d) }
+
+// newTestCore returns a core with a document, three ready servers of each
+// service, and a fresh confirmation.
+func newTestCore(t *testing.T, name string) *Core {
+	t.Helper()
+	c := New(Config{
+		Self:        Member{Name: entity.InstanceID(name), Start: 1, CallerAddr: name + ":1", DataCentre: "a"},
+		DataCentres: []entity.DataCentreID{"a", "b", "c"},
+		Rand:        rand.New(rand.NewPCG(1, 2)),
+		Started:     zero,
+		Bounds: Bounds{
+			StaleAfter: 4 * time.Second, RetryRatio: 0.2, RetrySlack: 10, UsageWindow: 5 * time.Second,
+			ForgetServer: 10 * time.Second, PeerSilence: time.Second, PeerForget: 10 * time.Second,
+		},
+	})
+	if !c.SetDocument(zero, testDocument(1)) {
+		t.Fatal("the first configuration was not taken")
+	}
+	c.Confirm(zero)
+	for i, dc := range []entity.DataCentreID{"a", "b", "c"} {
+		for _, service := range []entity.ServiceName{"engine", "plain"} {
+			c.PutServer(zero, BackendServer{
+				ID: entity.BackendServerID(string(service) + strconv.Itoa(i)), Born: 1, Service: service,
+				Address: "10.0.0.1:" + strconv.Itoa(i), DataCentre: dc, Slots: 8, State: Ready,
+			})
+		}
+	}
+	return c
+}
+
+func testDocument(version uint64) *Document {
+	return &Document{
+		Version: version,
+		Routes: []Route{
+			{Name: "all", Host: "h", Prefix: "/", Kind: AtMostOnce, Timeout: time.Second, Objective: 100 * time.Millisecond, Targets: []Target{{"plain", 1}}, MaxServers: 1},
+			{Name: "get", Host: "h", Prefix: "/get/", Kind: Idempotent, Timeout: time.Second, Objective: 100 * time.Millisecond, Targets: []Target{{"plain", 1}}, MaxServers: 2},
+			{Name: "talk", Host: "h", Prefix: "/talk/", Kind: Stream, Resumable: true, Timeout: 5 * time.Second, Objective: 500 * time.Millisecond, Targets: []Target{{"engine", 1}}, MaxServers: 2, ModelWork: true},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: Idempotent, Timeout: time.Second, Targets: []Target{{"plain", 1}}, MaxServers: 2, Public: true},
+		},
+		Services: []Service{
+			{Name: "plain"},
+			{Name: "engine", Engine: &Engine{Slots: 8, CacheTokens: 100_000}, Scale: &Scale{Min: 1, Max: 8, ReclaimablePrice: 0.2}},
+		},
+		Organisations: []Organisation{
+			{ID: "small", Keys: []string{"k1", "k2"}, InTokens: true, PlainTokens: 10, RatePerSec: 1000, Burst: 1000, QuotaDefined: true},
+			{ID: "large", Keys: []string{"k3"}, QuotaDefined: true},
+		},
+	}
+}
+
+func testRequest(id, path, key string) Request {
+	return Request{ID: entity.RequestID(id), Method: "POST", Host: "h", Path: path, Key: key, Patience: time.Second}
+}
+
+func mustAdmit(t *testing.T, c *Core, now time.Time, r Request) *Ticket {
+	t.Helper()
+	ticket, refusal := c.Admit(now, now, r)
+	if refusal != nil {
+		t.Fatalf("refused: %+v", *refusal)
+	}
+	return ticket
+}
+
+func mustPlace(t *testing.T, c *Core, now time.Time, ticket *Ticket) Attempt {
+	t.Helper()
+	a, refusal := c.Place(now, ticket)
+	if refusal != nil {
+		t.Fatalf("not placed: %+v", *refusal)
+	}
+	return a
+}
+
+func TestAdmit_LongestPrefixWins(t *testing.T) {
+	c := newTestCore(t, "d1")
+	for path, want := range map[string]string{"/x": "all", "/get/x": "get", "/get": "all", "/talk/": "talk"} {
+		if got := mustAdmit(t, c, zero, testRequest("r", path, "k1")).Route.Name; got != want {
+			t.Errorf("%s took route %s, want %s", path, got, want)
+		}
+	}
+}
+
+func TestAdmit_Refusals(t *testing.T) {
+	c := newTestCore(t, "d1")
+	cases := []struct {
+		name string
+		at   time.Duration
+		req  Request
+		want Status
+	}{
+		{"unknown key", 0, testRequest("r", "/x", "nobody"), Unauthorised},
+		{"no key", 0, testRequest("r", "/x", ""), Unauthorised},
+		{"unknown host", 0, Request{ID: "r", Host: "other", Path: "/x", Key: "k1"}, NoRoute},
+		{"no id", 0, Request{Host: "h", Path: "/x", Key: "k1"}, Malformed},
+		{"absolute form", 0, Request{ID: "r", Host: "h", Path: "http://h/x", Key: "k1"}, Malformed},
+		// A daemon that may have missed changes knows neither routes nor keys for
+		// sure: it refuses nothing for good.
+		{"stale, unknown key", 5 * time.Second, testRequest("r", "/x", "nobody"), Unavailable},
+		{"stale, unknown host", 5 * time.Second, Request{ID: "r", Host: "other", Path: "/x"}, Unavailable},
+		{"stale, known key", 5 * time.Second, testRequest("r", "/x", "k1"), Unavailable},
+	}
+	for _, tc := range cases {
+		_, refusal := c.Admit(at(tc.at), at(tc.at), tc.req)
+		if refusal == nil || refusal.Status != tc.want {
+			t.Errorf("%s: got %+v, want status %d", tc.name, refusal, tc.want)
+		}
+	}
+}
+
+func TestSetDocument_NeverGoesBack(t *testing.T) {
+	c := newTestCore(t, "d1")
+	if !c.SetDocument(zero, testDocument(7)) || c.SetDocument(zero, testDocument(6)) {
+		t.Fatal("an older configuration was taken")
+	}
+	if v, _ := c.Version(zero); v != 7 {
+		t.Fatalf("version %d in force, want 7", v)
+	}
+}
+
+func TestPlace_KeyTakenAwayAfterAdmission(t *testing.T) {
+	c := newTestCore(t, "d1")
+	ticket := mustAdmit(t, c, zero, testRequest("r", "/x", "k2"))
+	doc := testDocument(2)
+	doc.Organisations[0].Keys = []string{"k1"}
+	c.SetDocument(zero, doc)
+	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable {
+		t.Fatalf("a request whose key was taken away was placed: %+v", refusal)
+	}
+}
+
+func TestPlace_StaleAfterAdmission(t *testing.T) {
+	c := newTestCore(t, "d1")
+	ticket := mustAdmit(t, c, at(3900*time.Millisecond), testRequest("r", "/x", "k1"))
+	if _, refusal := c.Place(at(4100*time.Millisecond), ticket); refusal == nil || refusal.Status != Unavailable {
+		t.Fatalf("a request was placed with a configuration that is no longer confirmed: %+v", refusal)
+	}
+}
+
+func TestEnded_AtMostOnceIsNeverRepeated(t *testing.T) {
+	for _, o := range []Outcome{Failed, Broken, Silent} {
+		c := newTestCore(t, "d1")
+		ticket := mustAdmit(t, c, zero, testRequest("r", "/x", "k1"))
+		mustPlace(t, c, zero, ticket)
+		refusal := c.Ended(zero, ticket, o)
+		if refusal == nil || refusal.Status == Unavailable || refusal.Status == OverQuota {
+			t.Errorf("after %s: %+v; want a final answer that promises nothing", o, refusal)
+		}
+	}
+}
+
+func TestEnded_NotRunIsTriedElsewhere(t *testing.T) {
+	for _, o := range []Outcome{NotSent, Rejected, Misdirected} {
+		c := newTestCore(t, "d1")
+		ticket := mustAdmit(t, c, zero, testRequest("r", "/x", "k1"))
+		first := mustPlace(t, c, zero, ticket)
+		if refusal := c.Ended(zero, ticket, o); refusal != nil {
+			t.Fatalf("after %s: %+v; want another attempt", o, *refusal)
+		}
+		if second := mustPlace(t, c, zero, ticket); second.Server == first.Server {
+			t.Errorf("after %s the same server was tried again", o)
+		}
+	}
+}
+
+func TestEnded_RefusalIsTrueAfterRejections(t *testing.T) {
+	c := newTestCore(t, "d1")
+	ticket := mustAdmit(t, c, zero, testRequest("r", "/x", "k1"))
+	for {
+		a, refusal := c.Place(zero, ticket)
+		if refusal == nil {
+			refusal = c.Ended(zero, ticket, Rejected)
+		}
+		if refusal != nil {
+			if refusal.Status != Unavailable || refusal.RetryAfter == 0 {
+				t.Fatalf("got %+v, want unavailable with a time to come back", *refusal)
+			}
+			return
+		}
+		_ = a
+	}
+}
+
+func TestEnded_IdempotentStaysWithinItsServers(t *testing.T) {
+	c := newTestCore(t, "d1")
+	ticket := mustAdmit(t, c, zero, testRequest("r", "/get/x", "k1"))
+	mustPlace(t, c, zero, ticket)
+	if refusal := c.Ended(zero, ticket, Broken); refusal != nil {
+		t.Fatalf("not repeated: %+v", *refusal)
+	}
+	mustPlace(t, c, zero, ticket)
+	if refusal := c.Ended(zero, ticket, Broken); refusal == nil || refusal.Status != BadReply {
+		t.Fatalf("after two servers: %+v, want a bad reply", refusal)
+	}
+}
+
+func TestPlace_LeftTimeShrinks(t *testing.T) {
+	c := newTestCore(t, "d1")
+	ticket := mustAdmit(t, c, zero, testRequest("r", "/get/x", "k1"))
+	mustPlace(t, c, zero, ticket)
+	c.Ended(at(600*time.Millisecond), ticket, Broken)
+	if a := mustPlace(t, c, at(600*time.Millisecond), ticket); a.Left > 400*time.Millisecond {
+		t.Fatalf("the second server is told %v, 0.4 s are left", a.Left)
+	}
+}
+
+func TestServers_DrainingAndGoneGetNothing(t *testing.T) {
+	c := newTestCore(t, "d1")
+	c.PutServer(zero, BackendServer{ID: "plain0", Born: 1, Service: "plain", Address: "x:1", Slots: 8, State: Draining})
+	c.RemoveServer(zero, "plain1")
+	for i := range 20 {
+		ticket := mustAdmit(t, c, zero, testRequest(strconv.Itoa(i), "/x", "k3"))
+		if a := mustPlace(t, c, zero, ticket); a.Server != "plain2" {
+			t.Fatalf("placed on %s, which has left", a.Server)
+		}
+	}
+}
+
+func TestServers_MissingAfterOutageComeBackOrGo(t *testing.T) {
+	c := newTestCore(t, "d1")
+	c.Confirm(at(time.Minute))
+	c.StoreBack(at(time.Minute))
+	c.ReplaceServers(at(time.Minute), nil)
+	patient := testRequest("r", "/talk/x", "k3")
+	patient.Patience = 0
+	ticket := mustAdmit(t, c, at(time.Minute), patient)
+	mustPlace(t, c, at(time.Minute+time.Second), ticket)
+	c.Ended(at(time.Minute+time.Second), ticket, Rejected)
+	if _, refusal := c.Place(at(time.Minute+2100*time.Millisecond), ticket); refusal == nil {
+		t.Fatal("a server that is still missing after the grace got work")
+	}
+}
+
+func TestServers_BornAgainKnowsNothing(t *testing.T) {
+	c := newTestCore(t, "d1")
+	r := testRequest("r", "/talk/x", "k3")
+	r.Work = Work{Stated: true, Prompt: 5000, MaxOutput: 10, Parts: []placement.Part{{ID: 1, Tokens: 4000}, {ID: 2, Tokens: 1000}}}
+	first := mustPlace(t, c, zero, mustAdmit(t, c, zero, r))
+	row := c.servers.Get(first.Server)
+	again := row.BackendServer
+	again.Born = 2
+	c.PutServer(zero, again)
+	choice, _ := c.choose(zero, mustAdmit(t, c, zero, r))
+	if choice.Uncached != 5000 {
+		t.Fatalf("%d tokens expected to be read on a new process, want all 5000", choice.Uncached)
+	}
+}
+
+func TestConfirmBy_DelayedMessageProvesNothingNew(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	b.Confirm(at(3 * time.Second))
+	first := a.News(at(3 * time.Second))
+	b.Heard(at(3*time.Second), &first, 0)
+	answer := b.News(at(3100 * time.Millisecond))
+	echo := b.Echo("a")
+	// The answer is on its way for a minute, or a is suspended meanwhile.
+	a.Heard(at(time.Minute), &answer, echo)
+	if _, age := a.Version(at(time.Minute)); age < 57*time.Second {
+		t.Fatalf("a delayed message made the confirmation %v old", age)
+	}
+	if a.Serving(at(time.Minute)) {
+		t.Fatal("a serves with a configuration confirmed a minute ago")
+	}
+}
+
+func TestConfirmBy_PeerKeepsADaemonServing(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	for d := time.Duration(0); d < 20*time.Second; d += 100 * time.Millisecond {
+		b.Confirm(at(d)) // only b reaches the table service
+		n := a.News(at(d))
+		b.Heard(at(d), &n, a.Echo("b"))
+		m := b.News(at(d))
+		a.Heard(at(d), &m, b.Echo("a"))
+	}
+	if !a.Serving(at(20 * time.Second)) {
+		t.Fatal("a daemon that hears a confirmed one does not serve")
+	}
+	b.SetDocument(at(20*time.Second), testDocument(2))
+	for d := 20 * time.Second; d < 26*time.Second; d += 100 * time.Millisecond {
+		b.Confirm(at(d))
+		n := a.News(at(d))
+		b.Heard(at(d), &n, a.Echo("b"))
+		m := b.News(at(d))
+		a.Heard(at(d), &m, b.Echo("a"))
+	}
+	if a.Serving(at(26 * time.Second)) {
+		t.Fatal("a daemon was confirmed in an older version than its peer's")
+	}
+	if m, ok := a.Newer(at(26 * time.Second)); !ok || m.Name != "b" {
+		t.Fatal("the daemon does not know whom to ask for the newer version")
+	}
+}
+
+func TestHeard_LeavingServerIsLeft(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	b.PutServer(at(time.Second), BackendServer{ID: "plain0", Born: 1, Service: "plain", Address: "x:1", Slots: 8, State: Draining})
+	n := b.News(at(1100 * time.Millisecond))
+	a.Heard(at(1100*time.Millisecond), &n, 0)
+	if a.usable(at(1200*time.Millisecond), "plain0") {
+		t.Fatal("a server that another daemon knows to drain is still used")
+	}
+}
+
+func TestAddresses_OnlyServingDaemons(t *testing.T) {
+	a, b, s := newTestCore(t, "a"), newTestCore(t, "b"), newTestCore(t, "s")
+	for _, c := range []*Core{b, s} {
+		n := c.News(zero)
+		a.Heard(zero, &n, 0)
+	}
+	if got := a.Addresses(zero, "a"); len(got) != 3 {
+		t.Fatalf("addresses %v, want three", got)
+	}
+	b.Leave(at(time.Minute))
+	n := b.News(at(100 * time.Millisecond))
+	a.Heard(at(100*time.Millisecond), &n, 0)
+	for _, address := range a.Addresses(at(200*time.Millisecond), "a") {
+		if address == "b:1" {
+			t.Fatal("a daemon that stops is named")
+		}
+	}
+	if got := a.Addresses(at(3*time.Second), "a"); len(got) != 1 {
+		t.Fatalf("addresses %v: silent daemons are named", got)
+	}
+}
+
+func TestPlace_StoppingDaemonTakesNoLongRequest(t *testing.T) {
+	c := newTestCore(t, "d1")
+	long := testRequest("r", "/talk/x", "k3")
+	long.Patience, long.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500}
+	ticket := mustAdmit(t, c, zero, long)
+	c.Leave(at(2 * time.Second))
+	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable {
+		t.Fatalf("a request that outlasts the daemon was taken: %+v", refusal)
+	}
+	short := mustAdmit(t, c, zero, testRequest("s", "/x", "k3"))
+	mustPlace(t, c, zero, short)
+}
+
+func TestRank_OrganisationBeforeRoute(t *testing.T) {
+	low := &Ticket{Route: &Route{Priority: 0}, Org: &Organisation{Priority: 2, HasPriority: true}}
+	high := &Ticket{Route: &Route{Priority: 1}, Org: &Organisation{Priority: 1, HasPriority: true}}
+	if rank(low) <= rank(high) {
+		t.Fatalf("ranks %d and %d: the organisation's priority must go first", rank(low), rank(high))
+	}
+}
+
+func TestPick_FollowsWeights(t *testing.T) {
+	targets := []Target{{"a", 90}, {"b", 10}, {"c", 0}}
+	counts := map[entity.ServiceName]int{}
+	for i := range 5000 {
+		counts[pick(targets, entity.RequestID(strconv.Itoa(i)))]++
+	}
+	if counts["b"] < 350 || counts["b"] > 650 || counts["c"] != 0 {
+		t.Fatalf("drawn %v of 5000, want about 4500, 500 and 0", counts)
+	}
+}
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -38,12 +38,12 @@
 
 const (
 	// basePart is how many on-demand servers go with each busy one at least.
-	basePart = 0.4
+	basePart = 0.25
 	// reclaimablePart is how many reclaimable servers go with each busy one, where
 	// they cost next to nothing.
-	reclaimablePart = 2.0
+	reclaimablePart = 2.6
 	// totalPart is how many servers of both classes go with each busy one at least.
-	totalPart = 1.25
+	totalPart = 0.9
 	// dearPrice is the price at which reclaimable servers are not worth their
 	// risk, in parts of an on-demand server's.
 	dearPrice = 0.7
--- /dev/null
+++ b/internal/system/placement/placement_test.go
@@ -0,0 +1,155 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+var start = time.Unix(0, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func newPlacer(servers int) *Placer {
+	p := New(rand.New(rand.NewPCG(1, 1)))
+	for i := range servers {
+		p.SetServer(Server{
+			ID: entity.BackendServerID("s" + strconv.Itoa(i)), Service: "m", DataCentre: "a", Slots: 16, Memory: 200_000,
+		})
+	}
+	return p
+}
+
+func all(entity.BackendServerID) bool { return true }
+
+func query(prompt entity.Tokens, parts ...Part) Query {
+	return Query{Service: "m", DataCentre: "a", Prompt: prompt, Output: 100, Parts: parts}
+}
+
+func place(t *testing.T, p *Placer, now time.Time, q Query) (*Load, Choice) {
+	t.Helper()
+	c, ok := p.Choose(now, q, all)
+	if !ok {
+		t.Fatal("nothing chosen")
+	}
+	return p.Take(now, c, q.Parts), c
+}
+
+func TestChoose_SharedPromptGoesWhereItIsCached(t *testing.T) {
+	p := newPlacer(6)
+	shared := Part{ID: 7, Tokens: 6000}
+	first, _ := place(t, p, start, query(7000, shared, Part{ID: 100, Tokens: 1000}))
+	p.Began(at(time.Second), first)
+	for i := range 10 {
+		load, c := place(t, p, at(time.Second), query(7000, shared, Part{ID: uint64(200 + i), Tokens: 1000}))
+		if load.Server != first.Server || c.Uncached != 1000 {
+			t.Fatalf("request %d went to %s and reads %d tokens", i, load.Server, c.Uncached)
+		}
+		p.Began(at(time.Second), load)
+		p.End(at(time.Second), load, true)
+	}
+}
+
+func TestChoose_HotPromptSpreadsBeforeItWaits(t *testing.T) {
+	p := newPlacer(4)
+	shared := Part{ID: 7, Tokens: 6000}
+	seen := map[entity.BackendServerID]bool{}
+	for i := range 60 {
+		load, _ := place(t, p, start, query(7000, shared, Part{ID: uint64(i), Tokens: 1000}))
+		seen[load.Server] = true
+	}
+	if len(seen) < 3 {
+		t.Fatalf("60 waiting requests stand on %d of 4 servers", len(seen))
+	}
+}
+
+func TestChoose_OthersLoadCounts(t *testing.T) {
+	p := newPlacer(2)
+	p.Heard(start, "peer", []Sum{{Server: "s0", Waiting: 4, Pending: 40_000, Memory: 40_000}})
+	for range 2 {
+		if load, _ := place(t, p, start, query(2000)); load.Server != "s1" {
+			t.Fatal("placed where another daemon's prompts wait")
+		}
+	}
+	p.Heard(at(3*time.Second), "other", nil) // the first peer has been silent too long
+	if c, _ := p.Choose(at(3*time.Second), query(2000), all); c.Server != "s0" {
+		t.Fatal("the load of a silent daemon still counts")
+	}
+}
+
+func TestChoose_SickServerIsLeftAndTriedAgain(t *testing.T) {
+	p := newPlacer(3)
+	for range 4 {
+		p.Failed(start, "s0", 1)
+	}
+	for range 30 {
+		load, _ := place(t, p, start, query(100))
+		if load.Server == "s0" {
+			t.Fatal("placed on a server that has just failed four requests")
+		}
+		p.End(start, load, false)
+	}
+	found := false
+	for range 60 {
+		load, _ := place(t, p, at(20*time.Second), query(100))
+		found = found || load.Server == "s0"
+	}
+	if !found {
+		t.Fatal("a server that failed long ago is never tried again")
+	}
+}
+
+func TestChoose_FullMemoryIsLeft(t *testing.T) {
+	p := newPlacer(2)
+	p.Heard(start, "peer", []Sum{{Server: "s0", Running: 3, Memory: 190_000}})
+	if load, _ := place(t, p, start, query(20_000)); load.Server != "s1" {
+		t.Fatal("placed where running requests would be preempted")
+	}
+}
+
+func TestTake_EverythingIsGivenBack(t *testing.T) {
+	p := newPlacer(3)
+	rng := rand.New(rand.NewPCG(3, 3))
+	var loads []*Load
+	for i := range 500 {
+		load, _ := place(t, p, start, query(entity.Tokens(rng.IntN(5000)), Part{ID: uint64(i), Tokens: 10}))
+		loads = append(loads, load)
+	}
+	for i, load := range loads {
+		if i%2 == 0 {
+			p.Began(at(time.Second), load)
+		}
+		p.End(at(2*time.Second), load, i%4 == 0)
+	}
+	if sums := p.Sums(); len(sums) > 0 {
+		t.Fatalf("load is left after all requests have ended: %+v", sums)
+	}
+}
+
+func TestSpeed_LearnsTheLine(t *testing.T) {
+	s := newSpeed()
+	rng := rand.New(rand.NewPCG(5, 5))
+	for range 2000 {
+		tokens := rng.Float64() * 30_000
+		s.learn(tokens, 80+0.03*tokens+rng.NormFloat64()*10)
+	}
+	if got := s.predict(10_000); got < 360 || got > 400 {
+		t.Fatalf("predicted %.0f ms for 10,000 tokens, want about 380", got)
+	}
+}
+
+func TestPromptCache_ForgetsTheOldest(t *testing.T) {
+	c := newPromptCache(2000)
+	for i := range 5 {
+		c.addKeys(at(time.Duration(i)*time.Second), chain([]Part{{ID: uint64(i), Tokens: 400}}))
+	}
+	if c.uncached(500, []Part{{ID: 0, Tokens: 400}}) != 500 {
+		t.Fatal("the oldest part is still thought cached")
+	}
+	if c.uncached(500, []Part{{ID: 4, Tokens: 400}}) != 100 {
+		t.Fatal("the newest part is forgotten")
+	}
+}
--- /dev/null
+++ b/internal/system/quota/quota_test.go
@@ -0,0 +1,158 @@
+package quota
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+const org = entity.OrganisationID("o")
+
+// fleet is several ledgers that tell each other of their use after a delay.
+type fleet struct {
+	ledgers []*Ledger
+	cut     map[int]bool // daemons that neither hear nor are heard
+	taken   float64
+}
+
+func newFleet(n int, limit Limit, now time.Time) *fleet {
+	f := &fleet{cut: map[int]bool{}}
+	for range n {
+		l := New()
+		l.SetLimit(now, org, limit)
+		l.SetDaemons(now, n, n)
+		f.ledgers = append(f.ledgers, l)
+	}
+	return f
+}
+
+func (f *fleet) tell(now time.Time) {
+	heard := len(f.ledgers) - len(f.cut)
+	for i, from := range f.ledgers {
+		if f.cut[i] {
+			from.SetDaemons(now, 1, len(f.ledgers))
+			continue
+		}
+		from.SetDaemons(now, heard, len(f.ledgers))
+		uses := from.Uses(now)
+		for j, to := range f.ledgers {
+			if i != j && !f.cut[j] {
+				to.Heard(now, entity.InstanceID(strconv.Itoa(i)), uses)
+			}
+		}
+	}
+}
+
+// TestLedger_SumStaysWithinTheQuota floods a fleet from all sides, with daemons
+// cut off at random, and checks every window.
+func TestLedger_SumStaysWithinTheQuota(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 20 * time.Millisecond
+		const window = 8 * time.Second
+		limit := Limit{Rate: 1000, Burst: 1000}
+		daemons := rapid.IntRange(1, 9).Draw(t, "daemons")
+		every := rapid.IntRange(1, 8).Draw(t, "steps between messages")
+		start := time.Unix(0, 0)
+		f := newFleet(daemons, limit, start)
+		var history []float64
+		for n := range 1500 {
+			now := start.Add(time.Duration(n) * step)
+			if n%200 == 199 {
+				clear(f.cut)
+				for i := range daemons {
+					if rapid.IntRange(0, 3).Draw(t, "cut") == 0 {
+						f.cut[i] = true
+					}
+				}
+			}
+			taken := 0.0
+			for _, l := range f.ledgers {
+				if _, ok := l.Take(now, org, 20); ok {
+					taken += 20
+				}
+			}
+			history = append(history, taken)
+			if n%every == 0 {
+				f.tell(now)
+			}
+		}
+		checkWindows(t, history, int(window/step), limit, step, daemons, every)
+	})
+}
+
+// checkWindows compares each window with the quota and what the daemons may
+// overspend between two messages, once for each change of who is heard.
+func checkWindows(t *rapid.T, history []float64, length int, limit Limit, step time.Duration, daemons, every int) {
+	seconds := (time.Duration(length) * step).Seconds()
+	slack := float64(daemons) * 20 * float64(every+1) * 5
+	bound := limit.Rate*seconds + limit.Burst + slack
+	sum := 0.0
+	for i, taken := range history {
+		sum += taken
+		if i >= length {
+			sum -= history[i-length]
+		}
+		if sum > bound {
+			t.Fatalf("%.0f units in %.0f s, more than %.0f", sum, seconds, bound)
+		}
+	}
+}
+
+func TestLedger_OneDaemonMayUseTheWholeQuota(t *testing.T) {
+	start := time.Unix(0, 0)
+	f := newFleet(9, Limit{Rate: 1000, Burst: 1000}, start)
+	taken := 0.0
+	for n := range 1000 {
+		now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+		if _, ok := f.ledgers[0].Take(now, org, 10); ok {
+			taken += 10
+		}
+		f.tell(now)
+	}
+	if taken < 9900 {
+		t.Fatalf("%.0f units in 10 s, the quota allows 10000", taken)
+	}
+}
+
+func TestLedger_RestartedDaemonTakesThePeersLevel(t *testing.T) {
+	now := time.Unix(100, 0)
+	f := newFleet(2, Limit{Rate: 1000, Burst: 5000}, now)
+	for range 1000 {
+		f.ledgers[0].Take(now, org, 10)
+	}
+	fresh := New()
+	fresh.SetLimit(now, org, Limit{Rate: 1000, Burst: 5000})
+	fresh.Heard(now, "0", f.ledgers[0].Uses(now))
+	if _, ok := fresh.Take(now, org, 100); ok {
+		t.Fatal("a restarted daemon had a full bucket beside an empty one")
+	}
+}
+
+func TestLedger_LowerLimitBinds(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := New()
+	l.SetLimit(now, org, Limit{Rate: 1000, Burst: 1000})
+	now = now.Add(10 * time.Second)
+	l.SetLimit(now, org, Limit{Rate: 10, Burst: 10})
+	if _, ok := l.Take(now, org, 10); !ok {
+		t.Fatal("nothing of the lower burst is there")
+	}
+	wait, ok := l.Take(now, org, 10)
+	if ok || wait < 900*time.Millisecond || wait > 1100*time.Millisecond {
+		t.Fatalf("taken %v, wait %v; want a wait of one second", ok, wait)
+	}
+}
+
+func TestLedger_NoLimit(t *testing.T) {
+	l := New()
+	l.SetLimit(time.Unix(0, 0), org, Limit{})
+	for range 1000 {
+		if _, ok := l.Take(time.Unix(0, 0), org, 1e9); !ok {
+			t.Fatal("an organisation without a limit was refused")
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/usage/usage_test.go
@@ -0,0 +1,41 @@
+package usage
+
+import (
+	"testing"
+	"time"
+)
+
+func TestCounter_SumsDaemonsAndProcesses(t *testing.T) {
+	c := New("a#1", 5*time.Second)
+	for range 3 {
+		c.Began(7, "o")
+	}
+	c.Heard("b#1", []Count{{Window: 7, Organisation: "o", Requests: 4}})
+	c.Heard("b#1", []Count{{Window: 7, Organisation: "o", Requests: 5}}) // newer
+	c.Heard("b#2", []Count{{Window: 7, Organisation: "o", Requests: 2}}) // after a restart
+	if got := c.Sum(7)["o"]; got != 10 {
+		t.Fatalf("sum %d, want 10", got)
+	}
+}
+
+func TestCounter_WindowsOfTrueTime(t *testing.T) {
+	c := New("a", 5*time.Second)
+	if w := c.Window(14*time.Second + 999*time.Millisecond); w != 2 {
+		t.Fatalf("window %d, want 2", w)
+	}
+	if end := c.End(2); end != 15*time.Second {
+		t.Fatalf("window 2 ends at %v, want 15 s", end)
+	}
+}
+
+func TestCounter_ForgetsOldWindows(t *testing.T) {
+	c := New("a", 5*time.Second)
+	c.Began(1, "o")
+	c.Began(100, "o")
+	if own := c.Own(100); len(own) != 1 || own[0].Window != 100 {
+		t.Fatalf("own counts %v, want window 100 only", own)
+	}
+	if len(c.Sum(1)) != 0 {
+		t.Fatal("a count of long ago is kept")
+	}
+}
