Bound the messages of a daemon; hand the capacity plan on through the store

Change: at most 100 messages a second a daemon, loads added up as they change, feeds pause 4 ms a daemon after a change, costs get noise that grows with the fleet; the first plan is bounded by the servers found, and the next holder reads the plan in the newest usage row.

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -22,7 +22,7 @@
 	RetrySlack   float64       // further sends beside, over all daemons
 	UsageWindow  time.Duration
 	ForgetServer time.Duration // after a server has gone
-	PeerSilence  time.Duration // a daemon is heard if it spoke within this
+	NewsPerPeer  time.Duration // time between two messages of a daemon, for each other one
 	PeerForget   time.Duration // a silent daemon's part of a quota is set aside until then
 }
 
--- a/internal/exchange/demand.go
+++ b/internal/exchange/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 )
 
 // demandMemory is the time over which demand is averaged.
@@ -98,7 +99,7 @@
 // WorkOf describes the inputs of a service's capacity plan, for logs.
 func (c *Core) WorkOf(now time.Time, service entity.ServiceName) string {
 	d := c.Demand(now, service)
-	present := c.placer.Work(service, d.Prompt, d.Output)
+	present := c.placer.Work(service, placement.Demand{Prompt: d.Prompt, Output: d.Output})
 	return fmt.Sprintf("planned %.2f now %.2f requests/s %.1f prompt/s %.0f output/s %.0f %s",
 		c.level(service).Work(), present, d.Requests, d.Prompt, d.Output, c.placer.Speed(service))
 }
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 )
 
 // UsageWindow returns the number of the present window, if the true time is
@@ -91,8 +92,7 @@
 	for _, dc := range c.cfg.DataCentres {
 		in.Places = append(in.Places, capacity.Place{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc]})
 	}
-	prompt, output := c.expected(now, s)
-	in.Work = c.level(s.Name).Follow(now, c.placer.Work(s.Name, prompt, output))
+	in.Work = c.level(s.Name).Follow(now, c.expectedWork(now, s))
 	for _, n := range c.Listed() {
 		if n.Service == s.Name && n.Reclaimable {
 			in.Reclaimable += n.Count
@@ -132,10 +132,10 @@
 // expected returns the tokens a second that a service's engines will have to
 // read and to generate: the present demand, and before callers have come what
 // the organisations' quotas let expect.
-func (c *Core) expected(now time.Time, s *Service) (prompt, output float64) {
+func (c *Core) expected(now time.Time, s *Service) placement.Demand {
 	d := c.Demand(now, s.Name)
 	if c.demand.seen {
-		return d.Prompt, d.Output
+		return placement.Demand{Prompt: d.Prompt, Output: d.Output}
 	}
 	sum := 0.0
 	for i := range c.routes.doc.Organisations {
@@ -144,5 +144,35 @@
 		}
 	}
 	sum *= quotaUse
-	return max(sum*(1-outputPart), d.Prompt), max(sum*outputPart, d.Output)
+	return placement.Demand{Prompt: max(sum*(1-outputPart), d.Prompt), Output: max(sum*outputPart, d.Output)}
+}
+
+// foundUse is the part of the backend servers found at the start that an
+// ordinary day keeps busy.
+const foundUse = 0.6
+
+// expectedWork returns the servers that the demand keeps busy. Before callers
+// have come, the servers that are there bound what quotas let expect.
+func (c *Core) expectedWork(now time.Time, s *Service) float64 {
+	work := c.placer.Work(s.Name, c.expected(now, s))
+	if c.demand.seen {
+		return work
+	}
+	found := 0
+	for _, n := range c.Listed() {
+		if n.Service == s.Name {
+			found += n.Count
+		}
+	}
+	return min(work, foundUse*float64(found))
+}
+
+// Levels returns the work that services' capacity is planned for.
+func (c *Core) Levels() []ServiceLevel { return c.planned() }
+
+// AdoptLevels takes what the former holder of the lease planned for.
+func (c *Core) AdoptLevels(levels []ServiceLevel) {
+	for _, l := range levels {
+		c.level(l.Service).Adopt(l.Work)
+	}
 }
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -60,8 +60,8 @@
 
 // ServiceLevel is the work that the lease's holder plans for.
 type ServiceLevel struct {
-	Service entity.ServiceName `cbor:"1,keyasint"`
-	Work    float64            `cbor:"2,keyasint"`
+	Service entity.ServiceName `cbor:"1,keyasint" json:"service"`
+	Work    float64            `cbor:"2,keyasint" json:"work"` // servers kept busy
 }
 
 // peerRow is another daemon as this one knows it.
@@ -146,7 +146,7 @@
 // take hands the parts of a message to those that use them.
 func (c *Core) take(now time.Time, row *peerRow, n *News) {
 	process := row.process()
-	c.placer.Heard(now, row.Name, n.Loads)
+	c.placer.Heard(now, row.Name, n.Loads, c.silence())
 	c.quota.Heard(now, process, n.Quota)
 	c.usage.Heard(process, n.Usage)
 	c.lease.Heard(now, n.LeaseEpoch)
@@ -171,9 +171,23 @@
 	return out
 }
 
-// heardLately reports whether a daemon spoke within the bound.
+const (
+	// leastSilence is how long another daemon counts as alive without news, in a
+	// small fleet.
+	leastSilence = 1200 * time.Millisecond
+	// silentMessages is how many messages of a daemon may be missing.
+	silentMessages = 5
+)
+
+// silence returns how long another daemon counts as alive without news.
+func (c *Core) silence() time.Duration {
+	interval := time.Duration(c.peers.Len()) * c.cfg.Bounds.NewsPerPeer
+	return max(leastSilence, silentMessages*interval)
+}
+
+// heardLately reports whether a daemon spoke a short time ago.
 func (c *Core) heardLately(now time.Time, r *peerRow) bool {
-	return !r.heard.IsZero() && now.Sub(r.heard) < c.cfg.Bounds.PeerSilence
+	return !r.heard.IsZero() && now.Sub(r.heard) < c.silence()
 }
 
 // Tick does what is due by time alone.
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -92,9 +92,35 @@
 	d.g.locked(func(c *exchange.Core, _ time.Time) { c.LeaseTaken(next.Epoch) })
 	d.reported = 0
 	d.orders = newOrderBook()
+	d.adopt(ctx)
 	d.g.event(event.LeaseTaken, "", event.A("epoch", next.Epoch), event.A("before", old.Holder))
 }
 
+// adopt takes the plan of the former holder from its newest report.
+func (d *duties) adopt(ctx context.Context) {
+	after := ""
+	d.g.locked(func(c *exchange.Core, now time.Time) {
+		if current, known := c.UsageWindow(now); known {
+			after = usageSort(current - caughtUp - 2)
+		}
+	})
+	if after == "" {
+		return
+	}
+	rows, err := d.g.Table.Query(ctx, dutyPartition, after, maxMembers, true)
+	if err != nil || len(rows) == 0 {
+		return // the present demand tells soon
+	}
+	var u usageRow
+	if err := json.Unmarshal(rows[len(rows)-1].Value, &u); err != nil {
+		d.g.Log.Logger().WithError(err).Error("a usage row cannot be read")
+		return
+	}
+	d.g.locked(func(c *exchange.Core, _ time.Time) { c.AdoptLevels(u.Levels) })
+}
+
+func usageSort(window int64) string { return fmt.Sprintf("usage-%d", window) }
+
 // lost gives the lease up.
 func (d *duties) lost(why string) {
 	d.g.locked(func(c *exchange.Core, now time.Time) { c.LeaseLost(now) })
@@ -105,6 +131,7 @@
 // that every holder sends the same.
 type usageRow struct {
 	Counts map[entity.OrganisationID]uint32 `json:"counts"`
+	Levels []exchange.ServiceLevel          `json:"levels,omitempty"` // planned then, for the next holder
 }
 
 // reportUsage reports the next window that is due.
@@ -153,7 +180,7 @@
 // settle returns the content of a window's report. It is written once, under
 // the lease.
 func (d *duties) settle(ctx context.Context, window int64) (map[entity.OrganisationID]uint32, error) {
-	sort := fmt.Sprintf("usage-%d", window)
+	sort := usageSort(window)
 	row, err := d.g.Table.Get(ctx, dutyPartition, sort, true)
 	if err == nil {
 		var u usageRow
@@ -164,7 +191,7 @@
 		return nil, err
 	}
 	var u usageRow
-	d.g.locked(func(c *exchange.Core, _ time.Time) { u.Counts = c.UsageCounts(window) })
+	d.g.locked(func(c *exchange.Core, _ time.Time) { u.Counts, u.Levels = c.UsageCounts(window), c.Levels() })
 	value, err := json.Marshal(u)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 		Bounds: exchange.Bounds{
 			StaleAfter: s.Revoke - staleMargin, RetryRatio: retryPart * s.RetryRatio, RetrySlack: retryPart * s.RetrySlack,
 			UsageWindow: s.UsageWindow, ForgetServer: 10 * time.Second,
-			PeerSilence: peerSilence, PeerForget: s.Revoke + 5*time.Second,
+			NewsPerPeer: newsPerPeer, PeerForget: s.Revoke + 5*time.Second,
 		},
 	})
 	return g
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,13 +15,11 @@
 )
 
 const (
-	// newsInterval is the time between two messages to each other daemon.
-	newsInterval = 60 * time.Millisecond
-	// newsPerPeer is added to it for each other daemon, so that the messages of
-	// one daemon stay bounded.
-	newsPerPeer = 4 * time.Millisecond
-	// peerSilence is how long another daemon counts as alive without news.
-	peerSilence = 1200 * time.Millisecond
+	// newsInterval is the least time between two messages to each other daemon.
+	newsInterval = 90 * time.Millisecond
+	// newsPerPeer is the time for each other daemon, so that one daemon sends at
+	// most a hundred messages a second.
+	newsPerPeer = 10 * time.Millisecond
 	// discoverInterval is the time between two looks at the list of daemons.
 	discoverInterval = 15 * time.Second
 	// firstDiscoveries is how often it is read soon after the start.
@@ -169,7 +167,7 @@
 	for {
 		others := g.tellAll(t)
 		g.askForDocument(t)
-		if !pause(life, newsInterval+time.Duration(others)*newsPerPeer) {
+		if !pause(life, max(newsInterval, time.Duration(others)*newsPerPeer)) {
 			return
 		}
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -34,8 +34,9 @@
 	// entries; start is when the call was made.
 	take func(whole bool, changes []provider.Change[T], start time.Time)
 
-	position uint64 // 0: read the whole list next
-	newest   uint64 // version seen
+	gather   time.Duration // pause after an answer with changes, so that the next has several
+	position uint64        // 0: read the whole list next
+	newest   uint64        // version seen
 	failing  bool
 }
 
@@ -46,6 +47,7 @@
 		switch {
 		case err == nil:
 			w.regained()
+			pause(ctx, w.gather)
 		case errors.Is(err, provider.ErrHistoryLost):
 			w.position = 0
 		default:
@@ -68,6 +70,10 @@
 	}
 	w.position, w.newest = max(at.Version, w.position), max(at.Version, w.newest)
 	w.take(false, changes, start)
+	w.gather = 0
+	if len(changes) > 0 {
+		w.gather = w.g.gatherTime()
+	}
 	return nil
 }
 
@@ -114,6 +120,19 @@
 	}
 }
 
+// gatherPerPeer is how long a daemon waits after a change for further ones, for
+// each other daemon: every change costs a call of each of them.
+const gatherPerPeer = 4 * time.Millisecond
+
+// maxGather bounds it.
+const maxGather = 400 * time.Millisecond
+
+func (g *Gateway) gatherTime() time.Duration {
+	others := 0
+	g.locked(func(c *exchange.Core, _ time.Time) { others = len(c.Others()) })
+	return min(time.Duration(others)*gatherPerPeer, maxGather)
+}
+
 // confirmWait is how long a call for changes of the configuration waits at the
 // daemons that confirm it for the others.
 const confirmWait = 700 * time.Millisecond
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -44,6 +44,9 @@
 	reclaimablePart = 2.6
 	// totalPart is how many servers of both classes go with each busy one at least.
 	totalPart = 0.9
+	// alonePart is how many on-demand servers go with each busy one where
+	// reclaimable ones are not worth their risk.
+	alonePart = 1.25
 	// dearPrice is the price at which reclaimable servers are not worth their
 	// risk, in parts of an on-demand server's.
 	dearPrice = 0.7
@@ -59,7 +62,8 @@
 	}
 	cheap := math.Max(0, 1-in.ReclaimablePrice/dearPrice)
 	reclaimable := int(math.Ceil(in.Work * reclaimablePart * cheap))
-	onDemand := int(math.Ceil(in.Work*totalPart)) - min(in.Reclaimable, reclaimable)
+	total := totalPart*cheap + alonePart*(1-cheap)
+	onDemand := int(math.Ceil(in.Work*total)) - min(in.Reclaimable, reclaimable)
 	spread(wants, max(onDemand, int(math.Ceil(in.Work*basePart))), in.Max, func(w *Want) *int { return &w.OnDemand })
 	spread(wants, reclaimable, in.Max, func(w *Want) *int { return &w.Reclaimable })
 	for i := range wants {
--- a/internal/system/placement/cache.go
+++ b/internal/system/placement/cache.go
@@ -66,9 +66,9 @@
 }
 
 // uncached returns how much of a prompt must be read.
-func (c *promptCache) uncached(prompt entity.Tokens, parts []Part) entity.Tokens {
+func (c *promptCache) uncached(prompt entity.Tokens, keys []CachedPart) entity.Tokens {
 	left := prompt
-	for _, k := range chain(parts) {
+	for _, k := range keys {
 		if _, ok := c.parts[k.Key]; !ok {
 			break
 		}
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -28,8 +28,6 @@
 	decodeDelay = 0.012
 	// plainCost is what each request in flight costs at a plain backend server.
 	plainCost = 30.0 // ms
-	// peerLife is how long another daemon's load counts without news.
-	peerLife = 2 * time.Second
 )
 
 // Server is a backend server as far as its placement matters.
@@ -71,6 +69,7 @@
 	Output     entity.Tokens
 	Parts      []Part
 	Exclude    []entity.BackendServerID
+	keys       []CachedPart // of Parts
 }
 
 // Choice is a placement.
@@ -102,8 +101,8 @@
 }
 
 type peerLoad struct {
-	sums []Sum
-	at   time.Time
+	sums  []Sum
+	until time.Time
 }
 
 // New returns a placer that knows no backend servers.
@@ -138,6 +137,8 @@
 	var best *row
 	var bestCost float64
 	taken, slots := 0, 0
+	q.keys = chain(q.Parts)
+	noise := p.staleness()
 	p.servers.All(func(id entity.BackendServerID, r *row) bool {
 		if r.Service != q.Service || !usable(id) {
 			return true
@@ -147,7 +148,7 @@
 		if excluded(q.Exclude, id) {
 			return true
 		}
-		cost := p.cost(now, r, &q) + p.rng.Float64()
+		cost := p.cost(now, r, &q) + p.rng.Float64()*noise
 		if best == nil || cost < bestCost {
 			best, bestCost = r, cost
 		}
@@ -159,6 +160,21 @@
 	return p.choice(now, best, &q, float64(taken)/float64(max(slots, 1))), true
 }
 
+const (
+	// leastNoise is added to costs at random, so that equal servers share.
+	leastNoise = 1.0 // ms
+	// noisePerPeer is added for each other daemon that chooses by the same, older
+	// and older news: without it all would choose the same server at once.
+	noisePerPeer = 0.6 // ms
+	// knownPeers is the number of daemons whose news are still fresh enough.
+	knownPeers = 16
+)
+
+// staleness returns the range of the noise, in milliseconds.
+func (p *Placer) staleness() float64 {
+	return leastNoise + noisePerPeer*float64(max(p.peers.Len()-knownPeers, 0))
+}
+
 func excluded(list []entity.BackendServerID, id entity.BackendServerID) bool {
 	for _, x := range list {
 		if x == id {
@@ -169,7 +185,7 @@
 }
 
 func (p *Placer) choice(now time.Time, r *row, q *Query, crowd float64) Choice {
-	uncached := r.cache.uncached(q.Prompt, q.Parts)
+	uncached := r.cache.uncached(q.Prompt, q.keys)
 	load := Load{
 		Server: r.ID, Pending: uncached, Memory: q.Prompt + q.Output, Output: q.Output,
 		ahead: r.own.Pending + r.others.Pending, sentAt: now, service: r.Service,
@@ -200,7 +216,7 @@
 	if float64(memory) > memoryBound*float64(r.Memory) {
 		cost += fullMemoryCost
 	}
-	return cost + p.firstEvent(r, r.cache.uncached(q.Prompt, q.Parts))
+	return cost + p.firstEvent(r, r.cache.uncached(q.Prompt, q.keys))
 }
 
 // firstEvent returns the expected time to the first event in milliseconds.
@@ -293,11 +309,14 @@
 	return out
 }
 
-// Heard takes another daemon's load.
-func (p *Placer) Heard(now time.Time, peer entity.InstanceID, sums []Sum) {
-	p.peers.Put(peer, &peerLoad{sums: sums, at: now})
+// Heard takes another daemon's load. It counts for the given time.
+func (p *Placer) Heard(now time.Time, peer entity.InstanceID, sums []Sum, life time.Duration) {
+	if old := p.peers.Get(peer); old != nil {
+		p.addOthers(old.sums, -1)
+	}
+	p.peers.Put(peer, &peerLoad{sums: sums, until: now.Add(life)})
+	p.addOthers(sums, 1)
 	p.forget(now)
-	p.sumPeers()
 }
 
 // Cached notes that another daemon has placed a prompt.
@@ -310,7 +329,8 @@
 // forget drops the load of daemons without recent news.
 func (p *Placer) forget(now time.Time) {
 	for _, id := range p.peers.Keys() {
-		if now.Sub(p.peers.Get(id).at) > peerLife {
+		if l := p.peers.Get(id); now.After(l.until) {
+			p.addOthers(l.sums, -1)
 			p.peers.Delete(id)
 		}
 	}
@@ -322,22 +342,24 @@
 		return true
 	})
 	p.peers.All(func(_ entity.InstanceID, l *peerLoad) bool {
-		for i := range l.sums {
-			p.addOthers(&l.sums[i])
-		}
+		p.addOthers(l.sums, 1)
 		return true
 	})
 }
 
-func (p *Placer) addOthers(s *Sum) {
-	r := p.servers.Get(s.Server)
-	if r == nil {
-		return
+// addOthers adds a daemon's load, or takes it off with the sign -1.
+func (p *Placer) addOthers(sums []Sum, sign int) {
+	for i := range sums {
+		s := &sums[i]
+		r := p.servers.Get(s.Server)
+		if r == nil {
+			continue
+		}
+		r.others.Waiting += sign * s.Waiting
+		r.others.Running += sign * s.Running
+		r.others.Pending += entity.Tokens(sign) * s.Pending
+		r.others.Memory += entity.Tokens(sign) * s.Memory
 	}
-	r.others.Waiting += s.Waiting
-	r.others.Running += s.Running
-	r.others.Pending += s.Pending
-	r.others.Memory += s.Memory
 }
 
 // Total returns the load of all daemons on a service's backend servers and the
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -79,12 +79,18 @@
 	return max(base, 0) + slope*tokens
 }
 
+// Demand is the work that callers ask of a service, in tokens a second.
+type Demand struct {
+	Prompt float64 // to be read
+	Output float64
+}
+
 // Work returns how many backend servers a demand keeps busy: by reading prompts
 // and by generating, with half of the slots of a server running.
-func (p *Placer) Work(service entity.ServiceName, promptPerSecond, outputPerSecond float64) float64 {
+func (p *Placer) Work(service entity.ServiceName, d Demand) float64 {
 	s := p.speed(service)
 	batch := max(float64(p.slots(service))/2, 1)
-	return (promptPerSecond*s.perToken() + outputPerSecond*s.perOutput/batch) / 1000
+	return (d.Prompt*s.perToken() + d.Output*s.perOutput/batch) / 1000
 }
 
 // slots returns the slots of a service's backend servers, the most that one has.
