--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,6 +42,7 @@
 	Timeline      *timelineOf    `arg:"subcommand:timeline" help:"merge the events of all daemons into one time line"`
 	Daemon        *daemon        `arg:"subcommand:daemon" help:"run a daemon"`
 	Gateway       *gatewayRole   `arg:"subcommand:gateway" help:"forward exchanges on the users' platform"`
+	Explain       *explain       `arg:"subcommand:explain" help:"tell the story of one request from log files"`
 	Quickstart    *quickStart    `arg:"subcommand:quickstart" help:"run a small system on loopback, stand-ins included"`
 	StandIn       *standIn       `arg:"subcommand:standin" help:"run stand-ins of the platform and of backend servers"`
 	Load          *loadDriver    `arg:"subcommand:load" help:"send load, check every answer, report percentiles"`
@@ -71,6 +72,7 @@
   gooseberryslip status --output json
   gooseberryslip plan forecast --explain
   gooseberryslip drain --wait
+  gooseberryslip explain 9c41d07be2a35f68 edge-*.log
   gooseberryslip timeline --request 0b6f --html timeline.html
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict with another change,
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -118,13 +118,23 @@
 
 // count counts the request once in its organisation's usage.
 func (c *Core) count(now time.Time, t *Ticket) {
-	if t.counted || t.Org == nil || !c.timeKnown {
+	if t.counted || t.Org == nil {
 		return
 	}
 	t.counted = true
+	if !c.timeKnown {
+		c.uncounted = append(c.uncounted, began{t.Org.ID, now})
+		return
+	}
 	c.usage.Began(c.usage.Window(c.sinceEpoch(now)), t.Org.ID)
 }
 
+// began is a request that began to run before the true time was known.
+type began struct {
+	organisation entity.OrganisationID
+	at           time.Time
+}
+
 func (c *Core) sinceEpoch(now time.Time) time.Duration {
 	return c.trueTime + time.Duration(now.UnixNano())
 }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -46,6 +46,7 @@
 	endsBy    time.Time     // when leaving
 	trueTime  time.Duration // since 1970, at the zero of the clock
 	timeKnown bool
+	uncounted []began
 
 	servers *entity.Table[entity.BackendServerID, serverRow]
 	peers   *entity.Table[entity.InstanceID, peerRow]
@@ -108,8 +109,15 @@
 // StoreBack notes that the store answers again after an outage.
 func (c *Core) StoreBack(now time.Time) { c.storeBack = now }
 
-// SetTrueTime sets the time since 1970 that belongs to the zero of the clock.
-func (c *Core) SetTrueTime(zero time.Duration) { c.trueTime, c.timeKnown = zero, true }
+// SetTrueTime sets the time since 1970 that belongs to the zero of the clock, and
+// counts what began to run before it was known.
+func (c *Core) SetTrueTime(zero time.Duration) {
+	c.trueTime, c.timeKnown = zero, true
+	for _, b := range c.uncounted {
+		c.usage.Began(c.usage.Window(c.sinceEpoch(b.at)), b.organisation)
+	}
+	c.uncounted = nil
+}
 
 // Leave notes that this daemon is stopping and that its process ends by a time.
 func (c *Core) Leave(by time.Time) { c.leaving, c.endsBy = true, by }
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -349,6 +349,18 @@
 	mustPlace(t, c, zero, short)
 }
 
+func TestUsage_CountsWhatBeganBeforeTheTimeWasKnown(t *testing.T) {
+	c := newTestCore(t, "d1")
+	ticket := mustAdmit(t, c, zero, testRequest("r", "/x", "k1"))
+	mustPlace(t, c, zero, ticket)
+	c.Began(at(time.Second), ticket)
+	c.SetTrueTime(0)
+	window := c.usage.Window(c.sinceEpoch(at(time.Second)))
+	if got := c.UsageCounts(window)["small"]; got != 1 {
+		t.Fatalf("%d requests counted, one began", got)
+	}
+}
+
 func TestRank_OrganisationBeforeRoute(t *testing.T) {
 	low := &Ticket{Route: &Route{Priority: 0}, Org: &Organisation{Priority: 2, HasPriority: true}}
 	high := &Ticket{Route: &Route{Priority: 1}, Org: &Organisation{Priority: 1, HasPriority: true}}
--- a/internal/gateway/truetime.go
+++ b/internal/gateway/truetime.go
@@ -52,5 +52,9 @@
 		return 0, err
 	}
 	w := provider.Write{Partition: clockPartition, Sort: clockRow, Value: value}
-	return own, g.Table.Transact(ctx, "", []provider.Write{w})
+	err = g.Table.Transact(ctx, "", []provider.Write{w})
+	if errors.Is(err, provider.ErrConditionFailed) {
+		return g.zeroTime(ctx, own) // another daemon was faster
+	}
+	return own, err
 }
