Tell other daemons changes only; a server's failure stands when no repeat can be paid

Change: quotas and counts are told in three messages after a change and in every 16th; the budget is taken before an answer is thrown away; other daemons' waiting work counts by its age; the time of plain requests is learned; refusals log what decided them.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -21,9 +21,12 @@
 
 // Place chooses the backend server for the next send of a request.
 func (c *Core) Place(now time.Time, t *Ticket) (Attempt, *Refusal) {
-	if !c.fresh(now) || !c.keyValid(t) {
+	if !c.fresh(now) {
 		return Attempt{}, c.giveUp(t, "stale-configuration", staleRetry)
 	}
+	if !c.keyValid(t) {
+		return Attempt{}, c.giveUp(t, "key-taken-away", staleRetry)
+	}
 	if c.late(now, t) {
 		return Attempt{}, c.giveUp(t, "deadline", 0)
 	}
@@ -37,12 +40,21 @@
 	}
 	if t.Sends == 0 {
 		c.budget.First(now, t.Service)
-	} else if _, ok := c.budget.Allow(now, t.Service); !ok {
+	} else if !c.pay(now, t) {
 		return Attempt{}, c.giveUp(t, "retry-budget", emptyRetry)
 	}
+	t.paid = false
 	return c.send(now, t, choice), nil
 }
 
+// pay takes a repeated send from the retry budget, once.
+func (c *Core) pay(now time.Time, t *Ticket) bool {
+	if !t.paid {
+		_, t.paid = c.budget.Allow(now, t.Service)
+	}
+	return t.paid
+}
+
 // note counts a request in the demand once, whether it is sent or not.
 func (c *Core) note(now time.Time, t *Ticket, choice placement.Choice, chosen bool) {
 	if t.noted {
@@ -191,7 +203,7 @@
 	if !t.Route.Repeatable() || t.Ran+1 >= t.Route.MaxServers || c.late(now, t) {
 		return false
 	}
-	return len(t.tried) < maxSends
+	return len(t.tried) < maxSends && c.pay(now, t)
 }
 
 // giveUp returns the final answer of a request that gets no further send.
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"strings"
@@ -155,7 +156,11 @@
 // Admit decides whether a request may enter. Its time counts from its arrival.
 func (c *Core) Admit(now, arrived time.Time, req Request) (*Ticket, *Refusal) {
 	if !c.fresh(now) {
-		return nil, &Refusal{Status: Unavailable, Code: "stale-configuration", RetryAfter: staleRetry}
+		_, age := c.Version(now)
+		return nil, &Refusal{
+			Status: Unavailable, Code: "stale-configuration", RetryAfter: staleRetry,
+			Inputs: "confirmed " + age.Round(time.Millisecond).String() + " ago",
+		}
 	}
 	if !strings.HasPrefix(req.Path, "/") || req.ID == "" {
 		return nil, Refuse(Malformed, "malformed")
@@ -190,7 +195,10 @@
 	if ok {
 		return nil
 	}
-	return &Refusal{Status: OverQuota, Code: "over-quota", RetryAfter: wait}
+	return &Refusal{
+		Status: OverQuota, Code: "over-quota", RetryAfter: wait,
+		Inputs: fmt.Sprintf("%.0f units asked, rate %.0f/s", t.cost, t.Org.RatePerSec),
+	}
 }
 
 // deadline returns when a request must have its final answer.
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -207,6 +207,32 @@
 	}
 }
 
+// TestMayReplace_WithoutBudgetTheServersAnswerStands: a failure that a backend
+// server has answered is not thrown away for a repeat that cannot be made.
+func TestMayReplace_WithoutBudgetTheServersAnswerStands(t *testing.T) {
+	c := newTestCore(t, "d1")
+	replaced := 0
+	for i := range 200 {
+		ticket := mustAdmit(t, c, zero, testRequest(strconv.Itoa(i), "/get/x", "k3"))
+		mustPlace(t, c, zero, ticket)
+		if !c.MayReplace(zero, ticket) {
+			c.Ended(zero, ticket, Answered)
+			continue
+		}
+		replaced++
+		if refusal := c.Ended(zero, ticket, Failed); refusal != nil {
+			t.Fatalf("refused after the replacement was promised: %+v", *refusal)
+		}
+		if _, refusal := c.Place(zero, ticket); refusal != nil {
+			t.Fatalf("refused after the replacement was promised: %+v", *refusal)
+		}
+		c.Ended(zero, ticket, Answered)
+	}
+	if replaced == 0 || replaced > 60 {
+		t.Fatalf("%d of 200 requests were repeated, the budget allows about 50", replaced)
+	}
+}
+
 func TestPlace_LeftTimeShrinks(t *testing.T) {
 	c := newTestCore(t, "d1")
 	ticket := mustAdmit(t, c, zero, testRequest("r", "/get/x", "k1"))
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -149,7 +149,7 @@
 
 // foundUse is the part of the backend servers found at the start that an
 // ordinary day keeps busy.
-const foundUse = 0.6
+const foundUse = 0.75
 
 // expectedWork returns the servers that the demand keeps busy. Before callers
 // have come, the servers that are there bound what quotas let expect.
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -29,7 +29,7 @@
 // Placed says where a prompt was placed.
 type Placed struct {
 	Server entity.BackendServerID `cbor:"1,keyasint"`
-	Parts  []placement.CachedPart `cbor:"2,keyasint"`
+	Part   placement.CachedPart   `cbor:"2,keyasint"` // the last one that others share
 }
 
 // News is what a daemon tells all others several times a second.
@@ -88,7 +88,7 @@
 	c.seq++
 	n := News{
 		From: c.cfg.Self, Sequence: c.seq, Leaving: c.leaving, Serving: c.Serving(now),
-		Loads: c.placer.Sums(), Quota: c.quota.Uses(now), Placed: c.placed, Demand: c.demand.rates(now),
+		Loads: c.placer.Sums(), Quota: c.quota.Uses(now, c.seq%fullEvery == 0), Placed: c.placed, Demand: c.demand.rates(now),
 		Age: c.age(now), Leavers: c.leavers(now),
 	}
 	c.placed = nil
@@ -97,7 +97,7 @@
 		n.Version = c.routes.doc.Version
 	}
 	if c.timeKnown {
-		n.Usage = c.usage.Own(c.usage.Window(c.sinceEpoch(now)))
+		n.Usage = c.usage.Own(c.usage.Window(c.sinceEpoch(now)), c.seq%fullEvery == 0)
 	}
 	if epoch, held := c.lease.Epoch(); held {
 		n.LeaseEpoch = epoch
@@ -106,13 +106,17 @@
 	return n
 }
 
+// fullEvery is the number of messages of which one tells all quotas and counts,
+// also those that have not changed lately.
+const fullEvery = 16
+
 // maxPlaced bounds the placed prompts told in one message.
 const maxPlaced = 12
 
 func (c *Core) notePlaced(id entity.BackendServerID, t *Ticket) {
 	keys := placement.Shared(t.Request.Work.Parts)
 	if len(keys) > 0 && len(c.placed) < maxPlaced {
-		c.placed = append(c.placed, Placed{Server: id, Parts: keys})
+		c.placed = append(c.placed, Placed{Server: id, Part: keys[len(keys)-1]})
 	}
 }
 
@@ -146,6 +150,7 @@
 // take hands the parts of a message to those that use them.
 func (c *Core) take(now time.Time, row *peerRow, n *News) {
 	process := row.process()
+	c.placer.SetNewsInterval(time.Duration(c.peers.Len()) * c.cfg.Bounds.NewsPerPeer)
 	c.placer.Heard(now, row.Name, n.Loads, c.silence())
 	c.quota.Heard(now, process, n.Quota)
 	c.usage.Heard(process, n.Usage)
@@ -157,7 +162,7 @@
 		c.heardLeaving(now, l)
 	}
 	for _, p := range n.Placed {
-		c.placer.Cached(now, p.Server, p.Parts)
+		c.placer.Cached(now, p.Server, p.Part)
 	}
 }
 
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -52,6 +52,7 @@
 	Status     Status
 	Code       string        // reason, for logs and metrics
 	RetryAfter time.Duration // 0: none
+	Inputs     string        // what the decision was made from, for logs
 }
 
 // Status is the kind of a final answer of the system's own.
@@ -91,6 +92,7 @@
 	tried    []entity.BackendServerID // not to be tried again
 	priority int
 	load     *placement.Load // the present attempt's; nil between attempts
+	paid     bool            // the next send is already taken from the retry budget
 	counted  bool            // in the usage of its organisation
 	noted    bool            // in the demand
 	cost     float64
--- a/internal/exchange/turnaway.go
+++ b/internal/exchange/turnaway.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
@@ -17,7 +18,7 @@
 	// until this daemon's end.
 	leavingMargin = 2
 	// minBack and maxBack bound the time to come back.
-	minBack = 100 * time.Millisecond
+	minBack = 50 * time.Millisecond
 	maxBack = 3 * time.Second
 )
 
@@ -25,10 +26,10 @@
 // deadline, or that would be late at a crowded service.
 func (c *Core) turnAway(now time.Time, t *Ticket, choice placement.Choice) *Refusal {
 	if !t.Deadline.IsZero() && choice.Cost > t.Deadline.Sub(now) {
-		return c.giveUp(t, "hopeless", bounded(choice.Cost))
+		return c.turnedAway(t, choice, "hopeless", choice.Cost)
 	}
 	if c.leaving && t.Sends == 0 && now.Add(leavingMargin*c.duration(t, choice)).After(c.endsBy) {
-		return c.giveUp(t, "leaving", staleRetry)
+		return c.turnedAway(t, choice, "leaving", staleRetry)
 	}
 	if choice.Crowd < busyCrowd || t.Route.Objective == 0 || t.Sends > 0 {
 		return nil
@@ -37,7 +38,15 @@
 	if over <= 0 {
 		return nil
 	}
-	return c.giveUp(t, "overload", bounded(over))
+	return c.turnedAway(t, choice, "overload", over)
+}
+
+// turnedAway returns a refusal with the inputs of the decision.
+func (c *Core) turnedAway(t *Ticket, choice placement.Choice, code string, back time.Duration) *Refusal {
+	r := c.giveUp(t, code, bounded(back))
+	r.Inputs = fmt.Sprintf("expected %v at %s, objective %v, taken %.2f",
+		choice.Cost.Round(time.Millisecond), choice.Server, t.Route.Objective, choice.Crowd)
+	return r
 }
 
 // duration returns how long the answer will probably take.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -171,7 +172,7 @@
 // refuse sends a final answer of the system's own. An answer that has begun is
 // cut off instead, so that it does not look complete.
 func (x *run) refuse(f *exchange.Refusal) {
-	x.attempts = append(x.attempts, attemptLog{detail: f.Code})
+	x.attempts = append(x.attempts, attemptLog{detail: strings.TrimSpace(f.Code + " " + f.Inputs)})
 	if x.started {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,6 +30,10 @@
 	silence := x.watchSilence(a, cancel)
 	outcome, detail := x.exchange(ctx, a, silence)
 	silence.Stop()
+	if outcome == exchange.Silent || outcome == exchange.Broken {
+		// Its other unused connections may have gone silent in the same way.
+		x.g.pool.Drop(a.Address)
+	}
 	x.attempts = append(x.attempts, attemptLog{string(a.Server), outcome, clock.Now().Sub(start), detail})
 	return outcome
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// Drop closes the unused connections to an address.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
 // Sweep closes connections that have been unused for too long.
 func (p *Pool) Sweep() {
 	now := clock.Now()
--- a/internal/system/placement/cache.go
+++ b/internal/system/placement/cache.go
@@ -22,19 +22,22 @@
 // CachedPart is a part together with all parts before it.
 type CachedPart struct {
 	Key    uint64        `cbor:"1,keyasint"`
-	Tokens entity.Tokens `cbor:"2,keyasint"`
+	Tokens entity.Tokens `cbor:"2,keyasint"`           // of the part itself
+	Before entity.Tokens `cbor:"3,keyasint,omitempty"` // of the parts before it
 }
 
 // chain returns the keys of the parts. Each key covers the parts before it.
 func chain(parts []Part) []CachedPart {
 	out := make([]CachedPart, len(parts))
 	var key uint64
+	var before entity.Tokens
 	for i, part := range parts {
 		var buf [16]byte
 		binary.LittleEndian.PutUint64(buf[:8], key)
 		binary.LittleEndian.PutUint64(buf[8:], part.ID)
 		key = xxhash.Sum64(buf[:])
-		out[i] = CachedPart{Key: key, Tokens: part.Tokens}
+		out[i] = CachedPart{Key: key, Tokens: part.Tokens, Before: before}
+		before += part.Tokens
 	}
 	return out
 }
@@ -67,14 +70,12 @@
 
 // uncached returns how much of a prompt must be read.
 func (c *promptCache) uncached(prompt entity.Tokens, keys []CachedPart) entity.Tokens {
-	left := prompt
-	for _, k := range keys {
-		if _, ok := c.parts[k.Key]; !ok {
-			break
+	for i := len(keys) - 1; i >= 0; i-- {
+		if _, ok := c.parts[keys[i].Key]; ok {
+			return max(prompt-keys[i].Before-keys[i].Tokens, 1)
 		}
-		left -= k.Tokens
 	}
-	return max(left, 1)
+	return max(prompt, 1)
 }
 
 // add remembers the shared parts of a prompt placed here.
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -22,12 +22,12 @@
 	fullMemoryCost = 2000.0 // ms
 	// memoryBound is the part of the memory that running requests may take.
 	memoryBound = 0.9
+	// typicalPrompt stands for the prompts of other daemons' waiting requests.
+	typicalPrompt = 4000.0 // tokens
 	// sickCost is what one costs that has just failed, at a failure share of 1.
 	sickCost = 3000.0 // ms
 	// decodeDelay is the slowdown of reading prompts by each running request.
 	decodeDelay = 0.012
-	// plainCost is what each request in flight costs at a plain backend server.
-	plainCost = 30.0 // ms
 )
 
 // Server is a backend server as far as its placement matters.
@@ -89,6 +89,7 @@
 	servers *entity.Table[entity.BackendServerID, row]
 	speeds  *entity.Table[entity.ServiceName, speed]
 	peers   *entity.Table[entity.InstanceID, peerLoad]
+	newsAge float64 // of the other daemons' news on average, in ms
 }
 
 // row is a backend server with its load and memory of prompts.
@@ -128,6 +129,21 @@
 	r.cache.capacity = s.Memory
 }
 
+// SetNewsInterval says how much time lies between two messages of a daemon.
+func (p *Placer) SetNewsInterval(d time.Duration) {
+	p.newsAge = float64(d) / float64(time.Millisecond) / 2
+}
+
+// waitingWeight returns how much of the other daemons' waiting requests counts:
+// news that is older than such a request lives says nothing of the present.
+func (p *Placer) waitingWeight(s *speed, plain bool) float64 {
+	life := s.predict(typicalPrompt)
+	if plain {
+		life = s.perRequest
+	}
+	return life / (life + p.newsAge)
+}
+
 // Remove forgets a backend server, its cached prompts and its failures.
 func (p *Placer) Remove(id entity.BackendServerID) { p.servers.Delete(id) }
 
@@ -165,7 +181,7 @@
 	leastNoise = 1.0 // ms
 	// noisePerPeer is added for each other daemon that chooses by the same, older
 	// and older news: without it all would choose the same server at once.
-	noisePerPeer = 0.6 // ms
+	noisePerPeer = 0.2 // ms
 	// knownPeers is the number of daemons whose news are still fresh enough.
 	knownPeers = 16
 )
@@ -206,11 +222,14 @@
 	if r.DataCentre != q.DataCentre {
 		cost += otherPlaceCost
 	}
-	if r.taken() >= r.Slots {
-		cost += crowdedCost * float64(r.taken()-r.Slots+1)
-	}
+	s := p.speed(r.Service)
+	others := p.waitingWeight(s, r.Memory == 0)
 	if r.Memory == 0 {
-		return cost + plainCost*float64(r.taken())
+		mine := float64(r.own.Waiting+r.own.Running) + others*float64(r.others.Waiting+r.others.Running)
+		return cost + s.perRequest*mine
+	}
+	if crowd := float64(r.own.Waiting+r.own.Running+r.others.Running) + others*float64(r.others.Waiting) - float64(r.Slots); crowd >= 0 {
+		cost += crowdedCost * (crowd + 1)
 	}
 	memory := r.own.Memory + r.others.Memory + q.Prompt + q.Output
 	if float64(memory) > memoryBound*float64(r.Memory) {
@@ -222,11 +241,14 @@
 // firstEvent returns the expected time to the first event in milliseconds.
 func (p *Placer) firstEvent(r *row, uncached entity.Tokens) float64 {
 	if r.Memory == 0 {
-		return plainCost * float64(r.taken()) / float64(max(r.Slots, 1))
+		// A request waits for a slot where all are taken.
+		rounds := float64(r.taken()+1) / float64(max(r.Slots, 1))
+		return p.speed(r.Service).perRequest * max(rounds, 1)
 	}
-	tokens := float64(r.own.Pending + r.others.Pending + uncached)
+	s := p.speed(r.Service)
+	tokens := float64(r.own.Pending+uncached) + p.waitingWeight(s, false)*float64(r.others.Pending)
 	running := float64(r.own.Running + r.others.Running)
-	return p.speed(r.Service).predict(tokens * (1 + decodeDelay*running))
+	return s.predict(tokens * (1 + decodeDelay*running))
 }
 
 func (p *Placer) speed(service entity.ServiceName) *speed {
@@ -264,6 +286,9 @@
 	r.own.Running++
 	r.own.Pending -= l.Pending
 	r.health.good(now)
+	if r.Memory == 0 && r.taken() <= r.Slots {
+		p.speed(l.service).learnRequest(float64(now.Sub(l.sentAt)) / float64(time.Millisecond))
+	}
 	if r.Memory > 0 {
 		running := float64(r.own.Running + r.others.Running)
 		tokens := float64(l.ahead+l.Pending) * (1 + decodeDelay*running)
@@ -320,9 +345,9 @@
 }
 
 // Cached notes that another daemon has placed a prompt.
-func (p *Placer) Cached(now time.Time, id entity.BackendServerID, keys []CachedPart) {
+func (p *Placer) Cached(now time.Time, id entity.BackendServerID, part CachedPart) {
 	if r := p.servers.Get(id); r != nil {
-		r.cache.addKeys(now, keys)
+		r.cache.addKeys(now, []CachedPart{part})
 	}
 }
 
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -14,7 +14,9 @@
 	initialBase = 50.0 // ms
 	// initialPerOutput is the time for each token of an answer before any was seen.
 	initialPerOutput = 12.0 // ms
-	// outputGain is the weight of a new sample of it.
+	// initialPerRequest is the time of a plain request before any was seen.
+	initialPerRequest = 20.0 // ms
+	// outputGain is the weight of a new sample of either.
 	outputGain = 0.02
 	// speedMemory is the weight that a sample keeps with each further one.
 	speedMemory = 0.99
@@ -32,10 +34,11 @@
 type speed struct {
 	n, x, y, xx, xy float64
 	perOutput       float64 // ms for each token of an answer
+	perRequest      float64 // ms for a request to a plain backend server
 }
 
 func newSpeed() *speed {
-	s := &speed{perOutput: initialPerOutput}
+	s := &speed{perOutput: initialPerOutput, perRequest: initialPerRequest}
 	for _, tokens := range []float64{0, 2 * priorSpread} {
 		time := initialBase + initialPerToken*tokens
 		s.add(tokens, time, priorWeight/2)
@@ -110,6 +113,11 @@
 	s.perOutput += outputGain * (time/tokens - s.perOutput)
 }
 
+// learnRequest takes the time in ms of a request that had a slot at once.
+func (s *speed) learnRequest(time float64) {
+	s.perRequest += outputGain * (time - s.perRequest)
+}
+
 // OutputTime returns how long an answer of so many tokens takes from its first
 // event to its last.
 func (p *Placer) OutputTime(service entity.ServiceName, tokens entity.Tokens) time.Duration {
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -50,6 +50,8 @@
 	level  float64
 	at     time.Time
 	used   float64 // by this daemon since its start
+	told   float64 // of it, in the last message
+	again  int     // messages in which to repeat it
 	seeded bool    // the level has been taken from a peer, or has had time to settle
 }
 
@@ -120,13 +122,22 @@
 	}
 }
 
-// Uses returns what to tell the other daemons.
-func (l *Ledger) Uses(now time.Time) []Use {
+// tellAgain is in how many messages a changed use is told, since some get lost.
+const tellAgain = 3
+
+// Uses returns what to tell the other daemons: what has changed lately, or all.
+func (l *Ledger) Uses(now time.Time, all bool) []Use {
 	var out []Use
 	l.buckets.All(func(id entity.OrganisationID, b *bucket) bool {
 		if b.limit.Rate > 0 {
 			l.refill(now, b)
-			out = append(out, Use{Organisation: id, Total: b.used, Level: b.level})
+			if b.used != b.told {
+				b.told, b.again = b.used, tellAgain
+			}
+			if all || b.again > 0 {
+				out = append(out, Use{Organisation: id, Total: b.used, Level: b.level})
+			}
+			b.again = max(b.again-1, 0)
 		}
 		return true
 	})
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		from.SetDaemons(now, heard, len(f.ledgers))
-		uses := from.Uses(now)
+		uses := from.Uses(now, false)
 		for j, to := range f.ledgers {
 			if i != j && !f.cut[j] {
 				to.Heard(now, entity.InstanceID(strconv.Itoa(i)), uses)
@@ -126,7 +126,7 @@
 	}
 	fresh := New()
 	fresh.SetLimit(now, org, Limit{Rate: 1000, Burst: 5000})
-	fresh.Heard(now, "0", f.ledgers[0].Uses(now))
+	fresh.Heard(now, "0", f.ledgers[0].Uses(now, true))
 	if _, ok := fresh.Take(now, org, 100); ok {
 		t.Fatal("a restarted daemon had a full bucket beside an empty one")
 	}
--- a/internal/system/usage/usage.go
+++ b/internal/system/usage/usage.go
@@ -24,8 +24,19 @@
 	window time.Duration
 	self   entity.InstanceID
 	counts *entity.Table[key, uint32]
+	told   *entity.Table[key, telling]
 }
 
+// telling is what the other daemons have been told of a count.
+type telling struct {
+	requests uint32
+	again    int // messages in which to repeat it
+}
+
+// tellAgain is in how many messages a changed count is told, since some get
+// lost.
+const tellAgain = 3
+
 type key struct {
 	daemon       entity.InstanceID
 	window       int64
@@ -35,7 +46,7 @@
 // New returns a counter of a daemon. Self must change when the daemon starts
 // anew.
 func New(self entity.InstanceID, window time.Duration) *Counter {
-	return &Counter{window: window, self: self, counts: entity.NewTable[key, uint32]()}
+	return &Counter{window: window, self: self, counts: entity.NewTable[key, uint32](), told: entity.NewTable[key, telling]()}
 }
 
 // Window returns the number of the window of a true time, given since 1970.
@@ -55,21 +66,37 @@
 	*n++
 }
 
-// Own returns what this daemon counted in the newest windows.
-func (c *Counter) Own(current int64) []Count {
+// Own returns what this daemon counted in the newest windows: what has changed
+// lately, or all.
+func (c *Counter) Own(current int64, all bool) []Count {
 	var out []Count
 	for _, k := range c.counts.Keys() {
 		if k.window < current-2*keptWindows {
 			c.counts.Delete(k)
+			c.told.Delete(k)
 			continue
 		}
-		if k.daemon == c.self && k.window > current-keptWindows {
+		if k.daemon == c.self && k.window > current-keptWindows && (c.tell(k) || all) {
 			out = append(out, Count{Window: k.window, Organisation: k.organisation, Requests: *c.counts.Get(k)})
 		}
 	}
 	return out
 }
 
+// tell reports whether a count is to be told in this message.
+func (c *Counter) tell(k key) bool {
+	t := c.told.Get(k)
+	if t == nil {
+		t = &telling{}
+		c.told.Put(k, t)
+	}
+	if n := *c.counts.Get(k); n != t.requests {
+		t.requests, t.again = n, tellAgain
+	}
+	t.again--
+	return t.again >= 0
+}
+
 // Heard takes another daemon's counts.
 func (c *Counter) Heard(daemon entity.InstanceID, counts []Count) {
 	for _, n := range counts {
--- a/internal/system/usage/usage_test.go
+++ b/internal/system/usage/usage_test.go
@@ -32,10 +32,26 @@
 	c := New("a", 5*time.Second)
 	c.Began(1, "o")
 	c.Began(100, "o")
-	if own := c.Own(100); len(own) != 1 || own[0].Window != 100 {
+	if own := c.Own(100, true); len(own) != 1 || own[0].Window != 100 {
 		t.Fatalf("own counts %v, want window 100 only", own)
 	}
 	if len(c.Sum(1)) != 0 {
 		t.Fatal("a count of long ago is kept")
 	}
 }
+
+func TestCounter_TellsChangesAFewTimes(t *testing.T) {
+	c := New("a", 5*time.Second)
+	c.Began(1, "o")
+	told := 0
+	for range 10 {
+		told += len(c.Own(1, false))
+	}
+	if told != tellAgain {
+		t.Fatalf("an unchanged count was told %d times", told)
+	}
+	c.Began(1, "o")
+	if own := c.Own(1, false); len(own) != 1 || own[0].Requests != 2 {
+		t.Fatalf("a changed count is told as %v", own)
+	}
+}
