--- a/internal/command/check_settings.go
+++ b/internal/command/check_settings.go
@@ -8,11 +8,14 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
 	"github.com/gooseberryslip/gooseberryslip/internal/tomldoc"
+	"github.com/gooseberryslip/gooseberryslip/platform"
 )
 
 type checkSettings struct {
 	File string   `arg:"positional,required" help:"settings file"`
 	Set  []string `arg:"--set,separate" placeholder:"KEY=VALUE" help:"override a setting, such as listen.callers=10.0.0.5:7001"`
+
+	Platform bool `arg:"--platform" help:"the file is a gateway's, in the users' platform's format"`
 }
 
 // checkReport is the result of a check in JSON.
@@ -22,6 +25,9 @@
 }
 
 func (c *checkSettings) run(_ context.Context, e *environment) error {
+	if c.Platform {
+		return c.checkPlatform(e)
+	}
 	overrides, err := parseOverrides(c.Set)
 	if err != nil {
 		return err
@@ -33,6 +39,17 @@
 	return e.reportCheck(c.File, err)
 }
 
+// checkPlatform checks a gateway's settings.
+func (c *checkSettings) checkPlatform(e *environment) error {
+	if len(c.Set) > 0 {
+		return usage("--set does not go with --platform")
+	}
+	if _, err := platform.LoadSettings(c.File); err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	return e.reportCheck(c.File, nil)
+}
+
 // parseOverrides reads the values of --set.
 func parseOverrides(set []string) ([]settings.Override, error) {
 	var out []settings.Override
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,6 +42,7 @@
 	Timeline      *timelineOf    `arg:"subcommand:timeline" help:"merge the events of all daemons into one time line"`
 	Daemon        *daemon        `arg:"subcommand:daemon" help:"run a daemon"`
 	Gateway       *gatewayRole   `arg:"subcommand:gateway" help:"forward exchanges on the users' platform"`
+	GatewayStatus *gatewayStatus `arg:"subcommand:gateway-status" help:"show what a gateway believes"`
 	Explain       *explain       `arg:"subcommand:explain" help:"tell the story of one request from log files"`
 	Quickstart    *quickStart    `arg:"subcommand:quickstart" help:"run a small system on loopback, stand-ins included"`
 	StandIn       *standIn       `arg:"subcommand:standin" help:"run stand-ins of the platform and of backend servers"`
@@ -178,7 +179,7 @@
 		return ExitOK
 	case errors.As(err, &wrong):
 		return ExitUsage
-	case errors.Is(err, adminapi.ErrUnreachable), errors.Is(err, errNoDaemon):
+	case errors.Is(err, adminapi.ErrUnreachable), errors.Is(err, errNoDaemon), errors.Is(err, errNoGateway):
 		return ExitUnavailable
 	case errors.As(err, &f) && f.Code == adminapi.CodeConflict:
 		return ExitConflict
--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -9,6 +9,7 @@
 
 	ConfigurationTaken   = define(6100, Info, "configuration in force")
 	ConfigurationIgnored = define(6101, Warn, "configuration ignored")
+	ConfigurationFlawed  = define(6102, Warn, "part of the configuration cannot be served")
 	ServerListed         = define(6110, Info, "backend server listed or changed")
 	ServerUnlisted       = define(6111, Info, "backend server no longer listed")
 	ServerUnreadable     = define(6112, Warn, "entry of a backend server ignored")
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,7 +101,7 @@
 		name string
 		at   time.Duration
 		req  Request
-		want Status
+		want Answer
 	}{
 		{"unknown key", 0, testRequest("r", "/x", "nobody"), Unauthorised},
 		{"no key", 0, testRequest("r", "/x", ""), Unauthorised},
@@ -395,6 +396,23 @@
 	}
 }
 
+func TestProblems_NameWhereAndWhy(t *testing.T) {
+	if p := testDocument(1).Problems(); len(p) != 0 {
+		t.Fatalf("a sound configuration has the problems %v", p)
+	}
+	d := testDocument(1)
+	d.Routes[0].Prefix = "x"
+	d.Routes[1].Targets = []Target{{"nobody", -1}}
+	d.Routes[2].Targets = nil
+	d.Organisations[1].Keys = []string{"k1"}
+	got := strings.Join(d.Problems(), "\n")
+	for _, want := range []string{`route "all": prefix "x"`, `route "get": service "nobody" is not defined`, "negative weight", `route "talk": names no service`, `organisation "large": a key`} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%q is missing in\n%s", want, got)
+		}
+	}
+}
+
 func TestPick_FollowsWeights(t *testing.T) {
 	targets := []Target{{"a", 90}, {"b", 10}, {"c", 0}}
 	counts := map[entity.ServiceName]int{}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -49,18 +49,18 @@
 
 // Refusal is a final answer of the system's own.
 type Refusal struct {
-	Status     Status
+	Status     Answer
 	Code       string        // reason, for logs and metrics
 	RetryAfter time.Duration // 0: none
 	Inputs     string        // what the decision was made from, for logs
 }
 
-// Status is the kind of a final answer of the system's own.
-type Status uint8
+// Answer is the kind of a final answer of the system's own.
+type Answer uint8
 
 const (
 	// Malformed: the request cannot be understood.
-	Malformed Status = iota + 1
+	Malformed Answer = iota + 1
 	// Unauthorised: the key is not known.
 	Unauthorised
 	// NoRoute: no route matches.
@@ -76,7 +76,7 @@
 )
 
 // Refuse returns a refusal without a time to come back.
-func Refuse(s Status, code string) *Refusal { return &Refusal{Status: s, Code: code} }
+func Refuse(s Answer, code string) *Refusal { return &Refusal{Status: s, Code: code} }
 
 // Ticket is a request in flight. The core owns its fields.
 type Ticket struct {
--- /dev/null
+++ b/internal/exchange/status.go
@@ -0,0 +1,68 @@
+package exchange
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/quota"
+)
+
+// Status is what a daemon believes, for operators.
+type Status struct {
+	Instance     entity.InstanceID `json:"instance"`
+	Version      uint64            `json:"configuration_version"`
+	ConfirmedAgo string            `json:"configuration_confirmed_ago"`
+	Serving      bool              `json:"serving"`
+	Leaving      bool              `json:"leaving"`
+	LeaseEpoch   uint64            `json:"lease_epoch"`
+	HoldsLease   bool              `json:"holds_lease"`
+	Servers      []ServerStatus    `json:"backend_servers"`
+	Daemons      []DaemonStatus    `json:"daemons"`
+	Quotas       []quota.Use       `json:"quotas"`
+	Planned      []ServiceLevel    `json:"planned_work"`
+}
+
+// ServerStatus is a backend server as this daemon knows it.
+type ServerStatus struct {
+	ID          entity.BackendServerID `json:"id"`
+	Service     entity.ServiceName     `json:"service"`
+	DataCentre  entity.DataCentreID    `json:"data_centre"`
+	Usable      bool                   `json:"usable"`
+	Reclaimable bool                   `json:"reclaimable"`
+}
+
+// DaemonStatus is another daemon as this one knows it.
+type DaemonStatus struct {
+	Name     entity.InstanceID `json:"name"`
+	HeardAgo string            `json:"heard_ago"`
+	Serving  bool              `json:"serving"`
+	Leaving  bool              `json:"leaving"`
+	Version  uint64            `json:"configuration_version"`
+}
+
+// Status returns what this daemon believes.
+func (c *Core) Status(now time.Time) Status {
+	version, age := c.Version(now)
+	epoch, held := c.lease.Epoch()
+	s := Status{
+		Instance: c.cfg.Self.Name, Version: version, ConfirmedAgo: age.Round(time.Millisecond).String(),
+		Serving: c.Serving(now), Leaving: c.leaving, LeaseEpoch: epoch, HoldsLease: held,
+		Quotas: c.quota.Uses(now, true), Planned: c.planned(),
+	}
+	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
+		s.Servers = append(s.Servers, ServerStatus{id, r.Service, r.DataCentre, c.usable(now, id), r.Reclaimable})
+		return true
+	})
+	c.peers.All(func(name entity.InstanceID, r *peerRow) bool {
+		heard := "never"
+		if !r.heard.IsZero() {
+			heard = now.Sub(r.heard).Round(time.Millisecond).String()
+		}
+		s.Daemons = append(s.Daemons, DaemonStatus{name, heard, r.serving, r.leaving, r.version})
+		return true
+	})
+	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
+	sort.Slice(s.Daemons, func(i, j int) bool { return s.Daemons[i].Name < s.Daemons[j].Name })
+	return s
+}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -159,7 +159,7 @@
 )
 
 // statusCodes are the HTTP statuses of refusals.
-var statusCodes = map[exchange.Status]int{
+var statusCodes = map[exchange.Answer]int{
 	exchange.Malformed:    http.StatusBadRequest,
 	exchange.Unauthorised: http.StatusUnauthorized,
 	exchange.NoRoute:      http.StatusNotFound,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -39,5 +40,20 @@
 		g.meter.set.WritePrometheus(w)
 		metrics.WritePrometheus(w, false)
 	})
+	r.HandleFunc("/status", g.serveStatus)
 	return r
 }
+
+// serveStatus shows what this daemon believes.
+func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	var s exchange.Status
+	g.locked(func(c *exchange.Core, now time.Time) { s = c.Status(now) })
+	body, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		g.Log.Logger().WithError(err).Error("the status cannot be encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(body, '\n')) // a reader that has gone needs no answer
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -179,8 +179,12 @@
 func (g *Gateway) takeDocument(doc *exchange.Document, source string) {
 	taken := false
 	g.locked(func(c *exchange.Core, now time.Time) { taken = c.SetDocument(now, doc) })
-	if taken {
-		g.event(event.ConfigurationTaken, "", event.A("version", doc.Version), event.A("routes", len(doc.Routes)), event.A("source", source))
+	if !taken {
+		return
+	}
+	g.event(event.ConfigurationTaken, "", event.A("version", doc.Version), event.A("routes", len(doc.Routes)), event.A("source", source))
+	for _, problem := range doc.Problems() {
+		g.event(event.ConfigurationFlawed, "", event.A("version", doc.Version), event.A("problem", problem))
 	}
 }
 
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -26,9 +26,9 @@
 
 // Use is what one daemon says of an organisation's quota.
 type Use struct {
-	Organisation entity.OrganisationID `cbor:"1,keyasint"`
-	Total        float64               `cbor:"2,keyasint"` // used by the daemon since its start
-	Level        float64               `cbor:"3,keyasint"` // of its copy of the bucket
+	Organisation entity.OrganisationID `cbor:"1,keyasint" json:"organisation"`
+	Total        float64               `cbor:"2,keyasint" json:"used"`  // by the daemon since its start
+	Level        float64               `cbor:"3,keyasint" json:"level"` // of its copy of the bucket
 }
 
 // Ledger holds this daemon's copies of all buckets. It is not safe for
