--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,6 +42,7 @@
 	Timeline      *timelineOf    `arg:"subcommand:timeline" help:"merge the events of all daemons into one time line"`
 	Daemon        *daemon        `arg:"subcommand:daemon" help:"run a daemon"`
 	Gateway       *gatewayRole   `arg:"subcommand:gateway" help:"forward exchanges on the users' platform"`
+	Experiment    *experimentRun `arg:"subcommand:experiment" help:"compare decisions under a load in virtual time"`
 	GatewayStatus *gatewayStatus `arg:"subcommand:gateway-status" help:"show what a gateway believes"`
 	Explain       *explain       `arg:"subcommand:explain" help:"tell the story of one request from log files"`
 	Quickstart    *quickStart    `arg:"subcommand:quickstart" help:"run a small system on loopback, stand-ins included"`
@@ -73,6 +74,7 @@
   gooseberryslip status --output json
   gooseberryslip plan forecast --explain
   gooseberryslip drain --wait
+  gooseberryslip experiment examples/experiment/overload.toml --plot credit.svg
   gooseberryslip explain 9c41d07be2a35f68 edge-*.log
   gooseberryslip timeline --request 0b6f --html timeline.html
 
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,89 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// WriteTable writes a table for people.
+func WriteTable(w io.Writer, results []*Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "policy\tseed\tclass\tasked\ton time\tlate\trefused\tcredit\tworst 2 s\tfirst p50 ms\tp95 ms\tp99 ms\t")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%d\tall\t\t\t\t\t%.3f\t%.3f\t\t\t\t\n", r.Policy, r.Seed, r.Credit(), r.Worst())
+		for _, c := range r.Classes {
+			ms := func(q float64) float64 { return float64(c.First.ValueAtQuantile(q)) / 1000 }
+			fmt.Fprintf(t, "\t\t%s\t%d\t%d\t%d\t%d\t%.3f\t\t%.0f\t%.0f\t%.0f\t\n",
+				c.Name, c.Asked, c.OnTime, c.Late, c.Refused, c.Earned/max(c.Owed, 1e-9), ms(50), ms(95), ms(99))
+		}
+	}
+	return t.Flush()
+}
+
+const (
+	plotWidth  = 900
+	plotHeight = 300
+	plotMargin = 45
+)
+
+var plotColours = []string{"#1b6ca8", "#c0392b", "#2e8b57", "#8e44ad"}
+
+// WritePlot writes the credit by second of each policy as SVG, the mean of all
+// seeds.
+func WritePlot(w io.Writer, results []*Result) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`, plotWidth, plotHeight+40)
+	b.WriteString(`<rect width="100%" height="100%" fill="white"/>`)
+	for _, level := range []float64{0, 0.5, 1} {
+		y := plotY(level)
+		fmt.Fprintf(&b, `<line x1="%d" x2="%d" y1="%.0f" y2="%.0f" stroke="#ccc"/><text x="8" y="%.0f">%.1f</text>`, plotMargin, plotWidth-10, y, y, y+4, level)
+	}
+	for i, policy := range policiesOf(results) {
+		colour := plotColours[i%len(plotColours)]
+		fmt.Fprintf(&b, `<polyline fill="none" stroke="%s" stroke-width="2" points="%s"/>`, colour, plotPoints(results, policy))
+		fmt.Fprintf(&b, `<text x="%d" y="%d" fill="%s">%s</text>`, plotMargin+150*i, plotHeight+30, colour, policy)
+	}
+	fmt.Fprintf(&b, `<text x="%d" y="14">part of the worth earned, by second of arrival</text></svg>`, plotMargin)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func plotY(level float64) float64 { return plotHeight - level*(plotHeight-30) }
+
+func policiesOf(results []*Result) []Policy {
+	var out []Policy
+	seen := map[Policy]bool{}
+	for _, r := range results {
+		if !seen[r.Policy] {
+			seen[r.Policy] = true
+			out = append(out, r.Policy)
+		}
+	}
+	return out
+}
+
+func plotPoints(results []*Result, policy Policy) string {
+	var sums []Second
+	for _, r := range results {
+		if r.Policy != policy {
+			continue
+		}
+		if sums == nil {
+			sums = make([]Second, len(r.Series))
+		}
+		for i, s := range r.Series {
+			sums[i].Owed += s.Owed
+			sums[i].Earned += s.Earned
+		}
+	}
+	var points []string
+	for i, s := range sums {
+		if s.Owed > 0 {
+			x := plotMargin + float64(i)/float64(max(len(sums)-1, 1))*(plotWidth-plotMargin-10)
+			points = append(points, fmt.Sprintf("%.1f,%.1f", x, plotY(s.Earned/s.Owed)))
+		}
+	}
+	return strings.Join(points, " ")
+}
