Patient feeds while peers confirm, quota tolerance lent to callers, whole list before the first order

Change: a feed call waits 8 s while other daemons confirm the configuration, ended when they stop; a bucket holds 0.4 of what may be exceeded; orders begin 3 s after the start, for 0.55 of the engines found.

--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -60,7 +60,12 @@
 	return 0
 }
 
-// Newer returns a daemon that has a newer configuration than this one.
+// newerFor is how long another daemon must have had a newer configuration before
+// it is asked for it: the table service tells this one first, as a rule.
+const newerFor = 400 * time.Millisecond
+
+// Newer returns a daemon that has had a newer configuration than this one for a
+// while.
 func (c *Core) Newer(now time.Time) (Member, bool) {
 	own, _ := c.Version(now)
 	var found *peerRow
@@ -71,9 +76,13 @@
 		return true
 	})
 	if found == nil {
+		c.behindSince = time.Time{}
 		return Member{}, false
 	}
-	return found.Member, true
+	if c.behindSince.IsZero() {
+		c.behindSince = now
+	}
+	return found.Member, now.Sub(c.behindSince) >= newerFor
 }
 
 // Document returns the configuration in force, nil if there is none.
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -24,6 +24,9 @@
 	UsageWindow  time.Duration
 	ForgetServer time.Duration // after a server has gone
 	NewsPerPeer  time.Duration // time between two messages of a daemon, for each other one
+	QuotaWindow  time.Duration // in which quotas are judged
+	QuotaOver    float64       // part of a window's quota that may be exceeded
+	QuotaSlack   float64       // units that may be exceeded beside
 	PeerForget   time.Duration // a silent daemon's part of a quota is set aside until then
 }
 
@@ -49,18 +52,19 @@
 	timeKnown bool
 	uncounted []began
 
-	servers *entity.Table[entity.BackendServerID, serverRow]
-	peers   *entity.Table[entity.InstanceID, peerRow]
-	placer  *placement.Placer
-	quota   *quota.Ledger
-	budget  *retry.Budget
-	usage   *usage.Counter
-	lease   *lease.Lease
-	placed  []Placed // prompts placed since the last message to the others
-	seq     uint32
-	sent    sentTimes
-	demand  demand
-	levels  *entity.Table[entity.ServiceName, capacity.Level]
+	servers     *entity.Table[entity.BackendServerID, serverRow]
+	peers       *entity.Table[entity.InstanceID, peerRow]
+	placer      *placement.Placer
+	quota       *quota.Ledger
+	budget      *retry.Budget
+	usage       *usage.Counter
+	lease       *lease.Lease
+	placed      []Placed // prompts placed since the last message to the others
+	seq         uint32
+	sent        sentTimes
+	behindSince time.Time // another daemon has had a newer configuration since then
+	demand      demand
+	levels      *entity.Table[entity.ServiceName, capacity.Level]
 }
 
 // New returns a core that knows no configuration.
@@ -89,7 +93,7 @@
 	for i := range doc.Organisations {
 		o := &doc.Organisations[i]
 		if o.QuotaDefined {
-			c.quota.SetLimit(now, o.ID, quota.Limit{Rate: o.RatePerSec, Burst: o.Burst})
+			c.quota.SetLimit(now, o.ID, c.quotaLimit(o))
 		}
 	}
 	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
@@ -99,6 +103,16 @@
 	return true
 }
 
+// tolerancePart is the part of what may be exceeded that is lent to callers. The
+// rest covers what daemons spend before they hear of each other.
+const tolerancePart = 0.4
+
+func (c *Core) quotaLimit(o *Organisation) quota.Limit {
+	b := &c.cfg.Bounds
+	over := b.QuotaOver*(o.RatePerSec*b.QuotaWindow.Seconds()+o.Burst) + b.QuotaSlack
+	return quota.Limit{Rate: o.RatePerSec, Burst: o.Burst, Tolerance: tolerancePart * over}
+}
+
 // Confirm notes that the configuration was the newest at some moment after the
 // given one.
 func (c *Core) Confirm(at time.Time) {
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -326,6 +326,7 @@
 	if a.Serving(at(26 * time.Second)) {
 		t.Fatal("a daemon was confirmed in an older version than its peer's")
 	}
+	a.Newer(at(25 * time.Second))
 	if m, ok := a.Newer(at(26 * time.Second)); !ok || m.Name != "b" {
 		t.Fatal("the daemon does not know whom to ask for the newer version")
 	}
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -69,7 +69,7 @@
 
 // Wanted returns how many backend servers should be ordered.
 func (c *Core) Wanted(now time.Time) []ServerCount {
-	if c.routes == nil {
+	if c.routes == nil || !c.mayPlan(now) {
 		return nil
 	}
 	var out []ServerCount
@@ -87,6 +87,16 @@
 	return out
 }
 
+// registerTime is how long after this daemon's start all backend servers that
+// are there should be listed.
+const registerTime = 3 * time.Second
+
+// mayPlan reports whether enough is known to order backend servers: the demand,
+// the plan of the former holder, or how many there are.
+func (c *Core) mayPlan(now time.Time) bool {
+	return c.demand.seen || c.levels.Len() > 0 || now.Sub(c.cfg.Started) >= registerTime
+}
+
 func (c *Core) capacityInput(now time.Time, s *Service) capacity.Input {
 	in := capacity.Input{Min: s.Scale.Min, Max: s.Scale.Max, ReclaimablePrice: s.Scale.ReclaimablePrice}
 	for _, dc := range c.cfg.DataCentres {
@@ -149,7 +159,7 @@
 
 // foundUse is the part of the backend servers found at the start that an
 // ordinary day keeps busy.
-const foundUse = 0.75
+const foundUse = 0.55
 
 // expectedWork returns the servers that the demand keeps busy. Before callers
 // have come, the servers that are there bound what quotas let expect.
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -125,11 +125,12 @@
 // leaverNews is how long other daemons are told of a server that drains.
 const leaverNews = 3 * time.Second
 
-// leavers returns the servers that began to drain lately.
+// leavers returns the servers that began to drain, or went, lately.
 func (c *Core) leavers(now time.Time) []LeavingServer {
 	var out []LeavingServer
 	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
-		if row.State == Draining && now.Sub(row.leaving) < leaverNews {
+		left := row.State == Draining || !row.listed && !now.Before(row.goneAt)
+		if left && now.Sub(row.leaving) < leaverNews {
 			out = append(out, LeavingServer{ID: id, Born: row.Born})
 		}
 		return true
@@ -137,7 +138,7 @@
 	return out
 }
 
-// heardLeaving takes another daemon's word that a server drains.
+// heardLeaving takes another daemon's word that a server drains or has gone.
 func (c *Core) heardLeaving(now time.Time, l LeavingServer) {
 	row := c.servers.Get(l.ID)
 	if row == nil || row.Born != l.Born || row.State != Ready {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -65,8 +64,10 @@
 	Revoke      time.Duration // a key that was taken away is refused after this
 	RetryRatio  float64
 	RetrySlack  float64
+	QuotaWindow time.Duration // in which quotas are judged
+	QuotaOver   float64       // part of a window's quota that may be exceeded
+	QuotaSlack  float64       // units that may be exceeded beside
 	UsageWindow time.Duration
-	UsageLate   time.Duration
 	MemoryBytes int64 // that the process may use
 	Duties      bool  // whether usage and orders are this system's to send
 }
@@ -101,8 +102,6 @@
 	flight  sync.WaitGroup
 	stopped chan struct{} // closed when the stop signal has come
 
-	configurationLost atomic.Bool // the table service does not tell the configuration
-
 	mu   sync.Mutex // guards core
 	core *exchange.Core
 	self exchange.Member
@@ -125,6 +124,7 @@
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
 		Bounds: exchange.Bounds{
 			StaleAfter: s.Revoke - staleMargin, RetryRatio: retryPart * s.RetryRatio, RetrySlack: retryPart * s.RetrySlack,
+			QuotaWindow: s.QuotaWindow, QuotaOver: s.QuotaOver, QuotaSlack: s.QuotaSlack,
 			UsageWindow: s.UsageWindow, ForgetServer: 10 * time.Second,
 			NewsPerPeer: newsPerPeer, PeerForget: s.Revoke + 5*time.Second,
 		},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -204,12 +204,9 @@
 	by(to, body)
 }
 
-// askForDocument asks another daemon for a newer configuration while the table
-// service does not give it.
+// askForDocument asks another daemon for a configuration that is newer for a
+// while than what the table service has told this one.
 func (g *Gateway) askForDocument(t *peer.Transport) {
-	if !g.configurationLost.Load() {
-		return
-	}
 	var from exchange.Member
 	var newer bool
 	var own uint64
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -25,11 +24,10 @@
 
 // watcher follows one feed for ever.
 type watcher[T any] struct {
-	g        *Gateway
-	name     string
-	feed     provider.Feed[T]
-	wait     func() time.Duration
-	lostFlag *atomic.Bool // set while the feed fails; may be nil
+	g    *Gateway
+	name string
+	feed provider.Feed[T]
+	wait func() time.Duration
 	// take is called with each answer. Whole says that changes holds all
 	// entries; start is when the call was made.
 	take func(whole bool, changes []provider.Change[T], start time.Time)
@@ -64,7 +62,13 @@
 	wait := w.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+changesMargin)
 	defer cancel()
+	if wait > w.g.feedWait() {
+		go w.g.watchWait(ctx, cancel)
+	}
 	changes, at, err := w.feed.Changes(ctx, w.position, wait)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return nil // ended by watchWait, to be made again at once
+	}
 	if err != nil {
 		return err
 	}
@@ -100,7 +104,7 @@
 	if !w.failing {
 		return
 	}
-	w.setFailing(false)
+	w.failing = false
 	w.g.locked(func(c *exchange.Core, now time.Time) { c.StoreBack(now) })
 	w.g.event(event.DependencyRegained, "", event.A("dependency", w.name))
 }
@@ -109,17 +113,10 @@
 	if w.failing || ctx.Err() != nil {
 		return
 	}
-	w.setFailing(true)
+	w.failing = true
 	w.g.event(event.DependencyLost, "", event.A("dependency", w.name), event.A("error", err.Error()))
 }
 
-func (w *watcher[T]) setFailing(failing bool) {
-	w.failing = failing
-	if w.lostFlag != nil {
-		w.lostFlag.Store(failing)
-	}
-}
-
 // gatherPerPeer is how long a daemon waits after a change for further ones, for
 // each other daemon: every change costs a call of each of them.
 const gatherPerPeer = 4 * time.Millisecond
@@ -151,11 +148,44 @@
 	if often {
 		return min(confirmWait, g.feedWait())
 	}
+	return g.patientWait()
+}
+
+// longWait is how long a call for changes waits at a daemon to which others
+// confirm the configuration.
+const longWait = 8 * time.Second
+
+// patientWait is longer while others confirm the configuration: they tell this
+// daemon as well if a connection to the table service has gone silent.
+func (g *Gateway) patientWait() time.Duration {
+	if g.confirmed() {
+		return longWait
+	}
 	return g.feedWait()
 }
 
+// confirmed reports whether the configuration was confirmed a short time ago.
+func (g *Gateway) confirmed() bool {
+	var age time.Duration
+	g.locked(func(c *exchange.Core, now time.Time) { _, age = c.Version(now) })
+	return age < g.feedWait()
+}
+
+// watchWait ends a long call when nobody confirms the configuration any more.
+func (g *Gateway) watchWait(ctx context.Context, cancel context.CancelFunc) {
+	for pause(ctx, watchInterval) {
+		if !g.confirmed() {
+			cancel()
+			return
+		}
+	}
+}
+
+// watchInterval is the time between two looks at a long call.
+const watchInterval = 300 * time.Millisecond
+
 func (g *Gateway) watchConfiguration(life context.Context) {
-	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.configurationWait, take: g.takeConfiguration, lostFlag: &g.configurationLost}
+	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.configurationWait, take: g.takeConfiguration}
 	w.run(life)
 }
 
@@ -196,7 +226,7 @@
 }
 
 func (g *Gateway) watchServers(life context.Context) {
-	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.Servers, wait: g.feedWait, take: g.takeServers}
+	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.Servers, wait: g.patientWait, take: g.takeServers}
 	w.run(life)
 }
 
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -22,6 +22,9 @@
 type Limit struct {
 	Rate  float64 // units a second; 0: no limit
 	Burst float64 // units
+	// Tolerance is how many units beyond the burst do no harm, such as the slack
+	// that those who judge the quota allow.
+	Tolerance float64
 }
 
 // Use is what one daemon says of an organisation's quota.
@@ -73,7 +76,7 @@
 	}
 	l.refill(now, b)
 	b.limit = limit
-	b.level = min(b.level, limit.Burst)
+	b.level = min(b.level, l.capacity(b))
 }
 
 // SetDaemons says how many daemons there are and how many of them are heard.
@@ -88,11 +91,21 @@
 	l.heard, l.known = max(heard, 1), max(known, heard, 1)
 }
 
+// fewDaemons is the number of daemons up to which the whole tolerance is lent to
+// callers. In larger fleets news are older, and what is spent before the others
+// know of it needs its part.
+const fewDaemons = 16
+
+// capacity returns the most units that a bucket holds.
+func (l *Ledger) capacity(b *bucket) float64 {
+	return b.limit.Burst + b.limit.Tolerance*min(1, fewDaemons/float64(l.known))
+}
+
 // refill adds what has come in since the last call. Daemons that are not heard
 // may be using their part of it.
 func (l *Ledger) refill(now time.Time, b *bucket) {
 	part := float64(l.heard) / float64(l.known)
-	b.level = min(b.level+b.limit.Rate*part*now.Sub(b.at).Seconds(), b.limit.Burst)
+	b.level = min(b.level+b.limit.Rate*part*now.Sub(b.at).Seconds(), l.capacity(b))
 	b.at = now
 }
 
@@ -104,7 +117,7 @@
 		return 0, true
 	}
 	l.refill(now, b)
-	need := min(units, b.limit.Burst)
+	need := min(units, l.capacity(b))
 	if b.level >= need {
 		b.level -= units
 		b.used += units
@@ -117,7 +130,7 @@
 // Return gives back the units of a request that has not run.
 func (l *Ledger) Return(id entity.OrganisationID, units float64) {
 	if b := l.buckets.Get(id); b != nil && b.limit.Rate > 0 {
-		b.level = min(b.level+units, b.limit.Burst)
+		b.level = min(b.level+units, l.capacity(b))
 		b.used -= units
 	}
 }
@@ -159,7 +172,7 @@
 			b.level -= u.Total - *before
 		}
 		if !b.seeded {
-			b.level = min(u.Level, b.limit.Burst)
+			b.level = min(u.Level, l.capacity(b))
 			b.seeded = true
 		}
 		total := u.Total
