--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -163,6 +163,7 @@
 	if n := len(t.tried); n > 0 && failureWeights[o] > 0 {
 		c.placer.Failed(now, t.tried[n-1], failureWeights[o])
 	}
+	c.noteCrash(now, t, o)
 	switch o {
 	case Answered, Abandoned:
 		t.Ran++
@@ -172,12 +173,35 @@
 	case Failed, Broken, Silent:
 		t.Ran++
 	}
-	if !c.mayRepeat(now, t) {
+	if c.crash.refused(now, t.Request.Content) || !c.mayRepeat(now, t) {
 		return c.giveUp(t, o.String(), emptyRetry)
 	}
 	return nil
 }
 
+// noteCrash passes on what an outcome says of crashes.
+func (c *Core) noteCrash(now time.Time, t *Ticket, o Outcome) {
+	if len(t.tried) == 0 {
+		return
+	}
+	id := t.tried[len(t.tried)-1]
+	switch {
+	case o == Answered:
+		c.crash.registry.Cleared(t.Request.Content)
+	case o == Broken:
+		c.crash.broke(now, id, t.Request.Content)
+	case o == NotSent:
+		c.serverDied(now, id)
+	}
+}
+
+// serverDied notes that a backend server has died.
+func (c *Core) serverDied(now time.Time, id entity.BackendServerID) {
+	if row := c.servers.Get(id); row != nil && row.State == Ready {
+		c.crash.died(now, id, row.DataCentre)
+	}
+}
+
 // release frees what the present attempt holds. Whole says that its answer was
 // complete.
 func (c *Core) release(now time.Time, t *Ticket, whole bool) {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -64,6 +64,7 @@
 	sent        sentTimes
 	behindSince time.Time // another daemon has had a newer configuration since then
 	demand      demand
+	crash       crashGuard
 	levels      *entity.Table[entity.ServiceName, capacity.Level]
 }
 
@@ -74,6 +75,7 @@
 		servers: entity.NewTable[entity.BackendServerID, serverRow](),
 		peers:   entity.NewTable[entity.InstanceID, peerRow](),
 		placer:  placement.New(cfg.Rand),
+		crash:   newCrashGuard(),
 		levels:  entity.NewTable[entity.ServiceName, capacity.Level](),
 		quota:   quota.New(),
 		usage:   usage.New(cfg.Self.process(), cfg.Bounds.UsageWindow),
@@ -190,6 +192,9 @@
 			return nil, Refuse(Unauthorised, "unknown-key")
 		}
 	}
+	if c.crash.refused(now, req.Content) {
+		return nil, &Refusal{Status: Unavailable, Code: "crashes-backend-servers", RetryAfter: convictedRetry}
+	}
 	t.Service = pick(route.Targets, req.ID)
 	t.priority = rank(t)
 	t.Deadline = deadline(arrived, route, req.Patience)
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -234,6 +234,58 @@
 	}
 }
 
+// TestCrash_ContentThatKillsThreeServersIsRefused: the content comes again at
+// any daemon, under new ids; others that were running beside it are not refused.
+func TestCrash_ContentThatKillsThreeServersIsRefused(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	bad := testRequest("bad", "/talk/x", "k3")
+	bad.Content = entity.Digest{1}
+	good := testRequest("good", "/talk/x", "k3")
+	good.Content = entity.Digest{2}
+	for round := range 3 {
+		now := at(time.Duration(round) * 10 * time.Second)
+		c := []*Core{a, b}[round%2]
+		a.Confirm(now)
+		b.Confirm(now)
+		for _, r := range []Request{bad, good} {
+			ticket := mustAdmit(t, c, now, r)
+			ticket.Route = &Route{Timeout: time.Minute, MaxServers: 1}
+			attempt := mustPlace(t, c, now, ticket)
+			if r.Content == bad.Content {
+				c.Ended(now, ticket, Broken)
+				c.RemoveServer(now.Add(time.Second), attempt.Server)
+				continue
+			}
+			c.Ended(now, ticket, Answered)
+		}
+		later := now.Add(1100 * time.Millisecond)
+		n := c.News(later)
+		for _, other := range []*Core{a, b} {
+			other.Heard(later, &n, 0)
+		}
+	}
+	for _, c := range []*Core{a, b} {
+		c.Confirm(at(25 * time.Second))
+		if _, refusal := c.Admit(at(25*time.Second), at(25*time.Second), bad); refusal == nil || refusal.Status != Unavailable {
+			t.Errorf("content that took three servers along is admitted: %+v", refusal)
+		}
+		mustAdmit(t, c, at(25*time.Second), good)
+	}
+}
+
+func TestCrash_LostAnswersConvictNobody(t *testing.T) {
+	c := newTestCore(t, "a")
+	r := testRequest("r", "/get/x", "k3")
+	r.Content = entity.Digest{1}
+	for i := range 10 {
+		now := at(time.Duration(i) * 100 * time.Millisecond)
+		ticket := mustAdmit(t, c, now, r)
+		mustPlace(t, c, now, ticket)
+		c.Ended(now, ticket, Broken)
+		c.Finish(now, ticket)
+	}
+}
+
 func TestPlace_LeftTimeShrinks(t *testing.T) {
 	c := newTestCore(t, "d1")
 	ticket := mustAdmit(t, c, zero, testRequest("r", "/get/x", "k1"))
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -6,6 +6,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/usage"
 )
 
 // UsageWindow returns the number of the present window, if the true time is
@@ -34,6 +35,14 @@
 	return out
 }
 
+// Checkpoint returns the counts of all daemons in the newest windows.
+func (c *Core) Checkpoint(now time.Time) map[entity.InstanceID][]usage.Count {
+	return c.usage.All(c.usage.Window(c.sinceEpoch(now)))
+}
+
+// RestoreCounts takes a checkpoint.
+func (c *Core) RestoreCounts(all map[entity.InstanceID][]usage.Count) { c.usage.Restore(all) }
+
 // ServerCount is a number of backend servers of one service, data centre and
 // class.
 type ServerCount struct {
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -50,6 +50,7 @@
 	Age     time.Duration   `cbor:"12,keyasint"`
 	Levels  []ServiceLevel  `cbor:"13,keyasint,omitempty"` // only from the lease's holder
 	Leavers []LeavingServer `cbor:"14,keyasint,omitempty"`
+	Deaths  []ContentDeath  `cbor:"15,keyasint,omitempty"`
 }
 
 // LeavingServer is a backend server that has said that it drains.
@@ -89,7 +90,7 @@
 	n := News{
 		From: c.cfg.Self, Sequence: c.seq, Leaving: c.leaving, Serving: c.Serving(now),
 		Loads: c.placer.Sums(), Quota: c.quota.Uses(now, c.seq%fullEvery == 0), Placed: c.placed, Demand: c.demand.rates(now),
-		Age: c.age(now), Leavers: c.leavers(now),
+		Age: c.age(now), Leavers: c.leavers(now), Deaths: c.crash.news(now),
 	}
 	c.placed = nil
 	c.sent.note(c.seq, now)
@@ -161,6 +162,9 @@
 	for _, l := range n.Leavers {
 		c.heardLeaving(now, l)
 	}
+	for _, d := range n.Deaths {
+		c.crash.heard(now, d)
+	}
 	for _, p := range n.Placed {
 		c.placer.Cached(now, p.Server, p.Part)
 	}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -16,7 +16,8 @@
 	Key      string // the caller's credential
 	Patience time.Duration
 	Work     Work
-	After    string // the last event that the caller has seen of a resumed stream
+	Content  entity.Digest // of caller, method, target and body
+	After    string        // the last event that the caller has seen of a resumed stream
 }
 
 // Work is the model work that a request asks for.
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -45,6 +45,7 @@
 func (c *Core) PutServer(now time.Time, s BackendServer) {
 	old := c.servers.Get(s.ID)
 	if old != nil && old.Born != s.Born && s.Born != 0 {
+		c.serverDied(now, s.ID)
 		c.placer.Remove(s.ID) // a new process under an old name knows nothing
 		old = nil
 	}
@@ -67,6 +68,7 @@
 	if row == nil || !row.listed {
 		return
 	}
+	c.serverDied(now, id)
 	row.listed = false
 	row.goneAt = now
 	if back := c.storeBack.Add(returnGrace); back.After(now) && row.State == Ready {
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -17,7 +17,7 @@
 
 const (
 	// dutyInterval is the time between two looks at what is due.
-	dutyInterval = 200 * time.Millisecond
+	dutyInterval = 150 * time.Millisecond
 	// dutyTimeout bounds one call.
 	dutyTimeout = 2 * time.Second
 	// settleTime is how long after a window's end its counts are complete.
@@ -33,8 +33,8 @@
 type duties struct {
 	g        *Gateway
 	reported int64 // the last window that is done; 0: nothing known
-	leaseVer uint64
 	orders   *orderBook
+	saved    checkpoint
 }
 
 // runDuties takes the lease when it is free and performs the duties while this
@@ -48,6 +48,7 @@
 			d.takeLease(life)
 		}
 		if _, held := d.fence(); held {
+			d.save(life)
 			d.reportUsage(life)
 			d.order(life)
 		}
@@ -93,6 +94,7 @@
 	d.reported = 0
 	d.orders = newOrderBook()
 	d.adopt(ctx)
+	d.restore(ctx)
 	d.g.event(event.LeaseTaken, "", event.A("epoch", next.Epoch), event.A("before", old.Holder))
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 )
@@ -55,6 +57,7 @@
 	if !ok {
 		return
 	}
+	x.request.Content = content(r, x.request.Key, x.body)
 	defer x.log(arrived)
 	refusal := x.admit(arrived)
 	if refusal == nil {
@@ -65,6 +68,16 @@
 	}
 }
 
+// content identifies what a request asks for, whatever id it comes under.
+func content(r *http.Request, key string, body []byte) entity.Digest {
+	h := sha256.New()
+	for _, part := range []string{key, r.Method, r.Host, r.RequestURI} {
+		_, _ = io.WriteString(h, part+"\x00") // a hash does not fail
+	}
+	_, _ = h.Write(body)
+	return entity.Digest(h.Sum(nil))
+}
+
 func (g *Gateway) leaving() bool {
 	select {
 	case <-g.stopped:
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -175,6 +175,16 @@
 // its completion is news.
 func (r *Registry) Suspected(d entity.Digest) bool { return r.suspects.Get(d) != nil }
 
+// Deaths returns how many different backend servers have died while they ran the
+// content, since it last completed.
+func (r *Registry) Deaths(now time.Time, d entity.Digest) int {
+	s := r.suspects.Get(d)
+	if s == nil || now.Sub(s.since) > r.cfg.SuspectExpiry {
+		return 0
+	}
+	return len(s.deaths)
+}
+
 // Convict takes a conviction of another daemon. Version 0 stands for news
 // without a version, which never renews a conviction that has expired.
 func (r *Registry) Convict(now time.Time, c Conviction) {
--- a/internal/system/usage/usage.go
+++ b/internal/system/usage/usage.go
@@ -97,6 +97,34 @@
 	return t.again >= 0
 }
 
+// All returns the counts of all daemons in the newest windows, by daemon.
+func (c *Counter) All(current int64) map[entity.InstanceID][]Count {
+	out := make(map[entity.InstanceID][]Count)
+	c.counts.All(func(k key, n *uint32) bool {
+		if k.window > current-checkpointWindows {
+			out[k.daemon] = append(out[k.daemon], Count{Window: k.window, Organisation: k.organisation, Requests: *n})
+		}
+		return true
+	})
+	return out
+}
+
+// checkpointWindows is how many windows a checkpoint holds.
+const checkpointWindows = 2
+
+// Restore takes the counts of daemons that may have died. Newer ones stay.
+func (c *Counter) Restore(all map[entity.InstanceID][]Count) {
+	for daemon, counts := range all {
+		for _, n := range counts {
+			k := key{daemon, n.Window, n.Organisation}
+			if known := c.counts.Get(k); known == nil || *known < n.Requests {
+				requests := n.Requests
+				c.counts.Put(k, &requests)
+			}
+		}
+	}
+}
+
 // Heard takes another daemon's counts.
 func (c *Counter) Heard(daemon entity.InstanceID, counts []Count) {
 	for _, n := range counts {
--- a/internal/system/usage/usage_test.go
+++ b/internal/system/usage/usage_test.go
@@ -40,6 +40,20 @@
 	}
 }
 
+func TestCounter_CheckpointOutlivesAllDaemons(t *testing.T) {
+	before := New("a#1", 5*time.Second)
+	before.Began(9, "o")
+	before.Heard("b#1", []Count{{Window: 9, Organisation: "o", Requests: 4}})
+	after := New("a#2", 5*time.Second)
+	after.Began(9, "o")
+	after.Heard("b#1", []Count{{Window: 9, Organisation: "o", Requests: 6}}) // b has survived
+	after.Restore(before.All(9))
+	after.Restore(before.All(9))
+	if got := after.Sum(9)["o"]; got != 8 {
+		t.Fatalf("%d requests after the restart, want 1 + 6 + 1", got)
+	}
+}
+
 func TestCounter_TellsChangesAFewTimes(t *testing.T) {
 	c := New("a", 5*time.Second)
 	c.Began(1, "o")
