--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -56,11 +56,20 @@
 		name string
 		bad  bool
 	}{
-		{"seconds", c.Seconds <= 0}, {"seeds", len(c.Seeds) == 0}, {"daemons", c.Daemons < 1}, {"engines", c.Engines < 1},
-		{"data_centres", c.DataCentres < 1}, {"news_ms", c.NewsMs <= 0}, {"policies", len(c.Policies) == 0},
-		{"classes", len(c.Classes) == 0}, {"engine.slots", c.Engine.Slots < 1}, {"engine.memory_tokens", c.Engine.MemoryTokens < 1},
-		{"engine.prompt_per_ms", c.Engine.PromptPerMs <= 0}, {"engine.chunk_tokens", c.Engine.ChunkTokens < 1},
-		{"engine.step_ms", c.Engine.StepMs <= 0}, {"engine.tokens_per_event", c.Engine.TokensPerEvent < 1},
+		{"seconds", c.Seconds <= 0},
+		{"seeds", len(c.Seeds) == 0},
+		{"daemons", c.Daemons < 1},
+		{"engines", c.Engines < 1},
+		{"data_centres", c.DataCentres < 1},
+		{"news_ms", c.NewsMs <= 0},
+		{"policies", len(c.Policies) == 0},
+		{"classes", len(c.Classes) == 0},
+		{"engine.slots", c.Engine.Slots < 1},
+		{"engine.memory_tokens", c.Engine.MemoryTokens < 1},
+		{"engine.prompt_per_ms", c.Engine.PromptPerMs <= 0},
+		{"engine.chunk_tokens", c.Engine.ChunkTokens < 1},
+		{"engine.step_ms", c.Engine.StepMs <= 0},
+		{"engine.tokens_per_event", c.Engine.TokensPerEvent < 1},
 	} {
 		if f.bad {
 			return fmt.Errorf("experiment: %s is missing or out of range", f.name)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"log"
-
 	"strings"
 	"time"
 
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -16,7 +16,6 @@
 type fleet struct {
 	ledgers []*Ledger
 	cut     map[int]bool // daemons that neither hear nor are heard
-	taken   float64
 }
 
 func newFleet(n int, limit Limit, now time.Time) *fleet {
