--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/experiment"
 	"github.com/gooseberryslip/gooseberryslip/internal/servicedoc"
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
 )
@@ -16,7 +17,7 @@
 
 func TestExamples_AreSound(t *testing.T) {
 	files, _ := filepath.Glob("*/*.toml")
-	daemons, services := 0, 0
+	daemons, services, experiments := 0, 0, 0
 	for _, path := range files {
 		data, err := os.ReadFile(path)
 		if err != nil {
@@ -27,6 +28,13 @@
 			checkSettings(t, path, data)
 			continue
 		}
+		if filepath.Dir(path) == "experiment" {
+			experiments++
+			if _, err := experiment.Parse(data); err != nil {
+				t.Errorf("%s: %v", path, err)
+			}
+			continue
+		}
 		services++
 		s, err := servicedoc.Parse(path, data)
 		if err != nil {
@@ -37,8 +45,8 @@
 			t.Errorf("%s is named %s", path, s.Name)
 		}
 	}
-	if daemons != 6 || services != 6 {
-		t.Fatalf("%d daemons and %d services checked", daemons, services)
+	if daemons != 6 || services != 6 || experiments != 1 {
+		t.Fatalf("%d daemons, %d services and %d experiments checked", daemons, services, experiments)
 	}
 }
 
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -24,12 +24,30 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("writing waits for a reader that has stopped")
 	}
-	go a.Close()
-	read, err := io.ReadAll(io.LimitReader(r, 5))
-	if err != nil || string(read) != "line\n" {
-		t.Fatalf("read %q %v", read, err)
+	// The reader goes on: it finds whole lines, those that fitted the queue and
+	// the count of the others.
+	go func() {
+		a.Close()
+		_ = w.Close()
+	}()
+	read, err := io.ReadAll(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, counts := 0, 0
+	for line := range strings.Lines(string(read)) {
+		switch {
+		case line == "line\n":
+			whole++
+		case strings.Contains(line, `"msg":"log lines dropped"`) && strings.HasSuffix(line, "}\n"):
+			counts++
+		default:
+			t.Fatalf("read %q", line)
+		}
+	}
+	if whole < queuedLines || whole >= 10*queuedLines || counts == 0 {
+		t.Fatalf("%d lines and %d counts of dropped ones", whole, counts)
 	}
-	_ = r.Close()
 }
 
 // slowWriter takes its time for the first line.
