Set aside the quota of daemons that are listed but not heard; read refusals with care

A daemon that starts without hearing anybody counted itself alone and spent the whole quota (TestTick_UnheardDaemonsPartIsSetAside failed first: 4,900 units of 1,450). A 409 of the orders with an unknown text is settled by reading the lease; a refusal without the request's id on a reused connection proves nothing; entries of daemons that are never heard are removed.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -286,6 +286,27 @@
 	}
 }
 
+// TestTick_UnheardDaemonsPartIsSetAside: a daemon that has just started and hears
+// nobody must not spend the quota of those that the store lists.
+func TestTick_UnheardDaemonsPartIsSetAside(t *testing.T) {
+	c := newTestCore(t, "a")
+	for i := range 9 {
+		c.Introduce(zero, Member{Name: entity.InstanceID("p" + strconv.Itoa(i))})
+	}
+	taken := 0
+	for i := range 400 {
+		now := at(time.Duration(i) * 10 * time.Millisecond)
+		c.Confirm(now)
+		c.Tick(now)
+		if _, refusal := c.Admit(now, now, testRequest("r", "/x", "k1")); refusal == nil {
+			taken += 10
+		}
+	}
+	if taken > 1000+4*100+50 { // the burst, and a tenth of the rate
+		t.Fatalf("%d units in 4 s of a rate of 1000 shared by ten daemons", taken)
+	}
+}
+
 func TestPlace_LeftTimeShrinks(t *testing.T) {
 	c := newTestCore(t, "d1")
 	ticket := mustAdmit(t, c, zero, testRequest("r", "/get/x", "k1"))
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -69,6 +69,7 @@
 type peerRow struct {
 	Member
 	heard    time.Time // zero: only known from the store
+	since    time.Time // when it became known
 	sequence uint32
 	leaving  bool
 	serving  bool
@@ -77,11 +78,34 @@
 }
 
 // Introduce takes a daemon that the store lists.
-func (c *Core) Introduce(m Member) {
+func (c *Core) Introduce(now time.Time, m Member) {
 	if m.Name == c.cfg.Self.Name || c.peers.Get(m.Name) != nil {
 		return
 	}
-	c.peers.Put(m.Name, &peerRow{Member: m})
+	c.peers.Put(m.Name, &peerRow{Member: m, since: now})
+}
+
+// neverHeard is how long a listed daemon may be unheard before its entry is
+// taken to be left over.
+const neverHeard = time.Minute
+
+// LeftOver returns the daemons that are listed but have never been heard.
+func (c *Core) LeftOver(now time.Time) []Member {
+	var out []Member
+	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
+		if r.heard.IsZero() && now.Sub(r.since) > neverHeard {
+			out = append(out, r.Member)
+		}
+		return true
+	})
+	return out
+}
+
+// Drop forgets a daemon whose entry is left over.
+func (c *Core) Drop(name entity.InstanceID) {
+	if r := c.peers.Get(name); r != nil && r.heard.IsZero() {
+		c.peers.Delete(name)
+	}
 }
 
 // News returns what to tell the other daemons now.
@@ -211,8 +235,8 @@
 		case !r.heard.IsZero() && now.Sub(r.heard) > c.cfg.Bounds.PeerForget:
 			c.quota.Forget(r.process())
 			c.peers.Delete(name)
-		case !r.leaving && !r.heard.IsZero():
-			known++
+		case !r.leaving && !r.heard.IsZero(), r.heard.IsZero() && now.Sub(r.since) < c.cfg.Bounds.PeerForget:
+			known++ // it may be serving without being heard
 		}
 	}
 	c.quota.SetDaemons(now, heard, known)
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -233,6 +233,15 @@
 	return out
 }
 
+// stillHolds reads the lease's row and reports whether it names this daemon's
+// epoch.
+func (d *duties) stillHolds(life context.Context) bool {
+	ctx, cancel := context.WithTimeout(life, dutyTimeout)
+	defer cancel()
+	_, err := d.leaseVersion(ctx)
+	return err == nil
+}
+
 // order sends the orders of backend servers that are due.
 func (d *duties) order(life context.Context) {
 	var due []provider.ServerOrder
@@ -247,6 +256,9 @@
 		ctx, cancel := context.WithTimeout(life, dutyTimeout)
 		err := d.g.Duties.OrderServers(ctx, fence, o)
 		cancel()
+		if errors.Is(err, provider.ErrFenced) && d.stillHolds(life) {
+			err = fmt.Errorf("%w, though the lease is held: %w", provider.ErrRefused, errors.New(err.Error()))
+		}
 		d.orders.done(clock.Now(), o, err)
 		if err == nil {
 			d.g.event(event.ServersWanted, "", event.A("order", fmt.Sprint(o)), event.A("work", d.work(o.Service)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,8 @@
 	Forwarded(in http.Header, a *exchange.Attempt, after string) http.Header
 	// Mine reports whether an answer belongs to the request.
 	Mine(resp *http.Response, id entity.RequestID) bool
+	// Echoes reports whether an answer names the request.
+	Echoes(resp *http.Response, id entity.RequestID) bool
 	// Classify says what an answer proves.
 	Classify(resp *http.Response) Reply
 	// Returned returns the header fields that are passed back.
@@ -212,7 +214,7 @@
 	// headerTimeout bounds the time in which a caller sends a header.
 	headerTimeout = 10 * time.Second
 	// callerIdle is how long unused connections of callers are kept.
-	callerIdle = 60 * time.Second
+	callerIdle = 120 * time.Second
 	// maxHeader is the largest header of a caller, in bytes.
 	maxHeader = 64 << 10
 )
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -256,7 +256,26 @@
 			g.Log.Logger().WithError(err).Warn("entry of a daemon cannot be read")
 			continue
 		}
-		g.locked(func(c *exchange.Core, _ time.Time) { c.Introduce(m) })
+		g.locked(func(c *exchange.Core, now time.Time) { c.Introduce(now, m) })
+	}
+	return g.removeLeftOver(ctx)
+}
+
+// removeLeftOver removes the entries of daemons that have never been heard, if
+// this daemon holds the lease of the duties.
+func (g *Gateway) removeLeftOver(ctx context.Context) error {
+	var old []exchange.Member
+	g.locked(func(c *exchange.Core, now time.Time) {
+		if _, held := c.LeaseEpoch(); held {
+			old = c.LeftOver(now)
+		}
+	})
+	for _, m := range old {
+		w := provider.Write{Partition: memberPartition, Sort: string(m.Name), Delete: true, Unconditional: true}
+		if err := g.Table.Transact(ctx, "", []provider.Write{w}); err != nil {
+			return err
+		}
+		g.locked(func(c *exchange.Core, _ time.Time) { c.Drop(m.Name) })
 	}
 	return nil
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -55,6 +55,10 @@
 	defer reply.Close()
 	switch x.g.Dialect.Classify(reply.Response) {
 	case NotExecuted:
+		if reply.Reused() && !x.g.Dialect.Echoes(reply.Response, x.request.ID) {
+			// It may be the late answer to an earlier request on this connection.
+			return exchange.Broken, "a refusal without the request's id on a reused connection"
+		}
 		return exchange.Rejected, strconv.Itoa(reply.StatusCode)
 	case OtherServer:
 		return exchange.Misdirected, strconv.Itoa(reply.StatusCode)
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -50,6 +50,7 @@
 	address string
 	reader  *bufio.Reader
 	until   time.Time // do not use it later
+	reused  bool      // it has carried a request before
 }
 
 // get returns a usable unused connection or dials a new one.
@@ -81,7 +82,7 @@
 
 // put keeps a connection for another request.
 func (p *Pool) put(c *connection, keep time.Duration) {
-	c.until = clock.Now().Add(keep)
+	c.until, c.reused = clock.Now().Add(keep), true
 	if err := c.SetDeadline(time.Time{}); err != nil || keep <= 0 {
 		_ = c.Close()
 		return
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -130,6 +130,9 @@
 	}
 }
 
+// Reused reports whether the connection has carried a request before.
+func (r *Reply) Reused() bool { return r.conn.reused }
+
 // Framed reports whether the body's end is marked otherwise than by the end of
 // the connection.
 func (r *Reply) Framed() bool {
