Expect the wait for a slot, by rank; a baseline that never refuses

Change: requests with a slot are read as they came, those without pass by rank, and a request without one waits for as many runs to end as stand before it. Mutation: the burst's test had not noticed that nobody was turned away; it now compares with a baseline that never refuses.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -75,7 +75,7 @@
 func (c *Core) choose(now time.Time, t *Ticket) (placement.Choice, bool) {
 	w := &t.Request.Work
 	q := placement.Query{
-		Service: t.Service, DataCentre: c.cfg.Self.DataCentre,
+		Service: t.Service, DataCentre: c.cfg.Self.DataCentre, Rank: t.priority,
 		Prompt: w.Prompt, Output: w.expectedOutput(), Parts: w.Parts, Exclude: t.tried,
 	}
 	return c.placer.Choose(now, q, func(id entity.BackendServerID) bool { return c.usable(now, id) })
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -36,7 +36,9 @@
 	DataCentres []entity.DataCentreID // of the fleet
 	Bounds      Bounds
 	Rand        *rand.Rand
-	Started     time.Time
+	// TurnNobodyAway is for experiments: requests that will be late are taken too.
+	TurnNobodyAway bool
+	Started        time.Time
 }
 
 // Core holds everything that this daemon knows and decides with. It is not
@@ -254,8 +256,6 @@
 }
 
 const (
-	// ranks is the number of priorities that backend servers know.
-	ranks = 10
 	// routeRanks is the number of route priorities told apart for one
 	// organisation priority.
 	routeRanks = 3
@@ -266,9 +266,9 @@
 func rank(t *Ticket) int {
 	route := min(t.Route.Priority, routeRanks-1)
 	if t.Org == nil || !t.Org.HasPriority {
-		return min(t.Route.Priority*routeRanks, ranks-1)
+		return min(t.Route.Priority*routeRanks, placement.Ranks-1)
 	}
-	return min(t.Org.Priority*routeRanks+route, ranks-1)
+	return min(t.Org.Priority*routeRanks+route, placement.Ranks-1)
 }
 
 // keyValid reports whether the request's key is still in the configuration.
--- a/internal/exchange/turnaway.go
+++ b/internal/exchange/turnaway.go
@@ -31,7 +31,7 @@
 	if c.leaving && t.Sends == 0 && now.Add(leavingMargin*c.duration(t, choice)).After(c.endsBy) {
 		return c.turnedAway(t, choice, "leaving", staleRetry)
 	}
-	if choice.Crowd < busyCrowd || t.Route.Objective == 0 || t.Sends > 0 {
+	if c.cfg.TurnNobodyAway || choice.Crowd < busyCrowd || t.Route.Objective == 0 || t.Sends > 0 {
 		return nil
 	}
 	over := choice.Cost - time.Duration(lateFactor*float64(t.Route.Objective))
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -32,6 +32,8 @@
 const (
 	// Product is the daemons' own decisions.
 	Product Policy = "product"
+	// NeverRefusing is the product without turning anybody away.
+	NeverRefusing Policy = "never_refusing"
 	// Random places at random and turns nobody away.
 	Random Policy = "random"
 	// RoundRobin lets each daemon place in turn.
@@ -76,7 +78,7 @@
 		}
 	}
 	for _, p := range c.Policies {
-		if p != Product && p != Random && p != RoundRobin && p != LeastOutstanding {
+		if p != Product && p != NeverRefusing && p != Random && p != RoundRobin && p != LeastOutstanding {
 			return fmt.Errorf("experiment: unknown policy %q", p)
 		}
 	}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -74,7 +74,23 @@
 	c.Seconds = 30
 	c.Patterns = []Pattern{{Kind: "burst", AtS: 8, ForS: 8, Times: 2.2}}
 	better(t, c, Product, LeastOutstanding, 1.05)
-	better(t, c, Product, Random, 1.05)
+	better(t, c, Product, NeverRefusing, 1.3)
+}
+
+// TestTurnAway_FewSlots: the same at engines of few slots, where a request waits
+// for a slot rather than for prompts. The urgent class must not pay for the other.
+func TestTurnAway_FewSlots(t *testing.T) {
+	c := example(t)
+	c.Seconds, c.Engine.Slots = 30, 16
+	c.Patterns = []Pattern{{Kind: "burst", AtS: 8, ForS: 8, Times: 2.2}}
+	better(t, c, Product, NeverRefusing, 1.2)
+	for _, seed := range c.Seeds {
+		r := Run(c, Product, seed)
+		note, report := r.Classes[0], r.Classes[1]
+		if note.Earned/note.Owed < report.Earned/report.Owed {
+			t.Errorf("seed %d: the urgent class earned %.2f of its worth, the other %.2f", seed, note.Earned/note.Owed, report.Earned/report.Owed)
+		}
+	}
 }
 
 // TestPlacement_WaveOfReclaims: a third of the engines leave for 12 s.
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -51,6 +51,7 @@
 		c := exchange.New(exchange.Config{
 			Self: exchange.Member{Name: entity.InstanceID(fmt.Sprintf("d%d", n)), Start: 1, DataCentre: w.dataCentre(n)},
 			Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 3)), Started: at(0),
+			TurnNobodyAway: w.policy == NeverRefusing,
 			Bounds: exchange.Bounds{
 				StaleAfter: 24 * time.Hour, RetryRatio: 0.2, RetrySlack: 10, UsageWindow: time.Second,
 				ForgetServer: time.Minute, NewsPerPeer: milliseconds(w.cfg.NewsMs) / time.Duration(max(w.cfg.Daemons-1, 1)), PeerForget: time.Minute,
@@ -131,7 +132,7 @@
 
 // tell lets all daemons hear all others.
 func (w *world) tell() {
-	if w.policy != Product {
+	if w.policy != Product && w.policy != NeverRefusing {
 		return
 	}
 	for i, from := range w.cores {
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -16,8 +16,6 @@
 const (
 	// otherPlaceCost is what a backend server of another data centre costs more.
 	otherPlaceCost = 2.0 // ms
-	// crowdedCost is what a backend server without a free slot costs more.
-	crowdedCost = 400.0 // ms
 	// fullMemoryCost is what one costs that would have to preempt.
 	fullMemoryCost = 2000.0 // ms
 	// memoryBound is the part of the memory that running requests may take.
@@ -42,12 +40,13 @@
 // Load is what one request takes of a backend server.
 type Load struct {
 	Server  entity.BackendServerID
+	Rank    int
 	Pending entity.Tokens // prompt tokens to be read before the first event
 	Memory  entity.Tokens
 	Output  entity.Tokens
 	Running bool // the first event has come
 	firstAt time.Time
-	ahead   entity.Tokens
+	ahead   float64 // prompt tokens that were to be read before
 	sentAt  time.Time
 	service entity.ServiceName
 }
@@ -55,9 +54,8 @@
 // Sum is the load of one daemon on one backend server.
 type Sum struct {
 	Server  entity.BackendServerID `cbor:"1,keyasint"`
-	Waiting int                    `cbor:"2,keyasint,omitempty"` // requests before their first event
+	Waiting Waiting                `cbor:"2,keyasint"` // requests before their first event
 	Running int                    `cbor:"3,keyasint,omitempty"`
-	Pending entity.Tokens          `cbor:"4,keyasint,omitempty"`
 	Memory  entity.Tokens          `cbor:"5,keyasint,omitempty"`
 }
 
@@ -65,6 +63,7 @@
 type Query struct {
 	Service    entity.ServiceName
 	DataCentre entity.DataCentreID // of this daemon
+	Rank       int
 	Prompt     entity.Tokens
 	Output     entity.Tokens
 	Parts      []Part
@@ -203,17 +202,17 @@
 func (p *Placer) choice(now time.Time, r *row, q *Query, crowd float64) Choice {
 	uncached := r.cache.uncached(q.Prompt, q.keys)
 	load := Load{
-		Server: r.ID, Pending: uncached, Memory: q.Prompt + q.Output, Output: q.Output,
-		ahead: r.own.Pending + r.others.Pending, sentAt: now, service: r.Service,
+		Server: r.ID, Rank: q.Rank, Pending: uncached, Memory: q.Prompt + q.Output, Output: q.Output,
+		ahead: p.queueAt(r, q.Rank).prompt, sentAt: now, service: r.Service,
 	}
 	return Choice{
 		Server: r.ID, Crowd: crowd, Uncached: uncached, load: load,
-		Cost: time.Duration(p.firstEvent(r, uncached) * float64(time.Millisecond)),
+		Cost: time.Duration(p.firstEvent(r, uncached, q.Rank) * float64(time.Millisecond)),
 	}
 }
 
 func (r *row) taken() int {
-	return r.own.Waiting + r.own.Running + r.others.Waiting + r.others.Running
+	return r.own.Waiting.total() + r.own.Running + r.others.Waiting.total() + r.others.Running
 }
 
 // cost returns what placing the request there costs, in milliseconds.
@@ -223,32 +222,30 @@
 		cost += otherPlaceCost
 	}
 	s := p.speed(r.Service)
-	others := p.waitingWeight(s, r.Memory == 0)
 	if r.Memory == 0 {
-		mine := float64(r.own.Waiting+r.own.Running) + others*float64(r.others.Waiting+r.others.Running)
+		others := p.waitingWeight(s, true)
+		mine := float64(r.own.Waiting.total()+r.own.Running) + others*float64(r.others.Waiting.total()+r.others.Running)
 		return cost + s.perRequest*mine
 	}
-	if crowd := float64(r.own.Waiting+r.own.Running+r.others.Running) + others*float64(r.others.Waiting) - float64(r.Slots); crowd >= 0 {
-		cost += crowdedCost * (crowd + 1)
-	}
 	memory := r.own.Memory + r.others.Memory + q.Prompt + q.Output
 	if float64(memory) > memoryBound*float64(r.Memory) {
 		cost += fullMemoryCost
 	}
-	return cost + p.firstEvent(r, r.cache.uncached(q.Prompt, q.keys))
+	return cost + p.firstEvent(r, r.cache.uncached(q.Prompt, q.keys), q.Rank)
 }
 
 // firstEvent returns the expected time to the first event in milliseconds.
-func (p *Placer) firstEvent(r *row, uncached entity.Tokens) float64 {
+func (p *Placer) firstEvent(r *row, uncached entity.Tokens, rank int) float64 {
 	if r.Memory == 0 {
 		// A request waits for a slot where all are taken.
 		rounds := float64(r.taken()+1) / float64(max(r.Slots, 1))
 		return p.speed(r.Service).perRequest * max(rounds, 1)
 	}
 	s := p.speed(r.Service)
-	tokens := float64(r.own.Pending+uncached) + p.waitingWeight(s, false)*float64(r.others.Pending)
+	ahead := p.queueAt(r, rank)
 	running := float64(r.own.Running + r.others.Running)
-	return s.predict(tokens * (1 + decodeDelay*running))
+	wait := ahead.slots / float64(r.Slots) * s.perRun
+	return wait + s.predict((ahead.prompt+float64(uncached))*(1+decodeDelay*running))
 }
 
 func (p *Placer) speed(service entity.ServiceName) *speed {
@@ -264,8 +261,7 @@
 func (p *Placer) Take(now time.Time, c Choice, parts []Part) *Load {
 	load := c.load
 	if r := p.servers.Get(load.Server); r != nil {
-		r.own.Waiting++
-		r.own.Pending += load.Pending
+		r.own.Waiting.take(load.Rank, 1, load.Pending)
 		r.own.Memory += load.Memory
 		r.cache.add(now, parts)
 	}
@@ -282,22 +278,24 @@
 	if r == nil {
 		return
 	}
-	r.own.Waiting--
+	r.own.Waiting.take(l.Rank, -1, l.Pending)
 	r.own.Running++
-	r.own.Pending -= l.Pending
 	r.health.good(now)
 	if r.Memory == 0 && r.taken() <= r.Slots {
 		p.speed(l.service).learnRequest(float64(now.Sub(l.sentAt)) / float64(time.Millisecond))
 	}
 	if r.Memory > 0 {
 		running := float64(r.own.Running + r.others.Running)
-		tokens := float64(l.ahead+l.Pending) * (1 + decodeDelay*running)
+		tokens := (l.ahead + float64(l.Pending)) * (1 + decodeDelay*running)
 		p.speed(l.service).learn(tokens, float64(now.Sub(l.sentAt))/float64(time.Millisecond))
 	}
 }
 
 // End frees what a request took. Whole says that its answer was complete.
 func (p *Placer) End(now time.Time, l *Load, whole bool) {
+	if whole && l.Running {
+		p.speed(l.service).learnRun(float64(now.Sub(l.firstAt)) / float64(time.Millisecond))
+	}
 	if whole && l.Running && l.Output > 0 {
 		p.speed(l.service).learnOutput(float64(now.Sub(l.firstAt))/float64(time.Millisecond), float64(l.Output))
 	}
@@ -308,8 +306,7 @@
 	if l.Running {
 		r.own.Running--
 	} else {
-		r.own.Waiting--
-		r.own.Pending -= l.Pending
+		r.own.Waiting.take(l.Rank, -1, l.Pending)
 	}
 	r.own.Memory -= l.Memory
 }
@@ -326,7 +323,7 @@
 func (p *Placer) Sums() []Sum {
 	var out []Sum
 	p.servers.All(func(_ entity.BackendServerID, r *row) bool {
-		if r.own.Waiting+r.own.Running > 0 {
+		if r.own.Waiting.total()+r.own.Running > 0 {
 			out = append(out, r.own)
 		}
 		return true
@@ -380,9 +377,8 @@
 		if r == nil {
 			continue
 		}
-		r.others.Waiting += sign * s.Waiting
+		r.others.Waiting.add(&s.Waiting, sign)
 		r.others.Running += sign * s.Running
-		r.others.Pending += entity.Tokens(sign) * s.Pending
 		r.others.Memory += entity.Tokens(sign) * s.Memory
 	}
 }
@@ -392,9 +388,9 @@
 func (p *Placer) Total(service entity.ServiceName) (total Sum, slots int) {
 	p.servers.All(func(_ entity.BackendServerID, r *row) bool {
 		if r.Service == service {
-			total.Waiting += r.own.Waiting + r.others.Waiting
+			total.Waiting.add(&r.own.Waiting, 1)
+			total.Waiting.add(&r.others.Waiting, 1)
 			total.Running += r.own.Running + r.others.Running
-			total.Pending += r.own.Pending + r.others.Pending
 			total.Memory += r.own.Memory + r.others.Memory
 			slots += r.Slots
 		}
--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -68,7 +68,7 @@
 
 func TestChoose_OthersLoadCounts(t *testing.T) {
 	p := newPlacer(2)
-	p.Heard(start, "peer", []Sum{{Server: "s0", Waiting: 4, Pending: 40_000, Memory: 40_000}}, 2*time.Second)
+	p.Heard(start, "peer", []Sum{{Server: "s0", Waiting: waiting(0, 4, 40_000), Memory: 40_000}}, 2*time.Second)
 	for range 2 {
 		if load, _ := place(t, p, start, query(2000)); load.Server != "s1" {
 			t.Fatal("placed where another daemon's prompts wait")
@@ -110,6 +110,37 @@
 	}
 }
 
+func waiting(rank, requests int, prompt entity.Tokens) Waiting {
+	var w Waiting
+	w.Requests[rank], w.Prompt[rank] = requests, prompt
+	return w
+}
+
+// TestChoose_UrgentRequestsPassThoseWithoutASlot: at an engine whose slots are
+// taken, less urgent requests that wait do not make an urgent one late, and they
+// themselves wait for slots.
+func TestChoose_UrgentRequestsPassThoseWithoutASlot(t *testing.T) {
+	p := newPlacer(1)
+	p.Heard(start, "peer", []Sum{{Server: "s0", Running: 15, Waiting: waiting(4, 20, 100_000)}}, time.Minute)
+	low := query(2000)
+	low.Rank = 4
+	urgent, _ := p.Choose(start, query(2000), all)
+	later, _ := p.Choose(start, low, all)
+	if urgent.Cost > 300*time.Millisecond || later.Cost < time.Second {
+		t.Fatalf("an urgent request expects %v, a less urgent one %v", urgent.Cost, later.Cost)
+	}
+}
+
+// TestChoose_AdmittedPromptsAreReadFirst: requests that have a slot are read in
+// the order in which they came, whatever their rank.
+func TestChoose_AdmittedPromptsAreReadFirst(t *testing.T) {
+	p := newPlacer(1)
+	p.Heard(start, "peer", []Sum{{Server: "s0", Running: 2, Waiting: waiting(4, 4, 60_000)}}, time.Minute)
+	if c, _ := p.Choose(start, query(2000), all); c.Cost < 700*time.Millisecond {
+		t.Fatalf("expects %v behind 60,000 tokens of admitted requests", c.Cost)
+	}
+}
+
 func TestTake_EverythingIsGivenBack(t *testing.T) {
 	p := newPlacer(3)
 	rng := rand.New(rand.NewPCG(3, 3))
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -16,7 +16,9 @@
 	initialPerOutput = 12.0 // ms
 	// initialPerRequest is the time of a plain request before any was seen.
 	initialPerRequest = 20.0 // ms
-	// outputGain is the weight of a new sample of either.
+	// initialPerRun is the time from the first event to the end before any was seen.
+	initialPerRun = 1000.0 // ms
+	// outputGain is the weight of a new sample of these.
 	outputGain = 0.02
 	// speedMemory is the weight that a sample keeps with each further one.
 	speedMemory = 0.99
@@ -35,10 +37,11 @@
 	n, x, y, xx, xy float64
 	perOutput       float64 // ms for each token of an answer
 	perRequest      float64 // ms for a request to a plain backend server
+	perRun          float64 // ms from a request's first event to its end
 }
 
 func newSpeed() *speed {
-	s := &speed{perOutput: initialPerOutput, perRequest: initialPerRequest}
+	s := &speed{perOutput: initialPerOutput, perRequest: initialPerRequest, perRun: initialPerRun}
 	for _, tokens := range []float64{0, 2 * priorSpread} {
 		time := initialBase + initialPerToken*tokens
 		s.add(tokens, time, priorWeight/2)
@@ -113,6 +116,12 @@
 	s.perOutput += outputGain * (time/tokens - s.perOutput)
 }
 
+// learnRun takes the time in ms that a request held its slot after its first
+// event.
+func (s *speed) learnRun(time float64) {
+	s.perRun += outputGain * (time - s.perRun)
+}
+
 // learnRequest takes the time in ms of a request that had a slot at once.
 func (s *speed) learnRequest(time float64) {
 	s.perRequest += outputGain * (time - s.perRequest)
