--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -152,6 +152,14 @@
 	return c.routes.doc.Version, now.Sub(c.confirmed)
 }
 
+// BodyLimit returns the most bytes of a caller's body, 0 if no configuration says.
+func (c *Core) BodyLimit() int64 {
+	if c.routes == nil {
+		return 0
+	}
+	return c.routes.doc.Limits.BodyBytes
+}
+
 // fresh reports whether the configuration may be acted on.
 func (c *Core) fresh(now time.Time) bool {
 	return c.routes != nil && now.Sub(c.confirmed) < c.cfg.Bounds.StaleAfter
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -94,7 +95,8 @@
 	if length == 0 {
 		return 0, true
 	}
-	if length > defaultBody {
+	most := x.g.bodyLimit()
+	if length > most {
 		x.refuseBody(http.StatusRequestEntityTooLarge, "body-too-large")
 		return 0, false
 	}
@@ -106,13 +108,13 @@
 		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
 		return 0, false
 	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, defaultBody+1))
+	body, err := io.ReadAll(io.LimitReader(x.r.Body, most+1))
 	switch {
 	case err != nil:
 		// The caller broke off, or its framing is wrong.
 		x.refuseBody(http.StatusBadRequest, "body-unreadable")
 		return reserve, false
-	case len(body) > defaultBody:
+	case int64(len(body)) > most:
 		x.refuseBody(http.StatusRequestEntityTooLarge, "body-too-large")
 		return reserve, false
 	}
@@ -120,6 +122,13 @@
 	return reserve, true
 }
 
+// bodyLimit returns the most bytes of a body.
+func (g *Gateway) bodyLimit() int64 {
+	var limit int64
+	g.locked(func(c *exchange.Core, _ time.Time) { limit = c.BodyLimit() })
+	return cmp.Or(limit, defaultBody)
+}
+
 func (x *run) refuseBody(status int, code string) {
 	x.w.Header().Set("Connection", "close")
 	if status == http.StatusServiceUnavailable {
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
+	"github.com/gooseberryslip/gooseberryslip/internal/deadpeer"
 )
 
 const (
@@ -138,7 +139,7 @@
 }
 
 func dial(ctx context.Context, address string) (*connection, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: setSilence}
+	d := net.Dialer{Timeout: dialTimeout, Control: deadpeer.Control(silentAfter)}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -147,16 +148,6 @@
 	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
-// setSilence makes the kernel give up a connection whose peer acknowledges
-// nothing.
-func setSilence(_, _ string, c syscall.RawConn) error {
-	var opt error
-	err := c.Control(func(fd uintptr) {
-		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter/time.Millisecond))
-	})
-	return errors.Join(err, opt)
-}
-
 // quiet reports whether an unused connection is open and holds no bytes that
 // nobody asked for.
 func (c *connection) quiet() bool {
