A stopping daemon takes only what must fit, not what its caller expects to fit

Change: the most tokens that the answer may have, 1.5 times, and half a second at least. TestPlace_StoppingDaemonDoesNotTrustTheHint failed first.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -450,6 +450,19 @@
 	mustPlace(t, c, zero, short)
 }
 
+// TestPlace_StoppingDaemonDoesNotTrustTheHint: a caller's estimate of the answer's
+// size is often far off; what the request may take at most must fit.
+func TestPlace_StoppingDaemonDoesNotTrustTheHint(t *testing.T) {
+	c := newTestCore(t, "d1")
+	r := testRequest("r", "/talk/x", "k3")
+	r.Patience, r.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500, Output: 20}
+	ticket := mustAdmit(t, c, zero, r)
+	c.Leave(at(2 * time.Second))
+	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable {
+		t.Fatalf("a request that may outlast the daemon was taken: %+v", refusal)
+	}
+}
+
 func TestUsage_CountsWhatBeganBeforeTheTimeWasKnown(t *testing.T) {
 	c := newTestCore(t, "d1")
 	ticket := mustAdmit(t, c, zero, testRequest("r", "/x", "k1"))
--- a/internal/exchange/turnaway.go
+++ b/internal/exchange/turnaway.go
@@ -14,9 +14,11 @@
 	// busyCrowd is the part of a service's slots that must be taken before
 	// anybody is turned away.
 	busyCrowd = 0.5
-	// leavingMargin is how many times its expected duration a request must have
-	// until this daemon's end.
-	leavingMargin = 2
+	// leavingMargin is how many times the longest duration that is expected a
+	// request must have until this daemon's end.
+	leavingMargin = 1.5
+	// leastLeaving is the time that any request must have until then.
+	leastLeaving = 500 * time.Millisecond
 	// minBack and maxBack bound the time to come back.
 	minBack = 50 * time.Millisecond
 	maxBack = 3 * time.Second
@@ -28,7 +30,7 @@
 	if !t.Deadline.IsZero() && choice.Cost > t.Deadline.Sub(now) {
 		return c.turnedAway(t, choice, "hopeless", choice.Cost)
 	}
-	if c.leaving && t.Sends == 0 && now.Add(leavingMargin*c.duration(t, choice)).After(c.endsBy) {
+	if c.leaving && t.Sends == 0 && now.Add(c.longest(t, choice)).After(c.endsBy) {
 		return c.turnedAway(t, choice, "leaving", staleRetry)
 	}
 	if c.cfg.TurnNobodyAway || choice.Crowd < busyCrowd || t.Route.Objective == 0 || t.Sends > 0 {
@@ -49,9 +51,11 @@
 	return r
 }
 
-// duration returns how long the answer will probably take.
-func (c *Core) duration(t *Ticket, choice placement.Choice) time.Duration {
-	return choice.Cost + c.placer.OutputTime(t.Service, t.Request.Work.expectedOutput())
+// longest returns how long the answer may take, by the most tokens that it may
+// have: callers' estimates are often far off.
+func (c *Core) longest(t *Ticket, choice placement.Choice) time.Duration {
+	expected := choice.Cost + c.placer.OutputTime(t.Service, t.Request.Work.MaxOutput)
+	return max(time.Duration(leavingMargin*float64(expected)), leastLeaving)
 }
 
 func bounded(d time.Duration) time.Duration { return min(max(d, minBack), maxBack) }
