Remove what nothing reads in the gateway's decisions

Two times that were set and never read, a sum and a question nobody asked, a second name for the planned levels, a loop that slices.Contains is, and one elapsed time computed twice. Behaviour is the same; the tests are untouched.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -86,7 +86,6 @@
 	row := c.servers.Get(choice.Server)
 	t.load = c.placer.Take(now, choice, t.Request.Work.Parts)
 	t.Sends++
-	t.sentAt = now
 	t.first = false
 	t.tried = append(t.tried, choice.Server)
 	c.notePlaced(choice.Server, t)
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -141,9 +141,6 @@
 // Leave notes that this daemon is stopping and that its process ends by a time.
 func (c *Core) Leave(by time.Time) { c.leaving, c.endsBy = true, by }
 
-// Leaving reports whether this daemon is stopping.
-func (c *Core) Leaving() bool { return c.leaving }
-
 // Version returns the version in force and how old its confirmation is.
 func (c *Core) Version(now time.Time) (version uint64, age time.Duration) {
 	if c.routes == nil {
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -164,8 +164,9 @@
 	return level
 }
 
-// planned returns the levels for the daemon that may hold the lease next.
-func (c *Core) planned() []ServiceLevel {
+// Levels returns the work that services' capacity is planned for, for the daemon
+// that may hold the lease next.
+func (c *Core) Levels() []ServiceLevel {
 	var out []ServiceLevel
 	c.levels.All(func(service entity.ServiceName, l *capacity.Level) bool {
 		out = append(out, ServiceLevel{Service: service, Work: l.Work()})
@@ -220,9 +221,6 @@
 	return min(work, foundUse*float64(found))
 }
 
-// Levels returns the work that services' capacity is planned for.
-func (c *Core) Levels() []ServiceLevel { return c.planned() }
-
 // AdoptLevels takes what the former holder of the lease planned for.
 func (c *Core) AdoptLevels(levels []ServiceLevel) {
 	for _, l := range levels {
--- a/internal/exchange/news.go
+++ b/internal/exchange/news.go
@@ -66,7 +66,7 @@
 	}
 	if epoch, held := c.lease.Epoch(); held {
 		n.LeaseEpoch = epoch
-		n.Levels = c.planned()
+		n.Levels = c.Levels()
 	}
 	return n
 }
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -101,9 +101,7 @@
 	c.quota.Heard(now, process, n.Quota)
 	c.usage.Heard(process, n.Usage)
 	c.lease.Heard(now, n.LeaseEpoch)
-	for _, l := range n.Levels {
-		c.level(l.Service).Adopt(l.Work)
-	}
+	c.AdoptLevels(n.Levels)
 	for _, l := range n.Leavers {
 		c.heardLeaving(now, l)
 	}
@@ -184,7 +182,7 @@
 	return c.lease.Contend(now, c.rankOfSelf(now))
 }
 
-// LeaseTaken, LeaseLost and LeaseEpoch pass on to the lease.
+// LeaseTaken notes that the lease's row names this daemon with the epoch.
 func (c *Core) LeaseTaken(epoch uint64) { c.lease.Taken(epoch) }
 
 // LeaseLost notes that another daemon holds the lease.
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -97,7 +97,6 @@
 	counted  bool            // in the usage of its organisation
 	noted    bool            // in the demand
 	cost     float64
-	sentAt   time.Time
 	first    bool // the present attempt has produced its first event or head
 }
 
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -48,7 +48,7 @@
 	s := Status{
 		Instance: c.cfg.Self.Name, Version: version, ConfirmedAgo: age.Round(time.Millisecond).String(),
 		Serving: c.Serving(now), Leaving: c.leaving, LeaseEpoch: epoch, HoldsLease: held,
-		Quotas: c.quota.Uses(now, true), Planned: c.planned(),
+		Quotas: c.quota.Uses(now, true), Planned: c.Levels(),
 	}
 	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		s.Servers = append(s.Servers, ServerStatus{id, r.Service, r.DataCentre, c.usable(now, id), r.Reclaimable})
--- a/internal/system/lease/lease.go
+++ b/internal/system/lease/lease.go
@@ -32,18 +32,17 @@
 
 // Lease is one daemon's view of the lease. It is not safe for concurrent use.
 type Lease struct {
-	self    entity.InstanceID
-	held    bool
-	epoch   uint64    // the highest known
-	heard   time.Time // last sign of the holder
-	lost    time.Time
-	tried   time.Time
-	started time.Time
+	self  entity.InstanceID
+	held  bool
+	epoch uint64    // the highest known
+	heard time.Time // last sign of the holder
+	lost  time.Time
+	tried time.Time
 }
 
 // New returns the view of a daemon that has just started.
 func New(self entity.InstanceID, now time.Time) *Lease {
-	return &Lease{self: self, heard: now, started: now}
+	return &Lease{self: self, heard: now}
 }
 
 // Heard notes a message of a daemon that says it holds the lease. It reports
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -160,7 +161,7 @@
 		}
 		taken += r.taken()
 		slots += r.Slots
-		if excluded(q.Exclude, id) {
+		if slices.Contains(q.Exclude, id) {
 			return true
 		}
 		cost := p.cost(now, r, &q) + p.rng.Float64()*noise
@@ -190,15 +191,6 @@
 	return leastNoise + noisePerPeer*float64(max(p.peers.Len()-knownPeers, 0))
 }
 
-func excluded(list []entity.BackendServerID, id entity.BackendServerID) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Placer) choice(now time.Time, r *row, q *Query, crowd float64) Choice {
 	uncached := r.cache.uncached(q.Prompt, q.keys)
 	load := Load{
@@ -294,10 +286,11 @@
 // End frees what a request took. Whole says that its answer was complete.
 func (p *Placer) End(now time.Time, l *Load, whole bool) {
 	if whole && l.Running {
-		p.speed(l.service).learnRun(float64(now.Sub(l.firstAt)) / float64(time.Millisecond))
-	}
-	if whole && l.Running && l.Output > 0 {
-		p.speed(l.service).learnOutput(float64(now.Sub(l.firstAt))/float64(time.Millisecond), float64(l.Output))
+		s, ran := p.speed(l.service), float64(now.Sub(l.firstAt))/float64(time.Millisecond)
+		s.learnRun(ran)
+		if l.Output > 0 {
+			s.learnOutput(ran, float64(l.Output))
+		}
 	}
 	r := p.servers.Get(l.Server)
 	if r == nil {
@@ -382,19 +375,3 @@
 		r.others.Memory += entity.Tokens(sign) * s.Memory
 	}
 }
-
-// Total returns the load of all daemons on a service's backend servers and the
-// slots and memory that they have.
-func (p *Placer) Total(service entity.ServiceName) (total Sum, slots int) {
-	p.servers.All(func(_ entity.BackendServerID, r *row) bool {
-		if r.Service == service {
-			total.Waiting.add(&r.own.Waiting, 1)
-			total.Waiting.add(&r.others.Waiting, 1)
-			total.Running += r.own.Running + r.others.Running
-			total.Memory += r.own.Memory + r.others.Memory
-			slots += r.Slots
-		}
-		return true
-	})
-	return total, slots
-}
