Ignore entries of a backend server that a newer one has overtaken

Besides, an answer with changes had its removals applied before its entries, whatever their order. Ruled out: that a process which drains may never become ready again (servers that go down and up by turns do so, with rising numbers). Change: the number of the entry is decoded, goes with the news of leaving servers, and an older one of the same process is ignored and logged; changes are applied in their order. Before: two new tests of the core fail. After: they pass.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -13,6 +13,7 @@
 	ServerListed         = define(6110, Info, "backend server listed or changed")
 	ServerUnlisted       = define(6111, Info, "backend server no longer listed")
 	ServerUnreadable     = define(6112, Warn, "entry of a backend server ignored")
+	ServerOvertaken      = define(6113, Info, "entry of a backend server older than a known one ignored")
 	DependencyLost       = define(6120, Warn, "dependency lost")
 	DependencyRegained   = define(6121, Info, "dependency regained")
 	ReadinessChanged     = define(6122, Info, "readiness changed")
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -333,7 +333,7 @@
 	c := newTestCore(t, "d1")
 	c.Confirm(at(time.Minute))
 	c.StoreBack(at(time.Minute))
-	c.ReplaceServers(at(time.Minute), nil)
+	c.RemoveUnlisted(at(time.Minute), nil)
 	patient := testRequest("r", "/talk/x", "k3")
 	patient.Patience = 0
 	ticket := mustAdmit(t, c, at(time.Minute), patient)
@@ -344,6 +344,46 @@
 	}
 }
 
+func TestServers_OlderEntryDoesNotMakeADrainingServerReady(t *testing.T) {
+	c := newTestCore(t, "d1")
+	entry := BackendServer{ID: "plain0", Born: 1, Sequence: 7, Service: "plain", Address: "x:1", Slots: 8, State: Ready}
+	draining := entry
+	draining.Sequence, draining.State = 8, Draining
+	if !c.PutServer(at(time.Second), draining) || c.PutServer(at(2*time.Second), entry) {
+		t.Fatal("an entry that was overtaken was taken")
+	}
+	if c.usable(at(2*time.Second), "plain0") {
+		t.Fatal("a draining server is used after an older entry of it")
+	}
+	c.RemoveServer(at(3*time.Second), "plain0")
+	if c.PutServer(at(4*time.Second), entry); c.usable(at(4*time.Second), "plain0") {
+		t.Fatal("a server that has gone is used after an older entry of it")
+	}
+	ready := entry
+	ready.Sequence = 9
+	if !c.PutServer(at(5*time.Second), ready) || !c.usable(at(5*time.Second), "plain0") {
+		t.Fatal("a server that came back is not used")
+	}
+	reborn := entry
+	reborn.Born, reborn.Sequence = 2, 1
+	if !c.PutServer(at(6*time.Second), reborn) || !c.usable(at(6*time.Second), "plain0") {
+		t.Fatal("a new process whose numbers begin again is not used")
+	}
+}
+
+func TestHeard_OwnOlderEntryDoesNotOverruleTheNews(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	entry := BackendServer{ID: "plain0", Born: 1, Sequence: 8, Service: "plain", Address: "x:1", Slots: 8, State: Draining}
+	b.PutServer(at(time.Second), entry)
+	n := b.News(at(1100 * time.Millisecond))
+	a.Heard(at(1100*time.Millisecond), &n, 0)
+	entry.State, entry.Sequence = Ready, 7
+	a.PutServer(at(1200*time.Millisecond), entry)
+	if a.usable(at(1300*time.Millisecond), "plain0") {
+		t.Fatal("an entry older than another daemon's news made a draining server ready")
+	}
+}
+
 func TestServers_BornAgainKnowsNothing(t *testing.T) {
 	c := newTestCore(t, "d1")
 	r := testRequest("r", "/talk/x", "k3")
--- a/internal/exchange/news.go
+++ b/internal/exchange/news.go
@@ -38,8 +38,9 @@
 
 // LeavingServer is a backend server that has said that it drains.
 type LeavingServer struct {
-	ID   entity.BackendServerID `cbor:"1,keyasint"`
-	Born int64                  `cbor:"2,keyasint,omitempty"`
+	ID       entity.BackendServerID `cbor:"1,keyasint"`
+	Born     int64                  `cbor:"2,keyasint,omitempty"`
+	Sequence uint64                 `cbor:"3,keyasint,omitempty"` // of the entry that said so
 }
 
 // ServiceLevel is the work that the lease's holder plans for.
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -20,7 +20,8 @@
 // BackendServer is one entry of the list of backend servers.
 type BackendServer struct {
 	ID          entity.BackendServerID
-	Born        int64 // start of the process, Unix milliseconds; 0: not said
+	Born        int64  // start of the process, Unix milliseconds; 0: not said
+	Sequence    uint64 // rises with each entry that one process writes
 	Service     entity.ServiceName
 	Address     string // IP number and port
 	DataCentre  entity.DataCentreID
@@ -41,9 +42,13 @@
 // returnGrace is how long entries may be missing after the store's return.
 const returnGrace = 2 * time.Second
 
-// PutServer takes an entry of the list.
-func (c *Core) PutServer(now time.Time, s BackendServer) {
+// PutServer takes an entry of the list, unless the same process has written a
+// newer one that is known.
+func (c *Core) PutServer(now time.Time, s BackendServer) (taken bool) {
 	old := c.servers.Get(s.ID)
+	if old != nil && old.Born == s.Born && s.Sequence < old.Sequence {
+		return false
+	}
 	if old != nil && old.Born != s.Born && s.Born != 0 {
 		c.serverDied(now, s.ID)
 		c.placer.Remove(s.ID) // a new process under an old name knows nothing
@@ -58,6 +63,7 @@
 	}
 	c.servers.Put(s.ID, row)
 	c.placer.SetServer(c.placementServer(&s))
+	return true
 }
 
 // RemoveServer notes that an entry is no longer listed. It counts as gone at
@@ -77,13 +83,8 @@
 	row.leaving = row.goneAt
 }
 
-// ReplaceServers takes the whole list.
-func (c *Core) ReplaceServers(now time.Time, list []BackendServer) {
-	listed := make(map[entity.BackendServerID]bool, len(list))
-	for _, s := range list {
-		listed[s.ID] = true
-		c.PutServer(now, s)
-	}
+// RemoveUnlisted removes the servers that are not in the whole list.
+func (c *Core) RemoveUnlisted(now time.Time, listed map[entity.BackendServerID]bool) {
 	for _, id := range c.servers.Keys() {
 		if !listed[id] {
 			c.RemoveServer(now, id)
@@ -133,7 +134,7 @@
 	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
 		left := row.State == Draining || !row.listed && !now.Before(row.goneAt)
 		if left && now.Sub(row.leaving) < leaverNews {
-			out = append(out, LeavingServer{ID: id, Born: row.Born})
+			out = append(out, LeavingServer{ID: id, Born: row.Born, Sequence: row.Sequence})
 		}
 		return true
 	})
@@ -143,8 +144,9 @@
 // heardLeaving takes another daemon's word that a server drains or has gone.
 func (c *Core) heardLeaving(now time.Time, l LeavingServer) {
 	row := c.servers.Get(l.ID)
-	if row == nil || row.Born != l.Born || row.State != Ready {
+	if row == nil || row.Born != l.Born || l.Sequence < row.Sequence || row.State != Ready {
 		return
 	}
-	row.State, row.leaving = Draining, now.Add(-leaverNews) // not to be told on and on
+	row.State, row.Sequence = Draining, l.Sequence
+	row.leaving = now.Add(-leaverNews) // not to be told on and on
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -231,31 +231,42 @@
 }
 
 func (g *Gateway) takeServers(whole bool, changes []provider.Change[exchange.BackendServer], _ time.Time) {
-	var list []exchange.BackendServer
+	if whole {
+		g.dropUnlisted(changes)
+	}
 	for _, change := range changes {
+		id := entity.BackendServerID(change.ID)
 		switch {
 		case change.Removed:
-			g.locked(func(c *exchange.Core, now time.Time) { c.RemoveServer(now, entity.BackendServerID(change.ID)) })
-			g.event(event.ServerUnlisted, "", event.A("backend_server", change.ID))
+			g.locked(func(c *exchange.Core, now time.Time) { c.RemoveServer(now, id) })
+			g.event(event.ServerUnlisted, "", event.A("backend_server", id))
 		case change.Err != nil:
 			// An entry that cannot be read names no backend server to use.
-			g.locked(func(c *exchange.Core, now time.Time) { c.RemoveServer(now, entity.BackendServerID(change.ID)) })
-			g.event(event.ServerUnreadable, "", event.A("backend_server", change.ID), event.A("error", change.Err.Error()))
+			g.locked(func(c *exchange.Core, now time.Time) { c.RemoveServer(now, id) })
+			g.event(event.ServerUnreadable, "", event.A("backend_server", id), event.A("error", change.Err.Error()))
 		default:
-			list = append(list, change.Value)
+			g.takeServer(change.Value)
 		}
 	}
-	g.locked(func(c *exchange.Core, now time.Time) {
-		if whole {
-			c.ReplaceServers(now, list)
-			return
-		}
-		for _, s := range list {
-			c.PutServer(now, s)
-		}
-	})
-	for _, s := range list {
-		g.event(event.ServerListed, "", event.A("backend_server", s.ID), event.A("service", s.Service),
-			event.A("address", s.Address), event.A("state", int(s.State)), event.A("reclaimable", s.Reclaimable))
+}
+
+// dropUnlisted removes the backend servers that are not in the whole list.
+func (g *Gateway) dropUnlisted(list []provider.Change[exchange.BackendServer]) {
+	listed := make(map[entity.BackendServerID]bool, len(list))
+	for _, entry := range list {
+		listed[entity.BackendServerID(entry.ID)] = true
+	}
+	g.locked(func(c *exchange.Core, now time.Time) { c.RemoveUnlisted(now, listed) })
+}
+
+func (g *Gateway) takeServer(s exchange.BackendServer) {
+	taken := false
+	g.locked(func(c *exchange.Core, now time.Time) { taken = c.PutServer(now, s) })
+	code := event.ServerListed
+	if !taken {
+		code = event.ServerOvertaken
 	}
+	g.event(code, "", event.A("backend_server", s.ID), event.A("born", s.Born), event.A("sequence", s.Sequence),
+		event.A("service", s.Service), event.A("address", s.Address), event.A("state", int(s.State)),
+		event.A("reclaimable", s.Reclaimable))
 }
