Tell usage counts until all other daemons have heard them

Cause: a changed count was told in three messages and then in each sixteenth (1.4 s at least, 10 s with 65 daemons). A holder of the lease whose connection came up later took the next message as proof that nothing was missing, and settled the window without the count. A message sent before the window's end that arrived after it counted as proof too. Change: messages tell what not all daemons have acknowledged by their echo, and carry the window at their sending; a window is complete when every daemon that may be serving has spoken in a later one.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -508,6 +508,7 @@
 func TestUsageComplete_WaitsForDaemonsThatAreNotHeard(t *testing.T) {
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
 	a.SetTrueTime(-time.Duration(zero.UnixNano())) // window 0 ends 5 s after zero
+	b.SetTrueTime(-time.Duration(zero.UnixNano()))
 	n := b.News(at(4 * time.Second))
 	a.Heard(at(4*time.Second), &n, 0)
 	if a.UsageComplete(at(6500*time.Millisecond), 0) {
@@ -527,6 +528,30 @@
 	}
 }
 
+func TestUsageComplete_CountsOfLostMessagesComeAgain(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	a.SetTrueTime(-time.Duration(zero.UnixNano())) // window 0 ends 5 s after zero
+	b.SetTrueTime(-time.Duration(zero.UnixNano()))
+	ticket := mustAdmit(t, b, zero, testRequest("r", "/x", "k1"))
+	mustPlace(t, b, zero, ticket)
+	b.Began(at(time.Second), ticket)
+	fromA := a.News(at(time.Second))
+	b.Heard(at(time.Second), &fromA, 0)
+	for i := range 10 {
+		b.News(at(time.Second + time.Duration(i)*90*time.Millisecond)) // lost
+	}
+	late := b.News(at(4990 * time.Millisecond))
+	a.Heard(at(6500*time.Millisecond), &late, 0)
+	if a.UsageComplete(at(6600*time.Millisecond), 0) {
+		t.Fatal("complete by a message that was sent before the window's end")
+	}
+	n := b.News(at(6600 * time.Millisecond))
+	a.Heard(at(6600*time.Millisecond), &n, 0)
+	if got := a.UsageCounts(0)["small"]; !a.UsageComplete(at(6700*time.Millisecond), 0) || got != 1 {
+		t.Fatalf("%d requests counted, 1 ran", got)
+	}
+}
+
 func TestUsage_CountsWhatBeganBeforeTheTimeWasKnown(t *testing.T) {
 	c := newTestCore(t, "d1")
 	ticket := mustAdmit(t, c, zero, testRequest("r", "/x", "k1"))
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -36,22 +36,16 @@
 	case past >= mostSettle:
 		return true
 	default:
-		return c.allHeardWithin(now, past)
+		return c.allBeyond(now, window)
 	}
 }
 
-// allHeardWithin reports whether every daemon that may be serving has spoken
-// within a time.
-func (c *Core) allHeardWithin(now time.Time, d time.Duration) bool {
+// allBeyond reports whether every daemon that may be serving has spoken after a
+// window's end: a message tells all counts that its receiver lacks.
+func (c *Core) allBeyond(now time.Time, window int64) bool {
 	all := true
 	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
-		switch {
-		case r.leaving:
-		case r.heard.IsZero():
-			all = now.Sub(r.since) >= c.cfg.Bounds.PeerForget // an entry that is left over
-		default:
-			all = now.Sub(r.heard) <= d
-		}
+		all = r.window > window || !c.mayServe(now, r)
 		return all
 	})
 	return all
--- a/internal/exchange/news.go
+++ b/internal/exchange/news.go
@@ -34,6 +34,9 @@
 	Levels  []ServiceLevel  `cbor:"13,keyasint,omitempty"` // only from the lease's holder
 	Leavers []LeavingServer `cbor:"14,keyasint,omitempty"`
 	Deaths  []ContentDeath  `cbor:"15,keyasint,omitempty"`
+	// Window is the present window of usage: what the sender counted in earlier
+	// ones is told by now.
+	Window int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // LeavingServer is a backend server that has said that it drains.
@@ -63,7 +66,8 @@
 		n.Version = c.routes.doc.Version
 	}
 	if c.timeKnown {
-		n.Usage = c.usage.Own(c.usage.Window(c.sinceEpoch(now)), c.seq%fullEvery == 0)
+		n.Window = c.usage.Window(c.sinceEpoch(now))
+		n.Usage = c.usage.Own(n.Window, c.seq, c.heardByAll(now))
 	}
 	if epoch, held := c.lease.Epoch(); held {
 		n.LeaseEpoch = epoch
@@ -72,8 +76,8 @@
 	return n
 }
 
-// fullEvery is the number of messages of which one tells all quotas and counts,
-// also those that have not changed lately.
+// fullEvery is the number of messages of which one tells all quotas, also those
+// that have not changed lately.
 const fullEvery = 16
 
 // maxPlaced bounds the placed prompts told in one message.
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -33,6 +33,8 @@
 	serving  bool
 	version  uint64
 	demand   []ServiceDemand
+	window   int64  // of usage, when it spoke last
+	echo     uint32 // this daemon's last message that it has heard
 }
 
 // Introduce takes a daemon that the store lists.
@@ -89,6 +91,7 @@
 	}
 	row.Member, row.heard, row.sequence = n.From, now, n.Sequence
 	row.leaving, row.serving, row.version, row.demand = n.Leaving, n.Serving, n.Version, n.Demand
+	row.window, row.echo = n.Window, max(row.echo, echo)
 	c.take(now, row, n)
 	c.confirmBy(n, echo)
 }
@@ -154,14 +157,39 @@
 		case !r.heard.IsZero() && now.Sub(r.heard) > c.cfg.Bounds.PeerForget:
 			c.quota.Forget(r.process())
 			c.peers.Delete(name)
-		case !r.leaving && !r.heard.IsZero(), r.heard.IsZero() && now.Sub(r.since) < c.cfg.Bounds.PeerForget:
-			known++ // it may be serving without being heard
+		case c.mayServe(now, r):
+			known++
 		}
 	}
 	c.quota.SetDaemons(now, heard, known)
 	c.budget.SetReserve(max(c.cfg.Bounds.RetrySlack/float64(known), 1))
 }
 
+// mayServe reports whether a daemon may be serving, though it may not be heard.
+func (c *Core) mayServe(now time.Time, r *peerRow) bool {
+	switch {
+	case r.leaving:
+		return false
+	case r.heard.IsZero():
+		return now.Sub(r.since) < c.cfg.Bounds.PeerForget // later the entry is left over
+	default:
+		return true
+	}
+}
+
+// heardByAll returns the newest message of this daemon up to which all others
+// have heard.
+func (c *Core) heardByAll(now time.Time) uint32 {
+	heard := c.seq
+	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
+		if c.mayServe(now, r) {
+			heard = min(heard, r.echo)
+		}
+		return true
+	})
+	return heard
+}
+
 // rankOfSelf returns this daemon's place among the daemons that are heard.
 func (c *Core) rankOfSelf(now time.Time) int {
 	rank := 0
--- a/internal/system/usage/usage.go
+++ b/internal/system/usage/usage.go
@@ -30,13 +30,9 @@
 // telling is what the other daemons have been told of a count.
 type telling struct {
 	requests uint32
-	again    int // messages in which to repeat it
+	message  uint32 // the first one that told it
 }
 
-// tellAgain is in how many messages a changed count is told, since some get
-// lost.
-const tellAgain = 3
-
 type key struct {
 	daemon       entity.InstanceID
 	window       int64
@@ -66,9 +62,9 @@
 	*n++
 }
 
-// Own returns what this daemon counted in the newest windows: what has changed
-// lately, or all.
-func (c *Counter) Own(current int64, all bool) []Count {
+// Own returns what message number message has to tell: this daemon's counts in
+// the newest windows that not all others have in messages up to heard.
+func (c *Counter) Own(current int64, message, heard uint32) []Count {
 	var out []Count
 	for _, k := range c.counts.Keys() {
 		if k.window < current-2*keptWindows {
@@ -76,25 +72,24 @@
 			c.told.Delete(k)
 			continue
 		}
-		if k.daemon == c.self && k.window > current-keptWindows && (c.tell(k) || all) {
+		if k.daemon == c.self && k.window > current-keptWindows && c.tell(k, message, heard) {
 			out = append(out, Count{Window: k.window, Organisation: k.organisation, Requests: *c.counts.Get(k)})
 		}
 	}
 	return out
 }
 
-// tell reports whether a count is to be told in this message.
-func (c *Counter) tell(k key) bool {
+// tell reports whether a count is to be told in a message.
+func (c *Counter) tell(k key, message, heard uint32) bool {
 	t := c.told.Get(k)
 	if t == nil {
 		t = &telling{}
 		c.told.Put(k, t)
 	}
 	if n := *c.counts.Get(k); n != t.requests {
-		t.requests, t.again = n, tellAgain
+		t.requests, t.message = n, message
 	}
-	t.again--
-	return t.again >= 0
+	return t.message > heard
 }
 
 // All returns the counts of all daemons in the newest windows, by daemon.
--- a/internal/system/usage/usage_test.go
+++ b/internal/system/usage/usage_test.go
@@ -32,7 +32,7 @@
 	c := New("a", 5*time.Second)
 	c.Began(1, "o")
 	c.Began(100, "o")
-	if own := c.Own(100, true); len(own) != 1 || own[0].Window != 100 {
+	if own := c.Own(100, 1, 0); len(own) != 1 || own[0].Window != 100 {
 		t.Fatalf("own counts %v, want window 100 only", own)
 	}
 	if len(c.Sum(1)) != 0 {
@@ -54,18 +54,22 @@
 	}
 }
 
-func TestCounter_TellsChangesAFewTimes(t *testing.T) {
+func TestCounter_TellsChangesUntilAllHaveHeard(t *testing.T) {
 	c := New("a", 5*time.Second)
 	c.Began(1, "o")
-	told := 0
-	for range 10 {
-		told += len(c.Own(1, false))
+	for message := uint32(1); message <= 10; message++ {
+		if len(c.Own(1, message, 0)) != 1 {
+			t.Fatalf("message %d does not tell what nobody has heard", message)
+		}
 	}
-	if told != tellAgain {
-		t.Fatalf("an unchanged count was told %d times", told)
+	if own := c.Own(1, 11, 1); len(own) != 0 {
+		t.Fatalf("told again after all have heard it: %v", own)
 	}
 	c.Began(1, "o")
-	if own := c.Own(1, false); len(own) != 1 || own[0].Requests != 2 {
+	if own := c.Own(1, 12, 11); len(own) != 1 || own[0].Requests != 2 {
 		t.Fatalf("a changed count is told as %v", own)
 	}
+	if own := c.Own(1, 13, 11); len(own) != 1 {
+		t.Fatal("a change is told once only, though nobody has heard it")
+	}
 }
