--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -39,6 +39,12 @@
 	leaving time.Time // when it was first known to leave
 }
 
+// overtook reports whether an entry is older than the one that is known. A server
+// that has gone and does not say when its process began may be a new one.
+func (r *serverRow) overtook(s *BackendServer) bool {
+	return s.Born == r.Born && s.Sequence < r.Sequence && (r.listed || s.Born != 0)
+}
+
 // returnGrace is how long entries may be missing after the store's return.
 const returnGrace = 2 * time.Second
 
@@ -46,7 +52,7 @@
 // newer one that is known.
 func (c *Core) PutServer(now time.Time, s BackendServer) (taken bool) {
 	old := c.servers.Get(s.ID)
-	if old != nil && old.Born == s.Born && s.Sequence < old.Sequence {
+	if old != nil && old.overtook(&s) {
 		return false
 	}
 	if old != nil && old.Born != s.Born && s.Born != 0 {
