Plan servers by what engines need when calm

Load answered: a crash of a third of the engines with a burst, during which answers come late everywhere. The plan took the lateness for work (0.028 ms for each prompt token against 0.016 before), ordered the most servers allowed, and most of them on demand, since that limit left no room for reclaimable ones. Ruled out: the demand (it rose by a half only); a cap by quotas (twice what is needed).

--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -46,6 +46,7 @@
 	Memory  entity.Tokens
 	Output  entity.Tokens
 	Running bool // the first event has come
+	calm    bool // the backend server had little to do when it was chosen
 	firstAt time.Time
 	ahead   float64 // prompt tokens that were to be read before
 	sentAt  time.Time
@@ -137,7 +138,7 @@
 // waitingWeight returns how much of the other daemons' waiting requests counts:
 // news that is older than such a request lives says nothing of the present.
 func (p *Placer) waitingWeight(s *speed, plain bool) float64 {
-	life := s.predict(typicalPrompt)
+	life := s.first.predict(typicalPrompt)
 	if plain {
 		life = s.perRequest
 	}
@@ -207,6 +208,9 @@
 	return r.own.Waiting.total() + r.own.Running + r.others.Waiting.total() + r.others.Running
 }
 
+// calm reports whether an engine has little to do.
+func (r *row) calm() bool { return float64(r.taken()) <= calmPart*float64(r.Slots) }
+
 // cost returns what placing the request there costs, in milliseconds.
 func (p *Placer) cost(now time.Time, r *row, q *Query) float64 {
 	cost := r.health.failing(now) * sickCost
@@ -237,7 +241,7 @@
 	ahead := p.queueAt(r, rank)
 	running := float64(r.own.Running + r.others.Running)
 	wait := ahead.slots / float64(r.Slots) * s.perRun
-	return wait + s.predict((ahead.prompt+float64(uncached))*(1+decodeDelay*running))
+	return wait + s.first.predict((ahead.prompt+float64(uncached))*(1+decodeDelay*running))
 }
 
 func (p *Placer) speed(service entity.ServiceName) *speed {
@@ -255,6 +259,7 @@
 	if r := p.servers.Get(load.Server); r != nil {
 		r.own.Waiting.take(load.Rank, 1, load.Pending)
 		r.own.Memory += load.Memory
+		load.calm = r.calm()
 		r.cache.add(now, parts)
 	}
 	return &load
@@ -277,9 +282,17 @@
 		p.speed(l.service).learnRequest(float64(now.Sub(l.sentAt)) / float64(time.Millisecond))
 	}
 	if r.Memory > 0 {
-		running := float64(r.own.Running + r.others.Running)
-		tokens := (l.ahead + float64(l.Pending)) * (1 + decodeDelay*running)
-		p.speed(l.service).learn(tokens, float64(now.Sub(l.sentAt))/float64(time.Millisecond))
+		p.learnFirst(r, l, float64(now.Sub(l.sentAt))/float64(time.Millisecond))
+	}
+}
+
+// learnFirst takes the time in ms to a request's first event.
+func (p *Placer) learnFirst(r *row, l *Load, took float64) {
+	s := p.speed(l.service)
+	running := float64(r.own.Running + r.others.Running)
+	s.first.learn((l.ahead+float64(l.Pending))*(1+decodeDelay*running), took)
+	if l.calm && r.calm() {
+		s.calm.learn(l.ahead+float64(l.Pending), took)
 	}
 }
 
--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -161,7 +161,7 @@
 }
 
 func TestSpeed_LearnsTheLine(t *testing.T) {
-	s := newSpeed()
+	s := newLine()
 	rng := rand.New(rand.NewPCG(5, 5))
 	for range 2000 {
 		tokens := rng.Float64() * 30_000
@@ -172,6 +172,36 @@
 	}
 }
 
+func TestWork_WaitingOrdersNoServers(t *testing.T) {
+	p := New(rand.New(rand.NewPCG(6, 6)))
+	p.SetServer(Server{ID: "e", Service: "m", DataCentre: "a", Slots: 4, Memory: 1_000_000})
+	demand := Demand{Prompt: 1_000_000}
+	run := func(together int, msPerToken float64) {
+		for _, prompt := range []entity.Tokens{500, 8000} {
+			var loads []*Load
+			for range together {
+				load, _ := place(t, p, start, query(prompt))
+				loads = append(loads, load)
+			}
+			took := 50 + msPerToken*float64(prompt)
+			for _, load := range loads {
+				p.Began(at(time.Duration(took)*time.Millisecond), load)
+				p.End(at(10*time.Second), load, true)
+			}
+		}
+	}
+	for range 300 {
+		run(1, 0.01)
+	}
+	calm := p.Work("m", demand)
+	for range 300 {
+		run(4, 0.4) // a wave that the engine cannot take
+	}
+	if after := p.Work("m", demand); after > 1.2*calm {
+		t.Fatalf("%.1f servers for a demand for which %.1f were enough before the overload", after, calm)
+	}
+}
+
 func TestPromptCache_ForgetsTheOldest(t *testing.T) {
 	c := newPromptCache(2000)
 	for i := range 5 {
