Set aside what daemons that are not heard may be taking from quotas

Cause: a daemon counted as heard for 3.25 s without news at 65 daemons; and each part of the fleet could spend the whole level that the bucket had at the cut. Ruled out: late news alone (a flood without a cut keeps the quota in the model). Change: the level is divided as the refill was, and what is set aside comes back when the daemons are heard again; two missing messages count as silence; a daemon that hears nobody for 0.4 s counts as cut off. Before: TestLedger_HotOrganisationWhileDaemonsAreCutOff fails. After: passes.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -307,6 +307,43 @@
 	}
 }
 
+func TestTick_DaemonThatHearsNobodySpendsItsPartOnly(t *testing.T) {
+	c := newTestCore(t, "a")
+	for i := range 9 {
+		peer := newTestCore(t, "p"+strconv.Itoa(i))
+		n := peer.News(zero)
+		c.Heard(zero, &n, 0)
+	}
+	c.Tick(at(100 * time.Millisecond))
+	if got := c.takeAll(at(100 * time.Millisecond)); got < 900 {
+		t.Fatalf("%d units of a full bucket of 1000 while all are heard", got)
+	}
+	now := at(10 * time.Second)
+	for i := range 9 {
+		peer := newTestCore(t, "p"+strconv.Itoa(i))
+		peer.seq = 100
+		n := peer.News(now)
+		c.Heard(now, &n, 0)
+	}
+	c.Tick(now)
+	now = now.Add(450 * time.Millisecond)
+	c.Tick(now)
+	if got := c.takeAll(now); got > 150 {
+		t.Fatalf("%d units of a bucket of 1000 that ten daemons share, of which none is heard", got)
+	}
+}
+
+// takeAll takes requests of one organisation until it is refused, and returns
+// their units.
+func (c *Core) takeAll(now time.Time) int {
+	c.Confirm(now)
+	for taken := 0; ; taken += 10 {
+		if _, refusal := c.Admit(now, now, testRequest("r", "/x", "k1")); refusal != nil {
+			return taken
+		}
+	}
+}
+
 func TestPlace_LeftTimeShrinks(t *testing.T) {
 	c := newTestCore(t, "d1")
 	ticket := mustAdmit(t, c, zero, testRequest("r", "/get/x", "k1"))
@@ -371,6 +408,20 @@
 	}
 }
 
+func TestServers_GoneServerOfUnknownBirthMayBeNew(t *testing.T) {
+	c := newTestCore(t, "d1")
+	entry := BackendServer{ID: "new", Sequence: 7, Service: "plain", Address: "x:1", Slots: 8, State: Draining}
+	c.PutServer(zero, entry)
+	entry.State, entry.Sequence = Ready, 1
+	if c.PutServer(at(time.Second), entry) {
+		t.Fatal("a listed server's older entry was taken")
+	}
+	c.RemoveServer(at(2*time.Second), "new")
+	if !c.PutServer(at(3*time.Second), entry) || !c.usable(at(3*time.Second), "new") {
+		t.Fatal("a server that began anew is not used")
+	}
+}
+
 func TestHeard_OwnOlderEntryDoesNotOverruleTheNews(t *testing.T) {
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
 	entry := BackendServer{ID: "plain0", Born: 1, Sequence: 8, Service: "plain", Address: "x:1", Slots: 8, State: Draining}
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -145,14 +145,42 @@
 	return !r.heard.IsZero() && now.Sub(r.heard) < c.silence()
 }
 
+const (
+	// spendingMessages is how many messages of a daemon may be missing before it
+	// counts as spending quotas without being heard.
+	spendingMessages = 2
+	// alone is how long a daemon may hear nobody before it counts as cut off.
+	alone = 400 * time.Millisecond
+)
+
+// spendsHeard returns how long after its news a daemon's use of quotas counts as
+// known.
+func (c *Core) spendsHeard() time.Duration {
+	interval := time.Duration(c.peers.Len()) * c.cfg.Bounds.NewsPerPeer
+	return max(leastSilence, spendingMessages*interval)
+}
+
+// cutOff reports whether nobody has been heard lately.
+func (c *Core) cutOff(now time.Time) bool {
+	var newest time.Time
+	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
+		if r.heard.After(newest) {
+			newest = r.heard
+		}
+		return true
+	})
+	return now.Sub(newest) > alone
+}
+
 // Tick does what is due by time alone.
 func (c *Core) Tick(now time.Time) {
 	c.forgetServers(now)
 	heard, known := 1, 1
+	cutOff, spendsHeard := c.cutOff(now), c.spendsHeard()
 	for _, name := range c.peers.Keys() {
 		r := c.peers.Get(name)
 		switch {
-		case c.heardLately(now, r):
+		case !cutOff && !r.heard.IsZero() && now.Sub(r.heard) < spendsHeard:
 			heard, known = heard+1, known+1
 		case !r.heard.IsZero() && now.Sub(r.heard) > c.cfg.Bounds.PeerForget:
 			c.quota.Forget(r.process())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -226,8 +226,9 @@
 	}
 }
 
-// sweepInterval is the time between two looks at unused connections.
-const sweepInterval = 500 * time.Millisecond
+// sweepInterval is the time between two looks at unused connections and at who is
+// heard.
+const sweepInterval = 250 * time.Millisecond
 
 func (g *Gateway) runHousekeeping(life context.Context) {
 	for pause(life, sweepInterval) {
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -50,7 +50,8 @@
 
 type bucket struct {
 	limit  Limit
-	level  float64
+	level  float64 // that this daemon may take
+	aside  float64 // that daemons which are not heard may be taking
 	at     time.Time
 	used   float64 // by this daemon since its start
 	told   float64 // of it, in the last message
@@ -76,7 +77,8 @@
 	}
 	l.refill(now, b)
 	b.limit = limit
-	b.level = min(b.level, l.capacity(b))
+	b.level = min(b.level, l.capacity(b)*l.part())
+	b.aside = min(b.aside, l.capacity(b)*(1-l.part()))
 }
 
 // SetDaemons says how many daemons there are and how many of them are heard.
@@ -89,6 +91,21 @@
 		return true
 	})
 	l.heard, l.known = max(heard, 1), max(known, heard, 1)
+	l.buckets.All(func(_ entity.OrganisationID, b *bucket) bool {
+		l.setAside(b)
+		return true
+	})
+}
+
+// part returns the part of the daemons that is heard.
+func (l *Ledger) part() float64 { return float64(l.heard) / float64(l.known) }
+
+// setAside divides what a bucket holds between the daemons that are heard and
+// those that are not, which may all be taking from it at once.
+func (l *Ledger) setAside(b *bucket) {
+	whole := b.level + b.aside
+	b.aside = max(whole, 0) * (1 - l.part())
+	b.level = whole - b.aside
 }
 
 // fewDaemons is the number of daemons up to which the whole tolerance is lent to
@@ -101,12 +118,16 @@
 	return b.limit.Burst + b.limit.Tolerance*min(1, fewDaemons/float64(l.known))
 }
 
-// refill adds what has come in since the last call. Daemons that are not heard
-// may be using their part of it.
+// refill adds what has come in since the last call.
 func (l *Ledger) refill(now time.Time, b *bucket) {
-	part := float64(l.heard) / float64(l.known)
-	b.level = min(b.level+b.limit.Rate*part*now.Sub(b.at).Seconds(), l.capacity(b))
+	more := b.limit.Rate * now.Sub(b.at).Seconds()
 	b.at = now
+	b.level += more * l.part()
+	b.aside += more * (1 - l.part())
+	if over := b.level + b.aside - l.capacity(b); over > 0 {
+		b.level -= over * l.part()
+		b.aside -= over * (1 - l.part())
+	}
 }
 
 // Take takes the units of one request, or returns after what time they will be
@@ -117,7 +138,7 @@
 		return 0, true
 	}
 	l.refill(now, b)
-	need := min(units, l.capacity(b))
+	need := min(units, l.capacity(b)*l.part())
 	if b.level >= need {
 		b.level -= units
 		b.used += units
@@ -130,7 +151,7 @@
 // Return gives back the units of a request that has not run.
 func (l *Ledger) Return(id entity.OrganisationID, units float64) {
 	if b := l.buckets.Get(id); b != nil && b.limit.Rate > 0 {
-		b.level = min(b.level+units, l.capacity(b))
+		b.level = min(b.level+units, l.capacity(b)-b.aside)
 		b.used -= units
 	}
 }
@@ -148,7 +169,7 @@
 				b.told, b.again = b.used, tellAgain
 			}
 			if all || b.again > 0 {
-				out = append(out, Use{Organisation: id, Total: b.used, Level: b.level})
+				out = append(out, Use{Organisation: id, Total: b.used, Level: b.level + b.aside})
 			}
 			b.again = max(b.again-1, 0)
 		}
@@ -172,7 +193,8 @@
 			b.level -= u.Total - *before
 		}
 		if !b.seeded {
-			b.level = min(u.Level, l.capacity(b))
+			b.level, b.aside = min(u.Level, l.capacity(b)), 0
+			l.setAside(b)
 			b.seeded = true
 		}
 		total := u.Total
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -101,6 +101,84 @@
 	}
 }
 
+// TestLedger_HotOrganisationWhileDaemonsAreCutOff replays a cut through a third of
+// a large fleet, each daemon alone, just before an organisation asks for three
+// times its quota on all of them.
+func TestLedger_HotOrganisationWhileDaemonsAreCutOff(t *testing.T) {
+	const (
+		daemons, alone = 65, 23
+		step           = 50 * time.Millisecond
+		every          = 13 // steps between messages
+		cutAt          = 200
+		noticed        = cutAt + 2*every
+		hotAt          = cutAt + 10
+		window         = 160 // steps
+	)
+	limit := Limit{Rate: 100_000, Burst: 100_000, Tolerance: 50_000}
+	start := time.Unix(0, 0)
+	f := newFleet(daemons, limit, start)
+	var history []float64
+	for n := range cutAt + 400 {
+		now := start.Add(time.Duration(n) * step)
+		each := 0.4 * limit.Rate * step.Seconds() / daemons
+		if n >= hotAt {
+			each = 3 * limit.Rate * step.Seconds() / daemons
+		}
+		taken := 0.0
+		for _, l := range f.ledgers {
+			if _, ok := l.Take(now, org, each); ok {
+				taken += each
+			}
+		}
+		history = append(history, taken)
+		if n%every == 0 {
+			f.tellUnlessAlone(now, alone, n >= cutAt, n >= noticed)
+		}
+	}
+	allowed := (limit.Rate*8+limit.Burst)*1.1 + 10_000
+	for i := window; i <= len(history); i++ {
+		sum := 0.0
+		for _, taken := range history[i-window : i] {
+			sum += taken
+		}
+		if sum > allowed {
+			t.Fatalf("%.0f units in 8 s up to step %d, %.0f allowed", sum, i, allowed)
+		}
+	}
+}
+
+// tellUnlessAlone exchanges the news, but those of the first few daemons once
+// they are cut off, which the others learn when it is noticed.
+func (f *fleet) tellUnlessAlone(now time.Time, alone int, cut, noticed bool) {
+	n := len(f.ledgers)
+	for i, from := range f.ledgers {
+		switch {
+		case noticed && i < alone:
+			from.SetDaemons(now, 1, n)
+		case noticed:
+			from.SetDaemons(now, n-alone, n)
+		}
+		uses := from.Uses(now, false)
+		for j, to := range f.ledgers {
+			if i != j && !(cut && (i < alone || j < alone)) {
+				to.Heard(now, entity.InstanceID(strconv.Itoa(i)), uses)
+			}
+		}
+	}
+}
+
+func TestLedger_SilenceTakesNothingAwayForGood(t *testing.T) {
+	now := time.Unix(0, 0)
+	f := newFleet(4, Limit{Rate: 1000, Burst: 8000}, now)
+	now = now.Add(7500 * time.Millisecond)
+	l := f.ledgers[0]
+	l.SetDaemons(now, 1, 4)
+	l.SetDaemons(now, 4, 4)
+	if _, ok := l.Take(now, org, 7900); !ok {
+		t.Fatal("what was set aside for daemons that were silent for a moment is lost")
+	}
+}
+
 func TestLedger_OneDaemonMayUseTheWholeQuota(t *testing.T) {
 	start := time.Unix(0, 0)
 	f := newFleet(9, Limit{Rate: 1000, Burst: 1000}, start)
