Tell echoes of a daemon's former process apart

Change: the numbers of a process begin at a random one; echoes outside the process's own count for nothing. Test first: it fails without the check.

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -62,7 +62,8 @@
 	usage       *usage.Counter
 	lease       *lease.Lease
 	placed      []Placed // prompts placed since the last message to the others
-	seq         uint32
+	seq         uint32   // of the last message to the others
+	firstSeq    uint32   // all messages have higher ones
 	sent        sentTimes
 	behindSince time.Time // another daemon has had a newer configuration since then
 	demand      demand
@@ -70,6 +71,9 @@
 	levels      *entity.Table[entity.ServiceName, capacity.Level]
 }
 
+// maxFirstSeq leaves room for the messages of a process's life.
+const maxFirstSeq = 1 << 30
+
 // New returns a core that knows no configuration.
 func New(cfg Config) *Core {
 	c := &Core{
@@ -83,6 +87,9 @@
 		usage:   usage.New(cfg.Self.process(), cfg.Bounds.UsageWindow),
 		lease:   lease.New(cfg.Self.Name, cfg.Started),
 	}
+	// A random start tells echoes of the former process's messages apart.
+	c.firstSeq = cfg.Rand.Uint32N(maxFirstSeq)
+	c.seq = c.firstSeq
 	c.budget = retry.New(retry.Config{Rand: cfg.Rand, Ratio: cfg.Bounds.RetryRatio, Reserve: cfg.Bounds.RetrySlack})
 	return c
 }
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -18,11 +18,17 @@
 // newTestCore returns a core with a document, three ready servers of each
 // service, and a fresh confirmation.
 func newTestCore(t *testing.T, name string) *Core {
+	t.Helper()
+	return newTestCoreOf(t, name, 1)
+}
+
+// newTestCoreOf returns one process of a daemon, with its own random numbers.
+func newTestCoreOf(t *testing.T, name string, start int64) *Core {
 	t.Helper()
 	c := New(Config{
-		Self:        Member{Name: entity.InstanceID(name), Start: 1, CallerAddr: name + ":1", DataCentre: "a"},
+		Self:        Member{Name: entity.InstanceID(name), Start: start, CallerAddr: name + ":1", DataCentre: "a"},
 		DataCentres: []entity.DataCentreID{"a", "b", "c"},
-		Rand:        rand.New(rand.NewPCG(1, 2)),
+		Rand:        rand.New(rand.NewPCG(uint64(start), 2)),
 		Started:     zero,
 		Bounds: Bounds{
 			StaleAfter: 4 * time.Second, RetryRatio: 0.2, RetrySlack: 10, UsageWindow: 5 * time.Second,
@@ -321,7 +327,7 @@
 	now := at(10 * time.Second)
 	for i := range 9 {
 		peer := newTestCore(t, "p"+strconv.Itoa(i))
-		peer.seq = 100
+		peer.seq += 100
 		n := peer.News(now)
 		c.Heard(now, &n, 0)
 	}
@@ -603,6 +609,26 @@
 	}
 }
 
+func TestHeard_EchoOfTheFormerProcessAcknowledgesNothing(t *testing.T) {
+	former, a, b := newTestCore(t, "a"), newTestCoreOf(t, "a", 7), newTestCore(t, "b")
+	for range 500 {
+		n := former.News(zero)
+		b.Heard(zero, &n, 0)
+	}
+	a.SetTrueTime(-time.Duration(zero.UnixNano()))
+	ticket := mustAdmit(t, a, zero, testRequest("r", "/x", "k1"))
+	mustPlace(t, a, zero, ticket)
+	a.Began(zero, ticket)
+	for range 5 {
+		a.News(zero) // lost
+		n := b.News(zero)
+		a.Heard(zero, &n, b.Echo("a"))
+	}
+	if n := a.News(zero); len(n.Usage) == 0 {
+		t.Fatal("a count is no longer told, though only the former process has been heard")
+	}
+}
+
 func TestUsage_CountsWhatBeganBeforeTheTimeWasKnown(t *testing.T) {
 	c := newTestCore(t, "d1")
 	ticket := mustAdmit(t, c, zero, testRequest("r", "/x", "k1"))
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -89,6 +89,9 @@
 	if !row.heard.IsZero() && n.Sequence <= row.sequence {
 		return
 	}
+	if echo <= c.firstSeq || echo > c.seq {
+		echo = 0 // of a message of this daemon's former process
+	}
 	row.Member, row.heard, row.sequence = n.From, now, n.Sequence
 	row.leaving, row.serving, row.version, row.demand = n.Leaving, n.Serving, n.Version, n.Demand
 	row.window, row.echo = n.Window, max(row.echo, echo)
