Hand the lease over when its holder begins to leave

Ruled out: counts that are not told (each living daemon tells all its own). Change: a leaving holder's message frees the lease; the others take it in turn. Before: TestContend_LeavingHolderIsReplacedAtOnce fails (nobody contends). After: passes.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -562,6 +562,33 @@
 
 // TestUsageComplete_WaitsForDaemonsThatAreNotHeard: a daemon that was suspended at
 // the end of a window, or whose connections come up late, has counts to tell.
+func TestContend_LeavingHolderIsReplacedAtOnce(t *testing.T) {
+	a, b, c := newTestCore(t, "a"), newTestCore(t, "b"), newTestCore(t, "c")
+	a.LeaseTaken(3)
+	a.Leave(at(8 * time.Second))
+	for ms := range 300 {
+		now := at(time.Duration(ms) * 10 * time.Millisecond)
+		if ms%9 == 0 {
+			for _, pair := range [][2]*Core{{a, b}, {a, c}, {b, c}, {c, b}} {
+				n := pair[0].News(now)
+				pair[1].Heard(now, &n, 0)
+			}
+		}
+		b.Confirm(now)
+		c.Confirm(now)
+		if ms < 100 && c.Contend(now) {
+			t.Fatal("the second in rank contends with the first")
+		}
+		if b.Contend(now) {
+			if now.After(at(500 * time.Millisecond)) {
+				t.Fatalf("contends %v after the holder began to leave", now.Sub(zero))
+			}
+			return
+		}
+	}
+	t.Fatal("nobody replaces a holder that leaves")
+}
+
 func TestUsageComplete_WaitsForDaemonsThatAreNotHeard(t *testing.T) {
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
 	a.SetTrueTime(-time.Duration(zero.UnixNano())) // window 0 ends 5 s after zero
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -106,7 +106,7 @@
 	c.placer.Heard(now, row.Name, n.Loads, c.silence())
 	c.quota.Heard(now, process, n.Quota)
 	c.usage.Heard(process, n.Usage)
-	c.lease.Heard(now, n.LeaseEpoch)
+	c.hearLease(now, n)
 	c.AdoptLevels(n.Levels)
 	for _, l := range n.Leavers {
 		c.heardLeaving(now, l)
@@ -119,6 +119,18 @@
 	}
 }
 
+// hearLease takes the word of the lease's holder. One that is leaving performs no
+// duties any more.
+func (c *Core) hearLease(now time.Time, n *News) {
+	if !n.Leaving {
+		c.lease.Heard(now, n.LeaseEpoch)
+		return
+	}
+	if n.LeaseEpoch > 0 {
+		c.lease.Released(now, n.LeaseEpoch)
+	}
+}
+
 // Others returns the endpoints of all daemons that may be alive.
 func (c *Core) Others() []Member {
 	out := make([]Member, 0, c.peers.Len())
--- a/internal/system/lease/lease.go
+++ b/internal/system/lease/lease.go
@@ -59,6 +59,18 @@
 	return lost
 }
 
+// Released notes that the holder gives the lease up: others need not wait for its
+// silence.
+func (l *Lease) Released(now time.Time, epoch uint64) {
+	if epoch < l.epoch || l.held {
+		return
+	}
+	l.epoch = epoch
+	if free := now.Add(-silence); l.heard.After(free) {
+		l.heard = free
+	}
+}
+
 // Contend reports whether to try to take the lease now. Rank is this daemon's
 // place among the daemons that are alive.
 func (l *Lease) Contend(now time.Time, rank int) bool {
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -18,6 +18,20 @@
 	}
 }
 
+func TestLease_ReleasedIsFreeForAllInTurn(t *testing.T) {
+	l := New("c", at(0))
+	l.Heard(at(0), 1)
+	for d := time.Duration(0); d < stagger; d += 50 * time.Millisecond {
+		l.Released(at(d), 1)
+		if l.Contend(at(d), 1) {
+			t.Fatal("the second in rank contends with the first")
+		}
+	}
+	if !l.Contend(at(stagger), 1) {
+		t.Fatal("the second in rank waits as long as the holder says that it leaves")
+	}
+}
+
 func TestLease_ContendersAreStaggered(t *testing.T) {
 	l := New("c", at(0))
 	if l.Contend(at(silence), 1) {
