Keep reclaimable servers where they can be had when a wave fills a place on demand

What the wave took was ordered on demand in all places alike, which left less room for the reclaimable servers of the others; their orders were lowered, they went, and still more was ordered on demand: 15 a place became 49, reclaimable 45 became 11, for 25 s. Change: on-demand servers fill a place's room for reclaimable ones only where these are refused, or are still to come; a server that was taken away is ordered again after a second, not six; the time for each generated token that plans go by is learned from engines with little to do, as that for prompts is.

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -69,6 +69,7 @@
 	demand      demand
 	crash       crashGuard
 	levels      *entity.Table[entity.ServiceName, capacity.Level]
+	dry         *entity.Table[reclaimablePlace, time.Time] // when an order was last refused
 }
 
 // maxFirstSeq leaves room for the messages of a process's life.
@@ -83,6 +84,7 @@
 		placer:  placement.New(cfg.Rand),
 		crash:   newCrashGuard(),
 		levels:  entity.NewTable[entity.ServiceName, capacity.Level](),
+		dry:     entity.NewTable[reclaimablePlace, time.Time](),
 		quota:   quota.New(),
 		usage:   usage.New(cfg.Self.process(), cfg.Bounds.UsageWindow),
 		lease:   lease.New(cfg.Self.Name, cfg.Started),
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -137,17 +137,48 @@
 func (c *Core) capacityInput(now time.Time, s *Service) capacity.Input {
 	in := capacity.Input{Min: s.Scale.Min, Max: s.Scale.Max, ReclaimablePrice: s.Scale.ReclaimablePrice}
 	for _, dc := range c.cfg.DataCentres {
-		in.Places = append(in.Places, capacity.Place{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc]})
-	}
-	in.Work = c.level(s.Name).Follow(now, c.expectedWork(now, s))
-	for _, n := range c.Listed() {
-		if n.Service == s.Name && n.Reclaimable {
-			in.Reclaimable += n.Count
+		place := capacity.Place{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc], Dry: c.dryAt(now, s.Name, dc)}
+		for _, n := range c.Listed() {
+			switch {
+			case n.Service != s.Name || n.DataCentre != dc:
+			case n.Reclaimable:
+				place.Reclaimable = n.Count
+			default:
+				place.OnDemand = n.Count
+			}
 		}
+		in.Places = append(in.Places, place)
 	}
+	in.Work = c.level(s.Name).Follow(now, c.expectedWork(now, s))
 	return in
 }
 
+// reclaimablePlace names the reclaimable servers of a service in a data centre.
+type reclaimablePlace struct {
+	service    entity.ServiceName
+	dataCentre entity.DataCentreID
+}
+
+// dryFor is how long an answer that no reclaimable servers can be had holds: a
+// refused order is repeated each second.
+const dryFor = 2500 * time.Millisecond
+
+// ReclaimableRefused notes whether an order of reclaimable servers was refused
+// because none can be had.
+func (c *Core) ReclaimableRefused(now time.Time, service entity.ServiceName, dc entity.DataCentreID, refused bool) {
+	key := reclaimablePlace{service, dc}
+	if !refused {
+		c.dry.Delete(key)
+		return
+	}
+	c.dry.Put(key, &now)
+}
+
+func (c *Core) dryAt(now time.Time, service entity.ServiceName, dc entity.DataCentreID) bool {
+	at := c.dry.Get(reclaimablePlace{service, dc})
+	return at != nil && now.Sub(*at) < dryFor
+}
+
 // level returns the level of work that a service's capacity is planned for.
 func (c *Core) level(service entity.ServiceName) *capacity.Level {
 	level := c.levels.Get(service)
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -258,6 +258,11 @@
 			err = fmt.Errorf("%w, though the lease is held: %w", provider.ErrRefused, errors.New(err.Error()))
 		}
 		d.orders.done(clock.Now(), o, err)
+		if o.Market == provider.Reclaimable {
+			d.g.locked(func(c *exchange.Core, now time.Time) {
+				c.ReclaimableRefused(now, o.Service, o.DataCentre, errors.Is(err, provider.ErrRefused))
+			})
+		}
 		if err == nil {
 			d.g.event(event.ServersWanted, "", event.A("order", fmt.Sprint(o)), event.A("work", d.work(o.Service)))
 			continue
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -29,6 +29,7 @@
 	count int
 	ok    bool
 	at    time.Time
+	most  int // servers that have been there since
 }
 
 // orderBook remembers the orders of this daemon while it holds the lease.
@@ -65,7 +66,10 @@
 		return true
 	case !p.ok:
 		return now.Sub(p.at) >= refusedPause
+	case there < p.most:
+		return now.Sub(p.at) >= refusedPause // some have been taken away
 	default:
+		p.most = min(there, count)
 		return there < count && now.Sub(p.at) >= missingPause
 	}
 }
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -3,7 +3,9 @@
 // take all reclaimable servers of a data centre while no others can be had:
 // cheap reclaimable servers, more than the load needs and spread so that one
 // wave leaves most of them, carry the load; what they lack after a wave is
-// ordered on demand at once, and given back when they return.
+// ordered on demand at once, and given back when they return. At the limit of a
+// data centre it takes the place of reclaimable servers only where none can be
+// had, so that a wave in one place does not drive them out of the others.
 package capacity
 
 import (
@@ -16,8 +18,11 @@
 
 // Place is a data centre with its price in parts of the base price.
 type Place struct {
-	DataCentre entity.DataCentreID
-	Price      float64
+	DataCentre  entity.DataCentreID
+	Price       float64
+	OnDemand    int  // on-demand servers that are there
+	Reclaimable int  // reclaimable servers that are there
+	Dry         bool // no more reclaimable ones can be had at present
 }
 
 // Input is what the decision is made from.
@@ -26,7 +31,6 @@
 	Min, Max         int     // in one data centre, both classes together
 	ReclaimablePrice float64 // in parts of an on-demand server's price
 	Work             float64 // servers that the demand keeps busy all the time
-	Reclaimable      int     // reclaimable servers that are there
 }
 
 // Want is the number of servers wanted in a data centre.
@@ -61,28 +65,48 @@
 		wants[i] = Want{DataCentre: p.DataCentre}
 	}
 	cheap := math.Max(0, 1-in.ReclaimablePrice/dearPrice)
+	base := int(math.Ceil(in.Work * basePart))
 	reclaimable := int(math.Ceil(in.Work * reclaimablePart * cheap))
-	total := totalPart*cheap + alonePart*(1-cheap)
-	onDemand := int(math.Ceil(in.Work*total)) - min(in.Reclaimable, reclaimable)
-	spread(wants, max(onDemand, int(math.Ceil(in.Work*basePart))), in.Max, func(w *Want) *int { return &w.OnDemand })
-	spread(wants, reclaimable, in.Max, func(w *Want) *int { return &w.Reclaimable })
+	total := int(math.Ceil(in.Work * (totalPart*cheap + alonePart*(1-cheap))))
+	there := 0
+	for _, p := range places {
+		there += p.Reclaimable
+	}
+
+	spread(wants, base, func(i int) bool { return wants[i].servers() < in.Max }, onDemand)
+	spread(wants, reclaimable, func(i int) bool { return wants[i].servers() < in.Max }, reclaimableServers)
+	missing := total - base - min(there, reclaimable)
+	spread(wants, missing, func(i int) bool { return wants[i].OnDemand+places[i].kept(&wants[i], in.Max) < in.Max }, onDemand)
 	for i := range wants {
 		w := &wants[i]
+		w.Reclaimable = min(w.Reclaimable, in.Max-w.OnDemand)
 		w.OnDemand = max(w.OnDemand, in.Min-w.Reclaimable)
 	}
 	return wants
 }
 
-// spread adds servers one by one where there are fewest.
-func spread(wants []Want, count, limit int, field func(*Want) *int) {
+// kept returns how many reclaimable servers on-demand ones may not replace. Those
+// that are still to come replace no on-demand server that is there.
+func (p *Place) kept(w *Want, limit int) int {
+	there := min(p.Reclaimable, w.Reclaimable)
+	if p.Dry {
+		return there
+	}
+	return max(there, min(w.Reclaimable, limit-p.OnDemand))
+}
+
+func (w *Want) servers() int { return w.OnDemand + w.Reclaimable }
+
+func onDemand(w *Want) *int { return &w.OnDemand }
+
+func reclaimableServers(w *Want) *int { return &w.Reclaimable }
+
+// spread adds servers one by one where there is room and there are fewest.
+func spread(wants []Want, count int, room func(int) bool, field func(*Want) *int) {
 	for ; count > 0; count-- {
 		var least *Want
 		for i := range wants {
-			w := &wants[i]
-			if w.OnDemand+w.Reclaimable >= limit {
-				continue
-			}
-			if least == nil || *field(w) < *field(least) {
+			if w := &wants[i]; room(i) && (least == nil || *field(w) < *field(least)) {
 				least = w
 			}
 		}
--- a/internal/system/capacity/capacity_test.go
+++ b/internal/system/capacity/capacity_test.go
@@ -8,7 +8,16 @@
 )
 
 func places() []Place {
-	return []Place{{"a", 1}, {"b", 1.2}, {"c", 0.8}}
+	return []Place{{DataCentre: "a", Price: 1}, {DataCentre: "b", Price: 1.2}, {DataCentre: "c", Price: 0.8}}
+}
+
+// placesWith returns the places with reclaimable servers in each.
+func placesWith(reclaimable ...int) []Place {
+	out := places()
+	for i, n := range reclaimable {
+		out[i].Reclaimable = n
+	}
+	return out
 }
 
 func sum(wants []Want) (onDemand, reclaimable int) {
@@ -21,7 +30,7 @@
 
 func TestPlan_OneDataCentresReclaimLeavesEnough(t *testing.T) {
 	const work = 6.0
-	wants := Plan(Input{Places: places(), Min: 1, Max: 8, ReclaimablePrice: 0.15, Work: work, Reclaimable: 12})
+	wants := Plan(Input{Places: placesWith(4, 4, 4), Min: 1, Max: 8, ReclaimablePrice: 0.15, Work: work})
 	onDemand, reclaimable := sum(wants)
 	for _, w := range wants {
 		if left := onDemand + reclaimable - w.Reclaimable; float64(left) < work {
@@ -31,12 +40,11 @@
 }
 
 func TestPlan_WaveIsFilledOnDemand(t *testing.T) {
-	in := Input{Places: places(), Min: 1, Max: 8, ReclaimablePrice: 0.15, Work: 6}
-	in.Reclaimable = 12
+	in := Input{Places: placesWith(4, 4, 4), Min: 1, Max: 8, ReclaimablePrice: 0.15, Work: 6}
 	before, _ := sum(Plan(in))
 	var reclaimable int
-	for _, left := range []int{8, 4, 0} { // one, two and all data centres are lost
-		in.Reclaimable = left
+	for lost, left := range []int{8, 4, 0} { // one, two and all data centres are lost
+		in.Places[lost].Reclaimable, in.Places[lost].Dry = 0, true
 		var after int
 		after, reclaimable = sum(Plan(in))
 		if float64(after+left) < in.Work {
@@ -51,6 +59,42 @@
 	}
 }
 
+// TestPlan_WaveAtTheLimitLeavesTheOthersAlone replays a wave through one of three
+// data centres while the plan is near the most servers allowed: what is ordered
+// on demand for it must not drive the reclaimable ones out of the others.
+func TestPlan_WaveAtTheLimitLeavesTheOthersAlone(t *testing.T) {
+	in := Input{Places: placesWith(45, 45, 45), Min: 1, Max: 60, ReclaimablePrice: 0.18, Work: 150}
+	before := Plan(in)
+	in.Places[1].Reclaimable, in.Places[1].Dry = 0, true
+	after := Plan(in)
+	if onDemand, _ := sum(after); float64(onDemand+45+45) < 0.95*in.Work {
+		t.Errorf("%d on demand and 90 reclaimable servers after the wave, %v are busy", onDemand, in.Work)
+	}
+	for i := range after {
+		if after[i].DataCentre != "b" && after[i].Reclaimable < before[i].Reclaimable {
+			t.Errorf("%+v, %+v before a wave elsewhere", after[i], before[i])
+		}
+	}
+}
+
+// TestPlan_OnDemandStaysUntilReclaimableServersAreThere replays the end of a wave
+// through all data centres: the orders are accepted again, the servers still
+// start.
+func TestPlan_OnDemandStaysUntilReclaimableServersAreThere(t *testing.T) {
+	in := Input{Places: places(), Min: 1, Max: 8, ReclaimablePrice: 0.18, Work: 10.4}
+	for i := range in.Places {
+		in.Places[i].OnDemand = 4
+	}
+	for booted := range 5 {
+		for i := range in.Places {
+			in.Places[i].Reclaimable = booted
+		}
+		if onDemand, _ := sum(Plan(in)); float64(onDemand+3*booted) < 0.95*in.Work {
+			t.Errorf("%d on demand with %d reclaimable servers, %v are busy", onDemand, 3*booted, in.Work)
+		}
+	}
+}
+
 func TestPlan_KeepsBounds(t *testing.T) {
 	for _, work := range []float64{0, 0.1, 3, 50} {
 		for _, w := range Plan(Input{Places: places(), Min: 2, Max: 5, ReclaimablePrice: 0.15, Work: work}) {
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -298,14 +298,14 @@
 
 // End frees what a request took. Whole says that its answer was complete.
 func (p *Placer) End(now time.Time, l *Load, whole bool) {
+	r := p.servers.Get(l.Server)
 	if whole && l.Running {
 		s, ran := p.speed(l.service), float64(now.Sub(l.firstAt))/float64(time.Millisecond)
 		s.learnRun(ran)
 		if l.Output > 0 {
-			s.learnOutput(ran, float64(l.Output))
+			s.learnOutput(ran, float64(l.Output), l.calm && r != nil && r.calm())
 		}
 	}
-	r := p.servers.Get(l.Server)
 	if r == nil {
 		return
 	}
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -40,6 +40,7 @@
 	first      line    // to the first event of engines as they are
 	calm       line    // to the first event of engines with little to do
 	perOutput  average // ms for each token of an answer
+	calmOutput average // the same of engines with little to do
 	perRequest float64 // ms for a request to a plain backend server
 	perRun     float64 // ms from a request's first event to its end
 }
@@ -47,6 +48,7 @@
 func newSpeed() *speed {
 	return &speed{
 		first: newLine(), calm: newLine(), perOutput: average{value: initialPerOutput},
+		calmOutput: average{value: initialPerOutput},
 		perRequest: initialPerRequest, perRun: initialPerRun,
 	}
 }
@@ -124,7 +126,7 @@
 func (p *Placer) Work(service entity.ServiceName, d Demand) float64 {
 	s := p.speed(service)
 	batch := max(float64(p.slots(service))/2, 1)
-	return (d.Prompt*s.calm.perToken() + d.Output*s.perOutput.value/batch) / 1000
+	return (d.Prompt*s.calm.perToken() + d.Output*s.calmOutput.value/batch) / 1000
 }
 
 // slots returns the slots of a service's backend servers, the most that one has.
@@ -140,8 +142,11 @@
 }
 
 // learnOutput takes the time in ms that the tokens of an answer took.
-func (s *speed) learnOutput(time, tokens float64) {
+func (s *speed) learnOutput(time, tokens float64, calm bool) {
 	s.perOutput.learn(time / tokens)
+	if calm {
+		s.calmOutput.learn(time / tokens)
+	}
 }
 
 // learnRun takes the time in ms that a request held its slot after its first
@@ -164,5 +169,6 @@
 // Speed describes what has been learned of a service's engines, for logs.
 func (p *Placer) Speed(service entity.ServiceName) string {
 	s := p.speed(service)
-	return fmt.Sprintf("first %.0f ms prompt %.4f ms, calm %.4f ms output %.2f ms", s.first.predict(0), s.first.perToken(), s.calm.perToken(), s.perOutput.value)
+	return fmt.Sprintf("first %.0f ms prompt %.4f ms, calm %.4f ms, output %.2f ms, calm %.2f ms",
+		s.first.predict(0), s.first.perToken(), s.calm.perToken(), s.perOutput.value, s.calmOutput.value)
 }
