Count a silent daemon's use of quotas as unknown after one and a half messages

Cause of the rest: 1.3 s until the silence counts, in which a third of the fleet spends a hot organisation's demand on top of the quota. Change: one and a half times between messages, 0.6 s at least; what is set aside for a lost message comes back with the next.

--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -161,9 +161,12 @@
 }
 
 const (
-	// spendingMessages is how many messages of a daemon may be missing before it
-	// counts as spending quotas without being heard.
-	spendingMessages = 2
+	// leastSpending is how long after its news a daemon's use of quotas counts as
+	// known, in a small fleet.
+	leastSpending = 600 * time.Millisecond
+	// spendingMessages is the same in times between two messages. It may be short:
+	// what is set aside for a daemon whose message was lost comes back with the next.
+	spendingMessages = 1.5
 	// alone is how long a daemon may hear nobody before it counts as cut off.
 	alone = 400 * time.Millisecond
 )
@@ -172,7 +175,7 @@
 // known.
 func (c *Core) spendsHeard() time.Duration {
 	interval := time.Duration(c.peers.Len()) * c.cfg.Bounds.NewsPerPeer
-	return max(leastSilence, spendingMessages*interval)
+	return max(leastSpending, time.Duration(spendingMessages*float64(interval)))
 }
 
 // cutOff reports whether nobody has been heard lately.
