--- a/internal/command/platform_test.go
+++ b/internal/command/platform_test.go
@@ -29,6 +29,24 @@
 	}
 }
 
+func TestValidate_PlatformConfiguration(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	for text, want := range map[string]string{
+		`{"version":1,"services":[{"name":"a"}],"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"idempotent","service":"a"}]}`: "",
+		`{"version":1,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"idempotent","service":"a"}]}`:                           `service "a" is not defined`,
+		`{"version":"one"}`: "version",
+	} {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out, errs strings.Builder
+		code := Run(t.Context(), []string{"validate", "--platform", file}, &out, &errs)
+		if (code == ExitOK) != (want == "") || !strings.Contains(errs.String(), want) {
+			t.Errorf("%s: exit %d: %s", text, code, errs.String())
+		}
+	}
+}
+
 func TestGateway_MissingSettings(t *testing.T) {
 	var out, errs strings.Builder
 	if code := Run(t.Context(), []string{"gateway", "/nowhere/node.toml"}, &out, &errs); code != ExitFailed || !strings.Contains(errs.String(), "settings") {
