Give nobody what was set aside for daemons that are forgotten

Cause: ten seconds after the cut its daemons were forgotten, and what had been set aside for them (a third of the bucket) was handed out at once; each of those cut off got the whole of it. Change: it is dropped; daemons that hear half of the others or fewer remember them twice as long, since they are more likely to be the ones cut off. Tests, failing before: TestLedger_ForgottenDaemonsPartIsNotHandedOut, TestTick_MinorityRemembersTheOthersLonger.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -339,6 +339,28 @@
 	}
 }
 
+func TestTick_MinorityRemembersTheOthersLonger(t *testing.T) {
+	for _, silent := range []int{2, 7} {
+		c := newTestCore(t, "a")
+		for second := range 16 {
+			now := at(time.Duration(second) * time.Second)
+			for i := range 9 {
+				if second > 0 && i < silent {
+					continue
+				}
+				peer := newTestCore(t, "p"+strconv.Itoa(i))
+				peer.seq += uint32(second)
+				n := peer.News(now)
+				c.Heard(now, &n, 0)
+			}
+			c.Tick(now)
+		}
+		if forgotten := c.peers.Len() == 9-silent; forgotten != (silent < 5) {
+			t.Errorf("%d of 9 others are known, %d of them silent for 15 s", c.peers.Len(), silent)
+		}
+	}
+}
+
 // takeAll takes requests of one organisation until it is refused, and returns
 // their units.
 func (c *Core) takeAll(now time.Time) int {
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -193,22 +193,51 @@
 // Tick does what is due by time alone.
 func (c *Core) Tick(now time.Time) {
 	c.forgetServers(now)
-	heard, known := 1, 1
+	heard, known := c.countDaemons(now)
+	if c.forgetDaemons(now, heard, known) {
+		heard, known = c.countDaemons(now)
+	}
+	c.quota.SetDaemons(now, heard, known)
+	c.budget.SetReserve(max(c.cfg.Bounds.RetrySlack/float64(known), 1))
+}
+
+// countDaemons returns how many daemons may be serving, and how many of them are
+// heard, this one included.
+func (c *Core) countDaemons(now time.Time) (heard, known int) {
+	heard, known = 1, 1
 	cutOff, spendsHeard := c.cutOff(now), c.spendsHeard()
-	for _, name := range c.peers.Keys() {
-		r := c.peers.Get(name)
+	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
 		switch {
 		case !cutOff && !r.heard.IsZero() && now.Sub(r.heard) < spendsHeard:
 			heard, known = heard+1, known+1
-		case !r.heard.IsZero() && now.Sub(r.heard) > c.cfg.Bounds.PeerForget:
-			c.quota.Forget(r.process())
-			c.peers.Delete(name)
 		case c.mayServe(now, r):
 			known++
 		}
+		return true
+	})
+	return heard, known
+}
+
+// minorityPatience is how much longer daemons that hear half of the others or
+// fewer remember the silent ones: they are more likely to be the ones cut off.
+const minorityPatience = 2
+
+// forgetDaemons drops daemons that have been silent for long, and reports whether
+// there were any.
+func (c *Core) forgetDaemons(now time.Time, heard, known int) (dropped bool) {
+	after := c.cfg.Bounds.PeerForget
+	if 2*heard <= known {
+		after *= minorityPatience
 	}
-	c.quota.SetDaemons(now, heard, known)
-	c.budget.SetReserve(max(c.cfg.Bounds.RetrySlack/float64(known), 1))
+	for _, name := range c.peers.Keys() {
+		r := c.peers.Get(name)
+		if !r.heard.IsZero() && now.Sub(r.heard) > after {
+			c.quota.Forget(r.process())
+			c.peers.Delete(name)
+			dropped = true
+		}
+	}
+	return dropped
 }
 
 // mayServe reports whether a daemon may be serving, though it may not be heard.
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -90,13 +90,27 @@
 		l.refill(now, b)
 		return true
 	})
+	kept := l.keptAside(heard, known)
 	l.heard, l.known = max(heard, 1), max(known, heard, 1)
 	l.buckets.All(func(_ entity.OrganisationID, b *bucket) bool {
+		b.aside *= kept
 		l.setAside(b)
 		return true
 	})
 }
 
+// keptAside returns which part of what was set aside stays when the numbers of
+// daemons change. What was set aside for a daemon that is forgotten may have been
+// spent; it is not given to the others.
+func (l *Ledger) keptAside(heard, known int) float64 {
+	silent := l.known - l.heard
+	if silent == 0 || known >= l.known {
+		return 1
+	}
+	forgotten := min(l.known-known, silent)
+	return float64(silent-forgotten) / float64(silent)
+}
+
 // part returns the part of the daemons that is heard.
 func (l *Ledger) part() float64 { return float64(l.heard) / float64(l.known) }
 
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -179,6 +179,18 @@
 	}
 }
 
+func TestLedger_ForgottenDaemonsPartIsNotHandedOut(t *testing.T) {
+	now := time.Unix(0, 0)
+	f := newFleet(4, Limit{Rate: 1000, Burst: 8000}, now)
+	now = now.Add(8 * time.Second)
+	l := f.ledgers[0]
+	l.SetDaemons(now, 1, 4)
+	l.SetDaemons(now, 1, 1)
+	if _, ok := l.Take(now, org, 2500); ok {
+		t.Fatal("a daemon that was cut off takes the others' parts once it has forgotten them")
+	}
+}
+
 func TestLedger_OneDaemonMayUseTheWholeQuota(t *testing.T) {
 	start := time.Unix(0, 0)
 	f := newFleet(9, Limit{Rate: 1000, Burst: 1000}, start)
