--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -117,23 +117,17 @@
 	w.g.event(event.DependencyLost, "", event.A("dependency", w.name), event.A("error", err.Error()))
 }
 
-const (
-	// gatherPerPeer is how long a daemon waits after a change for further ones, for
-	// each other daemon: every change costs a call of each of them.
-	gatherPerPeer = 4 * time.Millisecond
-	// gatherPerPeerMore is the same for those beyond the first manyPeers, since with
-	// their number also the backend servers grow that change.
-	gatherPerPeerMore = 10 * time.Millisecond
-	manyPeers         = 16
-	// maxGather bounds it.
-	maxGather = 600 * time.Millisecond
-)
+// gatherPerPeer is how long a daemon waits after a change for further ones, for
+// each other daemon: every change costs a call of each of them.
+const gatherPerPeer = 4 * time.Millisecond
+
+// maxGather bounds it.
+const maxGather = 400 * time.Millisecond
 
 func (g *Gateway) gatherTime() time.Duration {
 	others := 0
 	g.locked(func(c *exchange.Core, _ time.Time) { others = len(c.Others()) })
-	more := max(others-manyPeers, 0)
-	return min(time.Duration(others-more)*gatherPerPeer+time.Duration(more)*gatherPerPeerMore, maxGather)
+	return min(time.Duration(others)*gatherPerPeer, maxGather)
 }
 
 // confirmWait is how long a call for changes of the configuration waits at the
