--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -167,8 +167,8 @@
 	// spendingMessages is the same in times between two messages. It may be short:
 	// what is set aside for a daemon whose message was lost comes back with the next.
 	spendingMessages = 1.5
-	// alone is how long a daemon may hear nobody before it counts as cut off.
-	alone = 400 * time.Millisecond
+	// aloneAfter is how long a daemon may hear nobody before it counts as cut off.
+	aloneAfter = 400 * time.Millisecond
 )
 
 // spendsHeard returns how long after its news a daemon's use of quotas counts as
@@ -187,7 +187,7 @@
 		}
 		return true
 	})
-	return now.Sub(newest) > alone
+	return now.Sub(newest) > aloneAfter
 }
 
 // Tick does what is due by time alone.
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -57,6 +57,8 @@
 	return out
 }
 
+// needed reports whether to order now, and notes how many servers have been there
+// since the last order.
 func (b *orderBook) needed(now time.Time, key orderKey, count, there int) bool {
 	p := b.placed.Get(key)
 	switch {
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -4,8 +4,9 @@
 // cheap reclaimable servers, more than the load needs and spread so that one
 // wave leaves most of them, carry the load; what they lack after a wave is
 // ordered on demand at once, and given back when they return. At the limit of a
-// data centre it takes the place of reclaimable servers only where none can be
-// had, so that a wave in one place does not drive them out of the others.
+// data centre on-demand servers take the place of reclaimable ones only where
+// none can be had, so that a wave in one place does not drive them out of the
+// others.
 package capacity
 
 import (
@@ -73,10 +74,11 @@
 		there += p.Reclaimable
 	}
 
-	spread(wants, base, func(i int) bool { return wants[i].servers() < in.Max }, onDemand)
-	spread(wants, reclaimable, func(i int) bool { return wants[i].servers() < in.Max }, reclaimableServers)
-	missing := total - base - min(there, reclaimable)
-	spread(wants, missing, func(i int) bool { return wants[i].OnDemand+places[i].kept(&wants[i], in.Max) < in.Max }, onDemand)
+	anyRoom := func(i int) bool { return wants[i].servers() < in.Max }
+	roomOnDemand := func(i int) bool { return wants[i].OnDemand+places[i].kept(&wants[i], in.Max) < in.Max }
+	spread(wants, base, anyRoom, onDemand)
+	spread(wants, reclaimable, anyRoom, reclaimableServers)
+	spread(wants, total-base-min(there, reclaimable), roomOnDemand, onDemand)
 	for i := range wants {
 		w := &wants[i]
 		w.Reclaimable = min(w.Reclaimable, in.Max-w.OnDemand)
