Keep the quotas' levels in the checkpoint

Cause: a daemon that starts anew gave each bucket one second's rate: too much for an organisation that had spent its quota, too little for all others. Change: the checkpoint that the lease's holder writes for the counts has the levels too; a daemon reads it once at its start; a peer's word goes before it. What has come in since is taken to have been spent. Test: TestLedger_AllDaemonsLostAndBack.

--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -63,13 +63,22 @@
 	return out
 }
 
-// Checkpoint returns the counts of all daemons in the newest windows.
-func (c *Core) Checkpoint(now time.Time) map[entity.InstanceID][]usage.Count {
-	return c.usage.All(c.usage.Window(c.sinceEpoch(now)))
+// Checkpoint is what outlives the loss of all daemons.
+type Checkpoint struct {
+	Counts map[entity.InstanceID][]usage.Count `cbor:"1,keyasint"` // of the newest windows
+	Levels map[entity.OrganisationID]float64   `cbor:"2,keyasint"` // of the quotas' buckets
 }
 
-// RestoreCounts takes a checkpoint.
-func (c *Core) RestoreCounts(all map[entity.InstanceID][]usage.Count) { c.usage.Restore(all) }
+// Checkpoint returns the present one.
+func (c *Core) Checkpoint(now time.Time) Checkpoint {
+	return Checkpoint{Counts: c.usage.All(c.usage.Window(c.sinceEpoch(now))), Levels: c.quota.Levels(now)}
+}
+
+// RestoreCounts takes the counts of a checkpoint.
+func (c *Core) RestoreCounts(p *Checkpoint) { c.usage.Restore(p.Counts) }
+
+// RestoreQuotas takes the levels of the quotas' buckets of a checkpoint.
+func (c *Core) RestoreQuotas(p *Checkpoint) { c.quota.Restore(p.Levels) }
 
 // ServerCount is a number of backend servers of one service, data centre and
 // class.
--- a/internal/gateway/checkpoint.go
+++ b/internal/gateway/checkpoint.go
@@ -8,14 +8,13 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
-	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
-	"github.com/gooseberryslip/gooseberryslip/internal/system/usage"
 )
 
-// The holder of the lease writes the counts of the present windows to the table
-// service several times a second, so that they outlive all daemons at once.
+// The holder of the lease writes the counts of the present windows and what the
+// quotas hold to the table service several times a second, so that they outlive
+// all daemons at once.
 
 const (
 	checkpointRow = "counts"
@@ -34,19 +33,19 @@
 
 // save writes the counts if they have changed and it is time.
 func (d *duties) save(life context.Context) {
-	var counts map[entity.InstanceID][]usage.Count
+	var present exchange.Checkpoint
 	daemons := 1
 	d.g.locked(func(c *exchange.Core, now time.Time) {
-		counts = c.Checkpoint(now)
+		present = c.Checkpoint(now)
 		daemons += len(c.Others())
 	})
 	now := clock.Now()
 	if now.Sub(d.saved.at) < time.Duration(daemons)*checkpointPerDaemon {
 		return
 	}
-	body, err := codec.Encode(counts)
+	body, err := codec.Encode(present)
 	if err != nil {
-		d.g.Log.Logger().WithError(err).Error("counts cannot be encoded")
+		d.g.Log.Logger().WithError(err).Error("a checkpoint cannot be encoded")
 		return
 	}
 	if bytes.Equal(body, d.saved.written) || len(body) > maxCheckpoint {
@@ -64,17 +63,34 @@
 
 // restore takes the counts of the former holder.
 func (d *duties) restore(ctx context.Context) {
-	row, err := d.g.Table.Get(ctx, dutyPartition, checkpointRow, true)
+	if p := d.g.readCheckpoint(ctx); p != nil {
+		d.g.locked(func(c *exchange.Core, _ time.Time) { c.RestoreCounts(p) })
+	}
+}
+
+// restoreQuotas lets quotas begin where they were before this daemon's start.
+// Without the row they begin with little.
+func (g *Gateway) restoreQuotas(life context.Context) {
+	ctx, cancel := context.WithTimeout(life, peerTimeout)
+	defer cancel()
+	if p := g.readCheckpoint(ctx); p != nil {
+		g.locked(func(c *exchange.Core, _ time.Time) { c.RestoreQuotas(p) })
+	}
+}
+
+// readCheckpoint returns the newest checkpoint, nil if none can be read.
+func (g *Gateway) readCheckpoint(ctx context.Context) *exchange.Checkpoint {
+	row, err := g.Table.Get(ctx, dutyPartition, checkpointRow, true)
 	if err != nil {
 		if !errors.Is(err, provider.ErrNotFound) {
-			d.g.Log.Logger().WithError(err).Warn("the former holder's counts cannot be read")
+			g.Log.Logger().WithError(err).Warn("the checkpoint cannot be read")
 		}
-		return
+		return nil
 	}
-	var counts map[entity.InstanceID][]usage.Count
-	if err := codec.Decode(row.Value, &counts); err != nil {
-		d.g.Log.Logger().WithError(err).Warn("the former holder's counts cannot be decoded")
-		return
+	p := &exchange.Checkpoint{}
+	if err := codec.Decode(row.Value, p); err != nil {
+		g.Log.Logger().WithError(err).Warn("the checkpoint cannot be decoded")
+		return nil
 	}
-	d.g.locked(func(c *exchange.Core, _ time.Time) { c.RestoreCounts(counts) })
+	return p
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -45,6 +45,7 @@
 
 // runPeers sets up the connections to the other daemons and exchanges news.
 func (g *Gateway) runPeers(life context.Context) {
+	g.restoreQuotas(life)
 	g.setUp(life, g.learnTime)
 	var authority *peer.Authority
 	g.setUp(life, func(ctx context.Context) (err error) {
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -5,14 +5,15 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
 const (
-	// startShare is the part of one second's rate with which a bucket starts
-	// before a peer has told its level.
+	// startShare is the part of one second's rate with which a bucket starts whose
+	// level is not known.
 	startShare = 1.0
 	// maxWait bounds the time to come back.
 	maxWait = 5 * time.Second
@@ -41,6 +42,7 @@
 	peers   *entity.Table[peerKey, float64] // totals last heard
 	heard   int                             // daemons that are heard, this one included
 	known   int
+	saved   map[entity.OrganisationID]float64 // levels before this daemon's start
 }
 
 type peerKey struct {
@@ -72,7 +74,9 @@
 func (l *Ledger) SetLimit(now time.Time, id entity.OrganisationID, limit Limit) {
 	b := l.buckets.Get(id)
 	if b == nil {
-		l.buckets.Put(id, &bucket{limit: limit, level: min(limit.Rate*startShare, limit.Burst), at: now})
+		b = &bucket{limit: limit, level: min(limit.Rate*startShare, limit.Burst), at: now}
+		l.buckets.Put(id, b)
+		l.fromSaved(id, b)
 		return
 	}
 	l.refill(now, b)
@@ -81,6 +85,39 @@
 	b.aside = min(b.aside, l.capacity(b)*(1-l.part()))
 }
 
+// Levels returns what all buckets hold, to be kept for daemons that start anew.
+func (l *Ledger) Levels(now time.Time) map[entity.OrganisationID]float64 {
+	out := make(map[entity.OrganisationID]float64)
+	l.buckets.All(func(id entity.OrganisationID, b *bucket) bool {
+		if b.limit.Rate > 0 {
+			l.refill(now, b)
+			out[id] = math.Round(b.level + b.aside)
+		}
+		return true
+	})
+	return out
+}
+
+// Restore takes the levels that another daemon had some time ago. What has come
+// in since is taken to have been spent. A peer's word goes before them.
+func (l *Ledger) Restore(levels map[entity.OrganisationID]float64) {
+	l.saved = levels
+	l.buckets.All(func(id entity.OrganisationID, b *bucket) bool {
+		if !b.seeded {
+			l.fromSaved(id, b)
+		}
+		return true
+	})
+}
+
+// fromSaved lets a bucket begin at its level before this daemon's start.
+func (l *Ledger) fromSaved(id entity.OrganisationID, b *bucket) {
+	if level, ok := l.saved[id]; ok {
+		b.level, b.aside = min(level, l.capacity(b)), 0
+		l.setAside(b)
+	}
+}
+
 // SetDaemons says how many daemons there are and how many of them are heard.
 func (l *Ledger) SetDaemons(now time.Time, heard, known int) {
 	if heard == l.heard && known == l.known {
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -221,6 +221,36 @@
 	}
 }
 
+// TestLedger_AllDaemonsLostAndBack replays the loss of all daemons at once while
+// one organisation has spent its quota and another has not.
+func TestLedger_AllDaemonsLostAndBack(t *testing.T) {
+	now := time.Unix(100, 0)
+	limit := Limit{Rate: 1000, Burst: 5000}
+	before := New()
+	before.SetLimit(now, "spent", limit)
+	before.SetLimit(now, "full", limit)
+	now = now.Add(10 * time.Second)
+	before.Take(now, "spent", 5000)
+	saved := before.Levels(now)
+	for _, limitsFirst := range []bool{false, true} {
+		l := New()
+		if !limitsFirst {
+			l.Restore(saved)
+		}
+		l.SetLimit(now, "spent", limit)
+		l.SetLimit(now, "full", limit)
+		if limitsFirst {
+			l.Restore(saved)
+		}
+		if _, ok := l.Take(now, "spent", 100); ok {
+			t.Error("a spent quota is there again after a restart")
+		}
+		if _, ok := l.Take(now, "full", 4900); !ok {
+			t.Error("a quota that was there is gone after a restart")
+		}
+	}
+}
+
 func TestLedger_LowerLimitBinds(t *testing.T) {
 	now := time.Unix(0, 0)
 	l := New()
