Hear daemons whose clocks began anew

Cause: a process is told from its predecessor by its start on the clock that counts from the instance's boot. After a loss of power that clock begins anew, the store still lists the former starts, which lie later, and messages of the new processes were taken for late ones of the former.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -339,6 +339,28 @@
 	}
 }
 
+// TestHeard_InstancesWhoseClocksBeganAnew replays the loss of power of all
+// instances: the store still lists the former processes, whose starts lie later on
+// clocks that have begun anew.
+func TestHeard_InstancesWhoseClocksBeganAnew(t *testing.T) {
+	c, former, reborn := newTestCore(t, "a"), newTestCoreOf(t, "b", 1000), newTestCoreOf(t, "b", 5)
+	c.Introduce(zero, former.cfg.Self)
+	n := reborn.News(zero)
+	if c.Heard(zero, &n, 0); c.Echo("b") != reborn.seq {
+		t.Fatal("a listed daemon is not heard after its clock has begun anew")
+	}
+	n = former.News(at(time.Second))
+	c.Heard(at(2*time.Second), &n, 0)
+	n = reborn.News(at(2100 * time.Millisecond))
+	if c.Heard(at(2100*time.Millisecond), &n, 0); c.Echo("b") == reborn.seq {
+		t.Fatal("an earlier start replaced a process that was heard just now")
+	}
+	n = reborn.News(at(4 * time.Second))
+	if c.Heard(at(4*time.Second), &n, 0); c.Echo("b") != reborn.seq {
+		t.Fatal("a daemon is not heard after its clock has begun anew")
+	}
+}
+
 func TestTick_MinorityRemembersTheOthersLonger(t *testing.T) {
 	for _, silent := range []int{2, 7} {
 		c := newTestCore(t, "a")
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -11,7 +11,7 @@
 // Member is a daemon as it introduces itself.
 type Member struct {
 	Name       entity.InstanceID   `cbor:"1,keyasint" json:"name"`
-	Start      int64               `cbor:"2,keyasint" json:"start"` // distinguishes the processes of one name
+	Start      int64               `cbor:"2,keyasint" json:"start"` // distinguishes the processes of one name; begins anew with the instance's clock
 	PeerAddr   string              `cbor:"3,keyasint" json:"peer_addr"`
 	CallerAddr string              `cbor:"4,keyasint" json:"caller_addr"`
 	DataCentre entity.DataCentreID `cbor:"5,keyasint" json:"data_centre"`
@@ -39,10 +39,13 @@
 
 // Introduce takes a daemon that the store lists.
 func (c *Core) Introduce(now time.Time, m Member) {
-	if m.Name == c.cfg.Self.Name || c.peers.Get(m.Name) != nil {
+	if m.Name == c.cfg.Self.Name {
 		return
 	}
-	c.peers.Put(m.Name, &peerRow{Member: m, since: now})
+	row := c.peers.Get(m.Name)
+	if row == nil || row.heard.IsZero() && row.Start != m.Start {
+		c.peers.Put(m.Name, &peerRow{Member: m, since: now})
+	}
 }
 
 // neverHeard is how long a listed daemon may be unheard before its entry is
@@ -76,7 +79,7 @@
 		return
 	}
 	row := c.peers.Get(n.From.Name)
-	if row != nil && row.Start > n.From.Start {
+	if row != nil && c.ofFormerProcess(now, row, n) {
 		return
 	}
 	if row == nil || row.Start != n.From.Start {
@@ -99,6 +102,13 @@
 	c.confirmBy(n, echo)
 }
 
+// ofFormerProcess reports whether a message comes from an earlier process of a
+// daemon than the one that has been heard. A start that seems earlier is a new one
+// if the other has been silent: the instance's clock began anew.
+func (c *Core) ofFormerProcess(now time.Time, row *peerRow, n *News) bool {
+	return n.From.Start < row.Start && !row.heard.IsZero() && now.Sub(row.heard) < leastSilence
+}
+
 // take hands the parts of a message to those that use them.
 func (c *Core) take(now time.Time, row *peerRow, n *News) {
 	process := row.process()
