--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -69,3 +70,27 @@
 		t.Fatal("accepted")
 	}
 }
+
+// BenchmarkLog_RequestLine writes lines as a gateway does for each request, as
+// fast as it can: most are over the budget of their kind and are only counted.
+func BenchmarkLog_RequestLine(b *testing.B) {
+	for name, apart := range map[string]time.Duration{"flood": time.Microsecond, "within_budget": 10 * time.Millisecond} {
+		b.Run(name, func(b *testing.B) {
+			l, err := New(NewAsync(io.Discard), Options{Level: "info", Format: "json", Process: "p", DataCentre: "a"})
+			if err != nil {
+				b.Fatal(err)
+			}
+			now := time.Unix(1_700_000_000, 0)
+			attrs := []event.Attr{
+				event.A("status", 200), event.A("ms", int64(120)), event.A("tried", "i-0123456789 answered 119.9ms "),
+				event.A("left_ms", int64(3000)), event.A("route", "r-0123456"), event.A("service", "app"),
+				event.A("organisation", "org"), event.A("version", uint64(7)), event.A("version_age_ms", int64(900)),
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(apart)
+				l.Event(now, event.Event{Number: event.ExchangeAnswered, Request: "8729554c3a80a99b", Attrs: attrs})
+			}
+		})
+	}
+}
