--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -12,3 +13,14 @@
 		t.Fatalf("the clock advanced by %v in a sleep of 2 ms", d)
 	}
 }
+
+func TestWait_EndsWithTheContext(t *testing.T) {
+	if !Wait(t.Context(), time.Millisecond) {
+		t.Fatal("a wait was cut short")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if Wait(ctx, time.Hour) {
+		t.Fatal("a wait outlasted its context")
+	}
+}
--- a/internal/exchange/duties.go
+++ b/internal/exchange/duties.go
@@ -145,9 +145,10 @@
 
 func (c *Core) capacityInput(now time.Time, s *Service) capacity.Input {
 	in := capacity.Input{Min: s.Scale.Min, Max: s.Scale.Max, ReclaimablePrice: s.Scale.ReclaimablePrice}
+	listed := c.Listed()
 	for _, dc := range c.cfg.DataCentres {
 		place := capacity.Place{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc], Dry: c.dryAt(now, s.Name, dc)}
-		for _, n := range c.Listed() {
+		for _, n := range listed {
 			switch {
 			case n.Service != s.Name || n.DataCentre != dc:
 			case n.Reclaimable:
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -112,7 +112,7 @@
 // take hands the parts of a message to those that use them.
 func (c *Core) take(now time.Time, row *peerRow, n *News) {
 	process := row.process()
-	c.placer.SetNewsInterval(time.Duration(c.peers.Len()) * c.cfg.Bounds.NewsPerPeer)
+	c.placer.SetNewsInterval(c.newsInterval())
 	c.placer.Heard(now, row.Name, n.Loads, c.silence())
 	c.quota.Heard(now, process, n.Quota)
 	c.usage.Heard(process, n.Usage)
@@ -159,10 +159,14 @@
 	silentMessages = 5
 )
 
+// newsInterval returns the time between two messages of a daemon in a large fleet.
+func (c *Core) newsInterval() time.Duration {
+	return time.Duration(c.peers.Len()) * c.cfg.Bounds.NewsPerPeer
+}
+
 // silence returns how long another daemon counts as alive without news.
 func (c *Core) silence() time.Duration {
-	interval := time.Duration(c.peers.Len()) * c.cfg.Bounds.NewsPerPeer
-	return max(leastSilence, silentMessages*interval)
+	return max(leastSilence, silentMessages*c.newsInterval())
 }
 
 // heardLately reports whether a daemon spoke a short time ago.
@@ -184,8 +188,7 @@
 // spendsHeard returns how long after its news a daemon's use of quotas counts as
 // known.
 func (c *Core) spendsHeard() time.Duration {
-	interval := time.Duration(c.peers.Len()) * c.cfg.Bounds.NewsPerPeer
-	return max(leastSpending, time.Duration(spendingMessages*float64(interval)))
+	return max(leastSpending, time.Duration(spendingMessages*float64(c.newsInterval())))
 }
 
 // cutOff reports whether nobody has been heard lately.
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -39,7 +39,7 @@
 // daemon holds it.
 func (g *Gateway) runDuties(life context.Context) {
 	d := &duties{g: g, orders: newOrderBook()}
-	for pause(life, dutyInterval) {
+	for clock.Wait(life, dutyInterval) {
 		contend := false
 		g.locked(func(c *exchange.Core, now time.Time) { contend = c.Contend(now) })
 		if contend {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,20 +231,8 @@
 const sweepInterval = 250 * time.Millisecond
 
 func (g *Gateway) runHousekeeping(life context.Context) {
-	for pause(life, sweepInterval) {
+	for clock.Wait(life, sweepInterval) {
 		g.pool.Sweep()
 		g.locked(func(c *exchange.Core, now time.Time) { c.Tick(now) })
 	}
 }
-
-// pause waits and reports whether the context still lives.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
@@ -77,7 +78,7 @@
 			return
 		}
 		g.Log.Logger().WithError(err).Warn("the table service does not answer yet")
-		pause(life, setUpPause+rand.N(setUpPause))
+		clock.Wait(life, setUpPause+rand.N(setUpPause))
 	}
 }
 
@@ -168,7 +169,7 @@
 	for {
 		others := g.tellAll(t)
 		g.askForDocument(t)
-		if !pause(life, max(newsInterval, time.Duration(others)*newsPerPeer)) {
+		if !clock.Wait(life, max(newsInterval, time.Duration(others)*newsPerPeer)) {
 			return
 		}
 	}
@@ -231,7 +232,7 @@
 		if n < firstDiscoveries {
 			interval = time.Second
 		}
-		if !pause(life, interval+rand.N(interval/4)) {
+		if !clock.Wait(life, interval+rand.N(interval/4)) {
 			return
 		}
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -45,12 +45,12 @@
 		switch {
 		case err == nil:
 			w.regained()
-			pause(ctx, w.gather)
+			clock.Wait(ctx, w.gather)
 		case errors.Is(err, provider.ErrHistoryLost):
 			w.position = 0
 		default:
 			w.lost(ctx, err)
-			pause(ctx, watchPause+rand.N(watchPause))
+			clock.Wait(ctx, watchPause+rand.N(watchPause))
 		}
 	}
 }
@@ -173,7 +173,7 @@
 
 // watchWait ends a long call when nobody confirms the configuration any more.
 func (g *Gateway) watchWait(ctx context.Context, cancel context.CancelFunc) {
-	for pause(ctx, watchInterval) {
+	for clock.Wait(ctx, watchInterval) {
 		if !g.confirmed() {
 			cancel()
 			return
--- a/internal/load/directory.go
+++ b/internal/load/directory.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 )
 
@@ -50,7 +51,7 @@
 // keep asks for the addresses anew whenever their time is over, until ctx ends.
 func (d *directory) keep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, d.refresh(ctx))
+		clock.Wait(ctx, d.refresh(ctx))
 	}
 }
 
@@ -107,13 +108,3 @@
 	}
 	return others[d.rng.IntN(len(others))]
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/execution.go
+++ b/internal/load/execution.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
@@ -107,7 +108,7 @@
 			break
 		}
 		address = e.dir.pick(address)
-		sleep(ctx, sendPause)
+		clock.Wait(ctx, sendPause)
 	}
 	if e.broken {
 		return e.end(outcome{kind: outcomeUnknown})
@@ -168,7 +169,7 @@
 		if r.kind == resultMoved && r.address != "" {
 			address = r.address
 		} else {
-			sleep(ctx, resumePause)
+			clock.Wait(ctx, resumePause)
 			address = e.dir.pick(address)
 		}
 		e.record.resumed()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider/onesend"
 	"github.com/gooseberryslip/gooseberryslip/internal/standin"
 )
@@ -66,7 +67,7 @@
 		if due.Sub(start) >= d.cfg.Duration {
 			return
 		}
-		sleep(ctx, time.Until(due))
+		clock.Wait(ctx, time.Until(due))
 		if ctx.Err() != nil {
 			return
 		}
@@ -84,7 +85,7 @@
 	if r.resend {
 		outcomes = outcomes[:2]
 		beside.Go(func() {
-			sleep(ctx, r.resendWait)
+			clock.Wait(ctx, r.resendWait)
 			other := d.dir.pick(address)
 			outcomes[1] = d.execute(ctx, d.execution(r, time.Now()), other, false)
 		})
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
@@ -214,7 +215,7 @@
 // finish sends what is queued, ends the streams and waits until the peers
 // have closed the connections or ctx ends.
 func (l *link) finish(ctx context.Context) {
-	for l.busy() && sleep(ctx, finishPoll) {
+	for l.busy() && clock.Wait(ctx, finishPoll) {
 	}
 	l.mu.Lock()
 	l.retired = true
@@ -230,15 +231,3 @@
 	defer l.mu.Unlock()
 	return l.dialing || l.queues[0].draining || l.queues[1].draining
 }
-
-// sleep waits for d and returns true, or returns false when ctx ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -83,18 +83,27 @@
 	})
 }
 
-// checkWindows compares each window with the quota and what the daemons may
-// overspend between two messages, once for each change of who is heard.
-func checkWindows(t *rapid.T, history []float64, length int, limit Limit, step time.Duration, daemons, every int) {
-	seconds := (time.Duration(length) * step).Seconds()
-	slack := float64(daemons) * 20 * float64(every+1) * 5
-	bound := limit.Rate*seconds + limit.Burst + slack
+// windowSums returns the units of the windows that end with each step.
+func windowSums(history []float64, length int) []float64 {
+	sums := make([]float64, len(history))
 	sum := 0.0
 	for i, taken := range history {
 		sum += taken
 		if i >= length {
 			sum -= history[i-length]
 		}
+		sums[i] = sum
+	}
+	return sums
+}
+
+// checkWindows compares each window with the quota and what the daemons may
+// overspend between two messages, once for each change of who is heard.
+func checkWindows(t *rapid.T, history []float64, length int, limit Limit, step time.Duration, daemons, every int) {
+	seconds := (time.Duration(length) * step).Seconds()
+	slack := float64(daemons) * 20 * float64(every+1) * 5
+	bound := limit.Rate*seconds + limit.Burst + slack
+	for _, sum := range windowSums(history, length) {
 		if sum > bound {
 			t.Fatalf("%.0f units in %.0f s, more than %.0f", sum, seconds, bound)
 		}
@@ -136,11 +145,7 @@
 		}
 	}
 	allowed := (limit.Rate*8+limit.Burst)*1.1 + 10_000
-	for i := window; i <= len(history); i++ {
-		sum := 0.0
-		for _, taken := range history[i-window : i] {
-			sum += taken
-		}
+	for i, sum := range windowSums(history, window) {
 		if sum > allowed {
 			t.Fatalf("%.0f units in 8 s up to step %d, %.0f allowed", sum, i, allowed)
 		}
@@ -212,17 +217,14 @@
 		}
 	}
 	allowed := (limit.Rate*8+limit.Burst)*1.1 + 10_000
-	for i := window; i <= len(history); i++ {
-		sum := 0.0
-		for _, taken := range history[i-window : i] {
-			sum += taken
-		}
+	sums := windowSums(history, window)
+	for i, sum := range sums {
 		if sum > allowed {
 			t.Fatalf("%.0f units in 8 s up to step %d, %.0f allowed", sum, i, allowed)
 		}
-		if i == len(history) && sum < 0.8*8*limit.Rate {
-			t.Fatalf("%.0f units in the last 8 s of a quota of %.0f", sum, 8*limit.Rate)
-		}
+	}
+	if last := sums[len(sums)-1]; last < 0.8*8*limit.Rate {
+		t.Fatalf("%.0f units in the last 8 s of a quota of %.0f", last, 8*limit.Rate)
 	}
 }
 
