Survive a restore of the table service, and confirm the lease before each call

Cause: in a drill the store comes back from an older copy, gives versions again and counts its returns in a header that nothing read; a list of an older version was refused until the versions had caught up, lost rows of usage reports were composed anew, epochs could be given twice.

Ruled out: a counter in the lease's row (goes back with it), a marker row in each transaction (can be lost itself), stopping until the operator has written again.

Change: versions carry the store's generation; the lease's epoch is its row's version; a holder calls only while its row or acknowledged messages confirm it, a new one waits; reports are remembered by all daemons; rows are written again; entries of the copy revive no server.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -17,14 +17,17 @@
 	ServerEntryOutdated         = define(6113, Info, "entry of a backend server older than a known one ignored")
 	DependencyLost              = define(6120, Warn, "dependency lost")
 	DependencyRegained          = define(6121, Info, "dependency regained")
+	TableRestored               = define(6123, Warn, "table service restored from a backup; rows of its newest writes are lost")
 	ReadinessChanged            = define(6122, Info, "readiness changed")
 	PeerSeen                    = define(6130, Info, "daemon heard")
 	PeerSilent                  = define(6131, Warn, "daemon silent")
 
 	LeaseAcquired     = define(6200, Info, "lease of the fleet's duties taken")
 	LeaseLost         = define(6201, Warn, "lease of the fleet's duties lost")
+	LeaseNotAcquired  = define(6202, Warn, "lease of the fleet's duties could not be taken")
 	UsageReported     = define(6210, Info, "usage reported")
 	UsageReportFailed = define(6211, Warn, "usage report failed")
+	UsageNotComposed  = define(6212, Warn, "usage window left out: its report may have been sent before the table service was restored")
 	ScalingRequested  = define(6220, Info, "backend servers ordered")
 	ScalingFailed     = define(6221, Warn, "order of backend servers failed")
 
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -28,6 +29,7 @@
 	QuotaExcessRatio      float64       // ratio of a window's quota that may be exceeded
 	QuotaExcessUnits      float64       // quota units that may be exceeded in addition to the ratio
 	ForgetPeerAfter       time.Duration // a silent daemon's share of quotas is withheld until it has been silent for this long
+	LeaseDuration         time.Duration // time in which two daemons may not alternate as lease holders
 }
 
 // Config configures a Core.
@@ -48,7 +50,9 @@
 	cfg              Config
 	index            *documentIndex   // nil before the first configuration
 	confirmedAt      time.Time        // start of the call that last confirmed the configuration
+	tableVersion     uint64           // of the configuration that the table service last showed
 	tableRecoveredAt time.Time        // when the table service last answered again after an outage
+	tableRestoredAt  time.Time        // when the table service was last found to have been restored; zero: never
 	leaving          bool             // this daemon is stopping
 	stopDeadline     time.Time        // when the process ends, if leaving
 	unixTimeAtZero   time.Duration    // true time since 1970 at the zero of this instance's clock
@@ -62,6 +66,7 @@
 	budget                 *retry.Budget
 	usage                  *usage.Counter
 	lease                  *lease.Lease
+	reports                reportLog
 	cachedPrompts          []CachedPrompt // prompts placed since the last state update
 	sequence               uint32         // of the last state update sent
 	firstSequence          uint32         // all state updates of this process have higher sequence numbers
@@ -89,7 +94,8 @@
 		reclaimableExhaustedAt: entity.NewTable[reclaimableLocation, time.Time](),
 		quota:                  quota.New(),
 		usage:                  usage.New(cfg.Self.process(), cfg.Bounds.UsageWindow),
-		lease:                  lease.New(cfg.Self.Name, cfg.Started),
+		lease:                  lease.New(cfg.Self.Name, cfg.Started, cmp.Or(cfg.Bounds.LeaseDuration, lease.DefaultDuration)),
+		reports:                newReportLog(),
 	}
 	// The sequence starts at a random number so that acknowledgements of the
 	// previous process's updates can be told apart.
@@ -129,17 +135,6 @@
 	return quota.Limit{Rate: o.RatePerSec, Burst: o.Burst, Tolerance: toleranceRatio * excessUnits}
 }
 
-// Confirm records that the configuration was still the newest one at some moment
-// after the given time.
-func (c *Core) Confirm(at time.Time) {
-	if at.After(c.confirmedAt) {
-		c.confirmedAt = at
-	}
-}
-
-// TableRecovered records that the table service answers again after an outage.
-func (c *Core) TableRecovered(now time.Time) { c.tableRecoveredAt = now }
-
 // SetTrueTime sets the time since 1970 at the zero of this instance's clock, and
 // counts in the usage the requests that started before it was known.
 func (c *Core) SetTrueTime(unixTimeAtZero time.Duration) {
@@ -150,6 +145,12 @@
 	c.uncountedStarts = nil
 }
 
+// TrueTime returns the time since 1970 at a time of this instance's clock, and whether
+// it is known.
+func (c *Core) TrueTime(at time.Time) (sinceEpoch time.Duration, known bool) {
+	return c.sinceUnixEpoch(at), c.trueTimeKnown
+}
+
 // Leave records that this daemon is stopping and that its process ends by the given
 // time.
 func (c *Core) Leave(by time.Time) { c.leaving, c.stopDeadline = true, by }
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -610,7 +610,7 @@
 
 func TestContend_LeavingHolderIsReplacedAtOnce(t *testing.T) {
 	a, b, c := newTestCore(t, "a"), newTestCore(t, "b"), newTestCore(t, "c")
-	a.LeaseAcquired(3)
+	a.LeaseAcquired(zero, zero, 3)
 	a.Leave(at(8 * time.Second))
 	for ms := range 300 {
 		now := at(time.Duration(ms) * 10 * time.Millisecond)
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -120,7 +120,7 @@
 // TargetServers returns the target numbers of backend servers, or nil while too little is
 // known to plan.
 func (c *Core) TargetServers(now time.Time) []ServerCount {
-	if c.index == nil || !c.mayPlan(now) {
+	if c.index == nil || !c.mayPlan(now) || c.recentlyRestored(now) {
 		return nil
 	}
 	var out []ServerCount
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -121,6 +121,9 @@
 	c.usage.ReceiveCounts(process, update.Usage)
 	c.observeLease(now, update)
 	c.AdoptLevels(update.Levels)
+	for _, r := range update.Reports {
+		c.reports.add(r, false)
+	}
 	for _, s := range update.DrainingServers {
 		c.receiveDraining(now, s)
 	}
@@ -135,6 +138,7 @@
 // observeLease applies the sender's lease announcement. A sender that is leaving
 // performs no leader tasks any more, so its lease counts as released.
 func (c *Core) observeLease(now time.Time, update *StateUpdate) {
+	c.lease.ObserveHigherEpoch(now, update.KnownEpoch)
 	if !update.Leaving {
 		c.lease.ObserveEpoch(now, update.LeaseEpoch)
 		return
@@ -298,25 +302,6 @@
 	return rank
 }
 
-// Contend reports whether to try to acquire the lease for the leader tasks now.
-func (c *Core) Contend(now time.Time) bool {
-	if c.leaving || !c.configurationFresh(now) {
-		return false
-	}
-	return c.lease.TryContend(now, c.rankOfSelf(now))
-}
-
-// LeaseAcquired records that the lease's row in the table service names this daemon
-// with the epoch.
-func (c *Core) LeaseAcquired(epoch uint64) { c.lease.MarkAcquired(epoch) }
-
-// LeaseLost records that another daemon holds the lease.
-func (c *Core) LeaseLost(now time.Time) { c.lease.MarkLost(now) }
-
-// LeaseEpoch returns the lease's epoch, which serves as the fencing token, and
-// whether this daemon holds the lease.
-func (c *Core) LeaseEpoch() (epoch uint64, held bool) { return c.lease.Epoch() }
-
 // maxAddresses is the maximum number of addresses in one answer.
 const maxAddresses = 64
 
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -41,9 +41,17 @@
 
 // supersedes reports whether the known entry is newer than s, which must be ignored
 // then. A server that has gone and reports no start time of its process may be a
-// new process whose sequence numbers start again.
-func (r *serverRow) supersedes(s *BackendServer) bool {
-	return s.Born == r.Born && s.Sequence < r.Sequence && (r.listed || s.Born != 0)
+// new process whose sequence numbers start again. After a restore of the table service
+// an earlier entry may be there again: it does not bring back a server that has drained
+// or gone since.
+func (r *serverRow) supersedes(s *BackendServer, restored bool) bool {
+	if s.Born != r.Born {
+		return restored && s.Born < r.Born
+	}
+	if restored && s.Sequence <= r.Sequence && (!r.listed || r.State != Ready) {
+		return true
+	}
+	return s.Sequence < r.Sequence && (r.listed || s.Born != 0)
 }
 
 // tableRecoveryGrace is how long after the table service's recovery from an outage
@@ -54,7 +62,7 @@
 // entry of the same process is known.
 func (c *Core) PutServer(now time.Time, s BackendServer) (accepted bool) {
 	old := c.servers.Get(s.ID)
-	if old != nil && old.supersedes(&s) {
+	if old != nil && old.supersedes(&s, c.recentlyRestored(now)) {
 		return false
 	}
 	if old != nil && old.Born != s.Born && s.Born != 0 {
--- /dev/null
+++ b/internal/exchange/table.go
@@ -0,0 +1,45 @@
+package exchange
+
+import "time"
+
+// What the table service shows can be older than what this daemon knows from it: after a
+// restore from a backup the service lacks its newest rows until their writers have
+// written them again.
+
+// TableRecovered records that the table service answers again after an outage.
+func (c *Core) TableRecovered(now time.Time) { c.tableRecoveredAt = now }
+
+// TableRestored records that a list that was just read is the first one since the table
+// service was restored from a backup.
+func (c *Core) TableRestored(now time.Time) { c.tableRecoveredAt, c.tableRestoredAt = now, now }
+
+// recentlyRestored reports whether rows of the table service may still be missing, or
+// be older than known ones, because of a restore.
+func (c *Core) recentlyRestored(now time.Time) bool {
+	return !c.tableRestoredAt.IsZero() && now.Sub(c.tableRestoredAt) < tableRecoveryGrace
+}
+
+// TableShows records the version of the configuration that the table service shows,
+// which after a restore may be lower than that of the one in force.
+func (c *Core) TableShows(version uint64) { c.tableVersion = version }
+
+// ConfirmByTable records that the table service showed no newer configuration at some
+// moment after the given time. That confirms the configuration in force unless the
+// service lacks that one, or other daemons have had a newer one for a while.
+func (c *Core) ConfirmByTable(now, at time.Time) {
+	if c.index == nil || c.tableVersion < c.index.doc.Version {
+		return
+	}
+	if !c.behindSince.IsZero() && now.Sub(c.behindSince) >= 2*newerVersionDelay {
+		return
+	}
+	c.Confirm(at)
+}
+
+// Confirm records that the configuration was still the newest one at some moment
+// after the given time.
+func (c *Core) Confirm(at time.Time) {
+	if at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
+}
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -39,6 +39,10 @@
 	// Window is the present usage window. What the sender counted in earlier ones
 	// is included in this update or an earlier one.
 	Window int64 `cbor:"16,keyasint,omitempty"`
+	// KnownEpoch is the lease's highest epoch that the sender knows, so that a former
+	// holder that the present one cannot reach learns of it from others.
+	KnownEpoch uint64        `cbor:"17,keyasint,omitempty"`
+	Reports    []UsageReport `cbor:"18,keyasint,omitempty"` // only from the lease holder
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -71,9 +75,12 @@
 		update.Window = c.usage.Window(c.sinceUnixEpoch(now))
 		update.Usage = c.usage.LocalCounts(update.Window, c.sequence, c.ackedByAll(now))
 	}
-	if epoch, held := c.lease.Epoch(); held {
+	epoch, held := c.lease.Epoch()
+	update.KnownEpoch = epoch
+	if held {
 		update.LeaseEpoch = epoch
 		update.Levels = c.Levels()
+		update.Reports = c.reports.unacknowledged(c.sequence, c.ackedByAll(now))
 	}
 	return update
 }
--- a/internal/gateway/clock_origin.go
+++ b/internal/gateway/clock_origin.go
@@ -18,22 +18,59 @@
 	SinceEpoch time.Duration `json:"zero_ns"`
 }
 
+// maxOriginError is the largest difference between the clock origin in the table and
+// this daemon's that the times of calls explain.
+const maxOriginError = 500 * time.Millisecond
+
+// readTableClock returns a reading of the table service's steady clock and the time on
+// this instance's clock to which it belongs.
+func (g *Gateway) readTableClock(ctx context.Context) (tableClock time.Duration, at time.Time, err error) {
+	before := clock.Now()
+	tableClock, err = g.TableClock(ctx)
+	if err != nil {
+		return 0, time.Time{}, err
+	}
+	after := clock.Now()
+	return tableClock, before.Add(after.Sub(before) / 2), nil
+}
+
 // learnTrueTime reads the table service's clock and sets the core's true time, on which
 // all daemons agree.
 func (g *Gateway) learnTrueTime(ctx context.Context) error {
-	before := clock.Now()
-	tableClock, err := g.TableClock(ctx)
+	tableClock, at, err := g.readTableClock(ctx)
 	if err != nil {
 		return err
 	}
-	after := clock.Now()
-	now := before.Add(after.Sub(before) / 2)
 	origin, err := g.agreeClockOrigin(ctx, time.Duration(time.Now().UnixNano())-tableClock)
 	if err != nil {
 		return err
 	}
-	sinceEpoch := origin + tableClock
-	g.withCore(func(c *exchange.Core, _ time.Time) { c.SetTrueTime(sinceEpoch - time.Duration(now.UnixNano())) })
+	g.setTrueTime(origin+tableClock, at)
+	return nil
+}
+
+func (g *Gateway) setTrueTime(sinceEpoch time.Duration, at time.Time) {
+	g.withCore(func(c *exchange.Core, _ time.Time) { c.SetTrueTime(sinceEpoch - time.Duration(at.UnixNano())) })
+}
+
+// repairClockOrigin writes the clock origin again if a restore of the table service has
+// lost it. If another daemon has written its own before, that one is adopted.
+func (g *Gateway) repairClockOrigin(ctx context.Context) error {
+	tableClock, at, err := g.readTableClock(ctx)
+	if err != nil {
+		return err
+	}
+	sinceEpoch, known := g.trueTime(at)
+	if !known {
+		return nil // learnTrueTime is still trying
+	}
+	origin, err := g.agreeClockOrigin(ctx, sinceEpoch-tableClock)
+	if err != nil {
+		return err
+	}
+	if (sinceEpoch - tableClock - origin).Abs() > maxOriginError {
+		g.setTrueTime(origin+tableClock, at)
+	}
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	QuotaExcessUnits   float64       // units by which a quota may be exceeded in addition
 	UsageWindow        time.Duration // covered by one usage report
 	MemoryBytes        int64         // limit of the process
+	LeaseDuration      time.Duration // in which two daemons may not alternate as lease holders; 0: lease.DefaultDuration
 	LeaderTasks        bool          // whether this system sends usage reports and scaling requests
 }
 
@@ -110,6 +111,9 @@
 	inFlight   sync.WaitGroup
 	stopSignal chan struct{} // closed when the stop signal is received
 
+	generations *generationWatch
+	authority   authorityState
+
 	mu   sync.Mutex // guards core
 	core *exchange.Core
 	self exchange.Member
@@ -126,7 +130,7 @@
 	self := exchange.Member{
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
-	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), self: self, stopSignal: make(chan struct{})}
+	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), self: self, stopSignal: make(chan struct{}), generations: newGenerationWatch()}
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
@@ -135,6 +139,7 @@
 			QuotaWindow: s.QuotaWindow, QuotaExcessRatio: s.QuotaExcessRatio, QuotaExcessUnits: s.QuotaExcessUnits,
 			UsageWindow: s.UsageWindow, ForgetServerAfter: 10 * time.Second,
 			UpdateIntervalPerPeer: updateIntervalPerPeer, ForgetPeerAfter: s.KeyRevocationLimit + 5*time.Second,
+			LeaseDuration: s.LeaseDuration,
 		},
 	})
 	return g
@@ -173,6 +178,7 @@
 	background.Go(func() { g.watchServers(runCtx) })
 	background.Go(func() { g.runPeers(runCtx) })
 	background.Go(func() { g.runHousekeeping(runCtx) })
+	background.Go(func() { g.runRestores(runCtx) })
 	if g.Settings.LeaderTasks {
 		background.Go(func() { g.runLeaderTasks(runCtx) })
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,10 @@
 	m.set.GetOrCreateCounter(`gooseberryslip_exchange_attempts_total{outcome="` + o.String() + `"}`).Inc()
 }
 
+func (m *meter) countRestore() {
+	m.set.GetOrCreateCounter(`gooseberryslip_table_restores_total`).Inc()
+}
+
 func (g *Gateway) metricsHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -45,29 +45,33 @@
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// runPeers sets up the transport to the other daemons and exchanges state updates with
-// them.
+// runPeers exchanges state updates with the other daemons until the process ends.
 func (g *Gateway) runPeers(runCtx context.Context) {
 	g.restoreQuotas(runCtx)
 	g.retryUntilDone(runCtx, g.learnTrueTime)
-	var authority *peer.Authority
-	g.retryUntilDone(runCtx, func(ctx context.Context) (err error) {
-		authority, err = g.loadOrCreateAuthority(ctx)
-		return err
-	})
-	if authority == nil {
-		return
-	}
-	transport, err := g.openTransport(authority)
-	if err != nil {
-		g.Log.Logger().WithError(err).Error("failed to open the transport to other daemons")
-		return
+	var discovery sync.Once
+	for runCtx.Err() == nil {
+		g.retryUntilDone(runCtx, g.loadOrCreateAuthority)
+		authority := g.authority.get()
+		transport, err := g.openTransport(authority)
+		if err != nil {
+			if runCtx.Err() == nil {
+				g.Log.Logger().WithError(err).Error("failed to open the transport to other daemons")
+			}
+			clock.Wait(runCtx, tableRetryDelay)
+			continue
+		}
+		discovery.Do(func() { go g.discover(runCtx) })
+		g.useTransport(g.authority.replaced(runCtx, authority), transport)
 	}
-	go g.discover(runCtx)
-	g.runUpdates(runCtx, transport)
-	ctx, cancel := context.WithTimeout(context.Background(), closePeersTimeout)
+}
+
+// useTransport exchanges state updates over a transport until the context ends.
+func (g *Gateway) useTransport(ctx context.Context, transport *peer.Transport) {
+	g.runUpdates(ctx, transport)
+	closeCtx, cancel := context.WithTimeout(context.Background(), closePeersTimeout)
 	defer cancel()
-	_ = transport.Close(ctx) // an error changes nothing: the process ends
+	_ = transport.Close(closeCtx) // an error changes nothing: the transport is not used any more
 }
 
 // retryUntilDone calls f until it succeeds or the process ends.
@@ -84,49 +88,6 @@
 	}
 }
 
-// loadOrCreateAuthority returns the fleet's certificate authority from the table
-// service. The first daemon creates it.
-func (g *Gateway) loadOrCreateAuthority(ctx context.Context) (*peer.Authority, error) {
-	row, err := g.Table.Get(ctx, peerPartition, authorityRow, true)
-	if err == nil {
-		return peer.ParseAuthority(row.Value)
-	}
-	if !errors.Is(err, provider.ErrNotFound) {
-		return nil, err
-	}
-	created, err := peer.NewSelfSignedAuthority(authorityValidity)
-	if err != nil {
-		return nil, err
-	}
-	value, err := created.Marshal()
-	if err != nil {
-		return nil, err
-	}
-	write := provider.Write{Partition: peerPartition, Sort: authorityRow, Value: value}
-	if err := g.Table.Transact(ctx, "", []provider.Write{write}); err != nil {
-		return nil, err // the next attempt reads or creates it
-	}
-	return created, nil
-}
-
-func (g *Gateway) openTransport(a *peer.Authority) (*peer.Transport, error) {
-	config, err := a.TLSConfig()
-	if err != nil {
-		return nil, err
-	}
-	var t *peer.Transport
-	opened := make(chan struct{})
-	t, err = peer.New(peer.Config{
-		Self: g.self.Name, Listen: g.Settings.Listen.Peers, TLS: config, IdleTimeout: peerIdleTimeout,
-		Handler: func(from entity.InstanceID, addr string, _ peer.Channel, body []byte) {
-			<-opened
-			g.receive(from, addr, func(to peer.Address, m message) { g.sendMessage(t.Send, to, m) }, body)
-		},
-	})
-	close(opened)
-	return t, err
-}
-
 // message is sent from one daemon to another.
 type message struct {
 	Ack       uint32             `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -39,6 +39,12 @@
 	failing       bool          // the last call failed
 }
 
+// restored reports whether a version is the first one of a newer generation of the
+// table service that this watcher has got.
+func (w *watcher[T]) restored(version uint64) bool {
+	return w.newestVersion > 0 && provider.Generation(version) > provider.Generation(w.newestVersion)
+}
+
 func (w *watcher[T]) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		start := clock.Now()
@@ -66,9 +72,10 @@
 	if wait > w.g.independentPollWait() {
 		go w.g.cancelUnconfirmedPoll(ctx, cancel)
 	}
+	go w.g.generations.cancelOnRestore(ctx, cancel)
 	changes, position, err := w.feed.Changes(ctx, w.position, wait)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		return nil // cancelled by cancelUnconfirmedPoll; made again at once
+		return nil // cancelled, as the configuration is not confirmed or the service was restored; made again at once
 	}
 	if err != nil {
 		return err
@@ -95,6 +102,10 @@
 	if position.Version < w.newestVersion {
 		return errStaleList
 	}
+	w.g.observeGeneration(provider.Generation(position.Version))
+	if w.restored(position.Version) {
+		w.g.withCore(func(c *exchange.Core, now time.Time) { c.TableRestored(now) })
+	}
 	w.position, w.newestVersion = position.Version, position.Version
 	w.apply(true, changes, start)
 	return nil
@@ -208,10 +219,11 @@
 			continue
 		}
 		readable = true
+		g.withCore(func(c *exchange.Core, _ time.Time) { c.TableShows(change.Value.Version) })
 		g.applyDocument(change.Value, "table service")
 	}
 	if readable {
-		g.withCore(func(c *exchange.Core, _ time.Time) { c.Confirm(start) })
+		g.withCore(func(c *exchange.Core, now time.Time) { c.ConfirmByTable(now, start) })
 	}
 }
 
@@ -240,43 +252,55 @@
 	w.run(runCtx)
 }
 
+// applyServers applies changes of the list of backend servers, all at once: a daemon that
+// has applied only a part of its first list would refuse requests of the services in the
+// other part.
 func (g *Gateway) applyServers(complete bool, changes []provider.Change[exchange.BackendServer], _ time.Time) {
-	if complete {
-		g.dropUnlisted(changes)
-	}
-	for _, change := range changes {
-		id := entity.BackendServerID(change.ID)
-		switch {
-		case change.Removed:
-			g.withCore(func(c *exchange.Core, now time.Time) { c.RemoveServer(now, id) })
-			g.event(event.ServerUnlisted, "", event.A("backend_server", id))
-		case change.Err != nil:
-			// An entry that cannot be decoded gives no address to send requests to.
-			g.withCore(func(c *exchange.Core, now time.Time) { c.RemoveServer(now, id) })
-			g.event(event.ServerEntryIgnored, "", event.A("backend_server", id), event.A("error", change.Err.Error()))
-		default:
-			g.applyServer(change.Value)
+	var events []func()
+	g.withCore(func(c *exchange.Core, now time.Time) {
+		if complete {
+			c.RemoveUnlisted(now, listedServers(changes))
 		}
+		for _, change := range changes {
+			events = append(events, g.applyServer(c, now, &change))
+		}
+	})
+	for _, log := range events {
+		log()
 	}
 }
 
-// dropUnlisted removes the backend servers that are not in a complete list.
-func (g *Gateway) dropUnlisted(list []provider.Change[exchange.BackendServer]) {
+// listedServers returns the IDs in a complete list.
+func listedServers(list []provider.Change[exchange.BackendServer]) map[entity.BackendServerID]bool {
 	listed := make(map[entity.BackendServerID]bool, len(list))
 	for _, entry := range list {
 		listed[entity.BackendServerID(entry.ID)] = true
 	}
-	g.withCore(func(c *exchange.Core, now time.Time) { c.RemoveUnlisted(now, listed) })
+	return listed
 }
 
-func (g *Gateway) applyServer(s exchange.BackendServer) {
-	applied := false
-	g.withCore(func(c *exchange.Core, now time.Time) { applied = c.PutServer(now, s) })
+// applyServer applies one change of the list and returns a function that logs it.
+func (g *Gateway) applyServer(c *exchange.Core, now time.Time, change *provider.Change[exchange.BackendServer]) (log func()) {
+	id := entity.BackendServerID(change.ID)
+	switch {
+	case change.Removed:
+		c.RemoveServer(now, id)
+		return func() { g.event(event.ServerUnlisted, "", event.A("backend_server", id)) }
+	case change.Err != nil:
+		// An entry that cannot be decoded gives no address to send requests to.
+		c.RemoveServer(now, id)
+		return func() {
+			g.event(event.ServerEntryIgnored, "", event.A("backend_server", id), event.A("error", change.Err.Error()))
+		}
+	}
 	code := event.ServerListed
-	if !applied {
+	if !c.PutServer(now, change.Value) {
 		code = event.ServerEntryOutdated
 	}
-	g.event(code, "", event.A("backend_server", s.ID), event.A("born", s.Born), event.A("sequence", s.Sequence),
-		event.A("service", s.Service), event.A("address", s.Address), event.A("state", int(s.State)),
-		event.A("reclaimable", s.Reclaimable))
+	s := change.Value
+	return func() {
+		g.event(code, "", event.A("backend_server", s.ID), event.A("born", s.Born), event.A("sequence", s.Sequence),
+			event.A("service", s.Service), event.A("address", s.Address), event.A("state", int(s.State)),
+			event.A("reclaimable", s.Reclaimable))
+	}
 }
--- a/internal/provider/feed.go
+++ b/internal/provider/feed.go
@@ -11,7 +11,8 @@
 
 var (
 	// ErrHistoryLost means that a feed no longer has the changes after the
-	// requested version. The caller must read the complete list again.
+	// requested version, also because that version is of an earlier generation. The
+	// caller must read the complete list again.
 	ErrHistoryLost = merry.Sentinel("feed no longer has the changes after the requested version")
 	// ErrFenced means that a call was rejected because a call with a higher epoch
 	// has been accepted.
@@ -28,7 +29,7 @@
 
 // Position is a point in the table service's history of changes.
 type Position struct {
-	Version uint64
+	Version uint64        // see ComposeVersion
 	Clock   time.Duration // reading of the service's monotonic clock
 }
 
--- a/internal/provider/platform.go
+++ b/internal/provider/platform.go
@@ -29,8 +29,8 @@
 	ErrRefused = merry.Sentinel("cloud refused the request")
 )
 
-// Row is one row of the table service. Version starts at 1 and is incremented by
-// each write; Write.IfVersion is compared with it.
+// Row is one row of the table service. Version rises with each write, also across a
+// restore of the service (see ComposeVersion); Write.IfVersion is compared with it.
 type Row struct {
 	Partition string
 	Sort      string // sort key within the partition
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -3,23 +3,31 @@
 import (
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
 func at(d time.Duration) time.Time { return time.Unix(100, 0).Add(d) }
 
+var times = newTiming(DefaultDuration)
+
+func newLease(self entity.InstanceID) *Lease { return New(self, at(0), DefaultDuration) }
+
 func TestLease_SilentHolderIsReplaced(t *testing.T) {
-	l := New("b", at(0))
+	l := newLease("b")
 	l.ObserveEpoch(at(0), 1)
-	if l.TryContend(at(holderTimeout-time.Millisecond), 0) {
+	if l.TryContend(at(times.holderTimeout-time.Millisecond), 0) {
 		t.Fatal("the daemon contends before the holder has timed out")
 	}
-	if !l.TryContend(at(holderTimeout), 0) {
+	if !l.TryContend(at(times.holderTimeout), 0) {
 		t.Fatal("the daemon does not contend after the holder has timed out")
 	}
 }
 
 func TestLease_ReleasedIsFreeForAllInTurn(t *testing.T) {
-	l := New("c", at(0))
+	l := newLease("c")
 	l.ObserveEpoch(at(0), 1)
 	for d := time.Duration(0); d < delayPerRank; d += 50 * time.Millisecond {
 		l.ObserveRelease(at(d), 1)
@@ -33,18 +41,18 @@
 }
 
 func TestLease_ContendersAreStaggered(t *testing.T) {
-	l := New("c", at(0))
-	if l.TryContend(at(holderTimeout), 1) {
+	l := newLease("c")
+	if l.TryContend(at(times.holderTimeout), 1) {
 		t.Fatal("the daemon second in rank contends at the same time as the first")
 	}
-	if !l.TryContend(at(holderTimeout+delayPerRank), 1) {
+	if !l.TryContend(at(times.holderTimeout+delayPerRank), 1) {
 		t.Fatal("the daemon second in rank does not contend after its delay")
 	}
 }
 
 func TestLease_HigherEpochEndsIt(t *testing.T) {
-	l := New("a", at(0))
-	l.MarkAcquired(4)
+	l := newLease("a")
+	l.MarkAcquired(at(0), at(0), 4)
 	if l.ObserveEpoch(at(time.Second), 3) {
 		t.Fatal("the lease was lost to a lower epoch")
 	}
@@ -59,15 +67,178 @@
 // A holder that was paused must not take the lease back soon, so that two
 // daemons do not alternate as holders.
 func TestLease_LoserWaitsForCooldown(t *testing.T) {
-	l := New("a", at(0))
-	l.MarkAcquired(1)
+	l := newLease("a")
+	l.MarkAcquired(at(0), at(0), 1)
 	l.MarkLost(at(time.Second))
-	for d := time.Second; d < time.Second+cooldown; d += 100 * time.Millisecond {
+	for d := time.Second; d < time.Second+times.cooldown; d += 100 * time.Millisecond {
 		if l.TryContend(at(d), 0) {
 			t.Fatalf("the previous holder contends %v after its loss", d-time.Second)
 		}
 	}
-	if !l.TryContend(at(time.Second+cooldown), 0) {
+	if !l.TryContend(at(time.Second+times.cooldown), 0) {
 		t.Fatal("the previous holder does not contend after the cooldown")
 	}
 }
+
+// A platform that does not check epochs must not get calls of a former holder after
+// those of its successor.
+func TestLease_UnconfirmedHolderMakesNoCalls(t *testing.T) {
+	l := newLease("a")
+	l.MarkAcquired(at(0), at(0), 1)
+	if l.MayAct(at(times.startDelay-time.Millisecond), at(times.startDelay-time.Millisecond)) {
+		t.Fatal("the holder acts while its predecessor may still act")
+	}
+	now := times.startDelay + time.Second
+	if !l.MayAct(at(now), at(now-times.ackTTL/2)) {
+		t.Fatal("the holder does not act although all others have acknowledged its messages")
+	}
+	if l.MayAct(at(now), at(now-times.ackTTL)) || l.MayAct(at(now), time.Time{}) {
+		t.Fatal("the holder acts although nothing has confirmed it lately")
+	}
+	l.ConfirmRow(at(now))
+	if !l.MayAct(at(now+times.rowTTL/2), time.Time{}) || l.MayAct(at(now+times.rowTTL), time.Time{}) {
+		t.Fatal("a read of the row does not confirm the holder for its time")
+	}
+}
+
+func TestLease_EpochKnownToOthersEndsIt(t *testing.T) {
+	l := newLease("a")
+	l.MarkAcquired(at(0), at(0), 4)
+	if l.ObserveHigherEpoch(at(time.Second), 4) || !l.ObserveHigherEpoch(at(time.Second), 5) {
+		t.Fatal("the lease must be lost to a higher epoch that any daemon knows, and to no other")
+	}
+}
+
+// TestLease_CallsOfTwoHoldersNeverCross runs three daemons that are suspended and cut off
+// from each other at random moments, over a row that all of them can read and write.
+// A call arrives up to callDelay after it was sent. No call may arrive after one with a
+// higher epoch, and no daemon may act again within the lease's duration after another
+// one has acted.
+func TestLease_CallsOfTwoHoldersNeverCross(t *testing.T) {
+	const step, callDelay = 50 * time.Millisecond, 100 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		w := newLeaseWorld(t, 3)
+		for n := range 600 {
+			now := time.Duration(n) * step
+			if n%20 == 0 {
+				w.drawFaults()
+			}
+			w.tick(now)
+		}
+		w.checkCalls(callDelay)
+	})
+}
+
+// leaseWorld holds daemons, their row and the calls that they have made.
+type leaseWorld struct {
+	t         *rapid.T
+	daemons   []*Lease
+	suspended []bool
+	cutOff    []bool
+	gotAt     [][]time.Time // newest message of the first daemon that the second has got
+	ackedAt   [][]time.Time // the same, as far as the first has learned from the second's messages
+	holder    int           // in the row; -1: none
+	version   uint64
+	calls     []leaseCall
+}
+
+type leaseCall struct {
+	daemon int
+	epoch  uint64
+	at     time.Duration
+}
+
+func newLeaseWorld(t *rapid.T, daemons int) *leaseWorld {
+	w := &leaseWorld{t: t, holder: -1, suspended: make([]bool, daemons), cutOff: make([]bool, daemons)}
+	for i := range daemons {
+		w.daemons = append(w.daemons, newLease(entity.InstanceID(rune('a'+i))))
+		w.gotAt = append(w.gotAt, make([]time.Time, daemons))
+		w.ackedAt = append(w.ackedAt, make([]time.Time, daemons))
+	}
+	return w
+}
+
+func (w *leaseWorld) drawFaults() {
+	for i := range w.daemons {
+		fault := rapid.IntRange(0, 5).Draw(w.t, "fault")
+		w.suspended[i], w.cutOff[i] = fault == 0, fault == 1
+	}
+}
+
+// tick lets each daemon that is not suspended contend, exchange messages and call.
+func (w *leaseWorld) tick(now time.Duration) {
+	for i, l := range w.daemons {
+		if w.suspended[i] {
+			continue
+		}
+		if l.TryContend(at(now), i) {
+			w.version++
+			w.holder = i
+			l.MarkAcquired(at(now), at(now), w.version)
+		}
+		w.send(i, now)
+		w.call(i, now)
+	}
+}
+
+// send delivers the daemon's message to all that it reaches. It acknowledges their
+// messages.
+func (w *leaseWorld) send(from int, now time.Duration) {
+	epoch, held := w.daemons[from].Epoch()
+	for to, l := range w.daemons {
+		if to == from || w.cutOff[from] || w.cutOff[to] || w.suspended[to] {
+			continue
+		}
+		w.gotAt[from][to] = at(now)
+		w.ackedAt[to][from] = w.gotAt[to][from]
+		l.ObserveHigherEpoch(at(now), epoch)
+		if held {
+			l.ObserveEpoch(at(now), epoch)
+		}
+	}
+}
+
+// call makes a call if the daemon may, after it has read the row if it must.
+func (w *leaseWorld) call(i int, now time.Duration) {
+	l := w.daemons[i]
+	epoch, held := l.Epoch()
+	if !held || l.Settling(at(now)) {
+		return
+	}
+	acked := at(now)
+	for j := range w.daemons {
+		if j != i && w.ackedAt[i][j].Before(acked) {
+			acked = w.ackedAt[i][j]
+		}
+	}
+	if !l.MayAct(at(now), acked) {
+		if w.version != epoch || w.holder != i {
+			l.MarkLost(at(now))
+			return
+		}
+		l.ConfirmRow(at(now))
+	}
+	if l.MayAct(at(now), acked) {
+		w.calls = append(w.calls, leaseCall{i, epoch, now})
+	}
+}
+
+func (w *leaseWorld) checkCalls(delay time.Duration) {
+	lastAct := map[int]time.Duration{}
+	var highest leaseCall
+	for _, c := range w.calls {
+		if c.epoch > highest.epoch {
+			if before, acted := lastAct[c.daemon]; acted && c.daemon != highest.daemon && c.at-before < DefaultDuration {
+				w.t.Fatalf("daemon %d acts at %v and again at %v, another one between", c.daemon, before, c.at)
+			}
+			if highest.epoch > 0 && c.at-highest.at < delay {
+				w.t.Fatalf("calls of daemons %d and %d may arrive in the other order: %v, %v", highest.daemon, c.daemon, highest.at, c.at)
+			}
+		}
+		if c.epoch < highest.epoch {
+			w.t.Fatalf("daemon %d calls at %v with epoch %d after daemon %d with epoch %d", c.daemon, c.at, c.epoch, highest.daemon, highest.epoch)
+		}
+		highest = c
+		lastAct[c.daemon] = c.at
+	}
+}
