Log when a request was sent and answered, its objective and its quota

Cause: to say where worth is lost, the request lines lacked when a request was first sent, when its first event came, what the route aims at, what it cost of a quota, and for a refusal over the quota the organisation and the bucket's state.

Change: objective_ms, sent_ms, first_ms, units; the bucket in the inputs of over-quota.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -97,6 +97,9 @@
 	t.reservation = c.placer.Reserve(now, choice, t.Request.Work.Parts)
 	t.Sends++
 	t.answerStarted = false
+	if t.firstSentAt.IsZero() {
+		t.firstSentAt = now
+	}
 	t.tried = append(t.tried, choice.Server)
 	c.recordCachedPrompt(choice.Server, t)
 	a := Attempt{
@@ -134,6 +137,9 @@
 		return
 	}
 	t.answerStarted = true
+	if t.firstEventAt.IsZero() {
+		t.firstEventAt = now
+	}
 	c.placer.RecordFirstEvent(now, t.reservation)
 	c.countUsage(now, t)
 }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -243,7 +243,7 @@
 	}
 	return &Refusal{
 		Status: OverQuota, Code: "over-quota", RetryAfter: wait,
-		Inputs: fmt.Sprintf("%.0f units asked, rate %.0f/s", t.quotaCost, t.Org.RatePerSec),
+		Inputs: fmt.Sprintf("%s asked %.0f units, rate %.0f/s, burst %.0f, %s", t.Org.ID, t.quotaCost, t.Org.RatePerSec, t.Org.Burst, c.quota.Describe(t.Org.ID)),
 	}
 }
 
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -98,6 +98,31 @@
 	demandRecorded bool                   // the request is counted in the demand
 	quotaCost      float64                // units reserved on the organisation's quota
 	answerStarted  bool                   // the head or first event of the present attempt's answer has arrived
+	firstSentAt    time.Time              // when the first attempt began; zero: none has
+	firstEventAt   time.Time              // when the first head or event of any attempt arrived; zero: none has
+}
+
+// Timing says how long a request took, and what it costs, for logs.
+type Timing struct {
+	Objective  time.Duration // the route's; 0: none
+	FirstSent  time.Duration // from arrival to the first attempt; negative: there was none
+	FirstEvent time.Duration // from arrival to the first head or event; negative: there was none
+	QuotaUnits float64       // 0: the request has no quota, or its units were refunded
+}
+
+// Timing returns the request's timing so far.
+func (t *Ticket) Timing() Timing {
+	return Timing{
+		Objective: t.Route.Objective, FirstSent: sinceArrival(t, t.firstSentAt),
+		FirstEvent: sinceArrival(t, t.firstEventAt), QuotaUnits: t.quotaCost,
+	}
+}
+
+func sinceArrival(t *Ticket, at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return at.Sub(t.Arrived)
 }
 
 // Attempt says where and how to send a request.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -26,9 +26,12 @@
 		event.A("left_ms", x.request.Patience.Milliseconds()),
 	}
 	if t := x.ticket; t != nil {
-		attrs = append(attrs, event.A("route", t.Route.Name), event.A("service", t.Service))
+		timing := t.Timing()
+		attrs = append(attrs, event.A("route", t.Route.Name), event.A("service", t.Service),
+			event.A("objective_ms", timing.Objective.Milliseconds()),
+			event.A("sent_ms", timing.FirstSent.Milliseconds()), event.A("first_ms", timing.FirstEvent.Milliseconds()))
 		if t.Org != nil {
-			attrs = append(attrs, event.A("organisation", t.Org.ID))
+			attrs = append(attrs, event.A("organisation", t.Org.ID), event.A("units", timing.QuotaUnits))
 		}
 	}
 	x.g.withCore(func(c *exchange.Core, now time.Time) {
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -5,6 +5,7 @@
 package quota
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -206,6 +207,15 @@
 	return 0, true
 }
 
+// Describe describes the state of an organisation's bucket, for logs.
+func (l *Ledger) Describe(id entity.OrganisationID) string {
+	b := l.buckets.Get(id)
+	if b == nil {
+		return "no quota"
+	}
+	return fmt.Sprintf("level %.0f, withheld %.0f, daemons %d of %d reachable", b.level, b.withheld, l.reachable, l.known)
+}
+
 // Release adds back the units of a request that has not run.
 func (l *Ledger) Release(id entity.OrganisationID, units float64) {
 	if b := l.buckets.Get(id); b != nil && b.limit.Rate > 0 {
