Order on-demand servers for the loss of the next data centre only

Change: on-demand servers make up what would be missing if the data centre with most reclaimable servers lost them now; no floor.

--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -5,8 +5,11 @@
 //
 // Cheap reclaimable servers carry the load. There are more of them than the
 // load needs, and they are spread so that one mass reclaim leaves most of them.
-// What is missing after a mass reclaim is requested on demand at once, and
-// released when reclaimable servers are back. When a data centre is at its
+// On-demand servers make up what would be missing if the data centre with the
+// most reclaimable servers lost them now, since a replacement takes longer to
+// start than the notice of a reclaim lasts. In calm times that is nothing; while
+// the reclaimable servers of one data centre are gone, it covers the loss of the
+// next one. They are released when reclaimable servers are back. When a data centre is at its
 // limit, on-demand servers replace reclaimable ones only where no reclaimable
 // ones are available, so that a mass reclaim in one data centre does not
 // displace the reclaimable servers of the others.
@@ -45,14 +48,12 @@
 }
 
 const (
-	// minOnDemandPerBusy is the smallest number of on-demand servers for each
-	// busy server.
-	minOnDemandPerBusy = 0.25
 	// reclaimablePerBusy is the number of reclaimable servers for each busy
 	// server if they cost next to nothing.
 	reclaimablePerBusy = 2.6
 	// minTotalPerBusy is the smallest number of servers of both classes for
-	// each busy server, if reclaimable servers cost next to nothing.
+	// each busy server after the loss of the reclaimable servers of one data
+	// centre, if reclaimable servers cost next to nothing.
 	minTotalPerBusy = 0.9
 	// onDemandOnlyPerBusy is the number of on-demand servers for each busy
 	// server if reclaimable servers are not worth their risk.
@@ -71,21 +72,16 @@
 		targets[i] = Target{DataCentre: d.DataCentre}
 	}
 	reclaimableShare := math.Max(0, 1-in.ReclaimablePrice/maxReclaimablePrice)
-	baseOnDemand := int(math.Ceil(in.BusyServers * minOnDemandPerBusy))
 	reclaimable := int(math.Ceil(in.BusyServers * reclaimablePerBusy * reclaimableShare))
 	total := int(math.Ceil(in.BusyServers * (minTotalPerBusy*reclaimableShare + onDemandOnlyPerBusy*(1-reclaimableShare))))
-	runningReclaimable := 0
-	for _, d := range dataCentres {
-		runningReclaimable += d.Reclaimable
-	}
+	onDemand := total - min(survivingReclaimable(dataCentres), reclaimable)
 
 	hasCapacity := func(i int) bool { return targets[i].total() < in.Max }
 	hasOnDemandCapacity := func(i int) bool {
 		return targets[i].OnDemand+dataCentres[i].protectedReclaimable(&targets[i], in.Max) < in.Max
 	}
-	addEvenly(targets, baseOnDemand, hasCapacity, onDemandField)
 	addEvenly(targets, reclaimable, hasCapacity, reclaimableField)
-	addEvenly(targets, total-baseOnDemand-min(runningReclaimable, reclaimable), hasOnDemandCapacity, onDemandField)
+	addEvenly(targets, onDemand, hasOnDemandCapacity, onDemandField)
 	for i := range targets {
 		t := &targets[i]
 		t.Reclaimable = min(t.Reclaimable, in.Max-t.OnDemand)
@@ -94,6 +90,17 @@
 	return targets
 }
 
+// survivingReclaimable returns how many of the existing reclaimable servers are left
+// if the data centre that has most of them loses all of its own.
+func survivingReclaimable(dataCentres []DataCentreState) int {
+	sum, most := 0, 0
+	for _, d := range dataCentres {
+		sum += d.Reclaimable
+		most = max(most, d.Reclaimable)
+	}
+	return sum - most
+}
+
 // protectedReclaimable returns how many reclaimable servers of the target may
 // not be replaced by on-demand servers. Reclaimable servers that do not exist
 // yet count only as far as the limit allows them beside the existing on-demand
--- a/internal/system/capacity/capacity_test.go
+++ b/internal/system/capacity/capacity_test.go
@@ -60,6 +60,31 @@
 	}
 }
 
+// TestPlan_NextReclaimIsCoveredBeforeItComes replays mass reclaims that follow each other
+// faster than a replacement starts: whatever data centre is next, the servers that then
+// exist must carry the load. Without reclaims no on-demand server is paid for.
+func TestPlan_NextReclaimIsCoveredBeforeItComes(t *testing.T) {
+	for _, test := range []struct{ reclaimable []int }{{[]int{6, 5, 5}}, {[]int{0, 5, 5}}, {[]int{0, 0, 5}}, {[]int{0, 0, 0}}} {
+		in := Input{DataCentres: dataCentresWith(test.reclaimable...), Min: 0, Max: 9, ReclaimablePrice: 0.15, BusyServers: 6}
+		lost := 0
+		for i := range in.DataCentres {
+			in.DataCentres[i].Exhausted = in.DataCentres[i].Reclaimable == 0
+			lost = max(lost, in.DataCentres[i].Reclaimable)
+		}
+		onDemand, _ := sum(Plan(in))
+		left := onDemand - lost
+		for _, n := range test.reclaimable {
+			left += n
+		}
+		if float64(left) < 0.85*in.BusyServers {
+			t.Errorf("reclaimable servers %v: %d servers are left after the next mass reclaim, %v are busy", test.reclaimable, left, in.BusyServers)
+		}
+		if test.reclaimable[0] > 0 && onDemand > 0 {
+			t.Errorf("%d on-demand servers although the reclaimable ones outlast a mass reclaim", onDemand)
+		}
+	}
+}
+
 // TestPlan_ReclaimWaveAtTheLimitLeavesTheOthersAlone simulates a mass reclaim
 // in one of three data centres while the plan is near the maximum number of
 // servers. The on-demand servers that replace the lost ones must not displace
