Copy cached prompts between engines

Hypothesis: a request that goes to another engine than the one that has its beginning cached pays for reading it again, 95 ms of engine time for a mean beginning; a copy takes 2 ms of a link.

Change: an engine that lacks a beginning copies it from a usable one that has it, if that takes at most half of the time that reading takes by the learned speed; copied tokens count by that time in the cost of a placement, so load decides where a hot beginning goes.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -109,6 +109,9 @@
 	if t.Org != nil {
 		a.Org = t.Org.ID
 	}
+	if source := c.servers.Get(choice.CopyFrom); source != nil {
+		a.CopyFrom = source.Address
+	}
 	return a
 }
 
--- a/internal/exchange/document.go
+++ b/internal/exchange/document.go
@@ -74,10 +74,13 @@
 	Slots           int           // maximum requests in one batch
 	CacheTokens     entity.Tokens // capacity of the memory shared by running requests and cached prompts
 	CacheTokenBytes float64       // memory per token, in bytes
-	TokensPerEvent  int
-	Moves           bool          // a running request's memory can be moved to another engine
-	Backups         bool          // a running request's memory can be copied as it grows
-	HandleLife      time.Duration // how long a moved copy is kept
+	// CopyBytesPerSecond is the rate at which an engine copies cached prompts from
+	// another one; 0: it cannot.
+	CopyBytesPerSecond float64
+	TokensPerEvent     int
+	Moves              bool          // a running request's memory can be moved to another engine
+	Backups            bool          // a running request's memory can be copied as it grows
+	HandleLife         time.Duration // how long a moved copy is kept
 }
 
 // Scale limits the number of backend servers of a service in each data centre.
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -133,6 +133,7 @@
 	TimeLeft        time.Duration // time left until the request's deadline; 0: no deadline
 	Org             entity.OrganisationID
 	Model           bool      // runs on a model engine, which supports priorities
+	CopyFrom        string    // address of the engine from which to copy the cached beginning of the prompt; "": none
 	SilenceDeadline time.Time // if neither head nor event has arrived by then, try another backend server; zero: wait
 }
 
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -140,10 +140,20 @@
 	}
 	if svc := c.index.byName[s.Service]; svc != nil && svc.Engine != nil {
 		out.Memory = svc.Engine.CacheTokens
+		out.CopyMillisPerToken = svc.Engine.copyMillisPerToken()
 	}
 	return out
 }
 
+// copyMillisPerToken returns the time to copy one cached token from another engine, in
+// ms; 0 if engines cannot.
+func (e *Engine) copyMillisPerToken() float64 {
+	if e.CopyBytesPerSecond <= 0 || e.CacheTokenBytes <= 0 {
+		return 0
+	}
+	return e.CacheTokenBytes / e.CopyBytesPerSecond * 1000
+}
+
 // drainAnnouncementDuration is how long a draining server is included in the
 // updates to other daemons.
 const drainAnnouncementDuration = 3 * time.Second
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -44,6 +44,9 @@
 	DataCentre entity.DataCentreID
 	Slots      int
 	Memory     entity.Tokens // 0: a plain backend server, which runs no model engine
+	// CopyMillisPerToken is the time to copy a cached token from another engine of the
+	// service, in ms; 0: engines cannot.
+	CopyMillisPerToken float64
 }
 
 // Reservation is what one request uses on a backend server.
@@ -79,6 +82,7 @@
 	Parts      []Part
 	Exclude    []entity.BackendServerID
 	partKeys   []CachedPart // keys of Parts
+	source     cachedSource // where most of the prompt is cached
 }
 
 // Choice is a placement.
@@ -88,6 +92,9 @@
 	// Uncached is the number of prompt tokens that must be read.
 	Uncached    entity.Tokens
 	Utilisation float64 // requests of the service as a ratio of its slots
+	// CopyFrom is the backend server from which to copy what it has cached of the prompt;
+	// "": none.
+	CopyFrom    entity.BackendServerID
 	reservation Reservation
 }
 
@@ -167,6 +174,7 @@
 	var bestCost float64
 	requests, slots := 0, 0
 	q.partKeys = chainKeys(q.Parts)
+	q.source = p.findSource(&q, usable)
 	noise := p.noiseRange()
 	p.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		if r.Service != q.Service || !usable(id) {
@@ -209,13 +217,13 @@
 }
 
 func (p *Placer) choice(now time.Time, r *serverRow, q *Query, utilisation float64) Choice {
-	uncached := r.cache.uncached(q.Prompt, q.partKeys)
+	uncached, copyFrom := p.uncached(r, q)
 	reservation := Reservation{
 		Server: r.ID, Rank: q.Rank, Pending: uncached, Memory: q.Prompt + q.Output, Output: q.Output,
 		promptAhead: p.queueAt(r, q.Rank).promptTokens, sentAt: now, service: r.Service,
 	}
 	return Choice{
-		Server: r.ID, Utilisation: utilisation, Uncached: uncached, reservation: reservation,
+		Server: r.ID, Utilisation: utilisation, Uncached: uncached, CopyFrom: copyFrom, reservation: reservation,
 		Cost: time.Duration(p.firstEventMillis(r, uncached, q.Rank) * float64(time.Millisecond)),
 	}
 }
@@ -247,7 +255,8 @@
 	if float64(memory) > maxMemoryRatio*float64(r.Memory) {
 		cost += preemptionCost
 	}
-	return cost + p.firstEventMillis(r, r.cache.uncached(q.Prompt, q.partKeys), q.Rank)
+	uncached, _ := p.uncached(r, q)
+	return cost + p.firstEventMillis(r, uncached, q.Rank)
 }
 
 // firstEventMillis returns the expected time to the first event of the answer,
