Let a copied token count half of a read one

Hypothesis: with copies nearly free, requests with a common beginning scatter for small differences of load that are known late; in a large fleet copies queue at their source and often find nothing.

Change: a copied token costs half of a read one in the placement.

--- a/internal/system/placement/copy.go
+++ b/internal/system/placement/copy.go
@@ -13,6 +13,10 @@
 	// maxCopyRatio is the largest time to copy tokens, as a ratio of the time to read
 	// them, at which they are copied.
 	maxCopyRatio = 0.5
+	// copyWeight is the cost of a token to be copied, as a ratio of one to be read.
+	// Copies wait for each other at the engine that is copied from, and with many daemons
+	// it may not have the tokens any more, so that requests should not scatter for little.
+	copyWeight = 0.5
 	// minCopyTokens is the least number of tokens that are worth a copy, which has a cost
 	// of its own.
 	minCopyTokens = 256
@@ -43,7 +47,7 @@
 }
 
 // uncached returns how many tokens of a prompt a backend server must read, where those
-// that it copies instead count by the time that this takes, and the server to copy from.
+// that it copies instead count by copyWeight, and the server to copy from.
 func (p *Placer) uncached(r *serverRow, q *Query) (entity.Tokens, entity.BackendServerID) {
 	local := r.cache.uncached(q.Prompt, q.partKeys)
 	copied := local - q.source.uncached
@@ -54,5 +58,5 @@
 	if r.CopyMillisPerToken == 0 || ratio > maxCopyRatio {
 		return local, ""
 	}
-	return q.source.uncached + entity.Tokens(float64(copied)*ratio), q.source.server
+	return q.source.uncached + entity.Tokens(float64(copied)*copyWeight), q.source.server
 }
