Ask the store less often in large fleets

Of 18,775 calls most were long polls that daemons cut short: a confirmation by a peer is up to two update intervals old there (2.5 s), and after 1.95 s each daemon asked for itself. Others followed each change of a backend server, at most 0.4 s apart.

Ruled out: the checkpoint (one write in 1.8 s there).

Change: a daemon asks when a confirmation gets older than 2.7 s (two calls still fit before it is stale), then with a call that does not wait; the list of backend servers is read after up to 0.4 of the time in which a draining server must get nothing, except by the two that confirm for all and announce what drains.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -33,7 +33,10 @@
 	// all entries of the list; start is when the call was made.
 	apply func(complete bool, changes []provider.Change[T], start time.Time)
 
-	batchDelay    time.Duration // delay after a result with changes, so that the next one has several
+	// batchWait returns the delay after a result with changes, so that the next one has
+	// several.
+	batchWait     func() time.Duration
+	batchDelay    time.Duration // the delay after the last result
 	position      uint64        // version after which changes are read; 0: read the complete list next
 	newestVersion uint64        // highest version seen
 	failing       bool          // the last call failed
@@ -84,7 +87,7 @@
 	w.apply(false, changes, start)
 	w.batchDelay = 0
 	if len(changes) > 0 {
-		w.batchDelay = w.g.batchDelay()
+		w.batchDelay = w.batchWait()
 	}
 	return nil
 }
@@ -131,13 +134,21 @@
 	w.g.event(event.DependencyLost, "", event.A("dependency", w.name), event.A("error", err.Error()))
 }
 
-// batchDelayPerPeer, times the number of peers, is how long a daemon waits for further
-// changes after a change, since each result makes every daemon call the table service
-// again.
-const batchDelayPerPeer = 4 * time.Millisecond
-
-// maxBatchDelay is the longest such wait.
-const maxBatchDelay = 400 * time.Millisecond
+// Each result with changes makes every daemon call the table service again. So a daemon
+// waits for further changes after a change, for a time that rises with the number of
+// peers.
+const (
+	// batchDelayPerPeer, times the number of peers, is that time.
+	batchDelayPerPeer = 4 * time.Millisecond
+	// maxBatchDelay is its maximum.
+	maxBatchDelay = 400 * time.Millisecond
+	// serverBatchDelayPerPeer is the same for the list of backend servers, at daemons that
+	// learn from the few that query the table service often which servers drain.
+	serverBatchDelayPerPeer = 20 * time.Millisecond
+	// maxServerBatchRatio is the maximum of that delay, as a ratio of the time after which
+	// a draining server must get no requests.
+	maxServerBatchRatio = 0.4
+)
 
 func (g *Gateway) batchDelay() time.Duration {
 	peers := 0
@@ -145,6 +156,17 @@
 	return min(time.Duration(peers)*batchDelayPerPeer, maxBatchDelay)
 }
 
+// serverBatchDelay returns the delay after a change of the list of backend servers.
+func (g *Gateway) serverBatchDelay() time.Duration {
+	peers, queriesOften := 0, false
+	g.withCore(func(c *exchange.Core, now time.Time) { peers, queriesOften = len(c.Peers()), c.QueriesTableOften(now) })
+	longest := time.Duration(maxServerBatchRatio * float64(g.Settings.DrainLimit))
+	if queriesOften || longest <= maxBatchDelay {
+		return g.batchDelay()
+	}
+	return min(time.Duration(peers)*serverBatchDelayPerPeer, longest)
+}
+
 // confirmerPollWait is how long a call for changes of the configuration waits at the
 // few daemons that confirm to all others that their configuration is the newest.
 const confirmerPollWait = 700 * time.Millisecond
@@ -162,10 +184,14 @@
 func (g *Gateway) configurationPollWait() time.Duration {
 	confirmer := false
 	g.withCore(func(c *exchange.Core, now time.Time) { confirmer = c.QueriesTableOften(now) })
-	if confirmer {
+	switch {
+	case confirmer:
 		return min(confirmerPollWait, g.independentPollWait())
+	case g.recentlyConfirmed():
+		return confirmedPollWait
+	default:
+		return 0 // the answer confirms the configuration
 	}
-	return g.pollWait()
 }
 
 // confirmedPollWait is how long a call for changes waits at a daemon to which peers
@@ -182,12 +208,21 @@
 	return g.independentPollWait()
 }
 
-// recentlyConfirmed reports whether the configuration was confirmed to be the newest
-// within the last independentPollWait.
+// recentlyConfirmed reports whether the configuration was confirmed to be the newest so
+// lately that a daemon may go on waiting for the next confirmation of its peers.
 func (g *Gateway) recentlyConfirmed() bool {
 	var age time.Duration
 	g.withCore(func(c *exchange.Core, now time.Time) { _, age = c.Version(now) })
-	return age < g.independentPollWait()
+	return age < g.confirmationWait()
+}
+
+// confirmationWait returns how old a confirmation by peers may get before a daemon asks
+// the table service itself. Two calls, of which the first fails on an unresponsive
+// connection, must fit into the time until the confirmation is stale. In a large fleet
+// confirmations are two update intervals old when they arrive.
+func (g *Gateway) confirmationWait() time.Duration {
+	stale := g.Settings.KeyRevocationLimit - staleMargin
+	return max(stale-2*changesTimeoutMargin-2*watchRetryDelay, stale/3)
 }
 
 // cancelUnconfirmedPoll cancels a long call when the configuration is no longer
@@ -206,7 +241,7 @@
 const confirmationCheckInterval = 300 * time.Millisecond
 
 func (g *Gateway) watchConfiguration(runCtx context.Context) {
-	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.configurationPollWait, apply: g.applyConfiguration}
+	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.configurationPollWait, batchWait: g.batchDelay, apply: g.applyConfiguration}
 	w.run(runCtx)
 }
 
@@ -248,7 +283,7 @@
 }
 
 func (g *Gateway) watchServers(runCtx context.Context) {
-	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.Servers, wait: g.pollWait, apply: g.applyServers}
+	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.Servers, wait: g.pollWait, batchWait: g.serverBatchDelay, apply: g.applyServers}
 	w.run(runCtx)
 }
 
