--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -131,16 +131,37 @@
 // a peer has one, until the process ends.
 func (g *Gateway) runUpdates(runCtx context.Context, t *peer.Transport) {
 	for {
-		peers := g.broadcastUpdate(t)
+		start := clock.Now()
+		peers := g.broadcastUpdate(runCtx, t, start)
 		g.requestDocument(t)
-		if !clock.Wait(runCtx, max(updateInterval, time.Duration(peers)*updateIntervalPerPeer)) {
+		if !clock.Wait(runCtx, start.Add(broadcastInterval(peers)).Sub(clock.Now())) {
 			return
 		}
 	}
 }
 
-// broadcastUpdate sends one state update to all peers and returns the number of peers.
-func (g *Gateway) broadcastUpdate(t *peer.Transport) int {
+// broadcastInterval returns the time between the starts of two broadcasts.
+func broadcastInterval(peers int) time.Duration {
+	return max(updateInterval, time.Duration(peers)*updateIntervalPerPeer)
+}
+
+const (
+	// sendBatch is the number of peers to which an update is sent at once.
+	sendBatch = 2
+	// sendBatchInterval is the time between two such batches.
+	sendBatchInterval = 6 * time.Millisecond
+)
+
+// sendOffset returns when the update goes to a peer, given its number in the broadcast,
+// after the broadcast's start. In a large fleet, updates to all peers at once would fill
+// the link of a small instance for so long that callers' requests are late.
+func sendOffset(number int) time.Duration {
+	return time.Duration(number/sendBatch) * sendBatchInterval
+}
+
+// broadcastUpdate sends one state update to all peers, a few at a time, and returns the
+// number of peers.
+func (g *Gateway) broadcastUpdate(runCtx context.Context, t *peer.Transport, start time.Time) int {
 	var update exchange.StateUpdate
 	var peers []exchange.Member
 	var acks []uint32
@@ -156,6 +177,9 @@
 		return len(peers)
 	}
 	for i, m := range peers {
+		if wait := start.Add(sendOffset(i)).Sub(clock.Now()); wait > 0 && !clock.Wait(runCtx, wait) {
+			break
+		}
 		g.sendMessage(t.SendDatagram, peer.Address{ID: m.Name, Addr: m.PeerAddr}, message{Ack: acks[i], Update: body})
 	}
 	return len(peers)
