One function for rows on which all daemons agree

Cause: reading a row or creating it stood three times (certificate authority, clock origin, time of a restore), and the continuation of the lease after a restore pretended a version.

Change: agreeRow; no behaviour changed but that the authority's loser reads the winner's row at once.

--- a/internal/gateway/authority.go
+++ b/internal/gateway/authority.go
@@ -3,12 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"sync"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
-	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // authorityState is the fleet's certificate authority as this daemon uses it.
@@ -80,26 +78,14 @@
 // agreeAuthority adopts the authority in the table. If there is none, it writes the one
 // that propose returns.
 func (g *Gateway) agreeAuthority(ctx context.Context, propose func() ([]byte, error)) error {
-	row, err := g.Table.Get(ctx, peerPartition, authorityRow, true)
-	if err == nil {
-		if _, err := peer.ParseAuthority(row.Value); err != nil {
-			return err
-		}
-		g.authority.set(row.Value)
-		return nil
-	}
-	if !errors.Is(err, provider.ErrNotFound) {
-		return err
-	}
-	proposed, err := propose()
+	encoded, err := g.agreeRow(ctx, peerPartition, authorityRow, propose)
 	if err != nil {
 		return err
 	}
-	write := provider.Write{Partition: peerPartition, Sort: authorityRow, Value: proposed}
-	if err := g.Table.Transact(ctx, "", []provider.Write{write}); err != nil {
-		return err // the next attempt reads or creates it
+	if _, err := peer.ParseAuthority(encoded); err != nil {
+		return err
 	}
-	g.authority.set(proposed)
+	g.authority.set(encoded)
 	return nil
 }
 
--- a/internal/gateway/clock_origin.go
+++ b/internal/gateway/clock_origin.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
-	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
 // clockOrigin is the time since 1970 at which the table service's steady clock was
@@ -77,23 +75,13 @@
 // agreeClockOrigin returns the clock origin in the table. If there is none, it writes
 // the proposed one.
 func (g *Gateway) agreeClockOrigin(ctx context.Context, proposed time.Duration) (time.Duration, error) {
-	row, err := g.Table.Get(ctx, clockPartition, clockRow, true)
-	if err == nil {
-		var origin clockOrigin
-		err := json.Unmarshal(row.Value, &origin)
-		return origin.SinceEpoch, err
-	}
-	if !errors.Is(err, provider.ErrNotFound) {
-		return 0, err
-	}
-	value, err := json.Marshal(clockOrigin{SinceEpoch: proposed})
+	value, err := g.agreeRow(ctx, clockPartition, clockRow, func() ([]byte, error) {
+		return json.Marshal(clockOrigin{SinceEpoch: proposed})
+	})
 	if err != nil {
 		return 0, err
 	}
-	w := provider.Write{Partition: clockPartition, Sort: clockRow, Value: value}
-	err = g.Table.Transact(ctx, "", []provider.Write{w})
-	if errors.Is(err, provider.ErrConditionFailed) {
-		return g.agreeClockOrigin(ctx, proposed) // another daemon has written it first
-	}
-	return proposed, err
+	var origin clockOrigin
+	err = json.Unmarshal(value, &origin)
+	return origin.SinceEpoch, err
 }
--- a/internal/gateway/leader_lease.go
+++ b/internal/gateway/leader_lease.go
@@ -137,11 +137,11 @@
 	ctx, cancel := context.WithTimeout(runCtx, leaderCallTimeout)
 	defer cancel()
 	row, version, err := t.readLease(ctx)
-	if err == nil && version == 0 {
-		row, err = t.writeLease(ctx)
-		version = 1 // of the row that has just been written
-	}
-	if err == nil && version != 0 && row.Holder != "" && row.Holder != t.g.self.Name {
+	switch {
+	case err != nil:
+	case version == 0:
+		_, err = t.writeLease(ctx)
+	case row.Holder != t.g.self.Name:
 		t.stepDown("after a restore the lease's row names " + string(row.Holder))
 		return
 	}
--- a/internal/gateway/leader_usage.go
+++ b/internal/gateway/leader_usage.go
@@ -41,20 +41,15 @@
 		return 0, errors.New("the true time is not known yet")
 	}
 	sortKey := fmt.Sprintf("generation-%d", generation)
-	row, err := t.g.Table.Get(ctx, leaderPartition, sortKey, true)
-	if err == nil {
-		var stored restoreTimeRow
-		err := json.Unmarshal(row.Value, &stored)
-		return stored.SeenAt, err
-	}
-	if !errors.Is(err, provider.ErrNotFound) {
-		return 0, err
-	}
-	value, err := json.Marshal(restoreTimeRow{SeenAt: seen})
+	value, err := t.g.agreeRow(ctx, leaderPartition, sortKey, func() ([]byte, error) {
+		return json.Marshal(restoreTimeRow{SeenAt: seen})
+	})
 	if err != nil {
 		return 0, err
 	}
-	return seen, t.g.Table.Transact(ctx, "", []provider.Write{{Partition: leaderPartition, Sort: sortKey, Value: value}})
+	var stored restoreTimeRow
+	err = json.Unmarshal(value, &stored)
+	return stored.SeenAt, err
 }
 
 // reportUsage sends the usage report of the next window that is due.
