Do not ask the store without a pause while no answer can confirm the configuration

Cause, found by reading the diff: an unconfirmed daemon asks with calls that do not wait, and repeats them at once. While the store lacks the configuration after a restore, or before there is any, no answer confirms it, so that each daemon would have called without a pause.

Test: fails without it (a call waits 0 s).

--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -23,17 +23,22 @@
 // which after a restore may be lower than that of the one in force.
 func (c *Core) TableShows(version uint64) { c.tableVersion = version }
 
-// ConfirmByTable records that the table service showed no newer configuration at some
-// moment after the given time. That confirms the configuration in force unless the
-// service lacks that one, or other daemons have had a newer one for a while.
-func (c *Core) ConfirmByTable(now, at time.Time) {
+// TableConfirms reports whether an answer of the table service without a newer
+// configuration confirms the one in force. It does not while the service lacks that one,
+// or while other daemons have had a newer one for a while.
+func (c *Core) TableConfirms(now time.Time) bool {
 	if c.index == nil || c.tableVersion < c.index.doc.Version {
-		return
+		return false
 	}
-	if !c.behindSince.IsZero() && now.Sub(c.behindSince) >= 2*newerVersionDelay {
-		return
+	return c.behindSince.IsZero() || now.Sub(c.behindSince) < 2*newerVersionDelay
+}
+
+// ConfirmByTable records that the table service showed no newer configuration at some
+// moment after the given time, if that confirms the one in force.
+func (c *Core) ConfirmByTable(now, at time.Time) {
+	if c.TableConfirms(now) {
+		c.Confirm(at)
 	}
-	c.Confirm(at)
 }
 
 // Confirm records that the configuration was still the newest one at some moment
--- a/internal/gateway/poll_test.go
+++ b/internal/gateway/poll_test.go
@@ -14,6 +14,7 @@
 	g := New(Config{Settings: Settings{Name: "z", KeyRevocationLimit: 5 * time.Second, DrainLimit: 3 * time.Second}})
 	g.withCore(func(c *exchange.Core, now time.Time) {
 		c.SetDocument(now, &exchange.Document{Version: 1})
+		c.TableShows(1)
 		c.Confirm(now.Add(-confirmedAgo))
 		for i := range peers {
 			name := entity.InstanceID("a" + string(rune('A'+i%26)) + string(rune('a'+i/26)))
@@ -48,6 +49,23 @@
 	}
 }
 
+// While no answer can confirm anything, calls that do not wait would follow each other
+// without a pause.
+func TestConfigurationPollWait_NoPointlessCalls(t *testing.T) {
+	restored := newPollingGateway(88, 4*time.Second)
+	restored.withCore(func(c *exchange.Core, _ time.Time) { c.TableShows(0) })
+	empty := New(Config{Settings: Settings{Name: "z", KeyRevocationLimit: 5 * time.Second}})
+	empty.withCore(func(c *exchange.Core, now time.Time) {
+		c.ReceiveUpdate(now, &exchange.StateUpdate{From: exchange.Member{Name: "a", Start: 1}, Sequence: 1}, 0)
+		c.ReceiveUpdate(now, &exchange.StateUpdate{From: exchange.Member{Name: "b", Start: 1}, Sequence: 1}, 0)
+	})
+	for name, g := range map[string]*Gateway{"the table lacks the configuration": restored, "there is no configuration": empty} {
+		if wait := g.configurationPollWait(); wait < time.Second {
+			t.Errorf("%s: a call waits only %v for changes", name, wait)
+		}
+	}
+}
+
 // TestServerBatchDelay_OftenEnoughForDrainingServers: the delay spares calls in a large
 // fleet, but leaves most of the time after which a draining server must get nothing.
 func TestServerBatchDelay_OftenEnoughForDrainingServers(t *testing.T) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -182,15 +182,19 @@
 // It is shorter at the few daemons that confirm it to the others, so that all daemons
 // have a recent confirmation when the table service fails.
 func (g *Gateway) configurationPollWait() time.Duration {
-	confirmer := false
-	g.withCore(func(c *exchange.Core, now time.Time) { confirmer = c.QueriesTableOften(now) })
+	confirmer, answerConfirms := false, false
+	g.withCore(func(c *exchange.Core, now time.Time) {
+		confirmer, answerConfirms = c.QueriesTableOften(now), c.TableConfirms(now)
+	})
 	switch {
 	case confirmer:
 		return min(confirmerPollWait, g.independentPollWait())
 	case g.recentlyConfirmed():
 		return confirmedPollWait
+	case answerConfirms:
+		return 0
 	default:
-		return 0 // the answer confirms the configuration
+		return g.independentPollWait()
 	}
 }
 
