Log deaths of backend servers and what they prove against content

Now: 6140 with the proof of a death, the number of requests that it broke off at this daemon and how long ago, 6141 for each content held responsible, with the daemon that found it, 6142 and 6143; the content's digest in the lines of requests that were not answered at the first attempt; events by number in the metrics.

No decision changes: the same calls in the same order.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -19,6 +19,10 @@
 	DependencyRegained          = define(6121, Info, "dependency regained")
 	TableRestored               = define(6123, Warn, "table service restored from a backup; rows of its newest writes are lost")
 	ReadinessChanged            = define(6122, Info, "readiness changed")
+	ServerDeathProved           = define(6140, Warn, "backend server has died")
+	ContentDeathRecorded        = define(6141, Warn, "backend server died while it ran the content of a request")
+	ContentRefused              = define(6142, Warn, "content of a request refused from now on: too many backend servers died while they ran it")
+	SuspectContentCompleted     = define(6143, Info, "content of a request has completed after backend servers had died while they ran it")
 	PeerSeen                    = define(6130, Info, "daemon heard")
 	PeerSilent                  = define(6131, Warn, "daemon silent")
 
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -209,18 +209,18 @@
 	id := t.tried[len(t.tried)-1]
 	switch {
 	case o == Answered:
-		c.crash.registry.Clear(t.Request.Content)
+		c.crash.clear(now, t.Request.Content)
 	case o == Broken:
 		c.crash.recordBroken(now, id, t.Request.Content)
 	case o == NotSent:
-		c.recordServerDeath(now, id)
+		c.recordServerDeath(now, id, proofNoConnection)
 	}
 }
 
 // recordServerDeath records that a backend server has died, unless it was draining.
-func (c *Core) recordServerDeath(now time.Time, id entity.BackendServerID) {
+func (c *Core) recordServerDeath(now time.Time, id entity.BackendServerID, proof deathProof) {
 	if row := c.servers.Get(id); row != nil && row.State == Ready {
-		c.crash.recordDeath(now, id, row.DataCentre)
+		c.crash.recordDeath(now, id, row.DataCentre, proof)
 	}
 }
 
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -1,9 +1,11 @@
 package exchange
 
 import (
+	"encoding/hex"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quarantine"
 )
 
@@ -56,8 +58,18 @@
 	registry  *quarantine.Registry
 	broken    *entity.Table[entity.BackendServerID, []brokenContent]
 	announced []announcedDeath
+	events    []event.Event // for the log, since TakeEvents was last called
 }
 
+// deathProof is how a daemon has learned that a backend server has died.
+type deathProof string
+
+const (
+	proofNoConnection deathProof = "no-connection" // no connection to its address could be made
+	proofUnlisted     deathProof = "unlisted"      // its entry disappeared although it had not drained
+	proofRestarted    deathProof = "restarted"     // its entry is of a new process
+)
+
 func newCrashGuard() crashGuard {
 	return crashGuard{
 		registry: quarantine.New(quarantine.Config{}),
@@ -86,21 +98,63 @@
 
 // recordDeath records that a backend server has died, and holds the content of
 // requests that it broke off shortly before responsible.
-func (g *crashGuard) recordDeath(now time.Time, id entity.BackendServerID, dc entity.DataCentreID) {
+func (g *crashGuard) recordDeath(now time.Time, id entity.BackendServerID, dc entity.DataCentreID, proof deathProof) {
 	list := g.broken.Get(id)
 	if list == nil {
+		g.events = append(g.events, event.Event{Number: event.ServerDeathProved, Backend: id, Attrs: []event.Attr{event.A("proof", proof), event.A("broken", 0)}})
 		return
 	}
 	g.broken.Delete(id)
+	g.events = append(g.events, event.Event{Number: event.ServerDeathProved, Backend: id, Attrs: []event.Attr{
+		event.A("proof", proof), event.A("broken", len(*list)), event.A("broken_ms_ago", now.Sub((*list)[0].at).Milliseconds()),
+	}})
 	for _, b := range *list {
 		if now.Sub(b.at) > deathWindow {
 			continue
 		}
-		g.registry.RecordDeath(now, quarantine.Death{Digest: b.digest, Backend: id, DataCentre: dc})
+		g.blame(now, quarantine.Death{Digest: b.digest, Backend: id, DataCentre: dc}, "")
 		g.announced = append(g.announced, announcedDeath{ContentDeath{b.digest, id}, now})
 	}
 }
 
+// blame records that a backend server died while it ran some content, as this daemon or
+// the given other one has found.
+func (g *crashGuard) blame(now time.Time, d quarantine.Death, by entity.InstanceID) {
+	before := g.registry.Deaths(now, d.Digest)
+	g.registry.RecordDeath(now, d)
+	deaths := g.registry.Deaths(now, d.Digest)
+	if deaths == before {
+		return
+	}
+	content := event.A("content", ShortDigest(d.Digest))
+	g.events = append(g.events, event.Event{Number: event.ContentDeathRecorded, Backend: d.Backend, Peer: by, Attrs: []event.Attr{content, event.A("deaths", deaths)}})
+	if deaths == refusalDeathCount {
+		g.events = append(g.events, event.Event{Number: event.ContentRefused, Attrs: []event.Attr{content, event.A("deaths", deaths)}})
+	}
+}
+
+// clear records that some content has completed.
+func (g *crashGuard) clear(now time.Time, d entity.Digest) {
+	if n := g.registry.Deaths(now, d); n > 0 {
+		g.events = append(g.events, event.Event{Number: event.SuspectContentCompleted, Attrs: []event.Attr{event.A("content", ShortDigest(d)), event.A("deaths", n)}})
+	}
+	g.registry.Clear(d)
+}
+
+// ShortDigest returns the beginning of a digest, for logs.
+func ShortDigest(d entity.Digest) string { return hex.EncodeToString(d[:shortDigestBytes]) }
+
+// shortDigestBytes is the length of the beginning of a digest that identifies content in
+// logs.
+const shortDigestBytes = 6
+
+// TakeEvents returns the events since the last call, for the log.
+func (c *Core) TakeEvents() []event.Event {
+	out := c.crash.events
+	c.crash.events = nil
+	return out
+}
+
 // announcements returns the recent deaths to announce to the other daemons.
 func (g *crashGuard) announcements(now time.Time) []ContentDeath {
 	var out []ContentDeath
@@ -116,6 +170,6 @@
 }
 
 // receiveDeath records a death that another daemon announced.
-func (g *crashGuard) receiveDeath(now time.Time, d ContentDeath) {
-	g.registry.RecordDeath(now, quarantine.Death{Digest: d.Digest, Backend: d.Server})
+func (g *crashGuard) receiveDeath(now time.Time, d ContentDeath, from entity.InstanceID) {
+	g.blame(now, quarantine.Death{Digest: d.Digest, Backend: d.Server}, from)
 }
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -128,7 +128,7 @@
 		c.receiveDraining(now, s)
 	}
 	for _, d := range update.Deaths {
-		c.crash.receiveDeath(now, d)
+		c.crash.receiveDeath(now, d, row.Name)
 	}
 	for _, p := range update.CachedPrompts {
 		c.placer.AddCachedPart(now, p.Server, p.Part)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,11 +185,18 @@
 	}
 }
 
-// withCore calls f with exclusive access to the core.
+// withCore calls f with exclusive access to the core, and then logs the core's events.
 func (g *Gateway) withCore(f func(c *exchange.Core, now time.Time)) {
+	for _, e := range g.lockedCore(f) {
+		g.logEvent(e)
+	}
+}
+
+func (g *Gateway) lockedCore(f func(c *exchange.Core, now time.Time)) []event.Event {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f(g.core, clock.Now())
+	return g.core.TakeEvents()
 }
 
 // listen opens the configured HTTP sockets and starts to serve them.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -14,7 +14,13 @@
 
 // event logs one event of the event catalogue.
 func (g *Gateway) event(n event.Number, id entity.RequestID, attrs ...event.Attr) {
-	g.Log.Event(time.Now(), event.Event{Number: n, Request: id, Attrs: attrs})
+	g.logEvent(event.Event{Number: n, Request: id, Attrs: attrs})
+}
+
+// logEvent logs an event and counts it in the metrics.
+func (g *Gateway) logEvent(e event.Event) {
+	g.Log.Event(time.Now(), e)
+	g.meter.countEvent(e.Number)
 }
 
 // logResult logs how a request ended, with its attempts, and counts it in the metrics.
@@ -25,6 +31,9 @@
 		event.A("status", x.status), event.A("ms", duration.Milliseconds()), event.A("tried", x.attemptList()),
 		event.A("left_ms", x.request.Patience.Milliseconds()),
 	}
+	if number != event.ExchangeAnswered || len(x.attempts) > 1 {
+		attrs = append(attrs, event.A("content", exchange.ShortDigest(x.request.Content)))
+	}
 	if t := x.ticket; t != nil {
 		timing := t.Timing()
 		attrs = append(attrs, event.A("route", t.Route.Name), event.A("service", t.Service),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 )
 
@@ -34,6 +35,11 @@
 	m.set.GetOrCreateCounter(`gooseberryslip_exchange_attempts_total{outcome="` + o.String() + `"}`).Inc()
 }
 
+// countEvent counts an event of the event catalogue.
+func (m *meter) countEvent(n event.Number) {
+	m.set.GetOrCreateCounter(`gooseberryslip_events_total{number="` + strconv.Itoa(int(n)) + `"}`).Inc()
+}
+
 func (m *meter) countRestore() {
 	m.set.GetOrCreateCounter(`gooseberryslip_table_restores_total`).Inc()
 }
