Reproduce the incident of crashing content in virtual time; known red

A fleet of cores in virtual time with model servers: a connection to a crashed one is refused, its entry expires two to three heartbeats later; state updates are as late as the daemons send them. Callers send the same content to any daemon three times a second, beside 200 ordinary requests.

--- /dev/null
+++ b/internal/exchange/crash_test.go
@@ -0,0 +1,143 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// crashingContent is the content of requests that crash each server that runs them.
+var crashingContent = entity.Digest{0xc0}
+
+// crashRun is a run of a fleet to which callers send content that crashes servers.
+type crashRun struct {
+	*testFleet
+	crashes  []time.Time // of servers that ran the content
+	arrivals []arrival   // of the content
+	wrongly  int         // refusals of other content for crashes
+	refused  int         // refusals of the content for crashes
+}
+
+// newCrashRun returns a fleet that gets ordinary requests to all routes.
+func newCrashRun(t *testing.T, seed uint64, daemons, servers int) *crashRun {
+	r := &crashRun{testFleet: newTestFleet(t, seed, daemons, servers)}
+	r.crashAfter = func(req Request) time.Duration {
+		if req.Content != crashingContent {
+			return 0
+		}
+		return 50*time.Millisecond + r.random(450*time.Millisecond)
+	}
+	r.onArrival = func(a arrival) {
+		if a.request.Content == crashingContent {
+			r.arrivals = append(r.arrivals, a)
+		}
+	}
+	r.onRefusal = func(_ *fleetDaemon, req Request, refusal *Refusal) {
+		switch {
+		case refusal.Code != "crashes-backend-servers":
+		case req.Content == crashingContent:
+			r.refused++
+		default:
+			r.wrongly++
+		}
+	}
+	for i, path := range []string{"/talk/x", "/get/x", "/x"} {
+		r.every(15*time.Millisecond, func() {
+			req := testRequest("", path, "k3")
+			req.Patience = 5 * time.Second
+			req.Content = entity.Digest{1, byte(i), byte(r.sent), byte(r.sent >> 8), byte(r.sent >> 16)}
+			r.send(r.anyDaemon(), req)
+		})
+	}
+	return r
+}
+
+// every schedules a call again and again.
+func (r *crashRun) every(interval time.Duration, call func()) {
+	r.after(r.random(2*interval), func() {
+		call()
+		r.every(interval, call)
+	})
+}
+
+func (r *crashRun) anyDaemon() *fleetDaemon { return r.daemons[r.rng.IntN(len(r.daemons))] }
+
+// crashServers lets callers send the crashing content to any daemon, three times a second
+// for a while. Servers that crash come back under another ID after some seconds.
+func (r *crashRun) crashServers(path string, d time.Duration) {
+	end := r.now.Add(d)
+	known := map[*fleetServer]bool{}
+	r.every(333*time.Millisecond, func() {
+		if r.now.After(end) {
+			return
+		}
+		req := testRequest("", path, "k3")
+		req.Content, req.Patience = crashingContent, 5*time.Second
+		r.send(r.anyDaemon(), req)
+	})
+	r.every(time.Millisecond, func() {
+		for _, s := range r.servers {
+			if s.up || known[s] {
+				continue
+			}
+			known[s] = true
+			r.crashes = append(r.crashes, r.now)
+			r.after(3*time.Second, func() { r.replace(s, s.ID+"-next", 1) })
+		}
+	})
+	r.run(d)
+}
+
+// lateArrivals returns how often the content reached a server after the third crash plus
+// the time within which all daemons must know, at daemons that were up all that time.
+func (r *crashRun) lateArrivals(limit time.Duration) int {
+	if len(r.crashes) < refusalDeathCount {
+		return 0
+	}
+	known := r.crashes[refusalDeathCount-1].Add(limit)
+	n := 0
+	for _, a := range r.arrivals {
+		if a.at.After(known) && a.at.Sub(a.daemon.startedAt) > limit {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// refusalLimit is the time from the third crash within which daemons must refuse
+	// content, and maxLateArrivals how often it may reach a server after that.
+	refusalLimit    = 3 * time.Second
+	maxLateArrivals = 3
+)
+
+// TestCrash_ContentSentToManyDaemonsIsRefusedInTime: the daemon that sees a request break
+// is not the one that finds the server gone.
+func TestCrash_ContentSentToManyDaemonsIsRefusedInTime(t *testing.T) {
+	for _, c := range []struct{ daemons, seeds int }{{1, 9}, {3, 4}, {9, 4}, {89, 4}, {410, 1}} {
+		for seed := range c.seeds {
+			t.Run(fmt.Sprintf("daemons=%d/seed=%d", c.daemons, seed+1), func(t *testing.T) {
+				r := newCrashRun(t, uint64(seed+1), c.daemons, 30)
+				r.run(5 * time.Second)
+				r.crashServers("/talk/x", 15*time.Second)
+				r.check()
+			})
+		}
+	}
+}
+
+// check checks that the content was refused in time, and no other content.
+func (r *crashRun) check() {
+	r.t.Helper()
+	if n := r.lateArrivals(refusalLimit); n > maxLateArrivals {
+		r.t.Errorf("content reached servers %d times later than %v after it had crashed the third, at most %d allowed; %d servers crashed in all", n, refusalLimit, maxLateArrivals, len(r.crashes))
+	}
+	if r.refused == 0 {
+		r.t.Error("the content was never refused")
+	}
+	if r.wrongly > 0 {
+		r.t.Errorf("%d requests with other content were refused", r.wrongly)
+	}
+}
--- /dev/null
+++ b/internal/exchange/fleet_test.go
@@ -0,0 +1,351 @@
+package exchange
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// testFleet runs the cores of several daemons in virtual time with model backend
+// servers. It records what reaches the servers and knows nothing of the cores' decisions.
+type testFleet struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	queue   scheduleHeap
+	added   int // number of scheduled calls, to keep the order of those at the same time
+	daemons []*fleetDaemon
+	servers []*fleetServer
+	sent    int // number of callers' requests
+
+	runDuration func(Request) (start, end time.Duration) // from the arrival of a request to its first event and its end
+	crashAfter  func(Request) time.Duration              // from a request's start to the end of the server that runs it; 0: it does not crash
+	onArrival   func(arrival)                            // called with each arrival at a server that is up
+	onRefusal   func(*fleetDaemon, Request, *Refusal)
+}
+
+const (
+	// networkDelay is the time that a message takes between daemons, callers and servers.
+	networkDelay = 1500 * time.Microsecond
+	// updateLossRatio is the ratio of state updates that are lost.
+	updateLossRatio = 0.02
+	// listExpiry is the longest time from a server's death until its entry expires, three
+	// heartbeat intervals. The shortest is two of them.
+	listExpiry = 3600 * time.Millisecond
+	// maxListDelay is the longest time until a daemon learns of a change of the list.
+	maxListDelay = 300 * time.Millisecond
+)
+
+// fleetDaemon is one daemon, which may be restarted with a new core.
+type fleetDaemon struct {
+	name      string
+	core      *Core
+	starts    int64
+	startedAt time.Time
+}
+
+// fleetServer is one process of a backend server.
+type fleetServer struct {
+	BackendServer
+	up         bool
+	dark       bool // it is down and its address does not answer
+	runs       map[*fleetRun]bool
+	replacedBy *fleetServer // a process that has got its address
+}
+
+// fleetRun is a request that runs on a server.
+type fleetRun struct {
+	daemon *fleetDaemon
+	core   *Core
+	ticket *Ticket
+	ended  bool
+}
+
+// arrival is the arrival of a request at a server.
+type arrival struct {
+	at      time.Time // when the daemon sent it
+	daemon  *fleetDaemon
+	server  *fleetServer
+	request Request
+}
+
+// scheduled is a call at a time.
+type scheduled struct {
+	at     time.Time
+	number int
+	call   func()
+}
+
+type scheduleHeap []scheduled
+
+func (h scheduleHeap) Len() int { return len(h) }
+func (h scheduleHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].number < h[j].number
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h scheduleHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *scheduleHeap) Push(x any)   { *h = append(*h, x.(scheduled)) }
+func (h *scheduleHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// newTestFleet returns a fleet with some daemons and, for each service, some servers.
+func newTestFleet(t *testing.T, seed uint64, daemons, servers int) *testFleet {
+	f := &testFleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: zero,
+		runDuration: func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, 300 * time.Millisecond },
+		crashAfter:  func(Request) time.Duration { return 0 },
+		onArrival:   func(arrival) {},
+		onRefusal:   func(*fleetDaemon, Request, *Refusal) {},
+	}
+	for i := range servers {
+		for _, service := range []entity.ServiceName{"engine", "plain"} {
+			f.servers = append(f.servers, &fleetServer{up: true, runs: map[*fleetRun]bool{}, BackendServer: BackendServer{
+				ID: entity.BackendServerID(fmt.Sprint(service, i)), Born: 1, Service: service, Address: fmt.Sprint("10.0.0.1:", len(f.servers)),
+				DataCentre: entity.DataCentreID([]string{"a", "b", "c"}[i%3]), Slots: 64, State: Ready,
+			}})
+		}
+	}
+	for i := range daemons {
+		d := &fleetDaemon{name: fmt.Sprint("d", i)}
+		f.daemons = append(f.daemons, d)
+		f.start(d)
+	}
+	return f
+}
+
+// start starts a daemon, or starts it again with nothing of what it knew.
+func (f *testFleet) start(d *fleetDaemon) {
+	d.starts++
+	d.startedAt = f.now
+	d.core = New(Config{
+		Self:        Member{Name: entity.InstanceID(d.name), Start: d.starts, CallerAddr: d.name + ":1", DataCentre: "a"},
+		DataCentres: []entity.DataCentreID{"a", "b", "c"}, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now,
+		Bounds: Bounds{
+			StaleAfter: 4 * time.Second, RetryRatio: 0.2, RetryReserve: 60, UsageWindow: 5 * time.Second,
+			ForgetServerAfter: 10 * time.Second, UpdateIntervalPerPeer: 10 * time.Millisecond, ForgetPeerAfter: 10 * time.Second,
+		},
+	})
+	d.core.SetDocument(f.now, testDocument(1))
+	d.core.Confirm(f.now)
+	for _, s := range f.servers {
+		if s.up {
+			d.core.PutServer(f.now, s.BackendServer)
+		}
+	}
+	for _, other := range f.daemons {
+		if other != d {
+			d.core.AddMember(f.now, other.core.cfg.Self)
+			other.core.AddMember(f.now, d.core.cfg.Self)
+		}
+	}
+	core := d.core
+	f.after(f.random(f.updateInterval()), func() { f.broadcast(d, core) })
+	f.after(0, func() { f.housekeep(d, core) })
+}
+
+// random returns a random duration below the limit.
+func (f *testFleet) random(limit time.Duration) time.Duration {
+	return time.Duration(f.rng.Int64N(int64(limit)))
+}
+
+// after schedules a call.
+func (f *testFleet) after(d time.Duration, call func()) {
+	f.added++
+	heap.Push(&f.queue, scheduled{f.now.Add(d), f.added, call})
+}
+
+// run lets the given time pass.
+func (f *testFleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(scheduled)
+		f.now = next.at
+		next.call()
+	}
+	f.now = end
+}
+
+// updateInterval returns the time between two state updates of a daemon.
+func (f *testFleet) updateInterval() time.Duration {
+	return max(90*time.Millisecond, time.Duration(len(f.daemons)-1)*10*time.Millisecond)
+}
+
+// broadcast sends a state update of a daemon to all others, two every 6 ms, and
+// schedules the next one.
+func (f *testFleet) broadcast(d *fleetDaemon, core *Core) {
+	if d.core != core {
+		return // it was restarted
+	}
+	update := core.NextUpdate(f.now)
+	for i, m := range core.Peers() {
+		to, ack := f.daemon(m.Name), core.Ack(m.Name)
+		if to == nil || f.rng.Float64() < updateLossRatio {
+			continue
+		}
+		f.after(time.Duration(i/2)*6*time.Millisecond+networkDelay, func() { to.core.ReceiveUpdate(f.now, &update, ack) })
+	}
+	f.after(f.updateInterval(), func() { f.broadcast(d, core) })
+}
+
+func (f *testFleet) daemon(name entity.InstanceID) *fleetDaemon {
+	for _, d := range f.daemons {
+		if d.name == string(name) {
+			return d
+		}
+	}
+	return nil
+}
+
+// housekeep runs a daemon's periodic tasks and schedules them again.
+func (f *testFleet) housekeep(d *fleetDaemon, core *Core) {
+	if d.core != core {
+		return
+	}
+	core.Confirm(f.now)
+	core.Tick(f.now)
+	f.after(250*time.Millisecond, func() { f.housekeep(d, core) })
+}
+
+// send lets a caller send a request to a daemon.
+func (f *testFleet) send(d *fleetDaemon, r Request) {
+	f.sent++
+	r.ID = entity.RequestID(fmt.Sprint("r", f.sent))
+	ticket, refusal := d.core.Admit(f.now, f.now, r)
+	if refusal != nil {
+		f.onRefusal(d, r, refusal)
+		return
+	}
+	f.attempt(d, d.core, ticket)
+}
+
+// attempt makes the next attempt of a request.
+func (f *testFleet) attempt(d *fleetDaemon, core *Core, t *Ticket) {
+	a, refusal := core.Place(f.now, t)
+	if refusal != nil {
+		core.Finish(f.now, t)
+		f.onRefusal(d, t.Request, refusal)
+		return
+	}
+	run := &fleetRun{daemon: d, core: core, ticket: t}
+	sentAt := f.now
+	f.after(networkDelay, func() { f.arrive(run, f.server(a.Server, a.Address), a.Server, sentAt) })
+	if !a.SilenceDeadline.IsZero() {
+		f.after(a.SilenceDeadline.Sub(f.now), func() {
+			if !t.answerStarted {
+				f.end(run, Silent)
+			}
+		})
+	}
+	if !t.Deadline.IsZero() {
+		f.after(t.Deadline.Sub(f.now), func() { f.end(run, Silent) })
+	}
+}
+
+// server returns the newest process that has an address.
+func (f *testFleet) server(id entity.BackendServerID, address string) *fleetServer {
+	for i := len(f.servers) - 1; i >= 0; i-- {
+		if s := f.servers[i]; s.Address == address && (s.up || s.ID == id) {
+			return s
+		}
+	}
+	return nil
+}
+
+// arrive lets a request reach the process at an address.
+func (f *testFleet) arrive(run *fleetRun, s *fleetServer, wanted entity.BackendServerID, sentAt time.Time) {
+	switch {
+	case s == nil || !s.up && !s.dark:
+		f.after(networkDelay, func() { f.end(run, NotSent) }) // connection refused
+		return
+	case !s.up:
+		f.after(700*time.Millisecond, func() { f.end(run, NotSent) }) // the dial times out
+		return
+	case s.ID != wanted:
+		f.after(networkDelay, func() { f.end(run, Misdirected) })
+		return
+	}
+	f.onArrival(arrival{at: sentAt, daemon: run.daemon, server: s, request: run.ticket.Request})
+	s.runs[run] = true
+	if crash := f.crashAfter(run.ticket.Request); crash > 0 {
+		f.after(crash, func() {
+			if s.runs[run] {
+				f.crash(s)
+			}
+		})
+		return
+	}
+	start, end := f.runDuration(run.ticket.Request)
+	f.after(start, func() {
+		if s.runs[run] && !run.ended {
+			run.core.Started(f.now, run.ticket)
+		}
+	})
+	f.after(end, func() {
+		if s.runs[run] {
+			delete(s.runs, run)
+			f.after(networkDelay, func() { f.end(run, Answered) })
+		}
+	})
+}
+
+// end ends an attempt and makes the next one, if the core wants one.
+func (f *testFleet) end(run *fleetRun, o Outcome) {
+	if run.ended {
+		return
+	}
+	run.ended = true
+	for _, s := range f.servers {
+		delete(s.runs, run) // the connection is closed
+	}
+	refusal := run.core.Ended(f.now, run.ticket, o)
+	switch {
+	case o == Answered || o == Abandoned:
+		run.core.Finish(f.now, run.ticket)
+	case refusal != nil:
+		run.core.Finish(f.now, run.ticket)
+		f.onRefusal(run.daemon, run.ticket.Request, refusal)
+	default:
+		f.attempt(run.daemon, run.core, run.ticket)
+	}
+}
+
+// crash ends a server's process. Its connections are reset, unless it goes dark, and its
+// entry expires.
+func (f *testFleet) crash(s *fleetServer) {
+	s.up = false
+	for run := range s.runs {
+		delete(s.runs, run)
+		if !s.dark {
+			f.after(networkDelay, func() { f.end(run, Broken) })
+		}
+	}
+	expiry := listExpiry*2/3 + f.random(listExpiry/3)
+	f.eachCore(expiry, func(c *Core) { c.RemoveServer(f.now, s.ID) })
+}
+
+// eachCore schedules a call for the core of each daemon when that learns of a change of
+// the list.
+func (f *testFleet) eachCore(delay time.Duration, call func(*Core)) {
+	for _, d := range f.daemons {
+		f.after(delay+f.random(maxListDelay), func() { call(d.core) })
+	}
+}
+
+// replace starts a new process at a server's address under the given ID and start time.
+func (f *testFleet) replace(s *fleetServer, id entity.BackendServerID, born int64) {
+	entry := s.BackendServer
+	entry.ID, entry.Born = id, born
+	s.replacedBy = &fleetServer{BackendServer: entry, up: true, dark: s.dark, runs: map[*fleetRun]bool{}}
+	f.servers = append(f.servers, s.replacedBy)
+	f.eachCore(0, func(c *Core) { c.PutServer(f.now, entry) })
+}
