Dial a backend server as soon as it breaks a request off, and share its death

Callers saw: one content, sent again and again under new IDs, ended 17 engines, and with each all that ran beside it.

Cause: the daemon that sees a request break holds the suspicion, and avoids the server from then on; the daemons whose connections are refused there hold the proof, and tell nobody. Both met only when the list dropped the server, two to three heartbeats later, at the daemon with the suspicion. Evidence: the incident's logs (i-49bae85adc broke requests of three daemons at 73.493 s and was refused to four others from 74.063 s on; first refusal of the content at 73.825 s, 4.6 s after the third death), and those of TestGateway_CrashingContentIsRefusedByAllDaemons on the old code: 29 of 40 proofs at daemons with nothing against any content, 8 of the others 3.6 s or more after the break. Ruled out: differing digests (one in all logs).

Change: a broken run has its daemon dial the server at once; a refused connection proves the death. A daemon that finds a server dead tells all others, which then hold what broke off there against its content. A dial that times out proves nothing. Deaths are those of processes, so that an ID that is used again counts anew.

TestCrash_ContentSentToManyDaemonsIsRefusedInTime, known red before: 7 of 22 cases failed, 18 to 39 servers crashed; now none, 3 to 6 servers with up to 9 daemons, 5 to 10 with 89, 16 to 20 with 410. TestGateway_CrashingContentIsRefusedByAllDaemons with real sockets: 12 of 12 servers crashed before, now 4.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -101,6 +101,7 @@
 		t.firstSentAt = now
 	}
 	t.tried = append(t.tried, choice.Server)
+	t.process = row.process()
 	c.recordCachedPrompt(choice.Server, t)
 	a := Attempt{
 		Server: choice.Server, Address: row.Address, Priority: t.priority,
@@ -174,7 +175,7 @@
 // failureWeights says how strongly an outcome counts as a failure of the backend
 // server, from 0 to 1.
 var failureWeights = map[Outcome]float64{
-	NotSent: 1, Rejected: 0.3, Misdirected: 1, Failed: 0.4, Broken: 0.8, Silent: 0.8,
+	NotSent: 1, NotListening: 1, Rejected: 0.3, Misdirected: 1, Failed: 0.4, Broken: 0.8, Silent: 0.8,
 }
 
 // Ended records how the present attempt ended. It returns nil if another attempt
@@ -185,12 +186,12 @@
 	if n := len(t.tried); n > 0 && failureWeights[o] > 0 {
 		c.placer.RecordFailure(now, t.tried[n-1], failureWeights[o])
 	}
-	c.recordCrashEvidence(now, t, o)
+	c.recordEvidence(now, t, o)
 	switch o {
 	case Answered, Abandoned:
 		t.Ran++
 		return nil
-	case NotSent:
+	case NotSent, NotListening:
 		t.Sends-- // never arrived
 	case Failed, Broken, Silent:
 		t.Ran++
@@ -201,26 +202,16 @@
 	return nil
 }
 
-// recordCrashEvidence updates the crash guard with what an outcome says of crashes.
-func (c *Core) recordCrashEvidence(now time.Time, t *Ticket, o Outcome) {
-	if len(t.tried) == 0 {
-		return
-	}
-	id := t.tried[len(t.tried)-1]
-	switch {
-	case o == Answered:
-		c.crash.clear(now, t.Request.Content)
-	case o == Broken:
-		c.crash.recordBroken(now, id, t.Request.Content)
-	case o == NotSent:
-		c.recordServerDeath(now, id, proofNoConnection)
-	}
-}
-
-// recordServerDeath records that a backend server has died, unless it was draining.
-func (c *Core) recordServerDeath(now time.Time, id entity.BackendServerID, proof deathProof) {
-	if row := c.servers.Get(id); row != nil && row.State == Ready {
-		c.crash.recordDeath(now, id, row.DataCentre, proof)
+// recordEvidence records what an outcome says of the death of the backend server and of
+// the request's content.
+func (c *Core) recordEvidence(now time.Time, t *Ticket, o Outcome) {
+	switch o {
+	case Answered:
+		c.recordCompletion(now, t.Request.Content)
+	case Broken:
+		c.recordBrokenRun(now, t.process, t.Request.Content)
+	case NotListening:
+		c.recordDeath(now, t.process, proofRefused)
 	}
 }
 
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/lease"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
@@ -74,6 +75,8 @@
 	behindSince            time.Time      // since when another daemon has had a newer configuration; zero: none has
 	demand                 demand
 	crash                  crashGuard
+	deaths                 deathLog
+	events                 []event.Event // for the log, since TakeEvents was last called
 	levels                 *entity.Table[entity.ServiceName, capacity.Level]
 	reclaimableExhaustedAt *entity.Table[reclaimableLocation, time.Time] // when a scaling request was last refused
 }
@@ -90,6 +93,7 @@
 		peers:                  entity.NewTable[entity.InstanceID, peerRow](),
 		placer:                 placement.New(cfg.Rand),
 		crash:                  newCrashGuard(),
+		deaths:                 newDeathLog(),
 		levels:                 entity.NewTable[entity.ServiceName, capacity.Level](),
 		reclaimableExhaustedAt: entity.NewTable[reclaimableLocation, time.Time](),
 		quota:                  quota.New(),
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"strconv"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -11,10 +12,7 @@
 
 // A request that crashes each backend server on which it runs may be sent again
 // under new IDs and to any daemon. Therefore content is refused if it was running
-// on three backend servers when they died and has not completed on any since. A
-// server counts as dead if, soon after it broke off a request, nothing listens at
-// its address, its entry disappears without an announced drain, or its process has
-// restarted.
+// on three backend servers when they died and has not completed on any since.
 
 const (
 	// refusalDeathCount is the number of backend servers that must have died while
@@ -23,9 +21,9 @@
 	// deathWindow is how soon after a backend server broke off a request there must
 	// be evidence of its death for the request's content to be held responsible.
 	deathWindow = 4 * time.Second
-	// maxBrokenPerServer limits the interrupted requests that are recorded for
-	// one backend server.
-	maxBrokenPerServer = 64
+	// maxUnexplainedRuns limits the interrupted runs that are recorded for one process
+	// of a backend server.
+	maxUnexplainedRuns = 64
 	// quarantinedRetryDelay is the Retry-After time of quarantined content.
 	quarantinedRetryDelay = 30 * time.Second
 	// deathAnnouncementDuration is how long a death is included in the updates to
@@ -33,47 +31,57 @@
 	deathAnnouncementDuration = 2 * time.Second
 )
 
-// brokenContent is the content of a request that was running when its connection
-// broke.
-type brokenContent struct {
-	digest entity.Digest
-	at     time.Time
+// unexplainedRun is a run of a request that broke off. If the backend server's process
+// has died, that explains it.
+type unexplainedRun struct {
+	content entity.Digest
+	at      time.Time // when it broke off
 }
 
-// ContentDeath says that a backend server died while it ran some content.
+// ContentDeath says that a process of a backend server died while it ran some content.
 type ContentDeath struct {
 	Digest entity.Digest          `cbor:"1,keyasint"`
 	Server entity.BackendServerID `cbor:"2,keyasint"`
+	Born   int64                  `cbor:"3,keyasint,omitempty"` // see Process
 }
 
-// announcedDeath is a death that is being announced to the other daemons.
-type announcedDeath struct {
-	ContentDeath
-	at time.Time // when it was recorded
+// process returns the process that died.
+func (d *ContentDeath) process() Process { return Process{Server: d.Server, Born: d.Born} }
+
+// announced is a fact that is being announced to the other daemons.
+type announced[T any] struct {
+	fact T
+	at   time.Time // when it was recorded
+}
+
+// current returns the facts that were recorded so lately that they are announced, and
+// drops the others.
+func current[T any](now time.Time, list *[]announced[T]) []T {
+	var out []T
+	kept := (*list)[:0]
+	for _, a := range *list {
+		if now.Sub(a.at) < deathAnnouncementDuration {
+			kept = append(kept, a)
+			out = append(out, a.fact)
+		}
+	}
+	*list = kept
+	return out
 }
 
 // crashGuard counts the deaths of backend servers per content, and quarantines
 // content that seems to cause them.
 type crashGuard struct {
-	registry  *quarantine.Registry
-	broken    *entity.Table[entity.BackendServerID, []brokenContent]
-	announced []announcedDeath
-	events    []event.Event // for the log, since TakeEvents was last called
+	registry      *quarantine.Registry
+	unexplained   *entity.Table[Process, []unexplainedRun]
+	contentDeaths []announced[ContentDeath]
+	deadProcesses []announced[Process]
 }
 
-// deathProof is how a daemon has learned that a backend server has died.
-type deathProof string
-
-const (
-	proofNoConnection deathProof = "no-connection" // no connection to its address could be made
-	proofUnlisted     deathProof = "unlisted"      // its entry disappeared although it had not drained
-	proofRestarted    deathProof = "restarted"     // its entry is of a new process
-)
-
 func newCrashGuard() crashGuard {
 	return crashGuard{
-		registry: quarantine.New(quarantine.Config{}),
-		broken:   entity.NewTable[entity.BackendServerID, []brokenContent](),
+		registry:    quarantine.New(quarantine.Config{}),
+		unexplained: entity.NewTable[Process, []unexplainedRun](),
 	}
 }
 
@@ -83,62 +91,110 @@
 	return g.registry.Deaths(now, d) >= refusalDeathCount
 }
 
-// recordBroken records that a backend server broke off a request before it
-// answered.
-func (g *crashGuard) recordBroken(now time.Time, id entity.BackendServerID, d entity.Digest) {
-	list := g.broken.Get(id)
-	if list == nil {
-		list = new([]brokenContent)
-		g.broken.Put(id, list)
+// unexplainedRuns returns the runs that a process has broken off.
+func (g *crashGuard) unexplainedRuns(p Process) []unexplainedRun {
+	if list := g.unexplained.Get(p); list != nil {
+		return *list
 	}
-	if len(*list) < maxBrokenPerServer {
-		*list = append(*list, brokenContent{digest: d, at: now})
+	return nil
+}
+
+// addUnexplained records that a process has broken off a run.
+func (g *crashGuard) addUnexplained(now time.Time, p Process, content entity.Digest) {
+	list := g.unexplainedRuns(p)
+	if len(list) < maxUnexplainedRuns {
+		list = append(list, unexplainedRun{content: content, at: now})
 	}
+	g.unexplained.Put(p, &list)
 }
 
-// recordDeath records that a backend server has died, and holds the content of
-// requests that it broke off shortly before responsible.
-func (g *crashGuard) recordDeath(now time.Time, id entity.BackendServerID, dc entity.DataCentreID, proof deathProof) {
-	list := g.broken.Get(id)
-	if list == nil {
-		g.events = append(g.events, event.Event{Number: event.ServerDeathProved, Backend: id, Attrs: []event.Attr{event.A("proof", proof), event.A("broken", 0)}})
-		return
+// forget drops runs that broke off too long ago.
+func (g *crashGuard) forget(now time.Time) {
+	for _, p := range g.unexplained.Keys() {
+		if list := g.unexplainedRuns(p); len(list) == 0 || now.Sub(list[len(list)-1].at) > deathWindow {
+			g.unexplained.Delete(p)
+		}
+	}
+}
+
+// announceDeath has the next updates tell the other daemons that a process has died.
+func (g *crashGuard) announceDeath(now time.Time, p Process) {
+	g.deadProcesses = append(g.deadProcesses, announced[Process]{p, now})
+}
+
+// recordBrokenRun records that a request's run was broken off. If its process is not
+// known to have died, it is probed.
+func (c *Core) recordBrokenRun(now time.Time, p Process, content entity.Digest) {
+	row := c.servers.Get(p.Server)
+	switch {
+	case c.deaths.isDead(now, p):
+		c.blame(now, p, content)
+	case row != nil && row.process() == p && row.State == Ready:
+		c.crash.addUnexplained(now, p, content)
+		c.deaths.probe(Probe{Process: p, Address: row.Address})
 	}
-	g.broken.Delete(id)
-	g.events = append(g.events, event.Event{Number: event.ServerDeathProved, Backend: id, Attrs: []event.Attr{
-		event.A("proof", proof), event.A("broken", len(*list)), event.A("broken_ms_ago", now.Sub((*list)[0].at).Milliseconds()),
-	}})
-	for _, b := range *list {
-		if now.Sub(b.at) > deathWindow {
-			continue
+}
+
+// blameUnexplained holds the content of the runs that a process broke off shortly before
+// responsible for its death.
+func (c *Core) blameUnexplained(now time.Time, p Process) {
+	runs := c.crash.unexplainedRuns(p)
+	c.crash.unexplained.Delete(p)
+	for _, run := range runs {
+		if now.Sub(run.at) <= deathWindow {
+			c.blame(now, p, run.content)
 		}
-		g.blame(now, quarantine.Death{Digest: b.digest, Backend: id, DataCentre: dc}, "")
-		g.announced = append(g.announced, announcedDeath{ContentDeath{b.digest, id}, now})
 	}
 }
 
-// blame records that a backend server died while it ran some content, as this daemon or
-// the given other one has found.
-func (g *crashGuard) blame(now time.Time, d quarantine.Death, by entity.InstanceID) {
-	before := g.registry.Deaths(now, d.Digest)
-	g.registry.RecordDeath(now, d)
-	deaths := g.registry.Deaths(now, d.Digest)
+// blame holds content responsible for the death of a process, and announces that.
+func (c *Core) blame(now time.Time, p Process, content entity.Digest) {
+	death := ContentDeath{Digest: content, Server: p.Server, Born: p.Born}
+	c.crash.contentDeaths = append(c.crash.contentDeaths, announced[ContentDeath]{death, now})
+	c.recordContentDeath(now, &death, c.cfg.Self.Name)
+}
+
+// recordContentDeath records that a process died while it ran some content, as the given
+// daemon has found.
+func (c *Core) recordContentDeath(now time.Time, d *ContentDeath, by entity.InstanceID) {
+	registry := c.crash.registry
+	before := registry.Deaths(now, d.Digest)
+	registry.RecordDeath(now, quarantine.Death{Digest: d.Digest, Backend: quarantineID(d.process())})
+	deaths := registry.Deaths(now, d.Digest)
 	if deaths == before {
 		return
 	}
 	content := event.A("content", ShortDigest(d.Digest))
-	g.events = append(g.events, event.Event{Number: event.ContentDeathRecorded, Backend: d.Backend, Peer: by, Attrs: []event.Attr{content, event.A("deaths", deaths)}})
+	c.logEvent(event.Event{Number: event.ContentDeathRecorded, Backend: d.Server, Peer: by, Attrs: []event.Attr{content, event.A("deaths", deaths)}})
 	if deaths == refusalDeathCount {
-		g.events = append(g.events, event.Event{Number: event.ContentRefused, Attrs: []event.Attr{content, event.A("deaths", deaths)}})
+		c.logEvent(event.Event{Number: event.ContentRefused, Attrs: []event.Attr{content, event.A("deaths", deaths)}})
+	}
+}
+
+// quarantineID returns the ID by which the registry of deaths tells processes apart.
+func quarantineID(p Process) entity.BackendServerID {
+	return p.Server + entity.BackendServerID("#"+strconv.FormatInt(p.Born, 36))
+}
+
+// recordCompletion records that some content has completed.
+func (c *Core) recordCompletion(now time.Time, d entity.Digest) {
+	registry := c.crash.registry
+	if n := registry.Deaths(now, d); n > 0 {
+		c.logEvent(event.Event{Number: event.SuspectContentCompleted, Attrs: []event.Attr{event.A("content", ShortDigest(d)), event.A("deaths", n)}})
 	}
+	registry.Clear(d)
 }
 
-// clear records that some content has completed.
-func (g *crashGuard) clear(now time.Time, d entity.Digest) {
-	if n := g.registry.Deaths(now, d); n > 0 {
-		g.events = append(g.events, event.Event{Number: event.SuspectContentCompleted, Attrs: []event.Attr{event.A("content", ShortDigest(d)), event.A("deaths", n)}})
+// receiveDeaths applies the deaths that another daemon announced.
+func (c *Core) receiveDeaths(now time.Time, from entity.InstanceID, update *StateUpdate) {
+	for i := range update.Deaths {
+		d := &update.Deaths[i]
+		c.recordDeath(now, d.process(), proofAnnounced)
+		c.recordContentDeath(now, d, from)
+	}
+	for _, p := range update.DeadProcesses {
+		c.recordDeath(now, p, proofAnnounced)
 	}
-	g.registry.Clear(d)
 }
 
 // ShortDigest returns the beginning of a digest, for logs.
@@ -148,28 +204,12 @@
 // logs.
 const shortDigestBytes = 6
 
+// logEvent adds an event for the log.
+func (c *Core) logEvent(e event.Event) { c.events = append(c.events, e) }
+
 // TakeEvents returns the events since the last call, for the log.
 func (c *Core) TakeEvents() []event.Event {
-	out := c.crash.events
-	c.crash.events = nil
+	out := c.events
+	c.events = nil
 	return out
 }
-
-// announcements returns the recent deaths to announce to the other daemons.
-func (g *crashGuard) announcements(now time.Time) []ContentDeath {
-	var out []ContentDeath
-	kept := g.announced[:0]
-	for _, death := range g.announced {
-		if now.Sub(death.at) < deathAnnouncementDuration {
-			kept = append(kept, death)
-			out = append(out, death.ContentDeath)
-		}
-	}
-	g.announced = kept
-	return out
-}
-
-// receiveDeath records a death that another daemon announced.
-func (g *crashGuard) receiveDeath(now time.Time, d ContentDeath, from entity.InstanceID) {
-	g.blame(now, quarantine.Death{Digest: d.Digest, Backend: d.Server}, from)
-}
--- /dev/null
+++ b/internal/exchange/death.go
@@ -0,0 +1,135 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+)
+
+// A daemon learns in several ways that the process of a backend server has died, and
+// often not the daemon whose request the death broke off: that one avoids the server
+// from then on. So a daemon whose request broke off dials the server at once, and each
+// daemon that finds a server dead tells all others.
+
+// Process identifies one process of a backend server. An ID may be used again by a later
+// process.
+type Process struct {
+	Server entity.BackendServerID `cbor:"1,keyasint"`
+	Born   int64                  `cbor:"2,keyasint,omitempty"` // its start, Unix milliseconds; 0: not known
+}
+
+// deathProof is how a daemon has learned that a process has died.
+type deathProof string
+
+const (
+	proofRefused   deathProof = "refused"   // nothing listens at its address
+	proofUnlisted  deathProof = "unlisted"  // its entry disappeared although it had not drained
+	proofRestarted deathProof = "restarted" // its entry is of a new process
+	proofAnnounced deathProof = "announced" // another daemon has found out
+)
+
+// Probe asks whether a backend server's process still listens.
+type Probe struct {
+	Process
+	Address string
+}
+
+// ProbeResult is the result of dialling a backend server's address.
+type ProbeResult uint8
+
+const (
+	// Reachable: the connection was established.
+	Reachable ProbeResult = iota + 1
+	// Refused: nothing listens at the address.
+	Refused
+	// Unreachable: there was no response in time.
+	Unreachable
+)
+
+// deathRetention is how long a daemon remembers that a process has died. Runs on it that
+// end later are due to its death.
+const deathRetention = time.Minute
+
+// deathLog holds the processes of backend servers that have died, and the probes that
+// are to be made.
+type deathLog struct {
+	dead    *entity.Table[Process, time.Time]
+	probing *entity.Table[Process, probeState]
+	probes  []Probe // to be made
+}
+
+// probeState is the state of a probe that is being made.
+type probeState struct {
+	again bool // make another one after it, since a run has ended meanwhile
+}
+
+func newDeathLog() deathLog {
+	return deathLog{dead: entity.NewTable[Process, time.Time](), probing: entity.NewTable[Process, probeState]()}
+}
+
+// probe requests a probe. While one of the same process is being made, another one
+// follows it.
+func (l *deathLog) probe(p Probe) {
+	if state := l.probing.Get(p.Process); state != nil {
+		state.again = true
+		return
+	}
+	l.probing.Put(p.Process, &probeState{})
+	l.probes = append(l.probes, p)
+}
+
+// isDead reports whether a process is known to have died.
+func (l *deathLog) isDead(now time.Time, p Process) bool {
+	at := l.dead.Get(p)
+	return at != nil && now.Sub(*at) < deathRetention
+}
+
+// forget drops the deaths that were recorded long ago.
+func (l *deathLog) forget(now time.Time) {
+	for _, p := range l.dead.Keys() {
+		if !l.isDead(now, p) {
+			l.dead.Delete(p)
+		}
+	}
+}
+
+// process returns the process of a backend server that this daemon knows.
+func (r *serverRow) process() Process { return Process{Server: r.ID, Born: r.Born} }
+
+// TakeProbes returns the probes that are to be made. ProbeEnded must be called with the
+// result of each.
+func (c *Core) TakeProbes() []Probe {
+	out := c.deaths.probes
+	c.deaths.probes = nil
+	return out
+}
+
+// ProbeEnded records the result of a probe.
+func (c *Core) ProbeEnded(now time.Time, p Probe, result ProbeResult) {
+	state := c.deaths.probing.Get(p.Process)
+	c.deaths.probing.Delete(p.Process)
+	switch {
+	case result == Refused:
+		c.recordDeath(now, p.Process, proofRefused)
+	case state != nil && state.again:
+		c.deaths.probe(p)
+	}
+}
+
+// recordDeath records that the process of a backend server has died, unless it was
+// draining.
+func (c *Core) recordDeath(now time.Time, p Process, proof deathProof) {
+	row := c.servers.Get(p.Server)
+	if row != nil && row.Born == p.Born && row.State != Ready || c.deaths.isDead(now, p) {
+		return
+	}
+	c.deaths.dead.Put(p, &now)
+	c.logEvent(event.Event{Number: event.ServerDeathProved, Backend: p.Server, Attrs: []event.Attr{
+		event.A("proof", proof), event.A("born", p.Born), event.A("unexplained", len(c.crash.unexplainedRuns(p))),
+	}})
+	if proof != proofAnnounced {
+		c.crash.announceDeath(now, p)
+	}
+	c.blameUnexplained(now, p)
+}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -192,7 +192,10 @@
 		if to == nil || f.rng.Float64() < updateLossRatio {
 			continue
 		}
-		f.after(time.Duration(i/2)*6*time.Millisecond+networkDelay, func() { to.core.ReceiveUpdate(f.now, &update, ack) })
+		f.after(time.Duration(i/2)*6*time.Millisecond+networkDelay, func() {
+			to.core.ReceiveUpdate(f.now, &update, ack)
+			f.makeProbes(to.core)
+		})
 	}
 	f.after(f.updateInterval(), func() { f.broadcast(d, core) })
 }
@@ -265,7 +268,7 @@
 func (f *testFleet) arrive(run *fleetRun, s *fleetServer, wanted entity.BackendServerID, sentAt time.Time) {
 	switch {
 	case s == nil || !s.up && !s.dark:
-		f.after(networkDelay, func() { f.end(run, NotSent) }) // connection refused
+		f.after(networkDelay, func() { f.end(run, NotListening) })
 		return
 	case !s.up:
 		f.after(700*time.Millisecond, func() { f.end(run, NotSent) }) // the dial times out
@@ -308,6 +311,7 @@
 		delete(s.runs, run) // the connection is closed
 	}
 	refusal := run.core.Ended(f.now, run.ticket, o)
+	f.makeProbes(run.core)
 	switch {
 	case o == Answered || o == Abandoned:
 		run.core.Finish(f.now, run.ticket)
@@ -337,7 +341,29 @@
 // the list.
 func (f *testFleet) eachCore(delay time.Duration, call func(*Core)) {
 	for _, d := range f.daemons {
-		f.after(delay+f.random(maxListDelay), func() { call(d.core) })
+		f.after(delay+f.random(maxListDelay), func() {
+			call(d.core)
+			f.makeProbes(d.core)
+		})
+	}
+}
+
+// makeProbes makes the probes that a core wants.
+func (f *testFleet) makeProbes(core *Core) {
+	for _, p := range core.TakeProbes() {
+		f.after(networkDelay, func() {
+			delay, result := networkDelay, Refused
+			switch s := f.server(p.Server, p.Address); {
+			case s != nil && s.up:
+				result = Reachable
+			case s != nil && s.dark:
+				delay, result = 700*time.Millisecond, Unreachable
+			}
+			f.after(delay, func() {
+				core.ProbeEnded(f.now, p, result)
+				f.makeProbes(core)
+			})
+		})
 	}
 }
 
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -127,9 +127,7 @@
 	for _, s := range update.DrainingServers {
 		c.receiveDraining(now, s)
 	}
-	for _, d := range update.Deaths {
-		c.crash.receiveDeath(now, d, row.Name)
-	}
+	c.receiveDeaths(now, row.Name, update)
 	for _, p := range update.CachedPrompts {
 		c.placer.AddCachedPart(now, p.Server, p.Part)
 	}
@@ -216,6 +214,8 @@
 // gone, and adapts quotas and retry budget to the number of daemons.
 func (c *Core) Tick(now time.Time) {
 	c.forgetServers(now)
+	c.deaths.forget(now)
+	c.crash.forget(now)
 	reachable, known := c.countDaemons(now)
 	if c.forgetSilentPeers(now, reachable, known) {
 		reachable, known = c.countDaemons(now)
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -91,6 +91,7 @@
 	Sends          int                      // sends to backend servers, rejected ones included
 	Ran            int                      // sends that may have run
 	tried          []entity.BackendServerID // excluded from further sends
+	process        Process                  // of the backend server of the present attempt
 	priority       int
 	reservation    *placement.Reservation // reserved for the present attempt; nil between attempts
 	retryCharged   bool                   // the next send is already charged to the retry budget
@@ -145,6 +146,9 @@
 	Answered Outcome = iota + 1
 	// NotSent: nothing reached the backend server.
 	NotSent
+	// NotListening: nothing reached the backend server, as nothing listens at its
+	// address: its process has ended.
+	NotListening
 	// Rejected: the backend server says that it has not run the request.
 	Rejected
 	// Misdirected: the address belongs to another backend server; the request has
@@ -164,7 +168,7 @@
 
 // String returns the outcome's name for logs and metrics.
 func (o Outcome) String() string {
-	names := [...]string{"", "answered", "not-sent", "rejected", "misdirected", "failed", "broken", "silent", "abandoned"}
+	names := [...]string{"", "answered", "not-sent", "not-listening", "rejected", "misdirected", "failed", "broken", "silent", "abandoned"}
 	if int(o) >= len(names) {
 		return "unknown"
 	}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	if old != nil && old.Born != s.Born && s.Born != 0 {
-		c.recordServerDeath(now, s.ID, proofRestarted)
+		c.recordDeath(now, old.process(), proofRestarted)
 		c.placer.RemoveServer(s.ID) // a new process has no cached prompts and no load
 		old = nil
 	}
@@ -90,7 +90,7 @@
 	if row == nil || !row.listed {
 		return
 	}
-	c.recordServerDeath(now, id, proofUnlisted)
+	c.recordDeath(now, row.process(), proofUnlisted)
 	row.listed = false
 	row.goneAt = now
 	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready {
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -43,6 +43,8 @@
 	// holder that the present one cannot reach learns of it from others.
 	KnownEpoch uint64        `cbor:"17,keyasint,omitempty"`
 	Reports    []UsageReport `cbor:"18,keyasint,omitempty"` // only from the lease holder
+	// DeadProcesses are the processes of backend servers that the sender has found dead.
+	DeadProcesses []Process `cbor:"19,keyasint,omitempty"`
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -64,7 +66,7 @@
 	update := StateUpdate{
 		From: c.cfg.Self, Sequence: c.sequence, Leaving: c.leaving, Serving: c.Serving(now),
 		Loads: c.placer.ServerLoads(), Quota: c.quota.Uses(now, c.sequence%updatesPerFullUpdate == 0), CachedPrompts: c.cachedPrompts, Demand: c.demand.rates(now),
-		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now), Deaths: c.crash.announcements(now),
+		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now), Deaths: current(now, &c.crash.contentDeaths), DeadProcesses: current(now, &c.crash.deadProcesses),
 	}
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,18 +185,23 @@
 	}
 }
 
-// withCore calls f with exclusive access to the core, and then logs the core's events.
+// withCore calls f with exclusive access to the core, and then logs the core's events and
+// makes the probes that it wants.
 func (g *Gateway) withCore(f func(c *exchange.Core, now time.Time)) {
-	for _, e := range g.lockedCore(f) {
+	events, probes := g.lockedCore(f)
+	for _, e := range events {
 		g.logEvent(e)
 	}
+	for _, p := range probes {
+		go g.probe(p)
+	}
 }
 
-func (g *Gateway) lockedCore(f func(c *exchange.Core, now time.Time)) []event.Event {
+func (g *Gateway) lockedCore(f func(c *exchange.Core, now time.Time)) ([]event.Event, []exchange.Probe) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f(g.core, clock.Now())
-	return g.core.TakeEvents()
+	return g.core.TakeEvents(), g.core.TakeProbes()
 }
 
 // listen opens the configured HTTP sockets and starts to serve them.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -104,6 +104,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		return exchange.Abandoned
+	case verdict.Of(err) == verdict.NotRun && notListening(err):
+		return exchange.NotListening
 	case verdict.Of(err) == verdict.NotRun:
 		return exchange.NotSent
 	case errors.Is(context.Cause(ctx), errDeadline), errors.Is(context.Cause(ctx), errSilent):
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -86,10 +86,20 @@
 	return c
 }
 
+// Probe establishes a connection to an address without sending anything, and keeps it for
+// the next request.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := dial(ctx, address)
+	if err == nil {
+		p.putIdle(c, defaultIdleTimeout)
+	}
+	return err
+}
+
 // putIdle keeps a connection for reuse within idleTimeout. If the address then has
 // too many idle connections, it closes the one that has been idle for longest.
 func (p *Pool) putIdle(c *connection, idleTimeout time.Duration) {
-	c.usableUntil, c.reused = clock.Now().Add(idleTimeout), true
+	c.usableUntil = clock.Now().Add(idleTimeout)
 	if err := c.SetDeadline(time.Time{}); err != nil || idleTimeout <= 0 {
 		_ = c.Close()
 		return
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -164,6 +164,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.reused = true
 	r.pool.putIdle(r.conn, idleTimeoutFrom(r.Header))
 }
 
