Announce deaths until all daemons have acknowledged them

Callers see: a daemon that heard no other one while a content was refused goes on sending it to servers when it is back.

Change: a fact stays in the state updates until all daemons that may serve have acknowledged one that had it, as usage counts do; a daemon that knows no other keeps it.

--- /dev/null
+++ b/internal/exchange/announce.go
@@ -0,0 +1,42 @@
+package exchange
+
+// maxAnnouncements bounds the facts of one kind that are being announced. The oldest are
+// dropped first.
+const maxAnnouncements = 256
+
+// announcements holds facts that the state updates tell the other daemons until all of
+// them have acknowledged an update with the fact.
+type announcements[T any] struct {
+	list []announcement[T] // oldest first
+}
+
+type announcement[T any] struct {
+	fact     T
+	sequence uint32 // of the first update with the fact; 0: none yet
+}
+
+// add has the next updates include a fact.
+func (a *announcements[T]) add(fact T) {
+	a.list = append(a.list, announcement[T]{fact: fact})
+	if excess := len(a.list) - maxAnnouncements; excess > 0 {
+		a.list = append(a.list[:0], a.list[excess:]...)
+	}
+}
+
+// due returns the facts that the update with the given sequence number must include. All
+// other daemons have received the updates up to acked.
+func (a *announcements[T]) due(sequence, acked uint32) []T {
+	var out []T
+	kept := a.list[:0]
+	for _, item := range a.list {
+		if item.sequence == 0 {
+			item.sequence = sequence
+		}
+		if item.sequence > acked {
+			kept = append(kept, item)
+			out = append(out, item.fact)
+		}
+	}
+	a.list = kept
+	return out
+}
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -26,9 +26,6 @@
 	maxUnexplainedRuns = 64
 	// quarantinedRetryDelay is the Retry-After time of quarantined content.
 	quarantinedRetryDelay = 30 * time.Second
-	// deathAnnouncementDuration is how long a death is included in the updates to
-	// other daemons.
-	deathAnnouncementDuration = 2 * time.Second
 )
 
 // unexplainedRun is a run of a request that broke off. If the backend server's process
@@ -48,34 +45,13 @@
 // process returns the process that died.
 func (d *ContentDeath) process() Process { return Process{Server: d.Server, Born: d.Born} }
 
-// announced is a fact that is being announced to the other daemons.
-type announced[T any] struct {
-	fact T
-	at   time.Time // when it was recorded
-}
-
-// current returns the facts that were recorded so lately that they are announced, and
-// drops the others.
-func current[T any](now time.Time, list *[]announced[T]) []T {
-	var out []T
-	kept := (*list)[:0]
-	for _, a := range *list {
-		if now.Sub(a.at) < deathAnnouncementDuration {
-			kept = append(kept, a)
-			out = append(out, a.fact)
-		}
-	}
-	*list = kept
-	return out
-}
-
 // crashGuard counts the deaths of backend servers per content, and quarantines
 // content that seems to cause them.
 type crashGuard struct {
 	registry      *quarantine.Registry
 	unexplained   *entity.Table[Process, []unexplainedRun]
-	contentDeaths []announced[ContentDeath]
-	deadProcesses []announced[Process]
+	contentDeaths announcements[ContentDeath]
+	deadProcesses announcements[Process]
 }
 
 func newCrashGuard() crashGuard {
@@ -117,11 +93,6 @@
 	}
 }
 
-// announceDeath has the next updates tell the other daemons that a process has died.
-func (g *crashGuard) announceDeath(now time.Time, p Process) {
-	g.deadProcesses = append(g.deadProcesses, announced[Process]{p, now})
-}
-
 // recordBrokenRun records that a request's run was broken off. If its process is not
 // known to have died, it is probed.
 func (c *Core) recordBrokenRun(now time.Time, p Process, content entity.Digest) {
@@ -150,7 +121,7 @@
 // blame holds content responsible for the death of a process, and announces that.
 func (c *Core) blame(now time.Time, p Process, content entity.Digest) {
 	death := ContentDeath{Digest: content, Server: p.Server, Born: p.Born}
-	c.crash.contentDeaths = append(c.crash.contentDeaths, announced[ContentDeath]{death, now})
+	c.crash.contentDeaths.add(death)
 	c.recordContentDeath(now, &death, c.cfg.Self.Name)
 }
 
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -73,9 +73,9 @@
 		if r.now.After(end) {
 			return
 		}
-		req := testRequest("", path, "k3")
-		req.Content, req.Patience = crashingContent, 5*time.Second
-		r.send(r.anyDaemon(), req)
+		if d := r.anyDaemon(); !d.cut {
+			r.sendCrashing(d, path)
+		}
 	})
 	r.every(time.Millisecond, func() {
 		for _, s := range r.servers {
@@ -90,6 +90,13 @@
 	r.run(d)
 }
 
+// sendCrashing lets a caller send the crashing content to a daemon.
+func (r *crashRun) sendCrashing(d *fleetDaemon, path string) {
+	req := testRequest("", path, "k3")
+	req.Content, req.Patience = crashingContent, 5*time.Second
+	r.send(d, req)
+}
+
 // lateArrivals returns how often the content reached a server after the third crash plus
 // the time within which all daemons must know, at daemons that were up all that time.
 func (r *crashRun) lateArrivals(limit time.Duration) int {
@@ -141,3 +148,27 @@
 		r.t.Errorf("%d requests with other content were refused", r.wrongly)
 	}
 }
+
+// TestCrash_DeathReachesADaemonThatWasCutOff: a daemon hears no other one while content
+// crashes three servers and is refused elsewhere. It must refuse the content soon after.
+func TestCrash_DeathReachesADaemonThatWasCutOff(t *testing.T) {
+	for _, daemons := range []int{3, 9, 89} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			r := newCrashRun(t, 1, daemons, 30)
+			cut := r.daemons[0]
+			r.run(2 * time.Second)
+			cut.cut = true
+			r.crashServers("/talk/x", 7*time.Second)
+			cut.cut = false
+			r.run(refusalLimit)
+			before := len(r.arrivals)
+			for range 20 {
+				r.sendCrashing(cut, "/talk/x")
+				r.run(100 * time.Millisecond)
+			}
+			if n := len(r.arrivals) - before; n > 0 {
+				t.Errorf("the content reached servers %d times from a daemon %v after its cut", n, refusalLimit)
+			}
+		})
+	}
+}
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -129,7 +129,7 @@
 		event.A("proof", proof), event.A("born", p.Born), event.A("unexplained", len(c.crash.unexplainedRuns(p))),
 	}})
 	if proof != proofAnnounced {
-		c.crash.announceDeath(now, p)
+		c.crash.deadProcesses.add(p)
 	}
 	c.blameUnexplained(now, p)
 }
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -46,6 +46,7 @@
 	core      *Core
 	starts    int64
 	startedAt time.Time
+	cut       bool // no state update reaches it or comes from it
 }
 
 // fleetServer is one process of a backend server.
@@ -189,7 +190,7 @@
 	update := core.NextUpdate(f.now)
 	for i, m := range core.Peers() {
 		to, ack := f.daemon(m.Name), core.Ack(m.Name)
-		if to == nil || f.rng.Float64() < updateLossRatio {
+		if to == nil || to.cut || d.cut || f.rng.Float64() < updateLossRatio {
 			continue
 		}
 		f.after(time.Duration(i/2)*6*time.Millisecond+networkDelay, func() {
--- a/internal/exchange/lease.go
+++ b/internal/exchange/lease.go
@@ -1,10 +1,6 @@
 package exchange
 
-import (
-	"time"
-
-	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-)
+import "time"
 
 // Contend reports whether to try to acquire the lease for the leader tasks now.
 func (c *Core) Contend(now time.Time) bool {
@@ -42,14 +38,10 @@
 // ackedByAllAt returns when this daemon sent its newest update that all daemons that may
 // serve have acknowledged; zero if that is not known or there is no other daemon.
 func (c *Core) ackedByAllAt(now time.Time) time.Time {
-	others := false
-	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
-		others = others || c.mayServe(now, r)
-		return !others
-	})
+	acked, others := c.ackedByAll(now)
 	if !others {
 		return time.Time{}
 	}
-	at, _ := c.sent.sentAt(c.ackedByAll(now))
+	at, _ := c.sent.sentAt(acked)
 	return at
 }
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -277,16 +277,16 @@
 }
 
 // ackedByAll returns the newest update of this daemon such that all daemons that
-// may serve have acknowledged it or a later one.
-func (c *Core) ackedByAll(now time.Time) uint32 {
-	ackedSequence := c.sequence
+// may serve have acknowledged it or a later one, and whether there are any.
+func (c *Core) ackedByAll(now time.Time) (sequence uint32, others bool) {
+	sequence = c.sequence
 	c.peers.All(func(_ entity.InstanceID, r *peerRow) bool {
 		if c.mayServe(now, r) {
-			ackedSequence = min(ackedSequence, r.acked)
+			sequence, others = min(sequence, r.acked), true
 		}
 		return true
 	})
-	return ackedSequence
+	return sequence, others
 }
 
 // rankOfSelf returns this daemon's rank by name among the daemons seen recently; 0
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -63,10 +63,14 @@
 // NextUpdate returns the next state update for the other daemons.
 func (c *Core) NextUpdate(now time.Time) StateUpdate {
 	c.sequence++
+	acked, others := c.ackedByAll(now)
+	if !others {
+		acked = 0 // a daemon that is not known yet has received nothing
+	}
 	update := StateUpdate{
 		From: c.cfg.Self, Sequence: c.sequence, Leaving: c.leaving, Serving: c.Serving(now),
 		Loads: c.placer.ServerLoads(), Quota: c.quota.Uses(now, c.sequence%updatesPerFullUpdate == 0), CachedPrompts: c.cachedPrompts, Demand: c.demand.rates(now),
-		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now), Deaths: current(now, &c.crash.contentDeaths), DeadProcesses: current(now, &c.crash.deadProcesses),
+		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now), Deaths: c.crash.contentDeaths.due(c.sequence, acked), DeadProcesses: c.crash.deadProcesses.due(c.sequence, acked),
 	}
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
@@ -75,14 +79,14 @@
 	}
 	if c.trueTimeKnown {
 		update.Window = c.usage.Window(c.sinceUnixEpoch(now))
-		update.Usage = c.usage.LocalCounts(update.Window, c.sequence, c.ackedByAll(now))
+		update.Usage = c.usage.LocalCounts(update.Window, c.sequence, acked)
 	}
 	epoch, held := c.lease.Epoch()
 	update.KnownEpoch = epoch
 	if held {
 		update.LeaseEpoch = epoch
 		update.Levels = c.Levels()
-		update.Reports = c.reports.unacknowledged(c.sequence, c.ackedByAll(now))
+		update.Reports = c.reports.unacknowledged(c.sequence, acked)
 	}
 	return update
 }
