--- a/internal/exchange/announce.go
+++ b/internal/exchange/announce.go
@@ -1,5 +1,7 @@
 package exchange
 
+import "slices"
+
 // maxAnnouncements bounds the facts of one kind that are being announced. The oldest are
 // dropped first.
 const maxAnnouncements = 256
@@ -13,6 +15,7 @@
 type announcement[T any] struct {
 	fact     T
 	sequence uint32 // of the first update with the fact; 0: none yet
+	noticed  bool   // a notice has told the fact ahead of the updates
 }
 
 // add has the next updates include a fact.
@@ -40,3 +43,22 @@
 	a.list = kept
 	return out
 }
+
+// unnoticed returns the facts that neither an update nor a notice has told yet, and counts
+// them as told by a notice.
+func (a *announcements[T]) unnoticed() []T {
+	var out []T
+	for i := range a.list {
+		item := &a.list[i]
+		if item.sequence == 0 && !item.noticed {
+			item.noticed = true
+			out = append(out, item.fact)
+		}
+	}
+	return out
+}
+
+// hasUnnoticed reports whether unnoticed would return any fact.
+func (a *announcements[T]) hasUnnoticed() bool {
+	return slices.ContainsFunc(a.list, func(item announcement[T]) bool { return item.sequence == 0 && !item.noticed })
+}
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -156,14 +156,31 @@
 	registry.Clear(d)
 }
 
-// receiveDeaths applies the deaths that another daemon announced.
-func (c *Core) receiveDeaths(now time.Time, from entity.InstanceID, update *StateUpdate) {
-	for i := range update.Deaths {
-		d := &update.Deaths[i]
+// DeathNotice tells the other daemons of deaths of backend servers ahead of the next state
+// update, which in a large fleet may be seconds away.
+type DeathNotice struct {
+	ContentDeaths []ContentDeath `cbor:"1,keyasint,omitempty"`
+	DeadProcesses []Process      `cbor:"2,keyasint,omitempty"` // found dead by the sender
+}
+
+// NoticePending reports whether there are deaths for a notice.
+func (c *Core) NoticePending() bool {
+	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed()
+}
+
+// NextNotice returns the deaths that no update or notice has told yet.
+func (c *Core) NextNotice() DeathNotice {
+	return DeathNotice{ContentDeaths: c.crash.contentDeaths.unnoticed(), DeadProcesses: c.crash.deadProcesses.unnoticed()}
+}
+
+// ReceiveNotice applies the deaths that another daemon announced.
+func (c *Core) ReceiveNotice(now time.Time, from entity.InstanceID, notice *DeathNotice) {
+	for i := range notice.ContentDeaths {
+		d := &notice.ContentDeaths[i]
 		c.recordDeath(now, d.process(), proofAnnounced)
 		c.recordContentDeath(now, d, from)
 	}
-	for _, p := range update.DeadProcesses {
+	for _, p := range notice.DeadProcesses {
 		c.recordDeath(now, p, proofAnnounced)
 	}
 }
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -127,7 +127,7 @@
 	for _, s := range update.DrainingServers {
 		c.receiveDraining(now, s)
 	}
-	c.receiveDeaths(now, row.Name, update)
+	c.ReceiveNotice(now, row.Name, &DeathNotice{ContentDeaths: update.Deaths, DeadProcesses: update.DeadProcesses})
 	for _, p := range update.CachedPrompts {
 		c.placer.AddCachedPart(now, p.Server, p.Part)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 	bodyMemory bodyBudget
 	inFlight   sync.WaitGroup
 	stopSignal chan struct{} // closed when the stop signal is received
+	notices    chan struct{} // has an element while the core has deaths to announce ahead of the next state update
 
 	generations *generationWatch
 	authority   authorityState
@@ -131,7 +132,7 @@
 	self := exchange.Member{
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
-	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), self: self, stopSignal: make(chan struct{}), generations: newGenerationWatch()}
+	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), generations: newGenerationWatch()}
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
@@ -185,23 +186,29 @@
 	}
 }
 
-// withCore calls f with exclusive access to the core, and then logs the core's events and
-// makes the probes that it wants.
+// withCore calls f with exclusive access to the core, and then performs what the core
+// wants: lines in the log, probes of backend servers and notices to other daemons.
 func (g *Gateway) withCore(f func(c *exchange.Core, now time.Time)) {
-	events, probes := g.lockedCore(f)
+	events, probes, noticePending := g.lockedCore(f)
 	for _, e := range events {
 		g.logEvent(e)
 	}
 	for _, p := range probes {
 		go g.probe(p)
 	}
+	if noticePending {
+		select {
+		case g.notices <- struct{}{}:
+		default: // the element that is there stands for this one too
+		}
+	}
 }
 
-func (g *Gateway) lockedCore(f func(c *exchange.Core, now time.Time)) ([]event.Event, []exchange.Probe) {
+func (g *Gateway) lockedCore(f func(c *exchange.Core, now time.Time)) (events []event.Event, probes []exchange.Probe, noticePending bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f(g.core, clock.Now())
-	return g.core.TakeEvents(), g.core.TakeProbes()
+	return g.core.TakeEvents(), g.core.TakeProbes(), g.core.NoticePending()
 }
 
 // listen opens the configured HTTP sockets and starts to serve them.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -68,7 +68,10 @@
 
 // useTransport exchanges state updates over a transport until the context ends.
 func (g *Gateway) useTransport(ctx context.Context, transport *peer.Transport) {
+	var notices sync.WaitGroup
+	notices.Go(func() { g.runNotices(ctx, transport) })
 	g.runUpdates(ctx, transport)
+	notices.Wait()
 	closeCtx, cancel := context.WithTimeout(context.Background(), closePeersTimeout)
 	defer cancel()
 	_ = transport.Close(closeCtx) // an error changes nothing: the transport is not used any more
@@ -90,10 +93,11 @@
 
 // message is sent from one daemon to another.
 type message struct {
-	Ack       uint32             `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
-	Update    []byte             `cbor:"2,keyasint,omitempty"` // exchange.StateUpdate, encoded once for all receivers
-	NewerThan uint64             `cbor:"3,keyasint,omitempty"` // requests a configuration newer than this version
-	Document  *exchange.Document `cbor:"4,keyasint,omitempty"` // response to such a request
+	Ack       uint32                `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
+	Update    []byte                `cbor:"2,keyasint,omitempty"` // exchange.StateUpdate, encoded once for all receivers
+	NewerThan uint64                `cbor:"3,keyasint,omitempty"` // requests a configuration newer than this version
+	Document  *exchange.Document    `cbor:"4,keyasint,omitempty"` // response to such a request
+	Notice    *exchange.DeathNotice `cbor:"5,keyasint,omitempty"`
 }
 
 // receive handles a message of another daemon.
@@ -112,6 +116,9 @@
 			reply(peer.Address{ID: from, Addr: addr}, message{Document: m.Document})
 		}
 	}
+	if m.Notice != nil {
+		g.withCore(func(c *exchange.Core, now time.Time) { c.ReceiveNotice(now, from, m.Notice) })
+	}
 	if len(m.Update) > 0 {
 		g.receiveUpdate(&m)
 	}
