Hold nothing against content for servers that leave or answer

A server whose entry disappears counted as dead, and the content that it broke off shortly before as a cause. A content that is often sent, and ends with three such servers, would be refused for an hour.

Change: a server that is no longer listed is dialled if runs broke off there; a refused connection proves its death. What it breaks off after that is its leaving. A run that broke off before the server answered a later request has another reason. A server that answers a request sent after its recorded death lives: the deaths are taken back.

TestCrash_ContentThatKillsThreeServersIsRefused took the lost entry for a death: it now gives the probe's answer, and its fixture no longer lists two servers under one address; it still wants the third death to refuse the content everywhere.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -23,6 +23,7 @@
 	ContentDeathRecorded        = define(6141, Warn, "backend server died while it ran the content of a request")
 	ContentRefused              = define(6142, Warn, "content of a request refused from now on: too many backend servers died while they ran it")
 	SuspectContentCompleted     = define(6143, Info, "content of a request has completed after backend servers had died while they ran it")
+	ServerDeathDisproved        = define(6144, Warn, "backend server that counted as dead answers")
 	PeerSeen                    = define(6130, Info, "daemon heard")
 	PeerSilent                  = define(6131, Warn, "daemon silent")
 
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -144,6 +144,7 @@
 	if t.firstEventAt.IsZero() {
 		t.firstEventAt = now
 	}
+	c.recordAnswer(now, t.process, t.reservation.SentAt())
 	c.placer.RecordFirstEvent(now, t.reservation)
 	c.countUsage(now, t)
 }
@@ -209,7 +210,7 @@
 	case Answered:
 		c.recordCompletion(now, t.Request.Content)
 	case Broken:
-		c.recordBrokenRun(now, t.process, t.Request.Content)
+		c.recordUnexplainedRun(now, t, o)
 	case NotListening:
 		c.recordDeath(now, t.process, proofRefused)
 	}
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -41,10 +42,10 @@
 	}
 	c.Confirm(zero)
 	for i, dc := range []entity.DataCentreID{"a", "b", "c"} {
-		for _, service := range []entity.ServiceName{"engine", "plain"} {
+		for j, service := range []entity.ServiceName{"engine", "plain"} {
 			c.PutServer(zero, BackendServer{
 				ID: entity.BackendServerID(string(service) + strconv.Itoa(i)), Born: 1, Service: service,
-				Address: "10.0.0.1:" + strconv.Itoa(i), DataCentre: dc, Slots: 8, State: Ready,
+				Address: fmt.Sprintf("10.0.%d.1:%d", j, i), DataCentre: dc, Slots: 8, State: Ready,
 			})
 		}
 	}
@@ -262,6 +263,7 @@
 			if r.Content == bad.Content {
 				c.Ended(now, ticket, Broken)
 				c.RemoveServer(now.Add(time.Second), attempt.Server)
+				endProbes(c, now.Add(time.Second), Refused)
 				continue
 			}
 			c.Ended(now, ticket, Answered)
@@ -281,6 +283,13 @@
 	}
 }
 
+// endProbes ends the probes that a core wants with a result.
+func endProbes(c *Core, now time.Time, result ProbeResult) {
+	for _, p := range c.TakeProbes() {
+		c.ProbeEnded(now, p, result)
+	}
+}
+
 func TestCrash_LostAnswersQuarantineNothing(t *testing.T) {
 	c := newTestCore(t, "a")
 	r := testRequest("r", "/get/x", "k3")
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,21 +19,21 @@
 	// refusalDeathCount is the number of backend servers that must have died while
 	// they ran some content for it to be refused.
 	refusalDeathCount = 3
-	// deathWindow is how soon after a backend server broke off a request there must
-	// be evidence of its death for the request's content to be held responsible.
+	// deathWindow is how soon after the end of a run there must be evidence of the
+	// backend server's death for the run's content to be held responsible.
 	deathWindow = 4 * time.Second
-	// maxUnexplainedRuns limits the interrupted runs that are recorded for one process
+	// maxUnexplainedRuns limits the unexplained runs that are recorded for one process
 	// of a backend server.
 	maxUnexplainedRuns = 64
 	// quarantinedRetryDelay is the Retry-After time of quarantined content.
 	quarantinedRetryDelay = 30 * time.Second
 )
 
-// unexplainedRun is a run of a request that broke off. If the backend server's process
-// has died, that explains it.
+// unexplainedRun is a run of a request that broke off. The server's process may have died
+// by it.
 type unexplainedRun struct {
 	content entity.Digest
-	at      time.Time // when it broke off
+	at      time.Time // when it ended
 }
 
 // ContentDeath says that a process of a backend server died while it ran some content.
@@ -67,7 +68,7 @@
 	return g.registry.Deaths(now, d) >= refusalDeathCount
 }
 
-// unexplainedRuns returns the runs that a process has broken off.
+// unexplainedRuns returns the unexplained runs on a process.
 func (g *crashGuard) unexplainedRuns(p Process) []unexplainedRun {
 	if list := g.unexplained.Get(p); list != nil {
 		return *list
@@ -75,7 +76,7 @@
 	return nil
 }
 
-// addUnexplained records that a process has broken off a run.
+// addUnexplained records an unexplained run on a process.
 func (g *crashGuard) addUnexplained(now time.Time, p Process, content entity.Digest) {
 	list := g.unexplainedRuns(p)
 	if len(list) < maxUnexplainedRuns {
@@ -84,7 +85,17 @@
 	g.unexplained.Put(p, &list)
 }
 
-// forget drops runs that broke off too long ago.
+// dropUnexplained drops the unexplained runs on a process that ended before the given time.
+func (g *crashGuard) dropUnexplained(p Process, before time.Time) {
+	list := g.unexplainedRuns(p)
+	if len(list) == 0 {
+		return
+	}
+	kept := slices.DeleteFunc(list, func(run unexplainedRun) bool { return run.at.Before(before) })
+	g.unexplained.Put(p, &kept)
+}
+
+// forget drops runs that ended too long ago.
 func (g *crashGuard) forget(now time.Time) {
 	for _, p := range g.unexplained.Keys() {
 		if list := g.unexplainedRuns(p); len(list) == 0 || now.Sub(list[len(list)-1].at) > deathWindow {
@@ -93,21 +104,25 @@
 	}
 }
 
-// recordBrokenRun records that a request's run was broken off. If its process is not
-// known to have died, it is probed.
-func (c *Core) recordBrokenRun(now time.Time, p Process, content entity.Digest) {
-	row := c.servers.Get(p.Server)
+// recordUnexplainedRun records that a request's run ended without a complete answer. If
+// its process may have died by it, that is probed.
+func (c *Core) recordUnexplainedRun(now time.Time, t *Ticket, o Outcome) {
+	p, row := t.process, c.servers.Get(t.process.Server)
 	switch {
 	case c.deaths.isDead(now, p):
-		c.blame(now, p, content)
-	case row != nil && row.process() == p && row.State == Ready:
-		c.crash.addUnexplained(now, p, content)
-		c.deaths.probe(Probe{Process: p, Address: row.Address})
+		c.blame(now, p, t.Request.Content)
+		return
+	case row == nil || row.process() != p || row.State != Ready:
+		return // it drains or has gone
+	case o == Broken && !row.listed:
+		return // it leaves without having announced that, and breaks off what still runs
 	}
+	c.crash.addUnexplained(now, p, t.Request.Content)
+	c.deaths.probe(Probe{Process: p, Address: row.Address})
 }
 
-// blameUnexplained holds the content of the runs that a process broke off shortly before
-// responsible for its death.
+// blameUnexplained holds the content of the unexplained runs on a process that ended
+// shortly before responsible for its death.
 func (c *Core) blameUnexplained(now time.Time, p Process) {
 	runs := c.crash.unexplainedRuns(p)
 	c.crash.unexplained.Delete(p)
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -14,10 +14,11 @@
 // crashRun is a run of a fleet to which callers send content that crashes servers.
 type crashRun struct {
 	*testFleet
-	crashes  []time.Time // of servers that ran the content
-	arrivals []arrival   // of the content
-	wrongly  int         // refusals of other content for crashes
-	refused  int         // refusals of the content for crashes
+	crashes  []time.Time          // of servers that ran the content
+	arrivals []arrival            // of the content
+	wrongly  int                  // refusals of other content for crashes
+	refused  int                  // refusals of the content for crashes
+	comeBack func(s *fleetServer) // called when a server has crashed; nil: it comes back under another ID 3 s later
 }
 
 // newCrashRun returns a fleet that gets ordinary requests to all routes.
@@ -69,6 +70,9 @@
 func (r *crashRun) crashServers(path string, interval, d time.Duration) {
 	end := r.now.Add(d)
 	known := map[*fleetServer]bool{}
+	if r.comeBack == nil {
+		r.comeBack = func(s *fleetServer) { r.after(3*time.Second, func() { r.replace(s, s.ID+"-next", 1) }) }
+	}
 	r.every(interval, func() {
 		if r.now.After(end) {
 			return
@@ -84,7 +88,7 @@
 			}
 			known[s] = true
 			r.crashes = append(r.crashes, r.now)
-			r.after(3*time.Second, func() { r.replace(s, s.ID+"-next", 1) })
+			r.comeBack(s)
 		}
 	})
 	r.run(d)
@@ -183,3 +187,76 @@
 		})
 	}
 }
+
+// breakRun lets a run of some content break off on one of a core's servers, and returns
+// the server. The probe of it gets the given result.
+func breakRun(t *testing.T, c *Core, now time.Time, content entity.Digest, result ProbeResult) Attempt {
+	t.Helper()
+	c.Confirm(now)
+	req := testRequest("r", "/x", "k3")
+	req.Content = content
+	ticket := mustAdmit(t, c, now, req)
+	attempt := mustPlace(t, c, now, ticket)
+	c.Ended(now, ticket, Broken)
+	c.Finish(now, ticket)
+	endProbes(c, now, result)
+	return attempt
+}
+
+// TestCrash_ServersThatLeaveUnannouncedMakeNothingSuspect: an entry disappears, its server
+// goes on serving for a while and then ends in the middle of a run.
+func TestCrash_ServersThatLeaveUnannouncedMakeNothingSuspect(t *testing.T) {
+	c := newTestCore(t, "a")
+	for i := range 3 {
+		now := at(time.Duration(i) * time.Second)
+		c.Confirm(now)
+		req := testRequest("r", "/x", "k3")
+		req.Content = crashingContent
+		ticket := mustAdmit(t, c, now, req)
+		attempt := mustPlace(t, c, now, ticket)
+		c.RemoveServer(now, attempt.Server)
+		endProbes(c, now, Reachable)
+		c.Ended(now, ticket, Broken)
+		c.Finish(now, ticket)
+		endProbes(c, now, Refused)
+	}
+	if n := c.crash.registry.Deaths(at(3*time.Second), crashingContent); n != 0 {
+		t.Errorf("%d deaths held against a content by servers that left", n)
+	}
+}
+
+// TestCrash_DaemonWithoutAnyAnswerBlamesNothing: a daemon whose links to all servers fail
+// cannot tell that they have died.
+func TestCrash_DaemonWithoutAnyAnswerBlamesNothing(t *testing.T) {
+	c := newTestCore(t, "a")
+	for i := range 3 {
+		now := at(time.Duration(i) * time.Second)
+		breakRun(t, c, now, crashingContent, Unreachable)
+	}
+	if n := c.crash.registry.Deaths(at(3*time.Second), crashingContent); n != 0 {
+		t.Errorf("%d deaths held against a content by a daemon that reaches no server", n)
+	}
+}
+
+// TestCrash_ServerThatAnswersIsNotDead: a death was recorded for a server that lives.
+func TestCrash_ServerThatAnswersIsNotDead(t *testing.T) {
+	c := newTestCore(t, "a")
+	died := breakRun(t, c, zero, crashingContent, Refused)
+	if n := c.crash.registry.Deaths(zero, crashingContent); n != 1 {
+		t.Fatalf("%d deaths held against the content, want 1", n)
+	}
+	for _, id := range []entity.BackendServerID{"plain0", "plain1", "plain2"} {
+		if id != died.Server {
+			c.RemoveServer(zero, id)
+		}
+	}
+	now := at(time.Second)
+	ticket := mustAdmit(t, c, now, testRequest("r", "/x", "k3"))
+	if attempt := mustPlace(t, c, now, ticket); attempt.Server != died.Server {
+		t.Fatalf("placed on %s, want %s", attempt.Server, died.Server)
+	}
+	c.Started(now, ticket)
+	if n := c.crash.registry.Deaths(now, crashingContent); n != 0 {
+		t.Errorf("%d deaths held against the content although the server answers", n)
+	}
+}
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -9,8 +9,9 @@
 
 // A daemon learns in several ways that the process of a backend server has died, and
 // often not the daemon whose request the death broke off: that one avoids the server
-// from then on. So a daemon whose request broke off dials the server at once, and each
-// daemon that finds a server dead tells all others.
+// from then on. So a daemon whose request broke off or got no answer dials the server,
+// and each daemon that finds a server dead tells all others. A server that is no longer
+// listed may go on serving for a while, so that this alone proves nothing.
 
 // Process identifies one process of a backend server. An ID may be used again by a later
 // process.
@@ -24,7 +25,6 @@
 
 const (
 	proofRefused   deathProof = "refused"   // nothing listens at its address
-	proofUnlisted  deathProof = "unlisted"  // its entry disappeared although it had not drained
 	proofRestarted deathProof = "restarted" // its entry is of a new process
 	proofAnnounced deathProof = "announced" // another daemon has found out
 )
@@ -51,10 +51,10 @@
 // end later are due to its death.
 const deathRetention = time.Minute
 
-// deathLog holds the processes of backend servers that have died, and the probes that
-// are to be made.
+// deathLog holds the processes of backend servers that have died, and the probes of those
+// that may have.
 type deathLog struct {
-	dead    *entity.Table[Process, time.Time]
+	dead    *entity.Table[Process, time.Time] // when their deaths were recorded
 	probing *entity.Table[Process, probeState]
 	probes  []Probe // to be made
 }
@@ -117,6 +117,17 @@
 	}
 }
 
+// recordAnswer records that a process has begun to answer a request that was sent at the
+// given time. It was alive then: its earlier failures have other reasons than its death.
+func (c *Core) recordAnswer(now time.Time, p Process, sentAt time.Time) {
+	c.crash.dropUnexplained(p, sentAt)
+	if at := c.deaths.dead.Get(p); at != nil && sentAt.After(*at) {
+		c.deaths.dead.Delete(p)
+		c.crash.registry.RemoveDeaths(quarantineID(p))
+		c.logEvent(event.Event{Number: event.ServerDeathDisproved, Backend: p.Server, Attrs: []event.Attr{event.A("born", p.Born)}})
+	}
+}
+
 // recordDeath records that the process of a backend server has died, unless it was
 // draining.
 func (c *Core) recordDeath(now time.Time, p Process, proof deathProof) {
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -24,6 +24,8 @@
 
 	runDuration func(Request) (start, end time.Duration) // from the arrival of a request to its first event and its end
 	crashAfter  func(Request) time.Duration              // from a request's start to the end of the server that runs it; 0: it does not crash
+	leaveAfter  func(Request) time.Duration              // from a request's arrival at a daemon until its caller leaves; 0: it stays
+	runsOn      bool                                     // servers go on with a run whose caller has left
 	onArrival   func(arrival)                            // called with each arrival at a server that is up
 	onRefusal   func(*fleetDaemon, Request, *Refusal)
 }
@@ -106,6 +108,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: zero,
 		runDuration: func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, 300 * time.Millisecond },
 		crashAfter:  func(Request) time.Duration { return 0 },
+		leaveAfter:  func(Request) time.Duration { return 0 },
 		onArrival:   func(arrival) {},
 		onRefusal:   func(*fleetDaemon, Request, *Refusal) {},
 	}
@@ -251,6 +254,9 @@
 			}
 		})
 	}
+	if leave := f.leaveAfter(t.Request); leave > 0 {
+		f.after(t.Arrived.Add(leave).Sub(f.now), func() { f.end(run, Abandoned) })
+	}
 	if !t.Deadline.IsZero() {
 		f.after(t.Deadline.Sub(f.now), func() { f.end(run, Silent) })
 	}
@@ -310,7 +316,9 @@
 	}
 	run.ended = true
 	for _, s := range f.servers {
-		delete(s.runs, run) // the connection is closed
+		if o != Abandoned || !f.runsOn {
+			delete(s.runs, run) // the connection is closed
+		}
 	}
 	refusal := run.core.Ended(f.now, run.ticket, o)
 	f.perform(run.core)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -90,8 +90,10 @@
 	if row == nil || !row.listed {
 		return
 	}
-	c.recordDeath(now, row.process(), proofUnlisted)
 	row.listed = false
+	if len(c.crash.unexplainedRuns(row.process())) > 0 {
+		c.deaths.probe(Probe{Process: row.process(), Address: row.Address})
+	}
 	row.goneAt = now
 	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready {
 		row.goneAt = graceEnd
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -180,6 +181,20 @@
 // recorded for it.
 func (r *Registry) Clear(d entity.Digest) { r.suspects.Delete(d) }
 
+// RemoveDeaths discards the deaths recorded for a backend server, which turned out to be
+// alive.
+func (r *Registry) RemoveDeaths(id entity.BackendServerID) {
+	ofServer := func(d death) bool { return d.backend == id }
+	r.deaths = slices.DeleteFunc(r.deaths, ofServer)
+	for _, digest := range r.suspects.Keys() {
+		s := r.suspects.Get(digest)
+		s.deaths = slices.DeleteFunc(s.deaths, ofServer)
+		if len(s.deaths) == 0 {
+			r.suspects.Delete(digest)
+		}
+	}
+}
+
 // Suspected reports whether a death is recorded for the content, so that its
 // completion must be recorded too.
 func (r *Registry) Suspected(d entity.Digest) bool { return r.suspects.Get(d) != nil }
