Count deaths under runs that ended silent or whose caller left

Callers see: content that ends servers without breaking its own connection is never refused: the host goes dark, or the caller leaves before the server dies.

Change: runs that ended silent or were left count as unexplained too. A silent run has the server dialled, at most once a second for each server; no response, while other servers answer this daemon, proves its death. So do an answer of another server at its address (421) and an entry of another server with that address. The evidence may come 8 s after the run's end, since a dark server stays listed for up to 3.6 s, and large fleets read the list up to 1.2 s later; what is not due to a death is dropped by the server's next answer.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -209,10 +209,12 @@
 	switch o {
 	case Answered:
 		c.recordCompletion(now, t.Request.Content)
-	case Broken:
+	case Broken, Silent, Abandoned:
 		c.recordUnexplainedRun(now, t, o)
 	case NotListening:
 		c.recordDeath(now, t.process, proofRefused)
+	case Misdirected:
+		c.recordDeath(now, t.process, proofReplaced)
 	}
 }
 
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -20,8 +20,9 @@
 	// they ran some content for it to be refused.
 	refusalDeathCount = 3
 	// deathWindow is how soon after the end of a run there must be evidence of the
-	// backend server's death for the run's content to be held responsible.
-	deathWindow = 4 * time.Second
+	// backend server's death for the run's content to be held responsible. A server that
+	// has gone dark disappears from the list after some seconds.
+	deathWindow = 8 * time.Second
 	// maxUnexplainedRuns limits the unexplained runs that are recorded for one process
 	// of a backend server.
 	maxUnexplainedRuns = 64
@@ -29,8 +30,8 @@
 	quarantinedRetryDelay = 30 * time.Second
 )
 
-// unexplainedRun is a run of a request that broke off. The server's process may have died
-// by it.
+// unexplainedRun is a run of a request that ended without a complete answer: it broke off,
+// got no answer in time, or its caller left. The server's process may have died by it.
 type unexplainedRun struct {
 	content entity.Digest
 	at      time.Time // when it ended
@@ -118,7 +119,9 @@
 		return // it leaves without having announced that, and breaks off what still runs
 	}
 	c.crash.addUnexplained(now, p, t.Request.Content)
-	c.deaths.probe(Probe{Process: p, Address: row.Address})
+	if o == Broken || o == Silent && !c.deaths.recentlyProbed(now, p) || !row.listed {
+		c.deaths.probe(now, Probe{Process: p, Address: row.Address})
+	}
 }
 
 // blameUnexplained holds the content of the unexplained runs on a process that ended
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -188,6 +188,49 @@
 	}
 }
 
+// TestCrash_KindsOfEndsAndDeaths: whatever the request's route, however its run ends for
+// the daemon, and however the server dies, the content must be refused in time.
+func TestCrash_KindsOfEndsAndDeaths(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		setUp      func(*crashRun)
+	}{
+		{"stream", "/talk/x", func(*crashRun) {}},
+		{"idempotent", "/get/x", func(*crashRun) {}},
+		{"at most once", "/x", func(*crashRun) {}},
+		{"back under the same ID before it is dialled", "/talk/x", func(r *crashRun) {
+			r.comeBack = func(s *fleetServer) { r.after(0, func() { r.replace(s, s.ID, s.Born+1) }) }
+		}},
+		{"back under another ID before it is dialled", "/talk/x", func(r *crashRun) {
+			r.comeBack = func(s *fleetServer) { r.after(0, func() { r.replace(s, s.ID+"-next", 1) }) }
+		}},
+		{"host goes dark", "/talk/x", func(r *crashRun) {
+			for _, s := range r.servers {
+				s.dark = true
+			}
+		}},
+		{"callers leave before", "/talk/x", func(r *crashRun) {
+			r.leaveAfter = func(req Request) time.Duration {
+				if req.Content == crashingContent {
+					return 60 * time.Millisecond
+				}
+				return 0
+			}
+			r.runsOn = true
+		}},
+	} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprintf("%s/seed=%d", c.name, seed), func(t *testing.T) {
+				r := newCrashRun(t, seed, 9, 30)
+				c.setUp(r)
+				r.run(5 * time.Second)
+				r.crashServers(c.path, 333*time.Millisecond, 15*time.Second)
+				r.check()
+			})
+		}
+	}
+}
+
 // breakRun lets a run of some content break off on one of a core's servers, and returns
 // the server. The probe of it gets the given result.
 func breakRun(t *testing.T, c *Core, now time.Time, content entity.Digest, result ProbeResult) Attempt {
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -24,9 +24,11 @@
 type deathProof string
 
 const (
-	proofRefused   deathProof = "refused"   // nothing listens at its address
-	proofRestarted deathProof = "restarted" // its entry is of a new process
-	proofAnnounced deathProof = "announced" // another daemon has found out
+	proofRefused     deathProof = "refused"     // nothing listens at its address
+	proofUnreachable deathProof = "unreachable" // its address does not respond, while other servers do
+	proofRestarted   deathProof = "restarted"   // its entry is of a new process
+	proofReplaced    deathProof = "replaced"    // its address belongs to another server
+	proofAnnounced   deathProof = "announced"   // another daemon has found out
 )
 
 // Probe asks whether a backend server's process still listens.
@@ -54,14 +56,17 @@
 // deathLog holds the processes of backend servers that have died, and the probes of those
 // that may have.
 type deathLog struct {
-	dead    *entity.Table[Process, time.Time] // when their deaths were recorded
-	probing *entity.Table[Process, probeState]
-	probes  []Probe // to be made
+	dead         *entity.Table[Process, time.Time] // when their deaths were recorded
+	probing      *entity.Table[Process, probeState]
+	probes       []Probe   // to be made
+	lastAnswerAt time.Time // when any backend server last began to answer
 }
 
-// probeState is the state of a probe that is being made.
+// probeState is the state of the last probe of a process.
 type probeState struct {
-	again bool // make another one after it, since a run has ended meanwhile
+	startedAt time.Time
+	underWay  bool
+	again     bool // make another one after it, since a run has ended meanwhile
 }
 
 func newDeathLog() deathLog {
@@ -70,15 +75,25 @@
 
 // probe requests a probe. While one of the same process is being made, another one
 // follows it.
-func (l *deathLog) probe(p Probe) {
-	if state := l.probing.Get(p.Process); state != nil {
+func (l *deathLog) probe(now time.Time, p Probe) {
+	if state := l.probing.Get(p.Process); state != nil && state.underWay {
 		state.again = true
 		return
 	}
-	l.probing.Put(p.Process, &probeState{})
+	l.probing.Put(p.Process, &probeState{startedAt: now, underWay: true})
 	l.probes = append(l.probes, p)
 }
 
+// recentlyProbed reports whether a probe of a process began within minSilenceProbeInterval.
+func (l *deathLog) recentlyProbed(now time.Time, p Process) bool {
+	state := l.probing.Get(p)
+	return state != nil && now.Sub(state.startedAt) < minSilenceProbeInterval
+}
+
+// minSilenceProbeInterval is the least time between a probe of a process and the next one
+// because of a run that got no answer. Many do at a server that is merely busy.
+const minSilenceProbeInterval = time.Second
+
 // isDead reports whether a process is known to have died.
 func (l *deathLog) isDead(now time.Time, p Process) bool {
 	at := l.dead.Get(p)
@@ -92,6 +107,11 @@
 			l.dead.Delete(p)
 		}
 	}
+	for _, p := range l.probing.Keys() {
+		if state := l.probing.Get(p); !state.underWay && now.Sub(state.startedAt) > minSilenceProbeInterval {
+			l.probing.Delete(p)
+		}
+	}
 }
 
 // process returns the process of a backend server that this daemon knows.
@@ -108,18 +128,24 @@
 // ProbeEnded records the result of a probe.
 func (c *Core) ProbeEnded(now time.Time, p Probe, result ProbeResult) {
 	state := c.deaths.probing.Get(p.Process)
-	c.deaths.probing.Delete(p.Process)
+	if state == nil {
+		return
+	}
+	state.underWay = false
 	switch {
 	case result == Refused:
 		c.recordDeath(now, p.Process, proofRefused)
-	case state != nil && state.again:
-		c.deaths.probe(p)
+	case result == Unreachable && c.deaths.lastAnswerAt.After(state.startedAt):
+		c.recordDeath(now, p.Process, proofUnreachable)
+	case state.again:
+		c.deaths.probe(now, p)
 	}
 }
 
 // recordAnswer records that a process has begun to answer a request that was sent at the
 // given time. It was alive then: its earlier failures have other reasons than its death.
 func (c *Core) recordAnswer(now time.Time, p Process, sentAt time.Time) {
+	c.deaths.lastAnswerAt = now
 	c.crash.dropUnexplained(p, sentAt)
 	if at := c.deaths.dead.Get(p); at != nil && sentAt.After(*at) {
 		c.deaths.dead.Delete(p)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -70,6 +70,9 @@
 		c.placer.RemoveServer(s.ID) // a new process has no cached prompts and no load
 		old = nil
 	}
+	if old == nil {
+		c.recordReplacedServers(now, &s)
+	}
 	row := &serverRow{BackendServer: s, listed: true}
 	if s.State != Ready {
 		row.drainingSince = now
@@ -82,6 +85,16 @@
 	return true
 }
 
+// recordReplacedServers records the deaths of servers whose address a new one has got.
+func (c *Core) recordReplacedServers(now time.Time, s *BackendServer) {
+	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
+		if row.Address == s.Address && id != s.ID {
+			c.recordDeath(now, row.process(), proofReplaced)
+		}
+		return true
+	})
+}
+
 // RemoveServer records that a server is no longer listed. It counts as gone at once
 // or, while entries that expired in an outage of the table service may still return,
 // at the end of tableRecoveryGrace.
@@ -92,7 +105,7 @@
 	}
 	row.listed = false
 	if len(c.crash.unexplainedRuns(row.process())) > 0 {
-		c.deaths.probe(Probe{Process: row.process(), Address: row.Address})
+		c.deaths.probe(now, Probe{Process: row.process(), Address: row.Address})
 	}
 	row.goneAt = now
 	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready {
