Tell daemons that start later which content is refused

Callers see: each daemon that is restarted, and a fleet that loses all daemons at once, sends refused content to servers again until three more have died.

Change: a daemon that hears a process for the first time announces the deaths of contents with two or more again, if it is one of the two that confirm the configuration. The same deaths are in the checkpoint, which a daemon reads at its start and, if the table service is away then, later.

--- a/internal/exchange/announce.go
+++ b/internal/exchange/announce.go
@@ -8,7 +8,7 @@
 
 // announcements holds facts that the state updates tell the other daemons until all of
 // them have acknowledged an update with the fact.
-type announcements[T any] struct {
+type announcements[T comparable] struct {
 	list []announcement[T] // oldest first
 }
 
@@ -26,6 +26,13 @@
 	}
 }
 
+// addOnce has the next updates include a fact, unless it is being announced.
+func (a *announcements[T]) addOnce(fact T) {
+	if !slices.ContainsFunc(a.list, func(item announcement[T]) bool { return item.fact == fact }) {
+		a.add(fact)
+	}
+}
+
 // due returns the facts that the update with the given sequence number must include. All
 // other daemons have received the updates up to acked.
 func (a *announcements[T]) due(sequence, acked uint32) []T {
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -148,7 +147,7 @@
 func (c *Core) recordContentDeath(now time.Time, d *ContentDeath, by entity.InstanceID) {
 	registry := c.crash.registry
 	before := registry.Deaths(now, d.Digest)
-	registry.RecordDeath(now, quarantine.Death{Digest: d.Digest, Backend: quarantineID(d.process())})
+	registry.RecordDeath(now, quarantine.Death{Digest: d.Digest, Backend: d.Server, Born: d.Born})
 	deaths := registry.Deaths(now, d.Digest)
 	if deaths == before {
 		return
@@ -160,9 +159,37 @@
 	}
 }
 
-// quarantineID returns the ID by which the registry of deaths tells processes apart.
-func quarantineID(p Process) entity.BackendServerID {
-	return p.Server + entity.BackendServerID("#"+strconv.FormatInt(p.Born, 36))
+const (
+	// minSharedDeaths is the number of deaths from which on a content's deaths are kept for
+	// daemons that start later.
+	minSharedDeaths = refusalDeathCount - 1
+	// maxSharedContents limits the contents whose deaths are kept for them.
+	maxSharedContents = 32
+)
+
+// suspectDeaths returns the deaths of the contents that are refused, or nearly are.
+func (c *Core) suspectDeaths(now time.Time) []ContentDeath {
+	var out []ContentDeath
+	for _, d := range c.crash.registry.ListDeaths(now, minSharedDeaths, maxSharedContents) {
+		out = append(out, ContentDeath{Digest: d.Digest, Server: d.Backend, Born: d.Born})
+	}
+	return out
+}
+
+// announceSuspects announces the deaths of suspect contents again, since a process of
+// another daemon has been heard for the first time. Two daemons do so.
+func (c *Core) announceSuspects(now time.Time) {
+	if c.rankOfSelf(now) >= confirmerCount {
+		return
+	}
+	for _, d := range c.suspectDeaths(now) {
+		c.crash.contentDeaths.addOnce(d)
+	}
+}
+
+// RestoreDeaths records the deaths of a checkpoint.
+func (c *Core) RestoreDeaths(now time.Time, p *Checkpoint) {
+	c.ReceiveNotice(now, "", &DeathNotice{ContentDeaths: p.Deaths})
 }
 
 // recordCompletion records that some content has completed.
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -176,14 +176,7 @@
 			r.crashServers("/talk/x", 333*time.Millisecond, 7*time.Second)
 			cut.cut = false
 			r.run(refusalLimit)
-			before := len(r.arrivals)
-			for range 20 {
-				r.sendCrashing(cut, "/talk/x")
-				r.run(100 * time.Millisecond)
-			}
-			if n := len(r.arrivals) - before; n > 0 {
-				t.Errorf("the content reached servers %d times from a daemon %v after its cut", n, refusalLimit)
-			}
+			r.mustRefuse(cut)
 		})
 	}
 }
@@ -303,3 +296,52 @@
 		t.Errorf("%d deaths held against the content although the server answers", n)
 	}
 }
+
+// mustRefuse sends the crashing content to a daemon and fails the test if it reaches a
+// server.
+func (r *crashRun) mustRefuse(d *fleetDaemon) {
+	r.t.Helper()
+	before := len(r.arrivals)
+	for range 20 {
+		r.sendCrashing(d, "/talk/x")
+		r.run(100 * time.Millisecond)
+	}
+	if n := len(r.arrivals) - before; n > 0 {
+		r.t.Errorf("the content reached servers %d times from daemon %s", n, d.name)
+	}
+}
+
+// TestCrash_RestartedDaemonsLearnWhatTheOthersRefuse restarts daemons, also those that
+// found the deaths, after all have refused the content.
+func TestCrash_RestartedDaemonsLearnWhatTheOthersRefuse(t *testing.T) {
+	for _, daemons := range []int{3, 9, 89} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			r := newCrashRun(t, 1, daemons, 30)
+			r.run(2 * time.Second)
+			r.crashServers("/talk/x", 333*time.Millisecond, 6*time.Second)
+			r.run(5 * time.Second) // until nobody announces the deaths any more
+			for _, d := range r.daemons[1:min(daemons, 10)] {
+				r.start(d)
+				r.run(refusalLimit)
+			}
+			r.mustRefuse(r.daemons[1])
+			r.mustRefuse(r.daemons[2])
+		})
+	}
+}
+
+// TestCrash_AllDaemonsLostAndBack restarts all daemons at once. The new ones have nothing
+// but the checkpoint.
+func TestCrash_AllDaemonsLostAndBack(t *testing.T) {
+	r := newCrashRun(t, 1, 9, 30)
+	r.run(2 * time.Second)
+	r.crashServers("/talk/x", 333*time.Millisecond, 6*time.Second)
+	checkpoint := r.daemons[0].core.Checkpoint(r.now)
+	for _, d := range r.daemons {
+		r.start(d)
+		d.core.RestoreDeaths(r.now, &checkpoint)
+	}
+	for _, d := range r.daemons {
+		r.mustRefuse(d)
+	}
+}
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -149,7 +149,7 @@
 	c.crash.dropUnexplained(p, sentAt)
 	if at := c.deaths.dead.Get(p); at != nil && sentAt.After(*at) {
 		c.deaths.dead.Delete(p)
-		c.crash.registry.RemoveDeaths(quarantineID(p))
+		c.crash.registry.RemoveDeaths(p.Server, p.Born)
 		c.logEvent(event.Event{Number: event.ServerDeathDisproved, Backend: p.Server, Attrs: []event.Attr{event.A("born", p.Born)}})
 	}
 }
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -69,13 +69,14 @@
 // Checkpoint is the state that is stored so that it survives the loss of all
 // daemons.
 type Checkpoint struct {
-	Counts map[entity.InstanceID][]usage.Count `cbor:"1,keyasint"` // usage of the newest windows, by the daemon process that counted
-	Levels map[entity.OrganisationID]float64   `cbor:"2,keyasint"` // levels of the quotas' token buckets, in units
+	Counts map[entity.InstanceID][]usage.Count `cbor:"1,keyasint"`           // usage of the newest windows, by the daemon process that counted
+	Levels map[entity.OrganisationID]float64   `cbor:"2,keyasint"`           // levels of the quotas' token buckets, in units
+	Deaths []ContentDeath                      `cbor:"3,keyasint,omitempty"` // of suspect contents
 }
 
 // Checkpoint returns the present state to store.
 func (c *Core) Checkpoint(now time.Time) Checkpoint {
-	return Checkpoint{Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now)}
+	return Checkpoint{Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now), Deaths: c.suspectDeaths(now)}
 }
 
 // RestoreCounts restores the usage counts of a checkpoint.
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -91,7 +91,8 @@
 		row = &peerRow{}
 		c.peers.Put(update.From.Name, row)
 	}
-	if !row.lastReceived.IsZero() && update.Sequence <= row.sequence {
+	firstHeard := row.lastReceived.IsZero()
+	if !firstHeard && update.Sequence <= row.sequence {
 		return
 	}
 	if ack <= c.firstSequence || ack > c.sequence {
@@ -102,6 +103,9 @@
 	row.usageWindow, row.acked = update.Window, max(row.acked, ack)
 	c.applyUpdate(now, row, update)
 	c.applyConfirmation(update, ack)
+	if firstHeard {
+		c.announceSuspects(now)
+	}
 }
 
 // fromPreviousProcess reports whether an update comes from an earlier process of a
--- a/internal/gateway/checkpoint.go
+++ b/internal/gateway/checkpoint.go
@@ -14,7 +14,8 @@
 
 // The leader, which is the daemon that holds the lease, writes a checkpoint to the
 // table service several times a second: the request counts of the current usage
-// windows and the levels of the quotas. So they survive a restart of all daemons.
+// windows, the levels of the quotas and the deaths of backend servers under suspect
+// content. So they survive a restart of all daemons.
 
 const (
 	checkpointRow = "counts"
@@ -64,35 +65,55 @@
 
 // restoreCounts adopts the usage counts of the previous lease holder's checkpoint.
 func (t *leaderTasks) restoreCounts(ctx context.Context) {
-	if p := t.g.readCheckpoint(ctx); p != nil {
-		t.g.withCore(func(c *exchange.Core, _ time.Time) { c.RestoreCounts(p) })
+	p, err := t.g.readCheckpoint(ctx)
+	if err != nil {
+		t.g.Log.Logger().WithError(err).Warn("failed to read the checkpoint")
+		return
 	}
+	t.g.withCore(func(c *exchange.Core, _ time.Time) { c.RestoreCounts(p) })
 }
 
-// restoreQuotas sets the quotas at this daemon's start to the levels of the newest
-// checkpoint. Without one they start almost empty.
-func (g *Gateway) restoreQuotas(runCtx context.Context) {
+// restoreCheckpoint sets the quotas at this daemon's start to the levels of the newest
+// checkpoint, and records the deaths in it. Without one the quotas start almost empty. If
+// it cannot be read at once, the quotas go on without it; the deaths are read later.
+func (g *Gateway) restoreCheckpoint(runCtx context.Context) {
 	ctx, cancel := context.WithTimeout(runCtx, tableTimeout)
 	defer cancel()
-	if p := g.readCheckpoint(ctx); p != nil {
-		g.withCore(func(c *exchange.Core, _ time.Time) { c.RestoreQuotas(p) })
+	p, err := g.readCheckpoint(ctx)
+	if err != nil {
+		g.Log.Logger().WithError(err).Warn("failed to read the checkpoint; the quotas start almost empty")
+		go g.retryUntilDone(runCtx, g.restoreDeaths)
+		return
 	}
+	g.withCore(func(c *exchange.Core, now time.Time) {
+		c.RestoreQuotas(p)
+		c.RestoreDeaths(now, p)
+	})
 }
 
-// readCheckpoint returns the newest checkpoint, or nil if there is none that can be
-// read.
-func (g *Gateway) readCheckpoint(ctx context.Context) *exchange.Checkpoint {
-	row, err := g.Table.Get(ctx, leaderPartition, checkpointRow, true)
+func (g *Gateway) restoreDeaths(ctx context.Context) error {
+	p, err := g.readCheckpoint(ctx)
 	if err != nil {
-		if !errors.Is(err, provider.ErrNotFound) {
-			g.Log.Logger().WithError(err).Warn("failed to read the checkpoint of usage counts and quotas")
-		}
-		return nil
+		return err
 	}
+	g.withCore(func(c *exchange.Core, now time.Time) { c.RestoreDeaths(now, p) })
+	return nil
+}
+
+// readCheckpoint returns the newest checkpoint, which is empty if none was written or it
+// cannot be decoded.
+func (g *Gateway) readCheckpoint(ctx context.Context) (*exchange.Checkpoint, error) {
 	p := &exchange.Checkpoint{}
+	row, err := g.Table.Get(ctx, leaderPartition, checkpointRow, true)
+	if errors.Is(err, provider.ErrNotFound) {
+		return p, nil
+	}
+	if err != nil {
+		return nil, err
+	}
 	if err := codec.Decode(row.Value, p); err != nil {
-		g.Log.Logger().WithError(err).Warn("failed to decode the checkpoint of usage counts and quotas")
-		return nil
+		g.Log.Logger().WithError(err).Warn("failed to decode the checkpoint")
+		return &exchange.Checkpoint{}, nil
 	}
-	return p
+	return p, nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,7 +47,7 @@
 
 // runPeers exchanges state updates with the other daemons until the process ends.
 func (g *Gateway) runPeers(runCtx context.Context) {
-	g.restoreQuotas(runCtx)
+	g.restoreCheckpoint(runCtx)
 	g.retryUntilDone(runCtx, g.learnTrueTime)
 	var discovery sync.Once
 	for runCtx.Err() == nil {
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -65,6 +65,7 @@
 type Death struct {
 	Digest     entity.Digest
 	Backend    entity.BackendServerID
+	Born       int64 // start of its process, which tells the processes of one ID apart; 0: not known
 	DataCentre entity.DataCentreID
 	Isolated   bool
 }
@@ -96,6 +97,7 @@
 
 type death struct {
 	backend    entity.BackendServerID
+	born       int64
 	dataCentre entity.DataCentreID
 	at         time.Time
 }
@@ -181,10 +183,10 @@
 // recorded for it.
 func (r *Registry) Clear(d entity.Digest) { r.suspects.Delete(d) }
 
-// RemoveDeaths discards the deaths recorded for a backend server, which turned out to be
-// alive.
-func (r *Registry) RemoveDeaths(id entity.BackendServerID) {
-	ofServer := func(d death) bool { return d.backend == id }
+// RemoveDeaths discards the deaths recorded for a process of a backend server, which
+// turned out to be alive.
+func (r *Registry) RemoveDeaths(id entity.BackendServerID, born int64) {
+	ofServer := func(d death) bool { return d.is(id, born) }
 	r.deaths = slices.DeleteFunc(r.deaths, ofServer)
 	for _, digest := range r.suspects.Keys() {
 		s := r.suspects.Get(digest)
@@ -195,6 +197,24 @@
 	}
 }
 
+// ListDeaths returns the deaths of all contents for which at least minDeaths are recorded,
+// up to maxContents contents.
+func (r *Registry) ListDeaths(now time.Time, minDeaths, maxContents int) []Death {
+	var out []Death
+	contents := 0
+	r.suspects.All(func(digest entity.Digest, s *suspect) bool {
+		if len(s.deaths) < minDeaths || now.Sub(s.lastDeathAt) > r.cfg.SuspectTTL {
+			return true
+		}
+		for _, d := range s.deaths {
+			out = append(out, Death{Digest: digest, Backend: d.backend, Born: d.born, DataCentre: d.dataCentre})
+		}
+		contents++
+		return contents < maxContents
+	})
+	return out
+}
+
 // Suspected reports whether a death is recorded for the content, so that its
 // completion must be recorded too.
 func (r *Registry) Suspected(d entity.Digest) bool { return r.suspects.Get(d) != nil }
@@ -307,14 +327,14 @@
 // and returns it with the time at which it was first recorded.
 func (r *Registry) addDeath(now time.Time, d Death) death {
 	for _, known := range r.deaths {
-		if known.backend == d.Backend && now.Sub(known.at) <= deathRetention {
+		if known.is(d.Backend, d.Born) && now.Sub(known.at) <= deathRetention {
 			return known
 		}
 	}
 	if len(r.deaths) >= r.cfg.MaxDeaths {
 		r.deaths = append(r.deaths[:0], r.deaths[1:]...)
 	}
-	added := death{backend: d.Backend, dataCentre: d.DataCentre, at: now}
+	added := death{backend: d.Backend, born: d.Born, dataCentre: d.DataCentre, at: now}
 	r.deaths = append(r.deaths, added)
 	return added
 }
@@ -326,16 +346,21 @@
 	n := 0
 	for _, other := range r.deaths {
 		nearInTime := other.at.Sub(d.at).Abs() <= r.cfg.BurstWindow
-		if nearInTime && other.dataCentre == d.dataCentre && !s.hasDeathOn(other.backend) {
+		if nearInTime && other.dataCentre == d.dataCentre && !s.hasDeathOn(other) {
 			n++
 		}
 	}
 	return n
 }
 
-func (s *suspect) hasDeathOn(id entity.BackendServerID) bool {
+// is reports whether it is the death of a process.
+func (d *death) is(id entity.BackendServerID, born int64) bool {
+	return d.backend == id && d.born == born
+}
+
+func (s *suspect) hasDeathOn(process death) bool {
 	for _, known := range s.deaths {
-		if known.backend == id {
+		if known.is(process.backend, process.born) {
 			return true
 		}
 	}
@@ -343,7 +368,7 @@
 }
 
 func (s *suspect) addDeath(d death) {
-	if len(s.deaths) < maxDeathsPerSuspect && !s.hasDeathOn(d.backend) {
+	if len(s.deaths) < maxDeathsPerSuspect && !s.hasDeathOn(d) {
 		s.deaths = append(s.deaths, d)
 	}
 }
