--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -23,8 +23,8 @@
 		sender, receiver := newPollingGateway(c.peers, 0), newPollingGateway(0, 0)
 		sender.Log, receiver.Log = log, log
 		sender.withCore(func(c *exchange.Core, now time.Time) {
-			c.PutServer(now, exchange.BackendServer{ID: "s", Service: "x", State: exchange.Ready})
-			c.RemoveServer(now, "s")
+			c.PutServer(now, exchange.BackendServer{ID: "s", Service: "x", State: exchange.Ready, Born: 1})
+			c.PutServer(now, exchange.BackendServer{ID: "s", Service: "x", State: exchange.Ready, Born: 2})
 		})
 		select {
 		case <-sender.notices:
