Tell all daemons that suspect content has completed

Callers see: ordinary content that many of them send is refused for an hour by the daemons at which it did not happen to complete, after four servers died while they ran it.

Change: a daemon at which suspect content completes announces that, until all have acknowledged it; each discards the deaths it knows of, and they do not count again if a late announcement repeats them. The three kinds of fact are one notice, in the state updates and ahead of them.

--- a/internal/exchange/announce.go
+++ b/internal/exchange/announce.go
@@ -33,6 +33,11 @@
 	}
 }
 
+// drop removes the facts for which f returns true.
+func (a *announcements[T]) drop(f func(T) bool) {
+	a.list = slices.DeleteFunc(a.list, func(item announcement[T]) bool { return f(item.fact) })
+}
+
 // due returns the facts that the update with the given sequence number must include. All
 // other daemons have received the updates up to acked.
 func (a *announcements[T]) due(sequence, acked uint32) []T {
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -53,6 +53,7 @@
 	unexplained   *entity.Table[Process, []unexplainedRun]
 	contentDeaths announcements[ContentDeath]
 	deadProcesses announcements[Process]
+	completions   announcements[entity.Digest] // of content that had been suspect
 }
 
 func newCrashGuard() crashGuard {
@@ -192,30 +193,63 @@
 	c.ReceiveNotice(now, "", &DeathNotice{ContentDeaths: p.Deaths})
 }
 
-// recordCompletion records that some content has completed.
+// recordCompletion records that some content has completed, as this daemon has found, and
+// announces that if it was suspect.
 func (c *Core) recordCompletion(now time.Time, d entity.Digest) {
-	registry := c.crash.registry
-	if n := registry.Deaths(now, d); n > 0 {
-		c.logEvent(event.Event{Number: event.SuspectContentCompleted, Attrs: []event.Attr{event.A("content", ShortDigest(d)), event.A("deaths", n)}})
+	if c.clearContent(now, d, c.cfg.Self.Name) {
+		c.crash.completions.addOnce(d)
+	}
+}
+
+// clearContent discards the deaths under content that has completed, as the given daemon
+// has found. It reports whether there were any.
+func (c *Core) clearContent(now time.Time, d entity.Digest, by entity.InstanceID) bool {
+	n := c.crash.registry.Deaths(now, d)
+	if n == 0 {
+		return false
 	}
-	registry.Clear(d)
+	c.crash.registry.Clear(d)
+	c.crash.contentDeaths.drop(func(death ContentDeath) bool { return death.Digest == d })
+	c.logEvent(event.Event{Number: event.SuspectContentCompleted, Peer: by, Attrs: []event.Attr{event.A("content", ShortDigest(d)), event.A("deaths", n)}})
+	return true
 }
 
-// DeathNotice tells the other daemons of deaths of backend servers ahead of the next state
-// update, which in a large fleet may be seconds away.
+// DeathNotice tells the other daemons of deaths of backend servers. It is part of each state
+// update. In a large fleet, where the next update may be seconds away, it is also sent
+// ahead of it.
 type DeathNotice struct {
 	ContentDeaths []ContentDeath `cbor:"1,keyasint,omitempty"`
 	DeadProcesses []Process      `cbor:"2,keyasint,omitempty"` // found dead by the sender
+	// Completions are contents that have completed at the sender although servers had died
+	// while they ran them.
+	Completions []entity.Digest `cbor:"3,keyasint,omitempty"`
+}
+
+// due returns what the update with the given sequence number must include. All other
+// daemons have received the updates up to acked.
+func (g *crashGuard) due(sequence, acked uint32) DeathNotice {
+	return DeathNotice{
+		ContentDeaths: g.contentDeaths.due(sequence, acked), DeadProcesses: g.deadProcesses.due(sequence, acked),
+		Completions: g.completions.due(sequence, acked),
+	}
+}
+
+// Empty reports whether the notice says nothing.
+func (n *DeathNotice) Empty() bool {
+	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions) == 0
 }
 
 // NoticePending reports whether there are deaths for a notice.
 func (c *Core) NoticePending() bool {
-	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed()
+	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() || c.crash.completions.hasUnnoticed()
 }
 
 // NextNotice returns the deaths that no update or notice has told yet.
 func (c *Core) NextNotice() DeathNotice {
-	return DeathNotice{ContentDeaths: c.crash.contentDeaths.unnoticed(), DeadProcesses: c.crash.deadProcesses.unnoticed()}
+	return DeathNotice{
+		ContentDeaths: c.crash.contentDeaths.unnoticed(), DeadProcesses: c.crash.deadProcesses.unnoticed(),
+		Completions: c.crash.completions.unnoticed(),
+	}
 }
 
 // ReceiveNotice applies the deaths that another daemon announced.
@@ -228,6 +262,9 @@
 	for _, p := range notice.DeadProcesses {
 		c.recordDeath(now, p, proofAnnounced)
 	}
+	for _, d := range notice.Completions {
+		c.clearContent(now, d, from)
+	}
 }
 
 // ShortDigest returns the beginning of a digest, for logs.
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -345,3 +345,41 @@
 		r.mustRefuse(d)
 	}
 }
+
+// popularContent is the content of ordinary requests that many callers send.
+var popularContent = entity.Digest{0xb0}
+
+// TestCrash_CompletionIsKnownToAllDaemons: two servers after the other die while they run
+// content that many callers send and that is not the cause. It completes elsewhere.
+func TestCrash_CompletionIsKnownToAllDaemons(t *testing.T) {
+	r := newCrashRun(t, 1, 9, 30)
+	r.every(20*time.Millisecond, func() {
+		req := testRequest("", "/get/x", "k3")
+		req.Content, req.Patience = popularContent, 5*time.Second
+		r.send(r.anyDaemon(), req)
+	})
+	r.run(2 * time.Second)
+	for range 4 {
+		r.crashServerWith(popularContent)
+		r.run(150 * time.Millisecond)
+	}
+	r.run(time.Second)
+	refused := r.wrongly
+	r.run(2 * time.Second)
+	if r.wrongly > refused {
+		t.Errorf("%d requests refused later than 1 s after the last death, although the content completes", r.wrongly-refused)
+	}
+}
+
+// crashServerWith crashes a server that runs the content, if there is one.
+func (r *crashRun) crashServerWith(content entity.Digest) bool {
+	for _, s := range r.servers {
+		for run := range s.runs {
+			if s.up && run.ticket.Request.Content == content {
+				r.crash(s)
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -131,7 +131,7 @@
 	for _, s := range update.DrainingServers {
 		c.receiveDraining(now, s)
 	}
-	c.ReceiveNotice(now, row.Name, &DeathNotice{ContentDeaths: update.Deaths, DeadProcesses: update.DeadProcesses})
+	c.ReceiveNotice(now, row.Name, &update.Deaths)
 	for _, p := range update.CachedPrompts {
 		c.placer.AddCachedPart(now, p.Server, p.Part)
 	}
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -35,7 +35,6 @@
 	Age             time.Duration    `cbor:"12,keyasint"`
 	Levels          []ServiceLevel   `cbor:"13,keyasint,omitempty"` // only from the lease holder
 	DrainingServers []DrainingServer `cbor:"14,keyasint,omitempty"`
-	Deaths          []ContentDeath   `cbor:"15,keyasint,omitempty"`
 	// Window is the present usage window. What the sender counted in earlier ones
 	// is included in this update or an earlier one.
 	Window int64 `cbor:"16,keyasint,omitempty"`
@@ -43,8 +42,7 @@
 	// holder that the present one cannot reach learns of it from others.
 	KnownEpoch uint64        `cbor:"17,keyasint,omitempty"`
 	Reports    []UsageReport `cbor:"18,keyasint,omitempty"` // only from the lease holder
-	// DeadProcesses are the processes of backend servers that the sender has found dead.
-	DeadProcesses []Process `cbor:"19,keyasint,omitempty"`
+	Deaths     DeathNotice   `cbor:"19,keyasint,omitempty"`
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -70,7 +68,8 @@
 	update := StateUpdate{
 		From: c.cfg.Self, Sequence: c.sequence, Leaving: c.leaving, Serving: c.Serving(now),
 		Loads: c.placer.ServerLoads(), Quota: c.quota.Uses(now, c.sequence%updatesPerFullUpdate == 0), CachedPrompts: c.cachedPrompts, Demand: c.demand.rates(now),
-		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now), Deaths: c.crash.contentDeaths.due(c.sequence, acked), DeadProcesses: c.crash.deadProcesses.due(c.sequence, acked),
+		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now),
+		Deaths: c.crash.due(c.sequence, acked),
 	}
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -36,7 +36,7 @@
 // sendNotice sends the deaths that are not announced yet to all peers, a few at a time.
 func (g *Gateway) sendNotice(runCtx context.Context, t *peer.Transport) {
 	notice, peers := g.nextNotice()
-	if len(notice.ContentDeaths)+len(notice.DeadProcesses) == 0 {
+	if notice.Empty() {
 		return
 	}
 	start := clock.Now()
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -83,6 +83,7 @@
 type Registry struct {
 	cfg             Config
 	suspects        *entity.Table[entity.Digest, suspect]
+	cleared         *entity.Table[entity.Digest, suspect] // content that has completed, with the deaths before that
 	entries         *entity.Table[entity.Digest, entry]
 	deaths          []death         // oldest first
 	pendingVerdicts []entity.Digest // content whose verdict may be pending
@@ -125,6 +126,7 @@
 	return &Registry{
 		cfg:      cfg.withDefaults(),
 		suspects: entity.NewTable[entity.Digest, suspect](),
+		cleared:  entity.NewTable[entity.Digest, suspect](),
 		entries:  entity.NewTable[entity.Digest, entry](),
 	}
 }
@@ -145,6 +147,9 @@
 func (r *Registry) RecordDeath(now time.Time, d Death) {
 	alreadyDead := r.RecentlyDied(now, d.Backend)
 	recorded := r.addDeath(now, d)
+	if s := r.cleared.Get(d.Digest); s != nil && s.hasDeathOn(recorded) {
+		return
+	}
 	s := r.suspects.Get(d.Digest)
 	if s == nil {
 		r.evictSuspect(now)
@@ -180,8 +185,18 @@
 }
 
 // Clear records that content has completed, which discards the deaths
-// recorded for it.
-func (r *Registry) Clear(d entity.Digest) { r.suspects.Delete(d) }
+// recorded for it. They do not count again if another daemon reports them later.
+func (r *Registry) Clear(d entity.Digest) {
+	s := r.suspects.Get(d)
+	if s == nil {
+		return
+	}
+	r.suspects.Delete(d)
+	if r.cleared.Len() >= r.cfg.MaxSuspects {
+		r.cleared.Delete(r.cleared.Keys()[0])
+	}
+	r.cleared.Put(d, s)
+}
 
 // RemoveDeaths discards the deaths recorded for a process of a backend server, which
 // turned out to be alive.
