Do not repeat a run that may be the third to end its server

Callers see: a content whose third run breaks off is sent to a fourth server at once, before the third one has been dialled, and ends that too: with two attempts for each request every second server is lost needlessly.

Change: content with a death is not repeated after a break if this and its other unexplained runs would make three. A new request with it is still admitted.

TestEnded_ThirdBreakIsNotRepeatedBeforeItIsExplained: repeated before, answered as failed now.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -197,7 +197,7 @@
 	case Failed, Broken, Silent:
 		t.Ran++
 	}
-	if c.crash.quarantined(now, t.Request.Content) || !c.mayRepeat(now, t) {
+	if c.crash.nearlyQuarantined(now, t.Request.Content) || !c.mayRepeat(now, t) {
 		return c.finalRefusal(t, o.String(), noServerRetryDelay)
 	}
 	return nil
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -69,6 +69,22 @@
 	return g.registry.Deaths(now, d) >= refusalDeathCount
 }
 
+// nearlyQuarantined reports whether the content would be quarantined if its unexplained
+// runs were due to the deaths of their servers.
+func (g *crashGuard) nearlyQuarantined(now time.Time, d entity.Digest) bool {
+	deaths := g.registry.Deaths(now, d)
+	if deaths == 0 {
+		return false
+	}
+	g.unexplained.All(func(_ Process, runs *[]unexplainedRun) bool {
+		if slices.ContainsFunc(*runs, func(run unexplainedRun) bool { return run.content == d }) {
+			deaths++
+		}
+		return deaths < refusalDeathCount
+	})
+	return deaths >= refusalDeathCount
+}
+
 // unexplainedRuns returns the unexplained runs on a process.
 func (g *crashGuard) unexplainedRuns(p Process) []unexplainedRun {
 	if list := g.unexplained.Get(p); list != nil {
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -383,3 +383,19 @@
 	}
 	return false
 }
+
+// TestEnded_ThirdBreakIsNotRepeatedBeforeItIsExplained: another attempt would be made
+// before the probe of the server ends.
+func TestEnded_ThirdBreakIsNotRepeatedBeforeItIsExplained(t *testing.T) {
+	c := newTestCore(t, "a")
+	breakRun(t, c, zero, crashingContent, Refused)
+	breakRun(t, c, at(time.Second), crashingContent, Refused)
+	now := at(2 * time.Second)
+	req := testRequest("r", "/get/x", "k3")
+	req.Content = crashingContent
+	ticket := mustAdmit(t, c, now, req)
+	mustPlace(t, c, now, ticket)
+	if refusal := c.Ended(now, ticket, Broken); refusal == nil || refusal.Status != BadReply {
+		t.Errorf("the third run that broke off is repeated: %+v", refusal)
+	}
+}
