Count servers that die together as one death under a content

Callers see: content that runs on three servers when a rack or a process group dies, and on no other at that moment, is refused for an hour.

Change: deaths within 50 ms of each other count once, by the time at which their runs ended; messages say how long ago that was, so that all daemons count alike however late an update comes. Content that ends servers does so one after the other.

--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -41,17 +41,34 @@
 	Digest entity.Digest          `cbor:"1,keyasint"`
 	Server entity.BackendServerID `cbor:"2,keyasint"`
 	Born   int64                  `cbor:"3,keyasint,omitempty"` // see Process
+	Ago    time.Duration          `cbor:"4,keyasint,omitempty"` // from the death to the sending of the message
 }
 
 // process returns the process that died.
 func (d *ContentDeath) process() Process { return Process{Server: d.Server, Born: d.Born} }
 
+// datedDeath is a ContentDeath with its time instead of the time since.
+type datedDeath struct {
+	ContentDeath
+	at time.Time
+}
+
+// undated returns deaths as a message that is sent now states them.
+func undated(now time.Time, list []datedDeath) []ContentDeath {
+	var out []ContentDeath
+	for _, d := range list {
+		d.Ago = now.Sub(d.at)
+		out = append(out, d.ContentDeath)
+	}
+	return out
+}
+
 // crashGuard counts the deaths of backend servers per content, and quarantines
 // content that seems to cause them.
 type crashGuard struct {
 	registry      *quarantine.Registry
 	unexplained   *entity.Table[Process, []unexplainedRun]
-	contentDeaths announcements[ContentDeath]
+	contentDeaths announcements[datedDeath]
 	deadProcesses announcements[Process]
 	completions   announcements[entity.Digest] // of content that had been suspect
 }
@@ -127,7 +144,7 @@
 	p, row := t.process, c.servers.Get(t.process.Server)
 	switch {
 	case c.deaths.isDead(now, p):
-		c.blame(now, p, t.Request.Content)
+		c.blame(now, now, p, t.Request.Content)
 		return
 	case row == nil || row.process() != p || row.State != Ready:
 		return // it drains or has gone
@@ -147,24 +164,25 @@
 	c.crash.unexplained.Delete(p)
 	for _, run := range runs {
 		if now.Sub(run.at) <= deathWindow {
-			c.blame(now, p, run.content)
+			c.blame(now, run.at, p, run.content)
 		}
 	}
 }
 
-// blame holds content responsible for the death of a process, and announces that.
-func (c *Core) blame(now time.Time, p Process, content entity.Digest) {
-	death := ContentDeath{Digest: content, Server: p.Server, Born: p.Born}
+// blame holds content responsible for the death of a process at the given time, and
+// announces that.
+func (c *Core) blame(now, at time.Time, p Process, content entity.Digest) {
+	death := datedDeath{ContentDeath{Digest: content, Server: p.Server, Born: p.Born}, at}
 	c.crash.contentDeaths.add(death)
 	c.recordContentDeath(now, &death, c.cfg.Self.Name)
 }
 
 // recordContentDeath records that a process died while it ran some content, as the given
 // daemon has found.
-func (c *Core) recordContentDeath(now time.Time, d *ContentDeath, by entity.InstanceID) {
+func (c *Core) recordContentDeath(now time.Time, d *datedDeath, by entity.InstanceID) {
 	registry := c.crash.registry
 	before := registry.Deaths(now, d.Digest)
-	registry.RecordDeath(now, quarantine.Death{Digest: d.Digest, Backend: d.Server, Born: d.Born})
+	registry.RecordDeath(d.at, quarantine.Death{Digest: d.Digest, Backend: d.Server, Born: d.Born})
 	deaths := registry.Deaths(now, d.Digest)
 	if deaths == before {
 		return
@@ -185,10 +203,10 @@
 )
 
 // suspectDeaths returns the deaths of the contents that are refused, or nearly are.
-func (c *Core) suspectDeaths(now time.Time) []ContentDeath {
-	var out []ContentDeath
+func (c *Core) suspectDeaths(now time.Time) []datedDeath {
+	var out []datedDeath
 	for _, d := range c.crash.registry.ListDeaths(now, minSharedDeaths, maxSharedContents) {
-		out = append(out, ContentDeath{Digest: d.Digest, Server: d.Backend, Born: d.Born})
+		out = append(out, datedDeath{ContentDeath{Digest: d.Digest, Server: d.Backend, Born: d.Born}, d.At})
 	}
 	return out
 }
@@ -225,7 +243,7 @@
 		return false
 	}
 	c.crash.registry.Clear(d)
-	c.crash.contentDeaths.drop(func(death ContentDeath) bool { return death.Digest == d })
+	c.crash.contentDeaths.drop(func(death datedDeath) bool { return death.Digest == d })
 	c.logEvent(event.Event{Number: event.SuspectContentCompleted, Peer: by, Attrs: []event.Attr{event.A("content", ShortDigest(d)), event.A("deaths", n)}})
 	return true
 }
@@ -243,9 +261,9 @@
 
 // due returns what the update with the given sequence number must include. All other
 // daemons have received the updates up to acked.
-func (g *crashGuard) due(sequence, acked uint32) DeathNotice {
+func (g *crashGuard) due(now time.Time, sequence, acked uint32) DeathNotice {
 	return DeathNotice{
-		ContentDeaths: g.contentDeaths.due(sequence, acked), DeadProcesses: g.deadProcesses.due(sequence, acked),
+		ContentDeaths: undated(now, g.contentDeaths.due(sequence, acked)), DeadProcesses: g.deadProcesses.due(sequence, acked),
 		Completions: g.completions.due(sequence, acked),
 	}
 }
@@ -261,19 +279,18 @@
 }
 
 // NextNotice returns the deaths that no update or notice has told yet.
-func (c *Core) NextNotice() DeathNotice {
+func (c *Core) NextNotice(now time.Time) DeathNotice {
 	return DeathNotice{
-		ContentDeaths: c.crash.contentDeaths.unnoticed(), DeadProcesses: c.crash.deadProcesses.unnoticed(),
+		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: c.crash.deadProcesses.unnoticed(),
 		Completions: c.crash.completions.unnoticed(),
 	}
 }
 
 // ReceiveNotice applies the deaths that another daemon announced.
 func (c *Core) ReceiveNotice(now time.Time, from entity.InstanceID, notice *DeathNotice) {
-	for i := range notice.ContentDeaths {
-		d := &notice.ContentDeaths[i]
+	for _, d := range notice.ContentDeaths {
 		c.recordDeath(now, d.process(), proofAnnounced)
-		c.recordContentDeath(now, d, from)
+		c.recordContentDeath(now, &datedDeath{d, now.Add(-d.Ago)}, from)
 	}
 	for _, p := range notice.DeadProcesses {
 		c.recordDeath(now, p, proofAnnounced)
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -399,3 +399,32 @@
 		t.Errorf("the third run that broke off is repeated: %+v", refusal)
 	}
 }
+
+// TestCrash_ServersThatDieTogetherMakeNothingSuspect: content runs on four servers, and on
+// no other, when they die at the same moment.
+func TestCrash_ServersThatDieTogetherMakeNothingSuspect(t *testing.T) {
+	r := newCrashRun(t, 1, 9, 30)
+	r.runDuration = func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, time.Minute }
+	for i := range 4 {
+		req := testRequest("", "/x", "k3")
+		req.Content, req.Patience = popularContent, time.Minute
+		r.send(r.daemons[i], req)
+	}
+	r.run(500 * time.Millisecond)
+	crashed := 0
+	for r.crashServerWith(popularContent) {
+		crashed++
+	}
+	if crashed < refusalDeathCount {
+		t.Fatalf("%d servers ran the content, want at least %d", crashed, refusalDeathCount)
+	}
+	r.run(time.Second)
+	req := testRequest("", "/x", "k3")
+	req.Content = popularContent
+	for _, d := range r.daemons {
+		r.send(d, req)
+	}
+	if r.wrongly > 0 {
+		t.Errorf("%d requests refused, although all servers died at the same moment", r.wrongly)
+	}
+}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -369,7 +369,7 @@
 	}
 	d.noticeAt = f.now.Add(noticeInterval)
 	f.after(noticeInterval, func() { f.sendNotice(d) })
-	notice := d.core.NextNotice()
+	notice := d.core.NextNotice(f.now)
 	for i, m := range d.core.Peers() {
 		if to := f.daemon(m.Name); to != nil && !to.cut && !d.cut && f.rng.Float64() >= updateLossRatio {
 			f.after(time.Duration(i/8)*6*time.Millisecond+networkDelay, func() {
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -76,7 +76,7 @@
 
 // Checkpoint returns the present state to store.
 func (c *Core) Checkpoint(now time.Time) Checkpoint {
-	return Checkpoint{Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now), Deaths: c.suspectDeaths(now)}
+	return Checkpoint{Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now), Deaths: undated(now, c.suspectDeaths(now))}
 }
 
 // RestoreCounts restores the usage counts of a checkpoint.
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -69,7 +69,7 @@
 		From: c.cfg.Self, Sequence: c.sequence, Leaving: c.leaving, Serving: c.Serving(now),
 		Loads: c.placer.ServerLoads(), Quota: c.quota.Uses(now, c.sequence%updatesPerFullUpdate == 0), CachedPrompts: c.cachedPrompts, Demand: c.demand.rates(now),
 		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now),
-		Deaths: c.crash.due(c.sequence, acked),
+		Deaths: c.crash.due(now, c.sequence, acked),
 	}
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -212,17 +212,23 @@
 	}
 }
 
+// RecordedDeath is a death with the time at which it was recorded.
+type RecordedDeath struct {
+	Death
+	At time.Time
+}
+
 // ListDeaths returns the deaths of all contents for which at least minDeaths are recorded,
 // up to maxContents contents.
-func (r *Registry) ListDeaths(now time.Time, minDeaths, maxContents int) []Death {
-	var out []Death
+func (r *Registry) ListDeaths(now time.Time, minDeaths, maxContents int) []RecordedDeath {
+	var out []RecordedDeath
 	contents := 0
 	r.suspects.All(func(digest entity.Digest, s *suspect) bool {
 		if len(s.deaths) < minDeaths || now.Sub(s.lastDeathAt) > r.cfg.SuspectTTL {
 			return true
 		}
 		for _, d := range s.deaths {
-			out = append(out, Death{Digest: digest, Backend: d.backend, Born: d.born, DataCentre: d.dataCentre})
+			out = append(out, RecordedDeath{Death{Digest: digest, Backend: d.backend, Born: d.born, DataCentre: d.dataCentre}, d.at})
 		}
 		contents++
 		return contents < maxContents
@@ -234,16 +240,31 @@
 // completion must be recorded too.
 func (r *Registry) Suspected(d entity.Digest) bool { return r.suspects.Get(d) != nil }
 
-// Deaths returns how many different backend servers have died while they ran the
-// content, since it last completed.
+// Deaths returns how often backend servers have died while they ran the content, since it
+// last completed. Servers that died together have one cause and count once.
 func (r *Registry) Deaths(now time.Time, d entity.Digest) int {
 	s := r.suspects.Get(d)
 	if s == nil || now.Sub(s.lastDeathAt) > r.cfg.SuspectTTL {
 		return 0
 	}
-	return len(s.deaths)
+	times := make([]time.Time, len(s.deaths))
+	for i, death := range s.deaths {
+		times[i] = death.at
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	n := 0
+	for i, at := range times {
+		if i == 0 || at.Sub(times[i-1]) > togetherWindow {
+			n++
+		}
+	}
+	return n
 }
 
+// togetherWindow is the longest time between the deaths of two backend servers that died
+// together.
+const togetherWindow = 50 * time.Millisecond
+
 // Quarantine applies an entry made here or by another daemon. Version 0 stands
 // for an unknown version, which never replaces a known entry, so that it does
 // not renew one that has expired.
