Count the deaths under a repeated request one by one

Cause: the second run begins only after the first death, so that both cannot have one cause outside the content.

Change: deaths count as one only if the run on the later server had begun before the earlier death; the messages say how long a run lasted.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -101,7 +101,7 @@
 		t.firstSentAt = now
 	}
 	t.tried = append(t.tried, choice.Server)
-	t.process = row.process()
+	t.process, t.sentAt = row.process(), now
 	c.recordCachedPrompt(choice.Server, t)
 	a := Attempt{
 		Server: choice.Server, Address: row.Address, Priority: t.priority,
@@ -144,7 +144,7 @@
 	if t.firstEventAt.IsZero() {
 		t.firstEventAt = now
 	}
-	c.recordAnswer(now, t.process, t.reservation.SentAt())
+	c.recordAnswer(now, t.process, t.sentAt)
 	c.placer.RecordFirstEvent(now, t.reservation)
 	c.countUsage(now, t)
 }
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -32,8 +32,9 @@
 // unexplainedRun is a run of a request that ended without a complete answer: it broke off,
 // got no answer in time, or its caller left. The server's process may have died by it.
 type unexplainedRun struct {
-	content entity.Digest
-	at      time.Time // when it ended
+	content   entity.Digest
+	startedAt time.Time // when the request was sent
+	endedAt   time.Time
 }
 
 // ContentDeath says that a process of a backend server died while it ran some content.
@@ -42,6 +43,7 @@
 	Server entity.BackendServerID `cbor:"2,keyasint"`
 	Born   int64                  `cbor:"3,keyasint,omitempty"` // see Process
 	Ago    time.Duration          `cbor:"4,keyasint,omitempty"` // from the death to the sending of the message
+	Ran    time.Duration          `cbor:"5,keyasint,omitempty"` // from the sending of the request to the death
 }
 
 // process returns the process that died.
@@ -111,10 +113,10 @@
 }
 
 // addUnexplained records an unexplained run on a process.
-func (g *crashGuard) addUnexplained(now time.Time, p Process, content entity.Digest) {
+func (g *crashGuard) addUnexplained(p Process, run unexplainedRun) {
 	list := g.unexplainedRuns(p)
 	if len(list) < maxUnexplainedRuns {
-		list = append(list, unexplainedRun{content: content, at: now})
+		list = append(list, run)
 	}
 	g.unexplained.Put(p, &list)
 }
@@ -125,14 +127,14 @@
 	if len(list) == 0 {
 		return
 	}
-	kept := slices.DeleteFunc(list, func(run unexplainedRun) bool { return run.at.Before(before) })
+	kept := slices.DeleteFunc(list, func(run unexplainedRun) bool { return run.endedAt.Before(before) })
 	g.unexplained.Put(p, &kept)
 }
 
 // forget drops runs that ended too long ago.
 func (g *crashGuard) forget(now time.Time) {
 	for _, p := range g.unexplained.Keys() {
-		if list := g.unexplainedRuns(p); len(list) == 0 || now.Sub(list[len(list)-1].at) > deathWindow {
+		if list := g.unexplainedRuns(p); len(list) == 0 || now.Sub(list[len(list)-1].endedAt) > deathWindow {
 			g.unexplained.Delete(p)
 		}
 	}
@@ -142,16 +144,17 @@
 // its process may have died by it, that is probed.
 func (c *Core) recordUnexplainedRun(now time.Time, t *Ticket, o Outcome) {
 	p, row := t.process, c.servers.Get(t.process.Server)
+	run := unexplainedRun{content: t.Request.Content, startedAt: t.sentAt, endedAt: now}
 	switch {
 	case c.deaths.isDead(now, p):
-		c.blame(now, now, p, t.Request.Content)
+		c.blame(now, p, run)
 		return
 	case row == nil || row.process() != p || row.State != Ready:
 		return // it drains or has gone
 	case o == Broken && !row.listed:
 		return // it leaves without having announced that, and breaks off what still runs
 	}
-	c.crash.addUnexplained(now, p, t.Request.Content)
+	c.crash.addUnexplained(p, run)
 	if o == Broken || o == Silent && !c.deaths.recentlyProbed(now, p) || !row.listed {
 		c.deaths.probe(now, Probe{Process: p, Address: row.Address})
 	}
@@ -163,16 +166,16 @@
 	runs := c.crash.unexplainedRuns(p)
 	c.crash.unexplained.Delete(p)
 	for _, run := range runs {
-		if now.Sub(run.at) <= deathWindow {
-			c.blame(now, run.at, p, run.content)
+		if now.Sub(run.endedAt) <= deathWindow {
+			c.blame(now, p, run)
 		}
 	}
 }
 
-// blame holds content responsible for the death of a process at the given time, and
-// announces that.
-func (c *Core) blame(now, at time.Time, p Process, content entity.Digest) {
-	death := datedDeath{ContentDeath{Digest: content, Server: p.Server, Born: p.Born}, at}
+// blame holds the content of a run responsible for the death of its process, and announces
+// that.
+func (c *Core) blame(now time.Time, p Process, run unexplainedRun) {
+	death := datedDeath{ContentDeath{Digest: run.content, Server: p.Server, Born: p.Born, Ran: run.endedAt.Sub(run.startedAt)}, run.endedAt}
 	c.crash.contentDeaths.add(death)
 	c.recordContentDeath(now, &death, c.cfg.Self.Name)
 }
@@ -182,7 +185,7 @@
 func (c *Core) recordContentDeath(now time.Time, d *datedDeath, by entity.InstanceID) {
 	registry := c.crash.registry
 	before := registry.Deaths(now, d.Digest)
-	registry.RecordDeath(d.at, quarantine.Death{Digest: d.Digest, Backend: d.Server, Born: d.Born})
+	registry.RecordDeath(d.at, quarantine.Death{Digest: d.Digest, Backend: d.Server, Born: d.Born, StartedAt: d.at.Add(-d.Ran)})
 	deaths := registry.Deaths(now, d.Digest)
 	if deaths == before {
 		return
@@ -206,7 +209,7 @@
 func (c *Core) suspectDeaths(now time.Time) []datedDeath {
 	var out []datedDeath
 	for _, d := range c.crash.registry.ListDeaths(now, minSharedDeaths, maxSharedContents) {
-		out = append(out, datedDeath{ContentDeath{Digest: d.Digest, Server: d.Backend, Born: d.Born}, d.At})
+		out = append(out, datedDeath{ContentDeath{Digest: d.Digest, Server: d.Backend, Born: d.Born, Ran: d.At.Sub(d.StartedAt)}, d.At})
 	}
 	return out
 }
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -92,6 +92,7 @@
 	Ran            int                      // sends that may have run
 	tried          []entity.BackendServerID // excluded from further sends
 	process        Process                  // of the backend server of the present attempt
+	sentAt         time.Time                // when the present attempt began
 	priority       int
 	reservation    *placement.Reservation // reserved for the present attempt; nil between attempts
 	retryCharged   bool                   // the next send is already charged to the retry budget
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -64,9 +64,6 @@
 	service       entity.ServiceName
 }
 
-// SentAt returns when the request was placed on the backend server.
-func (r *Reservation) SentAt() time.Time { return r.sentAt }
-
 // ServerLoad is the load of one daemon on one backend server.
 type ServerLoad struct {
 	Server  entity.BackendServerID `cbor:"1,keyasint"`
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -67,6 +67,7 @@
 	Backend    entity.BackendServerID
 	Born       int64 // start of its process, which tells the processes of one ID apart; 0: not known
 	DataCentre entity.DataCentreID
+	StartedAt  time.Time // of the run of the content; zero: not known
 	Isolated   bool
 }
 
@@ -101,6 +102,7 @@
 	born       int64
 	dataCentre entity.DataCentreID
 	at         time.Time
+	startedAt  time.Time // see Death
 }
 
 type entry struct {
@@ -157,6 +159,7 @@
 		r.suspects.Put(d.Digest, s)
 	}
 	s.lastDeathAt = now
+	recorded.startedAt = d.StartedAt
 	s.addDeath(recorded)
 	if !d.Isolated || alreadyDead || !s.verdictAt.IsZero() {
 		return
@@ -228,7 +231,7 @@
 			return true
 		}
 		for _, d := range s.deaths {
-			out = append(out, RecordedDeath{Death{Digest: digest, Backend: d.backend, Born: d.born, DataCentre: d.dataCentre}, d.at})
+			out = append(out, RecordedDeath{Death{Digest: digest, Backend: d.backend, Born: d.born, DataCentre: d.dataCentre, StartedAt: d.startedAt}, d.at})
 		}
 		contents++
 		return contents < maxContents
@@ -247,14 +250,10 @@
 	if s == nil || now.Sub(s.lastDeathAt) > r.cfg.SuspectTTL {
 		return 0
 	}
-	times := make([]time.Time, len(s.deaths))
-	for i, death := range s.deaths {
-		times[i] = death.at
-	}
-	slices.SortFunc(times, time.Time.Compare)
+	deaths := slices.SortedFunc(slices.Values(s.deaths), func(a, b death) int { return a.at.Compare(b.at) })
 	n := 0
-	for i, at := range times {
-		if i == 0 || at.Sub(times[i-1]) > togetherWindow {
+	for i := range deaths {
+		if i == 0 || !deaths[i].togetherWith(&deaths[i-1]) {
 			n++
 		}
 	}
@@ -265,6 +264,13 @@
 // together.
 const togetherWindow = 50 * time.Millisecond
 
+// togetherWith reports whether a backend server died together with the one that died
+// before it. It did not if its run of the content began after that death, as that of a
+// repeated request does.
+func (d *death) togetherWith(previous *death) bool {
+	return d.at.Sub(previous.at) <= togetherWindow && d.startedAt.Before(previous.at)
+}
+
 // Quarantine applies an entry made here or by another daemon. Version 0 stands
 // for an unknown version, which never replaces a known entry, so that it does
 // not renew one that has expired.
