--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -278,8 +278,8 @@
 func TestCrash_ServerThatAnswersIsNotDead(t *testing.T) {
 	c := newTestCore(t, "a")
 	died := breakRun(t, c, zero, crashingContent, Refused)
-	if n := c.crash.registry.Deaths(zero, crashingContent); n != 1 {
-		t.Fatalf("%d deaths held against the content, want 1", n)
+	if list := c.Status(zero).Suspects; len(list) != 1 || list[0].Deaths != 1 || list[0].Refused {
+		t.Fatalf("suspect contents %+v, want one with one death", list)
 	}
 	for _, id := range []entity.BackendServerID{"plain0", "plain1", "plain2"} {
 		if id != died.Server {
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -22,6 +22,15 @@
 	Daemons      []DaemonStatus    `json:"daemons"`
 	Quotas       []quota.Use       `json:"quotas"`
 	Planned      []ServiceLevel    `json:"planned_work"`
+	Suspects     []ContentStatus   `json:"suspect_contents"`
+}
+
+// ContentStatus is this daemon's view of the content of requests under which backend servers
+// have died, and which has not completed since.
+type ContentStatus struct {
+	Content string `json:"content"` // see ShortDigest
+	Deaths  int    `json:"deaths"`
+	Refused bool   `json:"refused"`
 }
 
 // ServerStatus is this daemon's view of a backend server.
@@ -63,7 +72,27 @@
 		s.Daemons = append(s.Daemons, DaemonStatus{name, lastReceived, r.serving, r.leaving, r.version})
 		return true
 	})
+	s.Suspects = c.suspectStatus(now)
 	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
 	sort.Slice(s.Daemons, func(i, j int) bool { return s.Daemons[i].Name < s.Daemons[j].Name })
 	return s
 }
+
+// maxStatusContents limits the contents in a Status.
+const maxStatusContents = 100
+
+// suspectStatus returns the suspect contents, those with most deaths first.
+func (c *Core) suspectStatus(now time.Time) []ContentStatus {
+	registry := c.crash.registry
+	var out []ContentStatus
+	var last entity.Digest
+	for _, d := range registry.ListDeaths(now, 1, maxStatusContents) {
+		if d.Digest == last {
+			continue // a further death of the same content
+		}
+		last = d.Digest
+		out = append(out, ContentStatus{ShortDigest(d.Digest), registry.Deaths(now, d.Digest), c.crash.quarantined(now, d.Digest)})
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Deaths > out[j].Deaths })
+	return out
+}
