--- a/internal/entity/ids.go
+++ b/internal/entity/ids.go
@@ -22,6 +22,13 @@
 // BackendServerID identifies a backend server. It is unique over all services.
 type BackendServerID string
 
+// ServerProcess identifies one process of a backend server. An ID may be used again by a
+// later process.
+type ServerProcess struct {
+	Server BackendServerID `cbor:"1,keyasint"`
+	Born   int64           `cbor:"2,keyasint,omitempty"` // its start, Unix milliseconds; 0: not known
+}
+
 // RequestID identifies one accepted request. It cannot be guessed.
 type RequestID string
 
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -41,13 +41,15 @@
 type ContentDeath struct {
 	Digest entity.Digest          `cbor:"1,keyasint"`
 	Server entity.BackendServerID `cbor:"2,keyasint"`
-	Born   int64                  `cbor:"3,keyasint,omitempty"` // see Process
+	Born   int64                  `cbor:"3,keyasint,omitempty"` // see entity.ServerProcess
 	Ago    time.Duration          `cbor:"4,keyasint,omitempty"` // from the death to the sending of the message
 	Ran    time.Duration          `cbor:"5,keyasint,omitempty"` // from the sending of the request to the death
 }
 
 // process returns the process that died.
-func (d *ContentDeath) process() Process { return Process{Server: d.Server, Born: d.Born} }
+func (d *ContentDeath) process() entity.ServerProcess {
+	return entity.ServerProcess{Server: d.Server, Born: d.Born}
+}
 
 // datedDeath is a ContentDeath with its time instead of the time since.
 type datedDeath struct {
@@ -69,16 +71,16 @@
 // content that seems to cause them.
 type crashGuard struct {
 	registry      *quarantine.Registry
-	unexplained   *entity.Table[Process, []unexplainedRun]
+	unexplained   *entity.Table[entity.ServerProcess, []unexplainedRun]
 	contentDeaths announcements[datedDeath]
-	deadProcesses announcements[Process]
+	deadProcesses announcements[entity.ServerProcess]
 	completions   announcements[entity.Digest] // of content that had been suspect
 }
 
 func newCrashGuard() crashGuard {
 	return crashGuard{
 		registry:    quarantine.New(quarantine.Config{}),
-		unexplained: entity.NewTable[Process, []unexplainedRun](),
+		unexplained: entity.NewTable[entity.ServerProcess, []unexplainedRun](),
 	}
 }
 
@@ -95,7 +97,7 @@
 	if deaths == 0 {
 		return false
 	}
-	g.unexplained.All(func(_ Process, runs *[]unexplainedRun) bool {
+	g.unexplained.All(func(_ entity.ServerProcess, runs *[]unexplainedRun) bool {
 		if slices.ContainsFunc(*runs, func(run unexplainedRun) bool { return run.content == d }) {
 			deaths++
 		}
@@ -105,7 +107,7 @@
 }
 
 // unexplainedRuns returns the unexplained runs on a process.
-func (g *crashGuard) unexplainedRuns(p Process) []unexplainedRun {
+func (g *crashGuard) unexplainedRuns(p entity.ServerProcess) []unexplainedRun {
 	if list := g.unexplained.Get(p); list != nil {
 		return *list
 	}
@@ -113,7 +115,7 @@
 }
 
 // addUnexplained records an unexplained run on a process.
-func (g *crashGuard) addUnexplained(p Process, run unexplainedRun) {
+func (g *crashGuard) addUnexplained(p entity.ServerProcess, run unexplainedRun) {
 	list := g.unexplainedRuns(p)
 	if len(list) < maxUnexplainedRuns {
 		list = append(list, run)
@@ -122,7 +124,7 @@
 }
 
 // dropUnexplained drops the unexplained runs on a process that ended before the given time.
-func (g *crashGuard) dropUnexplained(p Process, before time.Time) {
+func (g *crashGuard) dropUnexplained(p entity.ServerProcess, before time.Time) {
 	list := g.unexplainedRuns(p)
 	if len(list) == 0 {
 		return
@@ -162,7 +164,7 @@
 
 // blameUnexplained holds the content of the unexplained runs on a process that ended
 // shortly before responsible for its death.
-func (c *Core) blameUnexplained(now time.Time, p Process) {
+func (c *Core) blameUnexplained(now time.Time, p entity.ServerProcess) {
 	runs := c.crash.unexplainedRuns(p)
 	c.crash.unexplained.Delete(p)
 	for _, run := range runs {
@@ -174,7 +176,7 @@
 
 // blame holds the content of a run responsible for the death of its process, and announces
 // that.
-func (c *Core) blame(now time.Time, p Process, run unexplainedRun) {
+func (c *Core) blame(now time.Time, p entity.ServerProcess, run unexplainedRun) {
 	death := datedDeath{ContentDeath{Digest: run.content, Server: p.Server, Born: p.Born, Ran: run.endedAt.Sub(run.startedAt)}, run.endedAt}
 	c.crash.contentDeaths.add(death)
 	c.recordContentDeath(now, &death, c.cfg.Self.Name)
@@ -255,8 +257,8 @@
 // update. In a large fleet, where the next update may be seconds away, it is also sent
 // ahead of it.
 type DeathNotice struct {
-	ContentDeaths []ContentDeath `cbor:"1,keyasint,omitempty"`
-	DeadProcesses []Process      `cbor:"2,keyasint,omitempty"` // found dead by the sender
+	ContentDeaths []ContentDeath         `cbor:"1,keyasint,omitempty"`
+	DeadProcesses []entity.ServerProcess `cbor:"2,keyasint,omitempty"` // found dead by the sender
 	// Completions are contents that have completed at the sender although servers had died
 	// while they ran them.
 	Completions []entity.Digest `cbor:"3,keyasint,omitempty"`
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -13,13 +13,6 @@
 // and each daemon that finds a server dead tells all others. A server that is no longer
 // listed may go on serving for a while, so that this alone proves nothing.
 
-// Process identifies one process of a backend server. An ID may be used again by a later
-// process.
-type Process struct {
-	Server entity.BackendServerID `cbor:"1,keyasint"`
-	Born   int64                  `cbor:"2,keyasint,omitempty"` // its start, Unix milliseconds; 0: not known
-}
-
 // deathProof is how a daemon has learned that a process has died.
 type deathProof string
 
@@ -33,7 +26,7 @@
 
 // Probe asks whether a backend server's process still listens.
 type Probe struct {
-	Process
+	Process entity.ServerProcess
 	Address string
 }
 
@@ -56,8 +49,8 @@
 // deathLog holds the processes of backend servers that have died, and the probes of those
 // that may have.
 type deathLog struct {
-	dead         *entity.Table[Process, time.Time] // when their deaths were recorded
-	probing      *entity.Table[Process, probeState]
+	dead         *entity.Table[entity.ServerProcess, time.Time] // when their deaths were recorded
+	probing      *entity.Table[entity.ServerProcess, probeState]
 	probes       []Probe   // to be made
 	lastAnswerAt time.Time // when any backend server last began to answer
 }
@@ -70,7 +63,7 @@
 }
 
 func newDeathLog() deathLog {
-	return deathLog{dead: entity.NewTable[Process, time.Time](), probing: entity.NewTable[Process, probeState]()}
+	return deathLog{dead: entity.NewTable[entity.ServerProcess, time.Time](), probing: entity.NewTable[entity.ServerProcess, probeState]()}
 }
 
 // probe requests a probe. While one of the same process is being made, another one
@@ -85,7 +78,7 @@
 }
 
 // recentlyProbed reports whether a probe of a process began within minSilenceProbeInterval.
-func (l *deathLog) recentlyProbed(now time.Time, p Process) bool {
+func (l *deathLog) recentlyProbed(now time.Time, p entity.ServerProcess) bool {
 	state := l.probing.Get(p)
 	return state != nil && now.Sub(state.startedAt) < minSilenceProbeInterval
 }
@@ -95,7 +88,7 @@
 const minSilenceProbeInterval = time.Second
 
 // isDead reports whether a process is known to have died.
-func (l *deathLog) isDead(now time.Time, p Process) bool {
+func (l *deathLog) isDead(now time.Time, p entity.ServerProcess) bool {
 	at := l.dead.Get(p)
 	return at != nil && now.Sub(*at) < deathRetention
 }
@@ -115,7 +108,9 @@
 }
 
 // process returns the process of a backend server that this daemon knows.
-func (r *serverRow) process() Process { return Process{Server: r.ID, Born: r.Born} }
+func (r *serverRow) process() entity.ServerProcess {
+	return entity.ServerProcess{Server: r.ID, Born: r.Born}
+}
 
 // TakeProbes returns the probes that are to be made. ProbeEnded must be called with the
 // result of each.
@@ -144,7 +139,7 @@
 
 // recordAnswer records that a process has begun to answer a request that was sent at the
 // given time. It was alive then: its earlier failures have other reasons than its death.
-func (c *Core) recordAnswer(now time.Time, p Process, sentAt time.Time) {
+func (c *Core) recordAnswer(now time.Time, p entity.ServerProcess, sentAt time.Time) {
 	c.deaths.lastAnswerAt = now
 	c.crash.dropUnexplained(p, sentAt)
 	if at := c.deaths.dead.Get(p); at != nil && sentAt.After(*at) {
@@ -156,7 +151,7 @@
 
 // recordDeath records that the process of a backend server has died, unless it was
 // draining.
-func (c *Core) recordDeath(now time.Time, p Process, proof deathProof) {
+func (c *Core) recordDeath(now time.Time, p entity.ServerProcess, proof deathProof) {
 	row := c.servers.Get(p.Server)
 	if row != nil && row.Born == p.Born && row.State != Ready || c.deaths.isDead(now, p) {
 		return
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -388,7 +388,7 @@
 	for _, p := range core.TakeProbes() {
 		f.after(networkDelay, func() {
 			delay, result := networkDelay, Refused
-			switch s := f.server(p.Server, p.Address); {
+			switch s := f.server(p.Process.Server, p.Address); {
 			case s != nil && s.up:
 				result = Reachable
 			case s != nil && s.dark:
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -91,7 +91,7 @@
 	Sends          int                      // sends to backend servers, rejected ones included
 	Ran            int                      // sends that may have run
 	tried          []entity.BackendServerID // excluded from further sends
-	process        Process                  // of the backend server of the present attempt
+	process        entity.ServerProcess     // of the backend server of the present attempt
 	sentAt         time.Time                // when the present attempt began
 	priority       int
 	reservation    *placement.Reservation // reserved for the present attempt; nil between attempts
