Log and show the limits that backend servers state

The header is decoded once, in platform/, into a typed limit; the core remembers it for each process of a server, logs when one is stated (6150), changed or ended (6151) or cannot be read (6152), and shows it in gateway-status. No decision changes.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -24,6 +24,9 @@
 	ContentRefused              = define(6142, Warn, "content of a request refused from now on: too many backend servers died while they ran it")
 	SuspectContentCompleted     = define(6143, Info, "content of a request has completed after backend servers had died while they ran it")
 	ServerDeathDisproved        = define(6144, Warn, "backend server that counted as dead answers")
+	ServerLimitStated           = define(6150, Info, "backend server states a limit of requests per second")
+	ServerLimitEnded            = define(6151, Info, "backend server states no limit any more")
+	ServerLimitIgnored          = define(6152, Warn, "invalid limit of a backend server ignored")
 	PeerSeen                    = define(6130, Info, "daemon heard")
 	PeerSilent                  = define(6131, Warn, "daemon silent")
 
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -220,6 +220,7 @@
 	c.forgetServers(now)
 	c.deaths.forget(now)
 	c.crash.forget(now)
+	c.forgetLimits()
 	reachable, known := c.countDaemons(now)
 	if c.forgetSilentPeers(now, reachable, known) {
 		reachable, known = c.countDaemons(now)
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -40,6 +40,7 @@
 	DataCentre  entity.DataCentreID    `json:"data_centre"`
 	Usable      bool                   `json:"usable"`
 	Reclaimable bool                   `json:"reclaimable"`
+	Limit       *float64               `json:"limit_per_second,omitempty"` // requests that it takes from all daemons; nil: it states no limit
 }
 
 // DaemonStatus is this daemon's view of another one.
@@ -61,7 +62,11 @@
 		Quotas: c.quota.Uses(now, true), Planned: c.Levels(),
 	}
 	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
-		s.Servers = append(s.Servers, ServerStatus{id, r.Service, r.DataCentre, c.usable(now, id), r.Reclaimable})
+		status := ServerStatus{ID: id, Service: r.Service, DataCentre: r.DataCentre, Usable: c.usable(now, id), Reclaimable: r.Reclaimable}
+		if limit := c.limits.Get(r.process()); limit != nil {
+			status.Limit = &limit.perSecond
+		}
+		s.Servers = append(s.Servers, status)
 		return true
 	})
 	c.peers.All(func(name entity.InstanceID, r *peerRow) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	EchoesRequestID(resp *http.Response, id entity.RequestID) bool
 	// Classify returns what a response proves about the attempt.
 	Classify(resp *http.Response) Evidence
+	// ServerLimit returns the limit that a response of a backend server states. An error
+	// means that it states one that is invalid.
+	ServerLimit(resp *http.Response) (exchange.RateLimit, error)
 	// ReturnedHeader returns the header fields of a backend server's response that are sent to
 	// the caller.
 	ReturnedHeader(in http.Header) http.Header
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/outbound"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
@@ -63,12 +64,14 @@
 			// It may be the late response to an earlier request on this connection.
 			return exchange.Broken, "refusal without the request's ID on a reused connection"
 		}
+		x.recordLimit(a, reply, false)
 		return exchange.Rejected, strconv.Itoa(reply.StatusCode)
 	case WrongServer:
 		return exchange.Misdirected, strconv.Itoa(reply.StatusCode)
 	case Inconclusive:
 		return exchange.Broken, "doubtful answer, status " + strconv.Itoa(reply.StatusCode)
 	}
+	x.recordLimit(a, reply, true)
 	if x.ticket.Route.Kind == exchange.Stream && isEventStream(reply) && reply.StatusCode == http.StatusOK {
 		return x.relayStream(ctx, reply, silenceTimer)
 	}
@@ -80,6 +83,18 @@
 	return x.relayBuffered(ctx, reply)
 }
 
+// recordLimit tells the core what a response says of the backend server's limit. Genuine
+// says that it is the response of a run.
+func (x *forwarding) recordLimit(a *exchange.Attempt, reply *outbound.Reply, genuine bool) {
+	limit, err := x.g.Dialect.ServerLimit(reply.Response)
+	switch {
+	case err != nil:
+		x.g.event(event.ServerLimitIgnored, x.request.ID, event.A("backend_server", a.Server), event.A("error", err.Error()))
+	case limit.Stated || genuine:
+		x.g.withCore(func(c *exchange.Core, now time.Time) { c.RecordLimit(now, x.ticket, limit) })
+	}
+}
+
 // noteStarted tells the core that the backend server has started to respond.
 func (x *forwarding) noteStarted() {
 	x.g.withCore(func(c *exchange.Core, now time.Time) { c.Started(now, x.ticket) })
