--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -55,14 +55,6 @@
 	return r
 }
 
-// every schedules a call again and again.
-func (r *crashRun) every(interval time.Duration, call func()) {
-	r.after(r.random(2*interval), func() {
-		call()
-		r.every(interval, call)
-	})
-}
-
 func (r *crashRun) anyDaemon() *fleetDaemon { return r.daemons[r.rng.IntN(len(r.daemons))] }
 
 // crashServers lets callers send the crashing content to any daemon for a while. Servers
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -27,6 +27,7 @@
 	leaveAfter  func(Request) time.Duration              // from a request's arrival at a daemon until its caller leaves; 0: it stays
 	runsOn      bool                                     // servers go on with a run whose caller has left
 	onArrival   func(arrival)                            // called with each arrival at a server that is up
+	onAnswer    func(*fleetDaemon, *fleetServer)         // called when a server has begun to answer a daemon
 	onRefusal   func(*fleetDaemon, Request, *Refusal)
 }
 
@@ -44,19 +45,21 @@
 
 // fleetDaemon is one daemon, which may be restarted with a new core.
 type fleetDaemon struct {
-	name      string
-	core      *Core
-	starts    int64
-	startedAt time.Time
-	cut       bool      // no message of another daemon reaches it, and none of its own another one
-	noticeAt  time.Time // earliest time of its next notice
+	dataCentre entity.DataCentreID
+	name       string
+	core       *Core
+	starts     int64
+	startedAt  time.Time
+	cut        bool      // no message of another daemon reaches it, and none of its own another one
+	noticeAt   time.Time // earliest time of its next notice
 }
 
 // fleetServer is one process of a backend server.
 type fleetServer struct {
 	BackendServer
 	up         bool
-	dark       bool // it is down and its address does not answer
+	dark       bool      // it is down and its address does not answer
+	limit      RateLimit // stated in its answers
 	runs       map[*fleetRun]bool
 	replacedBy *fleetServer // a process that has got its address
 }
@@ -102,6 +105,8 @@
 	return last
 }
 
+var dataCentres = []entity.DataCentreID{"a", "b", "c"}
+
 // newTestFleet returns a fleet with some daemons and, for each service, some servers.
 func newTestFleet(t *testing.T, seed uint64, daemons, servers int) *testFleet {
 	f := &testFleet{
@@ -110,18 +115,19 @@
 		crashAfter:  func(Request) time.Duration { return 0 },
 		leaveAfter:  func(Request) time.Duration { return 0 },
 		onArrival:   func(arrival) {},
+		onAnswer:    func(*fleetDaemon, *fleetServer) {},
 		onRefusal:   func(*fleetDaemon, Request, *Refusal) {},
 	}
 	for i := range servers {
 		for _, service := range []entity.ServiceName{"engine", "plain"} {
 			f.servers = append(f.servers, &fleetServer{up: true, runs: map[*fleetRun]bool{}, BackendServer: BackendServer{
 				ID: entity.BackendServerID(fmt.Sprint(service, i)), Born: 1, Service: service, Address: fmt.Sprint("10.0.0.1:", len(f.servers)),
-				DataCentre: entity.DataCentreID([]string{"a", "b", "c"}[i%3]), Slots: 64, State: Ready,
+				DataCentre: dataCentres[i%len(dataCentres)], Slots: 64, State: Ready,
 			}})
 		}
 	}
 	for i := range daemons {
-		d := &fleetDaemon{name: fmt.Sprint("d", i)}
+		d := &fleetDaemon{name: fmt.Sprint("d", i), dataCentre: dataCentres[i%len(dataCentres)]}
 		f.daemons = append(f.daemons, d)
 		f.start(d)
 	}
@@ -133,8 +139,8 @@
 	d.starts++
 	d.startedAt = f.now
 	d.core = New(Config{
-		Self:        Member{Name: entity.InstanceID(d.name), Start: d.starts, CallerAddr: d.name + ":1", DataCentre: "a"},
-		DataCentres: []entity.DataCentreID{"a", "b", "c"}, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now,
+		Self:        Member{Name: entity.InstanceID(d.name), Start: d.starts, CallerAddr: d.name + ":1", DataCentre: d.dataCentre},
+		DataCentres: dataCentres, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now,
 		Bounds: Bounds{
 			StaleAfter: 4 * time.Second, RetryRatio: 0.2, RetryReserve: 60, UsageWindow: 5 * time.Second,
 			ForgetServerAfter: 10 * time.Second, UpdateIntervalPerPeer: 10 * time.Millisecond, ForgetPeerAfter: 10 * time.Second,
@@ -169,6 +175,14 @@
 	heap.Push(&f.queue, scheduled{f.now.Add(d), f.added, call})
 }
 
+// every schedules a call again and again.
+func (f *testFleet) every(interval time.Duration, call func()) {
+	f.after(f.random(2*interval), func() {
+		call()
+		f.every(interval, call)
+	})
+}
+
 // run lets the given time pass.
 func (f *testFleet) run(d time.Duration) {
 	end := f.now.Add(d)
@@ -298,7 +312,10 @@
 	start, end := f.runDuration(run.ticket.Request)
 	f.after(start, func() {
 		if s.runs[run] && !run.ended {
+			run.core.RecordLimit(f.now, run.ticket, s.limit)
 			run.core.Started(f.now, run.ticket)
+			f.onAnswer(run.daemon, s)
+			f.perform(run.core)
 		}
 	})
 	f.after(end, func() {
--- /dev/null
+++ b/internal/exchange/limit_test.go
@@ -0,0 +1,272 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// limitRun is a run of a fleet in which engines state limits.
+type limitRun struct {
+	*testFleet
+	told     map[toldKey]time.Time      // when a daemon first passed on an answer with a server's limit
+	arrivals map[*fleetServer][]arrival // at servers that state a limit
+	named    map[*fleetServer]time.Time // when a server first stated its limit
+	refused  map[string]int             // refusals by code
+}
+
+type toldKey struct {
+	daemon *fleetDaemon
+	starts int64
+	server *fleetServer
+}
+
+const (
+	// Bounds of the users' contract: a limit binds limitGrace after a server first stated
+	// it, for the daemons that had passed it on toldDelay before; in any limitWindow the
+	// server may get limitFactor times what it allows, and limitSlack requests more.
+	limitGrace  = 3 * time.Second
+	toldDelay   = 500 * time.Millisecond
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// newLimitRun returns a fleet whose callers send requests to engines, at about the given
+// interval.
+func newLimitRun(t *testing.T, seed uint64, daemons, servers int, interval time.Duration) *limitRun {
+	r := &limitRun{
+		testFleet: newTestFleet(t, seed, daemons, servers), told: map[toldKey]time.Time{},
+		arrivals: map[*fleetServer][]arrival{}, named: map[*fleetServer]time.Time{}, refused: map[string]int{},
+	}
+	r.onArrival = func(a arrival) {
+		if a.server.limit.Stated {
+			a.at = r.now
+			r.arrivals[a.server] = append(r.arrivals[a.server], a)
+		}
+	}
+	r.onAnswer = func(d *fleetDaemon, s *fleetServer) {
+		if key := (toldKey{d, d.starts, s}); s.limit.Stated && r.told[key].IsZero() {
+			r.told[key] = r.now
+		}
+	}
+	r.onRefusal = func(_ *fleetDaemon, _ Request, refusal *Refusal) { r.refused[refusal.Code]++ }
+	r.every(interval, func() {
+		req := testRequest("", "/talk/x", "k3")
+		req.Patience = 5 * time.Second
+		req.Work = Work{Stated: true, Prompt: 2000, MaxOutput: 100}
+		r.send(r.daemons[r.rng.IntN(len(r.daemons))], req)
+	})
+	return r
+}
+
+// engines returns the fleet's engines.
+func (f *testFleet) engines() []*fleetServer {
+	var out []*fleetServer
+	for _, s := range f.servers {
+		if s.Service == "engine" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// name lets a server state a limit from now on.
+func (r *limitRun) name(s *fleetServer, perSecond float64) {
+	s.limit = RateLimit{Stated: true, PerSecond: perSecond}
+	r.arrivals[s] = nil
+	r.named[s] = r.now
+}
+
+// check checks the arrivals at a server since it stated its present limit.
+func (r *limitRun) check(s *fleetServer) {
+	r.t.Helper()
+	allowed := limitFactor*s.limit.PerSecond*limitWindow.Seconds() + limitSlack
+	var window []time.Time
+	for _, a := range r.arrivals[s] {
+		told := r.told[toldKey{a.daemon, a.daemon.starts, s}]
+		if told.IsZero() || a.at.Sub(told) < toldDelay {
+			continue
+		}
+		window = append(window, a.at)
+		for a.at.Sub(window[0]) > limitWindow {
+			window = window[1:]
+		}
+		if a.at.Sub(r.named[s]) > limitGrace && float64(len(window)) > allowed {
+			r.t.Errorf("%s, limit %v a second: %d requests in %v, at %v after it stated that; %.1f allowed",
+				s.ID, s.limit.PerSecond, len(window), limitWindow, a.at.Sub(r.named[s]).Round(time.Millisecond), allowed)
+			return
+		}
+	}
+	if len(r.arrivals[s]) == 0 {
+		r.t.Errorf("%s, limit %v a second: no request at all", s.ID, s.limit.PerSecond)
+	}
+}
+
+// TestLimit_ServerGetsNoMoreThanItStates: daemons know only later what the others send.
+func TestLimit_ServerGetsNoMoreThanItStates(t *testing.T) {
+	for _, daemons := range []int{1, 3, 9, 89, 410} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			t.Parallel()
+			r := newLimitRun(t, 1, daemons, 8, 5*time.Millisecond)
+			r.run(3 * time.Second)
+			engines := r.engines()
+			limits := []float64{0.3, 1, 1.6, 5, 12}
+			for i, limit := range limits {
+				r.name(engines[i], limit)
+			}
+			r.run(15 * time.Second)
+			for i := range limits {
+				r.check(engines[i])
+			}
+			for code, n := range r.refused {
+				t.Errorf("%d requests refused (%s), although there are servers without a limit", n, code)
+			}
+		})
+	}
+}
+
+// TestLimit_ThroughTroubleOfDaemons: what the daemons know of limits and of each other
+// changes while the limits hold.
+func TestLimit_ThroughTroubleOfDaemons(t *testing.T) {
+	for name, trouble := range map[string]func(*limitRun){
+		"daemons restart one after the other": func(r *limitRun) {
+			for _, d := range r.daemons {
+				r.start(d)
+				r.run(700 * time.Millisecond)
+			}
+		},
+		"all daemons restart at once": func(r *limitRun) {
+			for _, d := range r.daemons {
+				r.start(d)
+			}
+			r.run(6 * time.Second)
+		},
+		"a daemon is cut off from the others": func(r *limitRun) {
+			r.daemons[4].cut = true
+			r.run(6 * time.Second)
+			r.daemons[4].cut = false
+			r.run(6 * time.Second)
+		},
+		"half of the daemons are cut off": func(r *limitRun) {
+			for _, d := range r.daemons[:4] {
+				d.cut = true
+			}
+			r.run(6 * time.Second)
+			for _, d := range r.daemons[:4] {
+				d.cut = false
+			}
+			r.run(6 * time.Second)
+		},
+		"the limit changes": func(r *limitRun) {
+			for _, perSecond := range []float64{6, 0.5, 2} {
+				for _, s := range r.engines()[:3] {
+					r.name(s, perSecond)
+				}
+				r.run(8 * time.Second)
+				for _, s := range r.engines()[:3] {
+					r.check(s)
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newLimitRun(t, 1, 9, 8, 5*time.Millisecond)
+			r.run(3 * time.Second)
+			for i, limit := range []float64{0.5, 1.5, 4} {
+				r.name(r.engines()[i], limit)
+			}
+			r.run(5 * time.Second)
+			trouble(r)
+			r.run(4 * time.Second)
+			for _, s := range r.engines()[:3] {
+				r.check(s)
+			}
+		})
+	}
+}
+
+// TestLimit_EndIsKnownToAllDaemons: a server that states no limit any more gets as many
+// requests as the others again.
+func TestLimit_EndIsKnownToAllDaemons(t *testing.T) {
+	for _, daemons := range []int{1, 9, 89} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			r := newLimitRun(t, 1, daemons, 4, 5*time.Millisecond)
+			r.run(2 * time.Second)
+			s := r.engines()[0]
+			r.name(s, 1)
+			r.run(6 * time.Second)
+			limited := len(r.arrivals[s])
+			r.arrivals[s] = nil
+			end := r.now
+			count := 0
+			r.onArrival = func(a arrival) {
+				if a.server == s && a.at.Sub(end) > 3*time.Second {
+					count++
+				}
+			}
+			s.limit = RateLimit{}
+			r.run(6 * time.Second)
+			if limited > 40 || count < 50 {
+				t.Errorf("%d requests in 6 s at a limit of 1 a second, %d in the last 3 s without one; want about 6 and 150", limited, count)
+			}
+		})
+	}
+}
+
+// TestLimit_RequestThatFitsNowhereIsRejectedAtOnce: all servers of a service state limits
+// below the demand.
+func TestLimit_RequestThatFitsNowhereIsRejectedAtOnce(t *testing.T) {
+	for _, daemons := range []int{1, 3, 9} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			r := newLimitRun(t, 1, daemons, 3, 20*time.Millisecond)
+			r.run(2 * time.Second)
+			for _, s := range r.engines() {
+				r.name(s, 2)
+			}
+			r.onRefusal = func(_ *fleetDaemon, req Request, refusal *Refusal) {
+				r.refused[refusal.Code]++
+				if refusal.Status != Unavailable || refusal.RetryAfter < 50*time.Millisecond || refusal.RetryAfter > 3*time.Second {
+					t.Errorf("refused with %+v, want a time to come back", refusal)
+				}
+			}
+			r.run(15 * time.Second)
+			for _, s := range r.engines() {
+				r.check(s)
+			}
+			if r.refused["limited"] == 0 || len(r.refused) != 1 {
+				t.Errorf("refusals by code: %v, want only limited", r.refused)
+			}
+		})
+	}
+}
+
+// TestLimit_TimeToComeBackIsTrue: a request that no server could take comes back at the
+// time that it was told, and is served.
+func TestLimit_TimeToComeBackIsTrue(t *testing.T) {
+	c := newTestCore(t, "a")
+	for _, id := range []entity.BackendServerID{"plain0", "plain1", "plain2"} {
+		c.limits.Put(entity.ServerProcess{Server: id, Born: 1}, &serverLimit{perSecond: 0.5, statedAt: zero})
+	}
+	for i := range 8 {
+		now := at(time.Duration(i) * 10 * time.Second)
+		for n := 0; ; n++ {
+			c.Confirm(now)
+			ticket := mustAdmit(t, c, now, testRequest("r", "/x", "k3"))
+			_, refusal := c.Place(now, ticket)
+			c.Finish(now, ticket)
+			if refusal == nil && n < 10 {
+				continue
+			}
+			if refusal == nil {
+				t.Fatal("ten requests placed at once at three servers that take one in two seconds each")
+			}
+			now = now.Add(refusal.RetryAfter)
+			break
+		}
+		c.Confirm(now)
+		mustPlace(t, c, now, mustAdmit(t, c, now, testRequest("r", "/x", "k3")))
+	}
+}
