Keep to the limits that backend servers state, over all daemons

Callers and operators saw: a server in need that takes 1 to 1.6 requests a second got four, and twelve to fifteen in the four seconds at which the rule begins to bind.

Cause: nothing read the limit, which is new. What the plain mend would lack is sharing: nine daemons that each keep it send nine times as much, and learn of each other's requests only afterwards.

Change: the newest statement of a server, whichever daemon got it, goes to all daemons: in the updates until acknowledged, ahead of them in large fleets, to newcomers and into the checkpoint. A limit is cut into as few parts as possible, of at most 1.5 requests a second, which the daemons with the highest hashes have; each part is a token bucket that begins empty. A daemon that may still be serving keeps its part while it is silent, a daemon that leaves has none, and one that has just started takes none for 3 s. Placement and retries pass over a server without a token; a request that fits nowhere is rejected at once (limited), with a time to come back that is spread by the parts. An answer without a limit ends it if its request was sent after the last statement; requests go to the server at 0.1 a second at least, so that the end is seen.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -37,7 +37,7 @@
 	choice, ok := c.chooseServer(now, t)
 	c.recordDemand(now, t, choice, ok)
 	if !ok {
-		return Attempt{}, c.finalRefusal(t, "no-backend-server", noServerRetryDelay)
+		return Attempt{}, c.rejectUnplaced(now, t)
 	}
 	if r := c.rejectEarly(now, t, choice); r != nil {
 		return Attempt{}, r
@@ -87,13 +87,24 @@
 		Service: t.Service, DataCentre: c.cfg.Self.DataCentre, Rank: t.priority,
 		Prompt: w.Prompt, Output: w.expectedOutput(), Parts: w.Parts, Exclude: t.tried,
 	}
-	return c.placer.Choose(now, q, func(id entity.BackendServerID) bool { return c.usable(now, id) })
+	return c.placer.Choose(now, q, func(id entity.BackendServerID) bool { return c.usable(now, id) && c.withinLimit(now, id) })
+}
+
+// rejectUnplaced rejects a request for which there is no backend server.
+func (c *Core) rejectUnplaced(now time.Time, t *Ticket) *Refusal {
+	if s := c.limitedServers(now, t.Service); s.count > 0 {
+		return c.rejectLimited(now, t, s)
+	}
+	return c.finalRefusal(t, "no-backend-server", noServerRetryDelay)
 }
 
 // startAttempt reserves the request's load on the chosen backend server and
 // describes the send.
 func (c *Core) startAttempt(now time.Time, t *Ticket, choice placement.Choice) Attempt {
 	row := c.servers.Get(choice.Server)
+	if limit := c.limitOf(choice.Server); limit != nil {
+		limit.bucket.Take(now)
+	}
 	t.reservation = c.placer.Reserve(now, choice, t.Request.Work.Parts)
 	t.Sends++
 	t.answerStarted = false
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -76,8 +76,8 @@
 	demand                 demand
 	crash                  crashGuard
 	deaths                 deathLog
-	limits                 *entity.Table[entity.ServerProcess, serverLimit] // that backend servers state now
-	events                 []event.Event                                    // for the log, since TakeEvents was last called
+	limits                 limitTable
+	events                 []event.Event // for the log, since TakeEvents was last called
 	levels                 *entity.Table[entity.ServiceName, capacity.Level]
 	reclaimableExhaustedAt *entity.Table[reclaimableLocation, time.Time] // when a scaling request was last refused
 }
@@ -95,7 +95,7 @@
 		placer:                 placement.New(cfg.Rand),
 		crash:                  newCrashGuard(),
 		deaths:                 newDeathLog(),
-		limits:                 entity.NewTable[entity.ServerProcess, serverLimit](),
+		limits:                 newLimitTable(),
 		levels:                 entity.NewTable[entity.ServiceName, capacity.Level](),
 		reclaimableExhaustedAt: entity.NewTable[reclaimableLocation, time.Time](),
 		quota:                  quota.New(),
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -216,22 +216,13 @@
 	return out
 }
 
-// announceSuspects announces the deaths of suspect contents again, since a process of
-// another daemon has been heard for the first time. Two daemons do so.
+// announceSuspects announces the deaths of suspect contents again.
 func (c *Core) announceSuspects(now time.Time) {
-	if c.rankOfSelf(now) >= confirmerCount {
-		return
-	}
 	for _, d := range c.suspectDeaths(now) {
 		c.crash.contentDeaths.addOnce(d)
 	}
 }
 
-// RestoreDeaths records the deaths of a checkpoint.
-func (c *Core) RestoreDeaths(now time.Time, p *Checkpoint) {
-	c.ReceiveNotice(now, "", &DeathNotice{ContentDeaths: p.Deaths})
-}
-
 // recordCompletion records that some content has completed, as this daemon has found, and
 // announces that if it was suspect.
 func (c *Core) recordCompletion(now time.Time, d entity.Digest) {
@@ -253,71 +244,9 @@
 	return true
 }
 
-// DeathNotice tells the other daemons of deaths of backend servers. It is part of each state
-// update. In a large fleet, where the next update may be seconds away, it is also sent
-// ahead of it.
-type DeathNotice struct {
-	ContentDeaths []ContentDeath         `cbor:"1,keyasint,omitempty"`
-	DeadProcesses []entity.ServerProcess `cbor:"2,keyasint,omitempty"` // found dead by the sender
-	// Completions are contents that have completed at the sender although servers had died
-	// while they ran them.
-	Completions []entity.Digest `cbor:"3,keyasint,omitempty"`
-}
-
-// due returns what the update with the given sequence number must include. All other
-// daemons have received the updates up to acked.
-func (g *crashGuard) due(now time.Time, sequence, acked uint32) DeathNotice {
-	return DeathNotice{
-		ContentDeaths: undated(now, g.contentDeaths.due(sequence, acked)), DeadProcesses: g.deadProcesses.due(sequence, acked),
-		Completions: g.completions.due(sequence, acked),
-	}
-}
-
-// Empty reports whether the notice says nothing.
-func (n *DeathNotice) Empty() bool {
-	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions) == 0
-}
-
-// NoticePending reports whether there are deaths for a notice.
-func (c *Core) NoticePending() bool {
-	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() || c.crash.completions.hasUnnoticed()
-}
-
-// NextNotice returns the deaths that no update or notice has told yet.
-func (c *Core) NextNotice(now time.Time) DeathNotice {
-	return DeathNotice{
-		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: c.crash.deadProcesses.unnoticed(),
-		Completions: c.crash.completions.unnoticed(),
-	}
-}
-
-// ReceiveNotice applies the deaths that another daemon announced.
-func (c *Core) ReceiveNotice(now time.Time, from entity.InstanceID, notice *DeathNotice) {
-	for _, d := range notice.ContentDeaths {
-		c.recordDeath(now, d.process(), proofAnnounced)
-		c.recordContentDeath(now, &datedDeath{d, now.Add(-d.Ago)}, from)
-	}
-	for _, p := range notice.DeadProcesses {
-		c.recordDeath(now, p, proofAnnounced)
-	}
-	for _, d := range notice.Completions {
-		c.clearContent(now, d, from)
-	}
-}
-
 // ShortDigest returns the beginning of a digest, for logs.
 func ShortDigest(d entity.Digest) string { return hex.EncodeToString(d[:shortDigestBytes]) }
 
 // shortDigestBytes is the length of the beginning of a digest that identifies content in
 // logs.
 const shortDigestBytes = 6
-
-// logEvent adds an event for the log.
-func (c *Core) logEvent(e event.Event) { c.events = append(c.events, e) }
-
-// TakeEvents returns the events since the last call, for the log.
-func (c *Core) TakeEvents() []event.Event {
-	out := c.events
-	c.events = nil
-	return out
-}
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -331,7 +331,7 @@
 	checkpoint := r.daemons[0].core.Checkpoint(r.now)
 	for _, d := range r.daemons {
 		r.start(d)
-		d.core.RestoreDeaths(r.now, &checkpoint)
+		d.core.RestoreNotice(r.now, &checkpoint)
 	}
 	for _, d := range r.daemons {
 		r.mustRefuse(d)
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -153,17 +153,26 @@
 			d.core.PutServer(f.now, s.BackendServer)
 		}
 	}
-	for _, other := range f.daemons {
-		if other != d {
-			d.core.AddMember(f.now, other.core.cfg.Self)
-			other.core.AddMember(f.now, d.core.cfg.Self)
-		}
-	}
 	core := d.core
+	f.after(f.random(discoveryTime), func() { f.discover(d, core) })
 	f.after(f.random(f.updateInterval()), func() { f.broadcast(d, core) })
 	f.after(0, func() { f.housekeep(d, core) })
 }
 
+// discoveryTime is the longest time until a daemon that starts learns of the others and
+// they of it.
+const discoveryTime = time.Second
+
+// discover lets a daemon and all others learn of each other.
+func (f *testFleet) discover(d *fleetDaemon, core *Core) {
+	for _, other := range f.daemons {
+		if other != d && d.core == core {
+			core.AddMember(f.now, other.core.cfg.Self)
+			other.core.AddMember(f.now, core.cfg.Self)
+		}
+	}
+}
+
 // random returns a random duration below the limit.
 func (f *testFleet) random(limit time.Duration) time.Duration {
 	return time.Duration(f.rng.Int64N(int64(limit)))
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -71,12 +71,15 @@
 type Checkpoint struct {
 	Counts map[entity.InstanceID][]usage.Count `cbor:"1,keyasint"`           // usage of the newest windows, by the daemon process that counted
 	Levels map[entity.OrganisationID]float64   `cbor:"2,keyasint"`           // levels of the quotas' token buckets, in units
-	Deaths []ContentDeath                      `cbor:"3,keyasint,omitempty"` // of suspect contents
+	Notice Notice                              `cbor:"3,keyasint,omitempty"` // deaths of suspect contents, and limits in force
 }
 
 // Checkpoint returns the present state to store.
 func (c *Core) Checkpoint(now time.Time) Checkpoint {
-	return Checkpoint{Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now), Deaths: undated(now, c.suspectDeaths(now))}
+	return Checkpoint{
+		Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now),
+		Notice: Notice{ContentDeaths: undated(now, c.suspectDeaths(now)), Limits: c.limits.limitsInForce(now)},
+	}
 }
 
 // RestoreCounts restores the usage counts of a checkpoint.
--- a/internal/exchange/limit_test.go
+++ b/internal/exchange/limit_test.go
@@ -247,11 +247,12 @@
 // time that it was told, and is served.
 func TestLimit_TimeToComeBackIsTrue(t *testing.T) {
 	c := newTestCore(t, "a")
+	c.Tick(at(acquaintanceTime))
 	for _, id := range []entity.BackendServerID{"plain0", "plain1", "plain2"} {
-		c.limits.Put(entity.ServerProcess{Server: id, Born: 1}, &serverLimit{perSecond: 0.5, statedAt: zero})
+		c.setLimit(zero, entity.ServerProcess{Server: id, Born: 1}, RateLimit{Stated: true, PerSecond: 0.5}, zero, "")
 	}
 	for i := range 8 {
-		now := at(time.Duration(i) * 10 * time.Second)
+		now := at(time.Duration(i+1) * 10 * time.Second)
 		for n := 0; ; n++ {
 			c.Confirm(now)
 			ticket := mustAdmit(t, c, now, testRequest("r", "/x", "k3"))
@@ -270,3 +271,39 @@
 		mustPlace(t, c, now, mustAdmit(t, c, now, testRequest("r", "/x", "k3")))
 	}
 }
+
+// TestLimit_RandomTrouble mixes restarts, cuts and changes of limits.
+func TestLimit_RandomTrouble(t *testing.T) {
+	for _, daemons := range []int{3, 9, 20} {
+		for seed := uint64(1); seed <= 4; seed++ {
+			t.Run(fmt.Sprintf("daemons=%d/seed=%d", daemons, seed), func(t *testing.T) {
+				r := newLimitRun(t, seed, daemons, 8, 5*time.Millisecond)
+				r.run(5 * time.Second)
+				for i, limit := range []float64{0.5, 1.5, 4} {
+					r.name(r.engines()[i], limit)
+				}
+				for range 12 {
+					r.injectTrouble()
+					r.run(r.random(3 * time.Second))
+				}
+				r.run(8 * time.Second)
+				for _, s := range r.engines()[:3] {
+					r.check(s)
+				}
+			})
+		}
+	}
+}
+
+func (r *limitRun) injectTrouble() {
+	d := r.daemons[r.rng.IntN(len(r.daemons))]
+	switch r.rng.IntN(3) {
+	case 0:
+		r.start(d)
+	case 1:
+		d.cut = true
+		r.after(r.random(9*time.Second), func() { d.cut = false })
+	case 2:
+		r.name(r.engines()[r.rng.IntN(3)], 0.2+5*r.rng.Float64())
+	}
+}
--- /dev/null
+++ b/internal/exchange/notice.go
@@ -0,0 +1,88 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+)
+
+// Notice tells the other daemons what one has learned of backend servers and of content.
+// It is part of each state update. In a large fleet, where the next update may be seconds
+// away, it is also sent ahead of it.
+type Notice struct {
+	ContentDeaths []ContentDeath         `cbor:"1,keyasint,omitempty"`
+	DeadProcesses []entity.ServerProcess `cbor:"2,keyasint,omitempty"` // found dead by the sender
+	// Completions are contents that have completed at the sender although servers had died
+	// while they ran them.
+	Completions []entity.Digest  `cbor:"3,keyasint,omitempty"`
+	Limits      []LimitStatement `cbor:"4,keyasint,omitempty"`
+}
+
+// Empty reports whether the notice says nothing.
+func (n *Notice) Empty() bool {
+	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits) == 0
+}
+
+// noticeDue returns what the update with the given sequence number must include. All other
+// daemons have received the updates up to acked.
+func (c *Core) noticeDue(now time.Time, sequence, acked uint32) Notice {
+	return Notice{
+		ContentDeaths: undated(now, c.crash.contentDeaths.due(sequence, acked)), DeadProcesses: c.crash.deadProcesses.due(sequence, acked),
+		Completions: c.crash.completions.due(sequence, acked), Limits: c.limits.statements(now, c.limits.changes.due(sequence, acked)),
+	}
+}
+
+// NoticePending reports whether there is anything for a notice.
+func (c *Core) NoticePending() bool {
+	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() ||
+		c.crash.completions.hasUnnoticed() || c.limits.changes.hasUnnoticed()
+}
+
+// NextNotice returns what no update or notice has told yet.
+func (c *Core) NextNotice(now time.Time) Notice {
+	return Notice{
+		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: c.crash.deadProcesses.unnoticed(),
+		Completions: c.crash.completions.unnoticed(), Limits: c.limits.statements(now, c.limits.changes.unnoticed()),
+	}
+}
+
+// ReceiveNotice applies what another daemon has learned.
+func (c *Core) ReceiveNotice(now time.Time, from entity.InstanceID, notice *Notice) {
+	for _, d := range notice.ContentDeaths {
+		c.recordDeath(now, d.process(), proofAnnounced)
+		c.recordContentDeath(now, &datedDeath{d, now.Add(-d.Ago)}, from)
+	}
+	for _, p := range notice.DeadProcesses {
+		c.recordDeath(now, p, proofAnnounced)
+	}
+	for _, d := range notice.Completions {
+		c.clearContent(now, d, from)
+	}
+	for i := range notice.Limits {
+		c.receiveLimit(now, &notice.Limits[i], from)
+	}
+}
+
+// announceToNewcomer announces again what a process of another daemon that has been heard
+// for the first time must know. Two daemons do so.
+func (c *Core) announceToNewcomer(now time.Time) {
+	if c.rankOfSelf(now) >= confirmerCount {
+		return
+	}
+	c.announceSuspects(now)
+	c.limits.announceAll()
+}
+
+// RestoreNotice applies what a checkpoint says of suspect content and of limits.
+func (c *Core) RestoreNotice(now time.Time, p *Checkpoint) { c.ReceiveNotice(now, "", &p.Notice) }
+
+// logEvent adds an event for the log.
+func (c *Core) logEvent(e event.Event) { c.events = append(c.events, e) }
+
+// TakeEvents returns the events since the last call, for the log.
+func (c *Core) TakeEvents() []event.Event {
+	out := c.events
+	c.events = nil
+	return out
+}
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -104,7 +104,7 @@
 	c.applyUpdate(now, row, update)
 	c.applyConfirmation(update, ack)
 	if firstHeard {
-		c.announceSuspects(now)
+		c.announceToNewcomer(now)
 	}
 }
 
@@ -131,7 +131,7 @@
 	for _, s := range update.DrainingServers {
 		c.receiveDraining(now, s)
 	}
-	c.ReceiveNotice(now, row.Name, &update.Deaths)
+	c.ReceiveNotice(now, row.Name, &update.Notice)
 	for _, p := range update.CachedPrompts {
 		c.placer.AddCachedPart(now, p.Server, p.Part)
 	}
@@ -220,7 +220,7 @@
 	c.forgetServers(now)
 	c.deaths.forget(now)
 	c.crash.forget(now)
-	c.forgetLimits()
+	c.updateLimits(now)
 	reachable, known := c.countDaemons(now)
 	if c.forgetSilentPeers(now, reachable, known) {
 		reachable, known = c.countDaemons(now)
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -63,8 +63,8 @@
 	}
 	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		status := ServerStatus{ID: id, Service: r.Service, DataCentre: r.DataCentre, Usable: c.usable(now, id), Reclaimable: r.Reclaimable}
-		if limit := c.limits.Get(r.process()); limit != nil {
-			status.Limit = &limit.perSecond
+		if limit := c.limits.inForce(r.process()); limit != nil {
+			status.Limit = &limit.PerSecond
 		}
 		s.Servers = append(s.Servers, status)
 		return true
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -42,7 +42,7 @@
 	// holder that the present one cannot reach learns of it from others.
 	KnownEpoch uint64        `cbor:"17,keyasint,omitempty"`
 	Reports    []UsageReport `cbor:"18,keyasint,omitempty"` // only from the lease holder
-	Deaths     DeathNotice   `cbor:"19,keyasint,omitempty"`
+	Notice     Notice        `cbor:"19,keyasint,omitempty"`
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -69,7 +69,7 @@
 		From: c.cfg.Self, Sequence: c.sequence, Leaving: c.leaving, Serving: c.Serving(now),
 		Loads: c.placer.ServerLoads(), Quota: c.quota.Uses(now, c.sequence%updatesPerFullUpdate == 0), CachedPrompts: c.cachedPrompts, Demand: c.demand.rates(now),
 		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now),
-		Deaths: c.crash.due(now, c.sequence, acked),
+		Notice: c.noticeDue(now, c.sequence, acked),
 	}
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
--- a/internal/gateway/checkpoint.go
+++ b/internal/gateway/checkpoint.go
@@ -14,8 +14,8 @@
 
 // The leader, which is the daemon that holds the lease, writes a checkpoint to the
 // table service several times a second: the request counts of the current usage
-// windows, the levels of the quotas and the deaths of backend servers under suspect
-// content. So they survive a restart of all daemons.
+// windows, the levels of the quotas, the deaths of backend servers under suspect content
+// and the servers' limits. So they survive a restart of all daemons.
 
 const (
 	checkpointRow = "counts"
@@ -74,29 +74,29 @@
 }
 
 // restoreCheckpoint sets the quotas at this daemon's start to the levels of the newest
-// checkpoint, and records the deaths in it. Without one the quotas start almost empty. If
-// it cannot be read at once, the quotas go on without it; the deaths are read later.
+// checkpoint, and applies the deaths and limits in it. Without one the quotas start almost
+// empty. If it cannot be read at once, they go on without it; the rest is read later.
 func (g *Gateway) restoreCheckpoint(runCtx context.Context) {
 	ctx, cancel := context.WithTimeout(runCtx, tableTimeout)
 	defer cancel()
 	p, err := g.readCheckpoint(ctx)
 	if err != nil {
 		g.Log.Logger().WithError(err).Warn("failed to read the checkpoint; the quotas start almost empty")
-		go g.retryUntilDone(runCtx, g.restoreDeaths)
+		go g.retryUntilDone(runCtx, g.restoreNotice)
 		return
 	}
 	g.withCore(func(c *exchange.Core, now time.Time) {
 		c.RestoreQuotas(p)
-		c.RestoreDeaths(now, p)
+		c.RestoreNotice(now, p)
 	})
 }
 
-func (g *Gateway) restoreDeaths(ctx context.Context) error {
+func (g *Gateway) restoreNotice(ctx context.Context) error {
 	p, err := g.readCheckpoint(ctx)
 	if err != nil {
 		return err
 	}
-	g.withCore(func(c *exchange.Core, now time.Time) { c.RestoreDeaths(now, p) })
+	g.withCore(func(c *exchange.Core, now time.Time) { c.RestoreNotice(now, p) })
 	return nil
 }
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -51,7 +51,7 @@
 
 // nextNotice returns the deaths that are not announced yet, and all peers. It returns no
 // deaths if the next state update is soon.
-func (g *Gateway) nextNotice() (notice exchange.DeathNotice, peers []exchange.Member) {
+func (g *Gateway) nextNotice() (notice exchange.Notice, peers []exchange.Member) {
 	g.withCore(func(c *exchange.Core, now time.Time) {
 		peers = c.Peers()
 		if broadcastInterval(len(peers)) > noticeInterval {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -93,11 +93,11 @@
 
 // message is sent from one daemon to another.
 type message struct {
-	Ack       uint32                `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
-	Update    []byte                `cbor:"2,keyasint,omitempty"` // exchange.StateUpdate, encoded once for all receivers
-	NewerThan uint64                `cbor:"3,keyasint,omitempty"` // requests a configuration newer than this version
-	Document  *exchange.Document    `cbor:"4,keyasint,omitempty"` // response to such a request
-	Notice    *exchange.DeathNotice `cbor:"5,keyasint,omitempty"`
+	Ack       uint32             `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
+	Update    []byte             `cbor:"2,keyasint,omitempty"` // exchange.StateUpdate, encoded once for all receivers
+	NewerThan uint64             `cbor:"3,keyasint,omitempty"` // requests a configuration newer than this version
+	Document  *exchange.Document `cbor:"4,keyasint,omitempty"` // response to such a request
+	Notice    *exchange.Notice   `cbor:"5,keyasint,omitempty"`
 }
 
 // receive handles a message of another daemon.
--- /dev/null
+++ b/internal/system/ratelimit/ratelimit.go
@@ -0,0 +1,112 @@
+// Package ratelimit shares a limit of requests per second, which a backend server states
+// for all daemons together, between the daemons.
+//
+// It is made for limits of a few requests per second before any number of daemons, which
+// learn of each other's requests too late to count them together. So each server with a
+// limit gets its requests from few daemons, each of which has a fixed part of the limit.
+// All daemons choose the same ones by hashes of their names. A daemon that has just become
+// one of them begins with nothing, and one that is silent keeps its part, so that daemons
+// that disagree for a while on who is there hardly exceed the limit.
+package ratelimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+const (
+	// maxPart is the largest part of a limit that one daemon has, in requests per second,
+	// while there are other daemons without a part. With parts this small, a daemon too
+	// many, or one in its place, adds no more than half of the limit.
+	maxPart = 1.5
+	// minRate is the least number of requests per second that a server is sent, even if its
+	// limit is lower: only its answers tell that the limit has ended.
+	minRate = 0.1
+	// burstDuration is the time over which an unused part accumulates. At least one request
+	// does.
+	burstDuration = 250 * time.Millisecond
+)
+
+// Part returns this daemon's part of a server's limit, in requests per second, 0 if it has
+// none. Daemons are all that may send requests, this one included unless it may not.
+func Part(self entity.InstanceID, daemons []entity.InstanceID, server entity.BackendServerID, perSecond float64) float64 {
+	perSecond = max(perSecond, minRate)
+	parts := min(int(math.Ceil(perSecond/maxPart)), len(daemons))
+	own := weight(self, server)
+	rank, found := 0, false
+	for _, d := range daemons {
+		found = found || d == self
+		if w := weight(d, server); w > own || w == own && d < self {
+			rank++
+		}
+	}
+	if !found || rank >= parts {
+		return 0
+	}
+	return perSecond / float64(parts)
+}
+
+// weight returns the weight of a daemon for a server. The daemons with the highest ones
+// have the parts of its limit (rendezvous hashing).
+func weight(d entity.InstanceID, server entity.BackendServerID) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(d)) // a hash returns no error
+	_, _ = h.WriteString("\x00")
+	_, _ = h.WriteString(string(server))
+	return h.Sum64()
+}
+
+// Bucket is this daemon's token bucket for one server. Its zero value is empty and has no
+// part of the limit.
+type Bucket struct {
+	rate      float64 // this daemon's part, in requests per second
+	tokens    float64
+	updatedAt time.Time // of tokens
+}
+
+// SetRate sets this daemon's part of the limit.
+func (b *Bucket) SetRate(now time.Time, rate float64) {
+	b.refill(now)
+	if rate == 0 {
+		b.tokens = 0
+	}
+	b.rate = rate
+}
+
+// Rate returns this daemon's part of the limit.
+func (b *Bucket) Rate() float64 { return b.rate }
+
+func (b *Bucket) refill(now time.Time) {
+	capacity := max(1, b.rate*burstDuration.Seconds())
+	if elapsed := now.Sub(b.updatedAt); elapsed > 0 && b.rate > 0 {
+		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), capacity)
+	}
+	b.updatedAt = now
+}
+
+// Wait returns the time until a request may be sent, 0 if one may now. Without a part of
+// the limit it returns false.
+func (b *Bucket) Wait(now time.Time) (time.Duration, bool) {
+	if b.rate == 0 {
+		return 0, false
+	}
+	b.refill(now)
+	missing := 1 - b.tokens
+	if missing <= roundingError {
+		return 0, true
+	}
+	return time.Duration(math.Ceil(missing / b.rate * float64(time.Second))), true
+}
+
+// roundingError is the largest part of a token that sums of small times may lack.
+const roundingError = 1e-6
+
+// Take records that a request is sent.
+func (b *Bucket) Take(now time.Time) {
+	b.refill(now)
+	b.tokens--
+}
