Play limits of engines in the experiment

Pattern limit: a share of the engines states a limit of requests a second for a while; unknown kinds of pattern are errors now.

--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -88,6 +88,21 @@
 			return fmt.Errorf("experiment: class %q must have a name, output_tokens of at least 1, objective_ms and deadline_ms above 0, and no negative per_second", class.Name)
 		}
 	}
+	return c.checkPatterns()
+}
+
+func (c *Config) checkPatterns() error {
+	for _, p := range c.Patterns {
+		switch p.Kind {
+		case "burst", "hot_subject", "reclaim":
+		case "limit":
+			if p.PerSecond < 0 {
+				return fmt.Errorf("experiment: limit of %v requests per second is negative", p.PerSecond)
+			}
+		default:
+			return fmt.Errorf("experiment: unknown kind of pattern %q; use burst, hot_subject, reclaim or limit", p.Kind)
+		}
+	}
 	return nil
 }
 
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 )
 
 // EngineModel holds the sizes and speeds of a simulated model engine.
@@ -50,14 +51,15 @@
 	model        *EngineModel
 	waiting      []*job
 	running      []*job
-	usedTokens   int            // memory of the running requests
-	cachedParts  map[uint64]int // tokens of each cached prompt part, by its key
-	lastUsedStep map[uint64]int // stepCount when a cached part was last used, by its key
-	cachedTokens int            // tokens of all cached parts
-	stepCount    int            // steps started so far
-	arrivalCount int            // requests queued so far
-	stepEnd      time.Duration  // virtual time at which the current step ends
-	reclaimed    bool           // a reclaim pattern is in effect: it gets no new requests
+	usedTokens   int                // memory of the running requests
+	cachedParts  map[uint64]int     // tokens of each cached prompt part, by its key
+	lastUsedStep map[uint64]int     // stepCount when a cached part was last used, by its key
+	cachedTokens int                // tokens of all cached parts
+	stepCount    int                // steps started so far
+	arrivalCount int                // requests queued so far
+	stepEnd      time.Duration      // virtual time at which the current step ends
+	reclaimed    bool               // a reclaim pattern is in effect: it gets no new requests
+	limit        exchange.RateLimit // stated with each first event
 }
 
 func newEngine(id entity.BackendServerID, m *EngineModel) *engine {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -129,6 +129,7 @@
 		{"output_tokens = 22", "output_tokens = 0"}: "note",
 		{"seconds = 60", "secondz = 60"}:            "secondz",
 		{"slots = 64", "slots = \"many\""}:          "slots",
+		{"\"burst\"", "\"bursts\""}:                 "bursts",
 	} {
 		_, err := Parse([]byte(strings.Replace(string(content), change[0], change[1], 1)))
 		if err == nil || !strings.Contains(strings.ToLower(errorDetails(err)), want) {
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -30,12 +30,13 @@
 
 // Pattern changes the load or the engines for a limited time.
 type Pattern struct {
-	Kind       string  `toml:"kind"` // "burst", "hot_subject" or "reclaim"
+	Kind       string  `toml:"kind"` // "burst", "hot_subject", "reclaim" or "limit"
 	StartS     float64 `toml:"at_s"` // since the start of the run
 	DurationS  float64 `toml:"for_s"`
-	LoadFactor float64 `toml:"times"` // burst: multiplies the load
-	Share      float64 `toml:"share"` // ratio of the class's requests (hot_subject) or of the engines (reclaim)
-	Class      string  `toml:"class"` // burst, hot_subject: affected class; for a burst, empty means all
+	LoadFactor float64 `toml:"times"`      // burst: multiplies the load
+	Share      float64 `toml:"share"`      // ratio of the class's requests (hot_subject) or of the engines (reclaim, limit)
+	PerSecond  float64 `toml:"per_second"` // limit: requests that each engine takes
+	Class      string  `toml:"class"`      // burst, hot_subject: affected class; for a burst, empty means all
 }
 
 // request is one request of the simulated load.
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -117,6 +117,7 @@
 			nextUpdate += updateInterval
 			s.exchangeUpdates()
 			s.applyReclaims()
+			s.applyLimits()
 		}
 	}
 }
@@ -140,6 +141,7 @@
 		return
 	}
 	for i, from := range s.cores {
+		from.Tick(virtualTime(s.now))
 		update := from.NextUpdate(virtualTime(s.now))
 		for j, to := range s.cores {
 			if i != j {
@@ -167,6 +169,20 @@
 	}
 }
 
+// applyLimits has engines state limits while a limit pattern is in effect.
+func (s *simulation) applyLimits() {
+	for i := range s.cfg.Patterns {
+		p := &s.cfg.Patterns[i]
+		if p.Kind != "limit" {
+			continue
+		}
+		count := int(p.Share * float64(s.cfg.Engines))
+		for _, e := range s.engines[:min(count, len(s.engines))] {
+			e.limit = exchange.RateLimit{Stated: p.active(s.now), PerSecond: p.PerSecond}
+		}
+	}
+}
+
 // announceState reports an engine's changed state to all daemons. They take the
 // engine with its new Born for a new process, without cached prompts or load.
 func (s *simulation) announceState(n int, e *engine) {
@@ -258,7 +274,9 @@
 	for _, j := range result.firstEvents {
 		s.result.recordFirstEvent(j.request, e.stepEnd+firstEventDelay-j.request.arrival)
 		if t := s.tickets[j.request]; t != nil {
-			s.cores[j.daemon].Started(virtualTime(e.stepEnd+firstEventDelay), t)
+			c := s.cores[j.daemon]
+			c.RecordLimit(virtualTime(e.stepEnd+firstEventDelay), t, e.limit)
+			c.Started(virtualTime(e.stepEnd+firstEventDelay), t)
 		}
 	}
 	for _, j := range result.finished {
