Spend limits of backend servers on large requests

Callers see: while most engines state limits, the few others are overloaded, though the limited ones could take long reports: a limit counts requests, whatever their size, and small ones, three of four, used it up.

Change: a request of under 0.8 of its service's mean size goes to a server with a limit only if half a request more has been saved there, or if there is no other server.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/ratelimit"
 )
 
 const (
@@ -87,7 +88,17 @@
 		Service: t.Service, DataCentre: c.cfg.Self.DataCentre, Rank: t.priority,
 		Prompt: w.Prompt, Output: w.expectedOutput(), Parts: w.Parts, Exclude: t.tried,
 	}
-	return c.placer.Choose(now, q, func(id entity.BackendServerID) bool { return c.usable(now, id) && c.withinLimit(now, id) })
+	// A limit counts requests and not their sizes: large ones on servers with limits
+	// relieve the others most. Small ones get there what large ones leave.
+	choose := func(saved float64) (placement.Choice, bool) {
+		return c.placer.Choose(now, q, func(id entity.BackendServerID) bool { return c.usable(now, id) && c.withinLimit(now, id, saved) })
+	}
+	if c.limits.rows.Len() > 0 && c.demand.small(t) {
+		if choice, ok := choose(ratelimit.FullBucket - 1); ok {
+			return choice, true
+		}
+	}
+	return choose(0)
 }
 
 // rejectUnplaced rejects a request for which there is no backend server.
--- a/internal/exchange/demand.go
+++ b/internal/exchange/demand.go
@@ -17,6 +17,7 @@
 	Requests float64            `cbor:"2,keyasint"` // per second
 	Prompt   float64            `cbor:"3,keyasint"` // tokens per second that engines must read, cached ones excluded
 	Output   float64            `cbor:"4,keyasint"` // tokens per second
+	size     float64            // tokens per second of prompts and answers, cached ones included
 }
 
 // demand averages the requests of this daemon over demandWindow, with decaying
@@ -40,6 +41,17 @@
 	row.Requests++
 	row.Prompt += float64(prompt)
 	row.Output += float64(t.Request.Work.expectedOutput())
+	row.size += t.Request.Work.size()
+}
+
+// smallRatio is the ratio to the mean size of a service's requests below which one is
+// small.
+const smallRatio = 0.8
+
+// small reports whether a request is smaller than most of its service's lately.
+func (d *demand) small(t *Ticket) bool {
+	row := d.row(t.Service)
+	return row.Requests > 0 && t.Request.Work.size() < smallRatio*row.size/row.Requests
 }
 
 // row returns the sums of a service, which it adds if there are none.
@@ -65,6 +77,7 @@
 		d.rows[i].Requests *= remaining
 		d.rows[i].Prompt *= remaining
 		d.rows[i].Output *= remaining
+		d.rows[i].size *= remaining
 	}
 }
 
--- a/internal/exchange/limit.go
+++ b/internal/exchange/limit.go
@@ -187,13 +187,14 @@
 	})
 }
 
-// withinLimit reports whether a backend server's limit allows a request from this daemon now.
-func (c *Core) withinLimit(now time.Time, id entity.BackendServerID) bool {
+// withinLimit reports whether a backend server's limit allows a request from this daemon
+// now, and leaves the given number of saved requests at least.
+func (c *Core) withinLimit(now time.Time, id entity.BackendServerID, saved float64) bool {
 	limit := c.limitOf(id)
 	if limit == nil {
 		return true
 	}
-	wait, ok := limit.bucket.Wait(now)
+	wait, ok := limit.bucket.Wait(now, 1+saved)
 	return ok && wait == 0
 }
 
@@ -227,7 +228,7 @@
 		}
 		out.count++
 		out.perSecond += limit.PerSecond
-		if wait, ok := limit.bucket.Wait(now); ok {
+		if wait, ok := limit.bucket.Wait(now, 1); ok {
 			if out.part == 0 || wait < out.wait {
 				out.wait = wait
 			}
--- a/internal/exchange/limit_test.go
+++ b/internal/exchange/limit_test.go
@@ -307,3 +307,33 @@
 		r.name(r.engines()[r.rng.IntN(3)], 0.2+5*r.rng.Float64())
 	}
 }
+
+// TestPlace_LargeRequestsUseLimits: a limit counts requests, so that small ones leave it to
+// large ones while another server can take them.
+func TestPlace_LargeRequestsUseLimits(t *testing.T) {
+	c := newTestCore(t, "a")
+	c.RemoveServer(zero, "engine2")
+	now := at(acquaintanceTime)
+	c.Tick(now)
+	c.setLimit(now, entity.ServerProcess{Server: "engine0", Born: 1}, RateLimit{Stated: true, PerSecond: 1}, now, "")
+	place := func(after time.Duration, prompt entity.Tokens) entity.BackendServerID {
+		now = now.Add(after)
+		c.Confirm(now)
+		req := testRequest("r", "/talk/x", "k3")
+		req.Patience = 5 * time.Second
+		req.Work = Work{Stated: true, Prompt: prompt, MaxOutput: 10}
+		return mustPlace(t, c, now, mustAdmit(t, c, now, req)).Server
+	}
+	for range 4 { // so that the mean size is known, and engine1 is busy
+		place(0, 4000)
+	}
+	if got := place(1100*time.Millisecond, 500); got != "engine1" {
+		t.Errorf("a small request is placed on %s, want engine1: the limit of engine0 allows one request", got)
+	}
+	if got := place(0, 8000); got != "engine0" {
+		t.Errorf("a large request is placed on %s, want engine0, which its limit allows", got)
+	}
+	if got := place(1600*time.Millisecond, 500); got != "engine0" {
+		t.Errorf("a small request is placed on %s, want engine0: no large one has used its limit", got)
+	}
+}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -40,6 +40,9 @@
 	return float64(w.Prompt + w.MaxOutput)
 }
 
+// size returns the number of tokens of the prompt and, as expected, of the answer.
+func (w *Work) size() float64 { return float64(w.Prompt + w.expectedOutput()) }
+
 // expectedOutput returns the number of tokens that the answer is expected to have.
 func (w *Work) expectedOutput() entity.Tokens {
 	if w.Output > 0 && w.Output < w.MaxOutput {
--- a/internal/system/ratelimit/ratelimit.go
+++ b/internal/system/ratelimit/ratelimit.go
@@ -22,13 +22,15 @@
 	// maxPart is the largest part of a limit that one daemon has, in requests per second,
 	// while there are other daemons without a part. With parts this small, a daemon too
 	// many, or one in its place, adds no more than half of the limit.
-	maxPart = 1.5
+	maxPart = 1.0
 	// minRate is the least number of requests per second that a server is sent, even if its
 	// limit is lower: only its answers tell that the limit has ended.
 	minRate = 0.1
-	// burstDuration is the time over which an unused part accumulates. At least one request
-	// does.
+	// burstDuration is the time over which an unused part accumulates, but at least FullBucket
+	// requests do.
 	burstDuration = 250 * time.Millisecond
+	// FullBucket is the number of requests that accumulate at any rate.
+	FullBucket = 1.5
 )
 
 // Part returns this daemon's part of a server's limit, in requests per second, 0 if it has
@@ -81,21 +83,21 @@
 func (b *Bucket) Rate() float64 { return b.rate }
 
 func (b *Bucket) refill(now time.Time) {
-	capacity := max(1, b.rate*burstDuration.Seconds())
+	capacity := max(FullBucket, b.rate*burstDuration.Seconds())
 	if elapsed := now.Sub(b.updatedAt); elapsed > 0 && b.rate > 0 {
 		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), capacity)
 	}
 	b.updatedAt = now
 }
 
-// Wait returns the time until a request may be sent, 0 if one may now. Without a part of
-// the limit it returns false.
-func (b *Bucket) Wait(now time.Time) (time.Duration, bool) {
+// Wait returns the time until that many requests have accumulated, at most FullBucket, 0 if
+// they have. Without a part of the limit it returns false.
+func (b *Bucket) Wait(now time.Time, requests float64) (time.Duration, bool) {
 	if b.rate == 0 {
 		return 0, false
 	}
 	b.refill(now)
-	missing := 1 - b.tokens
+	missing := requests - b.tokens
 	if missing <= roundingError {
 		return 0, true
 	}
--- a/internal/system/ratelimit/ratelimit_test.go
+++ b/internal/system/ratelimit/ratelimit_test.go
@@ -62,8 +62,8 @@
 			}
 		}
 		// In four seconds a server may get one and a half times what its limit allows and
-		// five requests. Each part may begin with a saved request.
-		if requests := 4*sum + float64(parts); requests > 6*limit+5 {
+		// five requests. Each part may begin with a full bucket.
+		if requests := 4*sum + FullBucket*float64(parts); requests > 6*limit+5 {
 			t.Fatalf("%d parts of a limit of %v allow %v requests in 4 s, at most %v may be sent", parts, limit, requests, 6*limit+5)
 		}
 	})
@@ -90,7 +90,7 @@
 				rate = rapid.Float64Range(0, 5).Draw(t, "rate")
 				b.SetRate(now, rate)
 			}
-			if wait, ok := b.Wait(now); ok && wait == 0 {
+			if wait, ok := b.Wait(now, 1); ok && wait == 0 {
 				b.Take(now)
 				taken++
 			}
@@ -108,17 +108,17 @@
 		b.SetRate(zero, rapid.Float64Range(0.05, 20).Draw(t, "rate"))
 		now := zero.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 		for range 5 {
-			wait, ok := b.Wait(now)
+			wait, ok := b.Wait(now, 1)
 			if !ok {
 				t.Fatal("a bucket with a rate has no part")
 			}
 			if wait > time.Millisecond {
-				if early, _ := b.Wait(now.Add(wait - time.Millisecond)); early == 0 {
+				if early, _ := b.Wait(now.Add(wait-time.Millisecond), 1); early == 0 {
 					t.Fatalf("a request may be sent 1 ms before the end of a wait of %v", wait)
 				}
 			}
 			now = now.Add(wait)
-			if again, _ := b.Wait(now); again != 0 {
+			if again, _ := b.Wait(now, 1); again != 0 {
 				t.Fatalf("after a wait of %v a further one of %v", wait, again)
 			}
 			b.Take(now)
@@ -129,16 +129,16 @@
 func TestBucket_NewPartBeginsEmpty(t *testing.T) {
 	var b Bucket
 	b.SetRate(zero, 1)
-	if wait, ok := b.Wait(zero); !ok || wait != time.Second {
+	if wait, ok := b.Wait(zero, 1); !ok || wait != time.Second {
 		t.Fatalf("a new part of 1 a second lets a request wait %v, want 1 s", wait)
 	}
 	later := zero.Add(time.Minute)
 	b.SetRate(later, 0)
-	if _, ok := b.Wait(later); ok {
+	if _, ok := b.Wait(later, 1); ok {
 		t.Fatal("a bucket without a part lets requests wait")
 	}
 	b.SetRate(later.Add(time.Minute), 2)
-	if wait, _ := b.Wait(later.Add(time.Minute)); wait != 500*time.Millisecond {
+	if wait, _ := b.Wait(later.Add(time.Minute), 1); wait != 500*time.Millisecond {
 		t.Fatalf("a part that was given again lets a request wait %v, want 0.5 s", wait)
 	}
 }
