Make up for backend servers that state limits in the capacity plan

Change: a server counts as withheld by the part of its usual requests that its limit does not allow, once the limit has lasted 2 s; as many servers are added to the plan, reclaimable ones where they are to be had, up to the limits of the data centres.

TestTargetServers_ServersWithLimitsAreReplaced and TestPlan_ServersWithLimitsAreReplaced: nothing was added before, three of four at least now.

--- a/internal/exchange/demand.go
+++ b/internal/exchange/demand.go
@@ -118,6 +118,6 @@
 func (c *Core) DescribeWork(now time.Time, service entity.ServiceName) string {
 	d := c.Demand(now, service)
 	currentWork := c.placer.BusyServers(service, placement.Demand{Prompt: d.Prompt, Output: d.Output})
-	return fmt.Sprintf("planned %.2f now %.2f requests/s %.1f prompt/s %.0f output/s %.0f %s",
-		c.level(service).BusyServers(), currentWork, d.Requests, d.Prompt, d.Output, c.placer.SpeedSummary(service))
+	return fmt.Sprintf("planned %.2f now %.2f withheld by limits %.1f requests/s %.1f prompt/s %.0f output/s %.0f %s",
+		c.level(service).BusyServers(), currentWork, c.withheldServers(now, service), d.Requests, d.Prompt, d.Output, c.placer.SpeedSummary(service))
 }
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -170,6 +170,7 @@
 		in.DataCentres = append(in.DataCentres, state)
 	}
 	in.BusyServers = c.level(s.Name).Update(now, c.expectedWork(now, s))
+	in.Withheld = c.limits.withheldLevel(s.Name).Update(now, c.withheldServers(now, s.Name))
 	return in
 }
 
--- a/internal/exchange/limit.go
+++ b/internal/exchange/limit.go
@@ -7,6 +7,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/ratelimit"
 )
 
@@ -32,20 +33,23 @@
 type serverLimit struct {
 	RateLimit
 	statedAt time.Time // when the newest answer with this statement arrived
+	since    time.Time // when the limit, whatever its value, came in force
 	bucket   ratelimit.Bucket
 }
 
 // limitTable holds the limits that backend servers have stated.
 type limitTable struct {
 	rows     *entity.Table[entity.ServerProcess, serverLimit]
-	daemons  []entity.InstanceID                          // between which the limits are shared
-	changes  announcements[entity.ServerProcess]          // whose newest statement is to be announced
-	returnAt *entity.Table[entity.ServiceName, time.Time] // when the request that was rejected last was told to come back
+	daemons  []entity.InstanceID                               // between which the limits are shared
+	changes  announcements[entity.ServerProcess]               // whose newest statement is to be announced
+	withheld *entity.Table[entity.ServiceName, capacity.Level] // number of servers that the capacity plan does not count
+	returnAt *entity.Table[entity.ServiceName, time.Time]      // when the request that was rejected last was told to come back
 }
 
 func newLimitTable() limitTable {
 	return limitTable{
 		rows:     entity.NewTable[entity.ServerProcess, serverLimit](),
+		withheld: entity.NewTable[entity.ServiceName, capacity.Level](),
 		returnAt: entity.NewTable[entity.ServiceName, time.Time](),
 	}
 }
@@ -124,6 +128,9 @@
 		c.limits.rows.Put(p, row)
 	}
 	changed = row.RateLimit != limit
+	if !row.Stated {
+		row.since = now
+	}
 	row.RateLimit, row.statedAt = limit, statedAt
 	if !changed {
 		return false
@@ -264,3 +271,45 @@
 }
 
 func secondsToDuration(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// minLimitDuration is how long a limit must have been in force for the capacity plan to
+// make up for it.
+const minLimitDuration = 2 * time.Second
+
+// withheldServers returns how many servers of a service, by the requests that they would
+// get otherwise, are withheld by their limits.
+func (c *Core) withheldServers(now time.Time, service entity.ServiceName) float64 {
+	listed, withheld := 0, 0.0
+	var limits []float64
+	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
+		if row.Service != service || !row.listed || row.State != Ready {
+			return true
+		}
+		listed++
+		if limit := c.limits.inForce(row.process()); limit != nil && now.Sub(limit.since) >= minLimitDuration {
+			limits = append(limits, limit.PerSecond)
+		}
+		return true
+	})
+	if len(limits) == 0 {
+		return 0
+	}
+	usual := c.Demand(now, service).Requests / float64(listed)
+	for _, perSecond := range limits {
+		if perSecond < usual {
+			withheld += 1 - perSecond/usual
+		}
+	}
+	return withheld
+}
+
+// withheldLevel returns the level of withheld servers that a service's capacity is planned
+// with.
+func (l *limitTable) withheldLevel(service entity.ServiceName) *capacity.Level {
+	level := l.withheld.Get(service)
+	if level == nil {
+		level = &capacity.Level{}
+		l.withheld.Put(service, level)
+	}
+	return level
+}
--- a/internal/exchange/limit_test.go
+++ b/internal/exchange/limit_test.go
@@ -337,3 +337,37 @@
 		t.Errorf("a small request is placed on %s, want engine0: no large one has used its limit", got)
 	}
 }
+
+// TestTargetServers_ServersWithLimitsAreReplaced: all engines state limits far below the
+// demand.
+func TestTargetServers_ServersWithLimitsAreReplaced(t *testing.T) {
+	r := newLimitRun(t, 1, 3, 6, 20*time.Millisecond)
+	leader := r.daemons[0].core
+	planned := func() int {
+		sum := 0
+		for _, n := range leader.TargetServers(r.now) {
+			sum += n.Count
+		}
+		return sum
+	}
+	r.run(6 * time.Second)
+	before := planned()
+	for _, s := range r.engines()[:4] {
+		r.name(s, 1)
+	}
+	r.run(6 * time.Second)
+	if n := planned(); n < before+3 {
+		t.Errorf("%d servers planned, %d before four of six stated limits of an eighth of what they get", n, before)
+	}
+	for _, s := range r.engines()[:4] {
+		s.limit = RateLimit{}
+	}
+	r.run(60 * time.Second)
+	for range 30 {
+		planned()
+		r.run(time.Second)
+	}
+	if n := planned(); n > before {
+		t.Errorf("%d servers planned a minute after the limits have ended, %d before them", n, before)
+	}
+}
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -13,6 +13,9 @@
 // limit, on-demand servers replace reclaimable ones only where no reclaimable
 // ones are available, so that a mass reclaim in one data centre does not
 // displace the reclaimable servers of the others.
+//
+// Servers that state a limit far below what they usually get do not count: others are
+// added for them as far as the data centres' limits allow.
 package capacity
 
 import (
@@ -38,6 +41,7 @@
 	Min, Max         int     // servers of both classes together in one data centre
 	ReclaimablePrice float64 // as a ratio of the on-demand price
 	BusyServers      float64 // number of servers that the demand keeps fully busy
+	Withheld         float64 // number of existing servers that do not count, because of the limits they state
 }
 
 // Target is the number of servers that a data centre should have.
@@ -87,6 +91,8 @@
 		t.Reclaimable = min(t.Reclaimable, in.Max-t.OnDemand)
 		t.OnDemand = max(t.OnDemand, in.Min-t.Reclaimable)
 	}
+	unplaced := addEvenly(targets, int(in.Withheld), func(i int) bool { return hasCapacity(i) && !dataCentres[i].Exhausted }, reclaimableField)
+	addEvenly(targets, unplaced, hasCapacity, onDemandField)
 	return targets
 }
 
@@ -120,8 +126,9 @@
 func reclaimableField(t *Target) *int { return &t.Reclaimable }
 
 // addEvenly adds servers one by one, each to the data centre that has fewest of
-// those that have capacity.
-func addEvenly(targets []Target, count int, hasCapacity func(int) bool, field func(*Target) *int) {
+// those that have capacity. It returns the number of servers that no data centre has
+// capacity for.
+func addEvenly(targets []Target, count int, hasCapacity func(int) bool, field func(*Target) *int) (unplaced int) {
 	for ; count > 0; count-- {
 		var fewest *Target
 		for i := range targets {
@@ -130,10 +137,11 @@
 			}
 		}
 		if fewest == nil {
-			return
+			return count
 		}
 		*field(fewest)++
 	}
+	return 0
 }
 
 const (
--- a/internal/system/capacity/capacity_test.go
+++ b/internal/system/capacity/capacity_test.go
@@ -186,3 +186,26 @@
 		t.Fatalf("a new lease holder planned for %.1f busy servers, its predecessor for 6", got)
 	}
 }
+
+// TestPlan_ServersWithLimitsAreReplaced: most servers take next to nothing.
+func TestPlan_ServersWithLimitsAreReplaced(t *testing.T) {
+	in := Input{DataCentres: dataCentresWith(5, 5, 5), Min: 1, Max: 8, ReclaimablePrice: 0.15, BusyServers: 5}
+	onDemandBefore, reclaimableBefore := sum(Plan(in))
+	in.Withheld = 6.9
+	onDemand, reclaimable := sum(Plan(in))
+	if onDemand != onDemandBefore || reclaimable != reclaimableBefore+6 {
+		t.Fatalf("planned %d on demand and %d reclaimable, want %d and %d", onDemand, reclaimable, onDemandBefore, reclaimableBefore+6)
+	}
+	for i := range in.DataCentres {
+		in.DataCentres[i].Exhausted = true
+	}
+	if onDemand, reclaimable := sum(Plan(in)); onDemand < onDemandBefore+6 || reclaimable > reclaimableBefore {
+		t.Fatalf("planned %d on demand and %d reclaimable where none are to be had, want at least %d and at most %d", onDemand, reclaimable, onDemandBefore+6, reclaimableBefore)
+	}
+	in.Withheld = 100
+	for _, target := range Plan(in) {
+		if target.total() > in.Max {
+			t.Fatalf("planned %+v, at most %d servers are allowed", target, in.Max)
+		}
+	}
+}
