Tell rejected callers times at the distance that the limits allow all daemons

With limits that leave no room, a daemon with a part told times as far apart as its own tokens, and one without as far as those of all daemons: together more callers than the servers take. Now each daemon's times are as far apart as its share of all limits, the first when it has a token. TestLimit_TimeToComeBackIsTrue and the rejections of TestLimit_RequestThatFitsNowhereIsRejectedAtOnce pass as before; the sum of the promises is the only difference.

--- a/internal/exchange/limit.go
+++ b/internal/exchange/limit.go
@@ -247,15 +247,16 @@
 }
 
 // rejectLimited rejects a request that the limits of a service's servers leave no room
-// for. The times to come back are as far apart as requests that this daemon may send or,
-// if it has no part of any limit, as those that all daemons may.
+// for. The times to come back are as far apart as the requests that each daemon may send
+// on average, as callers come back to any of them.
 func (c *Core) rejectLimited(now time.Time, t *Ticket, s limitedServers) *Refusal {
-	interval, first := maxRetryDelay, s.wait
+	interval := maxRetryDelay
+	if s.perSecond > 0 {
+		interval = min(secondsToDuration(float64(max(len(c.limits.daemons), 1))/s.perSecond), maxRetryDelay)
+	}
+	first := interval
 	if s.part > 0 {
-		interval = secondsToDuration(1 / s.part)
-	} else if s.perSecond > 0 {
-		interval = secondsToDuration(1 / s.perSecond)
-		first = interval
+		first = s.wait
 	}
 	at := now.Add(first)
 	if last := c.limits.returnAt.Get(t.Service); last != nil && last.Add(interval).After(at) {
