Drop a limit whose end was missed

A daemon without a part of a limit gets no answer of the server. If the daemon that heard of the end is gone before all have acknowledged it, the others would keep a limit that nobody states any more, and never use the server again.

Change: the daemons with a part announce a limit in force every 5 s; one without a part drops it when nobody has for three times as long as silent daemons are remembered. Limits without traffic stay, as their holders go on announcing them.

TestLimit_MissedEndIsForgotten fails without either half; TestLimit_LastsWithoutTraffic keeps a limit over two minutes without requests.

--- a/internal/exchange/limit.go
+++ b/internal/exchange/limit.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -34,8 +33,20 @@
 	RateLimit
 	statedAt time.Time // when the newest answer with this statement arrived
 	since    time.Time // when the limit, whatever its value, came in force
-	bucket   ratelimit.Bucket
-}
+	// refreshedAt is when it was last announced again by this daemon, if it has a part, or
+	// heard from one that has.
+	refreshedAt time.Time
+	bucket      ratelimit.Bucket
+}
+
+const (
+	// limitRefreshInterval is the time between two announcements of a limit in force by the
+	// daemons that have parts of it. Only these get answers of the server.
+	limitRefreshInterval = 5 * time.Second
+	// limitExpiryFactor is the time, in multiples of the one after which silent daemons are
+	// forgotten, after which a daemon without a part drops a limit that nobody announces.
+	limitExpiryFactor = 3
+)
 
 // limitTable holds the limits that backend servers have stated.
 type limitTable struct {
@@ -113,7 +124,11 @@
 // known here.
 func (c *Core) receiveLimit(now time.Time, s *LimitStatement, from entity.InstanceID) {
 	statedAt := now.Add(-s.Ago)
-	if known := c.limits.rows.Get(s.Process); known != nil && !statedAt.After(known.statedAt) {
+	known := c.limits.rows.Get(s.Process)
+	if known != nil && s.Stated && known.Stated {
+		known.refreshedAt = now
+	}
+	if known != nil && !statedAt.After(known.statedAt) {
 		return
 	}
 	c.setLimit(now, s.Process, RateLimit{Stated: s.Stated, PerSecond: s.PerSecond}, statedAt, from)
@@ -129,7 +144,7 @@
 	}
 	changed = row.RateLimit != limit
 	if !row.Stated {
-		row.since = now
+		row.since, row.refreshedAt = now, now
 	}
 	row.RateLimit, row.statedAt = limit, statedAt
 	if !changed {
@@ -144,6 +159,20 @@
 	return true
 }
 
+// refreshLimit announces a limit again from time to time if this daemon has a part of it,
+// and else drops it if no daemon has announced it for long: its end was not heard.
+func (c *Core) refreshLimit(now time.Time, p entity.ServerProcess, row *serverLimit) {
+	age := now.Sub(row.refreshedAt)
+	switch {
+	case !row.Stated:
+	case row.bucket.Rate() > 0 && age >= limitRefreshInterval:
+		row.refreshedAt = now
+		c.limits.changes.addOnce(p)
+	case row.bucket.Rate() == 0 && age >= limitExpiryFactor*c.cfg.Bounds.ForgetPeerAfter:
+		c.setLimit(now, p, RateLimit{}, now, c.cfg.Self.Name)
+	}
+}
+
 // setPart sets a daemon's part of the limit of a server.
 func (l *serverLimit) setPart(now time.Time, self entity.InstanceID, server entity.BackendServerID, daemons []entity.InstanceID) {
 	part := 0.0
@@ -173,9 +202,14 @@
 	return out
 }
 
-// updateLimits adapts the parts of limits to the daemons that there are, and drops the
-// limits of processes that are not listed, or not any more.
+// updateLimits adapts the parts of limits to the daemons that there are, announces again
+// those of which this daemon has a part, and drops the limits that nobody announces and those
+// of processes that are not listed, or not any more.
 func (c *Core) updateLimits(now time.Time) {
+	c.limits.rows.All(func(p entity.ServerProcess, row *serverLimit) bool {
+		c.refreshLimit(now, p, row)
+		return true
+	})
 	for _, p := range c.limits.rows.Keys() {
 		row := c.servers.Get(p.Server)
 		current := row != nil && row.process() == p
@@ -193,124 +227,3 @@
 		return true
 	})
 }
-
-// withinLimit reports whether a backend server's limit allows a request from this daemon
-// now, and leaves the given number of saved requests at least.
-func (c *Core) withinLimit(now time.Time, id entity.BackendServerID, saved float64) bool {
-	limit := c.limitOf(id)
-	if limit == nil {
-		return true
-	}
-	wait, ok := limit.bucket.Wait(now, 1+saved)
-	return ok && wait == 0
-}
-
-// limitOf returns the limit of a backend server, nil if it states none.
-func (c *Core) limitOf(id entity.BackendServerID) *serverLimit {
-	if c.limits.rows.Len() == 0 {
-		return nil
-	}
-	row := c.servers.Get(id)
-	if row == nil {
-		return nil
-	}
-	return c.limits.inForce(row.process())
-}
-
-// limitedServers sums up the backend servers of a service that are usable but for their
-// limits.
-type limitedServers struct {
-	count     int
-	perSecond float64       // sum of the limits
-	part      float64       // sum of this daemon's parts
-	wait      time.Duration // until the first of them may get a request from this daemon, if it has any part
-}
-
-func (c *Core) limitedServers(now time.Time, service entity.ServiceName) limitedServers {
-	var out limitedServers
-	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
-		limit := c.limits.inForce(row.process())
-		if row.Service != service || limit == nil || !c.usable(now, id) {
-			return true
-		}
-		out.count++
-		out.perSecond += limit.PerSecond
-		if wait, ok := limit.bucket.Wait(now, 1); ok {
-			if out.part == 0 || wait < out.wait {
-				out.wait = wait
-			}
-			out.part += limit.bucket.Rate()
-		}
-		return true
-	})
-	return out
-}
-
-// rejectLimited rejects a request that the limits of a service's servers leave no room
-// for. The times to come back are as far apart as the requests that each daemon may send
-// on average, as callers come back to any of them.
-func (c *Core) rejectLimited(now time.Time, t *Ticket, s limitedServers) *Refusal {
-	interval := maxRetryDelay
-	if s.perSecond > 0 {
-		interval = min(secondsToDuration(float64(max(len(c.limits.daemons), 1))/s.perSecond), maxRetryDelay)
-	}
-	first := interval
-	if s.part > 0 {
-		first = s.wait
-	}
-	at := now.Add(first)
-	if last := c.limits.returnAt.Get(t.Service); last != nil && last.Add(interval).After(at) {
-		at = last.Add(interval)
-	}
-	if latest := now.Add(maxRetryDelay); at.After(latest) {
-		at = latest
-	}
-	c.limits.returnAt.Put(t.Service, &at)
-	r := c.finalRefusal(t, "limited", boundRetryDelay(at.Sub(now)))
-	r.Inputs = fmt.Sprintf("%d servers with limits of %.2f requests/s, this daemon's part %.2f", s.count, s.perSecond, s.part)
-	return r
-}
-
-func secondsToDuration(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// minLimitDuration is how long a limit must have been in force for the capacity plan to
-// make up for it.
-const minLimitDuration = 2 * time.Second
-
-// withheldServers returns how many servers of a service, by the requests that they would
-// get otherwise, are withheld by their limits.
-func (c *Core) withheldServers(now time.Time, service entity.ServiceName) float64 {
-	listed, withheld := 0, 0.0
-	var limits []float64
-	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
-		if row.Service != service || !row.listed || row.State != Ready {
-			return true
-		}
-		listed++
-		if limit := c.limits.inForce(row.process()); limit != nil && now.Sub(limit.since) >= minLimitDuration {
-			limits = append(limits, limit.PerSecond)
-		}
-		return true
-	})
-	if len(limits) == 0 {
-		return 0
-	}
-	usual := c.Demand(now, service).Requests / float64(listed)
-	for _, perSecond := range limits {
-		if perSecond < usual {
-			withheld += 1 - perSecond/usual
-		}
-	}
-	return withheld
-}
-
-// withheldLevel returns the level of withheld servers that a service's capacity is planned
-// with.
-func (l *limitTable) withheldLevel(service entity.ServiceName) *capacity.Level {
-	level := l.withheld.Get(service)
-	if level == nil {
-		level = &capacity.Level{}
-		l.withheld.Put(service, level)
-	}
-	return level
-}
--- a/internal/exchange/limit_test.go
+++ b/internal/exchange/limit_test.go
@@ -15,6 +15,7 @@
 	arrivals map[*fleetServer][]arrival // at servers that state a limit
 	named    map[*fleetServer]time.Time // when a server first stated its limit
 	refused  map[string]int             // refusals by code
+	paused   bool                       // callers send nothing
 }
 
 type toldKey struct {
@@ -54,6 +55,9 @@
 	}
 	r.onRefusal = func(_ *fleetDaemon, _ Request, refusal *Refusal) { r.refused[refusal.Code]++ }
 	r.every(interval, func() {
+		if r.paused {
+			return
+		}
 		req := testRequest("", "/talk/x", "k3")
 		req.Patience = 5 * time.Second
 		req.Work = Work{Stated: true, Prompt: 2000, MaxOutput: 100}
@@ -371,3 +375,54 @@
 		t.Errorf("%d servers planned a minute after the limits have ended, %d before them", n, before)
 	}
 }
+
+// TestLimit_MissedEndIsForgotten: two daemons know a limit of which one has a part. While
+// that one announces it, both keep it; when nobody does, the other one drops it.
+func TestLimit_MissedEndIsForgotten(t *testing.T) {
+	cores := map[bool]*Core{} // by whether they have a part
+	process := entity.ServerProcess{Server: "plain0", Born: 1}
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	for _, c := range []*Core{a, b} {
+		for _, other := range []*Core{a, b} {
+			c.AddMember(at(time.Second), other.cfg.Self)
+		}
+		c.Tick(at(acquaintanceTime))
+		c.setLimit(at(acquaintanceTime), process, RateLimit{Stated: true, PerSecond: 1}, at(time.Second), "")
+		cores[c.limits.inForce(process).bucket.Rate() > 0] = c
+	}
+	holder, other := cores[true], cores[false]
+	now := at(acquaintanceTime)
+	exchangeUpdates := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(time.Second) {
+			update, reply := holder.NextUpdate(now), other.NextUpdate(now)
+			other.ReceiveUpdate(now, &update, other.sequence)
+			holder.ReceiveUpdate(now, &reply, holder.sequence)
+			holder.Tick(now)
+			other.Tick(now)
+		}
+	}
+	exchangeUpdates(2 * time.Minute)
+	if holder.limits.inForce(process) == nil || other.limits.inForce(process) == nil {
+		t.Fatal("a limit that its holder announces is dropped")
+	}
+	holder.setLimit(now, process, RateLimit{}, now, "") // it ends, and its announcement is lost
+	exchangeUpdates(limitExpiryFactor*other.cfg.Bounds.ForgetPeerAfter + limitRefreshInterval)
+	if other.limits.inForce(process) != nil {
+		t.Error("a limit that nobody announces is not dropped")
+	}
+}
+
+// TestLimit_LastsWithoutTraffic: a server that nobody sends requests states nothing, and may
+// still be in need.
+func TestLimit_LastsWithoutTraffic(t *testing.T) {
+	r := newLimitRun(t, 1, 9, 8, 5*time.Millisecond)
+	r.run(3 * time.Second)
+	s := r.engines()[0]
+	r.name(s, 1)
+	r.run(6 * time.Second)
+	r.paused = true
+	r.run(2 * time.Minute)
+	r.paused = false
+	r.run(8 * time.Second)
+	r.check(s)
+}
