Tell returning daemons which suspect content has completed

Now the two daemons that tell newcomers of suspect content tell them of completions too, unless the content has crashed a server since.

TestCrash_CompletionReachesADaemonThatWasAwayForLong: still refused before, admitted now.

--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -216,11 +216,15 @@
 	return out
 }
 
-// announceSuspects announces the deaths of suspect contents again.
+// announceSuspects announces again the deaths of suspect contents, and which contents have
+// completed after deaths.
 func (c *Core) announceSuspects(now time.Time) {
 	for _, d := range c.suspectDeaths(now) {
 		c.crash.contentDeaths.addOnce(d)
 	}
+	for _, d := range c.crash.registry.ListCleared(maxSharedContents) {
+		c.crash.completions.addOnce(d)
+	}
 }
 
 // recordCompletion records that some content has completed, as this daemon has found, and
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -392,6 +392,29 @@
 	}
 }
 
+// TestCrash_CompletionReachesADaemonThatWasAwayForLong: the others have forgotten a daemon
+// when content completes that all refused, and take it for a new one later.
+func TestCrash_CompletionReachesADaemonThatWasAwayForLong(t *testing.T) {
+	away, other := newTestCore(t, "away"), newTestCore(t, "other")
+	for i := range refusalDeathCount {
+		now := at(time.Duration(i) * time.Second)
+		death := datedDeath{ContentDeath{Digest: popularContent, Server: entity.BackendServerID(fmt.Sprint("s", i))}, now}
+		away.recordContentDeath(now, &death, "")
+		other.recordContentDeath(now, &death, "")
+	}
+	now := at(4 * time.Second)
+	other.recordCompletion(now, popularContent)
+	other.NextUpdate(now)
+	other.crash.completions = announcements[entity.Digest]{} // all that other knew then have acknowledged it
+	update := away.NextUpdate(now)
+	other.ReceiveUpdate(now, &update, 0)
+	reply := other.NextUpdate(now)
+	away.ReceiveUpdate(now, &reply, 0)
+	if away.crash.quarantined(now, popularContent) {
+		t.Error("content that has completed is still refused by a daemon that was away")
+	}
+}
+
 // TestCrash_ServersThatDieTogetherMakeNothingSuspect: content runs on four servers, and on
 // no other, when they die at the same moment.
 func TestCrash_ServersThatDieTogetherMakeNothingSuspect(t *testing.T) {
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -239,6 +239,13 @@
 	return out
 }
 
+// ListCleared returns the contents that have completed after deaths had been recorded for
+// them, and for which none have been since, up to a number of them.
+func (r *Registry) ListCleared(limit int) []entity.Digest {
+	keys := slices.DeleteFunc(r.cleared.Keys(), r.Suspected)
+	return keys[max(len(keys)-limit, 0):]
+}
+
 // Suspected reports whether a death is recorded for the content, so that its
 // completion must be recorded too.
 func (r *Registry) Suspected(d entity.Digest) bool { return r.suspects.Get(d) != nil }
--- a/internal/system/quarantine/quarantine_test.go
+++ b/internal/system/quarantine/quarantine_test.go
@@ -94,3 +94,23 @@
 		t.Fatalf("%d suspects, %d quarantine entries, %d deaths", r.suspects.Len(), r.entries.Len(), len(r.deaths))
 	}
 }
+
+func TestRegistry_ClearedContentMayBecomeSuspectAgain(t *testing.T) {
+	r := New(Config{})
+	r.RecordDeath(start, deathOf(1, "s1", false))
+	r.Clear(digest(1))
+	r.RecordDeath(start, deathOf(1, "s1", false)) // reported late by another daemon
+	if n := r.Deaths(start, digest(1)); n != 0 {
+		t.Fatalf("%d deaths of cleared content after a late report, want 0", n)
+	}
+	if list := r.ListCleared(10); len(list) != 1 || list[0] != digest(1) {
+		t.Fatalf("cleared contents %v", list)
+	}
+	r.RecordDeath(start.Add(time.Minute), deathOf(1, "s2", false))
+	if n := r.Deaths(start.Add(time.Minute), digest(1)); n != 1 {
+		t.Fatalf("%d deaths of content that has crashed a server since it was cleared, want 1", n)
+	}
+	if list := r.ListCleared(10); len(list) != 0 {
+		t.Fatalf("content that has crashed a server since is listed as cleared: %v", list)
+	}
+}
