Know content by its organisation instead of its key

Callers see: content that crashes servers counts anew under each key of its organisation, three servers each; keys are added and taken away while callers go on. The digest was made of the key.

TestGateway_CrashingContentIsRefusedByAllDaemons now sends it with two keys of one organisation in turn: 6 servers lost before, 4 at most now.

--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"slices"
 	"time"
@@ -248,6 +249,16 @@
 	return true
 }
 
+// OrganisationsContent returns the digest by which content that an organisation sends is
+// known, whichever of its keys it uses. The same request of another organisation may run on
+// other data.
+func (c *Core) OrganisationsContent(key string, content entity.Digest) entity.Digest {
+	if c.index == nil || c.index.byKey[key] == nil {
+		return content
+	}
+	return sha256.Sum256(append([]byte(c.index.byKey[key].ID), content[:]...))
+}
+
 // ShortDigest returns the beginning of a digest, for logs.
 func ShortDigest(d entity.Digest) string { return hex.EncodeToString(d[:shortDigestBytes]) }
 
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -16,7 +16,7 @@
 	Key      string        // the caller's credential
 	Patience time.Duration // how long the caller waits for the answer; 0: not stated
 	Work     Work
-	Content  entity.Digest // of caller, method, target and body
+	Content  entity.Digest // of organisation, method, target and body
 	After    string        // when a stream is resumed: the last event that the caller has received
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -58,7 +58,7 @@
 	if !ok {
 		return
 	}
-	x.request.Content = contentDigest(r, x.request.Key, x.body)
+	x.request.Content = contentDigest(r, x.body)
 	defer x.logResult(arrived)
 	refusal := x.admit(arrived)
 	if refusal == nil {
@@ -69,11 +69,11 @@
 	}
 }
 
-// contentDigest returns a digest of the caller's key, the method, the target and the
-// body. It is the same for a repeated request under another request ID.
-func contentDigest(r *http.Request, key string, body []byte) entity.Digest {
+// contentDigest returns a digest of the method, the target and the body. It is the same for
+// a repeated request under another request ID.
+func contentDigest(r *http.Request, body []byte) entity.Digest {
 	h := sha256.New()
-	for _, part := range []string{key, r.Method, r.Host, r.RequestURI} {
+	for _, part := range []string{r.Method, r.Host, r.RequestURI} {
 		_, _ = io.WriteString(h, part+"\x00") // a hash returns no error
 	}
 	_, _ = h.Write(body)
@@ -145,6 +145,7 @@
 func (x *forwarding) admit(arrived time.Time) *exchange.Refusal {
 	var refusal *exchange.Refusal
 	x.g.withCore(func(c *exchange.Core, now time.Time) {
+		x.request.Content = c.OrganisationsContent(x.request.Key, x.request.Content)
 		x.ticket, refusal = c.Admit(now, arrived, x.request)
 	})
 	return refusal
