Take no server for dead that answers while it is dialled

A dial without a response proves a death if a server has answered since it began; that could be the dialled one. TestCrash_ServerThatAnswersDuringItsProbeIsNotDead: one death before, none now.

--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -266,6 +266,28 @@
 	}
 }
 
+// TestCrash_ServerThatAnswersDuringItsProbeIsNotDead: the only server that answers is the one
+// whose probe got no response.
+func TestCrash_ServerThatAnswersDuringItsProbeIsNotDead(t *testing.T) {
+	c := newTestCore(t, "a")
+	for _, id := range []entity.BackendServerID{"plain1", "plain2"} {
+		c.RemoveServer(zero, id)
+	}
+	running := mustAdmit(t, c, zero, testRequest("running", "/x", "k3"))
+	mustPlace(t, c, zero, running)
+	req := testRequest("r", "/x", "k3")
+	req.Content = crashingContent
+	broken := mustAdmit(t, c, zero, req)
+	mustPlace(t, c, zero, broken)
+	c.Ended(zero, broken, Broken)
+	probes := c.TakeProbes()
+	c.Started(at(100*time.Millisecond), running)
+	c.ProbeEnded(at(700*time.Millisecond), probes[0], Unreachable)
+	if n := c.crash.registry.Deaths(at(time.Second), crashingContent); n != 0 {
+		t.Errorf("%d deaths held against the content, although the server answers", n)
+	}
+}
+
 // TestCrash_ServerThatAnswersIsNotDead: a death was recorded for a server that lives.
 func TestCrash_ServerThatAnswersIsNotDead(t *testing.T) {
 	c := newTestCore(t, "a")
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -49,10 +49,11 @@
 // deathLog holds the processes of backend servers that have died, and the probes of those
 // that may have.
 type deathLog struct {
-	dead         *entity.Table[entity.ServerProcess, time.Time] // when their deaths were recorded
-	probing      *entity.Table[entity.ServerProcess, probeState]
-	probes       []Probe   // to be made
-	lastAnswerAt time.Time // when any backend server last began to answer
+	dead           *entity.Table[entity.ServerProcess, time.Time] // when their deaths were recorded
+	probing        *entity.Table[entity.ServerProcess, probeState]
+	probes         []Probe              // to be made
+	lastAnswerAt   time.Time            // when any backend server last began to answer
+	lastAnswerFrom entity.ServerProcess // that server's process
 }
 
 // probeState is the state of the last probe of a process.
@@ -66,6 +67,12 @@
 	return deathLog{dead: entity.NewTable[entity.ServerProcess, time.Time](), probing: entity.NewTable[entity.ServerProcess, probeState]()}
 }
 
+// anotherAnswered reports whether another process than the given one was the last to begin to
+// answer this daemon, after the given time.
+func (l *deathLog) anotherAnswered(p entity.ServerProcess, after time.Time) bool {
+	return l.lastAnswerAt.After(after) && l.lastAnswerFrom != p
+}
+
 // probe requests a probe. While one of the same process is being made, another one
 // follows it.
 func (l *deathLog) probe(now time.Time, p Probe) {
@@ -130,7 +137,7 @@
 	switch {
 	case result == Refused:
 		c.recordDeath(now, p.Process, proofRefused)
-	case result == Unreachable && c.deaths.lastAnswerAt.After(state.startedAt):
+	case result == Unreachable && c.deaths.anotherAnswered(p.Process, state.startedAt):
 		c.recordDeath(now, p.Process, proofUnreachable)
 	case state.again:
 		c.deaths.probe(now, p)
@@ -140,7 +147,7 @@
 // recordAnswer records that a process has begun to answer a request that was sent at the
 // given time. It was alive then: its earlier failures have other reasons than its death.
 func (c *Core) recordAnswer(now time.Time, p entity.ServerProcess, sentAt time.Time) {
-	c.deaths.lastAnswerAt = now
+	c.deaths.lastAnswerAt, c.deaths.lastAnswerFrom = now, p
 	c.crash.dropUnexplained(p, sentAt)
 	if at := c.deaths.dead.Get(p); at != nil && sentAt.After(*at) {
 		c.deaths.dead.Delete(p)
