--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/journal"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
+	"github.com/gooseberryslip/gooseberryslip/internal/virtualtime"
 )
 
 const (
@@ -36,8 +36,8 @@
 	t            testing.TB
 	rng          *rand.Rand
 	now          time.Time
-	events       eventQueue // scheduled, not run yet
-	sequence     int        // number of the last scheduled event or document change
+	events       virtualtime.Queue // scheduled, not run yet
+	sequence     int               // number of the last document change
 	nodes        []*node
 	byAddr       map[string]*node
 	table        *table
@@ -60,34 +60,6 @@
 	traffic traffic
 }
 
-// scheduledEvent is a function to run at a point in virtual time.
-type scheduledEvent struct {
-	at       time.Time
-	sequence int
-	run      func()
-}
-
-// eventQueue is a heap of events, ordered by time and, at the same time, by the
-// order in which they were scheduled.
-type eventQueue []scheduledEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].sequence < q[j].sequence
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduledEvent)) }
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	(*q)[last] = scheduledEvent{}
-	*q = (*q)[:last]
-	return e
-}
-
 // newFleet starts daemons, applies the service documents and waits until every
 // daemon knows the others and has the documents.
 func newFleet(t testing.TB, seed uint64, daemons int) *fleet {
@@ -225,19 +197,12 @@
 
 // schedule has a function run after d in virtual time.
 func (f *fleet) schedule(d time.Duration, run func()) {
-	f.sequence++
-	heap.Push(&f.events, scheduledEvent{at: f.now.Add(d), sequence: f.sequence, run: run})
+	f.events.Schedule(f.now.Add(d), run)
 }
 
 // runFor advances virtual time by d and runs the events that are due.
 func (f *fleet) runFor(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.events) > 0 && !f.events[0].at.After(end) {
-		e := heap.Pop(&f.events).(scheduledEvent)
-		f.now = e.at
-		e.run()
-	}
-	f.now = end
+	f.events.RunUntil(f.now.Add(d), &f.now)
 }
 
 // runUntil advances virtual time until the condition holds, at most by d, and
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -14,27 +13,27 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/journal"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/membership"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
+	"github.com/gooseberryslip/gooseberryslip/internal/virtualtime"
 )
 
 // world is a deterministic simulation of several cores and their environment in
 // virtual time. The simulated engines and callers keep records of what was run
 // and received, against which the tests check the outcomes.
 type world struct {
-	t            testing.TB
-	rng          *rand.Rand
-	now          time.Time
-	start        time.Time
-	events       eventQueue
-	lastSequence int
-	daemons      []*fakeDaemon
-	engines      map[entity.BackendServerID]*fakeEngine
-	engineOrder  []*fakeEngine
-	table        *fakeTable
-	cloud        *fakeCloud // nil: no daemon has a planner
-	callers      []*fakeCaller
-	messageLoss  float64 // fraction of messages between daemons that are lost
-	lastCaller   CallerID
-	lastNumber   int
+	t           testing.TB
+	rng         *rand.Rand
+	now         time.Time
+	start       time.Time
+	events      virtualtime.Queue
+	daemons     []*fakeDaemon
+	engines     map[entity.BackendServerID]*fakeEngine
+	engineOrder []*fakeEngine
+	table       *fakeTable
+	cloud       *fakeCloud // nil: no daemon has a planner
+	callers     []*fakeCaller
+	messageLoss float64 // fraction of messages between daemons that are lost
+	lastCaller  CallerID
+	lastNumber  int
 	// noExport: the engines cannot export KV caches.
 	noExport bool
 }
@@ -52,33 +51,6 @@
 	callers      map[CallerID]*fakeCaller
 }
 
-// scheduledEvent is a function to be called at a point of virtual time.
-type scheduledEvent struct {
-	at       time.Time
-	sequence int
-	run      func()
-}
-
-// eventQueue is a heap of events, ordered by time and then by the order of
-// scheduling.
-type eventQueue []scheduledEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].sequence < q[j].sequence
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduledEvent)) }
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	*q = (*q)[:last]
-	return e
-}
-
 // newWorld starts a simulation with daemons in three data centres and waits
 // until they know each other and the service documents.
 func newWorld(t testing.TB, seed uint64, daemons int) *world {
@@ -144,19 +116,12 @@
 
 // schedule has a function called after a duration of virtual time.
 func (w *world) schedule(d time.Duration, run func()) {
-	w.lastSequence++
-	heap.Push(&w.events, scheduledEvent{at: w.now.Add(d), sequence: w.lastSequence, run: run})
+	w.events.Schedule(w.now.Add(d), run)
 }
 
 // runFor advances virtual time by d.
 func (w *world) runFor(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		e := heap.Pop(&w.events).(scheduledEvent)
-		w.now = e.at
-		e.run()
-	}
-	w.now = end
+	w.events.RunUntil(w.now.Add(d), &w.now)
 }
 
 // runUntil advances virtual time until the condition holds, by d at most, and
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -1,13 +1,13 @@
 package exchange
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/virtualtime"
 )
 
 // testFleet runs the cores of several daemons in virtual time with model backend
@@ -16,8 +16,7 @@
 	t       *testing.T
 	rng     *rand.Rand
 	now     time.Time
-	queue   scheduleHeap
-	added   int // number of scheduled calls, to keep the order of those at the same time
+	queue   virtualtime.Queue
 	daemons []*fleetDaemon
 	servers []*fleetServer
 	sent    int // number of callers' requests
@@ -80,31 +79,6 @@
 	request Request
 }
 
-// scheduled is a call at a time.
-type scheduled struct {
-	at     time.Time
-	number int
-	call   func()
-}
-
-type scheduleHeap []scheduled
-
-func (h scheduleHeap) Len() int { return len(h) }
-func (h scheduleHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].number < h[j].number
-	}
-	return h[i].at.Before(h[j].at)
-}
-func (h scheduleHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *scheduleHeap) Push(x any)   { *h = append(*h, x.(scheduled)) }
-func (h *scheduleHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 var dataCentres = []entity.DataCentreID{"a", "b", "c"}
 
 // newTestFleet returns a fleet with some daemons and, for each service, some servers.
@@ -180,8 +154,7 @@
 
 // after schedules a call.
 func (f *testFleet) after(d time.Duration, call func()) {
-	f.added++
-	heap.Push(&f.queue, scheduled{f.now.Add(d), f.added, call})
+	f.queue.Schedule(f.now.Add(d), call)
 }
 
 // every schedules a call again and again.
@@ -194,13 +167,7 @@
 
 // run lets the given time pass.
 func (f *testFleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		next := heap.Pop(&f.queue).(scheduled)
-		f.now = next.at
-		next.call()
-	}
-	f.now = end
+	f.queue.RunUntil(f.now.Add(d), &f.now)
 }
 
 // updateInterval returns the time between two state updates of a daemon.
--- a/internal/system/configuration/world_test.go
+++ b/internal/system/configuration/world_test.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"sort"
@@ -12,6 +11,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/virtualtime"
 )
 
 // rowKey is the key of a row in the fake table.
@@ -130,35 +130,13 @@
 	return n
 }
 
-// scheduled is a function to be called at a time.
-type scheduled struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type schedule []scheduled
-
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
-	return s[i].at.Before(s[j].at) || (s[i].at.Equal(s[j].at) && s[i].seq < s[j].seq)
-}
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *schedule) Push(x any)   { *s = append(*s, x.(scheduled)) }
-func (s *schedule) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 // world runs several daemons' Configurations against one fake table in virtual
 // time.
 type world struct {
 	t            testing.TB
 	now          time.Time
 	rand         *rand.Rand
-	queue        schedule
-	seq          int
+	queue        virtualtime.Queue
 	table        *fakeTable
 	latency      func() time.Duration
 	daemons      []*Configuration
@@ -200,18 +178,11 @@
 }
 
 func (w *world) scheduleAt(t time.Time, do func()) {
-	w.seq++
-	heap.Push(&w.queue, scheduled{t, w.seq, do})
+	w.queue.Schedule(t, do)
 }
 
 func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		next := heap.Pop(&w.queue).(scheduled)
-		w.now = next.at
-		next.do()
-	}
-	w.now = end
+	w.queue.RunUntil(w.now.Add(d), &w.now)
 }
 
 func (w *world) tickDaemon(i int, c *Configuration) {
--- a/internal/system/fleet/world_test.go
+++ b/internal/system/fleet/world_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +11,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/virtualtime"
 )
 
 const (
@@ -25,28 +25,6 @@
 	otherClass    = "small"
 )
 
-// action is a call scheduled for a moment of virtual time.
-type action struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type actions []action
-
-func (a actions) Len() int { return len(a) }
-func (a actions) Less(i, j int) bool {
-	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq
-}
-func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
-func (a *actions) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return x
-}
-
 // fakeInstance is an instance of the fake cloud, with the times of its life
 // cycle.
 type fakeInstance struct {
@@ -65,8 +43,7 @@
 type world struct {
 	now      time.Time
 	rng      *rand.Rand
-	queue    actions
-	seq      int
+	queue    virtualtime.Queue
 	versions map[string]uint64
 	rows     map[string][]byte
 	applied  map[string]bool // tokens of the transactions that took effect
@@ -146,8 +123,7 @@
 }
 
 func (w *world) schedule(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, action{at: w.now.Add(d), seq: w.seq, do: do})
+	w.queue.Schedule(w.now.Add(d), do)
 }
 
 func (w *world) delay(longest time.Duration) time.Duration {
@@ -158,9 +134,8 @@
 func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(timeStep)
-		for len(w.queue) > 0 && !w.queue[0].at.After(w.now) {
-			heap.Pop(&w.queue).(action).do()
-		}
+		due := w.now // calls run at the end of the step in which they are due
+		w.queue.RunUntil(w.now, &due)
 		w.boot()
 		if w.now.UnixMilli()%listInterval.Milliseconds() == 0 {
 			w.updateNodes()
--- a/internal/system/grant/fakes_test.go
+++ b/internal/system/grant/fakes_test.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +10,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/routing"
+	"github.com/gooseberryslip/gooseberryslip/internal/virtualtime"
 )
 
 const (
@@ -26,8 +26,7 @@
 	now             time.Time
 	start           time.Time
 	rng             *rand.Rand
-	events          eventHeap
-	count           int // calls scheduled
+	events          virtualtime.Queue
 	nodes           []*node
 	engines         []*engine
 	doc             entity.Service
@@ -97,27 +96,6 @@
 	ended     bool
 }
 
-type scheduledCall struct {
-	at   time.Time
-	seq  int
-	call func()
-}
-
-type eventHeap []scheduledCall
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(scheduledCall)) }
-func (h *eventHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	*h = (*h)[:last]
-	return e
-}
-
 func newWorld(seed uint64, doc entity.Service) *world {
 	start := time.UnixMicro(1_700_000_000_000_000)
 	w := &world{now: start, start: start, rng: rand.New(rand.NewPCG(seed, 1)), doc: doc}
@@ -134,18 +112,11 @@
 }
 
 func (w *world) after(d time.Duration, call func()) {
-	w.count++
-	heap.Push(&w.events, scheduledCall{w.now.Add(d), w.count, call})
+	w.events.Schedule(w.now.Add(d), call)
 }
 
 func (w *world) run(until time.Duration) {
-	end := w.start.Add(until)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		e := heap.Pop(&w.events).(scheduledCall)
-		w.now = e.at
-		e.call()
-	}
-	w.now = end
+	w.events.RunUntil(w.start.Add(until), &w.now)
 }
 
 func (w *world) addNode(location entity.Location, tune func(*Config)) *node {
