Count the death of a server that had counted as dead under content that then completed

Cause: found reading the change: taking back the deaths of a process that answers left them with the contents that had completed since, which are kept so that late reports do not count. So its true death under such content later did not count: one more server could be lost. Ruled out: that the table of deaths itself does so; it drops the process. Change: they are taken back there too. Before: TestRegistry_DeathAfterADisprovedOneCounts counts 0 deaths; after: 1.

--- a/internal/system/quarantine/death.go
+++ b/internal/system/quarantine/death.go
@@ -105,11 +105,13 @@
 func (r *Registry) RemoveDeaths(id entity.BackendServerID, born int64) {
 	ofServer := func(d death) bool { return d.is(id, born) }
 	r.deaths = slices.DeleteFunc(r.deaths, ofServer)
-	for _, digest := range r.suspects.Keys() {
-		s := r.suspects.Get(digest)
-		s.deaths = slices.DeleteFunc(s.deaths, ofServer)
-		if len(s.deaths) == 0 {
-			r.suspects.Delete(digest)
+	for _, contents := range []*entity.Table[entity.Digest, suspect]{r.suspects, r.cleared} {
+		for _, digest := range contents.Keys() {
+			s := contents.Get(digest)
+			s.deaths = slices.DeleteFunc(s.deaths, ofServer)
+			if len(s.deaths) == 0 {
+				contents.Delete(digest)
+			}
 		}
 	}
 }
--- a/internal/system/quarantine/quarantine_test.go
+++ b/internal/system/quarantine/quarantine_test.go
@@ -114,3 +114,15 @@
 		t.Fatalf("content that has crashed a server since is listed as cleared: %v", list)
 	}
 }
+
+func TestRegistry_DeathAfterADisprovedOneCounts(t *testing.T) {
+	r := New(Config{})
+	r.RecordDeath(start, deathOf(1, "s1", false))
+	r.Clear(digest(1))
+	r.RemoveDeaths("s1", 0) // it answers
+	at := start.Add(10 * time.Second)
+	r.RecordDeath(at, deathOf(1, "s1", false))
+	if n := r.Deaths(at, digest(1)); n != 1 {
+		t.Fatalf("%d deaths of content that has crashed a server that counted as dead before, want 1", n)
+	}
+}
