--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// noticeInterval is the least time between two notices of deaths. In fleets whose state
+	// noticeInterval is the least time between two notices. In fleets whose state
 	// updates are as frequent, these suffice.
 	noticeInterval = 500 * time.Millisecond
 	// noticeBatch is the number of peers to which a notice is sent at once, every
@@ -18,7 +18,7 @@
 	noticeBatch = 8
 )
 
-// runNotices sends notices of deaths until the process ends.
+// runNotices sends notices until the process ends.
 func (g *Gateway) runNotices(runCtx context.Context, t *peer.Transport) {
 	for {
 		select {
@@ -33,7 +33,7 @@
 	}
 }
 
-// sendNotice sends the deaths that are not announced yet to all peers, a few at a time.
+// sendNotice sends a notice to all peers, a few at a time.
 func (g *Gateway) sendNotice(runCtx context.Context, t *peer.Transport) {
 	notice, peers := g.nextNotice()
 	if notice.Empty() {
@@ -49,8 +49,8 @@
 	}
 }
 
-// nextNotice returns the deaths that are not announced yet, and all peers. It returns no
-// deaths if the next state update is soon.
+// nextNotice returns what this daemon has learned and not announced yet, and all peers. The
+// notice is empty if the next state update is soon.
 func (g *Gateway) nextNotice() (notice exchange.Notice, peers []exchange.Member) {
 	g.withCore(func(c *exchange.Core, now time.Time) {
 		peers = c.Peers()
