Write the last lines of the log before the process ends

Callers saw: nothing; operators' evidence was missing. Cause: lines are queued for a goroutine and nothing waited for the queue when the gateway's command returned. Change: logging.Async.Flush waits for the lines queued so far, at most 200 ms, and the command calls it last. Close stays as it was, since lines may still come meanwhile. Evidence: TestAsync_FlushWaitsForQueuedLines, TestAsync_FlushEndsWhileTheWriterBlocks. Conclusion: after this, 6901 without 6902 means that the process did not end by itself.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/gateway"
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
@@ -25,6 +26,9 @@
 	// heapGrowthPercent is how far the heap may grow before the next garbage
 	// collection, in per cent of the live heap.
 	heapGrowthPercent = 400
+	// logFlushTimeout bounds the time in which the last lines of the log are written when
+	// the process ends.
+	logFlushTimeout = 200 * time.Millisecond
 )
 
 func (c *gatewayCommand) run(ctx context.Context, _ *environment) error {
@@ -41,6 +45,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Gateway.MemoryBytes)))
 	}
 	out := logging.NewAsync(os.Stdout)
+	defer out.Flush(logFlushTimeout)
 	log, err := logging.New(out, logging.Options{
 		Level: c.Level, Format: "json", Process: s.Gateway.Name, DataCentre: s.Gateway.DataCentre,
 	})
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -80,3 +80,43 @@
 		t.Fatal("the log does not report the dropped lines")
 	}
 }
+
+// TestAsync_FlushWaitsForQueuedLines: a process writes its last lines and ends. Lines that
+// come after the flush are still accepted.
+func TestAsync_FlushWaitsForQueuedLines(t *testing.T) {
+	s := &slowWriter{release: make(chan struct{})}
+	a := NewAsync(s)
+	_, _ = a.Write([]byte("last line\n"))
+	time.AfterFunc(20*time.Millisecond, func() { close(s.release) })
+	if !a.Flush(10 * time.Second) {
+		t.Fatal("Flush reports that the queued line was not written")
+	}
+	s.mu.Lock()
+	text := s.text.String()
+	s.mu.Unlock()
+	if text != "last line\n" {
+		t.Errorf("after Flush the output is %q, want the queued line", text)
+	}
+	_, _ = a.Write([]byte("later line\n"))
+	a.Close()
+	if text := s.text.String(); text != "last line\nlater line\n" {
+		t.Errorf("the output is %q, want both lines", text)
+	}
+}
+
+// TestAsync_FlushEndsWhileTheWriterBlocks: nobody reads the output, with an empty and with
+// a full queue.
+func TestAsync_FlushEndsWhileTheWriterBlocks(t *testing.T) {
+	for _, lines := range []int{1, 2 * maxQueuedLines} {
+		s := &slowWriter{release: make(chan struct{})}
+		a := NewAsync(s)
+		for range lines {
+			_, _ = a.Write([]byte("line\n"))
+		}
+		if a.Flush(10 * time.Millisecond) {
+			t.Errorf("Flush reports that %d lines were written, but the writer blocks", lines)
+		}
+		close(s.release)
+		a.Close()
+	}
+}
