Handle the process's signals until it ends

Cause: SIGHUP was handled by a goroutine that ended with the stop signal's context, and its signal.Stop gave SIGHUP back its default action, which ends the process at once. The class: a signal that is handled for less than the life of the process. The same held before the settings were read, and in the product's own daemon at all times. Ruled out: a stop that ends by itself, and a crash: SIGTERM alone ends in full with its line 6902, and the ends of all cut runs are in the millisecond of the SIGHUP. Change: Main handles SIGINT, SIGTERM and SIGHUP before anything else and never gives them back. Services (gateway, daemon) check their settings on SIGHUP, whether they serve, start or stop; SIGHUP stops other subcommands in order. Each signal is logged (6903 to 6905). Why it works: no code path restores a default action any more; the first statement of Main installs the handler. What remains is the time before Main, some milliseconds in which nothing has been accepted.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -9,8 +9,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
 
@@ -92,6 +90,9 @@
 	stdout io.Writer
 	stderr io.Writer // progress and errors
 	format string    // text or json
+	// signals receives the signals of the process, whose context SIGINT and SIGTERM have
+	// already cancelled; nil: the caller handles them.
+	signals <-chan os.Signal
 }
 
 // usageError reports wrong arguments. The process exits with ExitUsage.
@@ -108,14 +109,17 @@
 // Main runs the command line and returns the exit code. SIGINT and SIGTERM
 // cancel the subcommand's context.
 func Main(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return Run(ctx, args, os.Stdout, os.Stderr)
+	ctx, stop := context.WithCancel(context.Background())
+	return runWithSignals(ctx, args, os.Stdout, os.Stderr, handleSignals(stop))
 }
 
 // Run runs the command line with the given context and outputs and returns the
-// exit code.
+// exit code. It handles no signals.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	return runWithSignals(ctx, args, stdout, stderr, &processSignals{})
+}
+
+func runWithSignals(ctx context.Context, args []string, stdout, stderr io.Writer, signals *processSignals) int {
 	var a arguments
 	parser, err := arg.NewParser(arg.Config{Program: programName, Out: stdout}, &a)
 	if err != nil {
@@ -135,7 +139,8 @@
 		parser.WriteHelp(stderr)
 		return ExitUsage
 	}
-	e := &environment{stdout: stdout, stderr: stderr, format: a.Output}
+	signals.dispatch(sub)
+	e := &environment{stdout: stdout, stderr: stderr, format: a.Output, signals: signals.forwarded}
 	if a.Output != "text" && a.Output != "json" {
 		return e.reportError(newUsageError("--output must be text or json"))
 	}
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -24,6 +24,8 @@
 	Admin    string `json:"admin"`
 }
 
+func (*daemonCommand) servesCallers() {}
+
 func (d *daemonCommand) run(ctx context.Context, e *environment) error {
 	s, err := loadSettings(d.Settings, d.Set)
 	if err != nil {
@@ -35,6 +37,10 @@
 	if err != nil {
 		return err
 	}
+	go watchSignals(ctx, e.signals, log, func() error {
+		_, err := loadSettings(d.Settings, d.Set)
+		return err
+	})
 	n, err := node.FromSettings(s, log, Version)
 	if err != nil {
 		return err
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/gateway"
@@ -31,7 +29,9 @@
 	logFlushTimeout = 200 * time.Millisecond
 )
 
-func (c *gatewayCommand) run(ctx context.Context, _ *environment) error {
+func (*gatewayCommand) servesCallers() {}
+
+func (c *gatewayCommand) run(ctx context.Context, e *environment) error {
 	path := c.Settings
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
@@ -52,7 +52,10 @@
 	if err != nil {
 		return err
 	}
-	go watchReload(ctx, path, log)
+	go watchSignals(ctx, e.signals, log, func() error {
+		_, err := platform.LoadSettings(path)
+		return err
+	})
 	store := platform.NewStore(s.StoreAddress)
 	return gateway.New(gateway.Config{
 		Settings: s.Gateway, Dialect: platform.Headers{}, Table: store, TableClock: store.Clock,
@@ -60,24 +63,3 @@
 		LeaderTasks: platform.NewLeaderTasks(s.LeaderTasksAddress), Log: log,
 	}).Run(ctx)
 }
-
-// watchReload checks the settings file again on every SIGHUP, by which the platform
-// announces that it has changed, and logs whether it is valid. The process uses the
-// settings that it started with, such as its addresses, until its next start.
-func watchReload(ctx context.Context, path string, log *logging.Log) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-sighup:
-			if _, err := platform.LoadSettings(path); err != nil {
-				log.Logger().WithError(err).Error("changed settings are invalid; the previous ones stay in force")
-				continue
-			}
-			log.Logger().Info("changed settings are valid; they take effect at the next start")
-		}
-	}
-}
--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -42,4 +42,8 @@
 	GatewayStarted  = define(6900, Info, "gateway started")
 	GatewayDraining = define(6901, Info, "gateway stops taking callers")
 	GatewayStopped  = define(6902, Info, "gateway stopped")
+
+	SignalReceived         = define(6903, Info, "signal received")
+	ChangedSettingsValid   = define(6904, Info, "changed settings are valid; they take effect at the next start")
+	ChangedSettingsInvalid = define(6905, Error, "changed settings are invalid; the previous ones stay in force")
 )
--- a/internal/processtest/stops_test.go
+++ b/internal/processtest/stops_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,6 +204,25 @@
 // are executed once.
 func TestPlannedStop_PlainCallsEnd(t *testing.T) {
 	t.Parallel()
+	stopDuringPlainCalls(t, func(d *daemonProcess) { d.terminate() })
+}
+
+// TestPlannedStop_SettingsSignalCutsNoCall: the same, and the daemon gets SIGHUP before and
+// during the stop.
+func TestPlannedStop_SettingsSignalCutsNoCall(t *testing.T) {
+	t.Parallel()
+	stopDuringPlainCalls(t, func(d *daemonProcess) {
+		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+			d.signal(sig)
+			time.Sleep(200 * time.Millisecond)
+		}
+		d.terminate()
+	})
+}
+
+// stopDuringPlainCalls checks that calls in progress end well while stop stops their daemon.
+func stopDuringPlainCalls(t *testing.T, stop func(*daemonProcess)) {
+	t.Helper()
 	c := startCluster(t, options{plainDelay: 2 * time.Second})
 	const calls = 8
 	replies := make([]reply, calls)
@@ -211,7 +231,7 @@
 		wg.Go(func() { replies[i] = c.callPlainService(0, fmt.Sprint("write-down ", i), fmt.Sprint("key-", i)) })
 	}
 	time.Sleep(time.Second)
-	c.daemons[0].terminate()
+	stop(c.daemons[0])
 	wg.Wait()
 	for i, r := range replies {
 		redirected := r.status == 303
