A daemon goes on without its output

Callers saw: nothing so far; found by looking for the cause of the cut streams elsewhere. Cause: once whoever reads standard output or standard error has gone, the next line of the log ended the process by SIGPIPE, with the requests in flight. Change: services ignore SIGPIPE; a write then fails and the line is lost. One-shot subcommands keep the default, so that they end when a pager does. Evidence: TestProcess_ServesOnWithoutReaderOfItsOutput failed before (never ready within 40 s), passes now.

--- a/internal/command/signals.go
+++ b/internal/command/signals.go
@@ -40,12 +40,16 @@
 	return p
 }
 
-// dispatch handles all signals from now on on behalf of a subcommand.
+// dispatch handles all signals from now on on behalf of a subcommand. A service also goes
+// on without its output: SIGPIPE does not end it.
 func (p *processSignals) dispatch(sub subcommand) {
 	if p.received == nil {
 		return // the signals are the caller's
 	}
 	_, serves := sub.(service)
+	if serves {
+		signal.Ignore(syscall.SIGPIPE)
+	}
 	go func() {
 		for sig := range p.received {
 			p.handle(sig, serves)
