Log the parts of a prompt with requests that break off or are refused

Lines that have the digest now have the IDs of the parts as well, at most 16 of them. Lines of requests that are answered at the first attempt stay as they were.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"log"
+	"strconv"
 	"strings"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 )
 
 // event logs one event of the event catalogue.
@@ -32,7 +34,7 @@
 		event.A("left_ms", x.request.Patience.Milliseconds()),
 	}
 	if number != event.ExchangeAnswered || len(x.attempts) > 1 {
-		attrs = append(attrs, event.A("content", exchange.ShortDigest(x.request.Content)))
+		attrs = append(attrs, event.A("content", exchange.ShortDigest(x.request.Content)), event.A("parts", partIDs(x.request.Work.Parts)))
 	}
 	if t := x.ticket; t != nil {
 		timing := t.Timing()
@@ -51,6 +53,19 @@
 	x.g.meter.countExchange(x, duration)
 }
 
+// partIDs returns the IDs of a prompt's parts in order, in hexadecimal and separated by
+// commas, up to maxLoggedParts.
+func partIDs(parts []placement.Part) string {
+	var ids []string
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
+// maxLoggedParts bounds the IDs of a prompt's parts in one line of the log.
+const maxLoggedParts = 16
+
 // eventNumber returns the event under which the request's end is logged.
 func (x *forwarding) eventNumber() event.Number {
 	last := exchange.Outcome(0)
