Test: a completion at one daemon clears content at all

No test held that a daemon announces a completion of suspect content: with the line in recordCompletion that does so taken out, all tests of internal/exchange and internal/system/quarantine pass. Callers would see content refused by all daemons but the one at which it completed.

Cause: in TestCrash_CompletionIsKnownToAllDaemons the content is sent to every daemon all the time, so that each sees a completion of its own.

Change: the new test lets the content complete at one daemon only, before or after the third death, with 3, 9 and 89 daemons. crashServerWith finds its server through crashServerOf, which the new test uses to crash the server of one run.

Conclusion: the announcement of completions is held by a test.

--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -387,9 +387,14 @@
 
 // crashServerWith crashes a server that runs the content, if there is one.
 func (r *crashRun) crashServerWith(content entity.Digest) bool {
+	return r.crashServerOf(func(run *fleetRun) bool { return run.ticket.Request.Content == content })
+}
+
+// crashServerOf crashes a server that has a run for which match returns true, if there is one.
+func (r *crashRun) crashServerOf(match func(*fleetRun) bool) bool {
 	for _, s := range r.servers {
 		for run := range s.runs {
-			if s.up && run.ticket.Request.Content == content {
+			if s.up && match(run) {
 				r.crash(s)
 				return true
 			}
@@ -398,6 +403,61 @@
 	return false
 }
 
+// sendPopular lets a caller send the popular content to a daemon. It runs once at most.
+func (r *crashRun) sendPopular(d *fleetDaemon) {
+	req := testRequest("", "/x", "k3")
+	req.Content = popularContent
+	r.send(d, req)
+}
+
+// crashPopular crashes the server that runs the popular content for a daemon.
+func (r *crashRun) crashPopular(d *fleetDaemon) {
+	r.t.Helper()
+	r.sendPopular(d)
+	r.run(150 * time.Millisecond)
+	runsFor := func(run *fleetRun) bool { return run.daemon == d && run.ticket.Request.Content == popularContent }
+	if !r.crashServerOf(runsFor) {
+		r.t.Fatal("no server runs the content")
+	}
+}
+
+// TestCrash_CompletionAtOneDaemonIsKnownToAll: three servers die while they run content that
+// completes at one daemon, before or after the third death. No daemon must refuse it.
+func TestCrash_CompletionAtOneDaemonIsKnownToAll(t *testing.T) {
+	for _, before := range []int{2, 3} {
+		for _, daemons := range []int{3, 9, 89} {
+			for seed := uint64(1); seed <= 2; seed++ {
+				t.Run(fmt.Sprintf("deaths before=%d/daemons=%d/seed=%d", before, daemons, seed), func(t *testing.T) {
+					r := newCrashRun(t, seed, daemons, 30)
+					r.runDuration = func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, 800 * time.Millisecond }
+					r.run(time.Second)
+					r.completeAmongDeaths(before)
+					for _, d := range r.daemons {
+						r.sendPopular(d)
+					}
+					if r.wrongly > 0 {
+						t.Errorf("%d of %d daemons refuse content that has completed at one of them", r.wrongly, daemons)
+					}
+				})
+			}
+		}
+	}
+}
+
+// completeAmongDeaths lets the popular content run to its end for one daemon. Some of three
+// servers that run it for other daemons die before the end, and the rest after it.
+func (r *crashRun) completeAmongDeaths(before int) {
+	r.t.Helper()
+	r.sendPopular(r.daemons[2])
+	for i := range refusalDeathCount {
+		if i == before {
+			r.run(refusalLimit)
+		}
+		r.crashPopular(r.daemons[i%2])
+	}
+	r.run(refusalLimit)
+}
+
 // TestEnded_ThirdBreakIsNotRepeatedBeforeItIsExplained: another attempt would be made
 // before the probe of the server ends.
 func TestEnded_ThirdBreakIsNotRepeatedBeforeItIsExplained(t *testing.T) {
