Tests of crashes: any predicate says which requests crash servers

The run of a fleet that the tests of crashing content use now takes from its test which requests crash servers and what the next one is, records each wrong refusal with its time, daemon and request, and lets a daemon get the first event of an answer shortly before its server dies. Whether a daemon was up and in touch with the others is recorded with each arrival at a server; before, only its start was. The kinds of deaths stand in a table that other tests can use.

No check changes: the bounds are those of before, and a daemon that was cut off is exempt for the 3 s after it as one that has started was, as the rule on daemons out of touch says; no test of content had such arrivals.

--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -11,53 +11,80 @@
 // crashingContent is the content of requests that crash each server that runs them.
 var crashingContent = entity.Digest{0xc0}
 
-// crashRun is a run of a fleet to which callers send content that crashes servers.
+// crashRun is a run of a fleet to which callers send requests that crash servers.
 type crashRun struct {
 	*testFleet
-	crashes  []time.Time          // of servers that ran the content
-	arrivals []arrival            // of the content
-	wrongly  int                  // refusals of other content for crashes
-	refused  int                  // refusals of the content for crashes
-	comeBack func(s *fleetServer) // called when a server has crashed; nil: it comes back under another ID 3 s later
+	isCrashing func(Request) bool // whether a request crashes the server that runs it
+	crashing   func() Request     // returns the next request that does, for the path that sendCrashing sets
+	crashes    []time.Time        // of servers that ran such requests
+	arrivals   []arrival          // of such requests
+	wrongly    []wrongRefusal
+	refused    int                  // refusals of such requests for crashes
+	comeBack   func(s *fleetServer) // called when a server has crashed; nil: it comes back under another ID 3 s later
 }
 
-// newCrashRun returns a fleet that gets ordinary requests to all routes.
+// wrongRefusal is the refusal for crashes of a request that crashes no server.
+type wrongRefusal struct {
+	at      time.Time
+	daemon  *fleetDaemon
+	request Request
+}
+
+// newCrashRun returns a fleet that gets ordinary requests to all routes. Requests with the
+// crashing content crash servers.
 func newCrashRun(t *testing.T, seed uint64, daemons, servers int) *crashRun {
+	r := newQuietCrashRun(t, seed, daemons, servers)
+	for _, path := range []string{"/talk/x", "/get/x", "/x"} {
+		r.every(15*time.Millisecond, func() {
+			req := testRequest("", path, "k3")
+			req.Patience = 5 * time.Second
+			req.Content = r.newContent()
+			r.send(r.anyDaemon(), req)
+		})
+	}
+	return r
+}
+
+// newQuietCrashRun returns a fleet that gets no requests.
+func newQuietCrashRun(t *testing.T, seed uint64, daemons, servers int) *crashRun {
 	r := &crashRun{testFleet: newTestFleet(t, seed, daemons, servers)}
+	r.isCrashing = func(req Request) bool { return req.Content == crashingContent }
+	r.crashing = func() Request {
+		req := testRequest("", "", "k3")
+		req.Content = crashingContent
+		return req
+	}
 	r.crashAfter = func(req Request) time.Duration {
-		if req.Content != crashingContent {
+		if !r.isCrashing(req) {
 			return 0
 		}
 		return 50*time.Millisecond + r.random(450*time.Millisecond)
 	}
 	r.onArrival = func(a arrival) {
-		if a.request.Content == crashingContent {
+		if r.isCrashing(a.request) {
 			r.arrivals = append(r.arrivals, a)
 		}
 	}
-	r.onRefusal = func(_ *fleetDaemon, req Request, refusal *Refusal) {
+	r.onRefusal = func(d *fleetDaemon, req Request, refusal *Refusal) {
 		switch {
 		case refusal.Code != "crashes-backend-servers":
-		case req.Content == crashingContent:
+		case r.isCrashing(req):
 			r.refused++
 		default:
-			r.wrongly++
+			r.wrongly = append(r.wrongly, wrongRefusal{r.now, d, req})
 		}
 	}
-	for i, path := range []string{"/talk/x", "/get/x", "/x"} {
-		r.every(15*time.Millisecond, func() {
-			req := testRequest("", path, "k3")
-			req.Patience = 5 * time.Second
-			req.Content = entity.Digest{1, byte(i), byte(r.sent), byte(r.sent >> 8), byte(r.sent >> 16)}
-			r.send(r.anyDaemon(), req)
-		})
-	}
 	return r
 }
 
+// newContent returns the content of a request that is like no other.
+func (r *crashRun) newContent() entity.Digest {
+	return entity.Digest{1, byte(r.sent), byte(r.sent >> 8), byte(r.sent >> 16)}
+}
+
 func (r *crashRun) anyDaemon() *fleetDaemon { return r.daemons[r.rng.IntN(len(r.daemons))] }
 
-// crashServers lets callers send the crashing content to any daemon for a while. Servers
+// crashServers lets callers send crashing requests to any daemon for a while. Servers
 // that crash come back under another ID after some seconds.
 func (r *crashRun) crashServers(path string, interval, d time.Duration) {
 	end := r.now.Add(d)
@@ -86,23 +113,24 @@
 	r.run(d)
 }
 
-// sendCrashing lets a caller send the crashing content to a daemon.
+// sendCrashing lets a caller send a crashing request to a daemon.
 func (r *crashRun) sendCrashing(d *fleetDaemon, path string) {
-	req := testRequest("", path, "k3")
-	req.Content, req.Patience = crashingContent, 5*time.Second
+	req := r.crashing()
+	req.Path, req.Patience = path, 5*time.Second
 	r.send(d, req)
 }
 
-// lateArrivals returns how often the content reached a server after the third crash plus
-// the time within which all daemons must know, at daemons that were up all that time.
-func (r *crashRun) lateArrivals(limit time.Duration) int {
-	if len(r.crashes) < refusalDeathCount {
+// lateArrivals returns how often crashing requests reached a server after the crash with the
+// given number plus the time within which all daemons must know, at daemons that were up
+// and in touch with the others all that time.
+func (r *crashRun) lateArrivals(crash int, limit time.Duration) int {
+	if len(r.crashes) < crash {
 		return 0
 	}
-	known := r.crashes[refusalDeathCount-1].Add(limit)
+	known := r.crashes[crash-1].Add(limit)
 	n := 0
 	for _, a := range r.arrivals {
-		if a.at.After(known) && a.at.Sub(a.daemon.startedAt) > limit {
+		if a.at.After(known) && a.inTouch > limit {
 			n++
 		}
 	}
@@ -145,14 +173,14 @@
 // check checks that the content was refused in time, and no other content.
 func (r *crashRun) check() {
 	r.t.Helper()
-	if n := r.lateArrivals(refusalLimit); n > maxLateArrivals {
+	if n := r.lateArrivals(refusalDeathCount, refusalLimit); n > maxLateArrivals {
 		r.t.Errorf("content reached servers %d times later than %v after it had crashed the third, at most %d allowed; %d servers crashed in all", n, refusalLimit, maxLateArrivals, len(r.crashes))
 	}
 	if r.refused == 0 {
 		r.t.Error("the content was never refused")
 	}
-	if r.wrongly > 0 {
-		r.t.Errorf("%d requests with other content were refused", r.wrongly)
+	if n := len(r.wrongly); n > 0 {
+		r.t.Errorf("%d requests with other content were refused", n)
 	}
 }
 
@@ -166,54 +194,61 @@
 			r.run(2 * time.Second)
 			cut.cut = true
 			r.crashServers("/talk/x", 333*time.Millisecond, 7*time.Second)
-			cut.cut = false
+			r.reconnect(cut)
 			r.run(refusalLimit)
 			r.mustRefuse(cut)
 		})
 	}
 }
 
+// kindsOfDeaths are the ways in which a run ends for a daemon and a server dies. Servers that
+// a run has crashed die otherwise than by default.
+var kindsOfDeaths = []struct {
+	name  string
+	setUp func(*crashRun)
+}{
+	{"back under the same ID before it is dialled", func(r *crashRun) {
+		r.comeBack = func(s *fleetServer) { r.after(0, func() { r.replace(s, s.ID, s.Born+1) }) }
+	}},
+	{"back under another ID before it is dialled", func(r *crashRun) {
+		r.comeBack = func(s *fleetServer) { r.after(0, func() { r.replace(s, s.ID+"-next", 1) }) }
+	}},
+	{"host goes dark", func(r *crashRun) {
+		for _, s := range r.servers {
+			s.dark = true
+		}
+	}},
+	{"callers leave before", func(r *crashRun) {
+		r.leaveAfter = func(req Request) time.Duration {
+			if r.isCrashing(req) {
+				return 60 * time.Millisecond
+			}
+			return 0
+		}
+		r.runsOn = true
+	}},
+}
+
 // TestCrash_KindsOfEndsAndDeaths: whatever the request's route, however its run ends for
 // the daemon, and however the server dies, the content must be refused in time.
 func TestCrash_KindsOfEndsAndDeaths(t *testing.T) {
-	for _, c := range []struct {
-		name, path string
-		setUp      func(*crashRun)
-	}{
-		{"stream", "/talk/x", func(*crashRun) {}},
-		{"idempotent", "/get/x", func(*crashRun) {}},
-		{"at most once", "/x", func(*crashRun) {}},
-		{"back under the same ID before it is dialled", "/talk/x", func(r *crashRun) {
-			r.comeBack = func(s *fleetServer) { r.after(0, func() { r.replace(s, s.ID, s.Born+1) }) }
-		}},
-		{"back under another ID before it is dialled", "/talk/x", func(r *crashRun) {
-			r.comeBack = func(s *fleetServer) { r.after(0, func() { r.replace(s, s.ID+"-next", 1) }) }
-		}},
-		{"host goes dark", "/talk/x", func(r *crashRun) {
-			for _, s := range r.servers {
-				s.dark = true
-			}
-		}},
-		{"callers leave before", "/talk/x", func(r *crashRun) {
-			r.leaveAfter = func(req Request) time.Duration {
-				if req.Content == crashingContent {
-					return 60 * time.Millisecond
-				}
-				return 0
-			}
-			r.runsOn = true
-		}},
-	} {
+	run := func(name, path string, setUp func(*crashRun)) {
 		for seed := uint64(1); seed <= 3; seed++ {
-			t.Run(fmt.Sprintf("%s/seed=%d", c.name, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
 				r := newCrashRun(t, seed, 9, 30)
-				c.setUp(r)
+				setUp(r)
 				r.run(5 * time.Second)
-				r.crashServers(c.path, 333*time.Millisecond, 15*time.Second)
+				r.crashServers(path, 333*time.Millisecond, 15*time.Second)
 				r.check()
 			})
 		}
 	}
+	for name, path := range map[string]string{"stream": "/talk/x", "idempotent": "/get/x", "at most once": "/x"} {
+		run(name, path, func(*crashRun) {})
+	}
+	for _, kind := range kindsOfDeaths {
+		run(kind.name, "/talk/x", kind.setUp)
+	}
 }
 
 // breakRun lets a run of some content break off on one of a core's servers, and returns
@@ -311,7 +346,7 @@
 	}
 }
 
-// mustRefuse sends the crashing content to a daemon and fails the test if it reaches a
+// mustRefuse sends crashing requests to a daemon and fails the test if one reaches a
 // server.
 func (r *crashRun) mustRefuse(d *fleetDaemon) {
 	r.t.Helper()
@@ -321,7 +356,7 @@
 		r.run(100 * time.Millisecond)
 	}
 	if n := len(r.arrivals) - before; n > 0 {
-		r.t.Errorf("the content reached servers %d times from daemon %s", n, d.name)
+		r.t.Errorf("crashing requests reached servers %d times from daemon %s", n, d.name)
 	}
 }
 
@@ -378,10 +413,10 @@
 		r.run(150 * time.Millisecond)
 	}
 	r.run(time.Second)
-	refused := r.wrongly
+	refused := len(r.wrongly)
 	r.run(2 * time.Second)
-	if r.wrongly > refused {
-		t.Errorf("%d requests refused later than 1 s after the last death, although the content completes", r.wrongly-refused)
+	if n := len(r.wrongly) - refused; n > 0 {
+		t.Errorf("%d requests refused later than 1 s after the last death, although the content completes", n)
 	}
 }
 
@@ -435,8 +470,8 @@
 					for _, d := range r.daemons {
 						r.sendPopular(d)
 					}
-					if r.wrongly > 0 {
-						t.Errorf("%d of %d daemons refuse content that has completed at one of them", r.wrongly, daemons)
+					if n := len(r.wrongly); n > 0 {
+						t.Errorf("%d of %d daemons refuse content that has completed at one of them", n, daemons)
 					}
 				})
 			}
@@ -521,7 +556,7 @@
 	for _, d := range r.daemons {
 		r.send(d, req)
 	}
-	if r.wrongly > 0 {
-		t.Errorf("%d requests refused, although all servers died at the same moment", r.wrongly)
+	if n := len(r.wrongly); n > 0 {
+		t.Errorf("%d requests refused, although all servers died at the same moment", n)
 	}
 }
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -23,6 +23,7 @@
 
 	runDuration func(Request) (start, end time.Duration) // from the arrival of a request to its first event and its end
 	crashAfter  func(Request) time.Duration              // from a request's start to the end of the server that runs it; 0: it does not crash
+	eventBefore func(Request) time.Duration              // from the first event, which the daemon gets, to that end; 0: it gets none
 	leaveAfter  func(Request) time.Duration              // from a request's arrival at a daemon until its caller leaves; 0: it stays
 	runsOn      bool                                     // servers go on with a run whose caller has left
 	onArrival   func(arrival)                            // called with each arrival at a server that is up
@@ -48,8 +49,8 @@
 	name       string
 	core       *Core
 	starts     int64
-	startedAt  time.Time
 	cut        bool      // no message of another daemon reaches it, and none of its own another one
+	inTouchAt  time.Time // when it started or was last reconnected with the others
 	noticeAt   time.Time // earliest time of its next notice
 }
 
@@ -73,7 +74,8 @@
 
 // arrival is the arrival of a request at a server.
 type arrival struct {
-	at      time.Time // when the daemon sent it
+	at      time.Time     // when the daemon sent it
+	inTouch time.Duration // how long the daemon had then been up and in touch with the others
 	daemon  *fleetDaemon
 	server  *fleetServer
 	request Request
@@ -87,6 +89,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: zero,
 		runDuration: func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, 300 * time.Millisecond },
 		crashAfter:  func(Request) time.Duration { return 0 },
+		eventBefore: func(Request) time.Duration { return 0 },
 		leaveAfter:  func(Request) time.Duration { return 0 },
 		onArrival:   func(arrival) {},
 		onAnswer:    func(*fleetDaemon, *fleetServer) {},
@@ -111,7 +114,7 @@
 // start starts a daemon, or starts it again with nothing of what it knew.
 func (f *testFleet) start(d *fleetDaemon) {
 	d.starts++
-	d.startedAt = f.now
+	d.inTouchAt = f.now
 	d.core = New(Config{
 		Self:        Member{Name: entity.InstanceID(d.name), Start: d.starts, CallerAddr: d.name + ":1", DataCentre: d.dataCentre},
 		DataCentres: dataCentres, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now,
@@ -133,6 +136,20 @@
 	f.after(0, func() { f.housekeep(d, core) })
 }
 
+// reconnect lets a daemon that was cut off from the others reach them again.
+func (f *testFleet) reconnect(d *fleetDaemon) {
+	d.cut = false
+	d.inTouchAt = f.now
+}
+
+// inTouch returns how long a daemon has been up and not cut off from the others.
+func (d *fleetDaemon) inTouch(now time.Time) time.Duration {
+	if d.cut {
+		return 0
+	}
+	return now.Sub(d.inTouchAt)
+}
+
 // discoveryTime is the longest time until a daemon that starts learns of the others and
 // they of it.
 const discoveryTime = time.Second
@@ -275,25 +292,14 @@
 		f.after(networkDelay, func() { f.end(run, Misdirected) })
 		return
 	}
-	f.onArrival(arrival{at: sentAt, daemon: run.daemon, server: s, request: run.ticket.Request})
+	f.onArrival(arrival{at: sentAt, inTouch: run.daemon.inTouch(sentAt), daemon: run.daemon, server: s, request: run.ticket.Request})
 	s.runs[run] = true
 	if crash := f.crashAfter(run.ticket.Request); crash > 0 {
-		f.after(crash, func() {
-			if s.runs[run] {
-				f.crash(s)
-			}
-		})
+		f.crashLater(run, s, crash)
 		return
 	}
 	start, end := f.runDuration(run.ticket.Request)
-	f.after(start, func() {
-		if s.runs[run] && !run.ended {
-			run.core.RecordLimit(f.now, run.ticket, s.limit)
-			run.core.Started(f.now, run.ticket)
-			f.onAnswer(run.daemon, s)
-			f.perform(run.core)
-		}
-	})
+	f.after(start, func() { f.begin(run, s) })
 	f.after(end, func() {
 		if s.runs[run] {
 			delete(s.runs, run)
@@ -302,6 +308,29 @@
 	})
 }
 
+// crashLater lets a run crash its server after some time.
+func (f *testFleet) crashLater(run *fleetRun, s *fleetServer, delay time.Duration) {
+	if before := f.eventBefore(run.ticket.Request); before > 0 {
+		f.after(delay-before, func() { f.begin(run, s) })
+	}
+	f.after(delay, func() {
+		if s.runs[run] {
+			f.crash(s)
+		}
+	})
+}
+
+// begin lets a daemon get the first event of a run.
+func (f *testFleet) begin(run *fleetRun, s *fleetServer) {
+	if !s.runs[run] || run.ended {
+		return
+	}
+	run.core.RecordLimit(f.now, run.ticket, s.limit)
+	run.core.Started(f.now, run.ticket)
+	f.onAnswer(run.daemon, s)
+	f.perform(run.core)
+}
+
 // end ends an attempt and makes the next one, if the core wants one.
 func (f *testFleet) end(run *fleetRun, o Outcome) {
 	if run.ended {
