Know a part of a prompt that crashes servers, as whole content is known

Cause: content that crashes servers was known by the digest of the whole request. A part in requests that are all different never comes twice in a digest: 48 contents with one death each. Ruled out: deaths learned too late (all daemons knew each within 0.1 s), and repeats (the route allows one attempt). Change: a request has several contents: the whole, and each part of its prompt but the last, by its ID, once for all organisations and once for its own. Deaths, completions, announcements, checkpoint and refusals hold for all by the same code. An answer that had been written for half a second when it broke off counts against the whole request only. A content is no reason to refuse a request if another one, which the request lacks, ran on every process that died under it. The registry lists the most suspect contents and the newest completions first, keeps more deaths of each, and forgets no earlier death when content completes again. Conclusion: the mechanism for whole content carries parts.

--- a/internal/exchange/announce.go
+++ b/internal/exchange/announce.go
@@ -28,11 +28,16 @@
 
 // addOnce has the next updates include a fact, unless it is being announced.
 func (a *announcements[T]) addOnce(fact T) {
-	if !slices.ContainsFunc(a.list, func(item announcement[T]) bool { return item.fact == fact }) {
+	if !a.contains(func(known T) bool { return known == fact }) {
 		a.add(fact)
 	}
 }
 
+// contains reports whether a fact for which f returns true is being announced.
+func (a *announcements[T]) contains(f func(T) bool) bool {
+	return slices.ContainsFunc(a.list, func(item announcement[T]) bool { return f(item.fact) })
+}
+
 // drop removes the facts for which f returns true.
 func (a *announcements[T]) drop(f func(T) bool) {
 	a.list = slices.DeleteFunc(a.list, func(item announcement[T]) bool { return f(item.fact) })
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -162,7 +162,7 @@
 	if t.answerStarted || t.reservation == nil {
 		return
 	}
-	t.answerStarted = true
+	t.answerStarted, t.answerStartedAt = true, now
 	if t.firstEventAt.IsZero() {
 		t.firstEventAt = now
 	}
@@ -219,7 +219,7 @@
 	case Failed, Broken, Silent:
 		t.Ran++
 	}
-	if c.crash.nearlyQuarantined(now, t.Request.Content) || !c.mayRepeat(now, t) {
+	if c.crash.anyNearlyQuarantined(now, t.contents) || !c.mayRepeat(now, t) {
 		return c.finalRefusal(t, o.String(), noServerRetryDelay)
 	}
 	return nil
@@ -230,7 +230,9 @@
 func (c *Core) recordEvidence(now time.Time, t *Ticket, o Outcome) {
 	switch o {
 	case Answered:
-		c.recordCompletion(now, t.Request.Content)
+		for _, content := range t.contents {
+			c.recordCompletion(now, content)
+		}
 	case Broken, Silent, Abandoned:
 		c.recordUnexplainedRun(now, t, o)
 	case NotListening:
--- /dev/null
+++ b/internal/exchange/content.go
@@ -0,0 +1,87 @@
+package exchange
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"strconv"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// A content is what a request may have in common with others that crash backend servers as
+// it does: the whole request, or one part of its prompt, sent by anybody or by one
+// organisation. Each is known by a digest. The last part of a prompt is no content, since it
+// belongs to one request or session.
+
+const (
+	// maxContentParts limits the parts of a prompt that are contents.
+	maxContentParts = 16
+	// shortDigestBytes is the length of the beginning of a digest that identifies content in
+	// logs.
+	shortDigestBytes = 6
+)
+
+// partTag begins the digests of the parts of prompts. Those of whole requests are hashes.
+var partTag = [8]byte{'p', 'a', 'r', 't'}
+
+const (
+	partIDOffset           = len(partTag)
+	partOrganisationOffset = partIDOffset + 8
+)
+
+// contentsOf returns the digests of all contents of a request. That of the whole request is
+// the first.
+func contentsOf(r *Request, org *Organisation) []entity.Digest {
+	out := []entity.Digest{r.Content}
+	parts := r.Work.Parts
+	if len(parts) < 2 {
+		return out
+	}
+	var organisation entity.Digest
+	if org != nil {
+		organisation = sha256.Sum256([]byte(org.ID))
+	}
+	for _, part := range parts[:min(len(parts)-1, maxContentParts)] {
+		digest := partDigest(part.ID)
+		out = append(out, digest)
+		if org != nil {
+			copy(digest[partOrganisationOffset:], organisation[:])
+			out = append(out, digest)
+		}
+	}
+	return out
+}
+
+// partDigest returns the digest of a part of a prompt, whoever sends it.
+func partDigest(id uint64) entity.Digest {
+	var d entity.Digest
+	copy(d[:], partTag[:])
+	binary.BigEndian.PutUint64(d[partIDOffset:], id)
+	return d
+}
+
+// OrganisationsContent returns the digest by which the whole content that an organisation
+// sends is known, whichever of its keys it uses. The same request of another organisation may
+// run on other data.
+func (c *Core) OrganisationsContent(key string, content entity.Digest) entity.Digest {
+	if c.index == nil || c.index.byKey[key] == nil {
+		return content
+	}
+	return sha256.Sum256(append([]byte(c.index.byKey[key].ID), content[:]...))
+}
+
+// ShortDigest returns the name of a content in logs: the beginning of a whole request's
+// digest, or part:ID of a part of a prompt, in hexadecimal, followed by /HASH if it counts for
+// one organisation only.
+func ShortDigest(d entity.Digest) string {
+	if [len(partTag)]byte(d[:len(partTag)]) != partTag {
+		return hex.EncodeToString(d[:shortDigestBytes])
+	}
+	name := "part:" + strconv.FormatUint(binary.BigEndian.Uint64(d[partIDOffset:]), 16)
+	organisation := d[partOrganisationOffset:]
+	if [len(d) - partOrganisationOffset]byte(organisation) == [len(d) - partOrganisationOffset]byte{} {
+		return name
+	}
+	return name + "/" + hex.EncodeToString(organisation[:shortDigestBytes])
+}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -224,8 +224,9 @@
 			return nil, Refuse(Unauthorised, "unknown-key")
 		}
 	}
-	if c.crash.quarantined(now, req.Content) {
-		return nil, &Refusal{Status: Unavailable, Code: "crashes-backend-servers", RetryAfter: quarantinedRetryDelay}
+	t.contents = contentsOf(&req, t.Org)
+	if content, refused := c.crash.refusedContent(now, t.contents); refused {
+		return nil, &Refusal{Status: Unavailable, Code: "crashes-backend-servers", RetryAfter: quarantinedRetryDelay, Inputs: ShortDigest(content)}
 	}
 	t.Service = pickTarget(route.Targets, req.ID)
 	t.priority = priorityRank(t)
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -1,8 +1,6 @@
 package exchange
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"time"
 
@@ -12,8 +10,10 @@
 )
 
 // A request that crashes each backend server on which it runs may be sent again
-// under new IDs and to any daemon. Therefore content is refused if it was running
-// on three backend servers when they died and has not completed on any since.
+// under new IDs and to any daemon, and so may a part of a prompt in requests that have
+// nothing else in common. Therefore content is refused if it was running on three backend
+// servers when they died and has not completed on any since, unless a content that the
+// request does not have explains the same deaths.
 
 const (
 	// refusalDeathCount is the number of backend servers that must have died while
@@ -28,13 +28,16 @@
 	maxUnexplainedRuns = 64
 	// quarantinedRetryDelay is the Retry-After time of quarantined content.
 	quarantinedRetryDelay = 30 * time.Second
+	// writingTimeToCrash is how long an answer may have been written when a part of the
+	// prompt crashes the backend server, which it does when the answer begins.
+	writingTimeToCrash = 500 * time.Millisecond
 )
 
 // unexplainedRun is a run of a request that ended without a complete answer: it broke off,
 // got no answer in time, or its caller left. The server's process may have died by it.
 type unexplainedRun struct {
-	content   entity.Digest
-	startedAt time.Time // when the request was sent
+	contents  []entity.Digest // that may have ended the process
+	startedAt time.Time       // when the request was sent
 	endedAt   time.Time
 }
 
@@ -58,6 +61,11 @@
 	at time.Time
 }
 
+// sameAs reports whether another message is about the same content and process.
+func (d datedDeath) sameAs(other datedDeath) bool {
+	return d.Digest == other.Digest && d.process() == other.process()
+}
+
 // undated returns deaths as a message that is sent now states them.
 func undated(now time.Time, list []datedDeath) []ContentDeath {
 	var out []ContentDeath
@@ -91,6 +99,22 @@
 	return g.registry.Deaths(now, d) >= refusalDeathCount
 }
 
+// refusedContent returns the content for which a request with the given contents is refused,
+// if there is one.
+func (g *crashGuard) refusedContent(now time.Time, contents []entity.Digest) (content entity.Digest, ok bool) {
+	for _, d := range contents {
+		if g.quarantined(now, d) && !g.registry.Explained(now, d, contents) {
+			return d, true
+		}
+	}
+	return entity.Digest{}, false
+}
+
+// anyNearlyQuarantined reports whether nearlyQuarantined holds for one of the contents.
+func (g *crashGuard) anyNearlyQuarantined(now time.Time, contents []entity.Digest) bool {
+	return slices.ContainsFunc(contents, func(d entity.Digest) bool { return g.nearlyQuarantined(now, d) })
+}
+
 // nearlyQuarantined reports whether the content would be quarantined if its unexplained
 // runs were due to the deaths of their servers.
 func (g *crashGuard) nearlyQuarantined(now time.Time, d entity.Digest) bool {
@@ -99,7 +123,7 @@
 		return false
 	}
 	g.unexplained.All(func(_ entity.ServerProcess, runs *[]unexplainedRun) bool {
-		if slices.ContainsFunc(*runs, func(run unexplainedRun) bool { return run.content == d }) {
+		if slices.ContainsFunc(*runs, func(run unexplainedRun) bool { return slices.Contains(run.contents, d) }) {
 			deaths++
 		}
 		return deaths < refusalDeathCount
@@ -147,7 +171,7 @@
 // its process may have died by it, that is probed.
 func (c *Core) recordUnexplainedRun(now time.Time, t *Ticket, o Outcome) {
 	p, row := t.process, c.servers.Get(t.process.Server)
-	run := unexplainedRun{content: t.Request.Content, startedAt: t.sentAt, endedAt: now}
+	run := unexplainedRun{contents: suspectContents(now, t, o), startedAt: t.sentAt, endedAt: now}
 	switch {
 	case c.deaths.isDead(now, p):
 		c.blame(now, p, run)
@@ -163,6 +187,15 @@
 	}
 }
 
+// suspectContents returns the contents of a request that may have ended the process on which
+// its run broke off now. Parts of its prompt can't if the answer had been written for long.
+func suspectContents(now time.Time, t *Ticket, o Outcome) []entity.Digest {
+	if o == Broken && t.answerStarted && now.Sub(t.answerStartedAt) > writingTimeToCrash {
+		return t.contents[:1]
+	}
+	return t.contents
+}
+
 // blameUnexplained holds the content of the unexplained runs on a process that ended
 // shortly before responsible for its death.
 func (c *Core) blameUnexplained(now time.Time, p entity.ServerProcess) {
@@ -175,12 +208,16 @@
 	}
 }
 
-// blame holds the content of a run responsible for the death of its process, and announces
+// blame holds the contents of a run responsible for the death of its process, and announces
 // that.
 func (c *Core) blame(now time.Time, p entity.ServerProcess, run unexplainedRun) {
-	death := datedDeath{ContentDeath{Digest: run.content, Server: p.Server, Born: p.Born, Ran: run.endedAt.Sub(run.startedAt)}, run.endedAt}
-	c.crash.contentDeaths.add(death)
-	c.recordContentDeath(now, &death, c.cfg.Self.Name)
+	for _, d := range run.contents {
+		death := datedDeath{ContentDeath{Digest: d, Server: p.Server, Born: p.Born, Ran: run.endedAt.Sub(run.startedAt)}, run.endedAt}
+		if !c.crash.contentDeaths.contains(death.sameAs) {
+			c.crash.contentDeaths.add(death)
+		}
+		c.recordContentDeath(now, &death, c.cfg.Self.Name)
+	}
 }
 
 // recordContentDeath records that a process died while it ran some content, as the given
@@ -248,20 +285,3 @@
 	c.logEvent(event.Event{Number: event.SuspectContentCompleted, Peer: by, Attrs: []event.Attr{event.A("content", ShortDigest(d)), event.A("deaths", n)}})
 	return true
 }
-
-// OrganisationsContent returns the digest by which content that an organisation sends is
-// known, whichever of its keys it uses. The same request of another organisation may run on
-// other data.
-func (c *Core) OrganisationsContent(key string, content entity.Digest) entity.Digest {
-	if c.index == nil || c.index.byKey[key] == nil {
-		return content
-	}
-	return sha256.Sum256(append([]byte(c.index.byKey[key].ID), content[:]...))
-}
-
-// ShortDigest returns the beginning of a digest, for logs.
-func ShortDigest(d entity.Digest) string { return hex.EncodeToString(d[:shortDigestBytes]) }
-
-// shortDigestBytes is the length of the beginning of a digest that identifies content in
-// logs.
-const shortDigestBytes = 6
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -91,20 +91,22 @@
 	Arrived  time.Time
 	Deadline time.Time // the earlier of the caller's and the route's
 
-	Sends          int                      // sends to backend servers, rejected ones included
-	Ran            int                      // sends that may have run
-	tried          []entity.BackendServerID // excluded from further sends
-	process        entity.ServerProcess     // of the backend server of the present attempt
-	sentAt         time.Time                // when the present attempt began
-	priority       int
-	reservation    *placement.Reservation // reserved for the present attempt; nil between attempts
-	retryCharged   bool                   // the next send is already charged to the retry budget
-	usageCounted   bool                   // the request is counted in its organisation's usage
-	demandRecorded bool                   // the request is counted in the demand
-	quotaCost      float64                // units reserved on the organisation's quota
-	answerStarted  bool                   // the head or first event of the present attempt's answer has arrived
-	firstSentAt    time.Time              // when the first attempt began; zero: none has
-	firstEventAt   time.Time              // when the first head or event of any attempt arrived; zero: none has
+	Sends           int                      // sends to backend servers, rejected ones included
+	Ran             int                      // sends that may have run
+	tried           []entity.BackendServerID // excluded from further sends
+	process         entity.ServerProcess     // of the backend server of the present attempt
+	sentAt          time.Time                // when the present attempt began
+	contents        []entity.Digest          // see contentsOf
+	priority        int
+	reservation     *placement.Reservation // reserved for the present attempt; nil between attempts
+	retryCharged    bool                   // the next send is already charged to the retry budget
+	usageCounted    bool                   // the request is counted in its organisation's usage
+	demandRecorded  bool                   // the request is counted in the demand
+	quotaCost       float64                // units reserved on the organisation's quota
+	answerStarted   bool                   // the head or first event of the present attempt's answer has arrived
+	answerStartedAt time.Time              // when it arrived, if it has
+	firstSentAt     time.Time              // when the first attempt began; zero: none has
+	firstEventAt    time.Time              // when the first head or event of any attempt arrived; zero: none has
 }
 
 // Timing says how long a request took, and what it costs, for logs.
--- a/internal/system/quarantine/death.go
+++ b/internal/system/quarantine/death.go
@@ -38,7 +38,7 @@
 
 const (
 	// maxDeathsPerSuspect bounds the deaths that are kept for one digest.
-	maxDeathsPerSuspect = 8
+	maxDeathsPerSuspect = 24
 	// minSuspectDeaths of backend servers that ran the same content make it
 	// suspect, whatever other backend servers have died.
 	minSuspectDeaths = 2
@@ -94,7 +94,10 @@
 		return
 	}
 	r.suspects.Delete(d)
-	if r.cleared.Len() >= r.cfg.MaxSuspects {
+	if before := r.cleared.Get(d); before != nil {
+		s.deaths = append(before.deaths, s.deaths...)
+		s.deaths = s.deaths[max(len(s.deaths)-maxDeathsPerSuspect, 0):]
+	} else if r.cleared.Len() >= r.cfg.MaxSuspects {
 		r.cleared.Delete(r.cleared.Keys()[0])
 	}
 	r.cleared.Put(d, s)
@@ -123,34 +126,57 @@
 }
 
 // ListDeaths returns the deaths of all contents for which at least minDeaths are recorded,
-// up to maxContents contents.
+// up to maxContents contents, those with most deaths first.
 func (r *Registry) ListDeaths(now time.Time, minDeaths, maxContents int) []RecordedDeath {
-	var out []RecordedDeath
-	contents := 0
+	var contents []entity.Digest
 	r.suspects.All(func(digest entity.Digest, s *suspect) bool {
-		if len(s.deaths) < minDeaths || now.Sub(s.lastDeathAt) > r.cfg.SuspectTTL {
-			return true
+		if len(s.deaths) >= minDeaths && now.Sub(s.lastDeathAt) <= r.cfg.SuspectTTL {
+			contents = append(contents, digest)
 		}
-		for _, d := range s.deaths {
+		return true
+	})
+	deathCount := func(d entity.Digest) int { return len(r.suspects.Get(d).deaths) }
+	slices.SortStableFunc(contents, func(a, b entity.Digest) int { return deathCount(b) - deathCount(a) })
+	var out []RecordedDeath
+	for _, digest := range contents[:min(len(contents), maxContents)] {
+		for _, d := range r.suspects.Get(digest).deaths {
 			out = append(out, RecordedDeath{Death{Digest: digest, Backend: d.backend, Born: d.born, DataCentre: d.dataCentre, StartedAt: d.startedAt}, d.at})
 		}
-		contents++
-		return contents < maxContents
-	})
+	}
 	return out
 }
 
 // ListCleared returns the contents that have completed after deaths had been recorded for
-// them, and for which none have been since, up to a number of them.
+// them, and for which none have been since: up to a number of them, those with the newest
+// deaths first.
 func (r *Registry) ListCleared(limit int) []entity.Digest {
-	keys := slices.DeleteFunc(r.cleared.Keys(), r.Suspected)
-	return keys[max(len(keys)-limit, 0):]
+	contents := slices.DeleteFunc(r.cleared.Keys(), r.Suspected)
+	lastDeathAt := func(d entity.Digest) time.Time { return r.cleared.Get(d).lastDeathAt }
+	slices.SortStableFunc(contents, func(a, b entity.Digest) int { return lastDeathAt(b).Compare(lastDeathAt(a)) })
+	return contents[:min(len(contents), limit)]
 }
 
 // Suspected reports whether a death is recorded for the content, so that its
 // completion must be recorded too.
 func (r *Registry) Suspected(d entity.Digest) bool { return r.suspects.Get(d) != nil }
 
+// Explained reports whether the deaths recorded for some content have another explanation:
+// a content that is not among those held, and that ran on every process that died under it.
+func (r *Registry) Explained(now time.Time, d entity.Digest, held []entity.Digest) bool {
+	s := r.suspects.Get(d)
+	if s == nil {
+		return false
+	}
+	explained := false
+	r.suspects.All(func(other entity.Digest, candidate *suspect) bool {
+		if now.Sub(candidate.lastDeathAt) <= r.cfg.SuspectTTL && candidate.hasAllDeathsOf(s) && !slices.Contains(held, other) {
+			explained = true
+		}
+		return !explained
+	})
+	return explained
+}
+
 // Deaths returns how often backend servers have died while they ran the content, since it
 // last completed. Servers that died together have one cause and count once.
 func (r *Registry) Deaths(now time.Time, d entity.Digest) int {
@@ -223,6 +249,19 @@
 	return false
 }
 
+// hasAllDeathsOf reports whether the deaths of another suspect are recorded for this one too.
+func (s *suspect) hasAllDeathsOf(other *suspect) bool {
+	if len(other.deaths) > len(s.deaths) {
+		return false
+	}
+	for _, d := range other.deaths {
+		if !s.hasDeathOn(d) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *suspect) addDeath(d death) {
 	if len(s.deaths) < maxDeathsPerSuspect && !s.hasDeathOn(d) {
 		s.deaths = append(s.deaths, d)
--- a/internal/system/quarantine/quarantine_test.go
+++ b/internal/system/quarantine/quarantine_test.go
@@ -126,3 +126,87 @@
 		t.Fatalf("%d deaths of content that has crashed a server that counted as dead before, want 1", n)
 	}
 }
+
+// recordDeaths records the death of each server under some content, seconds apart.
+func recordDeaths(r *Registry, d entity.Digest, servers ...entity.BackendServerID) {
+	for i, server := range servers {
+		at := time.Unix(int64(10*i), 0)
+		r.RecordDeath(at, Death{Digest: d, Backend: server})
+	}
+}
+
+// TestRegistry_ExplainedByContentWithAllDeaths: only content that is not among the held one,
+// has not completed and ran on every process that died is an explanation.
+func TestRegistry_ExplainedByContentWithAllDeaths(t *testing.T) {
+	now := time.Unix(60, 0)
+	suspect, other := entity.Digest{1}, entity.Digest{2}
+	for _, c := range []struct {
+		name   string
+		deaths []entity.BackendServerID // under the other content
+		held   []entity.Digest
+		clear  bool
+		want   bool
+	}{
+		{"all deaths", []entity.BackendServerID{"a", "b", "c"}, []entity.Digest{suspect}, false, true},
+		{"more deaths", []entity.BackendServerID{"a", "x", "b", "c"}, []entity.Digest{suspect}, false, true},
+		{"one missing", []entity.BackendServerID{"a", "b"}, []entity.Digest{suspect}, false, false},
+		{"another one instead", []entity.BackendServerID{"a", "b", "x"}, []entity.Digest{suspect}, false, false},
+		{"held as well", []entity.BackendServerID{"a", "b", "c"}, []entity.Digest{suspect, other}, false, false},
+		{"has completed", []entity.BackendServerID{"a", "b", "c"}, []entity.Digest{suspect}, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New(Config{})
+			recordDeaths(r, suspect, "a", "b", "c")
+			recordDeaths(r, other, c.deaths...)
+			if c.clear {
+				r.Clear(other)
+			}
+			if got := r.Explained(now, suspect, c.held); got != c.want {
+				t.Errorf("explained %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestRegistry_ClearedTwiceKeepsNoOldDeath: content has completed after each of two deaths,
+// and both are reported again.
+func TestRegistry_ClearedTwiceKeepsNoOldDeath(t *testing.T) {
+	r := New(Config{})
+	d := entity.Digest{1}
+	for _, server := range []entity.BackendServerID{"a", "b"} {
+		recordDeaths(r, d, server)
+		r.Clear(d)
+	}
+	recordDeaths(r, d, "a", "b")
+	if n := r.Deaths(time.Unix(20, 0), d); n != 0 {
+		t.Errorf("%d deaths held against content that has completed since", n)
+	}
+}
+
+// TestRegistry_ListsDeathsOfTheMostSuspectFirst: of more contents than can be told, those
+// with most deaths are.
+func TestRegistry_ListsDeathsOfTheMostSuspectFirst(t *testing.T) {
+	r := New(Config{})
+	for i := range 10 {
+		recordDeaths(r, entity.Digest{byte(i)}, "a", "b")
+	}
+	recordDeaths(r, entity.Digest{0xff}, "a", "b", "c")
+	list := r.ListDeaths(time.Unix(30, 0), 2, 3)
+	if len(list) != 7 || list[0].Digest != (entity.Digest{0xff}) {
+		t.Errorf("%d deaths, the first under %v", len(list), list[0].Digest)
+	}
+}
+
+// TestRegistry_ListsTheNewestCompletionsFirst: of more cleared contents than can be told,
+// those with the newest deaths are.
+func TestRegistry_ListsTheNewestCompletionsFirst(t *testing.T) {
+	r := New(Config{})
+	for i := range 10 {
+		d := entity.Digest{byte(i)}
+		r.RecordDeath(time.Unix(int64(i), 0), Death{Digest: d, Backend: "a"})
+		r.Clear(d)
+	}
+	if list := r.ListCleared(2); len(list) != 2 || list[0] != (entity.Digest{9}) || list[1] != (entity.Digest{8}) {
+		t.Errorf("listed %v", list)
+	}
+}
