Let a request with a refused part of a prompt through now and then

Callers would have seen: all requests of a service refused for an hour after its whole pool had died one server after the other, before anything completed. Then nearly all parts have three deaths, and what is refused does not complete. Change: 3 s after the last death one request with the part is let through; eight times later after each trial under which a server died, an hour at most. Daemons take turns by name, a second each, and announce trials. Whole requests are not tried, as before. A failed try on the way: failed trials told by the times of deaths; runs that ended silent before their server died have earlier ones, so that sound parts waited for 24 s.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -24,6 +24,7 @@
 	ContentRefused              = define(6142, Warn, "content of a request refused from now on: too many backend servers died while they ran it")
 	SuspectContentCompleted     = define(6143, Info, "content of a request has completed after backend servers had died while they ran it")
 	ServerDeathDisproved        = define(6144, Warn, "backend server that counted as dead answers")
+	RefusedContentTried         = define(6145, Info, "request with refused content let through, to find out whether it still crashes servers")
 	ServerLimitStated           = define(6150, Info, "backend server states a limit of requests per second")
 	ServerLimitEnded            = define(6151, Info, "backend server states no limit any more")
 	ServerLimitIgnored          = define(6152, Warn, "invalid limit of a backend server ignored")
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -35,6 +35,13 @@
 	if c.tooLate(now, t) {
 		return Attempt{}, c.finalRefusal(t, "deadline", 0)
 	}
+	var trials []entity.Digest
+	if t.Sends == 0 {
+		var r *Refusal
+		if trials, r = c.checkContents(now, t); r != nil {
+			return Attempt{}, r
+		}
+	}
 	choice, ok := c.chooseServer(now, t)
 	c.recordDemand(now, t, choice, ok)
 	if !ok {
@@ -49,6 +56,7 @@
 		return Attempt{}, c.finalRefusal(t, "retry-budget", noServerRetryDelay)
 	}
 	t.retryCharged = false
+	c.startTrials(now, t, choice.Server, trials)
 	return c.startAttempt(now, t, choice), nil
 }
 
--- a/internal/exchange/content.go
+++ b/internal/exchange/content.go
@@ -61,6 +61,9 @@
 	return d
 }
 
+// isPart reports whether a content is a part of a prompt.
+func isPart(d entity.Digest) bool { return [len(partTag)]byte(d[:len(partTag)]) == partTag }
+
 // OrganisationsContent returns the digest by which the whole content that an organisation
 // sends is known, whichever of its keys it uses. The same request of another organisation may
 // run on other data.
@@ -75,7 +78,7 @@
 // digest, or part:ID of a part of a prompt, in hexadecimal, followed by /HASH if it counts for
 // one organisation only.
 func ShortDigest(d entity.Digest) string {
-	if [len(partTag)]byte(d[:len(partTag)]) != partTag {
+	if !isPart(d) {
 		return hex.EncodeToString(d[:shortDigestBytes])
 	}
 	name := "part:" + strconv.FormatUint(binary.BigEndian.Uint64(d[partIDOffset:]), 16)
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -225,8 +225,8 @@
 		}
 	}
 	t.contents = contentsOf(&req, t.Org)
-	if content, refused := c.crash.refusedContent(now, t.contents); refused {
-		return nil, &Refusal{Status: Unavailable, Code: "crashes-backend-servers", RetryAfter: quarantinedRetryDelay, Inputs: ShortDigest(content)}
+	if _, r := c.checkContents(now, t); r != nil {
+		return nil, r
 	}
 	t.Service = pickTarget(route.Targets, req.ID)
 	t.priority = priorityRank(t)
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -84,6 +84,7 @@
 	contentDeaths announcements[datedDeath]
 	deadProcesses announcements[entity.ServerProcess]
 	completions   announcements[entity.Digest] // of content that had been suspect
+	trials        announcements[datedTrial]
 }
 
 func newCrashGuard() crashGuard {
@@ -99,17 +100,6 @@
 	return g.registry.Deaths(now, d) >= refusalDeathCount
 }
 
-// refusedContent returns the content for which a request with the given contents is refused,
-// if there is one.
-func (g *crashGuard) refusedContent(now time.Time, contents []entity.Digest) (content entity.Digest, ok bool) {
-	for _, d := range contents {
-		if g.quarantined(now, d) && !g.registry.Explained(now, d, contents) {
-			return d, true
-		}
-	}
-	return entity.Digest{}, false
-}
-
 // anyNearlyQuarantined reports whether nearlyQuarantined holds for one of the contents.
 func (g *crashGuard) anyNearlyQuarantined(now time.Time, contents []entity.Digest) bool {
 	return slices.ContainsFunc(contents, func(d entity.Digest) bool { return g.nearlyQuarantined(now, d) })
@@ -254,12 +244,16 @@
 	return out
 }
 
-// announceSuspects announces again the deaths of suspect contents, and which contents have
-// completed after deaths.
+// announceSuspects announces again the deaths and trials of suspect contents, and which
+// contents have completed after deaths.
 func (c *Core) announceSuspects(now time.Time) {
-	for _, d := range c.suspectDeaths(now) {
+	deaths := c.suspectDeaths(now)
+	for _, d := range deaths {
 		c.crash.contentDeaths.addOnce(d)
 	}
+	for _, t := range c.pastTrials(deaths) {
+		c.crash.trials.addOnce(t)
+	}
 	for _, d := range c.crash.registry.ListCleared(maxSharedContents) {
 		c.crash.completions.addOnce(d)
 	}
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -76,9 +76,13 @@
 
 // Checkpoint returns the present state to store.
 func (c *Core) Checkpoint(now time.Time) Checkpoint {
+	deaths := c.suspectDeaths(now)
 	return Checkpoint{
 		Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now),
-		Notice: Notice{ContentDeaths: undated(now, c.suspectDeaths(now)), Limits: c.limits.limitsInForce(now)},
+		Notice: Notice{
+			ContentDeaths: undated(now, deaths), Trials: undatedTrials(now, c.pastTrials(deaths)),
+			Limits: c.limits.limitsInForce(now),
+		},
 	}
 }
 
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -17,11 +17,12 @@
 	// while they ran them.
 	Completions []entity.Digest  `cbor:"3,keyasint,omitempty"`
 	Limits      []LimitStatement `cbor:"4,keyasint,omitempty"`
+	Trials      []ContentTrial   `cbor:"5,keyasint,omitempty"` // at the sender
 }
 
 // Empty reports whether the notice says nothing.
 func (n *Notice) Empty() bool {
-	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits) == 0
+	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials) == 0
 }
 
 // noticeDue returns what the update with the given sequence number must include. All other
@@ -30,13 +31,14 @@
 	return Notice{
 		ContentDeaths: undated(now, c.crash.contentDeaths.due(sequence, acked)), DeadProcesses: c.crash.deadProcesses.due(sequence, acked),
 		Completions: c.crash.completions.due(sequence, acked), Limits: c.limits.statements(now, c.limits.changes.due(sequence, acked)),
+		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)),
 	}
 }
 
 // NoticePending reports whether there is anything for a notice.
 func (c *Core) NoticePending() bool {
 	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() ||
-		c.crash.completions.hasUnnoticed() || c.limits.changes.hasUnnoticed()
+		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.limits.changes.hasUnnoticed()
 }
 
 // NextNotice returns what no update or notice has told yet.
@@ -44,6 +46,7 @@
 	return Notice{
 		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: c.crash.deadProcesses.unnoticed(),
 		Completions: c.crash.completions.unnoticed(), Limits: c.limits.statements(now, c.limits.changes.unnoticed()),
+		Trials: undatedTrials(now, c.crash.trials.unnoticed()),
 	}
 }
 
@@ -59,6 +62,9 @@
 	for _, d := range notice.Completions {
 		c.clearContent(now, d, from)
 	}
+	for _, t := range notice.Trials {
+		c.crash.registry.RecordTrial(t.Digest, now.Add(-t.Ago))
+	}
 	for i := range notice.Limits {
 		c.receiveLimit(now, &notice.Limits[i], from)
 	}
--- a/internal/system/quarantine/death.go
+++ b/internal/system/quarantine/death.go
@@ -22,6 +22,8 @@
 	deaths        []death   // of different backend servers, the first maxDeathsPerSuspect
 	isolatedDeath death     // the last death while it ran in isolation
 	verdictAt     time.Time // when a pending verdict is decided; zero: none is pending
+	firstTrialAt  time.Time // when a run of it was first sent although it was refused; zero: never
+	lastTrialAt   time.Time // when one was last sent
 }
 
 type death struct {
