Gateway: a planned stop awaits the ends of answers

Cause: a request counts as ended when its handler returns. Only then does net/http write what is still buffered: a short answer as a whole, the last chunk of a stream. The stop closed all connections as soon as the count was zero, and so sometimes before that write. Change: http.Server.Shutdown in place of Close, within the same deadline (StopGrace less stopMargin), for all servers at once; Close only if the deadline passes. Shutdown also honours the half second that net/http leaves a caller after "Connection: close" to take a refusal of a body that was not read. A stop may take up to about a second longer for these, never longer than before its deadline. Evidence: TestGateway_StopAwaitsTheEndOfAnAnswer holds the caller's connection at the write and failed with the Close in closeServers: "no answer to a request that had ended before the stop closed its connection: unexpected EOF"; passes now (7 runs). The readiness probe, the list of addresses and the metrics are closed the same way.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,11 +167,8 @@
 	var background sync.WaitGroup
 	g.startBackground(runCtx, &background)
 	<-ctx.Done()
-	g.stop()
+	g.stop(servers)
 	cancel()
-	for _, s := range servers {
-		_ = s.Close() // an error changes nothing: the process ends
-	}
 	background.Wait()
 	g.event(event.GatewayStopped, "")
 	return nil
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
@@ -16,8 +19,9 @@
 )
 
 // stop removes this daemon from the addresses that callers get, goes on serving the
-// requests that callers still send to it, and then waits for the requests in flight.
-func (g *Gateway) stop() {
+// requests that callers still send to it, waits for the requests in flight and closes the
+// servers.
+func (g *Gateway) stop(servers []*http.Server) {
 	g.event(event.GatewayDraining, "")
 	g.withCore(func(c *exchange.Core, now time.Time) { c.Leave(now.Add(g.Settings.StopGrace - stopMargin)) })
 	close(g.stopSignal)
@@ -33,4 +37,21 @@
 	case <-done:
 	case <-time.After(time.Until(deadline)):
 	}
+	closeServers(servers, deadline)
+}
+
+// closeServers closes servers whose requests have ended. Until the deadline it waits for
+// responses whose end has not been written yet.
+func closeServers(servers []*http.Server, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	var closing sync.WaitGroup
+	for _, s := range servers {
+		closing.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				_ = s.Close() // an error changes nothing: the process ends
+			}
+		})
+	}
+	closing.Wait()
 }
