Gateway: no request enters a stop after its last one has ended

Cause: requests in flight were counted by a sync.WaitGroup. Its counter may not rise from zero while a Wait has not returned, and requests come at any time: one that arrived between the end of the last one in flight and the wake-up of the stop's goroutine made Wait panic. One that arrived a moment later was sent to a backend server, and its connection was closed under it. Change: requestGate counts requests and closes in the same step in which the count becomes zero after the address lists' time, at the deadline in any case. What arrives later is refused (503, leaving, Retry-After 0.05 s, Connection: close) and sent nowhere. Line 6906 (warning) says how many requests the deadline cut off. Read for the same: the WaitGroups of internal/peer, internal/backend and internal/daemon rise only from a goroutine that is itself counted, or from the one that waits.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -42,4 +42,6 @@
 	GatewayStarted  = define(6900, Info, "gateway started")
 	GatewayDraining = define(6901, Info, "gateway stops taking callers")
 	GatewayStopped  = define(6902, Info, "gateway stopped")
+
+	GatewayStopTooShort = define(6906, Warn, "time of a planned stop is over: requests in flight are cut off")
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 	pool       *outbound.Pool
 	meter      *meter
 	bodyMemory bodyBudget
-	inFlight   sync.WaitGroup
+	requests   *requestGate
 	stopSignal chan struct{} // closed when the stop signal is received
 	notices    chan struct{} // has an element while the core has deaths to announce ahead of the next state update
 
@@ -135,7 +135,7 @@
 	self := exchange.Member{
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
-	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), generations: newGenerationWatch()}
+	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), generations: newGenerationWatch()}
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -46,13 +46,16 @@
 const defaultMaxBodyBytes = 4 << 20
 
 func (g *Gateway) serveExchange(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
 	arrived := clock.Now()
 	x := &forwarding{g: g, w: w, r: r, request: g.Dialect.ParseRequest(r), ctx: r.Context()}
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	if !g.requests.enter() {
+		x.refuseLate(arrived)
+		return
+	}
+	defer g.requests.leave()
 	reserved, ok := x.readBody()
 	defer g.bodyMemory.release(reserved)
 	if !ok {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -16,6 +16,9 @@
 	// addressTTLsInUse is the number of TTLs for which some callers go on using a list
 	// of addresses.
 	addressTTLsInUse = 3
+	// lateRetryDelay is the Retry-After time of requests that arrive while this daemon
+	// closes its connections: other daemons can serve them at once.
+	lateRetryDelay = 50 * time.Millisecond
 )
 
 // stop removes this daemon from the addresses that callers get, goes on serving the
@@ -28,14 +31,8 @@
 	acceptDuration := min(addressTTLsInUse*g.Settings.AddressTTL+time.Second, g.Settings.StopGrace-stopMargin)
 	deadline := time.Now().Add(g.Settings.StopGrace - stopMargin)
 	time.Sleep(acceptDuration)
-	done := make(chan struct{})
-	go func() {
-		g.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(time.Until(deadline)):
+	if n := g.requests.closeWhenEmpty(time.Until(deadline)); n > 0 {
+		g.event(event.GatewayStopTooShort, "", event.A("in_flight", n))
 	}
 	closeServers(servers, deadline)
 }
@@ -55,3 +52,10 @@
 	}
 	closing.Wait()
 }
+
+// refuseLate rejects a request that arrives when the requests in flight have ended and
+// this daemon closes its connections.
+func (x *forwarding) refuseLate(arrived time.Time) {
+	defer x.logResult(arrived)
+	x.refuse(&exchange.Refusal{Status: exchange.Unavailable, Code: "leaving", RetryAfter: lateRetryDelay})
+}
