Gateway: all addresses are open before one is served

Callers saw: at a start at which a later address (readiness, address list, metrics) was in use, requests were read, and could be sent to a backend server, and then cut off, since the process ended with the error. Cause: listen served each socket as soon as it was open. Change: all sockets are opened first; if one fails, the others are closed again. Conclusion: a connection that comes too early is reset without being read.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -211,35 +212,56 @@
 	return g.core.TakeEvents(), g.core.TakeProbes(), g.core.NoticePending()
 }
 
-// listen opens the configured HTTP sockets and starts to serve them.
+// endpoint is one HTTP socket of the daemon.
+type endpoint struct {
+	address  string
+	handler  http.Handler
+	listener net.Listener
+}
+
+// listen opens the configured HTTP sockets and, once all are open, starts to serve them.
 func (g *Gateway) listen() ([]*http.Server, error) {
 	l := &g.Settings.Listen
-	var out []*http.Server
-	for _, s := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{l.Callers, http.HandlerFunc(g.serveExchange)},
-		{l.Ready, g.readyHandler()},
-		{l.Addresses, g.addressHandler()},
-		{l.Metrics, g.metricsHandler()},
-	} {
-		if s.address == "" {
-			continue
-		}
-		listener, err := net.Listen("tcp", s.address)
-		if err != nil {
-			return nil, err
-		}
-		server := newServer(s.handler, g.Log)
-		out = append(out, server)
-		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				g.Log.Logger().WithError(err).Error("an HTTP listener failed")
+	endpoints := []*endpoint{
+		{address: l.Callers, handler: http.HandlerFunc(g.serveExchange)},
+		{address: l.Ready, handler: g.readyHandler()},
+		{address: l.Addresses, handler: g.addressHandler()},
+		{address: l.Metrics, handler: g.metricsHandler()},
+	}
+	endpoints = slices.DeleteFunc(endpoints, func(e *endpoint) bool { return e.address == "" })
+	if err := openListeners(endpoints); err != nil {
+		return nil, err
+	}
+	var servers []*http.Server
+	for _, e := range endpoints {
+		servers = append(servers, g.serve(e))
+	}
+	return servers, nil
+}
+
+// openListeners opens the sockets of all endpoints, or of none if one cannot be opened.
+func openListeners(endpoints []*endpoint) error {
+	for i, e := range endpoints {
+		var err error
+		if e.listener, err = net.Listen("tcp", e.address); err != nil {
+			for _, opened := range endpoints[:i] {
+				_ = opened.listener.Close() // an error changes nothing: the process ends
 			}
-		}()
+			return err
+		}
 	}
-	return out, nil
+	return nil
+}
+
+// serve starts to serve an endpoint.
+func (g *Gateway) serve(e *endpoint) *http.Server {
+	server := newServer(e.handler, g.Log)
+	go func() {
+		if err := server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+			g.Log.Logger().WithError(err).Error("an HTTP listener failed")
+		}
+	}()
+	return server
 }
 
 const (
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -92,3 +92,35 @@
 		t.Errorf("answer cut off in a planned stop: %q, %v", body, err)
 	}
 }
+
+// freeAddress returns a loopback address at which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// TestGateway_NoCallerIsServedWhenAnotherAddressIsInUse: a daemon that cannot listen at all
+// of its addresses ends, and must not have taken requests until then.
+func TestGateway_NoCallerIsServedWhenAnotherAddressIsInUse(t *testing.T) {
+	t.Parallel()
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	g := newStoppingGateway(t, time.Second)
+	g.Settings.Listen = ListenAddresses{Callers: freeAddress(t), Metrics: taken.Addr().String()}
+	if err := g.Run(t.Context()); err == nil {
+		t.Fatal("Run returned no error although an address is in use")
+	}
+	resp, err := http.Get("http://" + g.Settings.Listen.Callers + "/x")
+	if err == nil {
+		_ = resp.Body.Close()
+		t.Fatalf("a caller got status %d from a daemon that could not start", resp.StatusCode)
+	}
+}
