Daemon: callers that come as it stops are answered

Callers saw: in a planned stop of the product's own daemon, a request that was sent on an open connection as the daemon finished got no answer; the connection was closed two seconds later (closeTimeout), with the process. By reading, not by a run, the same befell a request that still ran at the end of the drain's grace. Cause: the core answers each caller, but the daemon drops inputs once the core has finished, and the HTTP servers are closed after that. Handlers then waited for replies that nobody would send. Ruled out: the core's own drain, which refuses new requests from its start on, and Shutdown, which waited for these handlers as it should. Change: when the core has finished, each caller that waits gets a final reply: leaving (503), with the verdict not-run if the core has not got the request, and may-have-run otherwise, as docs/API.md says. Callers that come later get it at once. An operator's call that waits at that moment still ends with the connection.

--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -46,8 +46,7 @@
 // the fields that the service document determines.
 func (c *Core) admit(in *Submit) error {
 	if c.drain.active {
-		err := verdict.New(verdict.NotRun, "leaving", "this daemon is stopping; use another address")
-		return verdict.WithRetryAfter(err, leavingRetryDelay)
+		return LeavingError(verdict.NotRun)
 	}
 	if !c.Configuration.Current(c.now) {
 		err := verdict.New(verdict.NotRun, "isolated", "this daemon cannot know whether its configuration is current")
@@ -72,6 +71,13 @@
 	return c.Admission.Admit(c.now, in.Work.Service, in.Work.Organisation, in.Work.Priority, in.Work.cost())
 }
 
+// LeavingError returns the error for a request that this daemon cannot serve, or serve to
+// its end, because it is stopping. The verdict says whether the request may have run.
+func LeavingError(v verdict.Verdict) error {
+	err := verdict.New(v, "leaving", "this daemon is stopping; use another address")
+	return verdict.WithRetryAfter(err, leavingRetryDelay)
+}
+
 // ownerUnreachable reports whether the key belongs to a daemon that is
 // suspected while no other daemon is alive either. Then this daemon is probably
 // cut off: it does not hold the suspects dead yet, so nobody can take over the
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,6 +154,7 @@
 // close stops what the daemon has started. Inbox.Post no longer blocks after it.
 func (d *Daemon) close() {
 	close(d.Inbox.done)
+	d.mailboxes.stop()
 	d.backend.Close()
 	d.watcher.Close()
 	d.platform.close()
--- a/internal/daemon/mailbox.go
+++ b/internal/daemon/mailbox.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
+	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
 // mailbox holds the replies that a caller has not read yet. The core bounds their
@@ -12,6 +13,9 @@
 type mailbox struct {
 	id    core.CallerID
 	owner *mailboxes
+	// ifStopped is the verdict on the caller's request if the core stops now. The owner's mu
+	// guards it.
+	ifStopped verdict.Verdict
 
 	mu      sync.Mutex
 	replies []core.Reply
@@ -63,6 +67,7 @@
 	onClose func(core.CallerID)
 
 	mu       sync.Mutex
+	stopped  bool // the core sends no more replies
 	lastID   core.CallerID
 	byCaller map[core.CallerID]*mailbox
 }
@@ -72,22 +77,43 @@
 	return &mailboxes{onClose: onClose, byCaller: make(map[core.CallerID]*mailbox)}
 }
 
-// openMailbox opens a mailbox with a new caller ID.
-func (c *mailboxes) openMailbox() *mailbox {
+// openMailbox opens a mailbox with a new caller ID, for a request on which the verdict is
+// untaken as long as the core has not got it. After stop, it holds the reply that this
+// daemon is leaving.
+func (c *mailboxes) openMailbox(untaken verdict.Verdict) *mailbox {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastID++
-	m := &mailbox{id: c.lastID, owner: c, ready: make(chan struct{}, 1)}
+	m := &mailbox{id: c.lastID, owner: c, ifStopped: untaken, ready: make(chan struct{}, 1)}
 	c.byCaller[m.id] = m
+	if c.stopped {
+		m.add(m.finalReply())
+	}
 	return m
 }
 
+// stop ends the delivery: each caller that waits for a reply gets the final one that this
+// daemon is leaving.
+func (c *mailboxes) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	for _, m := range c.byCaller {
+		m.add(m.finalReply())
+	}
+}
+
+// finalReply returns the reply to a caller whose request the core does not complete.
+func (m *mailbox) finalReply() core.Reply {
+	return core.Reply{Caller: m.id, Failed: core.LeavingError(m.ifStopped)}
+}
+
 // deliver adds a reply to its caller's mailbox, or drops it if that is closed.
 func (c *mailboxes) deliver(r core.Reply) {
 	c.mu.Lock()
-	m := c.byCaller[r.Caller]
-	c.mu.Unlock()
-	if m != nil {
+	defer c.mu.Unlock()
+	if m := c.byCaller[r.Caller]; m != nil {
+		m.ifStopped = verdict.MayHaveRun
 		m.add(r)
 	}
 }
