Gateway: a request that outlasts a planned stop is answered

Callers saw: a request that was taken in a planned stop, or shortly before, and whose backend server was still silent at the end of the grace got EOF: neither an answer nor a refusal (LOST, if it was sent later than three seconds after the signal, which the check against the expected duration at admission only makes less likely). Cause: at the deadline the stop closed all connections; nothing told the handlers before. Line 6906 counts both kinds. Conclusion: only a response that has begun can still be cut by a stop, at its deadline.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -43,5 +43,5 @@
 	GatewayDraining = define(6901, Info, "gateway stops taking callers")
 	GatewayStopped  = define(6902, Info, "gateway stopped")
 
-	GatewayStopTooShort = define(6906, Warn, "time of a planned stop is over: requests in flight are cut off")
+	GatewayStopTooShort = define(6906, Warn, "time of a planned stop is over: requests in flight are ended")
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,9 @@
 	meter      *meter
 	bodyMemory bodyBudget
 	requests   *requestGate
-	stopSignal chan struct{} // closed when the stop signal is received
+	stopSignal chan struct{}   // closed when the stop signal is received
+	grace      context.Context // ends when requests in flight have no time left in a planned stop
+	endGrace   context.CancelFunc
 	notices    chan struct{} // has an element while the core has deaths to announce ahead of the next state update
 
 	generations *generationWatch
@@ -137,6 +139,7 @@
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
 	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), generations: newGenerationWatch()}
+	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -165,6 +165,8 @@
 		timer := time.AfterFunc(x.ticket.Deadline.Sub(clock.Now()), func() { cancel(errDeadline) })
 		defer timer.Stop()
 	}
+	stopWatchingGrace := context.AfterFunc(x.g.grace, func() { x.endByStop(cancel) })
+	defer stopWatchingGrace()
 	for {
 		var a exchange.Attempt
 		var refusal *exchange.Refusal
--- a/internal/gateway/requestgate.go
+++ b/internal/gateway/requestgate.go
@@ -40,16 +40,22 @@
 // timeout in any case. It returns the number of requests that are still in flight.
 func (g *requestGate) closeWhenEmpty(timeout time.Duration) int {
 	g.startClosing()
-	select {
-	case <-g.empty:
-	case <-time.After(timeout):
-	}
+	g.waitUntilEmpty(timeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.closed = true
 	return g.inFlight
 }
 
+// waitUntilEmpty waits until the gate is closed with no request in flight, or until the
+// timeout.
+func (g *requestGate) waitUntilEmpty(timeout time.Duration) {
+	select {
+	case <-g.empty:
+	case <-time.After(timeout):
+	}
+}
+
 func (g *requestGate) startClosing() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -57,10 +63,10 @@
 	g.closeIfEmpty()
 }
 
-// closeIfEmpty closes the gate if it is to close and no request is in flight. The caller
-// holds mu.
+// closeIfEmpty closes the gate if it is to close and no request is in flight, which comes
+// about once, as no request enters after it. The caller holds mu.
 func (g *requestGate) closeIfEmpty() {
-	if g.closing && !g.closed && g.inFlight == 0 {
+	if g.closing && g.inFlight == 0 {
 		g.closed = true
 		close(g.empty)
 	}
--- a/internal/gateway/requestgate_test.go
+++ b/internal/gateway/requestgate_test.go
@@ -43,6 +43,12 @@
 		t.Fatal("a closed gate let a request in")
 	}
 	g.leave()
+	g.waitUntilEmpty(waitForGate)
+	select {
+	case <-g.empty:
+	default:
+		t.Fatal("the gate is not empty after its last request")
+	}
 }
 
 func TestGateway_LateRequestIsRefused(t *testing.T) {
