Daemon: operators' calls end with the daemon

Operators saw: a change or a read of the history that reached a daemon of the product as it finished its stop waited two seconds (closeTimeout) and ended with the connection. Ruled out: outcomes of the core's last tick, which are delivered before the inbox closes. An outcome of the last tick still goes first. Conclusion: every wait for the core now ends with it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,7 +60,7 @@
 	d.backend = backend.New(p.Inbox.Post)
 	d.watcher = backend.NewWatcher(p.Inbox.Post)
 	d.platform = newPerformer(p)
-	d.operatorCalls = newOperatorCalls(p.Inbox.Post)
+	d.operatorCalls = newOperatorCalls(p.Inbox)
 	d.view.Store(newView(&core.View{}))
 	return d
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
@@ -11,17 +12,22 @@
 
 // operatorCalls holds the operators' calls that wait for a result of the core.
 type operatorCalls struct {
-	post func(core.Input)
+	post    func(core.Input)
+	stopped <-chan struct{} // closed when the core gives no more results
 
 	mu               sync.Mutex
 	pendingChanges   map[string][]chan configuration.ApplyOutcome // by operation ID
 	pendingHistories map[entity.ServiceName][]chan configuration.HistoryOutcome
 }
 
-// newOperatorCalls returns an empty set.
-func newOperatorCalls(post func(core.Input)) *operatorCalls {
+// errStopped: the daemon has stopped before the result of a call was known.
+var errStopped = errors.New("this daemon has stopped; the outcome is not known")
+
+// newOperatorCalls returns an empty set of calls that pass their inputs to the inbox.
+func newOperatorCalls(inbox *Inbox) *operatorCalls {
 	return &operatorCalls{
-		post:             post,
+		post:             inbox.Post,
+		stopped:          inbox.done,
 		pendingChanges:   make(map[string][]chan configuration.ApplyOutcome),
 		pendingHistories: make(map[entity.ServiceName][]chan configuration.HistoryOutcome),
 	}
@@ -34,12 +40,7 @@
 	o.pendingChanges[ch.Operation] = append(o.pendingChanges[ch.Operation], outcome)
 	o.mu.Unlock()
 	o.post(core.ApplyChange{Change: ch})
-	select {
-	case out := <-outcome:
-		return out, nil
-	case <-ctx.Done():
-		return configuration.ApplyOutcome{}, ctx.Err()
-	}
+	return awaitOutcome(ctx, outcome, o.stopped)
 }
 
 // history requests the past documents of a service and waits for them.
@@ -49,11 +50,24 @@
 	o.pendingHistories[s] = append(o.pendingHistories[s], outcome)
 	o.mu.Unlock()
 	o.post(core.ReadHistory{Service: s})
+	return awaitOutcome(ctx, outcome, o.stopped)
+}
+
+// awaitOutcome waits for the outcome of a call until the context ends or the core has
+// stopped.
+func awaitOutcome[T any](ctx context.Context, outcome <-chan T, stopped <-chan struct{}) (out T, err error) {
 	select {
-	case out := <-outcome:
+	case out = <-outcome:
 		return out, nil
 	case <-ctx.Done():
-		return configuration.HistoryOutcome{}, ctx.Err()
+		return out, ctx.Err()
+	case <-stopped:
+	}
+	select {
+	case out = <-outcome: // of the core's last tick
+		return out, nil
+	default:
+		return out, errStopped
 	}
 }
 
--- a/internal/quickstart/stop_test.go
+++ b/internal/quickstart/stop_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
 )
 
 const (
@@ -65,3 +67,19 @@
 	c.StopDaemon(0)
 	callers.Wait()
 }
+
+// TestCluster_OperatorsCallAfterAStopFails: the outcome of a change that a stopped daemon
+// gets is not known, and its caller must be told so at once.
+func TestCluster_OperatorsCallAfterAStopFails(t *testing.T) {
+	c := startCluster(t, 1)
+	c.StopDaemon(0)
+	ctx, cancel := context.WithTimeout(t.Context(), refusalTimeout)
+	defer cancel()
+	d := c.Nodes[0].Daemon()
+	if _, err := d.Apply(ctx, configuration.Change{Operation: "o", Service: "forecast"}); err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("change at a stopped daemon: %v, want an error at once", err)
+	}
+	if _, err := d.History(ctx, "forecast"); err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("history at a stopped daemon: %v, want an error at once", err)
+	}
+}
