--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,7 +60,7 @@
 	d.backend = backend.New(p.Inbox.Post)
 	d.watcher = backend.NewWatcher(p.Inbox.Post)
 	d.platform = newPerformer(p)
-	d.operatorCalls = newOperatorCalls(p.Inbox.Post)
+	d.operatorCalls = newOperatorCalls(p.Inbox)
 	d.view.Store(newView(&core.View{}))
 	return d
 }
@@ -154,6 +154,7 @@
 // close stops what the daemon has started. Inbox.Post no longer blocks after it.
 func (d *Daemon) close() {
 	close(d.Inbox.done)
+	d.mailboxes.stop()
 	d.backend.Close()
 	d.watcher.Close()
 	d.platform.close()
--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -47,4 +47,5 @@
 	SignalReceived         = define(6903, Info, "signal received")
 	ChangedSettingsValid   = define(6904, Info, "changed settings are valid; they take effect at the next start")
 	ChangedSettingsInvalid = define(6905, Error, "changed settings are invalid; the previous ones stay in force")
+	GatewayStopTooShort    = define(6906, Warn, "time of a planned stop is over: requests in flight are ended")
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -112,8 +113,10 @@
 	pool       *outbound.Pool
 	meter      *meter
 	bodyMemory bodyBudget
-	inFlight   sync.WaitGroup
-	stopSignal chan struct{} // closed when the stop signal is received
+	requests   *requestGate
+	stopSignal chan struct{}   // closed when the stop signal is received
+	grace      context.Context // ends when requests in flight have no time left in a planned stop
+	endGrace   context.CancelFunc
 	notices    chan struct{} // has an element while the core has deaths to announce ahead of the next state update
 
 	generations *generationWatch
@@ -135,7 +138,8 @@
 	self := exchange.Member{
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
-	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), generations: newGenerationWatch()}
+	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), generations: newGenerationWatch()}
+	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
@@ -167,11 +171,8 @@
 	var background sync.WaitGroup
 	g.startBackground(runCtx, &background)
 	<-ctx.Done()
-	g.stop()
+	g.stop(servers)
 	cancel()
-	for _, s := range servers {
-		_ = s.Close() // an error changes nothing: the process ends
-	}
 	background.Wait()
 	g.event(event.GatewayStopped, "")
 	return nil
@@ -214,35 +215,56 @@
 	return g.core.TakeEvents(), g.core.TakeProbes(), g.core.NoticePending()
 }
 
-// listen opens the configured HTTP sockets and starts to serve them.
+// endpoint is one HTTP socket of the daemon.
+type endpoint struct {
+	address  string
+	handler  http.Handler
+	listener net.Listener
+}
+
+// listen opens the configured HTTP sockets and, once all are open, starts to serve them.
 func (g *Gateway) listen() ([]*http.Server, error) {
 	l := &g.Settings.Listen
-	var out []*http.Server
-	for _, s := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{l.Callers, http.HandlerFunc(g.serveExchange)},
-		{l.Ready, g.readyHandler()},
-		{l.Addresses, g.addressHandler()},
-		{l.Metrics, g.metricsHandler()},
-	} {
-		if s.address == "" {
-			continue
-		}
-		listener, err := net.Listen("tcp", s.address)
-		if err != nil {
-			return nil, err
-		}
-		server := newServer(s.handler, g.Log)
-		out = append(out, server)
-		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				g.Log.Logger().WithError(err).Error("an HTTP listener failed")
+	endpoints := []*endpoint{
+		{address: l.Callers, handler: http.HandlerFunc(g.serveExchange)},
+		{address: l.Ready, handler: g.readyHandler()},
+		{address: l.Addresses, handler: g.addressHandler()},
+		{address: l.Metrics, handler: g.metricsHandler()},
+	}
+	endpoints = slices.DeleteFunc(endpoints, func(e *endpoint) bool { return e.address == "" })
+	if err := openListeners(endpoints); err != nil {
+		return nil, err
+	}
+	var servers []*http.Server
+	for _, e := range endpoints {
+		servers = append(servers, g.serve(e))
+	}
+	return servers, nil
+}
+
+// openListeners opens the sockets of all endpoints, or of none if one cannot be opened.
+func openListeners(endpoints []*endpoint) error {
+	for i, e := range endpoints {
+		var err error
+		if e.listener, err = net.Listen("tcp", e.address); err != nil {
+			for _, opened := range endpoints[:i] {
+				_ = opened.listener.Close() // an error changes nothing: the process ends
 			}
-		}()
+			return err
+		}
 	}
-	return out, nil
+	return nil
+}
+
+// serve starts to serve an endpoint.
+func (g *Gateway) serve(e *endpoint) *http.Server {
+	server := newServer(e.handler, g.Log)
+	go func() {
+		if err := server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+			g.Log.Logger().WithError(err).Error("an HTTP listener failed")
+		}
+	}()
+	return server
 }
 
 const (
