Bound the head of a backend server's answer

Callers saw: 504 at the end of their time, though the server had sent bytes that could never become an answer; the daemon kept all of these bytes until then. Cause: http.ReadResponse has no limit of its own (net/http's transport brings one, which this package does not use): a line without end, header fields without end and interim responses without end were read for as long as they came. Ruled out: the bodies of answers to other requests (1 MiB at most), sizes of chunks and trailers (net/http bounds these), bytes on a connection that a probe has opened; their tests held before and stay. Change: 32 KiB are read for the head of one answer, with the interim responses before it; then the attempt is broken, the connection is closed and the metric gooseberryslip_outbound_oversized_heads_total counts it. Conclusion: a head costs one buffer; the time until then is that of the request.

--- a/internal/outbound/metrics.go
+++ b/internal/outbound/metrics.go
@@ -8,4 +8,6 @@
 	// foreignResponses counts responses that belong to another request than the
 	// one that was waiting.
 	foreignResponses = metrics.NewCounter("gooseberryslip_outbound_foreign_answers_total")
+	// oversizedHeads counts responses whose head was longer than maxHeadBytes.
+	oversizedHeads = metrics.NewCounter("gooseberryslip_outbound_oversized_heads_total")
 )
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -52,6 +52,7 @@
 type connection struct {
 	net.Conn
 	address     string
+	source      *limitedReader // what reader reads from
 	reader      *bufio.Reader
 	usableUntil time.Time // while idle: when it expires
 	reused      bool      // it has carried an earlier request
@@ -161,7 +162,8 @@
 		return nil, err
 	}
 	connectionsDialled.Inc()
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	source := &limitedReader{source: conn}
+	return &connection{Conn: conn, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
 // openWithoutData reports whether an idle connection is open and has no unread
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -119,23 +119,6 @@
 	return errors.New("backend server sent only responses to other requests")
 }
 
-// readFinalHead reads the head of the final response and skips interim (1xx)
-// responses.
-func readFinalHead(conn *connection, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("backend server switched protocols without being asked")
-		}
-	}
-}
-
 // ConnectionReused reports whether the connection had carried an earlier request.
 func (r *Reply) ConnectionReused() bool { return r.conn.reused }
 
