Bound the length of an event that is relayed

Callers saw: 504 or a cut stream at the route's timeout, though its backend server was writing an event that could never end. Each such stream took memory as fast as its server wrote: a daemon of 284 MB ends by it, with all that it serves. Cause: an event is held until it is complete, so that another backend server can continue after it, and nothing bounded it. Ruled out: buffered answers (256 KiB are held, the rest is relayed). Change: an event of more than 256 KiB breaks the attempt. Nothing of it is sent: the caller gets a 502, or a cut connection after complete events, or the stream goes on at another backend server where the route allows it. Metric gooseberryslip_oversized_events_total. TestGateway_EventWithoutEndIsCutOff: all six cases failed ("want status 502", "the answer was read until the route's timeout"), and pass. Conclusion: streams cost one buffer each. An endless stream of complete events is still bounded by the route's timeout only.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,12 @@
 	m.set.GetOrCreateCounter(`gooseberryslip_events_total{number="` + strconv.Itoa(int(n)) + `"}`).Inc()
 }
 
+// countOversizedEvent counts a stream that was given up because of an event longer than
+// maxEventBytes.
+func (m *meter) countOversizedEvent() {
+	m.set.GetOrCreateCounter(`gooseberryslip_oversized_events_total`).Inc()
+}
+
 func (m *meter) countRestore() {
 	m.set.GetOrCreateCounter(`gooseberryslip_table_restores_total`).Inc()
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,12 +6,17 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/outbound"
 )
 
+// maxEventBytes is the size of the longest event that is relayed. All of an event is held
+// until it is complete.
+const maxEventBytes = 256 << 10
+
 // relayStream sends the events of a response to the caller as they arrive. It sends
 // complete events only, so that another backend server can continue after the last one.
 func (x *forwarding) relayStream(ctx context.Context, reply *outbound.Reply, silenceTimer *time.Timer) (exchange.Outcome, string) {
@@ -36,6 +41,10 @@
 				return exchange.Abandoned, "caller: " + werr.Error()
 			}
 		}
+		if len(events.tail) > maxEventBytes {
+			x.g.meter.countOversizedEvent()
+			return exchange.Broken, "event longer than " + strconv.Itoa(maxEventBytes) + " bytes"
+		}
 		if errors.Is(err, io.EOF) {
 			return x.endStream(reply, &events)
 		}
