Judge by its events where a stream without length is complete

Callers saw: a complete, empty stream with status 200 when a backend server's connection had ended between the head and the first event; and a broken stream when the server had written an empty line after the last event. Cause: a stream with neither a length nor chunks ends with its connection, and "no bytes are left over" was taken for "an event has ended": no event need have come, and the bytes left over need not belong to one. Ruled out: an end within an event (broken off, or resumed), a reset, a stream that stays open, and buffered answers without length: their cases held before and stay. So does a resumed stream to which its server has nothing to add. Change: such a stream is broken off if it ends within an event, and also before its first one unless it resumes another stream; empty lines belong to no event. Evidence: failed before, pass now: TestGateway_StreamWithoutLengthOrEventIsABadGateway, "closed": got 200, want status 502 (the other five cases held); TestGateway_StreamWithoutLengthEndsAtAnEvent, "after an empty line": "want the complete stream"; TestGateway_BrokenStreamWithoutLengthGoesOnElsewhere, "closed before the first event": got an empty 200. Conclusion: what the framing does not prove, the events must. A stream in chunks or with a length that ends within an event counts as complete, as before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,8 +73,8 @@
 // complete event are sent only if the framing (a length or chunks) proves that the
 // response is complete.
 func (x *forwarding) endStream(reply *outbound.Reply, events *eventSplitter) (exchange.Outcome, string) {
-	if len(events.tail) > 0 && !reply.Framed() {
-		return exchange.Broken, "stream ended in the middle of an event"
+	if reason := x.brokenOff(reply, events); reason != "" {
+		return exchange.Broken, reason
 	}
 	if !x.headSent {
 		x.sendHead(reply)
@@ -85,6 +85,22 @@
 	return exchange.Answered, ""
 }
 
+// brokenOff returns why an ended stream is not complete, or "" if it is. Without framing
+// it must have ended after an event. A stream that resumes another one may have none.
+func (x *forwarding) brokenOff(reply *outbound.Reply, events *eventSplitter) string {
+	resumed := x.headSent || x.request.After != ""
+	switch {
+	case reply.Framed():
+		return ""
+	case events.withinEvent():
+		return "stream ended in the middle of an event"
+	case !resumed:
+		return "stream ended before its first event"
+	default:
+		return ""
+	}
+}
+
 // eventSplitter splits a stream of server-sent events after complete events. An event
 // ends with an empty line.
 type eventSplitter struct {
@@ -118,6 +134,12 @@
 	return complete
 }
 
+// withinEvent reports whether an event has begun and is not complete. Empty lines between
+// two events belong to none.
+func (s *eventSplitter) withinEvent() bool {
+	return len(bytes.Trim(s.tail, "\r\n")) > 0
+}
+
 // lastEventEnd returns the offset behind the last empty line, or 0 if there is none.
 func lastEventEnd(p []byte) int {
 	lf := bytes.LastIndex(p, []byte("\n\n"))
