Do not run a request again once a part of its answer is sent

Callers saw: nothing more than a cut answer; others saw less of a sound backend server. When an answer of more than 256 KiB broke off on a repeatable route, the request was run on a second server although its answer could not be used any more, and that server was charged with a failure ("response is not an event stream, so the started stream cannot continue"). Cause: whether a request may be repeated is judged by its route and runs; that a part of a buffered answer had gone to the caller was known to the relay only. Ruled out: streams, which another server continues after the last event that was sent. Change: the relay notes that a part has been sent, and the request ends there, cut off as before. The code is answer-partly-sent. Conclusion: the failure counts against the server that broke off only.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -30,6 +30,7 @@
 
 	status      int    // HTTP status of the response; 0: none yet
 	headSent    bool   // status and header have been sent to the caller
+	partSent    bool   // so has a part of a body that no other backend server can continue
 	lastEventID string // ID of the newest event that was sent to the caller
 	attempts    []attemptRecord
 }
@@ -174,6 +175,9 @@
 		if outcome == exchange.Answered || outcome == exchange.Abandoned || refusal != nil {
 			return refusal
 		}
+		if x.partSent {
+			return exchange.Refuse(exchange.BadReply, "answer-partly-sent")
+		}
 	}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -151,6 +151,7 @@
 		return exchange.Abandoned, "caller: " + err.Error()
 	}
 	if len(body) == maxBufferedBytes {
+		x.partSent = true
 		return x.relayRest(ctx, reply)
 	}
 	return exchange.Answered, ""
