--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,12 +6,17 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/outbound"
 )
 
+// maxEventBytes is the size of the longest event that is relayed. All of an event is held
+// until it is complete.
+const maxEventBytes = 256 << 10
+
 // relayStream sends the events of a response to the caller as they arrive. It sends
 // complete events only, so that another backend server can continue after the last one.
 func (x *forwarding) relayStream(ctx context.Context, reply *outbound.Reply, silenceTimer *time.Timer) (exchange.Outcome, string) {
@@ -36,6 +41,10 @@
 				return exchange.Abandoned, "caller: " + werr.Error()
 			}
 		}
+		if len(events.tail) > maxEventBytes {
+			x.g.meter.countOversizedEvent()
+			return exchange.Broken, "event longer than " + strconv.Itoa(maxEventBytes) + " bytes"
+		}
 		if errors.Is(err, io.EOF) {
 			return x.endStream(reply, &events)
 		}
@@ -64,8 +73,8 @@
 // complete event are sent only if the framing (a length or chunks) proves that the
 // response is complete.
 func (x *forwarding) endStream(reply *outbound.Reply, events *eventSplitter) (exchange.Outcome, string) {
-	if len(events.tail) > 0 && !reply.Framed() {
-		return exchange.Broken, "stream ended in the middle of an event"
+	if reason := x.brokenOff(reply, events); reason != "" {
+		return exchange.Broken, reason
 	}
 	if !x.headSent {
 		x.sendHead(reply)
@@ -76,6 +85,22 @@
 	return exchange.Answered, ""
 }
 
+// brokenOff returns why an ended stream is not complete, or "" if it is. Without framing
+// it must have ended after an event. A stream that resumes another one may have none.
+func (x *forwarding) brokenOff(reply *outbound.Reply, events *eventSplitter) string {
+	resumed := x.headSent || x.request.After != ""
+	switch {
+	case reply.Framed():
+		return ""
+	case events.withinEvent():
+		return "stream ended in the middle of an event"
+	case !resumed:
+		return "stream ended before its first event"
+	default:
+		return ""
+	}
+}
+
 // eventSplitter splits a stream of server-sent events after complete events. An event
 // ends with an empty line.
 type eventSplitter struct {
@@ -85,13 +110,20 @@
 
 var idField = []byte("id:")
 
+// maxEventEndBytes is the length of the longer of the two ways to end an event, with its
+// last line's end.
+const maxEventEndBytes = len("\r\n\r\n")
+
 // push adds bytes and returns the events that are complete with them.
 func (s *eventSplitter) push(p []byte) []byte {
+	// The tail has no event's end, but may have its beginning.
+	searchFrom := max(len(s.tail)-(maxEventEndBytes-1), 0)
 	s.tail = append(s.tail, p...)
-	end := lastEventEnd(s.tail)
+	end := lastEventEnd(s.tail[searchFrom:])
 	if end == 0 {
 		return nil
 	}
+	end += searchFrom
 	complete := s.tail[:end:end]
 	s.tail = append([]byte(nil), s.tail[end:]...)
 	for line := range bytes.Lines(complete) {
@@ -102,6 +134,12 @@
 	return complete
 }
 
+// withinEvent reports whether an event has begun and is not complete. Empty lines between
+// two events belong to none.
+func (s *eventSplitter) withinEvent() bool {
+	return len(bytes.Trim(s.tail, "\r\n")) > 0
+}
+
 // lastEventEnd returns the offset behind the last empty line, or 0 if there is none.
 func lastEventEnd(p []byte) int {
 	lf := bytes.LastIndex(p, []byte("\n\n"))
