Tests: a run of a fleet is the same each time

A seed must give the same verdict each run. A server that crashed broke off its runs in the order of a map, so that the random draws after it differed.

Change: its runs break off in the order of their requests' IDs.

--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -1,8 +1,11 @@
 package exchange
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -359,7 +362,7 @@
 // entry expires.
 func (f *testFleet) crash(s *fleetServer) {
 	s.up = false
-	for run := range s.runs {
+	for _, run := range s.runsInOrder() {
 		delete(s.runs, run)
 		if !s.dark {
 			f.after(networkDelay, func() { f.end(run, Broken) })
@@ -369,6 +372,13 @@
 	f.eachCore(expiry, func(c *Core) { c.RemoveServer(f.now, s.ID) })
 }
 
+// runsInOrder returns the runs on a server in the order of their requests' IDs.
+func (s *fleetServer) runsInOrder() []*fleetRun {
+	return slices.SortedFunc(maps.Keys(s.runs), func(a, b *fleetRun) int {
+		return cmp.Compare(a.ticket.Request.ID, b.ticket.Request.ID)
+	})
+}
+
 // eachCore schedules a call for the core of each daemon when that learns of a change of
 // the list.
 func (f *testFleet) eachCore(delay time.Duration, call func(*Core)) {
