Failing tests: crashing parts of many organisations, and beside long runs

No test held that a completion of a part reaches a daemon that was cut off.

Change: a test with an organisation for each crashing request; one in which all servers always write answers on another part for longer than they live, which would explain the deaths; and one with a daemon that finds the third death while it is cut off and the part completes elsewhere.

--- a/internal/exchange/crash_part_test.go
+++ b/internal/exchange/crash_part_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 )
 
@@ -16,6 +17,7 @@
 	firstRare       uint64 = 0xa0    // first of the parts that one sound prompt in 2 s has each
 	crashingPart    uint64 = 0xdead  // crashes servers
 	inseparablePart uint64 = 0xdeae  // is always beside crashingPart
+	longPart        uint64 = 0x10    // of runs that write for long
 	companionPart   uint64 = 0xdeaf  // is always beside crashingPart, and in a few sound prompts
 	firstSession    uint64 = 1 << 32 // first of the sessions of sound prompts
 	firstBadSession uint64 = 1 << 48 // first of the sessions of other prompts
@@ -363,6 +365,47 @@
 	}
 }
 
+// TestCrashPart_OfAsManyOrganisationsAsRequests: no organisation sends two crashing requests.
+// Fails if deaths count for the requests of one organisation only.
+func TestCrashPart_OfAsManyOrganisationsAsRequests(t *testing.T) {
+	eachFleet(t, []int{1, 9}, 2, func(r *partRun) {
+		const organisations = 40
+		document := testDocument(2)
+		for i := range organisations {
+			name := fmt.Sprint("one-of-many-", i)
+			document.Organisations = append(document.Organisations, Organisation{ID: entity.OrganisationID(name), Keys: []string{name}, QuotaDefined: true})
+		}
+		for _, d := range r.daemons {
+			d.core.SetDocument(r.now, document)
+		}
+		r.badKey = func() string { return fmt.Sprint("one-of-many-", r.bad%organisations) }
+		r.incident()
+		r.check()
+	})
+}
+
+// TestCrashPart_LongRunsExplainNothing: all servers are always writing answers on another
+// part for longer than they live. Fails if runs that have been writing for long count, so
+// that this part explains the deaths by the crashing one.
+func TestCrashPart_LongRunsExplainNothing(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			r := newPartRun(t, seed, 9, 8)
+			usual := r.runDuration
+			r.runDuration = func(req Request) (time.Duration, time.Duration) {
+				if req.Work.Parts[1].ID == longPart {
+					return 20 * time.Millisecond, 4900 * time.Millisecond
+				}
+				return usual(req)
+			}
+			r.every(50*time.Millisecond, func() { r.sendSound("k3", commonPart, longPart) })
+			r.incident()
+			r.check()
+		})
+	}
+}
+
 // TestCrashPart_DaemonThatWasCutOff: a daemon hears no other one while a part crashes servers,
 // also such as run its own requests. Soon after it is back it must refuse that part and
 // no other. Fails if deaths or completions, or what explains deaths, are not announced
@@ -394,6 +437,58 @@
 	r.checkSound(r.settledAt())
 }
 
+// TestCrashPart_CompletionReachesADaemonThatWasCutOff: a daemon that is cut off from the others
+// finds the third death of a server that ran a part. The part completes for others meanwhile.
+// Fails if the daemon refuses the part after it is back, or if its death counts for the others
+// as if nothing had completed.
+func TestCrashPart_CompletionReachesADaemonThatWasCutOff(t *testing.T) {
+	eachFleet(t, []int{3, 9, 89}, 2, func(r *partRun) {
+		cut, other := r.daemons[0], r.daemons[1]
+		r.runDuration = func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, 400 * time.Millisecond }
+		r.run(2 * time.Second)
+		for range refusalDeathCount - 1 {
+			r.crashWithPart(other, companionPart)
+		}
+		r.run(refusalLimit)
+		cut.cut = true
+		r.crashWithPart(cut, companionPart)
+		for range 3 {
+			r.sendOnce(other, companionPart)
+			r.run(time.Second)
+		}
+		r.reconnect(cut)
+		r.run(refusalLimit)
+		before := len(r.wrongly)
+		for _, d := range r.daemons {
+			r.sendOnce(d, companionPart)
+		}
+		if n := len(r.wrongly) - before; n > 0 {
+			r.t.Errorf("%d of %d daemons refuse a part that has completed since", n, len(r.daemons))
+		}
+	})
+}
+
+// sendOnce lets a caller send a request with the given part that runs once at most.
+func (r *partRun) sendOnce(d *fleetDaemon, id uint64) {
+	req := r.request("k3", firstSession, []uint64{commonPart, id})
+	req.Path = "/x"
+	r.send(d, req)
+}
+
+// crashWithPart lets a request with the given part run for a daemon and crashes its server.
+func (r *partRun) crashWithPart(d *fleetDaemon, id uint64) {
+	r.t.Helper()
+	r.sendOnce(d, id)
+	r.run(50 * time.Millisecond)
+	hasPart := func(run *fleetRun) bool {
+		return run.daemon == d && slices.ContainsFunc(run.ticket.Request.Work.Parts, func(p placement.Part) bool { return p.ID == id })
+	}
+	if !r.crashServerOf(hasPart) {
+		r.t.Fatal("no server runs the part")
+	}
+	r.run(100 * time.Millisecond)
+}
+
 // TestCrashPart_RestartedDaemonsLearnWhatTheOthersRefuse restarts daemons one after the other
 // after all have refused the part. Fails if they learn of no deaths under parts, or of no
 // other part that explains them.
