Failing test: a refused part comes from another organisation

Callers would see: a part that is refused to one organisation crashes several more servers when another one begins to send it (rule BUDGET). Cause: the deaths under one organisation's part explain those under the part as such, so that all requests of others run, and not the first only, until that one's death is known. Ruled out: a switch before the fifth crash or few requests a second; those pass (TestCrashPart_OfSeveralOrganisations).

--- a/internal/exchange/crash_explained_test.go
+++ b/internal/exchange/crash_explained_test.go
@@ -37,3 +37,28 @@
 		}
 	})
 }
+
+// all of these run until the first of them is known to have crashed its server.
+func TestCrashPart_OfAnotherOrganisationAfterTheFifthCrash(t *testing.T) {
+	eachFleet(t, []int{3, 9}, 3, func(r *partRun) {
+		switchAt := time.Time{}
+		r.badKey = func() string {
+			if len(r.crashes) < crashesUntilKnown {
+				return "k3"
+			}
+			if switchAt.IsZero() {
+				switchAt = r.crashes[crashesUntilKnown-1].Add(refusalLimit + 100*time.Millisecond)
+			}
+			if r.now.Before(switchAt) {
+				return "k3"
+			}
+			return "k1"
+		}
+		r.run(2 * time.Second)
+		r.crashServers("/talk/x", 100*time.Millisecond, 16*time.Second)
+		if n := r.lateArrivals(crashesUntilKnown, refusalLimit); n > maxLateArrivals {
+			t.Errorf("requests with the part reached servers %d times later than %v after its fifth crash, at most %d allowed; %d servers crashed, %d requests refused",
+				n, refusalLimit, maxLateArrivals, len(r.crashes), r.refused)
+		}
+	})
+}
