Failing test: a sound pool is refused for minutes after it has died twice

Callers would see: all requests of a service refused for minutes though its servers are sound. Cause: each trial that a dying server breaks off makes the next one wait eight times longer, also for the first part of all prompts and although the server had died for reasons of its own. After two or three the service waits for 24 to 192 s and more, with no way to lift it. Ruled out: servers that are away; they are back 1 s after the last death.

--- a/internal/exchange/crash_trial_end_test.go
+++ b/internal/exchange/crash_trial_end_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -42,3 +43,35 @@
 		})
 	}
 }
+
+// nothing is sent to it.
+func TestCrashTrial_PoolThatDiesAgainIsServedSoonAfter(t *testing.T) {
+	for _, times := range []int{2, 3} {
+		for _, daemons := range []int{1, 9} {
+			t.Run(fmt.Sprintf("times=%d/daemons=%d", times, daemons), func(t *testing.T) {
+				t.Parallel()
+				r := newPartRun(t, 1, daemons, 3)
+				r.runDuration = func(Request) (time.Duration, time.Duration) { return time.Second, 1500 * time.Millisecond }
+				r.run(3 * time.Second)
+				for range times {
+					r.loseAllServers(120 * time.Millisecond)
+					r.run(4 * time.Second)
+					for range 60 { // each engine dies within 0.8 s of the first request that it runs
+						for _, s := range append([]*fleetServer(nil), r.servers...) {
+							if s.Service == "engine" && s.up && len(s.runs) > 0 {
+								r.run(100 * time.Millisecond)
+								r.crash(s)
+								r.after(time.Second, func() { r.replace(s, s.ID+"-again", 1) })
+								r.crashes = append(r.crashes, r.now)
+							}
+						}
+						r.run(100 * time.Millisecond)
+					}
+				}
+				last := r.now
+				r.run(40 * time.Second)
+				r.checkSound(last.Add(30 * time.Second))
+			})
+		}
+	}
+}
