Failing test: a caller that leaves a long answer makes its parts suspect

Callers would see: more sound parts become suspect, or explain others, than could be the cause. Cause: an answer that had been written for half a second clears its parts of a death only if it broke off, not if its caller left, though the part has had its moment in both cases. Evidence: "1 deaths under the part, want 0; 1 under the whole request, want 1".

--- a/internal/exchange/crash_writing_test.go
+++ b/internal/exchange/crash_writing_test.go
@@ -41,3 +41,11 @@
 		}
 	}
 }
+
+// TestCrashPart_CallerLeavesAnAnswerWrittenForLong: the same, but the caller has left shortly
+// before the server dies.
+func TestCrashPart_CallerLeavesAnAnswerWrittenForLong(t *testing.T) {
+	if part, whole := deathsUnderPart(t, 2*time.Second, Abandoned); part != 0 || whole != 1 {
+		t.Errorf("%d deaths under the part, want 0; %d under the whole request, want 1", part, whole)
+	}
+}
