Benchmark: bytes of notices in an incident of a crashing part

What a daemon may take is 11 KB/s of control; deaths under several parts of each run that a server's death broke off make more messages. The benchmark runs 410 daemons and 200 engines with 1,050 requests a second, ten of which crash servers, and counts what one daemon gets in notices, encoded as they are sent, over 10 s.

--- a/internal/exchange/crash_part_test.go
+++ b/internal/exchange/crash_part_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 )
@@ -51,7 +52,7 @@
 }
 
 // newPartRun returns a fleet that gets sound requests of two organisations.
-func newPartRun(t *testing.T, seed uint64, daemons, servers int) *partRun {
+func newPartRun(t testing.TB, seed uint64, daemons, servers int) *partRun {
 	r := &partRun{crashRun: newQuietCrashRun(t, seed, daemons, servers)}
 	r.badShared = func() []uint64 { return []uint64{commonPart, r.popular(), crashingPart} }
 	r.badKey = func() string { return "k3" }
@@ -578,3 +579,39 @@
 		r.checkSound(last.Add(soundLimit))
 	})
 }
+
+// BenchmarkCrashPart_NoticeBytes measures what one of 410 daemons is sent in notices, alone
+// and with updates, in an incident of ten crashing requests a second among a thousand.
+func BenchmarkCrashPart_NoticeBytes(b *testing.B) {
+	for range b.N {
+		r := newPartRun(b, 1, 410, 200)
+		r.every(time.Millisecond, func() { r.sendSound("k3", commonPart, r.popular()) })
+		perSecond := map[time.Duration]int{} // bytes, by the second in which they arrive
+		r.onNotice = func(to *fleetDaemon, n *Notice) {
+			if to == r.daemons[0] && !n.Empty() {
+				perSecond[r.now.Sub(zero).Truncate(time.Second)] += encodedBytes(b, n)
+			}
+		}
+		r.run(2 * time.Second)
+		r.startCrashing("/talk/x", 100*time.Millisecond)
+		r.run(10 * time.Second)
+		total, most := 0, 0
+		for _, n := range perSecond {
+			total += n
+			most = max(most, n)
+		}
+		b.ReportMetric(float64(total)/10, "bytes/s")
+		b.ReportMetric(float64(most), "bytes-in-worst-s")
+		b.ReportMetric(float64(len(r.crashes)), "crashes")
+	}
+}
+
+// encodedBytes returns the size of a notice as it is sent.
+func encodedBytes(t testing.TB, n *Notice) int {
+	t.Helper()
+	data, err := codec.Encode(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(data)
+}
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -33,7 +33,7 @@
 
 // newCrashRun returns a fleet that gets ordinary requests to all routes. Requests with the
 // crashing content crash servers.
-func newCrashRun(t *testing.T, seed uint64, daemons, servers int) *crashRun {
+func newCrashRun(t testing.TB, seed uint64, daemons, servers int) *crashRun {
 	r := newQuietCrashRun(t, seed, daemons, servers)
 	for _, path := range []string{"/talk/x", "/get/x", "/x"} {
 		r.every(15*time.Millisecond, func() {
@@ -47,7 +47,7 @@
 }
 
 // newQuietCrashRun returns a fleet that gets no requests.
-func newQuietCrashRun(t *testing.T, seed uint64, daemons, servers int) *crashRun {
+func newQuietCrashRun(t testing.TB, seed uint64, daemons, servers int) *crashRun {
 	r := &crashRun{testFleet: newTestFleet(t, seed, daemons, servers)}
 	r.isCrashing = func(req Request) bool { return req.Content == crashingContent }
 	r.crashing = func() Request {
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -16,7 +16,7 @@
 // testFleet runs the cores of several daemons in virtual time with model backend
 // servers. It records what reaches the servers and knows nothing of the cores' decisions.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	rng     *rand.Rand
 	now     time.Time
 	queue   virtualtime.Queue
@@ -32,6 +32,7 @@
 	onArrival   func(arrival)                            // called with each arrival at a server that is up
 	onAnswer    func(*fleetDaemon, *fleetServer)         // called when a server has begun to answer a daemon
 	onRefusal   func(*fleetDaemon, Request, *Refusal)
+	onNotice    func(to *fleetDaemon, n *Notice) // called when a daemon gets a notice, alone or with an update
 }
 
 const (
@@ -87,7 +88,7 @@
 var dataCentres = []entity.DataCentreID{"a", "b", "c"}
 
 // newTestFleet returns a fleet with some daemons and, for each service, some servers.
-func newTestFleet(t *testing.T, seed uint64, daemons, servers int) *testFleet {
+func newTestFleet(t testing.TB, seed uint64, daemons, servers int) *testFleet {
 	f := &testFleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: zero,
 		runDuration: func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, 300 * time.Millisecond },
@@ -97,6 +98,7 @@
 		onArrival:   func(arrival) {},
 		onAnswer:    func(*fleetDaemon, *fleetServer) {},
 		onRefusal:   func(*fleetDaemon, Request, *Refusal) {},
+		onNotice:    func(*fleetDaemon, *Notice) {},
 	}
 	for i := range servers {
 		for _, service := range []entity.ServiceName{"engine", "plain"} {
@@ -208,6 +210,7 @@
 			continue
 		}
 		f.after(time.Duration(i/2)*6*time.Millisecond+networkDelay, func() {
+			f.onNotice(to, &update.Notice)
 			to.core.ReceiveUpdate(f.now, &update, ack)
 			f.perform(to.core)
 		})
@@ -405,6 +408,7 @@
 	for i, m := range d.core.Peers() {
 		if to := f.daemon(m.Name); to != nil && !to.cut && !d.cut && f.rng.Float64() >= updateLossRatio {
 			f.after(time.Duration(i/8)*6*time.Millisecond+networkDelay, func() {
+				f.onNotice(to, &notice)
 				to.core.ReceiveNotice(f.now, entity.InstanceID(d.name), &notice)
 				f.perform(to.core)
 			})
