Failing test: deaths that a cut-off daemon found outlast later completions

What callers see: after a daemon that was cut off from the others is back, all daemons refuse content that is sound. Nothing can complete any more, so that this lasts until the deaths expire.

Cause: the daemon found three deaths of servers that ran the content and announces them once it is back. The others forget only deaths that they know when the content completes; of its completions during the cut none remembers anything. Ruled out: lost announcements, as the same test with two deaths known to all before the cut passes (TestCrashPart_CompletionReachesADaemonThatWasCutOff).

Conclusion: a real fault, found by a test, open.

--- a/internal/exchange/crash_part_test.go
+++ b/internal/exchange/crash_part_test.go
@@ -444,31 +444,48 @@
 // as if nothing had completed.
 func TestCrashPart_CompletionReachesADaemonThatWasCutOff(t *testing.T) {
 	eachFleet(t, []int{3, 9, 89}, 2, func(r *partRun) {
-		cut, other := r.daemons[0], r.daemons[1]
-		r.runDuration = func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, 400 * time.Millisecond }
-		r.run(2 * time.Second)
-		for range refusalDeathCount - 1 {
-			r.crashWithPart(other, companionPart)
-		}
-		r.run(refusalLimit)
-		cut.cut = true
-		r.crashWithPart(cut, companionPart)
-		for range 3 {
-			r.sendOnce(other, companionPart)
-			r.run(time.Second)
-		}
-		r.reconnect(cut)
-		r.run(refusalLimit)
-		before := len(r.wrongly)
-		for _, d := range r.daemons {
-			r.sendOnce(d, companionPart)
-		}
-		if n := len(r.wrongly) - before; n > 0 {
-			r.t.Errorf("%d of %d daemons refuse a part that has completed since", n, len(r.daemons))
-		}
+		r.completeElsewhere(refusalDeathCount - 1)
 	})
 }
 
+// TestCrashPart_CompletionElsewhereCountsAfterACut: a daemon that is cut off from the others
+// finds all three deaths. Fails if the part is refused by all after that, since those for which
+// it completed meanwhile had no death of it to forget.
+func TestCrashPart_CompletionElsewhereCountsAfterACut(t *testing.T) {
+	eachFleet(t, []int{3, 9}, 2, func(r *partRun) {
+		r.completeElsewhere(0)
+	})
+}
+
+// completeElsewhere lets some of three deaths of servers that ran a part be known to all daemons
+// and the others only to one that is cut off. The part completes for another one after each
+// of these. It checks that no daemon refuses the part afterwards.
+func (r *partRun) completeElsewhere(known int) {
+	r.t.Helper()
+	cut, other := r.daemons[0], r.daemons[1]
+	r.runDuration = func(Request) (time.Duration, time.Duration) { return 100 * time.Millisecond, 400 * time.Millisecond }
+	r.run(2 * time.Second)
+	for range known {
+		r.crashWithPart(other, companionPart)
+	}
+	r.run(refusalLimit)
+	cut.cut = true
+	for range refusalDeathCount - known {
+		r.crashWithPart(cut, companionPart)
+		r.sendOnce(other, companionPart)
+		r.run(time.Second)
+	}
+	r.reconnect(cut)
+	r.run(refusalLimit)
+	before := len(r.wrongly)
+	for _, d := range r.daemons {
+		r.sendOnce(d, companionPart)
+	}
+	if n := len(r.wrongly) - before; n > 0 {
+		r.t.Errorf("%d of %d daemons refuse a part that has completed since", n, len(r.daemons))
+	}
+}
+
 // sendOnce lets a caller send a request with the given part that runs once at most.
 func (r *partRun) sendOnce(d *fleetDaemon, id uint64) {
 	req := r.request("k3", firstSession, []uint64{commonPart, id})
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -499,6 +499,34 @@
 	r.run(refusalLimit)
 }
 
+// TestCrash_CompletionElsewhereCountsAfterACut: a daemon that is cut off from the others finds
+// three deaths of servers that ran some content, which completes for another daemon after
+// each. No daemon must refuse it after the cut.
+func TestCrash_CompletionElsewhereCountsAfterACut(t *testing.T) {
+	for _, daemons := range []int{3, 9, 89} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			r := newCrashRun(t, 1, daemons, 30)
+			cut, other := r.daemons[0], r.daemons[1]
+			r.run(2 * time.Second)
+			cut.cut = true
+			for range refusalDeathCount {
+				r.crashPopular(cut)
+				r.sendPopular(other)
+				r.run(time.Second)
+			}
+			r.reconnect(cut)
+			r.run(refusalLimit)
+			before := len(r.wrongly)
+			for _, d := range r.daemons {
+				r.sendPopular(d)
+			}
+			if n := len(r.wrongly) - before; n > 0 {
+				t.Errorf("%d of %d daemons refuse content that has completed since", n, daemons)
+			}
+		})
+	}
+}
+
 // TestEnded_ThirdBreakIsNotRepeatedBeforeItIsExplained: another attempt would be made
 // before the probe of the server ends.
 func TestEnded_ThirdBreakIsNotRepeatedBeforeItIsExplained(t *testing.T) {
