Leave SIGHUP ignored for commands that were started so

Operators saw: a stand-in, load or quickstart started with nohup ended with its terminal since all signals are handled for the life of the process. Cause: signal.Notify takes back that SIGHUP was ignored at the start. Change: the fact is read before; SIGHUP then stops no command that is not a service. Services check their settings on it, as before. Evidence: TestProcess_IgnoredHangUpStaysIgnored failed before, passes now.

--- a/internal/command/signals.go
+++ b/internal/command/signals.go
@@ -27,6 +27,8 @@
 	received  chan os.Signal
 	forwarded chan os.Signal // to the service, after they have taken effect here
 	stop      context.CancelFunc
+	// hangUpIgnored says that the process was started with SIGHUP ignored, as nohup does.
+	hangUpIgnored bool
 }
 
 // handleSignals begins to handle signals. Those that come before dispatch is called wait.
@@ -35,6 +37,8 @@
 		received:  make(chan os.Signal, maxQueuedSignals),
 		forwarded: make(chan os.Signal, maxQueuedSignals),
 		stop:      stop,
+
+		hangUpIgnored: signal.Ignored(syscall.SIGHUP),
 	}
 	signal.Notify(p.received, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	return p
@@ -58,7 +62,7 @@
 }
 
 func (p *processSignals) handle(sig os.Signal, serves bool) {
-	if sig != syscall.SIGHUP || !serves {
+	if sig != syscall.SIGHUP || !serves && !p.hangUpIgnored {
 		p.stop()
 	}
 	select {
