Keep the most suspect contents, and the time of their last death

Callers would see: content that is refused crashes servers again after a few other servers have died; a trial too early. Each death that was told again became the last one. Change: when the table is full, a quarter goes at once, those with the fewest deaths first. Only a new death moves the time of the last, and only forward.

--- a/internal/system/quarantine/death.go
+++ b/internal/system/quarantine/death.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -55,13 +56,14 @@
 	}
 	s := r.suspects.Get(d.Digest)
 	if s == nil {
-		r.evictSuspect(now)
+		r.evictSuspects(now)
 		s = &suspect{lastDeathAt: now}
 		r.suspects.Put(d.Digest, s)
 	}
-	s.lastDeathAt = now
 	recorded.startedAt = d.StartedAt
-	s.addDeath(recorded)
+	if s.addDeath(recorded) && now.After(s.lastDeathAt) {
+		s.lastDeathAt = now
+	}
 	if !d.Isolated || alreadyDead || !s.verdictAt.IsZero() {
 		return
 	}
@@ -264,31 +266,44 @@
 	return true
 }
 
-func (s *suspect) addDeath(d death) {
-	if len(s.deaths) < maxDeathsPerSuspect && !s.hasDeathOn(d) {
+// addDeath adds a death unless it is known, and reports whether it was not. Of many, the first
+// are kept.
+func (s *suspect) addDeath(d death) bool {
+	if s.hasDeathOn(d) {
+		return false
+	}
+	if len(s.deaths) < maxDeathsPerSuspect {
 		s.deaths = append(s.deaths, d)
 	}
+	return true
 }
 
-// evictSuspect drops the expired suspects when the table is full, and the
-// oldest one if none has expired.
-func (r *Registry) evictSuspect(now time.Time) {
+// evictSuspects drops the expired suspects when the table is full, and, unless that makes
+// enough room, those with the fewest deaths, of these the oldest.
+func (r *Registry) evictSuspects(now time.Time) {
 	if r.suspects.Len() < r.cfg.MaxSuspects {
 		return
 	}
-	var oldest entity.Digest
-	var oldestDeathAt time.Time
 	for _, d := range r.suspects.Keys() {
-		s := r.suspects.Get(d)
-		if now.Sub(s.lastDeathAt) > r.cfg.SuspectTTL {
+		if now.Sub(r.suspects.Get(d).lastDeathAt) > r.cfg.SuspectTTL {
 			r.suspects.Delete(d)
-			continue
-		}
-		if oldestDeathAt.IsZero() || s.lastDeathAt.Before(oldestDeathAt) {
-			oldest, oldestDeathAt = d, s.lastDeathAt
 		}
 	}
-	if r.suspects.Len() >= r.cfg.MaxSuspects {
-		r.suspects.Delete(oldest)
+	excess := r.suspects.Len() - r.cfg.MaxSuspects*(evictionParts-1)/evictionParts
+	if excess <= 0 {
+		return
+	}
+	digests := r.suspects.Keys()
+	slices.SortStableFunc(digests, func(a, b entity.Digest) int { return r.suspects.Get(a).compareEviction(r.suspects.Get(b)) })
+	for _, d := range digests[:excess] {
+		r.suspects.Delete(d)
 	}
 }
+
+// compareEviction orders suspects by which is dropped first.
+func (s *suspect) compareEviction(other *suspect) int {
+	return cmp.Or(cmp.Compare(len(s.deaths), len(other.deaths)), s.lastDeathAt.Compare(other.lastDeathAt))
+}
+
+// evictionParts is the number of parts of the table of which one is dropped when it is full.
+const evictionParts = 4
