Take no failure of a server for a completion

Callers would see: a part that crashes servers is cleared, at all daemons, when one server answers a request with it with a failure of its own. Cause: an answer with status 500 that is relayed counts as answered, and each answer cleared. Change: the relay tells the core that the answer is a failure; it clears nothing.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -238,9 +238,7 @@
 func (c *Core) recordEvidence(now time.Time, t *Ticket, o Outcome) {
 	switch o {
 	case Answered:
-		for _, content := range t.contents {
-			c.recordCompletion(now, content)
-		}
+		c.recordCompletions(now, t)
 	case Broken, Silent, Abandoned:
 		c.recordUnexplainedRun(now, t, o)
 	case NotListening:
@@ -250,6 +248,21 @@
 	}
 }
 
+// recordCompletions records that the contents of an answered request have completed, unless
+// the answer was a failure.
+func (c *Core) recordCompletions(now time.Time, t *Ticket) {
+	if t.failedAnswer {
+		return
+	}
+	for _, content := range t.contents {
+		c.recordCompletion(now, content)
+	}
+}
+
+// RecordFailedAnswer records that the answer which the caller gets is a failure of the backend
+// server. It does not prove that the request can be completed.
+func (c *Core) RecordFailedAnswer(t *Ticket) { t.failedAnswer = true }
+
 // releaseLoad releases the load that the present attempt has reserved. Complete
 // says that its answer was complete.
 func (c *Core) releaseLoad(now time.Time, t *Ticket, complete bool) {
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -103,6 +103,7 @@
 	usageCounted    bool                   // the request is counted in its organisation's usage
 	demandRecorded  bool                   // the request is counted in the demand
 	quotaCost       float64                // units reserved on the organisation's quota
+	failedAnswer    bool                   // the answer that the caller gets is a failure of the backend server
 	answerStarted   bool                   // the head or first event of the present attempt's answer has arrived
 	answerStartedAt time.Time              // when it arrived, if it has
 	firstSentAt     time.Time              // when the first attempt began; zero: none has
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -146,6 +146,9 @@
 	if reply.StatusCode >= http.StatusInternalServerError && x.mayReplace() {
 		return exchange.Failed, strconv.Itoa(reply.StatusCode)
 	}
+	if reply.StatusCode >= http.StatusBadRequest {
+		x.g.withCore(func(c *exchange.Core, _ time.Time) { c.RecordFailedAnswer(x.ticket) })
+	}
 	x.sendHead(reply)
 	if _, err := x.w.Write(body); err != nil {
 		return exchange.Abandoned, "caller: " + err.Error()
