Send a request that has not run elsewhere, whatever is held against its contents

Callers would see: an admitted request that finds nothing listening is refused instead of sent to another server. Cause: no request with a nearly refused content was repeated, also one that has not run. Change: the check holds for runs that ended, not for sends that reached nothing. Evidence: TestCrashPart_SoundRequestThatReachedNoServerIsSentElsewhere failed before, passes now; TestEnded_ThirdBreakIsNotRepeatedBeforeItIsExplained still passes.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -227,7 +227,7 @@
 	case Failed, Broken, Silent:
 		t.Ran++
 	}
-	if c.crash.anyNearlyQuarantined(now, t.contents) || !c.mayRepeat(now, t) {
+	if t.Ran > 0 && c.crash.anyNearlyQuarantined(now, t.contents) || !c.mayRepeat(now, t) {
 		return c.finalRefusal(t, o.String(), noServerRetryDelay)
 	}
 	return nil
