Hold no part against an answer that its caller left after long writing

Cause: the margin after which parts of a prompt cannot be the cause held for broken answers only. Evidence: TestCrashPart_CallerLeavesAnAnswerWrittenForLong failed before (1 death, want 0), passes now.

--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -180,7 +180,8 @@
 // suspectContents returns the contents of a request that may have ended the process on which
 // its run broke off now. Parts of its prompt can't if the answer had been written for long.
 func suspectContents(now time.Time, t *Ticket, o Outcome) []entity.Digest {
-	if o == Broken && t.answerStarted && now.Sub(t.answerStartedAt) > writingTimeToCrash {
+	wroteUntilNow := o == Broken || o == Abandoned
+	if wroteUntilNow && t.answerStarted && now.Sub(t.answerStartedAt) > writingTimeToCrash {
 		return t.contents[:1]
 	}
 	return t.contents
