Announce the death under a run in one message

Callers would see: daemons count different numbers of deaths under a part, and let it crash more servers, where many requests with a dozen parts run. Cause: a run had a message for each of its contents, up to 33; a daemon announces 256 at most and drops the oldest untold. Change: one message a run, with the IDs of its parts and the organisation. A completion that another daemon has told already is not told again. Evidence: TestCrashPart_AmongPromptsOfADozenParts failed before in 8 of 18 cases ("daemons know of 6 and 4 deaths"), passes now.

--- a/internal/exchange/announce.go
+++ b/internal/exchange/announce.go
@@ -8,7 +8,7 @@
 
 // announcements holds facts that the state updates tell the other daemons until all of
 // them have acknowledged an update with the fact.
-type announcements[T comparable] struct {
+type announcements[T any] struct {
 	list []announcement[T] // oldest first
 }
 
@@ -26,23 +26,29 @@
 	}
 }
 
-// addOnce has the next updates include a fact, unless it is being announced.
-func (a *announcements[T]) addOnce(fact T) {
-	if !a.contains(func(known T) bool { return known == fact }) {
+// addUnless has the next updates include a fact, unless one for which same returns true is
+// being announced.
+func (a *announcements[T]) addUnless(fact T, same func(T) bool) {
+	if !slices.ContainsFunc(a.list, func(item announcement[T]) bool { return same(item.fact) }) {
 		a.add(fact)
 	}
 }
 
-// contains reports whether a fact for which f returns true is being announced.
-func (a *announcements[T]) contains(f func(T) bool) bool {
-	return slices.ContainsFunc(a.list, func(item announcement[T]) bool { return f(item.fact) })
-}
+// equalTo returns a predicate for addUnless.
+func equalTo[T comparable](fact T) func(T) bool { return func(known T) bool { return known == fact } }
 
 // drop removes the facts for which f returns true.
 func (a *announcements[T]) drop(f func(T) bool) {
 	a.list = slices.DeleteFunc(a.list, func(item announcement[T]) bool { return f(item.fact) })
 }
 
+// dropUntold removes the facts for which f returns true and which no update or notice has told.
+func (a *announcements[T]) dropUntold(f func(T) bool) {
+	a.list = slices.DeleteFunc(a.list, func(item announcement[T]) bool {
+		return item.sequence == 0 && !item.noticed && f(item.fact)
+	})
+}
+
 // due returns the facts that the update with the given sequence number must include. All
 // other daemons have received the updates up to acked.
 func (a *announcements[T]) due(sequence, acked uint32) []T {
--- a/internal/exchange/content.go
+++ b/internal/exchange/content.go
@@ -33,19 +33,35 @@
 // contentsOf returns the digests of all contents of a request. That of the whole request is
 // the first.
 func contentsOf(r *Request, org *Organisation) []entity.Digest {
-	out := []entity.Digest{r.Content}
+	var id entity.OrganisationID
+	if org != nil {
+		id = org.ID
+	}
+	return append([]entity.Digest{r.Content}, partContents(contentParts(r), id)...)
+}
+
+// contentParts returns the IDs of the parts of a request's prompt that are contents.
+func contentParts(r *Request) []uint64 {
 	parts := r.Work.Parts
-	if len(parts) < 2 {
-		return out
+	var out []uint64
+	for _, part := range parts[:min(max(len(parts)-1, 0), maxContentParts)] {
+		out = append(out, part.ID)
 	}
-	var organisation entity.Digest
-	if org != nil {
-		organisation = sha256.Sum256([]byte(org.ID))
+	return out
+}
+
+// partContents returns the digests of parts that an organisation sends: of each as sent by
+// anybody, and as sent by that one unless its ID is empty.
+func partContents(parts []uint64, org entity.OrganisationID) []entity.Digest {
+	if len(parts) == 0 {
+		return nil
 	}
-	for _, part := range parts[:min(len(parts)-1, maxContentParts)] {
-		digest := partDigest(part.ID)
+	organisation := sha256.Sum256([]byte(org))
+	var out []entity.Digest
+	for _, id := range parts {
+		digest := partDigest(id)
 		out = append(out, digest)
-		if org != nil {
+		if org != "" {
 			copy(digest[partOrganisationOffset:], organisation[:])
 			out = append(out, digest)
 		}
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -36,18 +36,28 @@
 // unexplainedRun is a run of a request that ended without a complete answer: it broke off,
 // got no answer in time, or its caller left. The server's process may have died by it.
 type unexplainedRun struct {
-	contents  []entity.Digest // that may have ended the process
-	startedAt time.Time       // when the request was sent
-	endedAt   time.Time
+	contents     []entity.Digest // that may have ended the process; the whole request is the first
+	parts        []uint64        // of the prompt, which are among the contents
+	organisation entity.OrganisationID
+	startedAt    time.Time // when the request was sent
+	endedAt      time.Time
 }
 
-// ContentDeath says that a process of a backend server died while it ran some content.
+// ContentDeath says that a process of a backend server died while it ran some contents: one
+// with a digest, and parts of a prompt.
 type ContentDeath struct {
-	Digest entity.Digest          `cbor:"1,keyasint"`
-	Server entity.BackendServerID `cbor:"2,keyasint"`
-	Born   int64                  `cbor:"3,keyasint,omitempty"` // see entity.ServerProcess
-	Ago    time.Duration          `cbor:"4,keyasint,omitempty"` // from the death to the sending of the message
-	Ran    time.Duration          `cbor:"5,keyasint,omitempty"` // from the sending of the request to the death
+	Digest       entity.Digest          `cbor:"1,keyasint"`
+	Server       entity.BackendServerID `cbor:"2,keyasint"`
+	Born         int64                  `cbor:"3,keyasint,omitempty"` // see entity.ServerProcess
+	Ago          time.Duration          `cbor:"4,keyasint,omitempty"` // from the death to the sending of the message
+	Ran          time.Duration          `cbor:"5,keyasint,omitempty"` // from the sending of the request to the death
+	Parts        []uint64               `cbor:"6,keyasint,omitempty"` // IDs
+	Organisation entity.OrganisationID  `cbor:"7,keyasint,omitempty"` // that sent the parts
+}
+
+// contents returns the digests of the contents that may have ended the process.
+func (d *ContentDeath) contents() []entity.Digest {
+	return append([]entity.Digest{d.Digest}, partContents(d.Parts, d.Organisation)...)
 }
 
 // process returns the process that died.
@@ -61,7 +71,7 @@
 	at time.Time
 }
 
-// sameAs reports whether another message is about the same content and process.
+// sameAs reports whether another message is about the same run's content and process.
 func (d datedDeath) sameAs(other datedDeath) bool {
 	return d.Digest == other.Digest && d.process() == other.process()
 }
@@ -161,7 +171,7 @@
 // its process may have died by it, that is probed.
 func (c *Core) recordUnexplainedRun(now time.Time, t *Ticket, o Outcome) {
 	p, row := t.process, c.servers.Get(t.process.Server)
-	run := unexplainedRun{contents: suspectContents(now, t, o), startedAt: t.sentAt, endedAt: now}
+	run := newUnexplainedRun(now, t, o)
 	switch {
 	case c.deaths.isDead(now, p):
 		c.blame(now, p, run)
@@ -177,14 +187,20 @@
 	}
 }
 
-// suspectContents returns the contents of a request that may have ended the process on which
-// its run broke off now. Parts of its prompt can't if the answer had been written for long.
-func suspectContents(now time.Time, t *Ticket, o Outcome) []entity.Digest {
+// newUnexplainedRun returns the run of a request that ends now. Parts of its prompt can't have
+// ended the process if the answer had been written for long.
+func newUnexplainedRun(now time.Time, t *Ticket, o Outcome) unexplainedRun {
+	run := unexplainedRun{contents: t.contents, startedAt: t.sentAt, endedAt: now}
 	wroteUntilNow := o == Broken || o == Abandoned
 	if wroteUntilNow && t.answerStarted && now.Sub(t.answerStartedAt) > writingTimeToCrash {
-		return t.contents[:1]
+		run.contents = t.contents[:1]
+		return run
 	}
-	return t.contents
+	run.parts = contentParts(&t.Request)
+	if t.Org != nil {
+		run.organisation = t.Org.ID
+	}
+	return run
 }
 
 // blameUnexplained holds the content of the unexplained runs on a process that ended
@@ -202,29 +218,35 @@
 // blame holds the contents of a run responsible for the death of its process, and announces
 // that.
 func (c *Core) blame(now time.Time, p entity.ServerProcess, run unexplainedRun) {
-	for _, d := range run.contents {
-		death := datedDeath{ContentDeath{Digest: d, Server: p.Server, Born: p.Born, Ran: run.endedAt.Sub(run.startedAt)}, run.endedAt}
-		if !c.crash.contentDeaths.contains(death.sameAs) {
-			c.crash.contentDeaths.add(death)
-		}
-		c.recordContentDeath(now, &death, c.cfg.Self.Name)
-	}
+	death := datedDeath{ContentDeath{
+		Digest: run.contents[0], Server: p.Server, Born: p.Born, Ran: run.endedAt.Sub(run.startedAt),
+		Parts: run.parts, Organisation: run.organisation,
+	}, run.endedAt}
+	c.crash.contentDeaths.addUnless(death, death.sameAs)
+	c.recordContentDeath(now, &death, c.cfg.Self.Name)
 }
 
-// recordContentDeath records that a process died while it ran some content, as the given
+// recordContentDeath records that a process died while it ran some contents, as the given
 // daemon has found.
 func (c *Core) recordContentDeath(now time.Time, d *datedDeath, by entity.InstanceID) {
+	for _, content := range d.contents() {
+		c.recordDeathUnder(now, content, d, by)
+	}
+}
+
+// recordDeathUnder records that a process died while it ran one content.
+func (c *Core) recordDeathUnder(now time.Time, content entity.Digest, d *datedDeath, by entity.InstanceID) {
 	registry := c.crash.registry
-	before := registry.Deaths(now, d.Digest)
-	registry.RecordDeath(d.at, quarantine.Death{Digest: d.Digest, Backend: d.Server, Born: d.Born, StartedAt: d.at.Add(-d.Ran)})
-	deaths := registry.Deaths(now, d.Digest)
+	before := registry.Deaths(now, content)
+	registry.RecordDeath(d.at, quarantine.Death{Digest: content, Backend: d.Server, Born: d.Born, StartedAt: d.at.Add(-d.Ran)})
+	deaths := registry.Deaths(now, content)
 	if deaths == before {
 		return
 	}
-	content := event.A("content", ShortDigest(d.Digest))
-	c.logEvent(event.Event{Number: event.ContentDeathRecorded, Backend: d.Server, Peer: by, Attrs: []event.Attr{content, event.A("deaths", deaths)}})
+	attrs := []event.Attr{event.A("content", ShortDigest(content)), event.A("deaths", deaths)}
+	c.logEvent(event.Event{Number: event.ContentDeathRecorded, Backend: d.Server, Peer: by, Attrs: attrs})
 	if deaths == refusalDeathCount {
-		c.logEvent(event.Event{Number: event.ContentRefused, Attrs: []event.Attr{content, event.A("deaths", deaths)}})
+		c.logEvent(event.Event{Number: event.ContentRefused, Attrs: attrs})
 	}
 }
 
@@ -250,13 +272,13 @@
 func (c *Core) announceSuspects(now time.Time) {
 	deaths := c.suspectDeaths(now)
 	for _, d := range deaths {
-		c.crash.contentDeaths.addOnce(d)
+		c.crash.contentDeaths.addUnless(d, d.sameAs)
 	}
 	for _, t := range c.pastTrials(deaths) {
-		c.crash.trials.addOnce(t)
+		c.crash.trials.addUnless(t, equalTo(t))
 	}
 	for _, d := range c.crash.registry.ListCleared(maxSharedContents) {
-		c.crash.completions.addOnce(d)
+		c.crash.completions.addUnless(d, equalTo(d))
 	}
 }
 
@@ -264,7 +286,7 @@
 // announces that if it was suspect.
 func (c *Core) recordCompletion(now time.Time, d entity.Digest) {
 	if c.clearContent(now, d, c.cfg.Self.Name) {
-		c.crash.completions.addOnce(d)
+		c.crash.completions.addUnless(d, equalTo(d))
 	}
 }
 
--- a/internal/exchange/limit.go
+++ b/internal/exchange/limit.go
@@ -88,7 +88,7 @@
 func (l *limitTable) announceAll() {
 	l.rows.All(func(p entity.ServerProcess, row *serverLimit) bool {
 		if row.Stated {
-			l.changes.addOnce(p)
+			l.changes.addUnless(p, equalTo(p))
 		}
 		return true
 	})
@@ -167,7 +167,7 @@
 	case !row.Stated:
 	case row.bucket.Rate() > 0 && age >= limitRefreshInterval:
 		row.refreshedAt = now
-		c.limits.changes.addOnce(p)
+		c.limits.changes.addUnless(p, equalTo(p))
 	case row.bucket.Rate() == 0 && age >= limitExpiryFactor*c.cfg.Bounds.ForgetPeerAfter:
 		c.setLimit(now, p, RateLimit{}, now, c.cfg.Self.Name)
 	}
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -61,6 +61,7 @@
 	}
 	for _, d := range notice.Completions {
 		c.clearContent(now, d, from)
+		c.crash.completions.dropUntold(equalTo(d)) // the sender tells it until all have heard it
 	}
 	for _, t := range notice.Trials {
 		c.crash.registry.RecordTrial(t.Digest, now.Add(-t.Ago))
