Count no death that is told after the content has completed

Callers would see: content that completes at all daemons but one, which was cut off while servers died under it, is refused everywhere when that one is back. Cause: a completion cleared what was known of deaths then, and was forgotten; deaths told later with an earlier time counted. Evidence: TestCrash_CompletionElsewhereCountsAfterACut failed before (89 of 89 daemons refuse), passes now.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -255,6 +255,7 @@
 		return
 	}
 	for _, content := range t.contents {
+		c.crash.completed.record(now, content)
 		c.recordCompletion(now, content)
 	}
 }
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -95,12 +95,14 @@
 	deadProcesses announcements[entity.ServerProcess]
 	completions   announcements[entity.Digest] // of content that had been suspect
 	trials        announcements[datedTrial]
+	completed     completionLog
 }
 
 func newCrashGuard() crashGuard {
 	return crashGuard{
 		registry:    quarantine.New(quarantine.Config{}),
 		unexplained: entity.NewTable[entity.ServerProcess, []unexplainedRun](),
+		completed:   newCompletionLog(),
 	}
 }
 
@@ -158,8 +160,9 @@
 	g.unexplained.Put(p, &kept)
 }
 
-// forget drops runs that ended too long ago.
+// forget drops runs and completions that ended too long ago.
 func (g *crashGuard) forget(now time.Time) {
+	g.completed.forget(now)
 	for _, p := range g.unexplained.Keys() {
 		if list := g.unexplainedRuns(p); len(list) == 0 || now.Sub(list[len(list)-1].endedAt) > deathWindow {
 			g.unexplained.Delete(p)
@@ -231,6 +234,9 @@
 func (c *Core) recordContentDeath(now time.Time, d *datedDeath, by entity.InstanceID) {
 	for _, content := range d.contents() {
 		c.recordDeathUnder(now, content, d, by)
+		if c.crash.completed.after(content, d.at) {
+			c.recordCompletion(now, content)
+		}
 	}
 }
 
