Let few requests run for an explanation, and count trials in rounds

Callers would see: a part that crashes servers is never refused beside requests that always time out, since both run on each server that dies and explain each other; another organisation that begins to send a refused part crashes several servers; a refused part reaches a server every 3 s if its callers leave; and a sound pool that died twice is refused for minutes. Cause: an explanation let all requests run, however many deaths there were; only trials that ended with a death delayed the next one, and each of them alone. Change: more than eight deaths need no explanation; one request at a time runs for it, and is told like a trial; trials within 3 s are one round, and each round multiplies the wait; a trial whose request has not run is taken back, and one that runs is not given up for silence.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -35,8 +35,8 @@
 	if c.tooLate(now, t) {
 		return Attempt{}, c.finalRefusal(t, "deadline", 0)
 	}
-	var trials []entity.Digest
-	if t.Sends == 0 {
+	var trials []datedTrial
+	if t.Ran == 0 {
 		var r *Refusal
 		if trials, r = c.checkContents(now, t); r != nil {
 			return Attempt{}, r
@@ -140,6 +140,9 @@
 	if t.Org != nil {
 		a.Org = t.Org.ID
 	}
+	if len(t.trials) > 0 {
+		a.SilenceDeadline = time.Time{} // only a complete answer clears content
+	}
 	if source := c.servers.Get(choice.CopyFrom); source != nil {
 		a.CopyFrom = source.Address
 	}
@@ -227,6 +230,9 @@
 	case Failed, Broken, Silent:
 		t.Ran++
 	}
+	if t.Ran == 0 {
+		c.cancelTrials(t)
+	}
 	if t.Ran > 0 && c.crash.anyNearlyQuarantined(now, t.contents) || !c.mayRepeat(now, t) {
 		return c.finalRefusal(t, o.String(), noServerRetryDelay)
 	}
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/quarantine"
 )
 
 // Notice tells the other daemons what one has learned of backend servers and of content.
@@ -64,7 +65,7 @@
 		c.crash.completions.dropUntold(equalTo(d)) // the sender tells it until all have heard it
 	}
 	for _, t := range notice.Trials {
-		c.crash.registry.RecordTrial(t.Digest, now.Add(-t.Ago))
+		c.crash.registry.RecordTrial(t.Digest, quarantine.Trial{At: now.Add(-t.Ago), Explained: t.Explained})
 	}
 	for i := range notice.Limits {
 		c.receiveLimit(now, &notice.Limits[i], from)
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -97,6 +97,7 @@
 	process         entity.ServerProcess     // of the backend server of the present attempt
 	sentAt          time.Time                // when the present attempt began
 	contents        []entity.Digest          // see contentsOf
+	trials          []datedTrial             // of the request's refused contents, by the present attempt
 	priority        int
 	reservation     *placement.Reservation // reserved for the present attempt; nil between attempts
 	retryCharged    bool                   // the next send is already charged to the retry budget
--- a/internal/system/quarantine/death.go
+++ b/internal/system/quarantine/death.go
@@ -23,8 +23,7 @@
 	deaths        []death   // of different backend servers, the first maxDeathsPerSuspect
 	isolatedDeath death     // the last death while it ran in isolation
 	verdictAt     time.Time // when a pending verdict is decided; zero: none is pending
-	firstTrialAt  time.Time // when a run of it was first sent although it was refused; zero: never
-	lastTrialAt   time.Time // when one was last sent
+	trials        []Trial   // in order of time, the newest maxTrialsPerSuspect
 }
 
 type death struct {
@@ -164,11 +163,15 @@
 // completion must be recorded too.
 func (r *Registry) Suspected(d entity.Digest) bool { return r.suspects.Get(d) != nil }
 
+// maxExplainedDeaths is the number of deaths up to which they may have another explanation.
+// With more, the content is refused together with the other one.
+const maxExplainedDeaths = 8
+
 // Explained reports whether the deaths recorded for some content have another explanation:
 // a content that is not among those held, and that ran on every process that died under it.
 func (r *Registry) Explained(now time.Time, d entity.Digest, held []entity.Digest) bool {
 	s := r.suspects.Get(d)
-	if s == nil {
+	if s == nil || len(s.deaths) > maxExplainedDeaths {
 		return false
 	}
 	explained := false
--- a/internal/system/quarantine/quarantine_test.go
+++ b/internal/system/quarantine/quarantine_test.go
@@ -210,3 +210,49 @@
 		t.Errorf("listed %v", list)
 	}
 }
+
+// TestRegistry_NextTrialWaitsLongerAfterEachRound: trials that daemons began before they heard
+// of each other's are one round, and those with an explanation are none.
+func TestRegistry_NextTrialWaitsLongerAfterEachRound(t *testing.T) {
+	r := New(Config{})
+	d := entity.Digest{1}
+	recordDeaths(r, d, "a", "b", "c") // the last one 20 s after the epoch
+	at := func(seconds float64) time.Time { return time.Unix(0, int64(seconds*float64(time.Second))) }
+	for _, step := range []struct {
+		trial Trial
+		want  time.Duration // until the next trial, since the trial
+	}{
+		{Trial{At: at(21), Explained: true}, firstTrialDelay},
+		{Trial{At: at(30)}, trialDelayFactor * firstTrialDelay},
+		{Trial{At: at(30.01)}, trialDelayFactor*firstTrialDelay - 10*time.Millisecond}, // the same one
+		{Trial{At: at(32)}, trialDelayFactor * firstTrialDelay},
+		{Trial{At: at(60)}, trialDelayFactor * trialDelayFactor * firstTrialDelay},
+	} {
+		r.RecordTrial(d, step.trial)
+		if got := r.NextTrial(d).Sub(step.trial.At); got != step.want {
+			t.Errorf("after the trial at %v: next one in %v, want %v", step.trial.At.Unix(), got, step.want)
+		}
+	}
+	if n := r.OpenTrials(at(61), d); n != 1 {
+		t.Errorf("%d open trials, want 1", n)
+	}
+	r.RemoveTrial(d, Trial{At: at(60)})
+	if got, want := r.NextTrial(d), at(32).Add(trialDelayFactor*firstTrialDelay); !got.Equal(want) {
+		t.Errorf("next trial at %v after the last one was removed, want %v", got, want)
+	}
+}
+
+// TestRegistry_ManyDeathsAreNotExplained: content under which many servers have died is
+// refused, whatever else ran on them.
+func TestRegistry_ManyDeathsAreNotExplained(t *testing.T) {
+	r := New(Config{})
+	suspect, other := entity.Digest{1}, entity.Digest{2}
+	for i := range maxExplainedDeaths + 1 {
+		for _, d := range []entity.Digest{suspect, other} {
+			r.RecordDeath(time.Unix(int64(i), 0), Death{Digest: d, Backend: entity.BackendServerID(rune('a' + i))})
+		}
+		if got, want := r.Explained(time.Unix(int64(i), 0), suspect, nil), i < maxExplainedDeaths; got != want {
+			t.Errorf("explained %v with %d deaths, want %v", got, i+1, want)
+		}
+	}
+}
