--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -53,7 +54,7 @@
 	if t.Sends == 0 {
 		c.budget.RecordFirstAttempt(now, t.Service)
 	} else if !c.chargeRetry(now, t) {
-		return Attempt{}, c.finalRefusal(t, "retry-budget", noServerRetryDelay)
+		return Attempt{}, c.refuseRetry(now, t)
 	}
 	t.retryCharged = false
 	c.startTrials(now, t, choice.Server, trials)
@@ -69,6 +70,15 @@
 	return t.retryCharged
 }
 
+// refuseRetry returns the final answer of a request that the retry budget allows no
+// further send.
+func (c *Core) refuseRetry(now time.Time, t *Ticket) *Refusal {
+	r := c.finalRefusal(t, "retry-budget", noServerRetryDelay)
+	_, daemons := c.countDaemons(now)
+	r.Inputs = fmt.Sprintf("%s, daemons %d", c.budget.StatusOf(t.Service), daemons)
+	return r
+}
+
 // recordDemand counts a request in the demand once, whether or not it is sent.
 func (c *Core) recordDemand(now time.Time, t *Ticket, choice placement.Choice, chosen bool) {
 	if t.demandRecorded {
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quota"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
 )
 
 // Status is this daemon's view of itself, the backend servers and the other
@@ -21,6 +22,7 @@
 	Servers      []ServerStatus    `json:"backend_servers"`
 	Daemons      []DaemonStatus    `json:"daemons"`
 	Quotas       []quota.Use       `json:"quotas"`
+	Retries      []retry.Status    `json:"retry_budgets"`
 	Planned      []ServiceLevel    `json:"planned_work"`
 	Suspects     []ContentStatus   `json:"suspect_contents"`
 }
@@ -59,7 +61,7 @@
 	s := Status{
 		Instance: c.cfg.Self.Name, Version: version, ConfirmedAgo: age.Round(time.Millisecond).String(),
 		Serving: c.Serving(now), Leaving: c.leaving, LeaseEpoch: epoch, HoldsLease: held,
-		Quotas: c.quota.Uses(now, true), Planned: c.Levels(),
+		Quotas: c.quota.Uses(now, true), Retries: c.budget.Status(), Planned: c.Levels(),
 	}
 	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		status := ServerStatus{ID: id, Service: r.Service, DataCentre: r.DataCentre, Usable: c.usable(now, id), Reclaimable: r.Reclaimable}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
 )
 
 // meter holds the metrics of the gateway. docs/METRICS.md describes them.
@@ -55,11 +57,24 @@
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.meter.set.WritePrometheus(w)
 		metrics.WritePrometheus(w, false)
+		g.writeRetryBudgets(w)
 	})
 	r.HandleFunc("/status", g.serveStatus)
 	return r
 }
 
+// writeRetryBudgets writes the metrics of the services' retry budgets.
+func (g *Gateway) writeRetryBudgets(w io.Writer) {
+	var budgets []retry.Status
+	g.withCore(func(c *exchange.Core, now time.Time) { budgets = c.Status(now).Retries })
+	for _, b := range budgets {
+		service := `{service="` + string(b.Service) + `"`
+		metrics.WriteGaugeFloat64(w, `gooseberryslip_retry_budget_saved`+service+`}`, b.Saved)
+		metrics.WriteCounterUint64(w, `gooseberryslip_retries_total`+service+`,result="allowed"}`, b.Allowed)
+		metrics.WriteCounterUint64(w, `gooseberryslip_retries_total`+service+`,result="refused"}`, b.Refused)
+	}
+}
+
 // serveStatus returns this daemon's view of the fleet as JSON.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	var s exchange.Status
--- a/internal/system/retry/retry.go
+++ b/internal/system/retry/retry.go
@@ -39,6 +39,8 @@
 	savedRetries float64
 	streak       int // retries since the backoff last restarted
 	lastRetry    time.Time
+	allowed      uint64 // retries allowed since the start
+	refused      uint64 // retries refused since the start
 }
 
 // New returns a budget in which every service starts with a full reserve.
@@ -86,8 +88,10 @@
 func (b *Budget) Allow(now time.Time, service entity.ServiceName) (delay time.Duration, ok bool) {
 	a := b.account(service)
 	if a.savedRetries < 1 {
+		a.refused++
 		return 0, false
 	}
+	a.allowed++
 	a.savedRetries--
 	if now.Sub(a.lastRetry) > backoffResetPause {
 		a.streak = 0
--- a/internal/system/retry/retry_test.go
+++ b/internal/system/retry/retry_test.go
@@ -96,3 +96,15 @@
 		t.Fatal("two first attempts at a ratio of 0.5 earn no retry")
 	}
 }
+
+// TestBudget_StatusCountsAllowedAndRefused: operators see why retries were refused.
+func TestBudget_StatusCountsAllowedAndRefused(t *testing.T) {
+	b := New(Config{Rand: rand.New(rand.NewPCG(1, 1)), Reserve: 2})
+	for range 3 {
+		b.Allow(start, "s")
+	}
+	want := Status{Service: "s", Saved: 0, Reserve: 2, Allowed: 2, Refused: 1}
+	if got := b.Status(); len(got) != 1 || got[0] != want {
+		t.Fatalf("status %+v, want %+v", got, want)
+	}
+}
