Let the retry reserve accrue with time

Cause: a process opened each service's account with a full reserve, in its first 250 ms with that of the whole fleet. Each start brought it anew. The class is state that is full at each start.

Spending told to the others was weighed and not built: it says nothing when all restart at once (docs/design/retry-budget.md).

Change: an account begins with nothing, a third of the daemon's part of the reserve accrues over a window, up to two thirds are saved. The part goes by the daemons that the table service lists, if these are more than are known to serve; before the list is read there is none. Parts of less than one retry are spent by chance in place of a least one for each daemon, which at 410 was more than any reserve. A budget that a configuration leaves out and lists again begins with nothing too.

TestBudget_ServicesDoNotShare expected a full reserve at the start, which is the fault; it expects the most that may be saved after a minute now, exactly. Tests that need retries from the first moment say so (openRetryBudgetsEarlier, unlimitedRetries).

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -165,7 +165,7 @@
 func (c *Core) updateServices() {
 	c.refreshServices()
 	c.Admission.SetServices(c.now, c.effectiveServices)
-	c.Retry.SetServices(c.effectiveServices)
+	c.Retry.SetServices(c.now, c.effectiveServices)
 	if c.Fleet != nil {
 		c.Fleet.SetServices(c.now, c.effectiveServices)
 	}
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -74,8 +74,7 @@
 // further send.
 func (c *Core) refuseRetry(now time.Time, t *Ticket) *Refusal {
 	r := c.finalRefusal(t, "retry-budget", noServerRetryDelay)
-	_, daemons := c.countDaemons(now)
-	r.Inputs = fmt.Sprintf("%s, daemons %d", c.budget.StatusOf(t.Service), daemons)
+	r.Inputs = fmt.Sprintf("%s, daemons %d", c.budget.StatusOf(now, t.Service), c.sharingRetries)
 	return r
 }
 
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -22,7 +22,8 @@
 type Bounds struct {
 	StaleAfter            time.Duration // a configuration confirmed longer ago than this is not acted on
 	RetryRatio            float64       // retries allowed per first send, over all daemons
-	RetryReserve          float64       // retries allowed in addition to the ratio, over all daemons
+	RetryReserve          float64       // retries allowed in addition to the ratio in a RetryWindow, over all daemons
+	RetryWindow           time.Duration // over which the retries are counted; 0: the default
 	UsageWindow           time.Duration // length of one usage window
 	ForgetServerAfter     time.Duration // a backend server is forgotten this long after it has gone
 	UpdateIntervalPerPeer time.Duration // a daemon's interval between two state updates, per other daemon in the fleet
@@ -59,6 +60,8 @@
 	unixTimeAtZero   time.Duration    // true time since 1970 at the zero of this instance's clock
 	trueTimeKnown    bool             // unixTimeAtZero has been set
 	uncountedStarts  []startedRequest // requests that started before the true time was known
+	listedDaemons    int              // daemons in the newest list of the table service, this one included; 0: not read yet
+	sharingRetries   int              // daemons between which the retry reserve is shared; 0: not known yet
 
 	servers                *entity.Table[entity.BackendServerID, serverRow]
 	peers                  *entity.Table[entity.InstanceID, peerRow]
@@ -107,16 +110,11 @@
 	// previous process's updates can be told apart.
 	c.firstSequence = cfg.Rand.Uint32N(maxFirstSequence)
 	c.sequence = c.firstSequence
-	c.budget = retry.New(retry.Config{
-		Rand: cfg.Rand, Ratio: usedRetryBudgetRatio * cfg.Bounds.RetryRatio, Reserve: usedRetryBudgetRatio * cfg.Bounds.RetryReserve,
-	})
+	c.budget = retry.New(retry.Config{Rand: cfg.Rand, Ratio: usedRetryRatio * cfg.Bounds.RetryRatio, Window: cfg.Bounds.RetryWindow})
+	c.shareRetries(cfg.Started, 1)
 	return c
 }
 
-// usedRetryBudgetRatio is the ratio of the permitted retries that is used, since the
-// windows in which they are counted slide.
-const usedRetryBudgetRatio = 0.6
-
 // SetDocument applies a version of the configuration and reports whether it is
 // newer than the one in force. Other versions are ignored.
 func (c *Core) SetDocument(now time.Time, doc *Document) bool {
@@ -124,6 +122,7 @@
 		return false
 	}
 	c.index = newDocumentIndex(doc)
+	c.openRetryBudgets(now)
 	for i := range doc.Organisations {
 		o := &doc.Organisations[i]
 		if o.QuotaDefined {
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -37,6 +37,8 @@
 			ForgetServerAfter: 10 * time.Second, UpdateIntervalPerPeer: 10 * time.Millisecond, ForgetPeerAfter: 10 * time.Second,
 		},
 	})
+	c.SetListedDaemons(zero, 1)
+	openRetryBudgetsEarlier(c, zero)
 	if !c.SetDocument(zero, testDocument(1)) {
 		t.Fatal("SetDocument rejected the first configuration")
 	}
@@ -52,6 +54,14 @@
 	return c
 }
 
+// openRetryBudgetsEarlier opens the retry budgets of all services so early that their reserve
+// has accrued.
+func openRetryBudgetsEarlier(c *Core, now time.Time) {
+	for _, service := range testDocument(1).Services {
+		c.budget.Open(now.Add(-time.Minute), service.Name)
+	}
+}
+
 func testDocument(version uint64) *Document {
 	return &Document{
 		Version: version,
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -226,7 +226,7 @@
 		reachable, known = c.countDaemons(now)
 	}
 	c.quota.SetDaemons(now, reachable, known)
-	c.budget.SetReserve(max(usedRetryBudgetRatio*c.cfg.Bounds.RetryReserve/float64(known), 1))
+	c.shareRetries(now, known)
 }
 
 // countDaemons returns for how many daemons the use of quotas is known (reachable),
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -61,7 +61,7 @@
 	s := Status{
 		Instance: c.cfg.Self.Name, Version: version, ConfirmedAgo: age.Round(time.Millisecond).String(),
 		Serving: c.Serving(now), Leaving: c.leaving, LeaseEpoch: epoch, HoldsLease: held,
-		Quotas: c.quota.Uses(now, true), Retries: c.budget.Status(), Planned: c.Levels(),
+		Quotas: c.quota.Uses(now, true), Retries: c.budget.Status(now), Planned: c.Levels(),
 	}
 	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		status := ServerStatus{ID: id, Service: r.Service, DataCentre: r.DataCentre, Usable: c.usable(now, id), Reclaimable: r.Reclaimable}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -60,6 +60,7 @@
 				ForgetServerAfter: time.Minute, UpdateIntervalPerPeer: milliseconds(s.cfg.UpdateIntervalMs) / time.Duration(max(s.cfg.Daemons-1, 1)), ForgetPeerAfter: time.Minute,
 			},
 		})
+		c.SetListedDaemons(virtualTime(0), s.cfg.Daemons)
 		c.SetDocument(virtualTime(0), doc)
 		c.Confirm(virtualTime(0))
 		for i, e := range s.engines {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,8 @@
 	AddressTTL         time.Duration // how long callers may use an address list
 	KeyRevocationLimit time.Duration // within which a revoked API key must be refused
 	RetryRatio         float64       // permitted retries for each first attempt, over all daemons
-	RetryReserve       float64       // permitted retries in addition to the ratio, over all daemons
+	RetryReserve       float64       // permitted retries in addition to the ratio in a RetryWindow, over all daemons
+	RetryWindow        time.Duration // over which the retries are counted
 	QuotaWindow        time.Duration // over which quotas are checked
 	QuotaExcessRatio   float64       // ratio of a window's quota by which it may be exceeded
 	QuotaExcessUnits   float64       // units by which a quota may be exceeded in addition
@@ -144,7 +145,7 @@
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
 		Bounds: exchange.Bounds{
-			StaleAfter: s.KeyRevocationLimit - staleMargin, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve,
+			StaleAfter: s.KeyRevocationLimit - staleMargin, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow,
 			QuotaWindow: s.QuotaWindow, QuotaExcessRatio: s.QuotaExcessRatio, QuotaExcessUnits: s.QuotaExcessUnits,
 			UsageWindow: s.UsageWindow, ForgetServerAfter: 10 * time.Second,
 			UpdateIntervalPerPeer: updateIntervalPerPeer, ForgetPeerAfter: s.KeyRevocationLimit + 5*time.Second,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -247,14 +247,17 @@
 	if err != nil {
 		return err
 	}
+	listed := 0
 	for _, row := range rows {
 		var m exchange.Member
 		if err := json.Unmarshal(row.Value, &m); err != nil {
 			g.Log.Logger().WithError(err).Warn("failed to decode a daemon's entry in the list of daemons")
 			continue
 		}
+		listed++
 		g.withCore(func(c *exchange.Core, now time.Time) { c.AddMember(now, m) })
 	}
+	g.withCore(func(c *exchange.Core, now time.Time) { c.SetListedDaemons(now, max(listed, 1)) })
 	return g.removeStaleMembers(ctx)
 }
 
--- a/internal/system/retry/status.go
+++ b/internal/system/retry/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
@@ -10,18 +11,19 @@
 type Status struct {
 	Service entity.ServiceName `json:"service"`
 	Saved   float64            `json:"saved"`   // retries
-	Reserve float64            `json:"reserve"` // maximum of Saved
+	Reserve float64            `json:"reserve"` // this daemon's part of the reserve, in retries in a window
 	Allowed uint64             `json:"allowed"` // retries since the start of the process
 	Refused uint64             `json:"refused"` // retries since the start of the process
 }
 
 // String returns the state as text, for logs.
 func (s Status) String() string {
-	return fmt.Sprintf("%.2f of %.2f retries saved, %d allowed and %d refused since the start", s.Saved, s.Reserve, s.Allowed, s.Refused)
+	return fmt.Sprintf("%.2f retries saved, reserve %.2f, %d allowed and %d refused since the start", s.Saved, s.Reserve, s.Allowed, s.Refused)
 }
 
 // Status returns the state of all services' budgets.
-func (b *Budget) Status() []Status {
+func (b *Budget) Status(now time.Time) []Status {
+	b.accrueAll(now)
 	var out []Status
 	b.services.All(func(name entity.ServiceName, a *account) bool {
 		out = append(out, b.status(name, a))
@@ -31,8 +33,10 @@
 }
 
 // StatusOf returns the state of one service's budget.
-func (b *Budget) StatusOf(service entity.ServiceName) Status {
-	return b.status(service, b.account(service))
+func (b *Budget) StatusOf(now time.Time, service entity.ServiceName) Status {
+	a := b.account(now, service)
+	b.accrue(now, a)
+	return b.status(service, a)
 }
 
 func (b *Budget) status(name entity.ServiceName, a *account) Status {
