Let a request earn its ratio of a retry once

Cause: a send that reaches no server (no connection) sets the count of sends back, and the next one passed for a first send, so that one request earned the service's ratio up to four times. Each such send is one that no server counted: it is reported only where the dial failed and nothing was written (outbound.Pool.Send), so it stays no repeat; only the earning was wrong.

Found by looking for the same class, what is granted more than once. TestRetryBudget_UnsentRequestEarnsOnce failed before: 0.36 in place of 0.12 earned by one request with three such sends.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -51,9 +51,11 @@
 	if r := c.rejectEarly(now, t, choice); r != nil {
 		return Attempt{}, r
 	}
-	if t.Sends == 0 {
+	if !t.earnedRetry {
 		c.budget.RecordFirstAttempt(now, t.Service)
-	} else if !c.chargeRetry(now, t) {
+		t.earnedRetry = true
+	}
+	if t.Sends > 0 && !c.chargeRetry(now, t) {
 		return Attempt{}, c.refuseRetry(now, t)
 	}
 	t.retryCharged = false
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -100,6 +100,7 @@
 	trials          []datedTrial             // of the request's refused contents, by the present attempt
 	priority        int
 	reservation     *placement.Reservation // reserved for the present attempt; nil between attempts
+	earnedRetry     bool                   // the request has earned its service the ratio of a retry
 	retryCharged    bool                   // the next send is already charged to the retry budget
 	usageCounted    bool                   // the request is counted in its organisation's usage
 	demandRecorded  bool                   // the request is counted in the demand
--- a/internal/exchange/retry_budget_test.go
+++ b/internal/exchange/retry_budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -199,3 +200,22 @@
 		})
 	}
 }
+
+// TestRetryBudget_UnsentRequestEarnsOnce: a send that reaches no server is no first send.
+func TestRetryBudget_UnsentRequestEarnsOnce(t *testing.T) {
+	c := newTestCore(t, "d1")
+	for c.chargeRetry(zero, &Ticket{Service: "plain"}) {
+	}
+	before := c.budget.StatusOf(zero, "plain").Saved
+	ticket := mustAdmit(t, c, zero, testRequest("r", "/get/x", "k3"))
+	for range 3 {
+		mustPlace(t, c, zero, ticket)
+		if refusal := c.Ended(zero, ticket, NotListening); refusal != nil {
+			t.Fatalf("request that reached no server was refused: %+v", *refusal)
+		}
+	}
+	earned := c.budget.StatusOf(zero, "plain").Saved - before
+	if want := usedRetryRatio * c.cfg.Bounds.RetryRatio; math.Abs(earned-want) > 1e-9 {
+		t.Fatalf("one request earned %.2f retries, want %.2f", earned, want)
+	}
+}
