Let quotas begin with nothing and wait for the list of daemons

Cause: each start opened every bucket with one second's rate, and a process that knows no other daemon yet spends restored levels and what accrues as if it were alone.

Change: buckets open empty; nothing is spent before the list of daemons has been read, which moves to the start of a process, and the daemon is not ready before; levels of daemons that have just started are marked and not adopted; restored levels are lowered by what may have been spent after the checkpoint, the more the emptier the bucket.

Tests whose requests come in a daemon's first moments start from a restored or a larger quota, as they are about other matters.

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -111,7 +111,7 @@
 	c.firstSequence = cfg.Rand.Uint32N(maxFirstSequence)
 	c.sequence = c.firstSequence
 	c.budget = retry.New(retry.Config{Rand: cfg.Rand, Ratio: usedRetryRatio * cfg.Bounds.RetryRatio, Window: cfg.Bounds.RetryWindow})
-	c.shareRetries(cfg.Started, 1)
+	c.shareAmongDaemons(cfg.Started, 0, 0)
 	return c
 }
 
@@ -193,7 +193,7 @@
 
 // Serving reports whether this daemon can serve requests now.
 func (c *Core) Serving(now time.Time) bool {
-	return c.configurationFresh(now) && !c.leaving && c.servers.Len() > 0
+	return c.configurationFresh(now) && !c.leaving && c.servers.Len() > 0 && c.listedDaemons > 0
 }
 
 const (
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -30,10 +30,12 @@
 	leaveAfter  func(Request) time.Duration              // from a request's arrival at a daemon until its caller leaves; 0: it stays
 	runsOn      bool                                     // servers go on with a run whose caller has left
 	retries     retryContract
-	tableAway   bool                             // the table service answers no daemon
-	rejects     func(*fleetServer) bool          // whether a server rejects the request that has just arrived
-	onArrival   func(arrival)                    // called with each arrival at a server that is up
-	onAnswer    func(*fleetDaemon, *fleetServer) // called when a server has begun to answer a daemon
+	checkpoints bool                              // daemons that start restore the quotas of a checkpoint
+	levels      map[entity.OrganisationID]float64 // of the newest checkpoint
+	tableAway   bool                              // the table service answers no daemon
+	rejects     func(*fleetServer) bool           // whether a server rejects the request that has just arrived
+	onArrival   func(arrival)                     // called with each arrival at a server that is up
+	onAnswer    func(*fleetDaemon, *fleetServer)  // called when a server has begun to answer a daemon
 	onRefusal   func(*fleetDaemon, Request, *Refusal)
 	onNotice    func(to *fleetDaemon, n *Notice) // called when a daemon gets a notice, alone or with an update
 }
@@ -132,6 +134,7 @@
 		f.daemons = append(f.daemons, d)
 		f.start(d)
 	}
+	f.checkpoint()
 	return f
 }
 
@@ -143,6 +146,7 @@
 		Self:        Member{Name: entity.InstanceID(d.name), Start: d.starts, CallerAddr: d.name + ":1", DataCentre: d.dataCentre},
 		DataCentres: dataCentres, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now,
 		Bounds: Bounds{
+			QuotaWindow: quotaWindow, QuotaExcessRatio: quotaExcessRatio, QuotaExcessUnits: quotaExcessUnits,
 			StaleAfter: 4 * time.Second, RetryRatio: f.retries.ratio, RetryReserve: f.retries.reserve, UsageWindow: 5 * time.Second,
 			ForgetServerAfter: 10 * time.Second, UpdateIntervalPerPeer: 10 * time.Millisecond, ForgetPeerAfter: 10 * time.Second,
 		},
@@ -171,6 +175,9 @@
 		openRetryBudgetsEarlier(core, f.now)
 	}
 	core.SetDocument(f.now, testDocument(1))
+	if f.checkpoints {
+		f.after(tableRetryInterval/10, func() { core.RestoreQuotas(&Checkpoint{Levels: f.levels}) })
+	}
 	core.Confirm(f.now)
 	for _, s := range f.servers {
 		if s.up {
@@ -180,6 +187,23 @@
 	f.after(f.random(discoveryTime), func() { f.discover(d, core) })
 }
 
+// restart kills daemons and starts them again a moment latef.
+func (f *testFleet) restart(daemons []*fleetDaemon) {
+	for _, d := range daemons {
+		f.start(d)
+	}
+}
+
+// some returns about the given ratio of the daemons, at least one.
+func (f *testFleet) some(ratio float64) []*fleetDaemon {
+	n := max(int(ratio*float64(len(f.daemons))), 1)
+	var out []*fleetDaemon
+	for _, i := range f.rng.Perm(len(f.daemons))[:n] {
+		out = append(out, f.daemons[i])
+	}
+	return out
+}
+
 // suspend stops a daemon for some time. What reaches it meanwhile waits.
 func (f *testFleet) suspend(d *fleetDaemon, duration time.Duration) {
 	d.thawAt = f.now.Add(duration)
@@ -284,6 +308,15 @@
 	return nil
 }
 
+// checkpoint stores the levels of the quotas that a daemon knows and schedules the next
+// checkpoint.
+func (f *testFleet) checkpoint() {
+	if d := f.daemons[0]; !f.tableAway && f.checkpoints {
+		f.levels = d.core.Checkpoint(f.now).Levels
+	}
+	f.after(time.Duration(len(f.daemons))*20*time.Millisecond, f.checkpoint)
+}
+
 // housekeep runs a daemon's periodic tasks and schedules them again.
 func (f *testFleet) housekeep(d *fleetDaemon, core *Core) {
 	if d.core != core {
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -225,6 +225,22 @@
 	if c.forgetSilentPeers(now, reachable, known) {
 		reachable, known = c.countDaemons(now)
 	}
+	c.shareAmongDaemons(now, reachable, known)
+}
+
+// SetListedDaemons records how many daemons the table service lists, this one included.
+func (c *Core) SetListedDaemons(now time.Time, n int) {
+	c.listedDaemons = n
+	reachable, known := c.countDaemons(now)
+	c.shareAmongDaemons(now, reachable, known)
+}
+
+// shareAmongDaemons gives this daemon its parts of what all daemons share. A daemon that has not
+// read the list of daemons does not know with how many it shares.
+func (c *Core) shareAmongDaemons(now time.Time, reachable, known int) {
+	if c.listedDaemons == 0 {
+		reachable, known = 0, 0
+	}
 	c.quota.SetDaemons(now, reachable, known)
 	c.shareRetries(now, known)
 }
--- a/internal/exchange/retry_budget.go
+++ b/internal/exchange/retry_budget.go
@@ -11,23 +11,14 @@
 	usedRetryReserveRatio = 0.8
 )
 
-// SetListedDaemons records how many daemons the table service lists, this one included.
-func (c *Core) SetListedDaemons(now time.Time, n int) {
-	c.listedDaemons = n
-	_, known := c.countDaemons(now)
-	c.shareRetries(now, known)
-}
-
-// shareRetries gives this daemon its part of the retry reserve. A daemon that has not read the
-// list of daemons does not know with how many it shares and has none; one that is cut off
-// from the others shares it with all that are listed.
+// shareRetries gives this daemon its part of the retry reserve, or none if it knows of no daemon
+// yet. One that is cut off from the others shares the reserve with all that are listed.
 func (c *Core) shareRetries(now time.Time, known int) {
-	if c.listedDaemons == 0 {
-		c.sharingRetries = 0
+	c.sharingRetries = max(known, c.listedDaemons)
+	if c.sharingRetries == 0 {
 		c.budget.SetReserve(now, 0)
 		return
 	}
-	c.sharingRetries = max(known, c.listedDaemons)
 	c.budget.SetReserve(now, usedRetryReserveRatio*c.cfg.Bounds.RetryReserve/float64(c.sharingRetries))
 }
 
--- a/internal/exchange/retry_budget_test.go
+++ b/internal/exchange/retry_budget_test.go
@@ -88,23 +88,6 @@
 	}
 }
 
-// restart kills daemons and starts them again a moment later.
-func (r *retryRun) restart(daemons []*fleetDaemon) {
-	for _, d := range daemons {
-		r.start(d)
-	}
-}
-
-// some returns about the given ratio of the daemons, at least one.
-func (r *retryRun) some(ratio float64) []*fleetDaemon {
-	n := max(int(ratio*float64(len(r.daemons))), 1)
-	var out []*fleetDaemon
-	for _, i := range r.rng.Perm(len(r.daemons))[:n] {
-		out = append(out, r.daemons[i])
-	}
-	return out
-}
-
 // retryFaults are the faults that a fleet has in series while its servers reject requests.
 var retryFaults = []struct {
 	name     string
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -48,6 +48,8 @@
 // runPeers exchanges state updates with the other daemons until the process ends.
 func (g *Gateway) runPeers(runCtx context.Context) {
 	g.restoreCheckpoint(runCtx)
+	g.retryUntilDone(runCtx, g.register)
+	g.retryUntilDone(runCtx, g.readMembers)
 	g.retryUntilDone(runCtx, g.learnTrueTime)
 	var discovery sync.Once
 	for runCtx.Err() == nil {
@@ -216,20 +218,18 @@
 	}
 }
 
-// discover registers this daemon in the table service and reads the list of daemons
-// from there. Daemons that start later find this one in the same way and send it state
-// updates.
+// discover reads the list of daemons in the table service again and again. Daemons that
+// start later find this one in the same way and send it state updates.
 func (g *Gateway) discover(runCtx context.Context) {
-	g.retryUntilDone(runCtx, g.register)
-	for reads := 0; ; reads++ {
-		g.retryUntilDone(runCtx, g.readMembers)
+	for reads := 1; ; reads++ {
 		interval := discoveryInterval
-		if reads < firstDiscoveries {
+		if reads <= firstDiscoveries {
 			interval = time.Second
 		}
 		if !clock.Wait(runCtx, interval+rand.N(interval/4)) {
 			return
 		}
+		g.retryUntilDone(runCtx, g.readMembers)
 	}
 }
 
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// initialLevelSeconds is the level of a new bucket, in seconds of its rate, if
-	// no previous level is known.
-	initialLevelSeconds = 1.0
+	// unreportedSeconds is what the daemons may have spent of an exhausted quota between the
+	// last checkpoint and their end, in seconds of its rate. The fuller the bucket, the less is
+	// being spent.
+	unreportedSeconds = 0.6
+	// unknownDaemonsRetryDelay is the retry delay while the number of daemons is not known.
+	unknownDaemonsRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay limits the retry delay that Reserve returns.
 	maxRetryDelay = 5 * time.Second
 )
@@ -34,6 +37,9 @@
 	Organisation entity.OrganisationID `cbor:"1,keyasint" json:"organisation"`
 	Total        float64               `cbor:"2,keyasint" json:"used"`  // units spent by the daemon since its start
 	Level        float64               `cbor:"3,keyasint" json:"level"` // units in its copy of the bucket
+	// LevelUnknown says that the daemon has started lately and knows only what has
+	// accrued since, so that Level is too low.
+	LevelUnknown bool `cbor:"4,keyasint,omitempty" json:"level_unknown,omitempty"`
 }
 
 // Ledger holds this daemon's copies of all buckets. It is not safe for concurrent
@@ -42,7 +48,7 @@
 	buckets        *entity.Table[entity.OrganisationID, bucket]
 	peerTotals     *entity.Table[peerKey, float64]   // last reported totals
 	reachable      int                               // number of reachable daemons, this one included
-	known          int                               // number of daemons that may be spending, this one included
+	known          int                               // number of daemons that may be spending, this one included; 0: not known yet
 	restoredLevels map[entity.OrganisationID]float64 // units in the buckets before this daemon's start
 }
 
@@ -59,7 +65,8 @@
 	used         float64   // units spent by this daemon since its start
 	reportedUse  float64   // the value of used in the last report
 	pendingSends int       // number of reports that must still include this bucket
-	initialised  bool      // the level has been adopted from a peer
+	adopted      bool      // the level has been adopted from a peer
+	levelKnown   bool      // the level accounts for what was spent before this daemon's start
 	share        share
 }
 
@@ -76,7 +83,7 @@
 func (l *Ledger) SetLimit(now time.Time, id entity.OrganisationID, limit Limit) {
 	b := l.buckets.Get(id)
 	if b == nil {
-		b = &bucket{limit: limit, level: min(limit.Rate*initialLevelSeconds, limit.Burst), refilledAt: now}
+		b = &bucket{limit: limit, refilledAt: now}
 		l.buckets.Put(id, b)
 		l.restoreLevel(id, b)
 		return
@@ -106,7 +113,7 @@
 func (l *Ledger) Restore(levels map[entity.OrganisationID]float64) {
 	l.restoredLevels = levels
 	l.buckets.All(func(id entity.OrganisationID, b *bucket) bool {
-		if !b.initialised {
+		if !b.adopted {
 			l.restoreLevel(id, b)
 		}
 		return true
@@ -117,12 +124,15 @@
 // known.
 func (l *Ledger) restoreLevel(id entity.OrganisationID, b *bucket) {
 	if level, ok := l.restoredLevels[id]; ok {
-		b.level, b.withheld = min(level, l.capacity(b)), 0
+		level = min(level, l.capacity(b))
+		b.level, b.withheld = level-unreportedSeconds*b.limit.Rate*(1-max(level, 0)/l.capacity(b)), 0
+		b.levelKnown = true
 		l.splitWithheld(b)
 	}
 }
 
-// SetDaemons sets how many daemons there are and how many of them are reachable.
+// SetDaemons sets how many daemons there are and how many of them are reachable. Zero
+// daemons mean that their number is not known yet: nothing is spent before it is.
 func (l *Ledger) SetDaemons(now time.Time, reachable, known int) {
 	if reachable == l.reachable && known == l.known {
 		return
@@ -132,7 +142,7 @@
 		return true
 	})
 	keepRatio := l.withheldKeepRatio(reachable, known)
-	l.reachable, l.known = max(reachable, 1), max(known, reachable, 1)
+	l.reachable, l.known = reachable, max(known, reachable)
 	l.buckets.All(func(_ entity.OrganisationID, b *bucket) bool {
 		b.withheld *= keepRatio
 		l.splitWithheld(b)
@@ -153,7 +163,12 @@
 }
 
 // reachableRatio returns the ratio of the daemons that are reachable.
-func (l *Ledger) reachableRatio() float64 { return float64(l.reachable) / float64(l.known) }
+func (l *Ledger) reachableRatio() float64 {
+	if l.known == 0 {
+		return 0
+	}
+	return float64(l.reachable) / float64(l.known)
+}
 
 // splitWithheld divides a bucket's units between the daemons that are reachable and
 // those that are not. All of them may be spending at the same time.
@@ -170,7 +185,7 @@
 
 // capacity returns the maximum number of units in a bucket.
 func (l *Ledger) capacity(b *bucket) float64 {
-	return b.limit.Burst + b.limit.Tolerance*min(1, fullToleranceDaemons/float64(l.known))
+	return b.limit.Burst + b.limit.Tolerance*min(1, fullToleranceDaemons/float64(max(l.known, 1)))
 }
 
 // refill adds the units that have accrued since the last call.
@@ -182,6 +197,7 @@
 	if excess := b.level + b.withheld - l.capacity(b); excess > 0 {
 		b.level -= excess * l.reachableRatio()
 		b.withheld -= excess * (1 - l.reachableRatio())
+		b.levelKnown = true
 	}
 }
 
@@ -192,6 +208,9 @@
 	if b == nil || b.limit.Rate == 0 {
 		return 0, true
 	}
+	if l.known == 0 {
+		return unknownDaemonsRetryDelay, false
+	}
 	l.refill(now, b)
 	need := min(units, l.capacity(b)*l.reachableRatio())
 	wait = time.Duration((need - b.level) / b.limit.Rate * float64(time.Second))
@@ -240,7 +259,7 @@
 				b.reportedUse, b.pendingSends = b.used, changedUseSends
 			}
 			if all || b.pendingSends > 0 {
-				out = append(out, Use{Organisation: id, Total: b.used, Level: b.level + b.withheld})
+				out = append(out, Use{Organisation: id, Total: b.used, Level: b.level + b.withheld, LevelUnknown: !b.levelKnown})
 			}
 			b.pendingSends = max(b.pendingSends-1, 0)
 		}
@@ -264,10 +283,10 @@
 			b.level -= u.Total - *previous
 			b.share.recordSpent(now, 0, u.Total-*previous)
 		}
-		if !b.initialised {
+		if !b.adopted && !u.LevelUnknown {
 			b.level, b.withheld = min(u.Level, l.capacity(b)), 0
 			l.splitWithheld(b)
-			b.initialised = true
+			b.adopted, b.levelKnown = true, true
 		}
 		total := u.Total
 		l.peerTotals.Put(key, &total)
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -236,7 +236,7 @@
 func TestLedger_ShortSilenceLosesNoUnits(t *testing.T) {
 	now := time.Unix(0, 0)
 	f := newFleet(4, Limit{Rate: 1000, Burst: 8000}, now)
-	now = now.Add(7500 * time.Millisecond)
+	now = now.Add(8 * time.Second)
 	l := f.ledgers[0]
 	l.SetDaemons(now, 1, 4)
 	l.SetDaemons(now, 4, 4)
