Log the versions of backend servers and what a stream takes up

The entries' lines (6110), each attempt in a request's line, and gateway-status have it now; a request that takes a stream up has `resumes` and `last_event`. No decision changes.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -145,7 +145,7 @@
 	t.process, t.sentAt = row.process(), now
 	c.recordCachedPrompt(choice.Server, t)
 	a := Attempt{
-		Server: choice.Server, Address: row.Address, Priority: t.priority,
+		Server: choice.Server, Address: row.Address, ServerVersion: row.Version, Priority: t.priority,
 		TimeLeft: t.timeLeft(now), Model: t.Route.ModelWork, SilenceDeadline: silenceDeadline(now, t, choice.Cost),
 	}
 	if t.Org != nil {
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -16,8 +16,9 @@
 	Key      string        // the caller's credential
 	Patience time.Duration // how long the caller waits for the answer; 0: not stated
 	Work     Work
-	Content  entity.Digest // of organisation, method, target and body
-	After    string        // when a stream is resumed: the last event that the caller has received
+	Content  entity.Digest    // of organisation, method, target and body
+	After    string           // when a stream is resumed: the last event that the caller has received
+	Resumes  entity.RequestID // when a stream is resumed: the request that brought its first event
 }
 
 // Work is the model work that a request asks for.
@@ -139,6 +140,7 @@
 type Attempt struct {
 	Server          entity.BackendServerID
 	Address         string
+	ServerVersion   string        // of the backend server's software
 	Priority        int           // 0 to 9, 0 is first
 	TimeLeft        time.Duration // time left until the request's deadline; 0: no deadline
 	Org             entity.OrganisationID
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -28,6 +28,7 @@
 	Slots       int // requests that it runs at the same time
 	State       ServerState
 	Reclaimable bool
+	Version     string        // of its software
 	LeavesIn    time.Duration // time until the server leaves, announced with a reclaim; 0: not reported
 }
 
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -40,6 +40,7 @@
 	ID          entity.BackendServerID `json:"id"`
 	Service     entity.ServiceName     `json:"service"`
 	DataCentre  entity.DataCentreID    `json:"data_centre"`
+	Version     string                 `json:"version"`
 	Usable      bool                   `json:"usable"`
 	Reclaimable bool                   `json:"reclaimable"`
 	Limit       *float64               `json:"limit_per_second,omitempty"` // requests that it takes from all daemons; nil: it states no limit
@@ -64,7 +65,7 @@
 		Quotas: c.quota.Uses(now, true), Retries: c.budget.Status(now), Planned: c.Levels(),
 	}
 	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
-		status := ServerStatus{ID: id, Service: r.Service, DataCentre: r.DataCentre, Usable: c.usable(now, id), Reclaimable: r.Reclaimable}
+		status := ServerStatus{ID: id, Service: r.Service, DataCentre: r.DataCentre, Version: r.Version, Usable: c.usable(now, id), Reclaimable: r.Reclaimable}
 		if limit := c.limits.inForce(r.process()); limit != nil {
 			status.Limit = &limit.PerSecond
 		}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -38,6 +38,7 @@
 // attemptRecord is the part of a request's log line about one attempt.
 type attemptRecord struct {
 	server   string
+	version  string // of the server's software
 	outcome  exchange.Outcome
 	duration time.Duration
 	detail   string
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -36,6 +36,9 @@
 	if number != event.ExchangeAnswered || len(x.attempts) > 1 {
 		attrs = append(attrs, event.A("content", exchange.ShortDigest(x.request.Content)), event.A("parts", partIDs(x.request.Work.Parts)))
 	}
+	if x.request.After != "" {
+		attrs = append(attrs, event.A("resumes", x.request.Resumes), event.A("last_event", x.request.After))
+	}
 	if t := x.ticket; t != nil {
 		timing := t.Timing()
 		attrs = append(attrs, event.A("route", t.Route.Name), event.A("service", t.Service),
@@ -93,7 +96,11 @@
 			b.WriteString("; ")
 		}
 		if a.server != "" {
-			b.WriteString(a.server + " " + a.outcome.String() + " " + a.duration.Round(100*time.Microsecond).String() + " ")
+			b.WriteString(a.server + " ")
+			if a.version != "" {
+				b.WriteString("(" + a.version + ") ")
+			}
+			b.WriteString(a.outcome.String() + " " + a.duration.Round(100*time.Microsecond).String() + " ")
 		}
 		b.WriteString(a.detail)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,7 +37,7 @@
 		// The other idle connections to this address may be unresponsive in the same way.
 		x.g.pool.CloseIdle(a.Address)
 	}
-	x.attempts = append(x.attempts, attemptRecord{string(a.Server), outcome, clock.Now().Sub(start), detail})
+	x.attempts = append(x.attempts, attemptRecord{string(a.Server), a.ServerVersion, outcome, clock.Now().Sub(start), detail})
 	return outcome
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -339,7 +339,7 @@
 	s := change.Value
 	return func() {
 		g.event(code, "", event.A("backend_server", s.ID), event.A("born", s.Born), event.A("sequence", s.Sequence),
-			event.A("service", s.Service), event.A("address", s.Address), event.A("state", int(s.State)),
+			event.A("service", s.Service), event.A("address", s.Address), event.A("server_version", s.Version), event.A("state", int(s.State)),
 			event.A("reclaimable", s.Reclaimable))
 	}
 }
