Failing tests: streams stay at the version that began them

The bound as one sentence: over all tries at all daemons, at most two streams hold events of two software versions of one service.

--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -37,7 +37,9 @@
 	onArrival   func(arrival)                     // called with each arrival at a server that is up
 	onAnswer    func(*fleetDaemon, *fleetServer)  // called when a server has begun to answer a daemon
 	onRefusal   func(*fleetDaemon, Request, *Refusal)
-	onNotice    func(to *fleetDaemon, n *Notice) // called when a daemon gets a notice, alone or with an update
+	onBegin     func(*fleetRun, *fleetServer)            // called when a daemon gets the first event of a run
+	onEnd       func(id entity.RequestID, answered bool) // called when a request has ended, or its daemon was killed
+	onNotice    func(to *fleetDaemon, n *Notice)         // called when a daemon gets a notice, alone or with an update
 }
 
 const (
@@ -120,6 +122,8 @@
 		onAnswer:    func(*fleetDaemon, *fleetServer) {},
 		onRefusal:   func(*fleetDaemon, Request, *Refusal) {},
 		onNotice:    func(*fleetDaemon, *Notice) {},
+		onBegin:     func(*fleetRun, *fleetServer) {},
+		onEnd:       func(entity.RequestID, bool) {},
 	}
 	for i := range servers {
 		for _, service := range []entity.ServiceName{"engine", "plain"} {
@@ -331,22 +335,27 @@
 
 // send lets a caller send a request to a daemon.
 func (f *testFleet) send(d *fleetDaemon, r Request) {
+	r.ID = f.nextID()
 	f.sent++
-	r.ID = entity.RequestID(fmt.Sprint("r", f.sent))
 	ticket, refusal := d.core.Admit(f.now, f.now, r)
 	if refusal != nil {
 		f.onRefusal(d, r, refusal)
+		f.onEnd(r.ID, false)
 		return
 	}
 	f.attempt(d, d.core, ticket)
 }
 
+// nextID returns the ID of the next request that is sent.
+func (f *testFleet) nextID() entity.RequestID { return entity.RequestID(fmt.Sprint("r", f.sent+1)) }
+
 // attempt makes the next attempt of a request.
 func (f *testFleet) attempt(d *fleetDaemon, core *Core, t *Ticket) {
 	a, refusal := core.Place(f.now, t)
 	if refusal != nil {
 		core.Finish(f.now, t)
 		f.onRefusal(d, t.Request, refusal)
+		f.onEnd(t.Request.ID, false)
 		return
 	}
 	run := &fleetRun{daemon: d, core: core, ticket: t}
@@ -424,19 +433,25 @@
 
 // begin lets a daemon get the first event of a run.
 func (f *testFleet) begin(run *fleetRun, s *fleetServer) {
-	if !s.runs[run] || run.ended {
+	if !s.runs[run] || run.ended || run.daemon.core != run.core {
 		return
 	}
 	run.core.RecordLimit(f.now, run.ticket, s.limit)
 	run.core.Started(f.now, run.ticket)
+	f.onBegin(run, s)
 	f.onAnswer(run.daemon, s)
 	f.perform(run.core)
 }
 
 // end ends an attempt and makes the next one, if the core wants one.
 func (f *testFleet) end(run *fleetRun, o Outcome) {
-	if run.ended || run.daemon.core != run.core {
-		return // or the daemon was restarted: its connections are closed
+	if run.ended {
+		return
+	}
+	if run.daemon.core != run.core { // the daemon was restarted: its connections are closed
+		run.ended = true
+		f.onEnd(run.ticket.Request.ID, false)
+		return
 	}
 	if f.now.Before(run.daemon.thawAt) {
 		f.whenRunning(run.daemon, func() { f.end(run, o) })
@@ -453,9 +468,11 @@
 	switch {
 	case o == Answered || o == Abandoned:
 		run.core.Finish(f.now, run.ticket)
+		f.onEnd(run.ticket.Request.ID, o == Answered)
 	case refusal != nil:
 		run.core.Finish(f.now, run.ticket)
 		f.onRefusal(run.daemon, run.ticket.Request, refusal)
+		f.onEnd(run.ticket.Request.ID, false)
 	default:
 		f.attempt(run.daemon, run.core, run.ticket)
 	}
@@ -540,8 +557,14 @@
 
 // replace starts a new process at a server's address under the given ID and start time.
 func (f *testFleet) replace(s *fleetServer, id entity.BackendServerID, born int64) {
+	f.replaceWith(s, id, born, func(*BackendServer) {})
+}
+
+// replaceWith is replace with further changes of the entry.
+func (f *testFleet) replaceWith(s *fleetServer, id entity.BackendServerID, born int64, change func(*BackendServer)) {
 	entry := s.BackendServer
 	entry.ID, entry.Born = id, born
+	change(&entry)
 	s.replacedBy = &fleetServer{BackendServer: entry, up: true, dark: s.dark, runs: map[*fleetRun]bool{}}
 	f.servers = append(f.servers, s.replacedBy)
 	f.eachCore(0, func(c *Core) { c.PutServer(f.now, entry) })
--- /dev/null
+++ b/internal/exchange/stream_version_test.go
@@ -0,0 +1,287 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// maxMixedStreams is the number of streams that may hold events of two versions, over all
+// tries at all daemons, according to the users' contract.
+const maxMixedStreams = 2
+
+// minTakenUp is the number of streams that must be taken up for their share to be judged.
+const minTakenUp = 12
+
+// streamCaller is a caller that reads a stream and takes it up again when it breaks.
+type streamCaller struct {
+	first   entity.RequestID // that brought the first event
+	version string           // of the server that wrote the first event
+	tries   int
+	counted bool // the present try counts in takenUp
+	done    bool // the stream is complete, or was given up
+	mixed   bool // it holds events of two versions
+}
+
+// versionRun is a run of a fleet whose engines have several versions.
+type versionRun struct {
+	*testFleet
+	callers    map[entity.RequestID]*streamCaller // by the ID of the present try
+	mixed      int
+	asked      int // new streams
+	begun      int // of these, those that began
+	takenUp    int // tries to continue a stream at a daemon in touch
+	continued  int // of these, those that got an event
+	nextServer int
+}
+
+const (
+	// streamLength is how long a stream lasts from its first event.
+	streamLength = 1500 * time.Millisecond
+	// maxTries is the number of tries after which a caller gives up.
+	maxTries = 4
+	// contactTime is how long a daemon has been up and not cut off when it counts as in touch.
+	contactTime = 3 * time.Second
+)
+
+// newVersionRun returns a fleet whose engines have the given versions in turn, and whose
+// callers read streams.
+func newVersionRun(t testing.TB, seed uint64, daemons int, versions ...string) *versionRun {
+	r := &versionRun{testFleet: newTestFleet(t, seed, daemons, 9), callers: map[entity.RequestID]*streamCaller{}}
+	r.runDuration = func(Request) (time.Duration, time.Duration) {
+		start := 50*time.Millisecond + r.random(100*time.Millisecond)
+		return start, start + streamLength
+	}
+	for i, s := range r.engines() {
+		s.Version = versions[i%len(versions)]
+		r.eachCore(0, func(c *Core) { c.PutServer(r.now, s.BackendServer) })
+	}
+	r.onBegin = r.begins
+	r.onEnd = r.ends
+	r.run(2 * time.Second)
+	r.every(20*time.Millisecond, func() { r.try(&streamCaller{}, "") })
+	return r
+}
+
+// try sends a caller's next try to a daemon.
+func (r *versionRun) try(c *streamCaller, after string) {
+	d := r.daemons[r.rng.IntN(len(r.daemons))]
+	c.tries++
+	req := testRequest("", "/talk/x", "k3")
+	req.Patience = 15 * time.Second
+	req.After = after
+	if after != "" {
+		req.Resumes = c.first
+		c.counted = d.inTouch(r.now) > contactTime && r.serving(c.version) >= 2
+		if c.counted {
+			r.takenUp++
+		}
+	} else {
+		r.asked++
+	}
+	r.whenRunning(d, func() {
+		id := r.nextID()
+		r.callers[id] = c
+		r.send(d, req)
+	})
+}
+
+// begins records that a caller has got an event of a server.
+func (r *versionRun) begins(run *fleetRun, s *fleetServer) {
+	id := run.ticket.Request.ID
+	c := r.callers[id]
+	if c == nil || c.done {
+		return
+	}
+	if c.first == "" {
+		c.first, c.version = id, s.Version
+		r.begun++
+		return
+	}
+	if c.counted {
+		c.counted = false
+		r.continued++
+	}
+	if s.Version != c.version && !c.mixed {
+		c.mixed = true
+		r.mixed++
+	}
+}
+
+// serving returns the number of engines of a version that are up.
+func (r *versionRun) serving(version string) int {
+	n := 0
+	for _, s := range r.engines() {
+		if s.up && s.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+// ends lets a caller try again when its try has ended without a complete answer.
+func (r *versionRun) ends(id entity.RequestID, answered bool) {
+	c := r.callers[id]
+	delete(r.callers, id)
+	if c == nil || c.done {
+		return
+	}
+	if answered || c.tries >= maxTries {
+		c.done = true
+		return
+	}
+	after := ""
+	if c.first != "" {
+		after = "3"
+	}
+	r.after(60*time.Millisecond+r.random(200*time.Millisecond), func() { r.try(c, after) })
+}
+
+// check checks the bounds of the contract.
+func (r *versionRun) check() {
+	r.t.Helper()
+	r.t.Logf("%d streams began of %d; %d of %d that were taken up at daemons in touch went on; %d hold events of two versions",
+		r.begun, r.asked, r.continued, r.takenUp, r.mixed)
+	if r.mixed > maxMixedStreams {
+		r.t.Errorf("%d streams hold events of two versions, %d allowed", r.mixed, maxMixedStreams)
+	}
+	if r.takenUp < minTakenUp {
+		return
+	}
+	if share, of := float64(r.continued)/float64(max(r.takenUp, 1)), float64(r.begun)/float64(r.asked); share < of/2 {
+		r.t.Errorf("%.2f of the streams that were taken up went on, %.2f of new ones began", share, of)
+	}
+}
+
+// crashSome ends some engines, which come back under the same or another ID and with the
+// version that next returns.
+func (r *versionRun) crashSome(n int, next func(old string) string) {
+	engines := r.engines()
+	for _, i := range r.rng.Perm(len(engines)) {
+		s := engines[i]
+		if n == 0 {
+			return
+		}
+		if !s.up || s.replacedBy != nil {
+			continue
+		}
+		n--
+		r.crash(s)
+		r.after(time.Second+r.random(2*time.Second), func() {
+			r.nextServer++
+			id := entity.BackendServerID(fmt.Sprint("next", r.nextServer))
+			r.replaceWith(s, id, s.Born+1, func(e *BackendServer) { e.Version = next(e.Version) })
+		})
+	}
+}
+
+// versionFaults are the faults that a fleet has in series while engines of several versions
+// serve.
+var versionFaults = []struct {
+	name     string
+	interval time.Duration
+	strike   func(r *versionRun)
+}{
+	{"engines-crash", time.Second, func(r *versionRun) { r.crashSome(1, same) }},
+	{"rolling-release", time.Second, func(r *versionRun) { r.crashSome(1, func(string) string { return "v3" }) }},
+	{"one-restarts", time.Second, func(r *versionRun) {
+		r.restart(r.some(0))
+		r.crashSome(1, same)
+	}},
+	{"some-restart", 4 * time.Second, func(r *versionRun) {
+		r.restart(r.some(0.35))
+		r.crashSome(2, same)
+	}},
+	{"all-restart", 5 * time.Second, func(r *versionRun) {
+		r.restart(r.daemons)
+		r.after(3500*time.Millisecond, func() { r.crashSome(3, same) })
+	}},
+	{"cut-off", 5 * time.Second, func(r *versionRun) {
+		cut := r.some(0.3)
+		for _, d := range cut {
+			d.cut = true
+		}
+		r.crashSome(2, same)
+		r.after(2*time.Second, func() {
+			for _, d := range cut {
+				r.reconnect(d)
+			}
+		})
+	}},
+	{"suspended", 4 * time.Second, func(r *versionRun) {
+		for _, d := range r.some(0.3) {
+			r.suspend(d, 1500*time.Millisecond)
+		}
+		r.crashSome(2, same)
+	}},
+	{"table-away", 6 * time.Second, func(r *versionRun) {
+		r.tableAway = true
+		r.restart(r.some(0.3))
+		r.crashSome(2, same)
+		r.after(2*time.Second, func() { r.tableAway = false })
+	}},
+}
+
+func same(version string) string { return version }
+
+// TestStreamVersion_HoldsOverAllTriesAndDaemons: a caller takes a stream up at any daemon, also
+// when the one that began it has been killed.
+func TestStreamVersion_HoldsOverAllTriesAndDaemons(t *testing.T) {
+	for _, daemons := range []int{3, 9, 89} {
+		for _, fault := range versionFaults {
+			for _, versions := range [][]string{{"v1", "v2"}, {"v1"}} {
+				t.Run(fmt.Sprint(fault.name, "/daemons=", daemons, "/versions=", len(versions)), func(t *testing.T) {
+					t.Parallel()
+					r := newVersionRun(t, uint64(daemons), daemons, versions...)
+					r.run(4 * time.Second)
+					for range max(int(30*time.Second/fault.interval), 1) {
+						fault.strike(r)
+						r.run(fault.interval)
+					}
+					r.check()
+				})
+			}
+		}
+	}
+}
+
+// startStream starts a stream and returns its ticket and the version of its server.
+func startStream(t *testing.T, c *Core, req Request) (*Ticket, string) {
+	t.Helper()
+	ticket := mustAdmit(t, c, zero, req)
+	a := mustPlace(t, c, zero, ticket)
+	c.Started(zero, ticket)
+	return ticket, a.ServerVersion
+}
+
+// newVersionCore returns a core whose engines have the given versions.
+func newVersionCore(t *testing.T, name string, versions ...string) *Core {
+	t.Helper()
+	c := newTestCore(t, name)
+	for i, version := range versions {
+		s := c.servers.Get(entity.BackendServerID(fmt.Sprint("engine", i))).BackendServer
+		s.Version = version
+		s.Sequence++
+		c.PutServer(zero, s)
+	}
+	return c
+}
+
+// TestStreamVersion_BrokenStreamStaysAtItsVersion: within one answer.
+func TestStreamVersion_BrokenStreamStaysAtItsVersion(t *testing.T) {
+	for _, versions := range [][]string{{"v1", "v2", "v2"}, {"v1", "v1", "v2"}, {"v1", "v2", "v3"}} {
+		for n := range 20 {
+			c := newVersionCore(t, "d1", versions...)
+			ticket, began := startStream(t, c, testRequest(fmt.Sprint("r", n), "/talk/x", "k3"))
+			if refusal := c.Ended(zero, ticket, Broken); refusal != nil {
+				t.Fatalf("resumable stream is not continued: %+v", *refusal)
+			}
+			a, refusal := c.Place(zero, ticket)
+			if refusal == nil && a.ServerVersion != began {
+				t.Fatalf("stream of %s goes on at %s, of versions %v", began, a.ServerVersion, versions)
+			}
+		}
+	}
+}
