Continue a stream only at the version that began it

Cause: nothing decoded the version of a backend server, so a broken stream went on at any server that had not been tried, and a request that takes a stream up was placed like a new one.

Change: the version of the process that wrote the first event is recorded and kept at three daemons, which a hash of the request's ID chooses; a request that takes the stream up finds it in a record here, in the only version that the service has had for a minute, or by asking them. The choice of a server is bound to that version. What is not known, or has no server of its version, is refused at once as not run. An entry without a version names no server to use.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/ratelimit"
 )
@@ -43,6 +44,9 @@
 			return Attempt{}, r
 		}
 	}
+	if r := c.requireVersion(now, t); r != nil {
+		return Attempt{}, r
+	}
 	choice, ok := c.chooseServer(now, t)
 	c.recordDemand(now, t, choice, ok)
 	if !ok {
@@ -110,7 +114,9 @@
 	// A limit counts requests and not their sizes: large ones on servers with limits
 	// relieve the others most. Small ones get there what large ones leave.
 	choose := func(saved float64) (placement.Choice, bool) {
-		return c.placer.Choose(now, q, func(id entity.BackendServerID) bool { return c.usable(now, id) && c.withinLimit(now, id, saved) })
+		return c.placer.Choose(now, q, func(id entity.BackendServerID) bool {
+			return c.usable(now, id) && c.mayContinue(t, id) && c.withinLimit(now, id, saved)
+		})
 	}
 	if c.limits.rows.Len() > 0 && c.demand.small(t) {
 		if choice, ok := choose(ratelimit.FullBucket - 1); ok {
@@ -122,6 +128,9 @@
 
 // rejectUnplaced rejects a request for which there is no backend server.
 func (c *Core) rejectUnplaced(now time.Time, t *Ticket) *Refusal {
+	if t.continues() {
+		return c.rejectWithoutVersion(now, t)
+	}
 	if s := c.limitedServers(now, t.Service); s.count > 0 {
 		return c.rejectLimited(now, t, s)
 	}
@@ -142,7 +151,10 @@
 		t.firstSentAt = now
 	}
 	t.tried = append(t.tried, choice.Server)
-	t.process, t.sentAt = row.process(), now
+	t.process, t.serverVersion, t.sentAt = row.process(), row.Version, now
+	if t.continues() {
+		c.logContinuation(event.StreamContinued, t, choice.Server)
+	}
 	c.recordCachedPrompt(choice.Server, t)
 	a := Attempt{
 		Server: choice.Server, Address: row.Address, ServerVersion: row.Version, Priority: t.priority,
@@ -191,6 +203,7 @@
 	c.recordAnswer(now, t.process, t.sentAt)
 	c.placer.RecordFirstEvent(now, t.reservation)
 	c.countUsage(now, t)
+	c.recordStream(now, t)
 }
 
 // countUsage counts the request once in its organisation's usage.
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -15,6 +15,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quota"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/streamversion"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/usage"
 )
 
@@ -80,7 +81,9 @@
 	crash                  crashGuard
 	deaths                 deathLog
 	limits                 limitTable
-	events                 []event.Event // for the log, since TakeEvents was last called
+	streams                *streamversion.Registry
+	streamNews             map[entity.InstanceID][]streamversion.Record // to send, by daemon
+	events                 []event.Event                                // for the log, since TakeEvents was last called
 	levels                 *entity.Table[entity.ServiceName, capacity.Level]
 	reclaimableExhaustedAt *entity.Table[reclaimableLocation, time.Time] // when a scaling request was last refused
 }
@@ -99,6 +102,8 @@
 		crash:                  newCrashGuard(),
 		deaths:                 newDeathLog(),
 		limits:                 newLimitTable(),
+		streams:                streamversion.New(),
+		streamNews:             make(map[entity.InstanceID][]streamversion.Record),
 		levels:                 entity.NewTable[entity.ServiceName, capacity.Level](),
 		reclaimableExhaustedAt: entity.NewTable[reclaimableLocation, time.Time](),
 		quota:                  quota.New(),
@@ -234,6 +239,7 @@
 		return nil, r
 	}
 	t.Service = pickTarget(route.Targets, req.ID)
+	t.initOrigin()
 	t.priority = priorityRank(t)
 	t.Deadline = requestDeadline(arrived, route, req.Patience)
 	if r := c.reserveQuota(now, t); r != nil {
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/streamversion"
 	"github.com/gooseberryslip/gooseberryslip/internal/virtualtime"
 )
 
@@ -64,6 +65,7 @@
 	thawAt     time.Time // when a suspended daemon goes on; zero or past: it runs
 	inTouchAt  time.Time // when it started or was last reconnected with the others
 	noticeAt   time.Time // earliest time of its next notice
+	streamsAt  time.Time // when the records of streams that it has are sent
 }
 
 // fleetServer is one process of a backend server.
@@ -145,7 +147,7 @@
 // start starts a daemon, or starts it again with nothing of what it knew.
 func (f *testFleet) start(d *fleetDaemon) {
 	d.starts++
-	d.inTouchAt, d.thawAt = f.now, time.Time{}
+	d.inTouchAt, d.thawAt, d.streamsAt = f.now, time.Time{}, time.Time{}
 	d.core = New(Config{
 		Self:        Member{Name: entity.InstanceID(d.name), Start: d.starts, CallerAddr: d.name + ":1", DataCentre: d.dataCentre},
 		DataCentres: dataCentres, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now,
@@ -343,7 +345,71 @@
 		f.onEnd(r.ID, false)
 		return
 	}
-	f.attempt(d, d.core, ticket)
+	f.findStreamVersion(d, d.core, ticket)
+}
+
+// streamQueryTimeout is the time in which other daemons are asked which version began a stream.
+const streamQueryTimeout = 150 * time.Millisecond
+
+// findStreamVersion makes the first attempt of a request when the version of the stream that it
+// resumes is known, or cannot be found out.
+func (f *testFleet) findStreamVersion(d *fleetDaemon, core *Core, t *Ticket) {
+	ask := core.FindStreamVersion(f.now, t)
+	missing, begun := len(ask), false
+	proceed := func() {
+		if !begun && d.core == core {
+			begun = true
+			core.FindStreamVersion(f.now, t)
+			f.attempt(d, core, t)
+		}
+	}
+	if missing == 0 {
+		proceed()
+		return
+	}
+	f.after(streamQueryTimeout, func() { f.whenRunning(d, proceed) })
+	for _, m := range ask {
+		f.message(d, m.Name, func(to *fleetDaemon) {
+			rec, known := to.core.StreamRecord(f.now, t.Request.Resumes)
+			f.message(to, entity.InstanceID(d.name), func(*fleetDaemon) {
+				if known && d.core == core {
+					core.ReceiveStreams(f.now, []streamversion.Record{rec})
+				}
+				if missing--; known || missing == 0 {
+					proceed()
+				}
+			})
+		})
+	}
+}
+
+// message sends a message between two daemons, which is not lost unless one is cut off.
+func (f *testFleet) message(from *fleetDaemon, name entity.InstanceID, receive func(to *fleetDaemon)) {
+	to := f.daemon(name)
+	if to == nil || to.cut || from.cut {
+		return
+	}
+	f.after(networkDelay, func() { f.whenRunning(to, func() { receive(to) }) })
+}
+
+// streamNewsDelay is the time for which records of streams are collected.
+const streamNewsDelay = 40 * time.Millisecond
+
+// sendStreamNews sends the records of streams that a daemon has for others.
+func (f *testFleet) sendStreamNews(d *fleetDaemon) {
+	if !d.core.StreamNewsPending() || f.now.Before(d.streamsAt) {
+		return
+	}
+	core := d.core
+	d.streamsAt = f.now.Add(streamNewsDelay)
+	f.after(streamNewsDelay, func() {
+		if d.core != core {
+			return
+		}
+		for _, news := range core.TakeStreamNews() {
+			f.message(d, news.To.Name, func(to *fleetDaemon) { to.core.ReceiveStreams(f.now, news.Records) })
+		}
+	})
 }
 
 // nextID returns the ID of the next request that is sent.
@@ -537,6 +603,7 @@
 func (f *testFleet) perform(core *Core) {
 	if d := f.daemon(core.cfg.Self.Name); d.core == core {
 		f.sendNotice(d)
+		f.sendStreamNews(d)
 	}
 	for _, p := range core.TakeProbes() {
 		f.after(networkDelay, func() {
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -6,6 +6,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/streamversion"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/usage"
 )
 
@@ -72,6 +73,8 @@
 	Counts map[entity.InstanceID][]usage.Count `cbor:"1,keyasint"`           // usage of the newest windows, by the daemon process that counted
 	Levels map[entity.OrganisationID]float64   `cbor:"2,keyasint"`           // levels of the quotas' token buckets, in units
 	Notice Notice                              `cbor:"3,keyasint,omitempty"` // deaths of suspect contents, and limits in force
+	// Versions are those that the services have had lately.
+	Versions []streamversion.SeenVersion `cbor:"4,keyasint,omitempty"`
 }
 
 // Checkpoint returns the present state to store.
@@ -83,12 +86,21 @@
 			ContentDeaths: undated(now, deaths), Trials: undatedTrials(now, c.pastTrials(deaths)),
 			Limits: c.limits.limitsInForce(now),
 		},
+		Versions: c.streams.Seen(),
 	}
 }
 
 // RestoreCounts restores the usage counts of a checkpoint.
 func (c *Core) RestoreCounts(p *Checkpoint) { c.usage.Restore(p.Counts) }
 
+// RestoreVersions restores the versions that the services had lately: a stream may have begun
+// at one that has no server any more.
+func (c *Core) RestoreVersions(now time.Time, p *Checkpoint) {
+	for _, v := range p.Versions {
+		c.sawVersion(now, &BackendServer{Service: v.Service, Version: v.Version})
+	}
+}
+
 // RestoreQuotas restores the levels of the quotas' token buckets of a checkpoint.
 func (c *Core) RestoreQuotas(p *Checkpoint) { c.quota.Restore(p.Levels) }
 
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -221,6 +221,7 @@
 	c.deaths.forget(now)
 	c.crash.forget(now)
 	c.updateLimits(now)
+	c.refreshVersions(now)
 	reachable, known := c.countDaemons(now)
 	if c.forgetSilentPeers(now, reachable, known) {
 		reachable, known = c.countDaemons(now)
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -96,9 +96,11 @@
 	Ran             int                      // sends that may have run
 	tried           []entity.BackendServerID // excluded from further sends
 	process         entity.ServerProcess     // of the backend server of the present attempt
-	sentAt          time.Time                // when the present attempt began
-	contents        []entity.Digest          // see contentsOf
-	trials          []datedTrial             // of the request's refused contents, by the present attempt
+	serverVersion   string                   // of the software of that backend server, when the attempt began
+	origin          streamOrigin
+	sentAt          time.Time       // when the present attempt began
+	contents        []entity.Digest // see contentsOf
+	trials          []datedTrial    // of the request's refused contents, by the present attempt
 	priority        int
 	reservation     *placement.Reservation // reserved for the present attempt; nil between attempts
 	earnedRetry     bool                   // the request has earned its service the ratio of a retry
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -74,6 +74,7 @@
 	if old == nil {
 		c.recordReplacedServers(now, &s)
 	}
+	c.sawVersion(now, &s)
 	row := &serverRow{BackendServer: s, listed: true}
 	if s.State != Ready {
 		row.drainingSince = now
--- a/internal/exchange/stream_version_test.go
+++ b/internal/exchange/stream_version_test.go
@@ -56,8 +56,8 @@
 	}
 	for i, s := range r.engines() {
 		s.Version = versions[i%len(versions)]
-		r.eachCore(0, func(c *Core) { c.PutServer(r.now, s.BackendServer) })
 	}
+	r.restart(r.daemons) // so that no daemon knows of the versions before
 	r.onBegin = r.begins
 	r.onEnd = r.ends
 	r.run(2 * time.Second)
--- a/internal/gateway/checkpoint.go
+++ b/internal/gateway/checkpoint.go
@@ -88,6 +88,7 @@
 	g.withCore(func(c *exchange.Core, now time.Time) {
 		c.RestoreQuotas(p)
 		c.RestoreNotice(now, p)
+		c.RestoreVersions(now, p)
 	})
 }
 
@@ -96,7 +97,10 @@
 	if err != nil {
 		return err
 	}
-	g.withCore(func(c *exchange.Core, now time.Time) { c.RestoreNotice(now, p) })
+	g.withCore(func(c *exchange.Core, now time.Time) {
+		c.RestoreNotice(now, p)
+		c.RestoreVersions(now, p)
+	})
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -18,6 +19,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/outbound"
+	"github.com/gooseberryslip/gooseberryslip/internal/peer"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
@@ -118,11 +120,15 @@
 	stopSignal chan struct{}   // closed when the stop signal is received
 	grace      context.Context // ends when requests in flight have no time left in a planned stop
 	endGrace   context.CancelFunc
+	streamNews chan struct{} // has an element while the core has records of streams to send
 	notices    chan struct{} // has an element while the core has deaths to announce ahead of the next state update
 
 	generations *generationWatch
 	authority   authorityState
 
+	transport     atomic.Pointer[peer.Transport] // to the other daemons; nil: none yet
+	streamQueries *streamQueries
+
 	mu   sync.Mutex // guards core
 	core *exchange.Core
 	self exchange.Member
@@ -139,7 +145,7 @@
 	self := exchange.Member{
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
-	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), generations: newGenerationWatch()}
+	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), streamNews: make(chan struct{}, 1), streamQueries: newStreamQueries(), generations: newGenerationWatch()}
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
@@ -187,29 +193,46 @@
 	}
 }
 
+// coreWants is what the core wants to have done.
+type coreWants struct {
+	events  []event.Event
+	probes  []exchange.Probe
+	notice  bool // deaths are to be announced
+	streams bool // records of streams are to be sent
+}
+
 // withCore calls f with exclusive access to the core, and then performs what the core
-// wants: lines in the log, probes of backend servers and notices to other daemons.
+// wants: lines in the log, probes of backend servers and messages to other daemons.
 func (g *Gateway) withCore(f func(c *exchange.Core, now time.Time)) {
-	events, probes, noticePending := g.lockedCore(f)
-	for _, e := range events {
+	wants := g.lockedCore(f)
+	for _, e := range wants.events {
 		g.logEvent(e)
 	}
-	for _, p := range probes {
+	for _, p := range wants.probes {
 		go g.probe(p)
 	}
-	if noticePending {
-		select {
-		case g.notices <- struct{}{}:
-		default: // the element that is there stands for this one too
-		}
+	if wants.notice {
+		signalOnce(g.notices)
+	}
+	if wants.streams {
+		signalOnce(g.streamNews)
+	}
+}
+
+// signalOnce adds an element to a channel with room for one, unless there is one, which
+// stands for this one too.
+func signalOnce(ch chan<- struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
 	}
 }
 
-func (g *Gateway) lockedCore(f func(c *exchange.Core, now time.Time)) (events []event.Event, probes []exchange.Probe, noticePending bool) {
+func (g *Gateway) lockedCore(f func(c *exchange.Core, now time.Time)) coreWants {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f(g.core, clock.Now())
-	return g.core.TakeEvents(), g.core.TakeProbes(), g.core.NoticePending()
+	return coreWants{g.core.TakeEvents(), g.core.TakeProbes(), g.core.NoticePending(), g.core.StreamNewsPending()}
 }
 
 // endpoint is one HTTP socket of the daemon.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -169,6 +169,7 @@
 	}
 	stopWatchingGrace := context.AfterFunc(x.g.grace, func() { x.endByStop(cancel) })
 	defer stopWatchingGrace()
+	x.findStreamVersion()
 	for {
 		var a exchange.Attempt
 		var refusal *exchange.Refusal
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/streamversion"
 )
 
 const (
@@ -71,9 +72,12 @@
 // useTransport exchanges state updates over a transport until the context ends.
 func (g *Gateway) useTransport(ctx context.Context, transport *peer.Transport) {
 	var notices sync.WaitGroup
+	g.transport.Store(transport)
 	notices.Go(func() { g.runNotices(ctx, transport) })
+	notices.Go(func() { g.runStreamNews(ctx, transport) })
 	g.runUpdates(ctx, transport)
 	notices.Wait()
+	g.transport.Store(nil)
 	closeCtx, cancel := context.WithTimeout(context.Background(), closePeersTimeout)
 	defer cancel()
 	_ = transport.Close(closeCtx) // an error changes nothing: the transport is not used any more
@@ -95,11 +99,14 @@
 
 // message is sent from one daemon to another.
 type message struct {
-	Ack       uint32             `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
-	Update    []byte             `cbor:"2,keyasint,omitempty"` // exchange.StateUpdate, encoded once for all receivers
-	NewerThan uint64             `cbor:"3,keyasint,omitempty"` // requests a configuration newer than this version
-	Document  *exchange.Document `cbor:"4,keyasint,omitempty"` // response to such a request
-	Notice    *exchange.Notice   `cbor:"5,keyasint,omitempty"`
+	Ack          uint32                 `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
+	Update       []byte                 `cbor:"2,keyasint,omitempty"` // exchange.StateUpdate, encoded once for all receivers
+	NewerThan    uint64                 `cbor:"3,keyasint,omitempty"` // requests a configuration newer than this version
+	Document     *exchange.Document     `cbor:"4,keyasint,omitempty"` // response to such a request
+	Notice       *exchange.Notice       `cbor:"5,keyasint,omitempty"`
+	Streams      []streamversion.Record `cbor:"6,keyasint,omitempty"` // that the addressee holds
+	AskStream    entity.RequestID       `cbor:"7,keyasint,omitempty"` // asks for the record of this stream
+	StreamAnswer *streamAnswer          `cbor:"8,keyasint,omitempty"` // response to such a question
 }
 
 // receive handles a message of another daemon.
@@ -121,6 +128,7 @@
 	if m.Notice != nil {
 		g.withCore(func(c *exchange.Core, now time.Time) { c.ReceiveNotice(now, from, m.Notice) })
 	}
+	g.receiveStreams(&m, func(answer message) { reply(peer.Address{ID: from, Addr: addr}, answer) })
 	if len(m.Update) > 0 {
 		g.receiveUpdate(&m)
 	}
--- a/internal/system/ratelimit/ratelimit.go
+++ b/internal/system/ratelimit/ratelimit.go
@@ -13,9 +13,8 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/rendezvous"
 )
 
 const (
@@ -38,11 +37,10 @@
 func Part(self entity.InstanceID, daemons []entity.InstanceID, server entity.BackendServerID, perSecond float64) float64 {
 	perSecond = max(perSecond, minRate)
 	parts := min(int(math.Ceil(perSecond/maxPart)), len(daemons))
-	own := weight(self, server)
 	rank, found := 0, false
 	for _, d := range daemons {
 		found = found || d == self
-		if w := weight(d, server); w > own || w == own && d < self {
+		if rendezvous.Compare(string(d), string(self), string(server)) < 0 {
 			rank++
 		}
 	}
@@ -52,16 +50,6 @@
 	return perSecond / float64(parts)
 }
 
-// weight returns the weight of a daemon for a server. The daemons with the highest ones
-// have the parts of its limit (rendezvous hashing).
-func weight(d entity.InstanceID, server entity.BackendServerID) uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(string(d)) // a hash returns no error
-	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(string(server))
-	return h.Sum64()
-}
-
 // Bucket is this daemon's token bucket for one server. Its zero value is empty and has no
 // part of the limit.
 type Bucket struct {
--- /dev/null
+++ b/internal/system/streamversion/streamversion.go
@@ -0,0 +1,163 @@
+// Package streamversion remembers which software version of a service's backend servers
+// began a stream, so that no server of another version continues it, and which versions a
+// service has had lately.
+package streamversion
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+const (
+	// maxRecords bounds the records of one daemon. The oldest are dropped first.
+	maxRecords = 1 << 15
+	// maxLife bounds how long a record is kept.
+	maxLife = 2 * time.Minute
+	// versionMemory is how long a version counts as one that a service has, after the last
+	// of its servers was seen. It is longer than callers continue a stream.
+	versionMemory = time.Minute
+)
+
+// Record says which version of a service began a stream.
+type Record struct {
+	Request      entity.RequestID      `cbor:"1,keyasint"` // that brought the caller the first event
+	Service      entity.ServiceName    `cbor:"2,keyasint"`
+	Version      string                `cbor:"3,keyasint"`           // of the process that wrote the first event
+	Life         time.Duration         `cbor:"4,keyasint"`           // how long the caller may still continue it
+	Organisation entity.OrganisationID `cbor:"5,keyasint,omitempty"` // that the stream belongs to
+}
+
+// row is a record with its times.
+type row struct {
+	Record
+	knownSince time.Time
+	expiresAt  time.Time
+}
+
+// Registry holds records and the versions of the services. It is not safe for concurrent use.
+type Registry struct {
+	rows     *entity.Table[entity.RequestID, row]
+	order    []entity.RequestID                          // in the order in which they came
+	versions map[entity.ServiceName]map[string]time.Time // when a server of a version was last seen
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{
+		rows:     entity.NewTable[entity.RequestID, row](),
+		versions: make(map[entity.ServiceName]map[string]time.Time),
+	}
+}
+
+// Put adds a record. The first one of a stream stands.
+func (r *Registry) Put(now time.Time, rec Record) {
+	if rec.Request == "" || rec.Life <= 0 || r.rows.Get(rec.Request) != nil {
+		return
+	}
+	for len(r.order) >= maxRecords {
+		r.dropOldest()
+	}
+	rec.Life = min(rec.Life, maxLife)
+	r.rows.Put(rec.Request, &row{Record: rec, knownSince: now, expiresAt: now.Add(rec.Life)})
+	r.order = append(r.order, rec.Request)
+}
+
+func (r *Registry) dropOldest() {
+	r.rows.Delete(r.order[0])
+	r.order = r.order[1:]
+}
+
+// Get returns the record of a stream and how long it has been known here.
+func (r *Registry) Get(now time.Time, id entity.RequestID) (rec Record, age time.Duration, ok bool) {
+	found := r.rows.Get(id)
+	if found == nil || !now.Before(found.expiresAt) {
+		return Record{}, 0, false
+	}
+	rec = found.Record
+	rec.Life = found.expiresAt.Sub(now)
+	return rec, now.Sub(found.knownSince), true
+}
+
+// OfService returns the records of a service's streams.
+func (r *Registry) OfService(now time.Time, service entity.ServiceName) []Record {
+	var out []Record
+	for _, id := range r.order {
+		if rec, _, ok := r.Get(now, id); ok && rec.Service == service {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+// Forget drops what has expired.
+func (r *Registry) Forget(now time.Time) {
+	r.order = slices.DeleteFunc(r.order, func(id entity.RequestID) bool {
+		expired := !now.Before(r.rows.Get(id).expiresAt)
+		if expired {
+			r.rows.Delete(id)
+		}
+		return expired
+	})
+	for service, versions := range r.versions {
+		for version, seenAt := range versions {
+			if now.Sub(seenAt) > versionMemory {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(r.versions, service)
+		}
+	}
+}
+
+// SawVersion records that a server of a service has a version, and reports whether the
+// service has several versions since then.
+func (r *Registry) SawVersion(now time.Time, service entity.ServiceName, version string) (becameMixed bool) {
+	versions := r.versions[service]
+	if versions == nil {
+		versions = make(map[string]time.Time)
+		r.versions[service] = versions
+	}
+	before := len(versions)
+	versions[version] = now
+	return before == 1 && len(versions) == 2
+}
+
+// Mixed reports whether a service has had several versions lately.
+func (r *Registry) Mixed(service entity.ServiceName) bool { return len(r.versions[service]) > 1 }
+
+// OnlyVersion returns the only version that a service has had lately. It returns false if
+// there were several, or none.
+func (r *Registry) OnlyVersion(service entity.ServiceName) (version string, ok bool) {
+	versions := r.versions[service]
+	if len(versions) != 1 {
+		return "", false
+	}
+	for v := range versions {
+		version = v
+	}
+	return version, true
+}
+
+// SeenVersion is a version that a service has had lately.
+type SeenVersion struct {
+	Service entity.ServiceName `cbor:"1,keyasint"`
+	Version string             `cbor:"2,keyasint"`
+}
+
+// Seen returns the versions that the services have had lately.
+func (r *Registry) Seen() []SeenVersion {
+	var out []SeenVersion
+	for service, versions := range r.versions {
+		for version := range versions {
+			out = append(out, SeenVersion{service, version})
+		}
+	}
+	slices.SortFunc(out, func(a, b SeenVersion) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return out
+}
