--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -239,7 +239,7 @@
 		return nil, r
 	}
 	t.Service = pickTarget(route.Targets, req.ID)
-	t.initOrigin()
+	t.origin.begun = t.resumes()
 	t.priority = priorityRank(t)
 	t.Deadline = requestDeadline(arrived, route, req.Patience)
 	if r := c.reserveQuota(now, t); r != nil {
--- a/internal/exchange/stream_version.go
+++ b/internal/exchange/stream_version.go
@@ -40,10 +40,8 @@
 // continues reports whether the next send of a request continues a stream.
 func (t *Ticket) continues() bool { return t.origin.begun }
 
-// initOrigin sets what a request says of the stream that it resumes.
-func (t *Ticket) initOrigin() {
-	t.origin.begun = t.Route.Kind == Stream && t.Request.After != ""
-}
+// resumes reports whether the request takes up a stream of which its caller has got events.
+func (t *Ticket) resumes() bool { return t.Route.Kind == Stream && t.Request.After != "" }
 
 // organisationID returns the ID of the ticket's organisation, "" if it has none.
 func (t *Ticket) organisationID() entity.OrganisationID {
@@ -225,8 +223,8 @@
 	}
 }
 
-// StreamRecord returns the record of a stream for a daemon that asks. A record without a
-// version life says that it is not known here.
+// StreamRecord returns the record of a stream, for a daemon that asks, and whether it is known
+// here.
 func (c *Core) StreamRecord(now time.Time, id entity.RequestID) (rec streamversion.Record, known bool) {
 	rec, _, known = c.streams.Get(now, id)
 	return rec, known
