--- a/internal/exchange/quota_lives_test.go
+++ b/internal/exchange/quota_lives_test.go
@@ -19,7 +19,6 @@
 type quotaRun struct {
 	*testFleet
 	started []time.Time // runs of the organisation's requests
-	first   map[string]bool
 }
 
 // newQuotaRun returns a fleet whose organisation "small" asks for eight times its quota.
