Know no version of a server whose process has died and whose entry is late

The servers come back under the same ID with another version while faults keep daemons from the store, so that their entries are late and new streams were recorded at the old version.

Change: a server whose process was found dead (refused, replaced, announced by another daemon) has no known version until an entry of another process is there, for 10 s at most. Streams that begin there are not recorded, and none goes on there.

Before and after: the new case same-id-late-entry of TestStreamVersion_HoldsOverAllTriesAndDaemons failed with 9 to 62 mixed streams, and has none now.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -115,7 +115,7 @@
 	// relieve the others most. Small ones get there what large ones leave.
 	choose := func(saved float64) (placement.Choice, bool) {
 		return c.placer.Choose(now, q, func(id entity.BackendServerID) bool {
-			return c.usable(now, id) && c.mayContinue(t, id) && c.withinLimit(now, id, saved)
+			return c.usable(now, id) && c.mayContinue(now, t, id) && c.withinLimit(now, id, saved)
 		})
 	}
 	if c.limits.rows.Len() > 0 && c.demand.small(t) {
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -164,6 +164,9 @@
 		return
 	}
 	c.deaths.dead.Put(p, &now)
+	if row != nil && row.process() == p {
+		row.diedAt = now
+	}
 	c.logEvent(event.Event{Number: event.ServerDeathProved, Backend: p.Server, Attrs: []event.Attr{
 		event.A("proof", proof), event.A("born", p.Born), event.A("unexplained", len(c.crash.unexplainedRuns(p))),
 	}})
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -632,7 +632,13 @@
 	entry := s.BackendServer
 	entry.ID, entry.Born = id, born
 	change(&entry)
+	f.startReplacement(s, entry, 0)
+}
+
+// startReplacement starts a new process at a server's address, whose entry daemons learn of
+// after a delay.
+func (f *testFleet) startReplacement(s *fleetServer, entry BackendServer, entryDelay time.Duration) {
 	s.replacedBy = &fleetServer{BackendServer: entry, up: true, dark: s.dark, runs: map[*fleetRun]bool{}}
 	f.servers = append(f.servers, s.replacedBy)
-	f.eachCore(0, func(c *Core) { c.PutServer(f.now, entry) })
+	f.eachCore(entryDelay, func(c *Core) { c.PutServer(f.now, entry) })
 }
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -38,6 +38,16 @@
 	listed        bool      // in the newest list
 	goneAt        time.Time // when a server that is no longer listed counts as gone
 	drainingSince time.Time // when it was first known to drain or to go; zero: it does neither
+	diedAt        time.Time // when the process was last known to have died; zero: never
+}
+
+// replacementDoubt is how long after a process was known to have died its entry may be that of
+// the former process, while another one, perhaps of another version, answers under its ID.
+const replacementDoubt = 10 * time.Second
+
+// versionKnown reports whether the version in the entry is that of the process that answers.
+func (r *serverRow) versionKnown(now time.Time) bool {
+	return r.diedAt.IsZero() || now.Sub(r.diedAt) > replacementDoubt
 }
 
 // supersedes reports whether the known entry is newer than s, which must be ignored
@@ -76,6 +86,9 @@
 	}
 	c.sawVersion(now, &s)
 	row := &serverRow{BackendServer: s, listed: true}
+	if old != nil {
+		row.diedAt = old.diedAt
+	}
 	if s.State != Ready {
 		row.drainingSince = now
 		if old != nil && !old.drainingSince.IsZero() {
--- a/internal/exchange/stream_version.go
+++ b/internal/exchange/stream_version.go
@@ -104,12 +104,12 @@
 }
 
 // mayContinue reports whether a backend server may get the next send of a request.
-func (c *Core) mayContinue(t *Ticket, id entity.BackendServerID) bool {
+func (c *Core) mayContinue(now time.Time, t *Ticket, id entity.BackendServerID) bool {
 	if !t.continues() {
 		return true
 	}
 	row := c.servers.Get(id)
-	return row != nil && row.Version == t.origin.version
+	return row != nil && row.Version == t.origin.version && row.versionKnown(now)
 }
 
 // rejectWithoutVersion rejects the continuation of a stream for which there is no server. It
@@ -139,8 +139,12 @@
 	}
 	t.origin.begun = true
 	row := c.servers.Get(t.process.Server)
-	if row != nil && row.process() != t.process && row.Version != t.serverVersion {
+	switch {
+	case row == nil:
+	case row.process() != t.process && row.Version != t.serverVersion:
 		return // the server's process was replaced meanwhile: either may have answered
+	case row.process() == t.process && !row.versionKnown(now):
+		return // a process whose entry is not there yet has answered
 	}
 	t.origin.known, t.origin.version, t.origin.source = true, t.serverVersion, "this answer"
 	if !t.Route.Resumable {
--- a/internal/exchange/stream_version_test.go
+++ b/internal/exchange/stream_version_test.go
@@ -177,6 +177,29 @@
 	}
 }
 
+// replaceSome ends some engines, which come back under the same ID with another version. Their
+// entries are late.
+func (r *versionRun) replaceSome(n int, entryDelay time.Duration) {
+	engines := r.engines()
+	for _, i := range r.rng.Perm(len(engines)) {
+		s := engines[i]
+		if n == 0 {
+			return
+		}
+		if !s.up || s.replacedBy != nil {
+			continue
+		}
+		n--
+		r.crash(s)
+		r.after(time.Second, func() {
+			entry := s.BackendServer
+			entry.Born++
+			entry.Version = map[string]string{"v1": "v2", "v2": "v1"}[s.Version]
+			r.startReplacement(s, entry, entryDelay)
+		})
+	}
+}
+
 // versionFaults are the faults that a fleet has in series while engines of several versions
 // serve.
 var versionFaults = []struct {
@@ -216,6 +239,7 @@
 		}
 		r.crashSome(2, same)
 	}},
+	{"same-id-late-entry", 2 * time.Second, func(r *versionRun) { r.replaceSome(2, 1500*time.Millisecond) }},
 	{"table-away", 6 * time.Second, func(r *versionRun) {
 		r.tableAway = true
 		r.restart(r.some(0.3))
