--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -104,8 +104,21 @@
 }
 
 // chooseServer chooses among the usable backend servers that the request has not
-// tried.
+// tried. A stream goes to a server whose version is known, if there is one, so that it can be
+// continued.
 func (c *Core) chooseServer(now time.Time, t *Ticket) (placement.Choice, bool) {
+	if t.Route.Kind == Stream && t.Route.Resumable {
+		choice, ok := c.chooseAmong(now, t, func(id entity.BackendServerID) bool { return c.servers.Get(id).versionKnown(now) })
+		if ok || t.continues() {
+			return choice, ok
+		}
+	}
+	return c.chooseAmong(now, t, func(entity.BackendServerID) bool { return true })
+}
+
+// chooseAmong chooses among the usable backend servers that the request has not tried and
+// that are eligible.
+func (c *Core) chooseAmong(now time.Time, t *Ticket, eligible func(entity.BackendServerID) bool) (placement.Choice, bool) {
 	w := &t.Request.Work
 	q := placement.Query{
 		Service: t.Service, DataCentre: c.cfg.Self.DataCentre, Rank: t.priority,
@@ -115,7 +128,7 @@
 	// relieve the others most. Small ones get there what large ones leave.
 	choose := func(saved float64) (placement.Choice, bool) {
 		return c.placer.Choose(now, q, func(id entity.BackendServerID) bool {
-			return c.usable(now, id) && c.mayContinue(now, t, id) && c.withinLimit(now, id, saved)
+			return c.usable(now, id) && eligible(id) && c.mayContinue(t, id) && c.withinLimit(now, id, saved)
 		})
 	}
 	if c.limits.rows.Len() > 0 && c.demand.small(t) {
--- a/internal/exchange/stream_version.go
+++ b/internal/exchange/stream_version.go
@@ -104,12 +104,12 @@
 }
 
 // mayContinue reports whether a backend server may get the next send of a request.
-func (c *Core) mayContinue(now time.Time, t *Ticket, id entity.BackendServerID) bool {
+func (c *Core) mayContinue(t *Ticket, id entity.BackendServerID) bool {
 	if !t.continues() {
 		return true
 	}
 	row := c.servers.Get(id)
-	return row != nil && row.Version == t.origin.version && row.versionKnown(now)
+	return row != nil && row.Version == t.origin.version
 }
 
 // rejectWithoutVersion rejects the continuation of a stream for which there is no server. It
