Let the age limit of restored quota levels grow with the interval of checkpoints

A checkpoint is written each 20 ms times the number of daemons, so from about 60 daemons on the newest one was mostly too old, and after a restart of all quotas always began empty. The limit is two intervals now, 1.2 s at least: the checkpoint says its interval. Small fleets decide as before. TestRestoreQuotas_AgeLimitGrowsWithTheInterval fails with the fixed limit (8 s apart, 9 s old: not used).

Besides, two near copies of a loop in the tests of stream versions are one.

--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -75,6 +75,8 @@
 	Notice Notice                              `cbor:"3,keyasint,omitempty"` // deaths of suspect contents, and limits in force
 	// At is the true time of the checkpoint since 1970; 0: not known.
 	At time.Duration `cbor:"5,keyasint,omitempty"`
+	// Interval is the time between two checkpoints, which grows with the fleet.
+	Interval time.Duration `cbor:"6,keyasint,omitempty"`
 	// Versions are those that the services have had lately.
 	Versions []streamversion.SeenVersion `cbor:"4,keyasint,omitempty"`
 }
@@ -108,14 +110,19 @@
 	}
 }
 
-// maxLevelAge is the age up to which the levels in a checkpoint are used. After that, what was
-// spent since may be all that they hold.
-const maxLevelAge = 1200 * time.Millisecond
+const (
+	// minLevelAgeLimit is the minimum of the age up to which the levels in a checkpoint are used.
+	// After that, what was spent since may be all that they hold. It applies in small fleets.
+	minLevelAgeLimit = 1200 * time.Millisecond
+	// levelAgeIntervals is that age in large fleets, in intervals between two checkpoints.
+	levelAgeIntervals = 2
+)
 
 // RestoreQuotas restores the levels of the quotas' token buckets of a checkpoint, unless they are
 // too old or their age is not known. Without them the buckets start empty.
 func (c *Core) RestoreQuotas(now time.Time, p *Checkpoint) {
-	if at, known := c.TrueTime(now); known && p.At > 0 && at-p.At <= maxLevelAge {
+	limit := max(minLevelAgeLimit, levelAgeIntervals*p.Interval)
+	if at, known := c.TrueTime(now); known && p.At > 0 && at-p.At <= limit {
 		c.quota.Restore(p.Levels)
 	}
 }
--- a/internal/exchange/quota_lives_test.go
+++ b/internal/exchange/quota_lives_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
 // The bound that the users' contract sets: over any window, all daemons and all their lives,
@@ -93,3 +95,26 @@
 	{"half-restart", 1500 * time.Millisecond, func(f *testFleet) { f.restart(f.some(0.5)) }},
 	{"one-restarts", 500 * time.Millisecond, func(f *testFleet) { f.restart(f.some(0)) }},
 }
+
+// TestRestoreQuotas_AgeLimitGrowsWithTheInterval: in a large fleet checkpoints are seconds
+// apart, and the newest one is that old.
+func TestRestoreQuotas_AgeLimitGrowsWithTheInterval(t *testing.T) {
+	for _, c := range []struct {
+		interval, age time.Duration
+		used          bool
+	}{
+		{120 * time.Millisecond, time.Second, true},
+		{120 * time.Millisecond, 2 * time.Second, false},
+		{8 * time.Second, 9 * time.Second, true},
+		{8 * time.Second, 17 * time.Second, false},
+	} {
+		core := newTestCore(t, "d1")
+		core.quota.Restore(map[entity.OrganisationID]float64{"small": 0})
+		core.SetTrueTime(0)
+		at, _ := core.TrueTime(zero)
+		core.RestoreQuotas(zero, &Checkpoint{At: at - c.age, Interval: c.interval, Levels: map[entity.OrganisationID]float64{"small": 1000}})
+		if _, used := core.quota.Reserve(zero, "small", 500); used != c.used {
+			t.Errorf("checkpoint of %v ago, one each %v: levels used %v, want %v", c.age, c.interval, used, c.used)
+		}
+	}
+}
--- a/internal/exchange/stream_version_test.go
+++ b/internal/exchange/stream_version_test.go
@@ -155,48 +155,41 @@
 	}
 }
 
-// crashSome ends some engines, which come back under the same or another ID and with the
-// version that next returns.
+// crashSome ends some engines, which come back under other IDs with the version that next
+// returns.
 func (r *versionRun) crashSome(n int, next func(old string) string) {
-	engines := r.engines()
-	for _, i := range r.rng.Perm(len(engines)) {
-		s := engines[i]
-		if n == 0 {
-			return
-		}
-		if !s.up || s.replacedBy != nil {
-			continue
-		}
-		n--
-		r.crash(s)
+	r.eachCrashed(n, func(s *fleetServer) {
 		r.after(time.Second+r.random(2*time.Second), func() {
 			r.nextServer++
 			id := entity.BackendServerID(fmt.Sprint("next", r.nextServer))
 			r.replaceWith(s, id, s.Born+1, func(e *BackendServer) { e.Version = next(e.Version) })
 		})
-	}
+	})
 }
 
 // replaceSome ends some engines, which come back under the same ID with another version. Their
 // entries are late.
 func (r *versionRun) replaceSome(n int, entryDelay time.Duration) {
-	engines := r.engines()
-	for _, i := range r.rng.Perm(len(engines)) {
-		s := engines[i]
-		if n == 0 {
-			return
-		}
-		if !s.up || s.replacedBy != nil {
-			continue
-		}
-		n--
-		r.crash(s)
+	r.eachCrashed(n, func(s *fleetServer) {
 		r.after(time.Second, func() {
 			entry := s.BackendServer
 			entry.Born++
 			entry.Version = map[string]string{"v1": "v2", "v2": "v1"}[s.Version]
 			r.startReplacement(s, entry, entryDelay)
 		})
+	})
+}
+
+// eachCrashed ends some engines and calls f for each of them.
+func (r *versionRun) eachCrashed(n int, f func(*fleetServer)) {
+	engines := r.engines()
+	for _, i := range r.rng.Perm(len(engines)) {
+		s := engines[i]
+		if n > 0 && s.up && s.replacedBy == nil {
+			n--
+			r.crash(s)
+			f(s)
+		}
 	}
 }
 
--- a/internal/gateway/checkpoint.go
+++ b/internal/gateway/checkpoint.go
@@ -45,7 +45,8 @@
 		daemons += len(c.Peers())
 	})
 	now := clock.Now()
-	if now.Sub(t.checkpoint.attemptedAt) < time.Duration(daemons)*checkpointIntervalPerDaemon {
+	current.Interval = time.Duration(daemons) * checkpointIntervalPerDaemon
+	if now.Sub(t.checkpoint.attemptedAt) < current.Interval {
 		return
 	}
 	body, undated, err := encodeCheckpoint(current)
