Take a content's deaths as explained no more when its trials end servers

Cause, from the events of the failing case: a part that never completes runs on every server that dies, so it explains the deaths under the crashing part, which is let through every 3.3 s as an explained trial, and ends a server each time (6.2, 9.6, 13.0, 16.0, 19.4 s). Ruled out: notices between daemons (all know each death within 80 ms), the retry budget. Change: after two trials that ended with their server's death another content explains nothing any more; ordinary trials go on, at growing intervals.

--- a/internal/system/quarantine/death.go
+++ b/internal/system/quarantine/death.go
@@ -171,7 +171,7 @@
 // a content that is not among those held, and that ran on every process that died under it.
 func (r *Registry) Explained(now time.Time, d entity.Digest, held []entity.Digest) bool {
 	s := r.suspects.Get(d)
-	if s == nil || len(s.deaths) > maxExplainedDeaths {
+	if s == nil || len(s.deaths) > maxExplainedDeaths || s.failedTrials() > maxFailedTrials {
 		return false
 	}
 	explained := false
--- a/internal/system/quarantine/trial.go
+++ b/internal/system/quarantine/trial.go
@@ -19,6 +19,9 @@
 	maxTrialDelay = time.Hour
 	// trialMargin is the longest time between the dates that two daemons give one trial.
 	trialMargin = 20 * time.Millisecond
+	// maxFailedTrials is how many trials may end with the death of the server while another
+	// content is still believed to explain the deaths.
+	maxFailedTrials = 1
 	// maxTrialsPerSuspect bounds the trials that are kept for one digest.
 	maxTrialsPerSuspect = 16
 )
@@ -88,6 +91,23 @@
 	return n
 }
 
+// failedTrials counts the trials for which another content explained the deaths and after which
+// a server died all the same.
+func (s *suspect) failedTrials() int {
+	failed := 0
+	for _, t := range s.trials {
+		if t.Explained && slices.ContainsFunc(s.deaths, t.diedIn) {
+			failed++
+		}
+	}
+	return failed
+}
+
+// diedIn reports whether a death is that of the server on which the trial ran.
+func (t Trial) diedIn(d death) bool {
+	return d.at.After(t.At) && d.at.Sub(t.At) < firstTrialDelay && !d.startedAt.Before(t.At.Add(-trialMargin))
+}
+
 // trialRounds counts the trials that nothing explained. Those within the same firstTrialDelay
 // count once, since daemons begin them before they hear of each other's.
 func (s *suspect) trialRounds() int {
