Learn of a server's end from idle connections, and date deaths

Cause, traced by what each daemon knew of the process that answered: nobody had found the former process dead. A daemon dialled a server only when its own request broke off there; and the death of a process whose entry had not been read yet passed for that of its predecessor, so that the entry, read later, counted as alive. Change: idle connections that a server closes before they expire have it dialled; deaths are announced with the time of their proof; a process that started before such a proof is dead; a proof that another process has started says nothing of that one.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -285,9 +285,9 @@
 	case Broken, Silent, Abandoned:
 		c.recordUnexplainedRun(now, t, o)
 	case NotListening:
-		c.recordDeath(now, t.process, proofRefused)
+		c.recordDeath(now, now, t.process, proofRefused)
 	case Misdirected:
-		c.recordDeath(now, t.process, proofReplaced)
+		c.recordDeath(now, now, t.process, proofReplaced)
 	}
 }
 
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -92,7 +92,7 @@
 	registry      *quarantine.Registry
 	unexplained   *entity.Table[entity.ServerProcess, []unexplainedRun]
 	contentDeaths announcements[datedDeath]
-	deadProcesses announcements[entity.ServerProcess]
+	deadProcesses announcements[datedProcessDeath]
 	completions   announcements[entity.Digest] // of content that had been suspect
 	trials        announcements[datedTrial]
 	completed     completionLog
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -9,8 +10,9 @@
 
 // A daemon learns in several ways that the process of a backend server has died, and
 // often not the daemon whose request the death broke off: that one avoids the server
-// from then on. So a daemon whose request broke off or got no answer dials the server,
-// and each daemon that finds a server dead tells all others. A server that is no longer
+// from then on. So a daemon whose request broke off or got no answer, or whose idle
+// connection was closed, dials the server, and each daemon that finds a server dead tells
+// all others. A server that is no longer
 // listed may go on serving for a while, so that this alone proves nothing.
 
 // deathProof is how a daemon has learned that a process has died.
@@ -119,6 +121,23 @@
 	return entity.ServerProcess{Server: r.ID, Born: r.Born}
 }
 
+// ConnectionsLost records that backend servers have closed idle connections, as the end of
+// their process does. Those that may have ended are probed: each daemon that had a connection
+// learns of the end of a process, whether or not it ran a request there. The next process may
+// have another version.
+func (c *Core) ConnectionsLost(now time.Time, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
+		p := row.process()
+		if row.listed && row.State == Ready && slices.Contains(addresses, row.Address) && !c.deaths.isDead(now, p) && !c.deaths.recentlyProbed(now, p) {
+			c.deaths.probe(now, Probe{Process: p, Address: row.Address})
+		}
+		return true
+	})
+}
+
 // TakeProbes returns the probes that are to be made. ProbeEnded must be called with the
 // result of each.
 func (c *Core) TakeProbes() []Probe {
@@ -136,9 +155,9 @@
 	state.underWay = false
 	switch {
 	case result == Refused:
-		c.recordDeath(now, p.Process, proofRefused)
+		c.recordDeath(now, now, p.Process, proofRefused)
 	case result == Unreachable && c.deaths.anotherAnswered(p.Process, state.startedAt):
-		c.recordDeath(now, p.Process, proofUnreachable)
+		c.recordDeath(now, now, p.Process, proofUnreachable)
 	case state.again:
 		c.deaths.probe(now, p)
 	}
@@ -156,22 +175,55 @@
 	}
 }
 
-// recordDeath records that the process of a backend server has died, unless it was
-// draining.
-func (c *Core) recordDeath(now time.Time, p entity.ServerProcess, proof deathProof) {
+// minDeathInterval is the least time between the proofs of the deaths of two processes that
+// started one after the other under one ID.
+const minDeathInterval = 500 * time.Millisecond
+
+// recordDeath records that the process of a backend server was found dead at the given time,
+// unless it was draining. A later proof is of a process that has started after it under its
+// ID, and whose entry this daemon has not read yet.
+func (c *Core) recordDeath(now, at time.Time, p entity.ServerProcess, proof deathProof) {
 	row := c.servers.Get(p.Server)
-	if row != nil && row.Born == p.Born && row.State != Ready || c.deaths.isDead(now, p) {
+	if row != nil && row.Born == p.Born && row.State != Ready {
+		return
+	}
+	known := c.deaths.isDead(now, p)
+	if known && at.Sub(*c.deaths.dead.Get(p)) < minDeathInterval {
 		return
 	}
-	c.deaths.dead.Put(p, &now)
-	if row != nil && row.process() == p {
-		row.diedAt = now
+	c.deaths.dead.Put(p, &at)
+	if row != nil && (row.process() == p || c.diedAfterStart(row, at)) {
+		row.diedAt = at
 	}
 	c.logEvent(event.Event{Number: event.ServerDeathProved, Backend: p.Server, Attrs: []event.Attr{
 		event.A("proof", proof), event.A("born", p.Born), event.A("unexplained", len(c.crash.unexplainedRuns(p))),
+		event.A("again", known), event.A("age_ms", now.Sub(at).Milliseconds()),
 	}})
 	if proof != proofAnnounced {
-		c.crash.deadProcesses.add(p)
+		c.crash.deadProcesses.add(datedProcessDeath{p, at})
 	}
 	c.blameUnexplained(now, p)
 }
+
+// bornMargin is how much later than a process's start by its own clock the proof of a death at
+// its ID must be for the process to have died.
+const bornMargin = 250 * time.Millisecond
+
+// diedAfterStart reports whether a proof of a death at a server's ID at the given time is later
+// than the start of the process that its entry names, so that this process has died too.
+func (c *Core) diedAfterStart(r *serverRow, at time.Time) bool {
+	if at.IsZero() || r.Born == 0 || !c.trueTimeKnown {
+		return false
+	}
+	return c.sinceUnixEpoch(at) > time.Duration(r.Born)*time.Millisecond+bornMargin
+}
+
+// startedAt returns when a process started that states the given time in its entry, by this
+// instance's clock; now if that cannot be told.
+func (c *Core) startedAt(now time.Time, born int64) time.Time {
+	if !c.trueTimeKnown {
+		return now
+	}
+	ago := c.sinceUnixEpoch(now) - time.Duration(born)*time.Millisecond
+	return now.Add(-max(ago, 0))
+}
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -12,8 +12,8 @@
 // It is part of each state update. In a large fleet, where the next update may be seconds
 // away, it is also sent ahead of it.
 type Notice struct {
-	ContentDeaths []ContentDeath         `cbor:"1,keyasint,omitempty"`
-	DeadProcesses []entity.ServerProcess `cbor:"2,keyasint,omitempty"` // found dead by the sender
+	ContentDeaths []ContentDeath `cbor:"1,keyasint,omitempty"`
+	DeadProcesses []ProcessDeath `cbor:"2,keyasint,omitempty"` // found dead by the sender
 	// Completions are contents that have completed at the sender although servers had died
 	// while they ran them.
 	Completions []entity.Digest  `cbor:"3,keyasint,omitempty"`
@@ -21,6 +21,29 @@
 	Trials      []ContentTrial   `cbor:"5,keyasint,omitempty"` // at the sender
 }
 
+// ProcessDeath says that a process of a backend server has died, or one that has started
+// after it under its ID and is not known yet.
+type ProcessDeath struct {
+	Server entity.BackendServerID `cbor:"1,keyasint"`
+	Born   int64                  `cbor:"2,keyasint,omitempty"` // see entity.ServerProcess
+	Ago    time.Duration          `cbor:"3,keyasint,omitempty"` // from the proof to the sending of the message
+}
+
+// datedProcessDeath is the death of a process with the time of its proof.
+type datedProcessDeath struct {
+	process entity.ServerProcess
+	at      time.Time
+}
+
+// undatedProcessDeaths returns deaths as a message that is sent now states them.
+func undatedProcessDeaths(now time.Time, list []datedProcessDeath) []ProcessDeath {
+	var out []ProcessDeath
+	for _, d := range list {
+		out = append(out, ProcessDeath{Server: d.process.Server, Born: d.process.Born, Ago: now.Sub(d.at)})
+	}
+	return out
+}
+
 // Empty reports whether the notice says nothing.
 func (n *Notice) Empty() bool {
 	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials) == 0
@@ -30,7 +53,7 @@
 // daemons have received the updates up to acked.
 func (c *Core) noticeDue(now time.Time, sequence, acked uint32) Notice {
 	return Notice{
-		ContentDeaths: undated(now, c.crash.contentDeaths.due(sequence, acked)), DeadProcesses: c.crash.deadProcesses.due(sequence, acked),
+		ContentDeaths: undated(now, c.crash.contentDeaths.due(sequence, acked)), DeadProcesses: undatedProcessDeaths(now, c.crash.deadProcesses.due(sequence, acked)),
 		Completions: c.crash.completions.due(sequence, acked), Limits: c.limits.statements(now, c.limits.changes.due(sequence, acked)),
 		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)),
 	}
@@ -45,7 +68,7 @@
 // NextNotice returns what no update or notice has told yet.
 func (c *Core) NextNotice(now time.Time) Notice {
 	return Notice{
-		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: c.crash.deadProcesses.unnoticed(),
+		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: undatedProcessDeaths(now, c.crash.deadProcesses.unnoticed()),
 		Completions: c.crash.completions.unnoticed(), Limits: c.limits.statements(now, c.limits.changes.unnoticed()),
 		Trials: undatedTrials(now, c.crash.trials.unnoticed()),
 	}
@@ -54,11 +77,11 @@
 // ReceiveNotice applies what another daemon has learned.
 func (c *Core) ReceiveNotice(now time.Time, from entity.InstanceID, notice *Notice) {
 	for _, d := range notice.ContentDeaths {
-		c.recordDeath(now, d.process(), proofAnnounced)
+		c.recordDeath(now, now.Add(-d.Ago), d.process(), proofAnnounced)
 		c.recordContentDeath(now, &datedDeath{d, now.Add(-d.Ago)}, from)
 	}
-	for _, p := range notice.DeadProcesses {
-		c.recordDeath(now, p, proofAnnounced)
+	for _, d := range notice.DeadProcesses {
+		c.recordDeath(now, now.Add(-d.Ago), entity.ServerProcess{Server: d.Server, Born: d.Born}, proofAnnounced)
 	}
 	for _, d := range notice.Completions {
 		c.clearContent(now, d, from)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -76,8 +76,12 @@
 	if old != nil && old.supersedes(&s, c.recentlyRestored(now)) {
 		return false
 	}
+	row := &serverRow{BackendServer: s, listed: true}
 	if old != nil && old.Born != s.Born && s.Born != 0 {
-		c.recordDeath(now, old.process(), proofRestarted)
+		if c.diedAfterStart(row, old.diedAt) {
+			row.diedAt = old.diedAt
+		}
+		c.recordDeath(now, c.startedAt(now, s.Born), old.process(), proofRestarted)
 		c.placer.RemoveServer(s.ID) // a new process has no cached prompts and no load
 		old = nil
 	}
@@ -85,7 +89,6 @@
 		c.recordReplacedServers(now, &s)
 	}
 	c.sawVersion(now, &s)
-	row := &serverRow{BackendServer: s, listed: true}
 	if old != nil {
 		row.diedAt = old.diedAt
 	}
@@ -104,7 +107,7 @@
 func (c *Core) recordReplacedServers(now time.Time, s *BackendServer) {
 	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
 		if row.Address == s.Address && id != s.ID {
-			c.recordDeath(now, row.process(), proofReplaced)
+			c.recordDeath(now, now, row.process(), proofReplaced)
 		}
 		return true
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -303,13 +303,16 @@
 	}
 }
 
-// housekeepingInterval is the time between two checks for idle connections to close
-// and for daemons that have become silent.
+// housekeepingInterval is the time between two checks for idle connections that cannot be
+// used any more and for daemons that have become silent.
 const housekeepingInterval = 250 * time.Millisecond
 
 func (g *Gateway) runHousekeeping(runCtx context.Context) {
 	for clock.Wait(runCtx, housekeepingInterval) {
-		g.pool.CloseExpired()
-		g.withCore(func(c *exchange.Core, now time.Time) { c.Tick(now) })
+		lost := g.pool.CloseUnusable()
+		g.withCore(func(c *exchange.Core, now time.Time) {
+			c.ConnectionsLost(now, lost)
+			c.Tick(now)
+		})
 	}
 }
--- a/internal/outbound/metrics.go
+++ b/internal/outbound/metrics.go
@@ -5,6 +5,9 @@
 var (
 	// connectionsDialled counts connections established to backend servers.
 	connectionsDialled = metrics.NewCounter("gooseberryslip_outbound_connections_total")
+	// connectionsLost counts idle connections that a backend server closed before they
+	// expired, or on which it sent unrequested bytes.
+	connectionsLost = metrics.NewCounter("gooseberryslip_outbound_idle_connections_lost_total")
 	// foreignResponses counts responses that belong to another request than the
 	// one that was waiting.
 	foreignResponses = metrics.NewCounter("gooseberryslip_outbound_foreign_answers_total")
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -157,6 +157,45 @@
 	}
 }
 
+// TestCloseUnusable_TellsWhichServersClosedConnections: one server closes its idle connection,
+// the other keeps it open.
+func TestCloseUnusable_TellsWhichServersClosedConnections(t *testing.T) {
+	closing := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err == nil {
+			writeResponse(c, "1", "ok")
+		}
+	})
+	var dialled atomic.Int32
+	staying := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		dialled.Add(1)
+		for {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			writeResponse(c, "1", "ok")
+		}
+	})
+	p := NewPool()
+	for _, address := range []string{closing, staying} {
+		if _, _, err := send(t, p, newRequest(address, "x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var lost []string
+	for deadline := time.Now().Add(5 * time.Second); len(lost) == 0 && time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		lost = p.CloseUnusable()
+	}
+	if len(lost) != 1 || lost[0] != closing {
+		t.Errorf("got lost connections to %v, want %s alone", lost, closing)
+	}
+	if again := p.CloseUnusable(); len(again) != 0 {
+		t.Errorf("got %v a second time", again)
+	}
+	if _, _, err := send(t, p, newRequest(staying, "x")); err != nil || dialled.Load() != 1 {
+		t.Errorf("error %v, %d connections to the server that keeps them open, want 1", err, dialled.Load())
+	}
+}
+
 func TestSend_SkipsAnswersToOthers(t *testing.T) {
 	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		if _, _, err := readRequest(r); err == nil {
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -129,30 +129,46 @@
 	}
 }
 
-// CloseExpired closes the idle connections that have expired.
-func (p *Pool) CloseExpired() {
+// CloseUnusable closes the idle connections that have expired, and those that their backend
+// server has closed before. It returns the addresses of the latter, each once.
+func (p *Pool) CloseUnusable() (lost []string) {
 	now := clock.Now()
+	var unusable []*connection
 	p.mu.Lock()
-	var expired []*connection
 	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.usableUntil) {
-				kept = append(kept, c)
-			} else {
-				expired = append(expired, c)
-			}
+		kept, closedByServer := sortIdle(now, list)
+		if closedByServer {
+			lost = append(lost, address)
 		}
+		unusable = append(unusable, list[len(kept):]...)
+		p.idle[address] = kept
 		if len(kept) == 0 {
 			delete(p.idle, address)
-			continue
 		}
-		p.idle[address] = kept
 	}
 	p.mu.Unlock()
-	for _, c := range expired {
+	for _, c := range unusable {
 		_ = c.Close()
 	}
+	return lost
+}
+
+// sortIdle moves the usable connections of a list to its front and returns these. It reports
+// whether one of the others had been closed by the backend server before it expired.
+func sortIdle(now time.Time, list []*connection) (usable []*connection, closedByServer bool) {
+	n := 0
+	for i, c := range list {
+		switch {
+		case !now.Before(c.usableUntil):
+		case c.openWithoutData():
+			list[i], list[n] = list[n], c
+			n++
+		default:
+			connectionsLost.Inc()
+			closedByServer = true
+		}
+	}
+	return list[:n], closedByServer
 }
 
 func dial(ctx context.Context, address string) (*connection, error) {
