Bound the growth of a gateway's heap in bytes

Cause: the collector let the heap grow to five times the live one. Among 195 daemons the live heap is some 10 MB of connections to the others (50 KB an end: half the QUIC connection's run loop and packet state, the rest TLS state and stacks; BenchmarkTransport_IdleConnection and a heap profile of 300 ends in one process), so that a daemon held five times that, and all of them went over half of the machine's memory. Ruled out: two connections for each pair of daemons (the one that is not preferred is closed after 3 s without use), read buffers (512 bytes). Change: the heap grows by 12 MB at most between two collections, by 400 % while it is small, as before.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -21,9 +21,6 @@
 	// memoryLimitRatio is Go's soft memory limit, as a ratio of the memory that the
 	// process may use. Near this limit, the garbage collector runs more often.
 	memoryLimitRatio = 0.6
-	// heapGrowthPercent is how far the heap may grow before the next garbage
-	// collection, in per cent of the live heap.
-	heapGrowthPercent = 400
 	// logFlushTimeout bounds the time in which the last lines of the log are written when
 	// the process ends.
 	logFlushTimeout = 200 * time.Millisecond
@@ -40,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(heapGrowthPercent)
+	go limitHeapGrowth(ctx)
 	if s.Gateway.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Gateway.MemoryBytes)))
 	}
