Read the list of backend servers at a few daemons of a large fleet

Change: from 16 daemons on, three daemons (of the data centre, if it has 16) read the list's changes from the table service with short waits; the others ask one of them, which answers when there are changes, or after a quarter of the drain limit that there are none. What is answered has an age, counted from the start of the call that showed it; older than half of the drain limit it is not given. A daemon that gets no answer reads the table service itself. So a list is never older than the drain limit while the table service answers its daemon, whoever dies, freezes or is cut off; nobody needs to agree on who reads. Calls that fail are repeated at growing intervals where others tell what changes.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -17,6 +17,7 @@
 	ServerEntryOutdated         = define(6113, Info, "entry of a backend server older than a known one ignored")
 	DependencyLost              = define(6120, Warn, "dependency lost")
 	DependencyRegained          = define(6121, Info, "dependency regained")
+	FeedReaderFailed            = define(6124, Info, "changes of the list of backend servers read from the table service, as another daemon did not answer")
 	TableRestored               = define(6123, Warn, "table service restored from a backup; rows of its newest writes are lost")
 	ReadinessChanged            = define(6122, Info, "readiness changed")
 	ServerDeathProved           = define(6140, Warn, "backend server has died")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,6 +123,7 @@
 	streamNews chan struct{} // has an element while the core has records of streams to send
 	notices    chan struct{} // has an element while the core has deaths to announce ahead of the next state update
 
+	serverFeed  *serverFeed
 	generations *generationWatch
 	authority   authorityState
 
@@ -146,6 +147,7 @@
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
 	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), streamNews: make(chan struct{}, 1), streamQueries: newStreamQueries(), generations: newGenerationWatch()}
+	g.serverFeed = newServerFeed(g)
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -52,6 +52,16 @@
 	m.set.GetOrCreateCounter(`gooseberryslip_table_restores_total`).Inc()
 }
 
+// countServerRead counts a read of the changes of the list of backend servers, from another
+// daemon or from the table service.
+func (m *meter) countServerRead(relayed bool) {
+	from := "table"
+	if relayed {
+		from = "daemon"
+	}
+	m.set.GetOrCreateCounter(`gooseberryslip_server_list_reads_total{from="` + from + `"}`).Inc()
+}
+
 func (g *Gateway) metricsHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,6 +24,8 @@
 	updateIntervalPerPeer = 10 * time.Millisecond
 	// discoveryInterval is the time between two reads of the list of daemons.
 	discoveryInterval = 15 * time.Second
+	// discoveryRetryDelay is the minimum time between two reads of that list if they fail.
+	discoveryRetryDelay = 2 * time.Second
 	// firstDiscoveries is how many of the first reads of that list are followed by the
 	// next one after about 1 s instead.
 	firstDiscoveries = 2
@@ -85,6 +87,12 @@
 
 // retryUntilDone calls f until it succeeds or the process ends.
 func (g *Gateway) retryUntilDone(runCtx context.Context, f func(context.Context) error) {
+	g.retryEvery(runCtx, tableRetryDelay, f)
+}
+
+// retryEvery is retryUntilDone with a given delay between two calls, to which up to as much
+// again is added at random.
+func (g *Gateway) retryEvery(runCtx context.Context, delay time.Duration, f func(context.Context) error) {
 	for runCtx.Err() == nil {
 		ctx, cancel := context.WithTimeout(runCtx, tableTimeout)
 		err := f(ctx)
@@ -93,7 +101,7 @@
 			return
 		}
 		g.Log.Logger().WithError(err).Warn("call to the table service failed; retrying")
-		clock.Wait(runCtx, tableRetryDelay+rand.N(tableRetryDelay))
+		clock.Wait(runCtx, delay+rand.N(delay))
 	}
 }
 
@@ -107,6 +115,8 @@
 	Streams      []streamversion.Record `cbor:"6,keyasint,omitempty"` // that the addressee holds
 	AskStream    entity.RequestID       `cbor:"7,keyasint,omitempty"` // asks for the record of this stream
 	StreamAnswer *streamAnswer          `cbor:"8,keyasint,omitempty"` // response to such a question
+	AskServers   *serverQuestion        `cbor:"9,keyasint,omitempty"`
+	ServerAnswer *serverAnswer          `cbor:"10,keyasint,omitempty"` // response to such a question
 }
 
 // receive handles a message of another daemon.
@@ -128,7 +138,9 @@
 	if m.Notice != nil {
 		g.withCore(func(c *exchange.Core, now time.Time) { c.ReceiveNotice(now, from, m.Notice) })
 	}
-	g.receiveStreams(&m, func(answer message) { reply(peer.Address{ID: from, Addr: addr}, answer) })
+	answerSender := func(answer message) { reply(peer.Address{ID: from, Addr: addr}, answer) }
+	g.receiveStreams(&m, answerSender)
+	g.receiveServerFeed(&m, answerSender)
 	if len(m.Update) > 0 {
 		g.receiveUpdate(&m)
 	}
@@ -237,7 +249,7 @@
 		if !clock.Wait(runCtx, interval+rand.N(interval/4)) {
 			return
 		}
-		g.retryUntilDone(runCtx, g.readMembers)
+		g.retryEvery(runCtx, discoveryRetryDelay, g.readMembers)
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -21,6 +21,9 @@
 	// watchRetryDelay is the minimum delay after a failed call; up to as much again is
 	// added at random.
 	watchRetryDelay = 150 * time.Millisecond
+	// maxWatchRetryDelay is that minimum after several failed calls at a daemon to which others
+	// tell what changes.
+	maxWatchRetryDelay = 1200 * time.Millisecond
 )
 
 // watcher reads one feed: first the complete list, then its changes by long polls.
@@ -39,7 +42,7 @@
 	batchDelay    time.Duration // the delay after the last result
 	position      uint64        // version after which changes are read; 0: read the complete list next
 	newestVersion uint64        // highest version seen
-	failing       bool          // the last call failed
+	failures      int           // failed calls since the last successful one
 }
 
 // restored reports whether a version is the first one of a newer generation of the
@@ -60,7 +63,8 @@
 			w.position = 0
 		default:
 			w.noteFailure(ctx, err)
-			clock.Wait(ctx, watchRetryDelay+rand.N(watchRetryDelay))
+			delay := w.retryDelay()
+			clock.Wait(ctx, delay+rand.N(delay))
 		}
 	}
 }
@@ -114,23 +118,47 @@
 	return nil
 }
 
+// retryDelay returns the minimum delay after a failed call. It doubles with each one at a
+// daemon that learns from others what changes: calls that are turned away load the table
+// service too.
+func (w *watcher[T]) retryDelay() time.Duration {
+	others := false
+	w.g.withCore(func(c *exchange.Core, now time.Time) { others = c.OthersQueryTable(now) })
+	if !others {
+		return watchRetryDelay
+	}
+	return backoff(watchRetryDelay, maxWatchRetryDelay, w.failures)
+}
+
+// backoff returns the delay after a number of failures, which doubles with each up to a limit.
+func backoff(first, limit time.Duration, failures int) time.Duration {
+	delay := first
+	for range failures - 1 {
+		delay = min(2*delay, limit)
+	}
+	return delay
+}
+
 // noteSuccess, if the last call failed, logs that the feed can be read again and tells
 // the core.
 func (w *watcher[T]) noteSuccess() {
-	if !w.failing {
+	if w.failures == 0 {
 		return
 	}
-	w.failing = false
+	w.failures = 0
 	w.g.withCore(func(c *exchange.Core, now time.Time) { c.TableRecovered(now) })
 	w.g.event(event.DependencyRegained, "", event.A("dependency", w.name))
 }
 
 // noteFailure logs that the feed cannot be read, unless the call before failed too.
 func (w *watcher[T]) noteFailure(ctx context.Context, err error) {
-	if w.failing || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return
+	}
+	w.failures++
+	if w.failures > 1 {
 		return
 	}
-	w.failing = true
 	w.g.event(event.DependencyLost, "", event.A("dependency", w.name), event.A("error", err.Error()))
 }
 
@@ -159,7 +187,9 @@
 // serverBatchDelay returns the delay after a change of the list of backend servers.
 func (g *Gateway) serverBatchDelay() time.Duration {
 	peers, queriesOften := 0, false
-	g.withCore(func(c *exchange.Core, now time.Time) { peers, queriesOften = len(c.Peers()), c.QueriesTableOften(now) })
+	g.withCore(func(c *exchange.Core, now time.Time) {
+		peers, queriesOften = len(c.Peers()), c.QueriesTableOften(now) || c.ReadsForOthers(now)
+	})
 	longest := time.Duration(maxServerBatchRatio * float64(g.Settings.DrainLimit))
 	if queriesOften || longest <= maxBatchDelay {
 		return g.batchDelay()
@@ -287,7 +317,7 @@
 }
 
 func (g *Gateway) watchServers(runCtx context.Context) {
-	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.Servers, wait: g.pollWait, batchWait: g.serverBatchDelay, apply: g.applyServers}
+	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.serverFeed, wait: g.pollWait, batchWait: g.serverFeed.batchDelay, apply: g.applyServers}
 	w.run(runCtx)
 }
 
--- a/internal/provider/feed.go
+++ b/internal/provider/feed.go
@@ -22,6 +22,7 @@
 // Change is the latest state of one entry of a watched list.
 type Change[T any] struct {
 	ID      string
+	Version uint64 // of the table service after this change; see ComposeVersion
 	Value   T
 	Removed bool
 	Err     error // why the entry cannot be decoded; Value is then not set
