Read the list of daemons, and ask for confirmed configurations, less often

One of two daemons has always found the other when it started (each registers before it reads), and a newer configuration comes from peers where a poll hangs (requestDocument), so neither needs its age. The polls for backend servers in small fleets keep their 8 s: nothing else shows that such a one hangs.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,8 +22,10 @@
 	// updateIntervalPerPeer, times the number of peers, is another lower bound of the
 	// time between two state updates. So one daemon sends at most 100 messages a second.
 	updateIntervalPerPeer = 10 * time.Millisecond
-	// discoveryInterval is the time between two reads of the list of daemons.
-	discoveryInterval = 15 * time.Second
+	// discoveryInterval is the time between two reads of the list of daemons. One of two
+	// daemons has always found the other when it started, so that later reads are for rows
+	// that were lost.
+	discoveryInterval = 45 * time.Second
 	// discoveryRetryDelay is the minimum time between two reads of that list if they fail.
 	discoveryRetryDelay = 2 * time.Second
 	// firstDiscoveries is how many of the first reads of that list are followed by the
--- a/internal/gateway/poll_test.go
+++ b/internal/gateway/poll_test.go
@@ -30,8 +30,8 @@
 func TestConfigurationPollWait_LargeFleet(t *testing.T) {
 	const age = 2*880*time.Millisecond + confirmerPollWait
 	g := newPollingGateway(88, age)
-	if wait := g.configurationPollWait(); wait != confirmedPollWait {
-		t.Fatalf("with a confirmation %v old a call waits %v, want %v", age, wait, confirmedPollWait)
+	if wait := g.configurationPollWait(); wait != confirmedConfigurationPollWait {
+		t.Fatalf("with a confirmation %v old a call waits %v, want %v", age, wait, confirmedConfigurationPollWait)
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -220,7 +220,7 @@
 	case confirmer:
 		return min(confirmerPollWait, g.independentPollWait())
 	case g.recentlyConfirmed():
-		return confirmedPollWait
+		return confirmedConfigurationPollWait
 	case answerConfirms:
 		return 0
 	default:
@@ -228,9 +228,15 @@
 	}
 }
 
-// confirmedPollWait is how long a call for changes waits at a daemon to which peers
-// confirm its configuration.
-const confirmedPollWait = 8 * time.Second
+const (
+	// confirmedPollWait is how long a call for changes waits at a daemon to which peers
+	// confirm its configuration.
+	confirmedPollWait = 8 * time.Second
+	// confirmedConfigurationPollWait is the same for the configuration. It is longer, since a
+	// daemon whose connection to the table service has become unresponsive learns of a newer
+	// configuration from its peers and fetches it there.
+	confirmedConfigurationPollWait = 25 * time.Second
+)
 
 // pollWait returns how long a call for changes waits. It is longer while peers confirm
 // the configuration: these confirmations also arrive when this daemon's connection to
