Split the files on peers, attempts and feeds by concern

internal/exchange: peers (updates of other daemons), liveness (which of them count), addresses; place, attempt_start, attempt_end. internal/gateway: watch (one feed), poll_wait (how long its calls wait), watched_lists (what is done with their results), server_feed and server_answer. Nothing else changed.

--- /dev/null
+++ b/internal/exchange/attempt_start.go
@@ -0,0 +1,102 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
+)
+
+// startAttempt reserves the request's load on the chosen backend server and
+// describes the send.
+func (c *Core) startAttempt(now time.Time, t *Ticket, choice placement.Choice) Attempt {
+	row := c.servers.Get(choice.Server)
+	if limit := c.limitOf(choice.Server); limit != nil {
+		limit.bucket.Take(now)
+	}
+	t.reservation = c.placer.Reserve(now, choice, t.Request.Work.Parts)
+	t.Sends++
+	t.answerStarted = false
+	if t.firstSentAt.IsZero() {
+		t.firstSentAt = now
+	}
+	t.tried = append(t.tried, choice.Server)
+	t.process, t.serverVersion, t.sentAt = row.process(), row.Version, now
+	if t.continues() {
+		c.logContinuation(event.StreamContinued, t, choice.Server)
+	}
+	c.recordCachedPrompt(choice.Server, t)
+	a := Attempt{
+		Server: choice.Server, Address: row.Address, ServerVersion: row.Version, Priority: t.priority,
+		TimeLeft: t.timeLeft(now), Model: t.Route.ModelWork, SilenceDeadline: silenceDeadline(now, t, choice.Cost),
+	}
+	if t.Org != nil {
+		a.Org = t.Org.ID
+	}
+	if len(t.trials) > 0 {
+		a.SilenceDeadline = time.Time{} // only a complete answer clears content
+	}
+	if source := c.servers.Get(choice.CopyFrom); source != nil {
+		a.CopyFrom = source.Address
+	}
+	return a
+}
+
+// timeLeft returns the time until the request's deadline, at least 1 ms; 0 without
+// a deadline.
+func (t *Ticket) timeLeft(now time.Time) time.Duration {
+	if t.Deadline.IsZero() {
+		return 0
+	}
+	return max(t.Deadline.Sub(now), time.Millisecond)
+}
+
+// silenceDeadline returns when a repeatable request that has got no event of an
+// answer should be tried at another backend server. Zero means never.
+func silenceDeadline(now time.Time, t *Ticket, expected time.Duration) time.Time {
+	if !t.Route.Repeatable() || t.Route.Objective == 0 || t.Ran+1 >= t.Route.MaxServers {
+		return time.Time{}
+	}
+	wait := time.Duration(silenceObjectiveFactor * float64(t.Route.Objective))
+	return now.Add(max(wait, time.Duration(silenceExpectedFactor*float64(expected))))
+}
+
+// Started records that the head or the first event of an answer has arrived.
+func (c *Core) Started(now time.Time, t *Ticket) {
+	if t.answerStarted || t.reservation == nil {
+		return
+	}
+	t.answerStarted, t.answerStartedAt = true, now
+	if t.firstEventAt.IsZero() {
+		t.firstEventAt = now
+	}
+	c.recordAnswer(now, t.process, t.sentAt)
+	c.placer.RecordFirstEvent(now, t.reservation)
+	c.countUsage(now, t)
+	c.recordStream(now, t)
+}
+
+// countUsage counts the request once in its organisation's usage.
+func (c *Core) countUsage(now time.Time, t *Ticket) {
+	if t.usageCounted || t.Org == nil {
+		return
+	}
+	t.usageCounted = true
+	if !c.trueTimeKnown {
+		c.uncountedStarts = append(c.uncountedStarts, startedRequest{t.Org.ID, now})
+		return
+	}
+	c.usage.CountStarted(c.usage.Window(c.sinceUnixEpoch(now)), t.Org.ID)
+}
+
+// startedRequest is a request that started before the true time was known.
+type startedRequest struct {
+	organisation entity.OrganisationID
+	at           time.Time
+}
+
+// sinceUnixEpoch returns the true time since 1970.
+func (c *Core) sinceUnixEpoch(now time.Time) time.Duration {
+	return c.unixTimeAtZero + time.Duration(now.UnixNano())
+}
--- /dev/null
+++ b/internal/gateway/watched_lists.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
+	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+)
+
+func (g *Gateway) watchConfiguration(runCtx context.Context) {
+	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.configurationPollWait, batchWait: g.batchDelay, apply: g.applyConfiguration}
+	w.run(runCtx)
+}
+
+func (g *Gateway) applyConfiguration(_ bool, changes []provider.Change[*exchange.Document], start time.Time) {
+	readable := true
+	for _, change := range changes {
+		if change.Removed || change.Err != nil {
+			readable = false
+			g.event(event.ConfigurationIgnored, "", event.A("removed", change.Removed), event.A("error", errorText(change.Err)))
+			continue
+		}
+		readable = true
+		g.withCore(func(c *exchange.Core, _ time.Time) { c.TableShows(change.Value.Version) })
+		g.applyDocument(change.Value, "table service")
+	}
+	if readable {
+		g.withCore(func(c *exchange.Core, now time.Time) { c.ConfirmByTable(now, start) })
+	}
+}
+
+// applyDocument puts a configuration in force, unless the one in force is as new or newer.
+func (g *Gateway) applyDocument(doc *exchange.Document, source string) {
+	applied := false
+	g.withCore(func(c *exchange.Core, now time.Time) { applied = c.SetDocument(now, doc) })
+	if !applied {
+		return
+	}
+	g.event(event.GatewayConfigurationApplied, "", event.A("version", doc.Version), event.A("routes", len(doc.Routes)), event.A("source", source))
+	for _, problem := range doc.Problems() {
+		g.event(event.ConfigurationPartlyUnusable, "", event.A("version", doc.Version), event.A("problem", problem))
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (g *Gateway) watchServers(runCtx context.Context) {
+	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.serverFeed, wait: g.pollWait, batchWait: g.serverFeed.batchDelay, apply: g.applyServers}
+	w.run(runCtx)
+}
+
+// applyServers applies changes of the list of backend servers, all at once: a daemon that
+// has applied only a part of its first list would refuse requests of the services in the
+// other part.
+func (g *Gateway) applyServers(complete bool, changes []provider.Change[exchange.BackendServer], _ time.Time) {
+	var events []func()
+	g.withCore(func(c *exchange.Core, now time.Time) {
+		if complete {
+			c.RemoveUnlisted(now, listedServers(changes))
+		}
+		for _, change := range changes {
+			events = append(events, g.applyServer(c, now, &change))
+		}
+	})
+	for _, log := range events {
+		log()
+	}
+}
+
+// listedServers returns the IDs in a complete list.
+func listedServers(list []provider.Change[exchange.BackendServer]) map[entity.BackendServerID]bool {
+	listed := make(map[entity.BackendServerID]bool, len(list))
+	for _, entry := range list {
+		listed[entity.BackendServerID(entry.ID)] = true
+	}
+	return listed
+}
+
+// applyServer applies one change of the list and returns a function that logs it.
+func (g *Gateway) applyServer(c *exchange.Core, now time.Time, change *provider.Change[exchange.BackendServer]) (log func()) {
+	id := entity.BackendServerID(change.ID)
+	switch {
+	case change.Removed:
+		c.RemoveServer(now, id)
+		return func() { g.event(event.ServerUnlisted, "", event.A("backend_server", id)) }
+	case change.Err != nil:
+		// An entry that cannot be decoded gives no address to send requests to.
+		c.RemoveServer(now, id)
+		return func() {
+			g.event(event.ServerEntryIgnored, "", event.A("backend_server", id), event.A("error", change.Err.Error()))
+		}
+	}
+	code := event.ServerListed
+	if !c.PutServer(now, change.Value) {
+		code = event.ServerEntryOutdated
+	}
+	s := change.Value
+	return func() {
+		g.event(code, "", event.A("backend_server", s.ID), event.A("born", s.Born), event.A("sequence", s.Sequence),
+			event.A("service", s.Service), event.A("address", s.Address), event.A("server_version", s.Version), event.A("state", int(s.State)),
+			event.A("reclaimable", s.Reclaimable))
+	}
+}
