--- a/internal/gateway/server_feed.go
+++ b/internal/gateway/server_feed.go
@@ -14,9 +14,9 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/feedlog"
 )
 
-// The list of backend servers at a daemon is complete as of a time not longer ago than
-// maxFeedAge plus one wait for an answer, while the table service answers that daemon. In terms
-// of Settings.DrainLimit, after which a draining server must get nothing:
+// While the table service answers a daemon, its list of backend servers lacks no change that was
+// made longer ago than Settings.DrainLimit, after which a draining server must get nothing. The
+// ages and waits that add up to less than that limit are ratios of it.
 const (
 	// maxFeedAgeRatio is the age up to which a daemon answers others from the list it has read.
 	maxFeedAgeRatio = 0.5
