--- a/internal/gateway/poll_test.go
+++ b/internal/gateway/poll_test.go
@@ -81,3 +81,20 @@
 		t.Fatalf("the delay is %v although no limit for draining servers is stated", d)
 	}
 }
+
+// TestRetryDelay_GrowsWhereOthersTell: a daemon that the table service turns away, and that hears
+// others, calls it less and less often. One that nobody tells anything does not wait.
+func TestRetryDelay_GrowsWhereOthersTell(t *testing.T) {
+	delays := func(g *Gateway) (first, last time.Duration) {
+		w := &watcher[int]{g: g, failures: 1}
+		first = w.retryDelay()
+		w.failures = 20
+		return first, w.retryDelay()
+	}
+	if first, last := delays(newPollingGateway(88, 0)); first != watchRetryDelay || last != maxWatchRetryDelay {
+		t.Errorf("delays from %v to %v, want %v to %v", first, last, watchRetryDelay, maxWatchRetryDelay)
+	}
+	if first, last := delays(newPollingGateway(0, 0)); first != watchRetryDelay || last != watchRetryDelay {
+		t.Errorf("delays from %v to %v at a daemon that hears nobody, want %v", first, last, watchRetryDelay)
+	}
+}
