--- a/internal/exchange/feed_reader.go
+++ b/internal/exchange/feed_reader.go
@@ -18,12 +18,10 @@
 	// feedReaderCount is the number of daemons that read the list for a data centre or, if
 	// data centres are small, for the fleet.
 	feedReaderCount = 3
-	// minFleetWithReaders is the number of daemons from which on others are asked. In smaller
-	// fleets the readers' frequent calls would cost what the others save.
-	minFleetWithReaders = 16
-	// minDataCentreWithReaders is the number of daemons from which on a data centre has readers
-	// of its own.
-	minDataCentreWithReaders = 16
+	// minDaemonsWithReaders is the number of daemons from which on a fleet has readers, and a
+	// data centre its own. Among fewer the readers' frequent calls would cost what the others
+	// save.
+	minDaemonsWithReaders = 16
 )
 
 // FeedReaders returns the other daemons that this one should ask for changes of the list of
@@ -44,16 +42,17 @@
 		}
 		return true
 	})
-	if len(near) < minDataCentreWithReaders {
-		return c.withoutSelf(highest(all, ""))
+	if len(near) < minDaemonsWithReaders {
+		return c.withoutSelf(chooseMembers(all, "", feedReaderCount))
 	}
-	return c.withoutSelf(highest(near, string(c.cfg.Self.DataCentre)))
+	return c.withoutSelf(chooseMembers(near, string(c.cfg.Self.DataCentre), feedReaderCount))
 }
 
-// highest returns the daemons that rendezvous hashing chooses as readers.
-func highest(daemons []Member, key string) []Member {
+// chooseMembers returns up to n daemons, which rendezvous hashing chooses for a key. It changes
+// the order of the given ones.
+func chooseMembers(daemons []Member, key string, n int) []Member {
 	slices.SortFunc(daemons, func(a, b Member) int { return rendezvous.Compare(string(a.Name), string(b.Name), key) })
-	return daemons[:min(len(daemons), feedReaderCount)]
+	return daemons[:min(len(daemons), n)]
 }
 
 // withoutSelf returns the readers to ask: none if this daemon is one of them.
@@ -66,7 +65,7 @@
 
 // HasFeedReaders reports whether the fleet is large enough for some daemons to read the list of
 // backend servers for others.
-func (c *Core) HasFeedReaders() bool { return c.peers.Len()+1 >= minFleetWithReaders }
+func (c *Core) HasFeedReaders() bool { return c.peers.Len()+1 >= minDaemonsWithReaders }
 
 // MayHaveFeedReaders is HasFeedReaders, but true while it is not known how large the fleet is.
 func (c *Core) MayHaveFeedReaders() bool { return c.listedDaemons == 0 || c.HasFeedReaders() }
--- a/internal/exchange/stream_version.go
+++ b/internal/exchange/stream_version.go
@@ -7,7 +7,6 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/rendezvous"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/streamversion"
 )
 
@@ -81,10 +80,7 @@
 		}
 		return true
 	})
-	slices.SortFunc(daemons, func(a, b Member) int {
-		return rendezvous.Compare(string(a.Name), string(b.Name), string(id))
-	})
-	holders := daemons[:min(len(daemons), recordHolders)]
+	holders := chooseMembers(daemons, string(id), recordHolders)
 	return slices.DeleteFunc(holders, func(m Member) bool { return m.Name == c.cfg.Self.Name })
 }
 
--- a/internal/exchange/stream_version_test.go
+++ b/internal/exchange/stream_version_test.go
@@ -263,6 +263,15 @@
 	}
 }
 
+// replaceInSeries replaces two engines every 2 s, whose entries are 1.5 s late.
+func (r *versionRun) replaceInSeries() {
+	r.run(4 * time.Second)
+	for range 15 {
+		r.replaceSome(2, 1500*time.Millisecond)
+		r.run(2 * time.Second)
+	}
+}
+
 // TestStreamVersion_SameIDWithALateEntry: servers come back under the same ID with another
 // version, and daemons learn of their entries late.
 func TestStreamVersion_SameIDWithALateEntry(t *testing.T) {
@@ -271,11 +280,7 @@
 			t.Run(fmt.Sprint("daemons=", daemons, "/versions=", len(versions)), func(t *testing.T) {
 				t.Parallel()
 				r := newVersionRun(t, uint64(daemons), daemons, versions...)
-				r.run(4 * time.Second)
-				for range 15 {
-					r.replaceSome(2, 1500*time.Millisecond)
-					r.run(2 * time.Second)
-				}
+				r.replaceInSeries()
 				r.check()
 			})
 		}
@@ -286,11 +291,7 @@
 // version, and end again before their entry is read or any daemon has a connection to them.
 func TestStreamVersion_ProcessThatDiesBeforeItsEntry(t *testing.T) {
 	r := newVersionRun(t, 1003, 3, "v1", "v2")
-	r.run(4 * time.Second)
-	for range 15 {
-		r.replaceSome(2, 1500*time.Millisecond)
-		r.run(2 * time.Second)
-	}
+	r.replaceInSeries()
 	r.check()
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/backoff"
 )
 
 const (
@@ -126,16 +127,7 @@
 	if !others {
 		return watchRetryDelay
 	}
-	return backoff(watchRetryDelay, maxWatchRetryDelay, w.failures)
-}
-
-// backoff returns the delay after a number of failures, which doubles with each up to a limit.
-func backoff(first, limit time.Duration, failures int) time.Duration {
-	delay := first
-	for range failures - 1 {
-		delay = min(2*delay, limit)
-	}
-	return delay
+	return backoff.Delay(watchRetryDelay, maxWatchRetryDelay, w.failures)
 }
 
 // noteSuccess, if the last call failed, logs that the feed can be read again and tells
--- a/internal/system/fleet/cloud_operations.go
+++ b/internal/system/fleet/cloud_operations.go
@@ -8,6 +8,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/backoff"
 )
 
 const (
@@ -292,7 +293,7 @@
 // token, or its instance's ID, makes the resend harmless.
 func (p *planner) scheduleRetry(now time.Time, i *intent, err error) {
 	i.tries++
-	i.retryAt = now.Add(p.jitter(backoff(i.tries)))
+	i.retryAt = now.Add(p.jitter(backoff.Delay(initialRetryDelay, maxRetryDelay, i.tries)))
 	if errors.Is(err, provider.ErrUnknownOutcome) {
 		p.emit(now, event.FleetLaunchUncertain, i.desired.Instance, fmt.Sprintf("%s, try %d", i.desired.Choice, i.tries))
 	}
--- a/internal/system/fleet/commit.go
+++ b/internal/system/fleet/commit.go
@@ -8,6 +8,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/backoff"
 )
 
 const (
@@ -171,7 +172,7 @@
 
 func (p *planner) scheduleTransactionRetry(now time.Time, t *pendingTransaction) {
 	t.tries++
-	t.retryAt = now.Add(p.jitter(backoff(t.tries)))
+	t.retryAt = now.Add(p.jitter(backoff.Delay(initialRetryDelay, maxRetryDelay, t.tries)))
 	if !p.tableDown && p.role == roleHolder && now.Sub(t.startedAt) >= tableDownDelay {
 		p.tableDown = true
 		p.emit(now, event.FleetTableDown, "", "")
@@ -213,14 +214,3 @@
 	dataCentres := max(len(p.svc.Fleet.DataCentres), 1)
 	return (p.svc.Fleet.MaxServers + dataCentres - 1) / dataCentres
 }
-
-func backoff(tries int) time.Duration {
-	d := initialRetryDelay
-	for range tries - 1 {
-		if d >= maxRetryDelay {
-			break
-		}
-		d *= 2
-	}
-	return min(d, maxRetryDelay)
-}
--- a/internal/system/journal/timer.go
+++ b/internal/system/journal/timer.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/system/backoff"
 )
 
 // timer calls fire once it is due. Timers are never cancelled, so fire checks
@@ -53,9 +55,5 @@
 // backoff returns the delay after a number of consecutive failures: initial,
 // doubled with each further failure up to maxDelay, with jitter.
 func (j *Journal) backoff(initial, maxDelay time.Duration, failures int) time.Duration {
-	d := initial
-	for i := 1; i < failures && d < maxDelay; i++ {
-		d *= 2
-	}
-	return j.jitter(min(d, maxDelay))
+	return j.jitter(backoff.Delay(initial, maxDelay, failures))
 }
