Spend what is in the bucket of an exhausted quota by shares

Cause: in fleets of more than 16 daemons, after a bucket was nearly empty each daemon spent its share of the rate only, and what a share left unspent beyond 0.3 s was lost. Change: a share is of the rate and of what is in the bucket above a reserve, so that the sum of all shares stays within the bucket. Ruled out: unreachable daemons (17 of 17 reachable, nothing withheld).

--- a/internal/system/quota/share.go
+++ b/internal/system/quota/share.go
@@ -9,7 +9,9 @@
 // several times, because their reports of use are older than the time that it takes
 // to spend the units. Refused callers that retry at that moment make it worse.
 // Therefore, while a quota is exhausted, each daemon spends only its share of the
-// rate, in proportion to what it has spent lately.
+// rate, in proportion to what it has spent lately. What the daemons leave of the rate
+// fills the bucket, since requests come in pieces and not evenly: each daemon also
+// spends its share of what is in the bucket, which all shares together do not exceed.
 
 const (
 	// spendingTimeConstant is the time constant of the exponential decay of what
@@ -25,8 +27,14 @@
 	// bucket counts as exhausted.
 	exhaustedLevelSeconds = 0.25
 	// shareBurstDuration is the time over which a share that is not spent
-	// accumulates.
+	// accumulates while the bucket is nearly empty.
 	shareBurstDuration = 300 * time.Millisecond
+	// reserveLevelSeconds is the level, in seconds of the rate, that is left in the bucket
+	// for what the daemons spend before they learn of each other's use.
+	reserveLevelSeconds = 0.1
+	// excessSpendingTime is the time in which the shares would spend what is in the bucket
+	// above that level.
+	excessSpendingTime = time.Second
 )
 
 // share limits what one daemon spends of an exhausted quota.
@@ -68,8 +76,9 @@
 // now.
 func (s *share) wait(now time.Time, units float64, limit *Limit, level float64, daemons int) time.Duration {
 	s.decay(now)
-	rate := limit.Rate * s.ratio(daemons)
-	maxAllowance := rate * shareBurstDuration.Seconds()
+	ratio := s.ratio(daemons)
+	rate := ratio * spendingRate(limit, level)
+	maxAllowance := ratio * max(limit.Rate*shareBurstDuration.Seconds(), level)
 	s.allowance = min(s.allowance+rate*now.Sub(s.refilledAt).Seconds(), maxAllowance)
 	s.refilledAt = now
 	if level < exhaustedLevelSeconds*limit.Rate {
@@ -81,3 +90,10 @@
 	}
 	return time.Duration((min(units, maxAllowance) - s.allowance) / rate * float64(time.Second))
 }
+
+// spendingRate returns the rate, in units per second, at which all daemons together may
+// spend a bucket with the given level.
+func spendingRate(limit *Limit, level float64) float64 {
+	excess := max(level-reserveLevelSeconds*limit.Rate, 0)
+	return limit.Rate + excess/excessSpendingTime.Seconds()
+}
