Keep scaling requests stable while no reclaimable servers are available

Change: only an accepted request for more reclaimable servers shows that some are available; a refusal holds for 1.5 boot times; on-demand servers that are starting count as existing and stay where they are; on-demand servers that replace reclaimable ones follow a falling demand after two boot times instead of 25 s. Ruled out: quotas and the lease (one holder throughout).

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -85,7 +85,9 @@
 	streamNews             map[entity.InstanceID][]streamversion.Record // to send, by daemon
 	events                 []event.Event                                // for the log, since TakeEvents was last called
 	levels                 *entity.Table[entity.ServiceName, capacity.Level]
-	reclaimableExhaustedAt *entity.Table[reclaimableLocation, time.Time] // when a scaling request was last refused
+	onDemandLevels         *entity.Table[entity.ServiceName, capacity.Level]
+	reclaimableExhaustedAt *entity.Table[serverLocation, time.Time]       // when a scaling request was last refused
+	startingOnDemand       *entity.Table[serverLocation, startingServers] // of the last accepted scaling request
 }
 
 // maxFirstSequence leaves enough sequence numbers for all state updates of a
@@ -105,7 +107,9 @@
 		streams:                streamversion.New(),
 		streamNews:             make(map[entity.InstanceID][]streamversion.Record),
 		levels:                 entity.NewTable[entity.ServiceName, capacity.Level](),
-		reclaimableExhaustedAt: entity.NewTable[reclaimableLocation, time.Time](),
+		onDemandLevels:         entity.NewTable[entity.ServiceName, capacity.Level](),
+		reclaimableExhaustedAt: entity.NewTable[serverLocation, time.Time](),
+		startingOnDemand:       entity.NewTable[serverLocation, startingServers](),
 		quota:                  quota.New(),
 		usage:                  usage.New(cfg.Self.process(), cfg.Bounds.UsageWindow),
 		lease:                  lease.New(cfg.Self.Name, cfg.Started, cmp.Or(cfg.Bounds.LeaseDuration, lease.DefaultDuration)),
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -196,7 +196,7 @@
 	in := capacity.Input{Min: s.Scale.Min, Max: s.Scale.Max, ReclaimablePrice: s.Scale.ReclaimablePrice}
 	listed := c.ListedServers()
 	for _, dc := range c.cfg.DataCentres {
-		state := capacity.DataCentreState{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc], Exhausted: c.reclaimableExhausted(now, s.Name, dc)}
+		state := capacity.DataCentreState{DataCentre: dc, Price: s.Scale.DataCentrePrices[dc], Exhausted: c.reclaimableExhausted(now, s, dc)}
 		for _, n := range listed {
 			switch {
 			case n.Service != s.Name || n.DataCentre != dc:
@@ -206,42 +206,16 @@
 				state.OnDemand = n.Count
 			}
 		}
+		state.OnDemand = c.existingOnDemand(now, s, dc, state.OnDemand)
 		in.DataCentres = append(in.DataCentres, state)
 	}
-	in.BusyServers = c.level(s.Name).Update(now, c.expectedWork(now, s))
+	work := c.expectedWork(now, s)
+	in.BusyServers = c.level(s.Name).Update(now, work)
+	in.OnDemandBusy = c.onDemandLevel(s).Update(now, work)
 	in.Withheld = c.limits.withheldLevel(s.Name).Update(now, c.withheldServers(now, s.Name))
 	return in
 }
 
-// reclaimableLocation identifies the reclaimable servers of a service in a data
-// centre.
-type reclaimableLocation struct {
-	service    entity.ServiceName
-	dataCentre entity.DataCentreID
-}
-
-// exhaustedTTL is how long the refusal of a scaling request for reclaimable servers
-// is taken to hold. A refused request is repeated every second.
-const exhaustedTTL = 2500 * time.Millisecond
-
-// ReclaimableRefused records whether a scaling request for reclaimable servers was
-// refused because none are available.
-func (c *Core) ReclaimableRefused(now time.Time, service entity.ServiceName, dc entity.DataCentreID, refused bool) {
-	key := reclaimableLocation{service, dc}
-	if !refused {
-		c.reclaimableExhaustedAt.Delete(key)
-		return
-	}
-	c.reclaimableExhaustedAt.Put(key, &now)
-}
-
-// reclaimableExhausted reports whether no reclaimable servers were available
-// lately.
-func (c *Core) reclaimableExhausted(now time.Time, service entity.ServiceName, dc entity.DataCentreID) bool {
-	at := c.reclaimableExhaustedAt.Get(reclaimableLocation{service, dc})
-	return at != nil && now.Sub(*at) < exhaustedTTL
-}
-
 // level returns the level of work that a service's capacity is planned for.
 func (c *Core) level(service entity.ServiceName) *capacity.Level {
 	level := c.levels.Get(service)
@@ -315,5 +289,8 @@
 func (c *Core) AdoptLevels(levels []ServiceLevel) {
 	for _, l := range levels {
 		c.level(l.Service).Adopt(l.Work)
+		if level := c.onDemandLevels.Get(l.Service); level != nil {
+			level.Adopt(l.Work)
+		}
 	}
 }
--- a/internal/gateway/leader_tasks.go
+++ b/internal/gateway/leader_tasks.go
@@ -108,11 +108,7 @@
 		err = fmt.Errorf("scaling request refused although the lease is still held: %w: %w", provider.ErrRefused, errors.New(err.Error()))
 	}
 	t.scaling.record(clock.Now(), request, err)
-	if request.Market == provider.Reclaimable {
-		t.g.withCore(func(c *exchange.Core, now time.Time) {
-			c.ReclaimableRefused(now, request.Service, request.DataCentre, errors.Is(err, provider.ErrRefused))
-		})
-	}
+	t.g.withCore(func(c *exchange.Core, now time.Time) { recordAnswer(c, now, request, err) })
 	if err == nil {
 		t.g.event(event.ScalingRequested, "", event.A("order", fmt.Sprint(request)), event.A("work", t.planInputs(request.Service)))
 		return true
--- a/internal/gateway/scaling.go
+++ b/internal/gateway/scaling.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -90,3 +91,14 @@
 	}
 	return scalingKey{c.Service, c.DataCentre, market}
 }
+
+// recordAnswer tells the core what the answer to a scaling request says of the availability of
+// servers.
+func recordAnswer(c *exchange.Core, now time.Time, r provider.ScalingRequest, err error) {
+	refused := errors.Is(err, provider.ErrRefused)
+	if err != nil && !refused {
+		return
+	}
+	count := exchange.ServerCount{Service: r.Service, DataCentre: r.DataCentre, Reclaimable: r.Market == provider.Reclaimable, Count: r.Count}
+	c.RecordScalingRequest(now, count, refused)
+}
--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -9,7 +9,8 @@
 // most reclaimable servers lost them now, since a replacement takes longer to
 // start than the notice of a reclaim lasts. In calm times that is nothing; while
 // the reclaimable servers of one data centre are gone, it covers the loss of the
-// next one. They are released when reclaimable servers are back. When a data centre is at its
+// next one. They are released when reclaimable servers are back, and sooner than these
+// when the demand falls, as their price is a multiple. When a data centre is at its
 // limit, on-demand servers replace reclaimable ones only where no reclaimable
 // ones are available, so that a mass reclaim in one data centre does not
 // displace the reclaimable servers of the others.
@@ -19,6 +20,7 @@
 package capacity
 
 import (
+	"cmp"
 	"math"
 	"sort"
 	"time"
@@ -30,7 +32,7 @@
 type DataCentreState struct {
 	DataCentre  entity.DataCentreID
 	Price       float64 // ratio to the base price
-	OnDemand    int     // on-demand servers that exist
+	OnDemand    int     // on-demand servers that exist or are starting
 	Reclaimable int     // reclaimable servers that exist
 	Exhausted   bool    // no more reclaimable servers are available now
 }
@@ -41,6 +43,7 @@
 	Min, Max         int     // servers of both classes together in one data centre
 	ReclaimablePrice float64 // as a ratio of the on-demand price
 	BusyServers      float64 // number of servers that the demand keeps fully busy
+	OnDemandBusy     float64 // the same, for on-demand servers that replace reclaimable ones
 	Withheld         float64 // number of existing servers that do not count, because of the limits they state
 }
 
@@ -77,7 +80,7 @@
 	}
 	reclaimableShare := math.Max(0, 1-in.ReclaimablePrice/maxReclaimablePrice)
 	reclaimable := int(math.Ceil(in.BusyServers * reclaimablePerBusy * reclaimableShare))
-	total := int(math.Ceil(in.BusyServers * (minTotalPerBusy*reclaimableShare + onDemandOnlyPerBusy*(1-reclaimableShare))))
+	total := int(math.Ceil(in.OnDemandBusy*minTotalPerBusy*reclaimableShare + in.BusyServers*onDemandOnlyPerBusy*(1-reclaimableShare)))
 	onDemand := total - min(survivingReclaimable(dataCentres), reclaimable)
 
 	hasCapacity := func(i int) bool { return targets[i].total() < in.Max }
@@ -85,7 +88,12 @@
 		return targets[i].OnDemand+dataCentres[i].protectedReclaimable(&targets[i], in.Max) < in.Max
 	}
 	addEvenly(targets, reclaimable, hasCapacity, reclaimableField)
-	addEvenly(targets, onDemand, hasOnDemandCapacity, onDemandField)
+	// Servers stay where they are: one that is stopped here and started elsewhere is
+	// missing until the new one has started.
+	unplacedOnDemand := addEvenly(targets, onDemand, func(i int) bool {
+		return targets[i].OnDemand < dataCentres[i].OnDemand && hasOnDemandCapacity(i)
+	}, onDemandField)
+	addEvenly(targets, unplacedOnDemand, hasOnDemandCapacity, onDemandField)
 	for i := range targets {
 		t := &targets[i]
 		t.Reclaimable = min(t.Reclaimable, in.Max-t.OnDemand)
@@ -145,8 +153,13 @@
 }
 
 const (
-	// shrinkDelay is how long a lower demand must last before the level falls.
+	// shrinkDelay is how long a lower demand must last before the level falls by which
+	// reclaimable servers are planned.
 	shrinkDelay = 25 * time.Second
+	// minOnDemandShrinkDelay and onDemandShrinkBootTimes, in boot times of a server, are the same
+	// for the level by which on-demand servers are planned.
+	minOnDemandShrinkDelay  = 5 * time.Second
+	onDemandShrinkBootTimes = 2
 	// shrinkThreshold is the ratio to the current level that the demand must
 	// not exceed for the level to fall.
 	shrinkThreshold = 0.85
@@ -157,8 +170,16 @@
 // so that a short drop removes no servers.
 type Level struct {
 	busyServers   float64
-	lowerSince    time.Time // since when the demand has been at or below the threshold
-	maxWhileLower float64   // the highest demand since then
+	lowerSince    time.Time     // since when the demand has been at or below the threshold
+	maxWhileLower float64       // the highest demand since then
+	delay         time.Duration // 0: shrinkDelay
+}
+
+// NewOnDemandLevel returns the level by which on-demand servers are planned that take the given
+// time to start. It falls when a demand has been lower for about as long as it takes to replace
+// what is given up.
+func NewOnDemandLevel(bootTime time.Duration) *Level {
+	return &Level{delay: min(max(onDemandShrinkBootTimes*bootTime, minOnDemandShrinkDelay), shrinkDelay)}
 }
 
 // Update updates the level with the number of servers that the current demand
@@ -173,7 +194,7 @@
 		l.lowerSince, l.maxWhileLower = now, busyServers
 	default:
 		l.maxWhileLower = max(l.maxWhileLower, busyServers)
-		if now.Sub(l.lowerSince) >= shrinkDelay {
+		if now.Sub(l.lowerSince) >= cmp.Or(l.delay, shrinkDelay) {
 			l.busyServers, l.lowerSince = l.maxWhileLower, time.Time{}
 		}
 	}
--- a/internal/system/capacity/capacity_test.go
+++ b/internal/system/capacity/capacity_test.go
@@ -31,7 +31,7 @@
 
 func TestPlan_OneDataCentresReclaimLeavesEnough(t *testing.T) {
 	const busyServers = 6.0
-	targets := Plan(Input{DataCentres: dataCentresWith(4, 4, 4), Min: 1, Max: 8, ReclaimablePrice: 0.15, BusyServers: busyServers})
+	targets := Plan(Input{DataCentres: dataCentresWith(4, 4, 4), Min: 1, Max: 8, ReclaimablePrice: 0.15, BusyServers: busyServers, OnDemandBusy: busyServers})
 	onDemand, reclaimable := sum(targets)
 	for _, target := range targets {
 		if left := onDemand + reclaimable - target.Reclaimable; float64(left) < busyServers {
@@ -41,7 +41,7 @@
 }
 
 func TestPlan_ReclaimWaveIsReplacedOnDemand(t *testing.T) {
-	in := Input{DataCentres: dataCentresWith(4, 4, 4), Min: 1, Max: 8, ReclaimablePrice: 0.15, BusyServers: 6}
+	in := Input{DataCentres: dataCentresWith(4, 4, 4), Min: 1, Max: 8, ReclaimablePrice: 0.15, BusyServers: 6, OnDemandBusy: 6}
 	before, _ := sum(Plan(in))
 	var reclaimable int
 	for lost, left := range []int{8, 4, 0} { // one, two and all data centres lose their reclaimable servers
@@ -65,7 +65,7 @@
 // exist must carry the load. Without reclaims no on-demand server is paid for.
 func TestPlan_NextReclaimIsCoveredBeforeItComes(t *testing.T) {
 	for _, test := range []struct{ reclaimable []int }{{[]int{6, 5, 5}}, {[]int{0, 5, 5}}, {[]int{0, 0, 5}}, {[]int{0, 0, 0}}} {
-		in := Input{DataCentres: dataCentresWith(test.reclaimable...), Min: 0, Max: 9, ReclaimablePrice: 0.15, BusyServers: 6}
+		in := Input{DataCentres: dataCentresWith(test.reclaimable...), Min: 0, Max: 9, ReclaimablePrice: 0.15, BusyServers: 6, OnDemandBusy: 6}
 		lost := 0
 		for i := range in.DataCentres {
 			in.DataCentres[i].Exhausted = in.DataCentres[i].Reclaimable == 0
@@ -90,7 +90,7 @@
 // servers. The on-demand servers that replace the lost ones must not displace
 // the reclaimable servers in the other data centres.
 func TestPlan_ReclaimWaveAtTheLimitLeavesTheOthersAlone(t *testing.T) {
-	in := Input{DataCentres: dataCentresWith(45, 45, 45), Min: 1, Max: 60, ReclaimablePrice: 0.18, BusyServers: 150}
+	in := Input{DataCentres: dataCentresWith(45, 45, 45), Min: 1, Max: 60, ReclaimablePrice: 0.18, BusyServers: 150, OnDemandBusy: 150}
 	before := Plan(in)
 	in.DataCentres[1].Reclaimable, in.DataCentres[1].Exhausted = 0, true
 	after := Plan(in)
@@ -109,7 +109,7 @@
 // again, but are still starting. On-demand servers must not be removed before
 // these run.
 func TestPlan_OnDemandStaysUntilReclaimableServersAreThere(t *testing.T) {
-	in := Input{DataCentres: testDataCentres(), Min: 1, Max: 8, ReclaimablePrice: 0.18, BusyServers: 10.4}
+	in := Input{DataCentres: testDataCentres(), Min: 1, Max: 8, ReclaimablePrice: 0.18, BusyServers: 10.4, OnDemandBusy: 10.4}
 	for i := range in.DataCentres {
 		in.DataCentres[i].OnDemand = 4
 	}
@@ -125,7 +125,7 @@
 
 func TestPlan_StaysWithinBounds(t *testing.T) {
 	for _, busyServers := range []float64{0, 0.1, 3, 50} {
-		for _, target := range Plan(Input{DataCentres: testDataCentres(), Min: 2, Max: 5, ReclaimablePrice: 0.15, BusyServers: busyServers}) {
+		for _, target := range Plan(Input{DataCentres: testDataCentres(), Min: 2, Max: 5, ReclaimablePrice: 0.15, BusyServers: busyServers, OnDemandBusy: busyServers}) {
 			if n := target.OnDemand + target.Reclaimable; n < 2 || n > 5 {
 				t.Errorf("%v busy servers: %d servers in %s, want 2 to 5", busyServers, n, target.DataCentre)
 			}
@@ -134,14 +134,14 @@
 }
 
 func TestPlan_ExpensiveReclaimableServersAreNotUsed(t *testing.T) {
-	onDemand, reclaimable := sum(Plan(Input{DataCentres: testDataCentres(), Min: 0, Max: 9, ReclaimablePrice: 0.9, BusyServers: 4}))
+	onDemand, reclaimable := sum(Plan(Input{DataCentres: testDataCentres(), Min: 0, Max: 9, ReclaimablePrice: 0.9, BusyServers: 4, OnDemandBusy: 4}))
 	if reclaimable != 0 || onDemand < 5 {
 		t.Fatalf("%d on demand, %d reclaimable at nine tenths of the on-demand price", onDemand, reclaimable)
 	}
 }
 
 func TestPlan_CheapestDataCentreFirst(t *testing.T) {
-	targets := Plan(Input{DataCentres: testDataCentres(), Min: 0, Max: 8, ReclaimablePrice: 0.9, BusyServers: 0.5})
+	targets := Plan(Input{DataCentres: testDataCentres(), Min: 0, Max: 8, ReclaimablePrice: 0.9, BusyServers: 0.5, OnDemandBusy: 0.5})
 	for _, target := range targets {
 		if target.OnDemand > 0 && target.DataCentre != entity.DataCentreID("c") {
 			t.Fatalf("on-demand servers in %s, which is not the cheapest data centre", target.DataCentre)
@@ -189,7 +189,7 @@
 
 // TestPlan_ServersWithLimitsAreReplaced: most servers take next to nothing.
 func TestPlan_ServersWithLimitsAreReplaced(t *testing.T) {
-	in := Input{DataCentres: dataCentresWith(5, 5, 5), Min: 1, Max: 8, ReclaimablePrice: 0.15, BusyServers: 5}
+	in := Input{DataCentres: dataCentresWith(5, 5, 5), Min: 1, Max: 8, ReclaimablePrice: 0.15, BusyServers: 5, OnDemandBusy: 5}
 	onDemandBefore, reclaimableBefore := sum(Plan(in))
 	in.Withheld = 6.9
 	onDemand, reclaimable := sum(Plan(in))
