Test: restarts of all daemons while a version leaves

A process that has just started concludes from the versions in its first list and in the checkpoint which one began a stream. The virtual fleet gets restarts of all daemons at which the checkpoint is lost, is older than the newest version, or the first list lacks servers.

--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -36,6 +36,7 @@
 	checkpoint  Checkpoint                       // the newest one
 	leaderGone  time.Time                        // until when no daemon holds the lease, as the holder was killed
 	tableAway   bool                             // the table service answers no daemon
+	versions    versionTable                     // what the table service stores of the versions of services
 	rejects     func(*fleetServer) bool          // whether a server rejects the request that has just arrived
 	onArrival   func(arrival)                    // called with each arrival at a server that is up
 	onAnswer    func(*fleetDaemon, *fleetServer) // called when a server has begun to answer a daemon
@@ -193,9 +194,10 @@
 	if f.checkpoints {
 		f.after(tableRetryInterval/10, func() { core.RestoreQuotas(f.now, &f.checkpoint) })
 	}
+	f.readVersions(d, core)
 	core.Confirm(f.now)
 	for _, s := range f.servers {
-		if s.up {
+		if s.up && !f.versions.unlisted[s.Version] {
 			core.PutServer(f.now, s.BackendServer)
 		}
 	}
@@ -329,8 +331,11 @@
 // saveCheckpoint stores the checkpoint of the daemon that holds the lease and schedules the next
 // one.
 func (f *testFleet) saveCheckpoint() {
-	if !f.tableAway && f.checkpoints && !f.now.Before(f.leaderGone) {
+	if !f.tableAway && (f.checkpoints || f.versions.use) && !f.now.Before(f.leaderGone) {
 		f.checkpoint = f.daemons[0].core.Checkpoint(f.now)
+		if !f.versions.checkpointLost {
+			f.versions.checkpoint.Versions = f.checkpoint.Versions
+		}
 	}
 	f.after(time.Duration(len(f.daemons))*20*time.Millisecond, f.saveCheckpoint)
 }
--- a/internal/exchange/stream_version_test.go
+++ b/internal/exchange/stream_version_test.go
@@ -57,6 +57,7 @@
 	for i, s := range r.engines() {
 		s.Version = versions[i%len(versions)]
 	}
+	r.versions.use = true
 	r.restart(r.daemons) // so that no daemon knows of the versions before
 	r.onBegin = r.begins
 	r.onEnd = r.ends
