Versions of services are recorded before their servers get resumable streams

A process that has just started concluded from its first list and the checkpoint which version began a stream, and both may lack versions. A row of the table service now lists the versions of services whose streams may be resumed. It is updated by compare-and-set before the servers of a new version get such streams; a process concludes nothing until it knows that row.

The leader overwrote the checkpoint although its read of the former one had failed, and so lost the deaths, limits and versions in it if its process had read none before. It now writes none until it has read the former one.

--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -25,6 +25,7 @@
 	t.process, t.serverVersion, t.sentAt = row.process(), row.Version, now
 	if t.continues() {
 		c.logContinuation(event.StreamContinued, t, choice.Server)
+		c.countResumption(t, true)
 	}
 	c.recordCachedPrompt(choice.Server, t)
 	a := Attempt{
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -44,7 +44,11 @@
 	// DisableRejection disables the rejection of requests that are expected to miss
 	// their latency objective. It is meant for experiments.
 	DisableRejection bool
-	Started          time.Time
+	// RecordVersions has the versions of services recorded in the table service before their
+	// servers get streams that may be resumed. Without it, all daemons that restart at once
+	// may continue a stream at another version.
+	RecordVersions bool
+	Started        time.Time
 }
 
 // Core holds the state of this daemon from which it makes all its decisions on
@@ -83,7 +87,11 @@
 	limits                 limitTable
 	streams                *streamversion.Registry
 	streamNews             map[entity.InstanceID][]streamversion.Record // to send, by daemon
-	events                 []event.Event                                // for the log, since TakeEvents was last called
+	recorded               *streamversion.Recorded
+	recordedNews           announcements[datedVersion]
+	wasLeader              bool                     // at the last Tick
+	resumptions            map[resumptionKey]uint64 // streams that callers took up
+	events                 []event.Event            // for the log, since TakeEvents was last called
 	levels                 *entity.Table[entity.ServiceName, capacity.Level]
 	reclaimableExhaustedAt *entity.Table[reclaimableLocation, time.Time] // when a scaling request was last refused
 }
@@ -104,6 +112,8 @@
 		limits:                 newLimitTable(),
 		streams:                streamversion.New(),
 		streamNews:             make(map[entity.InstanceID][]streamversion.Record),
+		recorded:               streamversion.NewRecorded(cfg.Started, processRand(&cfg.Self)),
+		resumptions:            make(map[resumptionKey]uint64),
 		levels:                 entity.NewTable[entity.ServiceName, capacity.Level](),
 		reclaimableExhaustedAt: entity.NewTable[reclaimableLocation, time.Time](),
 		quota:                  quota.New(),
@@ -198,7 +208,7 @@
 
 // Serving reports whether this daemon can serve requests now.
 func (c *Core) Serving(now time.Time) bool {
-	return c.configurationFresh(now) && !c.leaving && c.servers.Len() > 0 && c.listedDaemons > 0
+	return c.configurationFresh(now) && !c.leaving && c.servers.Len() > 0 && c.listedDaemons > 0 && c.readyForStreams(now)
 }
 
 const (
--- a/internal/exchange/document.go
+++ b/internal/exchange/document.go
@@ -119,6 +119,8 @@
 	byHost map[string][]*Route // by descending length of the prefix
 	byKey  map[string]*Organisation
 	byName map[entity.ServiceName]*Service
+	// resumable has the services whose streams callers may resume.
+	resumable map[entity.ServiceName]bool
 }
 
 func newDocumentIndex(doc *Document) *documentIndex {
@@ -127,10 +129,17 @@
 		byHost: make(map[string][]*Route),
 		byKey:  make(map[string]*Organisation),
 		byName: make(map[entity.ServiceName]*Service),
+
+		resumable: make(map[entity.ServiceName]bool),
 	}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
 		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+		if r.Kind == Stream && r.Resumable {
+			for _, target := range r.Targets {
+				x.resumable[target.Service] = true
+			}
+		}
 	}
 	for _, list := range x.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -158,7 +158,7 @@
 	d.idle = map[*fleetServer]time.Time{}
 	d.core = New(Config{
 		Self:        Member{Name: entity.InstanceID(d.name), Start: d.starts, CallerAddr: d.name + ":1", DataCentre: d.dataCentre},
-		DataCentres: dataCentres, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now,
+		DataCentres: dataCentres, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now, RecordVersions: f.versions.use,
 		Bounds: Bounds{
 			QuotaWindow: quotaWindow, QuotaExcessRatio: quotaExcessRatio, QuotaExcessUnits: quotaExcessUnits,
 			StaleAfter: 4 * time.Second, RetryRatio: f.retries.ratio, RetryReserve: f.retries.reserve, UsageWindow: 5 * time.Second,
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -106,7 +106,7 @@
 // at one that has no server any more.
 func (c *Core) RestoreVersions(now time.Time, p *Checkpoint) {
 	for _, v := range p.Versions {
-		c.sawVersion(now, &BackendServer{Service: v.Service, Version: v.Version})
+		c.changeVersions(now, []entity.ServiceName{v.Service}, func() { c.streams.SawVersion(now, v.Service, v.Version) })
 	}
 }
 
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -157,6 +157,7 @@
 	c.crash.forget(now)
 	c.updateLimits(now)
 	c.refreshVersions(now)
+	c.checkRecordAsLeader(now)
 	reachable, known := c.countDaemons(now)
 	if c.forgetSilentPeers(now, reachable, known) {
 		reachable, known = c.countDaemons(now)
--- a/internal/exchange/place.go
+++ b/internal/exchange/place.go
@@ -107,10 +107,7 @@
 // continued.
 func (c *Core) chooseServer(now time.Time, t *Ticket) (placement.Choice, bool) {
 	if t.Route.Kind == Stream && t.Route.Resumable {
-		choice, ok := c.chooseAmong(now, t, func(id entity.BackendServerID) bool { return c.servers.Get(id).versionKnown(now) })
-		if ok || t.continues() {
-			return choice, ok
-		}
+		return c.chooseForStream(now, t)
 	}
 	return c.chooseAmong(now, t, func(entity.BackendServerID) bool { return true })
 }
@@ -146,5 +143,8 @@
 	if s := c.limitedServers(now, t.Service); s.count > 0 {
 		return c.rejectLimited(now, t, s)
 	}
+	if r := c.rejectUnrecorded(now, t); r != nil {
+		return r
+	}
 	return c.finalRefusal(t, "no-backend-server", noServerRetryDelay)
 }
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -7,6 +7,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quota"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/streamversion"
 )
 
 // Status is this daemon's view of itself, the backend servers and the other
@@ -25,6 +26,10 @@
 	Retries      []retry.Status    `json:"retry_budgets"`
 	Planned      []ServiceLevel    `json:"planned_work"`
 	Suspects     []ContentStatus   `json:"suspect_contents"`
+	// RecordedVersions are those that may have begun streams which callers may still resume.
+	RecordedVersions []streamversion.KnownVersion `json:"recorded_versions"`
+	// AllVersionsKnown says that this daemon knows all recorded versions.
+	AllVersionsKnown bool `json:"all_recorded_versions_known"`
 }
 
 // ContentStatus is this daemon's view of the content of requests under which backend servers
@@ -63,6 +68,7 @@
 		Instance: c.cfg.Self.Name, Version: version, ConfirmedAgo: age.Round(time.Millisecond).String(),
 		Serving: c.Serving(now), Leaving: c.leaving, LeaseEpoch: epoch, HoldsLease: held,
 		Quotas: c.quota.Uses(now, true), Retries: c.budget.Status(now), Planned: c.Levels(),
+		RecordedVersions: c.recorded.Known(now), AllVersionsKnown: c.recorded.Complete(now),
 	}
 	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		status := ServerStatus{ID: id, Service: r.Service, DataCentre: r.DataCentre, Version: r.Version, Usable: c.usable(now, id), Reclaimable: r.Reclaimable}
--- a/internal/exchange/stream_restart_test.go
+++ b/internal/exchange/stream_restart_test.go
@@ -14,6 +14,13 @@
 	return entity.BackendServerID(fmt.Sprint("next", r.nextServer))
 }
 
+// newLedVersionRun returns a fleet with a leader whose engines have one version.
+func newLedVersionRun(t testing.TB, daemons int) *versionRun {
+	r := newVersionRun(t, uint64(daemons), daemons, "v1")
+	r.versions.leader = true
+	return r
+}
+
 // versionRestarts are the ways in which a fleet that restarts may know too little of its versions.
 // Each leaves the first version in service, so that the next round finds it.
 var versionRestarts = []struct {
@@ -53,6 +60,72 @@
 		r.releaseAll("v1", r.nextServerID)
 		r.restart(r.daemons)
 	}},
+	// Daemons that start cannot read the row for a while.
+	{"row-unreadable", func(r *versionRun) {
+		r.versions.checkpointLost, r.versions.checkpoint = true, Checkpoint{}
+		r.versions.unreadable = func(*fleetDaemon) bool { return true }
+		r.releaseAll("v2", r.nextServerID)
+		r.restart(r.daemons)
+		r.run(3 * time.Second)
+		r.versions.unreadable = nil
+		r.run(2 * time.Second)
+		r.releaseAll("v1", r.nextServerID)
+	}},
+	// The row cannot be written when a version comes.
+	{"row-refused", func(r *versionRun) {
+		r.versions.checkpointLost, r.versions.refused = true, true
+		r.releaseAll("v2", r.nextServerID)
+		r.run(2500 * time.Millisecond)
+		r.releaseAll("v1", r.nextServerID)
+		r.restart(r.daemons)
+		r.run(2 * time.Second)
+		r.versions.refused = false
+	}},
+	// The answers to writes of the row are lost when a version comes.
+	{"row-answers-lost", func(r *versionRun) {
+		r.versions.checkpointLost, r.versions.answersLost = true, true
+		r.releaseAll("v2", r.nextServerID)
+		r.run(2500 * time.Millisecond)
+		r.releaseAll("v1", r.nextServerID)
+		r.restart(r.daemons)
+		r.run(2 * time.Second)
+		r.versions.answersLost = false
+	}},
+	// The table service comes back from a copy without the version that is in service.
+	{"row-from-older-copy", func(r *versionRun) {
+		r.versions.checkpointLost = true
+		older := r.versions.row
+		r.releaseAll("v2", r.nextServerID)
+		r.run(2500 * time.Millisecond)
+		r.restoreVersions(older)
+		r.run(500 * time.Millisecond)
+		r.releaseAll("v1", r.nextServerID)
+		r.restart(r.daemons)
+	}},
+	// A daemon that has missed a version answers those that start, which cannot read the row.
+	{"outdated-daemon-answers", func(r *versionRun) {
+		r.versions.checkpointLost = true
+		outdated := r.daemons[0]
+		outdated.cut = true
+		r.versions.unreadable = func(d *fleetDaemon) bool { return d == outdated }
+		r.releaseAll("v2", r.nextServerID)
+		r.run(2500 * time.Millisecond)
+		r.versions.unreadable = func(*fleetDaemon) bool { return true }
+		r.versions.checkpoint = Checkpoint{}
+		r.releaseAll("v1", r.nextServerID)
+		r.restart(r.daemons[1:])
+		r.reconnect(outdated)
+		r.run(3 * time.Second)
+		r.versions.unreadable = nil
+	}},
+}
+
+// rounds returns how often a fleet of a size is struck. Large ones take long to run.
+func rounds(daemons int) int {
+	if daemons > 20 {
+		return 2
+	}
+	return 4
 }
 
 // TestStreamVersion_AllRestartWhileAVersionLeaves: daemons that have just started know one
@@ -62,9 +135,9 @@
 		for _, fault := range versionRestarts {
 			t.Run(fmt.Sprint(fault.name, "/daemons=", daemons), func(t *testing.T) {
 				t.Parallel()
-				r := newVersionRun(t, uint64(daemons), daemons, "v1")
+				r := newLedVersionRun(t, daemons)
 				r.run(4 * time.Second)
-				for range 4 {
+				for range rounds(daemons) {
 					fault.strike(r)
 					r.run(4 * time.Second)
 				}
@@ -73,3 +146,45 @@
 		}
 	}
 }
+
+// TestStreamVersion_AllRestartWithOneVersion: streams that callers resume go on, as the row says
+// that the service has had no other version.
+func TestStreamVersion_AllRestartWithOneVersion(t *testing.T) {
+	for _, daemons := range []int{3, 9, 89} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			t.Parallel()
+			r := newLedVersionRun(t, daemons)
+			r.maxTries, r.contact = 15, time.Second
+			r.run(4 * time.Second)
+			for range 4 {
+				r.restart(r.daemons)
+				r.run(5 * time.Second)
+			}
+			r.check()
+			if r.takenUp < minTakenUp {
+				t.Errorf("%d streams were taken up, too few to judge", r.takenUp)
+			}
+		})
+	}
+}
+
+// TestStreamVersion_SteadyFleetDoesNotCallTheTable: each process reads the row once when it
+// starts, and a leader when it has become one. Nothing is written.
+func TestStreamVersion_SteadyFleetDoesNotCallTheTable(t *testing.T) {
+	for _, daemons := range []int{3, 9, 89} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			t.Parallel()
+			r := newLedVersionRun(t, daemons)
+			r.run(10 * time.Second)
+			reads, writes := r.versions.reads, r.versions.wrote
+			r.restart(r.daemons)
+			r.run(20 * time.Second)
+			if n, want := r.versions.reads-reads, daemons+1; n > want {
+				t.Errorf("%d reads of the row by %d daemons that have started, of which one has become the leader; want %d", n, daemons, want)
+			}
+			if n := r.versions.wrote - writes; n != 0 {
+				t.Errorf("%d writes of the row by a steady fleet", n)
+			}
+		})
+	}
+}
--- a/internal/exchange/stream_version.go
+++ b/internal/exchange/stream_version.go
@@ -33,7 +33,9 @@
 	known   bool
 	version string
 	source  string        // how it is known, for logs
+	doubt   versionDoubt  // why it is not known, if the request resumes a stream
 	age     time.Duration // of the record when it was read
+	counted bool          // in the metrics
 }
 
 // continues reports whether the next send of a request continues a stream.
@@ -57,14 +59,16 @@
 		return nil
 	}
 	if rec, age, ok := c.streams.Get(now, t.Request.Resumes); ok && rec.Organisation == t.organisationID() {
-		t.origin.known, t.origin.version, t.origin.source, t.origin.age = true, rec.Version, "record", age
+		t.origin.known, t.origin.version, t.origin.source, t.origin.age = true, rec.Version, fromRecord, age
 		c.announceStream(now, rec) // some holders may have restarted
 		return nil
 	}
-	if version, ok := c.streams.OnlyVersion(t.Service); ok {
-		t.origin.known, t.origin.version, t.origin.source = true, version, "only version of the service"
+	version, doubt := c.onlyVersion(now, t.Service)
+	if doubt == "" {
+		t.origin.known, t.origin.version, t.origin.source = true, version, fromOnlyVersion
 		return nil
 	}
+	t.origin.doubt = doubt
 	if t.Request.Resumes == "" {
 		return nil
 	}
@@ -94,8 +98,9 @@
 		return nil
 	}
 	c.logContinuation(event.StreamVersionUnknown, t, "")
+	c.countResumption(t, false)
 	r := c.finalRefusal(t, "stream-version-unknown", unknownVersionRetryDelay)
-	r.Inputs = fmt.Sprintf("resumes %q", t.Request.Resumes)
+	r.Inputs = fmt.Sprintf("resumes %q, %s, versions %v", t.Request.Resumes, t.origin.doubt, c.versionsOf(now, t.Service))
 	return r
 }
 
@@ -119,6 +124,7 @@
 		return true
 	})
 	c.logContinuation(event.StreamVersionGone, t, "")
+	c.countResumption(t, false)
 	var retryAfter time.Duration
 	if usable > 0 {
 		retryAfter = noServerRetryDelay
@@ -160,7 +166,7 @@
 
 // announceStream has the holders of a stream's record told, if its service has several versions.
 func (c *Core) announceStream(now time.Time, rec streamversion.Record) {
-	if !c.streams.Mixed(rec.Service) {
+	if !c.mixed(now, rec.Service) {
 		return
 	}
 	for _, m := range c.recordHolders(now, rec.Request) {
@@ -168,13 +174,29 @@
 	}
 }
 
-// sawVersion records the version of a server that may serve. When a second version of its
-// service appears, the holders of the records of all its streams are told.
+// sawVersion records the version of a server that may serve.
 func (c *Core) sawVersion(now time.Time, s *BackendServer) {
-	if !c.streams.SawVersion(now, s.Service, s.Version) {
-		return
+	c.changeVersions(now, []entity.ServiceName{s.Service}, func() { c.streams.SawVersion(now, s.Service, s.Version) })
+	if s.State == Ready && c.recordsVersions(s.Service) {
+		c.recorded.Saw(now, streamversion.SeenVersion{Service: s.Service, Version: s.Version}, c.recordSpread())
 	}
-	for _, rec := range c.streams.OfService(now, s.Service) {
+}
+
+// changeVersions makes a change of what is known of the versions of services. When a service
+// gets a second version by it, the holders of the records of all its streams are told.
+func (c *Core) changeVersions(now time.Time, services []entity.ServiceName, change func()) {
+	services = slices.DeleteFunc(services, func(s entity.ServiceName) bool { return c.mixed(now, s) })
+	change()
+	for _, service := range services {
+		if c.mixed(now, service) {
+			c.announceStreams(now, service)
+		}
+	}
+}
+
+// announceStreams has the holders of the records of a service's streams told.
+func (c *Core) announceStreams(now time.Time, service entity.ServiceName) {
+	for _, rec := range c.streams.OfService(now, service) {
 		c.announceStream(now, rec)
 	}
 }
@@ -189,6 +211,7 @@
 		return true
 	})
 	c.streams.Forget(now)
+	c.recorded.Forget(now)
 }
 
 // StreamNews are records for one daemon.
@@ -234,6 +257,6 @@
 func (c *Core) logContinuation(number event.Number, t *Ticket, server entity.BackendServerID) {
 	c.logEvent(event.Event{Number: number, Request: t.Request.ID, Service: t.Service, Backend: server, Attrs: []event.Attr{
 		event.A("resumes", t.Request.Resumes), event.A("server_version", t.origin.version), event.A("source", t.origin.source),
-		event.A("age_ms", t.origin.age.Milliseconds()),
+		event.A("age_ms", t.origin.age.Milliseconds()), event.A("doubt", t.origin.doubt),
 	}})
 }
--- a/internal/exchange/stream_version_test.go
+++ b/internal/exchange/stream_version_test.go
@@ -35,6 +35,8 @@
 	takenUp    int // tries to continue a stream at a daemon in touch
 	continued  int // of these, those that got an event
 	nextServer int
+	maxTries   int           // of a caller, after which it gives up
+	contact    time.Duration // how long a daemon has been up and not cut off when it counts as in touch
 }
 
 const (
@@ -49,7 +51,7 @@
 // newVersionRun returns a fleet whose engines have the given versions in turn, and whose
 // callers read streams.
 func newVersionRun(t testing.TB, seed uint64, daemons int, versions ...string) *versionRun {
-	r := &versionRun{testFleet: newTestFleet(t, seed, daemons, 9), callers: map[entity.RequestID]*streamCaller{}}
+	r := &versionRun{testFleet: newTestFleet(t, seed, daemons, 9), callers: map[entity.RequestID]*streamCaller{}, maxTries: maxTries, contact: contactTime}
 	r.runDuration = func(Request) (time.Duration, time.Duration) {
 		start := 50*time.Millisecond + r.random(100*time.Millisecond)
 		return start, start + streamLength
@@ -75,7 +77,7 @@
 	req.After = after
 	if after != "" {
 		req.Resumes = c.first
-		c.counted = d.inTouch(r.now) > contactTime && r.serving(c.version) >= 2
+		c.counted = d.inTouch(r.now) > r.contact && r.serving(c.version) >= 2
 		if c.counted {
 			r.takenUp++
 		}
@@ -129,7 +131,7 @@
 	if c == nil || c.done {
 		return
 	}
-	if answered || c.tries >= maxTries {
+	if answered || c.tries >= r.maxTries {
 		c.done = true
 		return
 	}
--- a/internal/gateway/checkpoint.go
+++ b/internal/gateway/checkpoint.go
@@ -33,6 +33,7 @@
 type savedCheckpoint struct {
 	written     []byte    // encoded, without its time
 	attemptedAt time.Time // of the last write, also if it failed
+	adopted     bool      // the previous lease holder's has been read
 }
 
 // saveCheckpoint writes a checkpoint if its interval has passed and its content
@@ -49,6 +50,11 @@
 	if now.Sub(t.checkpoint.attemptedAt) < current.Interval {
 		return
 	}
+	if !t.checkpoint.adopted {
+		t.checkpoint.attemptedAt = now
+		t.readPrevious(runCtx)
+		return // the next one includes what was read
+	}
 	body, undated, err := encodeCheckpoint(current)
 	if err != nil {
 		t.g.Log.Logger().WithError(err).Error("failed to encode the checkpoint of usage counts and quotas")
@@ -78,14 +84,38 @@
 	return body, undated, err
 }
 
-// restoreCounts adopts the usage counts of the previous lease holder's checkpoint.
+// restoreCounts adopts the usage counts of the previous lease holder's checkpoint and, if this
+// process has read none before, the deaths, limits and versions in it. Until it has read one, it
+// overwrites none.
 func (t *leaderTasks) restoreCounts(ctx context.Context) {
 	p, err := t.g.readCheckpoint(ctx)
 	if err != nil {
-		t.g.Log.Logger().WithError(err).Warn("failed to read the checkpoint")
+		t.g.Log.Logger().WithError(err).Warn("failed to read the checkpoint; none is written before")
 		return
 	}
+	t.checkpoint.adopted = true
 	t.g.withCore(func(c *exchange.Core, _ time.Time) { c.RestoreCounts(p) })
+	t.g.applyCheckpoint(p)
+}
+
+// readPrevious reads the previous lease holder's checkpoint, as the read at the lease's acquisition
+// has failed.
+func (t *leaderTasks) readPrevious(runCtx context.Context) {
+	ctx, cancel := context.WithTimeout(runCtx, leaderCallTimeout)
+	defer cancel()
+	t.restoreCounts(ctx)
+}
+
+// applyCheckpoint applies the deaths, limits and versions of the first checkpoint that this
+// process has read.
+func (g *Gateway) applyCheckpoint(p *exchange.Checkpoint) {
+	if g.checkpointRead.Swap(true) {
+		return
+	}
+	g.withCore(func(c *exchange.Core, now time.Time) {
+		c.RestoreNotice(now, p)
+		c.RestoreVersions(now, p)
+	})
 }
 
 // restoreCheckpoint sets the quotas at this daemon's start to the levels of the newest
@@ -100,11 +130,8 @@
 		go g.retryUntilDone(runCtx, g.restoreNotice)
 		return
 	}
-	g.withCore(func(c *exchange.Core, now time.Time) {
-		c.RestoreQuotas(now, p)
-		c.RestoreNotice(now, p)
-		c.RestoreVersions(now, p)
-	})
+	g.withCore(func(c *exchange.Core, now time.Time) { c.RestoreQuotas(now, p) })
+	g.applyCheckpoint(p)
 }
 
 func (g *Gateway) restoreNotice(ctx context.Context) error {
@@ -112,10 +139,7 @@
 	if err != nil {
 		return err
 	}
-	g.withCore(func(c *exchange.Core, now time.Time) {
-		c.RestoreNotice(now, p)
-		c.RestoreVersions(now, p)
-	})
+	g.applyCheckpoint(p)
 	return nil
 }
 
--- a/internal/gateway/clock_origin.go
+++ b/internal/gateway/clock_origin.go
@@ -39,10 +39,12 @@
 	if err != nil {
 		return err
 	}
-	origin, err := g.agreeClockOrigin(ctx, time.Duration(time.Now().UnixNano())-tableClock)
+	proposed := time.Duration(time.Now().UnixNano()) - tableClock
+	origin, err := g.agreeClockOrigin(ctx, proposed)
 	if err != nil {
 		return err
 	}
+	g.newDeployment.Store(origin == proposed)
 	g.setTrueTime(origin+tableClock, at)
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,9 +123,12 @@
 	streamNews chan struct{} // has an element while the core has records of streams to send
 	notices    chan struct{} // has an element while the core has deaths to announce ahead of the next state update
 
-	serverFeed  *serverFeed
-	generations *generationWatch
-	authority   authorityState
+	serverFeed      *serverFeed
+	generations     *generationWatch
+	newDeployment   atomic.Bool // this process has been the first one on the table service
+	versionQuestion versionQuestion
+	checkpointRead  atomic.Bool // this process has read a checkpoint
+	authority       authorityState
 
 	transport     atomic.Pointer[peer.Transport] // to the other daemons; nil: none yet
 	streamQueries *streamQueries
@@ -151,7 +154,7 @@
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
-		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
+		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(), RecordVersions: true,
 		Bounds: exchange.Bounds{
 			StaleAfter: s.KeyRevocationLimit - staleMargin, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow,
 			QuotaWindow: s.QuotaWindow, QuotaExcessRatio: s.QuotaExcessRatio, QuotaExcessUnits: s.QuotaExcessUnits,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -62,12 +62,18 @@
 	m.set.GetOrCreateCounter(`gooseberryslip_server_list_reads_total{from="` + from + `"}`).Inc()
 }
 
+// countVersionCall counts a read or a write of the row of recorded versions.
+func (m *meter) countVersionCall(call string) {
+	m.set.GetOrCreateCounter(`gooseberryslip_version_row_calls_total{call="` + call + `"}`).Inc()
+}
+
 func (g *Gateway) metricsHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.meter.set.WritePrometheus(w)
 		metrics.WritePrometheus(w, false)
 		g.writeRetryBudgets(w)
+		g.writeResumptions(w)
 	})
 	r.HandleFunc("/status", g.serveStatus)
 	return r
@@ -85,6 +91,19 @@
 	}
 }
 
+// writeResumptions writes the numbers of streams that callers took up, by what became of them.
+func (g *Gateway) writeResumptions(w io.Writer) {
+	var counts []exchange.ResumptionCount
+	g.withCore(func(c *exchange.Core, _ time.Time) { counts = c.ResumptionCounts() })
+	for _, n := range counts {
+		result := "refused"
+		if n.Continued {
+			result = "continued"
+		}
+		metrics.WriteCounterUint64(w, `gooseberryslip_resumed_streams_total{result="`+result+`",reason="`+n.Reason+`"}`, n.Count)
+	}
+}
+
 // serveStatus returns this daemon's view of the fleet as JSON.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	var s exchange.Status
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,6 +53,7 @@
 // runPeers exchanges state updates with the other daemons until the process ends.
 func (g *Gateway) runPeers(runCtx context.Context) {
 	g.retryUntilDone(runCtx, g.learnTrueTime)
+	go g.runVersionRecord(runCtx)
 	g.restoreCheckpoint(runCtx)
 	g.retryUntilDone(runCtx, g.register)
 	g.retryUntilDone(runCtx, g.readMembers)
@@ -109,16 +110,18 @@
 
 // message is sent from one daemon to another.
 type message struct {
-	Ack          uint32                 `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
-	Update       []byte                 `cbor:"2,keyasint,omitempty"` // exchange.StateUpdate, encoded once for all receivers
-	NewerThan    uint64                 `cbor:"3,keyasint,omitempty"` // requests a configuration newer than this version
-	Document     *exchange.Document     `cbor:"4,keyasint,omitempty"` // response to such a request
-	Notice       *exchange.Notice       `cbor:"5,keyasint,omitempty"`
-	Streams      []streamversion.Record `cbor:"6,keyasint,omitempty"` // that the addressee holds
-	AskStream    entity.RequestID       `cbor:"7,keyasint,omitempty"` // asks for the record of this stream
-	StreamAnswer *streamAnswer          `cbor:"8,keyasint,omitempty"` // response to such a question
-	AskServers   *serverQuestion        `cbor:"9,keyasint,omitempty"`
-	ServerAnswer *serverAnswer          `cbor:"10,keyasint,omitempty"` // response to such a question
+	Ack           uint32                 `cbor:"1,keyasint,omitempty"` // sequence number of the last state update received from the addressee
+	Update        []byte                 `cbor:"2,keyasint,omitempty"` // exchange.StateUpdate, encoded once for all receivers
+	NewerThan     uint64                 `cbor:"3,keyasint,omitempty"` // requests a configuration newer than this version
+	Document      *exchange.Document     `cbor:"4,keyasint,omitempty"` // response to such a request
+	Notice        *exchange.Notice       `cbor:"5,keyasint,omitempty"`
+	Streams       []streamversion.Record `cbor:"6,keyasint,omitempty"` // that the addressee holds
+	AskStream     entity.RequestID       `cbor:"7,keyasint,omitempty"` // asks for the record of this stream
+	StreamAnswer  *streamAnswer          `cbor:"8,keyasint,omitempty"` // response to such a question
+	AskServers    *serverQuestion        `cbor:"9,keyasint,omitempty"`
+	ServerAnswer  *serverAnswer          `cbor:"10,keyasint,omitempty"` // response to such a question
+	AskVersions   uint64                 `cbor:"11,keyasint,omitempty"` // asks for the recorded versions under this number
+	VersionAnswer *versionAnswer         `cbor:"12,keyasint,omitempty"` // response to such a question
 }
 
 // receive handles a message of another daemon.
@@ -143,6 +146,7 @@
 	answerSender := func(answer message) { reply(peer.Address{ID: from, Addr: addr}, answer) }
 	g.receiveStreams(&m, answerSender)
 	g.receiveServerFeed(&m, answerSender)
+	g.receiveVersions(&m, answerSender)
 	if len(m.Update) > 0 {
 		g.receiveUpdate(&m)
 	}
--- a/internal/system/streamversion/streamversion.go
+++ b/internal/system/streamversion/streamversion.go
@@ -4,7 +4,7 @@
 package streamversion
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -113,39 +113,25 @@
 	}
 }
 
-// SawVersion records that a server of a service has a version, and reports whether the
-// service has several versions since then.
-func (r *Registry) SawVersion(now time.Time, service entity.ServiceName, version string) (becameMixed bool) {
+// SawVersion records that a server of a service has a version.
+func (r *Registry) SawVersion(now time.Time, service entity.ServiceName, version string) {
 	versions := r.versions[service]
 	if versions == nil {
 		versions = make(map[string]time.Time)
 		r.versions[service] = versions
 	}
-	before := len(versions)
 	versions[version] = now
-	return before == 1 && len(versions) == 2
 }
 
-// Mixed reports whether a service has had several versions lately.
-func (r *Registry) Mixed(service entity.ServiceName) bool { return len(r.versions[service]) > 1 }
-
-// OnlyVersion returns the only version that a service has had lately. It returns false if
-// there were several, or none.
-func (r *Registry) OnlyVersion(service entity.ServiceName) (version string, ok bool) {
-	versions := r.versions[service]
-	if len(versions) != 1 {
-		return "", false
-	}
-	for v := range versions {
-		version = v
-	}
-	return version, true
+// Versions returns the versions that a service has had lately.
+func (r *Registry) Versions(service entity.ServiceName) []string {
+	return slices.Sorted(maps.Keys(r.versions[service]))
 }
 
 // SeenVersion is a version that a service has had lately.
 type SeenVersion struct {
-	Service entity.ServiceName `cbor:"1,keyasint"`
-	Version string             `cbor:"2,keyasint"`
+	Service entity.ServiceName `cbor:"1,keyasint" json:"service"`
+	Version string             `cbor:"2,keyasint" json:"version"`
 }
 
 // Seen returns the versions that the services have had lately.
@@ -156,8 +142,6 @@
 			out = append(out, SeenVersion{service, version})
 		}
 	}
-	slices.SortFunc(out, func(a, b SeenVersion) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
-	})
+	slices.SortFunc(out, compareVersions)
 	return out
 }
