--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -112,7 +112,7 @@
 		limits:                 newLimitTable(),
 		streams:                streamversion.New(),
 		streamNews:             make(map[entity.InstanceID][]streamversion.Record),
-		recorded:               streamversion.NewRecorded(cfg.Started, processRand(&cfg.Self)),
+		recorded:               streamversion.NewRecorded(processRand(&cfg.Self)),
 		resumptions:            make(map[resumptionKey]uint64),
 		levels:                 entity.NewTable[entity.ServiceName, capacity.Level](),
 		reclaimableExhaustedAt: entity.NewTable[reclaimableLocation, time.Time](),
--- a/internal/exchange/version_record.go
+++ b/internal/exchange/version_record.go
@@ -219,6 +219,7 @@
 	_, leader := c.lease.Epoch()
 	before := c.recorded.Complete(now)
 	c.changeVersions(now, servicesOfRow(&read.Row), func() { next, write = c.recorded.Apply(now, read, leader) })
+	c.announceRecorded(now, c.recorded.TakeNews())
 	if complete := c.recorded.Complete(now); complete != before || write {
 		c.logRecorded(event.StreamVersionsRead, &read.Row, complete)
 	}
--- a/internal/system/streamversion/recorded.go
+++ b/internal/system/streamversion/recorded.go
@@ -44,11 +44,10 @@
 // Recorded is what one daemon knows of the recorded versions. It is not safe for concurrent use.
 type Recorded struct {
 	rand       *rand.Rand
-	started    time.Time
-	tableRead  bool   // this process has read the row
-	confirmed  bool   // it has read a row with all versions, or was told them by a daemon that knew all
-	generation uint64 // newest one of the table service at a read
-	checks     int    // reads that found a row which may lack versions
+	readAt     time.Time // when this process first read the row; zero: it has not
+	confirmed  bool      // it has read a row with all versions, or was told them by a daemon that knew all
+	generation uint64    // newest one of the table service at a read
+	checks     int       // reads that found a row which may lack versions
 	checkAt    time.Time
 	nextCall   time.Time // no call of the table service is due before
 	unsure     bool      // the last write may have taken effect
@@ -71,15 +70,16 @@
 	seenAt time.Time
 }
 
-// NewRecorded returns the knowledge of a process that has started at the given time.
-func NewRecorded(started time.Time, random *rand.Rand) *Recorded {
-	return &Recorded{started: started, rand: random, versions: map[SeenVersion]*recorded{}, wanted: map[SeenVersion]*wanted{}}
+// NewRecorded returns the knowledge of a process that has just started.
+func NewRecorded(random *rand.Rand) *Recorded {
+	return &Recorded{rand: random, versions: map[SeenVersion]*recorded{}, wanted: map[SeenVersion]*wanted{}}
 }
 
 // Complete reports whether every version is known that can have begun a stream which a caller
-// may still resume.
+// may still resume. A process that has read a row which may lack versions knows those that have
+// begun streams since.
 func (r *Recorded) Complete(now time.Time) bool {
-	return r.confirmed || r.tableRead && now.Sub(r.started) >= maxLife
+	return r.confirmed || !r.readAt.IsZero() && now.Sub(r.readAt) >= retention
 }
 
 // Usable reports whether the servers of a version may get streams that may be resumed, and how
--- a/internal/system/streamversion/recording.go
+++ b/internal/system/streamversion/recording.go
@@ -10,7 +10,7 @@
 	if now.Before(r.nextCall) {
 		return false
 	}
-	if !r.tableRead || !r.checkAt.IsZero() && !now.Before(r.checkAt) {
+	if r.readAt.IsZero() || !r.checkAt.IsZero() && !now.Before(r.checkAt) {
 		return true
 	}
 	return r.anyWanted(now, leader) || leader && r.anyExpired(now)
@@ -69,8 +69,11 @@
 // applyGeneration finds out whether the row lists all versions, and reports whether this daemon
 // may now confirm that it does.
 func (r *Recorded) applyGeneration(now time.Time, read *Read, current, leader bool) (confirm bool) {
-	newGeneration := !r.tableRead || read.Generation > r.generation
-	r.tableRead, r.generation = true, max(r.generation, read.Generation)
+	newGeneration := r.readAt.IsZero() || read.Generation > r.generation
+	if r.readAt.IsZero() {
+		r.readAt = now
+	}
+	r.generation = max(r.generation, read.Generation)
 	switch {
 	case current:
 		r.confirmed, r.checkAt = true, time.Time{}
@@ -94,6 +97,8 @@
 	for v, known := range r.versions {
 		entry, inRow := row[v]
 		switch {
+		case inRow && entry.Count < known.count && known.resumable(now):
+			row[v] = RowVersion{SeenVersion: v, Count: known.count} // a restore has lost its last recording
 		case inRow && leader && known.removable(now):
 			delete(row, v)
 		case inRow && leader && !known.resumable(now):
@@ -101,7 +106,7 @@
 			row[v] = entry
 		case inRow:
 		case known.usable(now), !current && known.resumable(now):
-			row[v] = RowVersion{SeenVersion: v, Count: known.count + 1}
+			row[v] = RowVersion{SeenVersion: v, Count: nextCount(known.count, read.Generation)}
 		default:
 			delete(r.versions, v) // the leader has removed it
 		}
@@ -111,11 +116,18 @@
 		if known := r.versions[v]; known != nil {
 			count = max(count, known.count)
 		}
-		row[v] = RowVersion{SeenVersion: v, Count: count + 1}
+		row[v] = RowVersion{SeenVersion: v, Count: nextCount(count, read.Generation)}
 	}
 	return row
 }
 
+// generationShift is the number of bits of a count below those of the generation.
+const generationShift = 24
+
+// nextCount returns the count of a version that is recorded again. It is higher than all counts
+// of earlier generations, also those that a restore of the table service has lost.
+func nextCount(count, generation uint64) uint64 { return max(count+1, generation<<generationShift) }
+
 // Written records that the row has been written.
 func (r *Recorded) Written(now time.Time, row *Row) {
 	if row.current(r.generation) {
--- a/internal/system/streamversion/row.go
+++ b/internal/system/streamversion/row.go
@@ -20,7 +20,7 @@
 // RowVersion is a recorded version of a service.
 type RowVersion struct {
 	SeenVersion
-	Count uint64 `cbor:"3,keyasint" json:"count"` // of the times that it was recorded
+	Count uint64 `cbor:"3,keyasint" json:"count"` // rises each time that it is recorded
 	// Expiring says that no caller resumes its streams any more: the version is removed soon
 	// unless it is recorded again.
 	Expiring bool `cbor:"4,keyasint,omitempty" json:"expiring,omitempty"`
