--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	DrainLimit         time.Duration // after which a backend server that drains must get no requests; 0: not stated
 	LeaseDuration      time.Duration // in which two daemons may not alternate as lease holders; 0: lease.DefaultDuration
 	LeaderTasks        bool          // whether this system sends usage reports and scaling requests
+	Rollouts           RolloutBounds
 }
 
 // ListenAddresses holds the host:port on which each endpoint listens. An HTTP endpoint with an
