--- a/internal/gateway/rollout_bounds.go
+++ b/internal/gateway/rollout_bounds.go
@@ -9,4 +9,3 @@
 	ExposeSlack float64       // requests in addition to the ratio
 	StopWithin  time.Duration // time from its bad answers after which it must get no request
 }
-
