--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -33,6 +33,7 @@
 	QuotaExcessUnits      float64       // quota units that may be exceeded in addition to the ratio
 	ForgetPeerAfter       time.Duration // a silent daemon's share of quotas is withheld until it has been silent for this long
 	LeaseDuration         time.Duration // time in which two daemons may not alternate as lease holders
+	Rollout               RolloutBounds
 }
 
 // Config configures a Core.
