Read orders of roll-outs, commit their states

The feed of the configuration becomes a feed of the operator's entries, with the same calls as before: the configuration, and an order for each service. Bad rows of orders are logged and do not touch the configuration.

The daemons that query the table service often tell a digest of the orders in their state updates, so that a daemon whose connection does not answer fetches the orders from them, and one that waits in a long call has its orders confirmed.

The leader commits stages in one transaction with the status that the platform reads. It reads the row before each try, since an earlier one whose answer was lost may have taken effect, and writes again what a restore has lost.

Status page and metrics show the roll-outs.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -56,7 +56,7 @@
 	store := platform.NewStore(s.StoreAddress)
 	return gateway.New(gateway.Config{
 		Settings: s.Gateway, Dialect: platform.Headers{}, Table: store, TableClock: store.Clock,
-		Configuration: platform.Configuration{Store: store}, Servers: platform.Servers{Store: store},
+		OperatorEntries: platform.OperatorEntries{Store: store}, Rollouts: platform.Rollouts{Store: store}, Servers: platform.Servers{Store: store},
 		LeaderTasks: platform.NewLeaderTasks(s.LeaderTasksAddress), Log: log,
 	}).Run(ctx)
 }
--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -44,6 +44,15 @@
 	ScalingRequested  = define(6220, Info, "backend servers ordered")
 	ScalingFailed     = define(6221, Warn, "order of backend servers failed")
 
+	RolloutOrderRead      = define(6230, Info, "order of a roll-out read")
+	RolloutOrderIgnored   = define(6231, Warn, "order of a roll-out ignored")
+	RolloutOrderWithdrawn = define(6232, Info, "order of a roll-out withdrawn: its row is gone")
+	RolloutStateIgnored   = define(6233, Warn, "stored state of a roll-out ignored")
+	RolloutCommitted      = define(6234, Info, "stage of a roll-out committed")
+	RolloutCommitFailed   = define(6235, Warn, "stage of a roll-out could not be committed")
+	RolloutSuperseded     = define(6236, Warn, "stage of a roll-out not committed: another daemon has committed a later one")
+	RolloutRewritten      = define(6237, Warn, "stage of a roll-out written again after the table service was restored")
+
 	GatewayStarted  = define(6900, Info, "gateway started")
 	GatewayDraining = define(6901, Info, "gateway stops taking callers")
 	GatewayStopped  = define(6902, Info, "gateway stopped")
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -81,6 +81,7 @@
 	demand                 demand
 	crash                  crashGuard
 	deaths                 deathLog
+	orders                 ordersKnowledge
 	limits                 limitTable
 	streams                *streamversion.Registry
 	streamNews             map[entity.InstanceID][]streamversion.Record // to send, by daemon
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -102,6 +102,7 @@
 	row.usageWindow, row.acked = update.Window, max(row.acked, ack)
 	c.applyUpdate(now, row, update)
 	c.applyConfirmation(update, ack)
+	c.receiveKnownOrders(now, update, ack)
 	if firstHeard {
 		c.announceToNewcomer(now)
 	}
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -43,6 +43,7 @@
 	KnownEpoch uint64        `cbor:"17,keyasint,omitempty"`
 	Reports    []UsageReport `cbor:"18,keyasint,omitempty"` // only from the lease holder
 	Notice     Notice        `cbor:"19,keyasint,omitempty"`
+	Orders     *KnownOrders  `cbor:"24,keyasint,omitempty"` // only from daemons that query the table service often
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -69,7 +70,7 @@
 		From: c.cfg.Self, Sequence: c.sequence, Leaving: c.leaving, Serving: c.Serving(now),
 		Loads: c.placer.ServerLoads(), Quota: c.quota.Uses(now, c.sequence%updatesPerFullUpdate == 0), CachedPrompts: c.cachedPrompts, Demand: c.demand.rates(now),
 		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now),
-		Notice: c.noticeDue(now, c.sequence, acked),
+		Notice: c.noticeDue(now, c.sequence, acked), Orders: c.knownOrders(now),
 	}
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,7 +86,7 @@
 	DrainLimit         time.Duration // after which a backend server that drains must get no requests; 0: not stated
 	LeaseDuration      time.Duration // in which two daemons may not alternate as lease holders; 0: lease.DefaultDuration
 	LeaderTasks        bool          // whether this system sends usage reports and scaling requests
-	Rollouts           RolloutBounds
+	Rollout            exchange.RolloutBounds
 }
 
 // ListenAddresses holds the host:port on which each endpoint listens. An HTTP endpoint with an
@@ -101,14 +101,15 @@
 
 // Config holds the settings and dependencies of a gateway.
 type Config struct {
-	Settings      Settings
-	Dialect       Dialect
-	Table         provider.Table
-	TableClock    func(context.Context) (time.Duration, error) // reads the table service's steady clock
-	Configuration provider.Feed[*exchange.Document]
-	Servers       provider.Feed[exchange.BackendServer]
-	LeaderTasks   provider.LeaderTasks
-	Log           *logging.Log
+	Settings        Settings
+	Dialect         Dialect
+	Table           provider.Table
+	TableClock      func(context.Context) (time.Duration, error) // reads the table service's steady clock
+	OperatorEntries provider.Feed[OperatorEntry]
+	Rollouts        provider.Rollouts // not used while Settings.Rollout has roll-outs off
+	Servers         provider.Feed[exchange.BackendServer]
+	LeaderTasks     provider.LeaderTasks
+	Log             *logging.Log
 }
 
 // Gateway serves forwarded exchanges.
@@ -125,6 +126,7 @@
 	notices    chan struct{} // has an element while the core has deaths to announce ahead of the next state update
 
 	serverFeed  *serverFeed
+	orders      *orderWatch
 	generations *generationWatch
 	authority   authorityState
 
@@ -149,6 +151,7 @@
 	}
 	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), streamNews: make(chan struct{}, 1), streamQueries: newStreamQueries(), generations: newGenerationWatch()}
 	g.serverFeed = newServerFeed(g)
+	g.orders = newOrderWatch(g)
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
@@ -158,7 +161,7 @@
 			QuotaWindow: s.QuotaWindow, QuotaExcessRatio: s.QuotaExcessRatio, QuotaExcessUnits: s.QuotaExcessUnits,
 			UsageWindow: s.UsageWindow, ForgetServerAfter: 10 * time.Second,
 			UpdateIntervalPerPeer: updateIntervalPerPeer, ForgetPeerAfter: s.KeyRevocationLimit + 5*time.Second,
-			LeaseDuration: s.LeaseDuration,
+			LeaseDuration: s.LeaseDuration, Rollout: s.Rollout,
 		},
 	})
 	return g
@@ -186,12 +189,15 @@
 
 // startBackground starts the goroutines that do not belong to one request.
 func (g *Gateway) startBackground(runCtx context.Context, background *sync.WaitGroup) {
-	background.Go(func() { g.watchConfiguration(runCtx) })
+	background.Go(func() { g.watchOperatorEntries(runCtx) })
 	background.Go(func() { g.watchServers(runCtx) })
 	background.Go(func() { g.runPeers(runCtx) })
 	background.Go(func() { g.runHousekeeping(runCtx) })
 	background.Go(func() { g.runRestores(runCtx) })
-	if g.Settings.LeaderTasks {
+	if g.Settings.Rollout.Enabled() {
+		background.Go(func() { g.runRollouts(runCtx) })
+	}
+	if g.Settings.LeaderTasks || g.Settings.Rollout.Enabled() {
 		background.Go(func() { g.runLeaderTasks(runCtx) })
 	}
 }
--- a/internal/gateway/leader_tasks.go
+++ b/internal/gateway/leader_tasks.go
@@ -47,8 +47,10 @@
 		t.keepLease(runCtx)
 		if _, held := t.fence(); held && !t.settling() {
 			t.saveCheckpoint(runCtx)
-			t.reportUsage(runCtx)
-			t.sendScalingRequests(runCtx)
+			if g.Settings.LeaderTasks {
+				t.reportUsage(runCtx)
+				t.sendScalingRequests(runCtx)
+			}
 		}
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,6 +68,7 @@
 		g.meter.set.WritePrometheus(w)
 		metrics.WritePrometheus(w, false)
 		g.writeRetryBudgets(w)
+		g.writeRollouts(w)
 	})
 	r.HandleFunc("/status", g.serveStatus)
 	return r
@@ -87,8 +88,7 @@
 
 // serveStatus returns this daemon's view of the fleet as JSON.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	var s exchange.Status
-	g.withCore(func(c *exchange.Core, now time.Time) { s = c.Status(now) })
+	s := g.status()
 	body, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		g.Log.Logger().WithError(err).Error("failed to encode the daemon's status")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -119,6 +119,8 @@
 	StreamAnswer *streamAnswer          `cbor:"8,keyasint,omitempty"` // response to such a question
 	AskServers   *serverQuestion        `cbor:"9,keyasint,omitempty"`
 	ServerAnswer *serverAnswer          `cbor:"10,keyasint,omitempty"` // response to such a question
+	AskOrders    bool                   `cbor:"11,keyasint,omitempty"` // asks for the operator's orders
+	Orders       *orderList             `cbor:"12,keyasint,omitempty"` // response to such a question
 }
 
 // receive handles a message of another daemon.
@@ -143,6 +145,7 @@
 	answerSender := func(answer message) { reply(peer.Address{ID: from, Addr: addr}, answer) }
 	g.receiveStreams(&m, answerSender)
 	g.receiveServerFeed(&m, answerSender)
+	g.receiveOrders(string(from), &m, answerSender)
 	if len(m.Update) > 0 {
 		g.receiveUpdate(&m)
 	}
@@ -165,6 +168,7 @@
 		start := clock.Now()
 		peers := g.broadcastUpdate(runCtx, t, start)
 		g.requestDocument(t)
+		g.requestOrders(t)
 		if !clock.Wait(runCtx, start.Add(broadcastInterval(peers)).Sub(clock.Now())) {
 			return
 		}
--- a/internal/gateway/watched_lists.go
+++ b/internal/gateway/watched_lists.go
@@ -10,48 +10,6 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 )
 
-func (g *Gateway) watchConfiguration(runCtx context.Context) {
-	w := &watcher[*exchange.Document]{g: g, name: "configuration", feed: g.Configuration, wait: g.configurationPollWait, batchWait: g.batchDelay, apply: g.applyConfiguration}
-	w.run(runCtx)
-}
-
-func (g *Gateway) applyConfiguration(_ bool, changes []provider.Change[*exchange.Document], start time.Time) {
-	readable := true
-	for _, change := range changes {
-		if change.Removed || change.Err != nil {
-			readable = false
-			g.event(event.ConfigurationIgnored, "", event.A("removed", change.Removed), event.A("error", errorText(change.Err)))
-			continue
-		}
-		readable = true
-		g.withCore(func(c *exchange.Core, _ time.Time) { c.TableShows(change.Value.Version) })
-		g.applyDocument(change.Value, "table service")
-	}
-	if readable {
-		g.withCore(func(c *exchange.Core, now time.Time) { c.ConfirmByTable(now, start) })
-	}
-}
-
-// applyDocument puts a configuration in force, unless the one in force is as new or newer.
-func (g *Gateway) applyDocument(doc *exchange.Document, source string) {
-	applied := false
-	g.withCore(func(c *exchange.Core, now time.Time) { applied = c.SetDocument(now, doc) })
-	if !applied {
-		return
-	}
-	g.event(event.GatewayConfigurationApplied, "", event.A("version", doc.Version), event.A("routes", len(doc.Routes)), event.A("source", source))
-	for _, problem := range doc.Problems() {
-		g.event(event.ConfigurationPartlyUnusable, "", event.A("version", doc.Version), event.A("problem", problem))
-	}
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 func (g *Gateway) watchServers(runCtx context.Context) {
 	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.serverFeed, wait: g.pollWait, batchWait: g.serverFeed.batchDelay, apply: g.applyServers}
 	w.run(runCtx)
