--- a/internal/gateway/leader_tasks.go
+++ b/internal/gateway/leader_tasks.go
@@ -90,7 +90,7 @@
 func (t *leaderTasks) sendScalingRequests(runCtx context.Context) {
 	var due []provider.ScalingRequest
 	t.g.withCore(func(c *exchange.Core, now time.Time) {
-		due = t.scaling.due(now, c.TargetServers(now), c.ListedServers())
+		due = t.scaling.due(now, c.TargetServers(now), c.ListedServers(), rollingOut(c.Rollouts(now)))
 	})
 	for _, request := range due {
 		fence, ok := t.fenceForCall(runCtx)
--- a/internal/gateway/rollout_status.go
+++ b/internal/gateway/rollout_status.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/rollout"
 )
@@ -41,6 +42,17 @@
 	New   rollout.Samples `json:"new"`
 }
 
+// rollingOut returns the services whose roll-out has not ended.
+func rollingOut(all []exchange.RolloutStatus) map[entity.ServiceName]bool {
+	out := make(map[entity.ServiceName]bool)
+	for i := range all {
+		if !all[i].Stage.Ended() && all[i].Left > 0 {
+			out[all[i].Service] = true
+		}
+	}
+	return out
+}
+
 // status returns this daemon's view of the fleet.
 func (g *Gateway) status() (s gatewayStatus) {
 	g.withCore(func(c *exchange.Core, now time.Time) { s.Status = c.Status(now) })
--- a/internal/gateway/scaling.go
+++ b/internal/gateway/scaling.go
@@ -43,8 +43,9 @@
 	return &scalingState{sent: entity.NewTable[scalingKey, sentScalingRequest]()}
 }
 
-// due returns the scaling requests to be sent now.
-func (s *scalingState) due(now time.Time, targets []exchange.ServerCount, listed []exchange.ServerCount) []provider.ScalingRequest {
+// due returns the scaling requests to be sent now. None lowers a number of the services in
+// keep, which are rolled out: the platform would stop servers of either version.
+func (s *scalingState) due(now time.Time, targets, listed []exchange.ServerCount, keep map[entity.ServiceName]bool) []provider.ScalingRequest {
 	listedCounts := make(map[scalingKey]int, len(listed))
 	for _, l := range listed {
 		listedCounts[scalingKeyOf(&l)] = l.Count
@@ -52,6 +53,9 @@
 	var out []provider.ScalingRequest
 	for _, target := range targets {
 		key := scalingKeyOf(&target)
+		if keep[key.service] && target.Count < s.present(key, listedCounts[key]) {
+			continue
+		}
 		if s.needed(now, key, target.Count, listedCounts[key]) {
 			out = append(out, provider.ScalingRequest{Service: target.Service, DataCentre: target.DataCentre, Market: key.market, Count: target.Count})
 		}
@@ -59,6 +63,14 @@
 	return out
 }
 
+// present returns the number of servers that there are or that have been requested.
+func (s *scalingState) present(key scalingKey, listed int) int {
+	if last := s.sent.Get(key); last != nil {
+		return max(last.count, listed)
+	}
+	return listed
+}
+
 // needed reports whether to send a scaling request for a target count now. It also
 // records the highest number of listed servers since the last request, up to the target.
 func (s *scalingState) needed(now time.Time, key scalingKey, target, listed int) bool {
