--- a/internal/gateway/order_book.go
+++ b/internal/gateway/order_book.go
@@ -20,6 +20,7 @@
 // the same as a known one therefore is the known one and keeps its identity.
 type orderBook struct {
 	entries  map[entity.ServiceName]orderEntry
+	past     map[entity.ServiceName][]orderEntry  // replaced or withdrawn, oldest first
 	unusable map[entity.ServiceName]uint64        // versions of the rows that were ignored
 	states   map[entity.ServiceName]rollout.State // as read from their rows
 	position uint64                               // version of the table service up to which orders are known; 0: not read
@@ -42,6 +43,7 @@
 func newOrderBook() *orderBook {
 	return &orderBook{
 		entries:  make(map[entity.ServiceName]orderEntry),
+		past:     make(map[entity.ServiceName][]orderEntry),
 		unusable: make(map[entity.ServiceName]uint64),
 		states:   make(map[entity.ServiceName]rollout.State),
 	}
@@ -78,10 +80,10 @@
 	service := c.Value.OrderOf
 	known, stands := b.entries[service]
 	switch {
-	case stands && c.Version <= known.rowVersion:
+	case stands && c.Version <= known.rowVersion || b.isPast(service, c):
 		return orderChange{}, false
 	case c.Removed:
-		delete(b.entries, service)
+		b.drop(service)
 		delete(b.unusable, service)
 		delete(b.states, service) // an equal order that follows is another one
 		return orderChange{service: service, withdrawn: true}, stands
@@ -90,10 +92,40 @@
 	}
 	delete(b.unusable, service)
 	entry := orderEntry{order: b.identify(c.Value.Order), rowVersion: c.Version}
+	if stands && entry.order != known.order {
+		b.drop(service)
+	}
 	b.entries[service] = entry
 	return orderChange{service: service, order: entry.order}, !stands || entry.order != known.order
 }
 
+// maxPastOrders bounds the orders of a service that are kept after their end.
+const maxPastOrders = 16
+
+// drop ends the order of a service that stands, if there is one.
+func (b *orderBook) drop(service entity.ServiceName) {
+	entry, stands := b.entries[service]
+	if !stands {
+		return
+	}
+	delete(b.entries, service)
+	past := append(b.past[service], entry)
+	b.past[service] = past[max(0, len(past)-maxPastOrders):]
+}
+
+// isPast reports whether a row is that of an earlier order, which a restore of the table service
+// has brought back: it has the number and the content that it had before.
+func (b *orderBook) isPast(service entity.ServiceName, c *provider.Change[OperatorEntry]) bool {
+	if c.Removed || c.Err != nil {
+		return false
+	}
+	_, number := provider.SplitVersion(c.Version)
+	return slices.ContainsFunc(b.past[service], func(e orderEntry) bool {
+		_, pastNumber := provider.SplitVersion(e.rowVersion)
+		return number == pastNumber && isRestored(&c.Value.Order, &e.order)
+	})
+}
+
 // ignore records an order that cannot be used. The order before it stays in force; a daemon that
 // did not know it finds it in the state of the roll-out.
 func (b *orderBook) ignore(service entity.ServiceName, c *provider.Change[OperatorEntry]) (orderChange, bool) {
@@ -138,7 +170,7 @@
 		if listed[service] || provider.Generation(entry.rowVersion) != provider.Generation(position) {
 			continue
 		}
-		delete(b.entries, service)
+		b.drop(service)
 		out = append(out, orderChange{service: service, withdrawn: true})
 	}
 	return out
--- a/internal/gateway/order_book_test.go
+++ b/internal/gateway/order_book_test.go
@@ -96,6 +96,18 @@
 			{name: "written again by the operator", read: changes(version(4, 7), orderTo("v2", version(4, 7)))},
 			{name: "another version is ordered", read: changes(version(4, 8), orderTo("v3", version(4, 8))), set: []uint64{version(4, 8)}},
 		}},
+		"restored from before the order was replaced": {steps: []bookStep{
+			{name: "first", read: list(version(3, 9), orderTo("v2", version(3, 5))), set: []uint64{version(3, 5)}},
+			{name: "replaced", read: changes(version(3, 11), orderTo("v3", version(3, 11))), set: []uint64{version(3, 11)}},
+			{name: "the first is back", read: list(version(4, 9), orderTo("v2", version(4, 5)))},
+			{name: "the second is written again", read: changes(version(4, 10), orderTo("v3", version(4, 10)))},
+		}},
+		"restored from before the order was removed": {steps: []bookStep{
+			{name: "first", read: list(version(3, 9), orderTo("v2", version(3, 5))), set: []uint64{version(3, 5)}},
+			{name: "removed", read: changes(version(3, 11), removal(version(3, 11))), withdrawn: 1},
+			{name: "the first is back", read: list(version(4, 9), orderTo("v2", version(4, 5)))},
+			{name: "ordered again", read: changes(version(4, 10), orderTo("v2", version(4, 10))), set: []uint64{version(4, 10)}},
+		}},
 		"restored before the start of this process": {states: []rollout.State{rolledBack}, steps: []bookStep{
 			{name: "first", read: list(version(4, 9), orderTo("v2", version(4, 5))), set: []uint64{version(3, 5)}},
 			{name: "removed", read: changes(version(4, 10), removal(version(4, 10))), withdrawn: 1},
--- a/internal/gateway/rollout_status.go
+++ b/internal/gateway/rollout_status.go
@@ -46,7 +46,8 @@
 func rollingOut(all []exchange.RolloutStatus) map[entity.ServiceName]bool {
 	out := make(map[entity.ServiceName]bool)
 	for i := range all {
-		if !all[i].Stage.Ended() && all[i].Left > 0 {
+		undecided := all[i].Stage == rollout.Unknown
+		if undecided || !all[i].Stage.Ended() && all[i].Left > 0 {
 			out[all[i].Service] = true
 		}
 	}
