Decisions of roll-outs: split, judgement, schedule, and their integration

A service's traffic moves to an ordered version in stages that the leader decides and each daemon bounds by its own counts.

The committed threshold is 12.

--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -19,6 +19,7 @@
 		c.placer.RecordFailure(now, t.tried[n-1], failureWeights[o])
 	}
 	c.recordEvidence(now, t, o)
+	c.rolloutEnded(now, t, o)
 	switch o {
 	case Answered, Abandoned:
 		t.Ran++
--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -27,6 +27,7 @@
 		c.logContinuation(event.StreamContinued, t, choice.Server)
 	}
 	c.recordCachedPrompt(choice.Server, t)
+	c.rolloutSent(t, choice)
 	a := Attempt{
 		Server: choice.Server, Address: row.Address, ServerVersion: row.Version, Priority: t.priority,
 		TimeLeft: t.timeLeft(now), Model: t.Route.ModelWork, SilenceDeadline: silenceDeadline(now, t, choice.Cost),
@@ -75,6 +76,7 @@
 	c.placer.RecordFirstEvent(now, t.reservation)
 	c.countUsage(now, t)
 	c.recordStream(now, t)
+	c.rolloutStarted(now, t)
 }
 
 // countUsage counts the request once in its organisation's usage.
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -85,6 +85,7 @@
 	streams                *streamversion.Registry
 	streamNews             map[entity.InstanceID][]streamversion.Record // to send, by daemon
 	events                 []event.Event                                // for the log, since TakeEvents was last called
+	rollouts               rolloutTable
 	levels                 *entity.Table[entity.ServiceName, capacity.Level]
 	reclaimableExhaustedAt *entity.Table[reclaimableLocation, time.Time] // when a scaling request was last refused
 }
@@ -103,6 +104,7 @@
 		crash:                  newCrashGuard(),
 		deaths:                 newDeathLog(),
 		limits:                 newLimitTable(),
+		rollouts:               newRolloutTable(),
 		streams:                streamversion.New(),
 		streamNews:             make(map[entity.InstanceID][]streamversion.Record),
 		levels:                 entity.NewTable[entity.ServiceName, capacity.Level](),
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -136,11 +136,12 @@
 	Count       int
 }
 
-// ListedServers returns the numbers of backend servers that are listed as ready.
+// ListedServers returns the numbers of backend servers that are listed as ready. During a
+// roll-out those of the ordered version do not count.
 func (c *Core) ListedServers() []ServerCount {
 	counts := entity.NewTable[ServerCount, int]()
 	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
-		if row.listed && row.State == Ready {
+		if row.listed && row.State == Ready && c.countsForCapacity(row) {
 			key := ServerCount{Service: row.Service, DataCentre: row.DataCentre, Reclaimable: row.Reclaimable}
 			n := counts.Get(key)
 			if n == nil {
@@ -178,6 +179,7 @@
 				ServerCount{s.Name, target.DataCentre, true, target.Reclaimable})
 		}
 	}
+	c.keepServerCounts(out)
 	return out
 }
 
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -19,6 +19,7 @@
 	Completions []entity.Digest  `cbor:"3,keyasint,omitempty"`
 	Limits      []LimitStatement `cbor:"4,keyasint,omitempty"`
 	Trials      []ContentTrial   `cbor:"5,keyasint,omitempty"` // at the sender
+	BadRollouts []BadRollout     `cbor:"6,keyasint,omitempty"` // found by the sender
 }
 
 // ProcessDeath says that a process of a backend server has died, or one that has started
@@ -46,7 +47,7 @@
 
 // Empty reports whether the notice says nothing.
 func (n *Notice) Empty() bool {
-	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials) == 0
+	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials)+len(n.BadRollouts) == 0
 }
 
 // noticeDue returns what the update with the given sequence number must include. All other
@@ -55,14 +56,15 @@
 	return Notice{
 		ContentDeaths: undated(now, c.crash.contentDeaths.due(sequence, acked)), DeadProcesses: undatedProcessDeaths(now, c.crash.deadProcesses.due(sequence, acked)),
 		Completions: c.crash.completions.due(sequence, acked), Limits: c.limits.statements(now, c.limits.changes.due(sequence, acked)),
-		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)),
+		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)), BadRollouts: c.rollouts.found.due(sequence, acked),
 	}
 }
 
 // NoticePending reports whether there is anything for a notice.
 func (c *Core) NoticePending() bool {
 	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() ||
-		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.limits.changes.hasUnnoticed()
+		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.limits.changes.hasUnnoticed() ||
+		c.rollouts.found.hasUnnoticed()
 }
 
 // NextNotice returns what no update or notice has told yet.
@@ -70,7 +72,7 @@
 	return Notice{
 		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: undatedProcessDeaths(now, c.crash.deadProcesses.unnoticed()),
 		Completions: c.crash.completions.unnoticed(), Limits: c.limits.statements(now, c.limits.changes.unnoticed()),
-		Trials: undatedTrials(now, c.crash.trials.unnoticed()),
+		Trials: undatedTrials(now, c.crash.trials.unnoticed()), BadRollouts: c.rollouts.found.unnoticed(),
 	}
 }
 
@@ -90,6 +92,9 @@
 	for _, t := range notice.Trials {
 		c.crash.registry.RecordTrial(t.Digest, quarantine.Trial{At: now.Add(-t.Ago), Explained: t.Explained})
 	}
+	for i := range notice.BadRollouts {
+		c.receiveBadRollout(now, from, &notice.BadRollouts[i])
+	}
 	for i := range notice.Limits {
 		c.receiveLimit(now, &notice.Limits[i], from)
 	}
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -131,6 +131,7 @@
 		c.receiveDraining(now, s)
 	}
 	c.ReceiveNotice(now, row.Name, &update.Notice)
+	c.receiveRollouts(now, row, update.Rollouts)
 	for _, p := range update.CachedPrompts {
 		c.placer.AddCachedPart(now, p.Server, p.Part)
 	}
@@ -157,6 +158,7 @@
 	c.crash.forget(now)
 	c.updateLimits(now)
 	c.refreshVersions(now)
+	c.tickRollouts(now)
 	reachable, known := c.countDaemons(now)
 	if c.forgetSilentPeers(now, reachable, known) {
 		reachable, known = c.countDaemons(now)
--- a/internal/exchange/place.go
+++ b/internal/exchange/place.go
@@ -102,17 +102,20 @@
 	return !t.Deadline.IsZero() && t.Deadline.Sub(now) < minTimeLeft
 }
 
-// chooseServer chooses among the usable backend servers that the request has not
-// tried. A stream goes to a server whose version is known, if there is one, so that it can be
-// continued.
-func (c *Core) chooseServer(now time.Time, t *Ticket) (placement.Choice, bool) {
+// chooseOfVersions chooses among the usable backend servers that the request has not tried and
+// that are allowed. A stream goes to a server whose version is known, if there is one, so that
+// it can be continued.
+func (c *Core) chooseOfVersions(now time.Time, t *Ticket, allowed func(*serverRow) bool) (placement.Choice, bool) {
 	if t.Route.Kind == Stream && t.Route.Resumable {
-		choice, ok := c.chooseAmong(now, t, func(id entity.BackendServerID) bool { return c.servers.Get(id).versionKnown(now) })
+		choice, ok := c.chooseAmong(now, t, func(id entity.BackendServerID) bool {
+			row := c.servers.Get(id)
+			return row.versionKnown(now) && allowed(row)
+		})
 		if ok || t.continues() {
 			return choice, ok
 		}
 	}
-	return c.chooseAmong(now, t, func(entity.BackendServerID) bool { return true })
+	return c.chooseAmong(now, t, func(id entity.BackendServerID) bool { return allowed(c.servers.Get(id)) })
 }
 
 // chooseAmong chooses among the usable backend servers that the request has not tried and
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -98,6 +98,7 @@
 	process         entity.ServerProcess     // of the backend server of the present attempt
 	serverVersion   string                   // of the software of that backend server, when the attempt began
 	origin          streamOrigin
+	rollout         rolloutSend     // of the present attempt
 	sentAt          time.Time       // when the present attempt began
 	contents        []entity.Digest // see contentsOf
 	trials          []datedTrial    // of the request's refused contents, by the present attempt
--- a/internal/exchange/rollout.go
+++ b/internal/exchange/rollout.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/rollout"
 )
 
@@ -38,27 +37,3 @@
 	Route    string
 	Old, New rollout.Samples
 }
-
-// SetRolloutOrder applies the newest order of a service.
-func (c *Core) SetRolloutOrder(now time.Time, o rollout.Order) {}
-
-// WithdrawRollout records that the row of a service's order was removed.
-func (c *Core) WithdrawRollout(now time.Time, s entity.ServiceName) {}
-
-// RolloutOrdersConfirmed records that a read of the operator's entries that began at the given
-// time, and whose orders have been applied, showed all of them. A version of a service that
-// appears counts as ordered by nobody only after such a read.
-func (c *Core) RolloutOrdersConfirmed(at time.Time) {}
-
-// RestoreRollout applies a state that was read from its row.
-func (c *Core) RestoreRollout(now time.Time, s rollout.State) {}
-
-// RolloutsToCommit returns the states that should be written now. The daemon must hold the lease.
-// A write that fails because the row has changed is followed by a read and RestoreRollout.
-func (c *Core) RolloutsToCommit(now time.Time) []rollout.State { return nil }
-
-// RolloutCommitted records that a state has been written.
-func (c *Core) RolloutCommitted(now time.Time, s rollout.State) {}
-
-// Rollouts returns the roll-outs that this daemon knows, by service.
-func (c *Core) Rollouts(now time.Time) []RolloutStatus { return nil }
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -89,6 +89,7 @@
 		c.recordReplacedServers(now, &s)
 	}
 	c.sawVersion(now, &s)
+	c.rolloutSawServer(now, &s)
 	if old != nil {
 		row.diedAt = old.diedAt
 	}
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -11,7 +11,10 @@
 
 // TableRestored records that a list that was just read is the first one since the table
 // service was restored from a backup.
-func (c *Core) TableRestored(now time.Time) { c.tableRecoveredAt, c.tableRestoredAt = now, now }
+func (c *Core) TableRestored(now time.Time) {
+	c.tableRecoveredAt, c.tableRestoredAt = now, now
+	c.forgetRolloutRows()
+}
 
 // recentlyRestored reports whether rows of the table service may still be missing, or
 // be older than known ones, because of a restore.
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -72,6 +72,9 @@
 	Memory  entity.Tokens          `cbor:"5,keyasint,omitempty"`
 }
 
+// Requests returns the number of requests, those whose first event has not arrived included.
+func (l *ServerLoad) Requests() int { return l.Waiting.total() + l.Running }
+
 // Query describes a request to be placed.
 type Query struct {
 	Service    entity.ServiceName
--- /dev/null
+++ b/internal/system/rollout/judge.go
@@ -0,0 +1,296 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// binLength is the time over which samples are summed up before a new bin begins.
+	binLength = time.Second
+	// maxBins is the number of newest bins with which windows begin. One more window holds
+	// all samples, so that a version that is bad from the start or later is found alike.
+	maxBins = 15
+	// maxRoutes bounds the routes of one roll-out that are judged.
+	maxRoutes = 64
+)
+
+// Finding says why a version was found bad.
+type Finding struct {
+	Route    string
+	Kind     string  // what was compared
+	Score    float64 // of the test
+	Old, New Samples // that were compared
+}
+
+// Kinds of findings.
+const (
+	KindFailures  = "failures"
+	KindFirstSlow = "slow first events"
+	KindRestSlow  = "slow answers"
+	KindFirstMean = "mean time to the first event"
+	KindRestMean  = "mean time of answers"
+)
+
+// groups are the samples of both groups over some time.
+type groups [2]Samples
+
+// Judge compares the answers of both versions route by route, over all windows that end now.
+type Judge struct {
+	routes map[string]*routeBins
+	names  []string // of the routes, in the order in which they appeared
+}
+
+// routeBins are the samples of a route.
+type routeBins struct {
+	total groups
+	bins  []bin // oldest first; the first one holds all that is older
+}
+
+// bin holds the samples of some time.
+type bin struct {
+	began   time.Time
+	samples groups
+}
+
+// NewJudge returns a judge without samples.
+func NewJudge() *Judge { return &Judge{routes: map[string]*routeBins{}} }
+
+// Add adds samples that have arrived. It ignores routes beyond a bound.
+func (j *Judge) Add(now time.Time, route string, g Group, s Samples) {
+	r := j.routes[route]
+	if r == nil {
+		if len(j.names) >= maxRoutes {
+			return
+		}
+		r = &routeBins{}
+		j.routes[route] = r
+		j.names = append(j.names, route)
+	}
+	r.total[g].Add(s)
+	r.bin(now).samples[g].Add(s)
+}
+
+// bin returns the bin of the present time.
+func (r *routeBins) bin(now time.Time) *bin {
+	if n := len(r.bins); n == 0 || now.Sub(r.bins[n-1].began) >= binLength {
+		r.bins = append(r.bins, bin{began: now})
+	}
+	if len(r.bins) > maxBins {
+		r.bins[1].samples[Old].Add(r.bins[0].samples[Old])
+		r.bins[1].samples[New].Add(r.bins[0].samples[New])
+		r.bins = append(r.bins[:0], r.bins[1:]...)
+	}
+	return &r.bins[len(r.bins)-1]
+}
+
+// Total returns the samples of a route since the order.
+func (j *Judge) Total(route string) (old, ordered Samples) {
+	if r := j.routes[route]; r != nil {
+		return r.total[Old], r.total[New]
+	}
+	return Samples{}, Samples{}
+}
+
+// Routes returns the names of the routes with samples.
+func (j *Judge) Routes() []string { return j.names }
+
+const (
+	// minRouteAnswers is the number of answers of the old version that shows that a route has
+	// requests, and minNewAnswers that of the new one which suffices for a promotion.
+	minRouteAnswers = 40
+	minNewAnswers   = 5
+)
+
+// Sampled reports whether the new version has some answers on each route with requests.
+func (j *Judge) Sampled() bool {
+	for _, r := range j.routes {
+		if r.total[Old].Answers >= minRouteAnswers && r.total[New].Answers < minNewAnswers {
+			return false
+		}
+	}
+	return len(j.routes) > 0
+}
+
+// allRoutes is the route of a finding that rests on all routes together.
+const allRoutes = "all"
+
+// Find returns why the new version is bad, or nil. It looks at each route and at all routes
+// together, over each window that begins with a bin and ends now.
+func (j *Judge) Find() *Finding {
+	windows := make([][]window, 0, len(j.names))
+	for _, name := range j.names {
+		list := j.routes[name].windows()
+		for i := range list {
+			if f := list[i].test(); f != nil {
+				f.Route = name
+				return f
+			}
+		}
+		windows = append(windows, list)
+	}
+	return findTogether(windows)
+}
+
+// findTogether tests the windows of all routes that begin with the same number of bins before
+// the present one.
+func findTogether(windows [][]window) *Finding {
+	longest := 0
+	for _, list := range windows {
+		longest = max(longest, len(list))
+	}
+	for i := range longest {
+		sum := together(windows, i)
+		if f := sum.test(); f != nil {
+			f.Route = allRoutes
+			return f
+		}
+	}
+	return nil
+}
+
+// window holds the samples of both groups over some time that ends now. The times of the new
+// version are without those of the bin in which most of them were slow: a server that stalls
+// for a moment delays all that it runs, which is no evidence.
+type window struct {
+	old, ordered Samples
+}
+
+// windows returns the windows of a route, the shortest first.
+func (r *routeBins) windows() []window {
+	out := make([]window, 0, len(r.bins))
+	var sum groups
+	var worstFirst, worstRest bin
+	for i := len(r.bins) - 1; i >= 0; i-- {
+		b := &r.bins[i]
+		sum[Old].Add(b.samples[Old])
+		sum[New].Add(b.samples[New])
+		if i > 0 || len(r.bins) < maxBins { // else it is no single bin
+			worstFirst.keepMoreSlow(b, func(s *Samples) Times { return s.First })
+			worstRest.keepMoreSlow(b, func(s *Samples) Times { return s.Rest })
+		}
+		w := window{sum[Old], sum[New]}
+		w.ordered.First.remove(worstFirst.samples[New].First)
+		w.ordered.Rest.remove(worstRest.samples[New].Rest)
+		out = append(out, w)
+	}
+	return out
+}
+
+// keepMoreSlow keeps the bin in which the new version had more slow answers.
+func (b *bin) keepMoreSlow(other *bin, of func(*Samples) Times) {
+	if of(&other.samples[New]).Slow >= of(&b.samples[New]).Slow {
+		*b = *other
+	}
+}
+
+// maxMixFactor limits the size of the old group, in multiples of the new one's, when all routes
+// are compared together.
+const maxMixFactor = 11.0
+
+// together returns the sum of the routes' windows with the given index, where the old group of
+// each is reduced to the share that the route has of the new group. Routes that differ by nature
+// can then be compared together.
+func together(windows [][]window, index int) window {
+	var sum window
+	var chosen []*window
+	factor := maxMixFactor
+	for _, list := range windows {
+		if len(list) == 0 {
+			continue
+		}
+		w := &list[min(index, len(list)-1)]
+		if w.old.Answers > 0 && w.ordered.Answers > 0 {
+			chosen = append(chosen, w)
+			factor = min(factor, float64(w.old.Answers)/float64(w.ordered.Answers))
+		}
+	}
+	for _, w := range chosen {
+		sum.ordered.Add(w.ordered)
+		sum.old.Add(w.old.scaled(factor * float64(w.ordered.Answers) / float64(w.old.Answers)))
+	}
+	return sum
+}
+
+// test compares the groups.
+func (w *window) test() *Finding {
+	o, n := &w.old, &w.ordered
+	finding := func(kind string, score float64) *Finding {
+		return &Finding{Kind: kind, Score: score, Old: *o, New: *n}
+	}
+	if score := failureScore(n.Failures, n.Answers, o.Failures, o.Answers); score > maxScore && n.Failures >= minBad {
+		return finding(KindFailures, score)
+	}
+	first, rest := &n.First, &n.Rest
+	if score := failureScore(first.Slow, first.Count, o.First.Slow, o.First.Count); score > maxScore && first.Slow >= minBad {
+		return finding(KindFirstSlow, score)
+	}
+	if score := failureScore(rest.Slow, rest.Count, o.Rest.Slow, o.Rest.Count); score > maxScore && rest.Slow >= minBad {
+		return finding(KindRestSlow, score)
+	}
+	if score := slownessScore(first, &o.First); score > maxDeviation {
+		return finding(KindFirstMean, score)
+	}
+	if score := slownessScore(rest, &o.Rest); score > maxDeviation {
+		return finding(KindRestMean, score)
+	}
+	return nil
+}
+
+const (
+	// maxScore is the logarithm of the likelihood ratio above which a share of bad answers is
+	// not taken for chance, and maxDeviation the number of standard errors for a mean. Both
+	// allow for many looks at several windows of several routes.
+	maxScore     = 12.0
+	maxDeviation = 5.5
+	// minBad is the least number of bad answers for a finding.
+	minBad = 6
+	// minTimes is the least number of times of each group for comparing their means.
+	minTimes = 12
+	// slowerFactor is the factor by which the new version must be slower in the mean. Servers
+	// of one version differ by nearly as much, and few of them get the canary's requests.
+	slowerFactor = 1.6
+	// minLogVariance keeps a few equal times from passing for certainty.
+	minLogVariance = 0.04
+)
+
+// failureScore returns the logarithm of the likelihood ratio of two hypotheses: that the new
+// group has a higher rate of bad answers than the old one, and that the rates are equal. It is
+// 0 if the new group's rate is not higher.
+func failureScore(newBad, newAll, oldBad, oldAll uint32) float64 {
+	if newAll == 0 || oldAll == 0 || newBad > newAll || oldBad > oldAll {
+		return 0
+	}
+	if float64(newBad)*float64(oldAll) <= float64(oldBad)*float64(newAll) {
+		return 0
+	}
+	pooled := logLikelihood(newBad+oldBad, newAll+oldAll)
+	return logLikelihood(newBad, newAll) + logLikelihood(oldBad, oldAll) - pooled
+}
+
+// logLikelihood returns the logarithm of the likelihood of some bad answers among all at the
+// rate that explains them best.
+func logLikelihood(bad, all uint32) float64 {
+	out := 0.0
+	for _, part := range []uint32{bad, all - bad} {
+		if part > 0 {
+			out += float64(part) * math.Log(float64(part)/float64(all))
+		}
+	}
+	return out
+}
+
+// slownessScore returns by how many standard errors the new group's mean time is above that of
+// the old one times slowerFactor.
+func slownessScore(n, o *Times) float64 {
+	if n.Count < minTimes || o.Count < minTimes {
+		return 0
+	}
+	newMean, newVariance := n.moments()
+	oldMean, oldVariance := o.moments()
+	excess := newMean - oldMean - math.Log(slowerFactor)
+	if excess <= 0 {
+		return 0
+	}
+	return excess / math.Sqrt(newVariance/float64(n.Count)+oldVariance/float64(o.Count))
+}
--- a/internal/system/rollout/rollout.go
+++ b/internal/system/rollout/rollout.go
@@ -114,6 +114,9 @@
 	// OrderedAt is the true time since 1970 when the order was first seen.
 	OrderedAt time.Duration `cbor:"6,keyasint" json:"ordered_at_ns"`
 	Sequence  uint64        `cbor:"7,keyasint" json:"sequence"` // rises with each change
+	// From are the versions that served when the order was first seen. Any other version but
+	// the ordered one belongs to an order that was replaced or withdrawn.
+	From []string `cbor:"8,keyasint,omitempty" json:"from,omitempty"`
 }
 
 // Deadline returns the true time since 1970 by which the roll-out must have ended.
