--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -43,6 +43,9 @@
 	onBegin     func(*fleetRun, *fleetServer)            // called when a daemon gets the first event of a run
 	onEnd       func(id entity.RequestID, answered bool) // called when a request has ended, or its daemon was killed
 	onNotice    func(to *fleetDaemon, n *Notice)         // called when a daemon gets a notice, alone or with an update
+	rollouts    RolloutBounds
+	onTick      func(*fleetDaemon, *Core)                                             // called after a daemon's periodic tasks
+	onRun       func(*fleetRun, *fleetServer, *time.Duration, *time.Duration) Outcome // may change when the first event and the end of a run come, and returns how it ends
 }
 
 const (
@@ -129,6 +132,8 @@
 		onNotice:    func(*fleetDaemon, *Notice) {},
 		onBegin:     func(*fleetRun, *fleetServer) {},
 		onEnd:       func(entity.RequestID, bool) {},
+		onTick:      func(*fleetDaemon, *Core) {},
+		onRun:       func(*fleetRun, *fleetServer, *time.Duration, *time.Duration) Outcome { return Answered },
 	}
 	for i := range servers {
 		for _, service := range []entity.ServiceName{"engine", "plain"} {
@@ -162,6 +167,7 @@
 			QuotaWindow: quotaWindow, QuotaExcessRatio: quotaExcessRatio, QuotaExcessUnits: quotaExcessUnits,
 			StaleAfter: 4 * time.Second, RetryRatio: f.retries.ratio, RetryReserve: f.retries.reserve, UsageWindow: 5 * time.Second,
 			ForgetServerAfter: 10 * time.Second, UpdateIntervalPerPeer: 10 * time.Millisecond, ForgetPeerAfter: 10 * time.Second,
+			Rollout: f.rollouts,
 		},
 	})
 	core := d.core
@@ -344,6 +350,8 @@
 		core.Confirm(f.now)
 	}
 	core.Tick(f.now)
+	f.onTick(d, core)
+	f.perform(core)
 	f.after(250*time.Millisecond, func() { f.whenRunning(d, func() { f.housekeep(d, core) }) })
 }
 
@@ -488,16 +496,27 @@
 		return
 	}
 	start, end := f.runDuration(run.ticket.Request)
+	outcome := f.onRun(run, s, &start, &end)
 	f.after(start, func() { f.begin(run, s) })
 	f.after(end, func() {
 		if s.runs[run] {
 			delete(s.runs, run)
 			run.daemon.idle[s] = f.now.Add(idleTimeout)
-			f.after(networkDelay, func() { f.end(run, Answered) })
+			f.after(networkDelay, func() { f.endRun(run, outcome) })
 		}
 	})
 }
 
+// endRun ends an attempt whose answer is there. A failure is the answer to the caller if no other
+// attempt may replace it.
+func (f *testFleet) endRun(run *fleetRun, o Outcome) {
+	if o == Failed && !run.ended && run.daemon.core == run.core && !run.core.MayReplace(f.now, run.ticket) {
+		run.core.RecordFailedAnswer(run.ticket)
+		o = Answered
+	}
+	f.end(run, o)
+}
+
 // crashLater lets a run crash its server after some time.
 func (f *testFleet) crashLater(run *fleetRun, s *fleetServer, delay time.Duration) {
 	if before := f.eventBefore(run.ticket.Request); before > 0 {
--- a/internal/exchange/rollout_count.go
+++ b/internal/exchange/rollout_count.go
@@ -27,7 +27,7 @@
 	case row == nil:
 	case t.serverVersion == row.state.To:
 		t.rollout.order, t.rollout.group = row.state.Order, rollout.New
-		row.split.Sends++
+		row.split.CountSend()
 	case c.isOld(row, t.serverVersion):
 		t.rollout.order, t.rollout.group = row.state.Order, rollout.Old
 	}
@@ -46,10 +46,10 @@
 }
 
 // countReached counts once a request that has certainly reached the service.
-func (t *Ticket) countReached(row *rolloutRow) {
+func (c *Core) countReached(row *rolloutRow, t *Ticket) {
 	if !t.rollout.reached {
 		t.rollout.reached = true
-		row.split.Reached++
+		row.split.CountReached(rollout.CanaryShare(c.cfg.Bounds.Rollout.Share))
 	}
 }
 
@@ -59,7 +59,7 @@
 	if row == nil {
 		return
 	}
-	t.countReached(row)
+	c.countReached(row, t)
 	c.countSample(now, row, t, func(s *rollout.Samples) { s.First.Record(now.Sub(t.sentAt), t.rollout.expected) })
 }
 
@@ -133,7 +133,7 @@
 	case Answered:
 		c.countAnswer(now, row, t)
 	case Failed:
-		t.countReached(row)
+		c.countReached(row, t)
 		c.countSample(now, row, t, func(s *rollout.Samples) { s.Answers, s.Failures = 1, 1 })
 	case Broken, Silent:
 		c.countOverdue(now, row, t)
@@ -141,13 +141,13 @@
 	case Abandoned:
 		c.countOverdue(now, row, t)
 	case Rejected:
-		t.countReached(row)
+		c.countReached(row, t)
 	}
 }
 
 // countAnswer counts a complete answer.
 func (c *Core) countAnswer(now time.Time, row *rolloutRow, t *Ticket) {
-	t.countReached(row)
+	c.countReached(row, t)
 	if t.rollout.group == rollout.Old {
 		row.longestRun = max(row.longestRun, now.Sub(t.sentAt))
 	}
--- a/internal/system/rollout/split.go
+++ b/internal/system/rollout/split.go
@@ -13,9 +13,11 @@
 	// usedShareRatio is the ratio of the share that a bad version may get which the canary
 	// uses. The rest is for what the new version gets while its share rises.
 	usedShareRatio = 0.8
-	// catchUpFactor is how much more often than its share the canary is chosen while it has
-	// got less than its share. It is low, as a flood would hit empty caches.
-	catchUpFactor = 1.25
+	// maxCredit is the number of canary sends that may be saved up while none is possible, and
+	// canaryDraw the ratio of requests that are canaries while one is due. Both keep what was
+	// saved up from flooding the empty caches of the new servers.
+	maxCredit  = 2.0
+	canaryDraw = 0.25
 )
 
 // CanaryShare returns the ratio of a service's requests that the new version gets in the stage
@@ -26,19 +28,30 @@
 // covered by requests that have reached the service, so that the bound on the canary's share
 // holds over all processes without any message between them.
 type Split struct {
-	Reached uint64 // requests that have certainly reached the service
-	Sends   uint64 // to the new version, rejected ones included
+	Reached uint64  // requests that have certainly reached the service
+	Sends   uint64  // to the new version, rejected ones included
+	credit  float64 // canary sends that are due
 }
 
-// MayTry reports whether the canary share covers another send to the new version.
+// CountReached counts a request that has certainly reached the service.
+func (s *Split) CountReached(canaryShare float64) {
+	s.Reached++
+	s.credit = min(s.credit+canaryShare, maxCredit)
+}
+
+// CountSend counts a send to the new version.
+func (s *Split) CountSend() {
+	s.Sends++
+	s.credit = max(s.credit-1, -maxCredit)
+}
+
+// MayTry reports whether the canary share covers another send to the new version, and one is due.
 func (s *Split) MayTry(canaryShare float64) bool {
-	return float64(s.Sends+1) <= canaryShare*float64(s.Reached)
+	return s.credit >= 1 && float64(s.Sends+1) <= canaryShare*float64(s.Reached)
 }
 
 // DrawsCanary reports whether a request is among those that the canary gets if MayTry allows.
-func DrawsCanary(id entity.RequestID, order uint64, canaryShare float64) bool {
-	return draw(id, order) < catchUpFactor*canaryShare
-}
+func DrawsCanary(id entity.RequestID, order uint64) bool { return draw(id, order) < canaryDraw }
 
 // DrawsNew reports whether a request is among the share that the new version gets while that
 // rises. With a higher share the same requests are among it, and more.
