--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -44,6 +44,7 @@
 	Reports    []UsageReport `cbor:"18,keyasint,omitempty"` // only from the lease holder
 	Notice     Notice        `cbor:"19,keyasint,omitempty"`
 	Orders     *KnownOrders  `cbor:"24,keyasint,omitempty"` // only from daemons that query the table service often
+	Rollouts   []RolloutNews `cbor:"20,keyasint,omitempty"`
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -72,6 +73,7 @@
 		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now),
 		Notice: c.noticeDue(now, c.sequence, acked), Orders: c.knownOrders(now),
 	}
+	update.Rollouts = c.rolloutNews(now)
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
 	if c.index != nil {
--- a/internal/gateway/order_book_test.go
+++ b/internal/gateway/order_book_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/provider"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/rollout"
 )
@@ -149,7 +148,7 @@
 // TestMayCommit guards against a late leader that undoes a stage, or takes up an ended roll-out.
 func TestMayCommit(t *testing.T) {
 	state := func(order uint64, stage rollout.Stage) *rollout.State {
-		return &rollout.State{Service: entity.ServiceName("app"), Order: order, Stage: stage}
+		return &rollout.State{Service: "app", Order: order, Stage: stage}
 	}
 	for _, test := range []struct {
 		stored, next     *rollout.State
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -52,7 +52,7 @@
 func (w *orderWatch) ignoreAll(r *orderRead) {
 	for _, change := range r.changes {
 		if !change.Removed {
-			w.g.event(event.RolloutOrderIgnored, "", event.A("service", change.Value.OrderOf), event.A("error", "roll-outs are off: the settings have no bounds for them"))
+			w.g.event(event.RolloutOrderIgnored, "", event.A("service", change.Value.OrderOf), event.A("reason", "roll-outs are off: the settings have no bounds for them"))
 		}
 	}
 }
@@ -120,11 +120,11 @@
 
 func (w *orderWatch) logChange(c *orderChange, source string) {
 	if c.err != nil {
-		w.g.event(event.RolloutOrderIgnored, "", event.A("service", c.service), event.A("error", c.err.Error()))
+		w.g.event(event.RolloutOrderIgnored, "", event.A("service", c.service), event.A("reason", c.err.Error()))
 	}
 	switch {
 	case c.withdrawn:
-		w.g.event(event.RolloutOrderWithdrawn, "", event.A("service", c.service), event.A("source", source))
+		w.g.event(event.RolloutOrderRemoved, "", event.A("service", c.service), event.A("source", source))
 	case c.order.Version != 0:
 		w.g.event(event.RolloutOrderRead, "", event.A("service", c.service), event.A("to", c.order.To), event.A("order", c.order.Version),
 			event.A("duration_ms", c.order.Duration.Milliseconds()), event.A("source", source))
@@ -190,7 +190,7 @@
 	r := orderRead{complete: true, position: list.Position, source: source}
 	for _, o := range list.Orders {
 		if err := o.Check(); err != nil {
-			w.g.event(event.RolloutOrderIgnored, "", event.A("service", o.Service), event.A("error", err.Error()))
+			w.g.event(event.RolloutOrderIgnored, "", event.A("service", o.Service), event.A("reason", err.Error()))
 			continue
 		}
 		r.changes = append(r.changes, provider.Change[OperatorEntry]{Version: o.Version, Value: OperatorEntry{OrderOf: o.Service, Order: o}})
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -26,14 +27,14 @@
 	g          *Gateway
 	lease      *leaderTasks
 	reconciled uint64                               // epoch of the lease in which the stored states were last compared
-	failing    map[entity.ServiceName]rollout.State // whose last commit failed and was logged
+	failing    map[entity.ServiceName]rollout.Stage // whose last commit failed and was logged
 }
 
 // runRollouts reads the stored states of roll-outs, and commits their stages while this daemon
 // holds the lease. It runs beside the other leader tasks, whose calls may take long.
 func (g *Gateway) runRollouts(runCtx context.Context) {
 	g.retryUntilDone(runCtx, g.readRolloutStates)
-	t := &rolloutTasks{g: g, lease: &leaderTasks{g: g}, failing: make(map[entity.ServiceName]rollout.State)}
+	t := &rolloutTasks{g: g, lease: &leaderTasks{g: g}, failing: make(map[entity.ServiceName]rollout.Stage)}
 	for clock.Wait(runCtx, rolloutInterval) {
 		fence, held := t.lease.fence()
 		if held && !t.lease.settling() && t.reconcile(runCtx, fence.Epoch) {
@@ -47,7 +48,8 @@
 	var due []rollout.State
 	t.g.withCore(func(c *exchange.Core, now time.Time) { due = c.RolloutsToCommit(now) })
 	for i := range due {
-		t.noteOutcome(&due[i], t.commit(runCtx, &due[i], mayCommit))
+		outcome, err := t.commit(runCtx, &due[i])
+		t.noteOutcome(&due[i], outcome, err)
 	}
 }
 
@@ -57,25 +59,66 @@
 // errNotLeader: this daemon may not write, as it does not hold the lease for certain.
 var errNotLeader = errors.New("the lease is not held for certain")
 
-// commit writes a state if permitted says that it may follow the stored one. The stored one is
-// read first, as an earlier try whose answer was lost may have taken effect.
-func (t *rolloutTasks) commit(runCtx context.Context, s *rollout.State, permitted func(stored, next *rollout.State) bool) error {
+// errNotDue: the state is not due any more.
+var errNotDue = errors.New("the decision has changed since")
+
+// commitOutcome says what a commit has found or done.
+type commitOutcome uint8
+
+const (
+	nothingWritten commitOutcome = iota
+	alreadyStored                // by an earlier try whose answer was lost, or by another daemon
+	stageWritten
+	stageRewritten // the table service had lost a stage that was known
+)
+
+// commit writes a state if it may follow the stored one, which is read first.
+func (t *rolloutTasks) commit(runCtx context.Context, s *rollout.State) (commitOutcome, error) {
 	row, err := t.read(runCtx, s.Service)
-	switch {
-	case err != nil:
-		return err
-	case row.Err == nil && row.State == *s:
-		return nil
-	case row.Version != 0 && row.Err == nil && !permitted(&row.State, s):
+	if err != nil {
+		return nothingWritten, err
+	}
+	outcome, permitted := stageWritten, mayCommit
+	if t.knows(s) {
+		outcome, permitted = stageRewritten, mayRewrite
+	}
+	if row.Version != 0 && row.Err == nil {
 		t.g.withCore(func(c *exchange.Core, now time.Time) { c.RestoreRollout(now, row.State) })
-		return errSuperseded
+		if row.State.Order == s.Order && row.State.Stage == s.Stage {
+			return alreadyStored, nil
+		}
+		if !permitted(&row.State, s) {
+			return nothingWritten, errSuperseded
+		}
 	}
 	if _, ok := t.lease.fenceForCall(runCtx); !ok {
-		return errNotLeader
+		return nothingWritten, errNotLeader
+	}
+	if !t.isDue(s) {
+		return nothingWritten, errNotDue // the calls before have taken some time
 	}
 	ctx, cancel := context.WithTimeout(runCtx, rolloutCallTimeout)
 	defer cancel()
-	return t.g.Rollouts.Commit(ctx, *s, row.Version)
+	if err := t.g.Rollouts.Commit(ctx, *s, row.Version); err != nil {
+		return nothingWritten, err
+	}
+	return outcome, nil
+}
+
+// knows reports whether this daemon knows that the roll-out has reached the stage of a state.
+func (t *rolloutTasks) knows(s *rollout.State) bool {
+	return slices.ContainsFunc(t.g.rolloutStatus(), func(r exchange.RolloutStatus) bool {
+		return r.Service == s.Service && r.Order == s.Order && r.Stage == s.Stage
+	})
+}
+
+// isDue reports whether a state should still be written.
+func (t *rolloutTasks) isDue(s *rollout.State) bool {
+	var due []rollout.State
+	t.g.withCore(func(c *exchange.Core, now time.Time) { due = c.RolloutsToCommit(now) })
+	return slices.ContainsFunc(due, func(d rollout.State) bool {
+		return d.Service == s.Service && d.Order == s.Order && d.Stage == s.Stage
+	})
 }
 
 // read returns the row of a service's state. A missing row has version 0.
@@ -112,18 +155,24 @@
 
 // noteOutcome tells the core that a state has been written, and logs what came of the try. Of
 // several failures in a row the first is logged.
-func (t *rolloutTasks) noteOutcome(s *rollout.State, err error) {
-	previous, failing := t.failing[s.Service]
+func (t *rolloutTasks) noteOutcome(s *rollout.State, outcome commitOutcome, err error) {
 	switch {
+	case outcome == alreadyStored:
+		delete(t.failing, s.Service)
+		t.g.event(event.RolloutCommitted, "", append(t.attrs(s), event.A("stored_before", true))...)
 	case err == nil:
 		delete(t.failing, s.Service)
 		t.g.withCore(func(c *exchange.Core, now time.Time) { c.RolloutCommitted(now, *s) })
-		t.g.event(event.RolloutCommitted, "", t.attrs(s)...)
+		number := event.RolloutCommitted
+		if outcome == stageRewritten {
+			number = event.RolloutRewritten
+		}
+		t.g.event(number, "", t.attrs(s)...)
 	case errors.Is(err, errSuperseded):
 		delete(t.failing, s.Service)
 		t.g.event(event.RolloutSuperseded, "", t.attrs(s)...)
-	case !failing || previous != *s:
-		t.failing[s.Service] = *s
+	case t.failing[s.Service] != s.Stage:
+		t.failing[s.Service] = s.Stage
 		t.g.event(event.RolloutCommitFailed, "", append(t.attrs(s), event.A("error", err.Error()))...)
 	}
 }
@@ -149,50 +198,18 @@
 	return out
 }
 
-// reconcile compares the stored states with those that this daemon knows, once in each epoch of
-// the lease: when the lease was acquired and when it was renewed after a restore of the table
-// service, which may have lost states. It reports whether that is done.
+// reconcile passes the stored states to the core, once in each epoch of the lease: when the lease
+// was acquired and when it was renewed after a restore of the table service, which may have lost
+// states. The core then has them written again. It reports whether that is done.
 func (t *rolloutTasks) reconcile(runCtx context.Context, epoch uint64) bool {
 	if t.reconciled == epoch {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(runCtx, rolloutCallTimeout)
-	rows, err := t.g.Rollouts.List(ctx)
-	cancel()
-	if err != nil {
+	defer cancel()
+	if err := t.g.readRolloutStates(ctx); err != nil {
 		return false // the watched feeds report the outage; the next interval tries again
 	}
-	stored := make(map[entity.ServiceName]*rollout.State, len(rows))
-	for i := range rows {
-		if rows[i].Err == nil {
-			stored[rows[i].Service] = &rows[i].State
-		}
-	}
-	done := true
-	for _, known := range t.g.rolloutStatus() {
-		previous := stored[known.Service]
-		if known.Stage == rollout.Unknown || previous != nil && !mayRewrite(previous, &known.State) {
-			continue
-		}
-		delete(stored, known.Service)
-		done = t.rewrite(runCtx, &known.State) && done
-	}
-	for _, s := range stored {
-		t.g.withCore(func(c *exchange.Core, now time.Time) { c.RestoreRollout(now, *s) })
-	}
-	if done {
-		t.reconciled = epoch
-	}
-	return done
-}
-
-// rewrite writes a state again that the table service has lost, and reports whether that is done.
-func (t *rolloutTasks) rewrite(runCtx context.Context, s *rollout.State) bool {
-	err := t.commit(runCtx, s, mayRewrite)
-	if err == nil {
-		t.g.event(event.RolloutRewritten, "", t.attrs(s)...)
-		return true
-	}
-	t.noteOutcome(s, err)
-	return errors.Is(err, errSuperseded)
+	t.reconciled = epoch
+	return true
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -67,11 +67,7 @@
 		Name: "n0", UsageWindow: time.Second, Rollout: exchange.RolloutBounds{Share: 0.1, Slack: 50, RollbackAfter: 5 * time.Second},
 	}})
 	g.withCore(func(c *exchange.Core, now time.Time) { c.LeaseAcquired(now.Add(-time.Hour), clock.Now(), 7) })
-	return &rolloutTasks{g: g, lease: &leaderTasks{g: g}, failing: make(map[entity.ServiceName]rollout.State)}
-}
-
-func appState(stage rollout.Stage, sequence uint64) *rollout.State {
-	return &rollout.State{Service: "app", Order: 5, To: "v2", Stage: stage, Duration: time.Minute, OrderedAt: time.Hour, Sequence: sequence}
+	return &rolloutTasks{g: g, lease: &leaderTasks{g: g}, failing: make(map[entity.ServiceName]rollout.Stage)}
 }
 
 // TestRolloutTasks_LostAnswer: a commit whose answer was lost may have taken effect, and must then
@@ -79,31 +75,92 @@
 func TestRolloutTasks_LostAnswer(t *testing.T) {
 	stored := &fakeRollouts{loseAnswer: true}
 	tasks := newRolloutTasks(t, stored)
-	if err := tasks.commit(t.Context(), appState(rollout.Canary, 1), mayCommit); !errors.Is(err, provider.ErrUnknownOutcome) {
+	tasks.order(5)
+	due := tasks.mustBeDue(t, rollout.Canary)
+	if _, err := tasks.commit(t.Context(), &due); !errors.Is(err, provider.ErrUnknownOutcome) {
 		t.Fatalf("commit whose answer is lost: %v, want ErrUnknownOutcome", err)
 	}
-	if err := tasks.commit(t.Context(), appState(rollout.Canary, 1), mayCommit); err != nil || stored.writes != 1 {
-		t.Errorf("second try: %v after %d writes, want the first one to be found", err, stored.writes)
+	if outcome, err := tasks.commit(t.Context(), &due); err != nil || outcome != alreadyStored || stored.writes != 1 {
+		t.Errorf("second try: %v %v after %d writes, want the first one to be found", outcome, err, stored.writes)
 	}
-	if err := tasks.commit(t.Context(), appState(rollout.Promoting, 2), mayCommit); err != nil || stored.row.State.Stage != rollout.Promoting {
-		t.Errorf("next stage: %v, stored %+v", err, stored.row.State)
+	tasks.commitDue(t.Context())
+	if stored.writes != 1 || len(tasks.due()) != 0 {
+		t.Errorf("%d writes, due %v; want one write and nothing due", stored.writes, tasks.due())
 	}
 }
 
 // TestRolloutTasks_LateLeader: a leader that was suspended must not write over what another one
 // has decided, nor without the lease.
 func TestRolloutTasks_LateLeader(t *testing.T) {
-	stored := &fakeRollouts{row: provider.RolloutRow{Service: "app", Version: 9, State: *appState(rollout.RolledBack, 3)}}
+	stored := &fakeRollouts{}
 	tasks := newRolloutTasks(t, stored)
-	for _, stage := range []rollout.Stage{rollout.Promoting, rollout.Completed} {
-		if err := tasks.commit(t.Context(), appState(stage, 4), mayCommit); !errors.Is(err, errSuperseded) || stored.writes != 0 {
-			t.Errorf("%s after rolled-back: %v, %d writes", stage, err, stored.writes)
-		}
+	tasks.order(5)
+	due := tasks.mustBeDue(t, rollout.Canary)
+	other := due
+	other.Stage, other.Sequence = rollout.RolledBack, 3
+	stored.row = provider.RolloutRow{Service: "app", Version: 9, State: other}
+	if _, err := tasks.commit(t.Context(), &due); !errors.Is(err, errSuperseded) || stored.writes != 0 {
+		t.Errorf("commit after another leader's: %v, %d writes", err, stored.writes)
 	}
+	if len(tasks.due()) != 0 || tasks.g.rolloutStatus()[0].Stage != rollout.RolledBack {
+		t.Errorf("due %v, status %+v; want the other leader's stage to be adopted", tasks.due(), tasks.g.rolloutStatus())
+	}
+	tasks.order(6)
+	due = tasks.mustBeDue(t, rollout.Canary)
 	tasks.lease.stepDown("test")
-	next := *appState(rollout.Canary, 1)
-	next.Order++
-	if err := tasks.commit(t.Context(), &next, mayCommit); !errors.Is(err, errNotLeader) || stored.writes != 0 {
+	if _, err := tasks.commit(t.Context(), &due); !errors.Is(err, errNotLeader) || stored.writes != 0 {
 		t.Errorf("commit without the lease: %v, %d writes", err, stored.writes)
 	}
 }
+
+// TestRolloutTasks_RestoreLosesTheStage: the platform must read the stage again that it has acted
+// on, whatever an older copy of the table service says.
+func TestRolloutTasks_RestoreLosesTheStage(t *testing.T) {
+	for _, copyHasIt := range []bool{false, true} {
+		stored := &fakeRollouts{}
+		tasks := newRolloutTasks(t, stored)
+		tasks.order(5)
+		tasks.commitDue(t.Context())
+		older := stored.row
+		tasks.g.withCore(func(c *exchange.Core, now time.Time) {
+			s := older.State
+			s.Stage, s.Sequence = rollout.RolledBack, s.Sequence+1
+			c.RestoreRollout(now, s)
+		})
+		stored.row = provider.RolloutRow{}
+		if copyHasIt {
+			stored.row = older
+		}
+		tasks.g.withCore(func(c *exchange.Core, now time.Time) { c.TableRestored(now) })
+		if !tasks.reconcile(t.Context(), 8) {
+			t.Fatal("the stored states were not read")
+		}
+		tasks.commitDue(t.Context())
+		if got := stored.row.State.Stage; got != rollout.RolledBack {
+			t.Errorf("canary in the copy %v: stage %s is stored after the restore, want rolled-back", copyHasIt, got)
+		}
+	}
+}
+
+// order applies an order with an identity.
+func (t *rolloutTasks) order(version uint64) {
+	t.g.withCore(func(c *exchange.Core, now time.Time) {
+		c.SetTrueTime(time.Hour)
+		c.SetRolloutOrder(now, rollout.Order{Service: "app", To: "v2", Duration: time.Minute, Version: version})
+	})
+}
+
+func (t *rolloutTasks) due() (due []rollout.State) {
+	t.g.withCore(func(c *exchange.Core, now time.Time) { due = c.RolloutsToCommit(now) })
+	return due
+}
+
+// mustBeDue returns the only state that is due.
+func (t *rolloutTasks) mustBeDue(tt *testing.T, stage rollout.Stage) rollout.State {
+	tt.Helper()
+	due := t.due()
+	if len(due) != 1 || due[0].Stage != stage {
+		tt.Fatalf("due: %+v, want stage %s", due, stage)
+	}
+	return due[0]
+}
