An order read after an outage counts from before it

The platform counts the deadline from the writing of the order. Read up to 3 s later, the order's completion could be committed after the new servers were drained.

--- a/internal/exchange/known_orders.go
+++ b/internal/exchange/known_orders.go
@@ -33,6 +33,10 @@
 	c.confirmOrders(start)
 }
 
+// OrdersConfirmedAt returns the newest time at which this daemon's orders were known to be all
+// that there are; zero: never.
+func (c *Core) OrdersConfirmedAt() time.Time { return c.orders.confirmedAt }
+
 // confirmOrders records that the orders were all that there are at some time.
 func (c *Core) confirmOrders(at time.Time) {
 	if at.After(c.orders.confirmedAt) {
--- a/internal/gateway/operator_entries.go
+++ b/internal/gateway/operator_entries.go
@@ -26,7 +26,7 @@
 	w.apply = func(complete bool, changes []provider.Change[OperatorEntry], start time.Time) {
 		configuration, orders := splitEntries(changes)
 		g.applyConfiguration(configuration, start)
-		g.orders.applyRead(orderRead{complete: complete, changes: orders, position: w.position, start: start})
+		g.orders.applyRead(orderRead{complete: complete, changes: orders, position: w.position, start: start, delayed: w.failures > 0})
 	}
 	w.run(runCtx)
 }
--- a/internal/gateway/order_book_test.go
+++ b/internal/gateway/order_book_test.go
@@ -145,6 +145,28 @@
 	}
 }
 
+// TestOrderRead_OrderedBy: an order that was written during an outage must not get a later deadline
+// than the platform's, or its completion could come after the new servers were drained.
+func TestOrderRead_OrderedBy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := rollout.Order{Duration: 8 * time.Second}
+	for _, test := range []struct {
+		name         string
+		delayed      bool
+		confirmedAgo time.Duration
+		want         time.Duration // before now
+	}{
+		{"no call has failed", false, 5 * time.Second, 0},
+		{"short outage", true, 500 * time.Millisecond, 500 * time.Millisecond},
+		{"long outage", true, time.Minute, 2 * time.Second},
+	} {
+		r := orderRead{delayed: test.delayed}
+		if got := now.Sub(r.orderedBy(now, now.Add(-test.confirmedAgo), &order)); got != test.want {
+			t.Errorf("%s: ordered %v before it was read, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // TestMayCommit guards against a late leader that undoes a stage, or takes up an ended roll-out.
 func TestMayCommit(t *testing.T) {
 	state := func(order uint64, stage rollout.Stage) *rollout.State {
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -19,6 +19,28 @@
 	position uint64    // version of the table service up to which the read reaches
 	start    time.Time // of the call; zero: from another daemon
 	source   string    // for the log; "": the table service
+	delayed  bool      // calls before this one have failed
+}
+
+const (
+	// maxOrderDelay bounds how much earlier than it was read an order may count as given. After
+	// a longer outage the new servers are seen to drain before the roll-out could be completed.
+	maxOrderDelay = 3 * time.Second
+	// maxOrderDelayRatio is the same as a ratio of the order's duration.
+	maxOrderDelayRatio = 0.25
+)
+
+// orderedBy returns a time by which an order was given, for its deadline. The platform counts from
+// the writing of the order, which may have happened while the table service could not be read.
+func (r *orderRead) orderedBy(now, confirmedAt time.Time, o *rollout.Order) time.Time {
+	if !r.delayed {
+		return now
+	}
+	earliest := now.Add(-min(maxOrderDelay, time.Duration(maxOrderDelayRatio*float64(o.Duration))))
+	if confirmedAt.After(earliest) {
+		return confirmedAt
+	}
+	return earliest
 }
 
 // orderWatch passes the operator's orders to the core.
@@ -95,8 +117,9 @@
 	changes := w.book.apply(r)
 	digest := w.book.digest()
 	w.g.withCore(func(c *exchange.Core, now time.Time) {
+		confirmedAt := c.OrdersConfirmedAt()
 		for i := range changes {
-			applyOrderChange(c, now, &changes[i])
+			applyOrderChange(c, r.orderedBy(now, confirmedAt, &changes[i].order), &changes[i])
 		}
 		c.OrdersRead(r.start, digest)
 	})
@@ -109,12 +132,13 @@
 	}
 }
 
-func applyOrderChange(c *exchange.Core, now time.Time, change *orderChange) {
+// applyOrderChange applies a change that was made by the given time.
+func applyOrderChange(c *exchange.Core, at time.Time, change *orderChange) {
 	switch {
 	case change.withdrawn:
-		c.WithdrawRollout(now, change.service)
+		c.WithdrawRollout(at, change.service)
 	case change.order.Version != 0:
-		c.SetRolloutOrder(now, change.order)
+		c.SetRolloutOrder(at, change.order)
 	}
 }
 
