--- a/internal/exchange/rollout_fleet_test.go
+++ b/internal/exchange/rollout_fleet_test.go
@@ -19,6 +19,7 @@
 	*testFleet
 	store   rowStore
 	writers map[*Core]map[entity.ServiceName]uint64 // versions of the rows, as the daemons know them
+	failed  map[*Core]bool                          // daemons whose last call failed
 	plays   map[entity.ServiceName]*rolloutPlay
 	rate    float64                 // requests per second of each service
 	refused func(*fleetDaemon) bool // the table service refuses these daemons
@@ -72,7 +73,7 @@
 		testFleet: newTestFleetWithRetries(t, seed, daemons, 9, retryContract{ratio: 0.2 / usedRetryRatio, reserve: 200, accrued: true}),
 		store:     rowStore{states: map[entity.ServiceName]storedState{}, orders: map[entity.ServiceName]rollout.Order{}},
 		writers:   map[*Core]map[entity.ServiceName]uint64{}, plays: map[entity.ServiceName]*rolloutPlay{}, rate: 600,
-		refused: func(*fleetDaemon) bool { return false }, callMax: 40 * time.Millisecond, loses: func() bool { return false },
+		failed: map[*Core]bool{}, refused: func(*fleetDaemon) bool { return false }, callMax: 40 * time.Millisecond, loses: func() bool { return false },
 	}
 	r.rollouts = exposure
 	for _, s := range r.servers {
@@ -113,8 +114,13 @@
 // poll lets a daemon read the operator's entries and do the leader tasks.
 func (r *rolloutRun) poll(d *fleetDaemon, core *Core) {
 	if r.tableAway || r.refused(d) {
+		r.failed[core] = true
 		return
 	}
+	if r.failed[core] {
+		core.TableRecovered(r.now)
+		delete(r.failed, core)
+	}
 	for s, o := range r.store.orders {
 		core.SetRolloutOrder(r.now, o)
 		_ = s
@@ -163,16 +169,17 @@
 		core.LeaseConfirmed(r.now)
 	}
 	for _, s := range core.RolloutsToCommit(r.now) {
-		r.after(r.random(r.callMax), func() { r.write(core, s) })
+		known := r.writers[core][s.Service]
+		r.after(r.random(r.callMax), func() { r.write(core, s, known) })
 	}
 }
 
-// write writes a state if its row has the version that the daemon knows.
-func (r *rolloutRun) write(core *Core, s rollout.State) {
+// write writes a state if its row has the version that the daemon knew when it decided.
+func (r *rolloutRun) write(core *Core, s rollout.State, known uint64) {
 	if r.tableAway {
 		return
 	}
-	if r.store.states[s.Service].version != r.writers[core][s.Service] {
+	if r.store.states[s.Service].version != known {
 		r.after(r.random(r.callMax), func() { r.restore(core) })
 		return
 	}
--- a/internal/exchange/rollout_news.go
+++ b/internal/exchange/rollout_news.go
@@ -92,16 +92,12 @@
 
 // appliedShare returns the new version's share of the new requests of this daemon.
 func (c *Core) appliedShare(now time.Time, row *rolloutRow) float64 {
-	switch stage := row.state.Stage; {
-	case row.stopped():
-		return 0
-	case stage == rollout.Completed:
+	switch c.permission(now, row) {
+	case rollout.NewOnly:
 		return 1
-	case !c.leaderHeard(now, row):
-		return 0
-	case stage == rollout.Promoting:
+	case rollout.Rising:
 		return row.share
-	case stage == rollout.Canary:
+	case rollout.CanaryOnly:
 		return rollout.CanaryShare(c.cfg.Bounds.Rollout.Share)
 	default:
 		return 0
--- a/internal/exchange/rollout_place.go
+++ b/internal/exchange/rollout_place.go
@@ -109,22 +109,29 @@
 func (c *Core) filtersOfRollout(now time.Time, t *Ticket, row *rolloutRow) []serverFilter {
 	ordered := serverFilter{allows: func(r *serverRow) bool { return r.Version == row.state.To }}
 	old := serverFilter{allows: func(r *serverRow) bool { return c.isOld(row, r.Version) }}
-	switch stage := row.state.Stage; {
-	case row.stopped():
-		return []serverFilter{old}
-	case stage == rollout.Completed:
+	switch c.permission(now, row) {
+	case rollout.NewOnly:
 		v := c.rolloutVersions(t.Service)
 		return []serverFilter{ordered, {allows: func(r *serverRow) bool { return v.serving[r.Version] }}}
-	case stage == rollout.Promoting && c.leaderHeard(now, row) && c.drawsNew(t, row):
+	case rollout.Rising:
+		if !c.drawsNew(t, row) {
+			return []serverFilter{old, ordered}
+		}
 		ordered.trial = row.share < 1
 		return []serverFilter{ordered, old}
-	case stage == rollout.Promoting:
+	case rollout.OldFirst:
 		return []serverFilter{old, ordered}
-	case stage == rollout.Canary && c.leaderHeard(now, row) && c.drawsCanary(t, row):
-		return []serverFilter{c.canaryFilter(now, row), old}
-	default:
-		return []serverFilter{old}
+	case rollout.CanaryOnly:
+		if c.drawsCanary(t, row) {
+			return []serverFilter{c.canaryFilter(now, row), old}
+		}
 	}
+	return []serverFilter{old}
+}
+
+// permission returns which servers this daemon sends new requests to.
+func (c *Core) permission(now time.Time, row *rolloutRow) rollout.Permission {
+	return rollout.Permit(row.state.Stage, row.stopped(), c.leaderHeard(now, row))
 }
 
 // drawsNew reports whether a request goes to the new version while its share rises.
--- a/internal/exchange/rollout_state.go
+++ b/internal/exchange/rollout_state.go
@@ -158,13 +158,31 @@
 		}
 		c.voidRollout(row)
 	}
-	row := c.mergeRollout(now, rollout.State{Service: o.Service, Order: o.Version, To: o.To, Duration: o.Duration, OrderedAt: c.rolloutTime(now)}, "order")
+	row := c.mergeRollout(now, rollout.State{Service: o.Service, Order: o.Version, To: o.To, Duration: o.Duration, OrderedAt: c.orderedAt(now, &o)}, "order")
 	if row != nil && !row.ordered {
 		row.ordered = true
 		c.logRollout(now, event.RolloutOrdered, row, event.A("duration_ms", o.Duration.Milliseconds()), event.A("from", row.state.From))
 	}
 }
 
+// maxUnseenRatio limits how much earlier than it is seen an order counts as given, as a ratio of
+// its duration.
+const maxUnseenRatio = 0.33
+
+// orderedAt returns the true time when an order that is seen now was given; 0 if the true time is
+// not known. If the table service has just answered again, the order may be as old as the last
+// read without it: the deadline must not be taken for later than it is.
+func (c *Core) orderedAt(now time.Time, o *rollout.Order) time.Duration {
+	if c.recentlyRecovered(now) && !c.rollouts.ordersConfirmed.IsZero() {
+		earliest := now.Add(-time.Duration(maxUnseenRatio * float64(o.Duration)))
+		if c.rollouts.ordersConfirmed.After(earliest) {
+			earliest = c.rollouts.ordersConfirmed
+		}
+		return c.rolloutTime(earliest)
+	}
+	return c.rolloutTime(now)
+}
+
 // rolloutTime returns the true time; 0 if it is not known.
 func (c *Core) rolloutTime(now time.Time) time.Duration {
 	at, known := c.TrueTime(now)
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -51,3 +51,8 @@
 		c.confirmedAt = at
 	}
 }
+
+// recentlyRecovered reports whether the table service has answered again a short time ago.
+func (c *Core) recentlyRecovered(now time.Time) bool {
+	return !c.tableRecoveredAt.IsZero() && now.Sub(c.tableRecoveredAt) < tableRecoveryGrace
+}
--- a/internal/system/rollout/schedule.go
+++ b/internal/system/rollout/schedule.go
@@ -42,7 +42,8 @@
 	out := Schedule{LastMoment: s.Deadline() - margin, TooLate: s.Deadline() - ratioOf(margin, lateRatio)}
 	out.Ramp = min(max(ratioOf(d, rampRatio), 2*updateInterval), ratioOf(d, 2*rampRatio))
 	drain := min(max(longestRun, ratioOf(d, minDrainRatio)), ratioOf(d, maxDrainRatio))
-	out.LastPromote = out.LastMoment - out.Ramp - min(drain+updateInterval, ratioOf(d, maxDrainRatio))
+	// The last daemon may hear of the share by the second update.
+	out.LastPromote = out.LastMoment - out.Ramp - min(drain+2*updateInterval, ratioOf(d, maxDrainRatio))
 	// Another leader must be able to finish when this one is killed at the promotion.
 	out.Promote = min(out.LastPromote, out.LastMoment-out.Ramp-min(failoverTime, ratioOf(d, maxDrainRatio)))
 	return out
