Roll-outs: pace of streams from their first events, tests of the canary's share and of a daemon that is cut off

A stream of a slow version may not end before the deadline. The gateway tells the core of the first few events of a stream while a roll-out is under way.

--- a/internal/exchange/rollout_fleet_test.go
+++ b/internal/exchange/rollout_fleet_test.go
@@ -55,6 +55,8 @@
 	unordered int       // arrivals at the new version while no order stood
 	status    string
 	statusAt  time.Time
+	canaries  int // exposed when the status changed to promoting
+	before    int // reached by then
 	withdrawn bool
 	lost      int // requests that ran on old servers when these were stopped
 }
@@ -238,6 +240,8 @@
 	}
 	p.status, p.statusAt = s.Stage.String(), r.now
 	switch s.Stage {
+	case rollout.Promoting:
+		p.canaries, p.before = p.exposed, p.reached
 	case rollout.Completed:
 		for _, old := range r.servers {
 			if old.Service == s.Service && old.Version != s.To && old.up {
--- a/internal/exchange/rollout_orders_test.go
+++ b/internal/exchange/rollout_orders_test.go
@@ -113,6 +113,29 @@
 	}
 }
 
+// A daemon that hears nothing of the others must go back to the old version within half of the
+// time in which a bad version must have got its last request.
+func TestRollout_CutOffDaemonUsesOldVersion(t *testing.T) {
+	r := newRolloutRun(t, 545, 9)
+	alone := r.daemons[5]
+	p := r.order("plain", "v2", rolloutDuration, nil)
+	stray := 0
+	r.onArrival = func(a arrival) {
+		r.arrived(a)
+		if a.daemon == alone && alone.cut && a.server.Version == "v2" && a.at.Sub(alone.inTouchAt) > 0 && p.status != rollout.Completed.String() {
+			stray++
+		}
+	}
+	r.run(4 * time.Second)
+	alone.cut = true
+	r.refused = func(d *fleetDaemon) bool { return d == alone } // else it might take the lease
+	alone.inTouchAt = r.now.Add(exposure.RollbackAfter/2 + time.Second)
+	r.finish(p)
+	if stray > 0 {
+		t.Errorf("a daemon that is cut off sent %d requests to the new version", stray)
+	}
+}
+
 // A version that already serves, with no other, is completed at once.
 func TestRollout_VersionThatServesIsCompletedAtOnce(t *testing.T) {
 	r := newRolloutRun(t, 550, 9)
--- a/internal/exchange/rollout_test.go
+++ b/internal/exchange/rollout_test.go
@@ -39,6 +39,9 @@
 		r.t.Errorf("a good version is %q %v after the order, %v allowed", p.status, p.statusAt.Sub(p.at), p.order.Duration)
 		r.logRollouts()
 	}
+	if float64(p.canaries) > exposure.Share*float64(p.before) {
+		r.t.Errorf("%d of %d requests were canaries", p.canaries, p.before)
+	}
 	if p.lost > 0 {
 		r.t.Errorf("%d requests were lost on completion", p.lost)
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -32,6 +32,7 @@
 	headSent    bool   // status and header have been sent to the caller
 	partSent    bool   // so has a part of a body that no other backend server can continue
 	lastEventID string // ID of the newest event that was sent to the caller
+	eventsNoted bool   // the core wants to know of no more events of the present attempt
 	attempts    []attemptRecord
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,6 +24,7 @@
 	flusher := http.NewResponseController(x.w)
 	buf := make([]byte, copyBufferBytes)
 	first := true
+	x.eventsNoted = false
 	for {
 		n, err := reply.Read(buf)
 		complete := events.push(buf[:n])
@@ -32,6 +33,8 @@
 				first = false
 				silenceTimer.Stop()
 				x.noteStarted()
+			} else {
+				x.noteEvents(events.completed)
 			}
 			if !x.headSent {
 				x.sendHead(reply)
@@ -54,6 +57,14 @@
 	}
 }
 
+// noteEvents tells the core of further events while it wants to know.
+func (x *forwarding) noteEvents(events int) {
+	if x.eventsNoted {
+		return
+	}
+	x.g.withCore(func(c *exchange.Core, now time.Time) { x.eventsNoted = !c.RecordEvents(now, x.ticket, events) })
+}
+
 // recordEventID records the ID of the newest event that is sent to the caller.
 func (x *forwarding) recordEventID(events *eventSplitter) {
 	if events.lastEventID != "" {
@@ -106,6 +117,7 @@
 type eventSplitter struct {
 	tail        []byte // bytes after the last complete event
 	lastEventID string // ID of the newest complete event that has one
+	completed   int    // events that the last push has completed
 }
 
 var idField = []byte("id:")
@@ -125,6 +137,7 @@
 	}
 	end += searchFrom
 	complete := s.tail[:end:end]
+	s.completed = countEvents(complete)
 	s.tail = append([]byte(nil), s.tail[end:]...)
 	for line := range bytes.Lines(complete) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
@@ -134,6 +147,11 @@
 	return complete
 }
 
+// countEvents returns the number of empty lines, each of which ends an event.
+func countEvents(p []byte) int {
+	return max(bytes.Count(p, []byte("\n\n"))+bytes.Count(p, []byte("\r\n\r\n")), 1)
+}
+
 // withinEvent reports whether an event has begun and is not complete. Empty lines between
 // two events belong to none.
 func (s *eventSplitter) withinEvent() bool {
