--- a/internal/exchange/rollout_news.go
+++ b/internal/exchange/rollout_news.go
@@ -6,6 +6,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/rendezvous"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/rollout"
 )
 
@@ -80,7 +81,12 @@
 	if row.state.Stage.Ended() {
 		return news
 	}
-	news.Applied, news.OldRunning, news.LongestRun = percent(c.appliedShare(now, row)), c.oldRunning(row), row.longestRun
+	news.Applied, news.OldRunning = percent(c.appliedShare(now, row)), c.oldRunning(row)
+	if !c.reportsSamples(row) {
+		news.State = rollout.State{Service: news.State.Service, Order: news.State.Order, Stage: news.State.Stage}
+		return news
+	}
+	news.LongestRun = row.longestRun
 	row.own.All(func(route string, s *routeSamples) bool {
 		news.Samples = append(news.Samples, RolloutRouteSamples{Route: route, Old: s.old, New: s.ordered})
 		return true
@@ -88,6 +94,26 @@
 	return news
 }
 
+// maxSampleReporters bounds the daemons that report their samples and the whole state of a
+// roll-out, so that the reports take no more of a large fleet's bandwidth than of a smaller one's.
+// Daemons of a large fleet together have more answers than the judgement needs.
+const maxSampleReporters = 96
+
+// reportsSamples reports whether this daemon is one of those that report their samples.
+func (c *Core) reportsSamples(row *rolloutRow) bool {
+	if c.peers.Len() < maxSampleReporters {
+		return true
+	}
+	key, self, before := row.state.To, string(c.cfg.Self.Name), 0
+	c.peers.All(func(name entity.InstanceID, _ *peerRow) bool {
+		if rendezvous.Compare(string(name), self, key) < 0 {
+			before++
+		}
+		return before < maxSampleReporters
+	})
+	return before < maxSampleReporters
+}
+
 func percent(share float64) uint8 { return uint8(math.Round(allPercent * min(max(share, 0), 1))) }
 
 // appliedShare returns the new version's share of the new requests of this daemon.
@@ -122,6 +148,9 @@
 	}
 	for i := range list {
 		news := &list[i]
+		if c.missesState(&news.State) {
+			continue
+		}
 		row := c.mergeRollout(now, news.State, string(from.Name))
 		if row == nil || row.state.Order != news.State.Order {
 			continue
@@ -137,6 +166,12 @@
 	c.judgeRollouts(now)
 }
 
+// missesState reports whether a message names an order that is new here without its details.
+func (c *Core) missesState(s *rollout.State) bool {
+	row := c.rollouts.rows.Get(s.Service)
+	return s.To == "" && (row == nil || row.state.Order != s.Order)
+}
+
 // hear applies a statement of the leader, unless a newer one is known.
 func (r *rolloutRow) hear(now time.Time, news *RolloutNews) {
 	at := now.Add(-news.Ago)
--- a/internal/exchange/rollout_pace_test.go
+++ b/internal/exchange/rollout_pace_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/codec"
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/rollout"
 )
 
@@ -57,3 +59,40 @@
 		}
 	}
 }
+
+// In a fleet of 410 daemons the roll-outs must leave room in the 11 KB/s that control may take:
+// what all others send of a roll-out on four routes stays below it.
+func TestRolloutNews_SizeInLargeFleet(t *testing.T) {
+	const daemons, limit = 410, 11 << 10 // bytes per second
+	c := newTestCore(t, "d1")
+	c.cfg.Bounds.Rollout = exposure
+	for i := range daemons - 1 {
+		c.AddMember(zero, Member{Name: entity.InstanceID(fmt.Sprint("p", i)), Start: 1})
+	}
+	c.SetTrueTime(time.Hour * 500_000)
+	c.SetRolloutOrder(zero, rollout.Order{Service: "engine", To: "v2", Duration: time.Minute, Version: 1 << 40})
+	row := c.rollouts.rows.Get("engine")
+	for _, route := range []string{"first", "second", "third", "fourth"} {
+		s := rollout.Samples{Answers: 150, Failures: 9, First: rollout.Times{Count: 150, Slow: 9, Sum: -900, Squares: 3000}}
+		s.Rest = s.First
+		row.own.Put(route, &routeSamples{old: s, ordered: s})
+	}
+	reporters, total := 0, 0
+	for i := range daemons {
+		c.cfg.Self.Name = entity.InstanceID(fmt.Sprint("p", i))
+		news := c.rolloutNews(zero)
+		if len(news[0].Samples) > 0 {
+			reporters++
+		}
+		b, err := codec.Encode(news)
+		if err != nil {
+			t.Fatal(err)
+		}
+		total += len(b)
+	}
+	perSecond := float64(total) / (daemons * c.cfg.Bounds.UpdateIntervalPerPeer.Seconds())
+	t.Logf("%d daemons report samples, %.0f bytes/s", reporters, perSecond)
+	if reporters < 90 || perSecond > limit {
+		t.Errorf("%d daemons report samples in %.0f bytes/s, %d allowed", reporters, perSecond, limit)
+	}
+}
--- a/internal/exchange/rollout_place.go
+++ b/internal/exchange/rollout_place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/rollout"
 )
@@ -37,11 +38,21 @@
 	}
 	c.rollouts.rows.All(func(_ entity.ServiceName, row *rolloutRow) bool {
 		row.epoch, row.heardAt = epoch, now
-		row.share = max(row.share, c.leadersShare(now, row))
+		c.raiseShare(now, row)
 		return true
 	})
 }
 
+// raiseShare raises the new version's share to what this daemon states as the leader.
+func (c *Core) raiseShare(now time.Time, row *rolloutRow) {
+	share := c.leadersShare(now, row)
+	if share <= row.share {
+		return
+	}
+	c.logRollout(now, event.RolloutShareChanged, row, event.A("share", share), event.A("share_before", row.share))
+	row.share = share
+}
+
 // isOld reports whether a version has served since before the order.
 func (c *Core) isOld(row *rolloutRow, version string) bool {
 	if version == row.state.To {
--- a/internal/system/rollout/rollout.go
+++ b/internal/system/rollout/rollout.go
@@ -108,12 +108,12 @@
 type State struct {
 	Service  entity.ServiceName `cbor:"1,keyasint" json:"service"`
 	Order    uint64             `cbor:"2,keyasint" json:"order"` // see Order.Version
-	To       string             `cbor:"3,keyasint" json:"to"`
-	Stage    Stage              `cbor:"4,keyasint" json:"stage"`
-	Duration time.Duration      `cbor:"5,keyasint" json:"duration_ns"`
+	To       string             `cbor:"3,keyasint,omitempty" json:"to"`
+	Stage    Stage              `cbor:"4,keyasint,omitempty" json:"stage"`
+	Duration time.Duration      `cbor:"5,keyasint,omitempty" json:"duration_ns"`
 	// OrderedAt is the true time since 1970 when the order was first seen.
-	OrderedAt time.Duration `cbor:"6,keyasint" json:"ordered_at_ns"`
-	Sequence  uint64        `cbor:"7,keyasint" json:"sequence"` // rises with each change
+	OrderedAt time.Duration `cbor:"6,keyasint,omitempty" json:"ordered_at_ns"`
+	Sequence  uint64        `cbor:"7,keyasint,omitempty" json:"sequence"` // rises with each change
 	// From are the versions that served when the order was first seen. Any other version but
 	// the ordered one belongs to an order that was replaced or withdrawn.
 	From []string `cbor:"8,keyasint,omitempty" json:"from,omitempty"`
