--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -33,6 +33,7 @@
 	QuotaExcessUnits      float64       // quota units that may be exceeded in addition to the ratio
 	ForgetPeerAfter       time.Duration // a silent daemon's share of quotas is withheld until it has been silent for this long
 	LeaseDuration         time.Duration // time in which two daemons may not alternate as lease holders
+	Rollout               RolloutBounds
 }
 
 // Config configures a Core.
@@ -84,6 +85,7 @@
 	demand                 demand
 	crash                  crashGuard
 	deaths                 deathLog
+	orders                 ordersKnowledge
 	limits                 limitTable
 	streams                *streamversion.Registry
 	streamNews             map[entity.InstanceID][]streamversion.Record // to send, by daemon
@@ -92,6 +94,7 @@
 	wasLeader              bool                     // at the last Tick
 	resumptions            map[resumptionKey]uint64 // streams that callers took up
 	events                 []event.Event            // for the log, since TakeEvents was last called
+	rollouts               rolloutTable
 	levels                 *entity.Table[entity.ServiceName, capacity.Level]
 	onDemandLevels         *entity.Table[entity.ServiceName, capacity.Level]
 	reclaimableExhaustedAt *entity.Table[serverLocation, time.Time]       // when a scaling request was last refused
@@ -112,6 +115,7 @@
 		crash:                  newCrashGuard(),
 		deaths:                 newDeathLog(),
 		limits:                 newLimitTable(),
+		rollouts:               newRolloutTable(),
 		streams:                streamversion.New(),
 		streamNews:             make(map[entity.InstanceID][]streamversion.Record),
 		recorded:               streamversion.NewRecorded(processRand(&cfg.Self)),
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -102,6 +102,7 @@
 	row.usageWindow, row.acked = update.Window, max(row.acked, ack)
 	c.applyUpdate(now, row, update)
 	c.applyConfirmation(update, ack)
+	c.receiveKnownOrders(now, update, ack)
 	if firstHeard {
 		c.announceToNewcomer(now)
 	}
@@ -131,6 +132,7 @@
 		c.receiveDraining(now, s)
 	}
 	c.ReceiveNotice(now, row.Name, &update.Notice)
+	c.receiveRollouts(now, row, update.Rollouts)
 	for _, p := range update.CachedPrompts {
 		c.placer.AddCachedPart(now, p.Server, p.Part)
 	}
@@ -158,6 +160,7 @@
 	c.updateLimits(now)
 	c.refreshVersions(now)
 	c.checkRecordAsLeader(now)
+	c.tickRollouts(now)
 	reachable, known := c.countDaemons(now)
 	if c.forgetSilentPeers(now, reachable, known) {
 		reachable, known = c.countDaemons(now)
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -15,6 +15,7 @@
 	c.tableRecoveredAt, c.tableRestoredAt = now, now
 	_, leader := c.lease.Epoch()
 	c.recorded.Restored(now, leader)
+	c.forgetRolloutRows()
 }
 
 // recentlyRestored reports whether rows of the table service may still be missing, or
@@ -52,3 +53,8 @@
 		c.confirmedAt = at
 	}
 }
+
+// recentlyRecovered reports whether the table service has answered again a short time ago.
+func (c *Core) recentlyRecovered(now time.Time) bool {
+	return !c.tableRecoveredAt.IsZero() && now.Sub(c.tableRecoveredAt) < tableRecoveryGrace
+}
--- a/internal/exchange/version_record.go
+++ b/internal/exchange/version_record.go
@@ -143,8 +143,11 @@
 
 // chooseForStream chooses a server for a stream that may be resumed: one whose version is known
 // and has been recorded for a while, if there is one. Without a recorded version there is none.
-func (c *Core) chooseForStream(now time.Time, t *Ticket) (placement.Choice, bool) {
-	known := func(id entity.BackendServerID) bool { return c.servers.Get(id).versionKnown(now) }
+func (c *Core) chooseForStream(now time.Time, t *Ticket, allowed func(*serverRow) bool) (placement.Choice, bool) {
+	known := func(id entity.BackendServerID) bool {
+		row := c.servers.Get(id)
+		return row.versionKnown(now) && allowed(row)
+	}
 	if t.continues() {
 		return c.chooseAmong(now, t, known)
 	}
@@ -154,7 +157,7 @@
 	}
 	recorded := func(id entity.BackendServerID) bool {
 		_, ok := c.recordedFor(now, id)
-		return ok
+		return ok && allowed(c.servers.Get(id))
 	}
 	for _, eligible := range []func(entity.BackendServerID) bool{
 		settled, func(id entity.BackendServerID) bool { return recorded(id) && known(id) }, recorded,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -122,6 +122,8 @@
 	ServerAnswer  *serverAnswer          `cbor:"10,keyasint,omitempty"` // response to such a question
 	AskVersions   uint64                 `cbor:"11,keyasint,omitempty"` // asks for the recorded versions under this number
 	VersionAnswer *versionAnswer         `cbor:"12,keyasint,omitempty"` // response to such a question
+	AskOrders     bool                   `cbor:"13,keyasint,omitempty"` // asks for the operator's orders
+	Orders        *orderList             `cbor:"14,keyasint,omitempty"` // response to such a question
 }
 
 // receive handles a message of another daemon.
@@ -147,6 +149,7 @@
 	g.receiveStreams(&m, answerSender)
 	g.receiveServerFeed(&m, answerSender)
 	g.receiveVersions(&m, answerSender)
+	g.receiveOrders(string(from), &m, answerSender)
 	if len(m.Update) > 0 {
 		g.receiveUpdate(&m)
 	}
@@ -169,6 +172,7 @@
 		start := clock.Now()
 		peers := g.broadcastUpdate(runCtx, t, start)
 		g.requestDocument(t)
+		g.requestOrders(t)
 		if !clock.Wait(runCtx, start.Add(broadcastInterval(peers)).Sub(clock.Now())) {
 			return
 		}
