--- a/internal/exchange/version_record.go
+++ b/internal/exchange/version_record.go
@@ -22,10 +22,10 @@
 type versionDoubt string
 
 const (
-	doubtNotRead  versionDoubt = "record-not-read"   // the recorded versions are not known
-	doubtSeveral  versionDoubt = "several-versions"  // and no record of the stream
-	doubtNoRecord versionDoubt = "no-version-known"  // the service has had no version lately
-	doubtUnstored versionDoubt = "version-not-known" // the only version is not recorded: no stream began there
+	doubtNotRead     versionDoubt = "record-not-read"      // the recorded versions are not known
+	doubtSeveral     versionDoubt = "several-versions"     // and no record of the stream
+	doubtNone        versionDoubt = "no-version-known"     // the service has had no version lately
+	doubtNotRecorded versionDoubt = "version-not-recorded" // the only version is not recorded: no stream began there
 )
 
 const (
@@ -85,9 +85,9 @@
 	case len(versions) > 1:
 		return "", doubtSeveral
 	case len(versions) == 0:
-		return "", doubtNoRecord
+		return "", doubtNone
 	case c.cfg.RecordVersions && len(c.recorded.OfService(now, service)) == 0:
-		return "", doubtUnstored
+		return "", doubtNotRecorded
 	}
 	return versions[0], ""
 }
@@ -316,42 +316,3 @@
 	}
 	return strings.Join(out, ", ")
 }
-
-// resumptionKey is a result under which streams that callers took up are counted.
-type resumptionKey struct {
-	continued bool
-	reason    string // how the version was known, or why the stream was refused
-}
-
-// countResumption counts the stream that a request takes up, once.
-func (c *Core) countResumption(t *Ticket, continued bool) {
-	if !t.resumes() || t.origin.counted {
-		return
-	}
-	t.origin.counted = true
-	reason := t.origin.source
-	switch {
-	case !t.origin.known:
-		reason = string(t.origin.doubt)
-	case !continued:
-		reason = "no-server-of-version"
-	}
-	c.resumptions[resumptionKey{continued, reason}]++
-}
-
-// ResumptionCount is a number of streams that callers took up, by what became of them.
-type ResumptionCount struct {
-	Continued bool
-	Reason    string
-	Count     uint64
-}
-
-// ResumptionCounts returns the numbers of streams that callers took up at this daemon.
-func (c *Core) ResumptionCounts() []ResumptionCount {
-	var out []ResumptionCount
-	for key, n := range c.resumptions {
-		out = append(out, ResumptionCount{key.continued, key.reason, n})
-	}
-	slices.SortFunc(out, func(a, b ResumptionCount) int { return strings.Compare(a.Reason, b.Reason) })
-	return out
-}
--- a/internal/system/streamversion/recorded.go
+++ b/internal/system/streamversion/recorded.go
@@ -32,9 +32,10 @@
 	// restoreDelay is how long after a restore of the table service the row is confirmed: the
 	// daemons have told each other by then what they have recorded before.
 	restoreDelay = 5 * time.Second
-	// minRetryDelay is the minimum time between two calls of the table service; up to as much
-	// again is added at random.
+	// minRetryDelay and maxRetryDelay bound the time between two calls of the table service, which
+	// grows while they have no effect; up to as much again is added at random.
 	minRetryDelay = 200 * time.Millisecond
+	maxRetryDelay = 1600 * time.Millisecond
 	// minCheckDelay and maxCheckDelay bound the growing time between two reads by a daemon that
 	// does not know all versions.
 	minCheckDelay = time.Second
@@ -50,6 +51,7 @@
 	checks     int       // reads that found a row which may lack versions
 	checkAt    time.Time
 	nextCall   time.Time // no call of the table service is due before
+	calls      int       // since the last one that had the effect that was wanted
 	unsure     bool      // the last write may have taken effect
 	versions   map[SeenVersion]*recorded
 	wanted     map[SeenVersion]*wanted
--- a/internal/system/streamversion/recording.go
+++ b/internal/system/streamversion/recording.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/system/backoff"
 )
 
 // CallDue reports whether the row should be read now, and perhaps written.
@@ -41,7 +43,9 @@
 
 // Called records that a call of the table service begins, so that the next one is made later.
 func (r *Recorded) Called(now time.Time) {
-	r.nextCall = now.Add(minRetryDelay + r.random(minRetryDelay))
+	r.calls++
+	delay := backoff.Delay(minRetryDelay, maxRetryDelay, r.calls)
+	r.nextCall = now.Add(delay + r.random(delay))
 }
 
 // Failed records that a write has failed or may not have taken effect.
@@ -63,7 +67,11 @@
 	if confirm {
 		next.Generation, next.Complete = read.Generation, true
 	}
-	return next, !next.equal(&read.Row)
+	write = !next.equal(&read.Row)
+	if !write {
+		r.calls = 0
+	}
+	return next, write
 }
 
 // applyGeneration finds out whether the row lists all versions, and reports whether this daemon
@@ -130,6 +138,7 @@
 
 // Written records that the row has been written.
 func (r *Recorded) Written(now time.Time, row *Row) {
+	r.calls = 0
 	if row.current(r.generation) {
 		r.checkAt = time.Time{}
 	}
