--- a/internal/exchange/rollout_fleet_test.go
+++ b/internal/exchange/rollout_fleet_test.go
@@ -128,12 +128,10 @@
 		core.TableRecovered(r.now)
 		delete(r.failed, core)
 	}
-	for s, o := range r.store.orders {
-		core.SetRolloutOrder(r.now, o)
-		_ = s
-	}
-	for _, s := range []entity.ServiceName{"plain", "engine"} {
-		if _, stands := r.store.orders[s]; !stands {
+	for _, s := range rolloutServices {
+		if o, stands := r.store.orders[s]; stands {
+			core.SetRolloutOrder(r.now, o)
+		} else {
 			core.WithdrawRollout(r.now, s)
 		}
 	}
@@ -145,9 +143,16 @@
 	r.lead(core)
 }
 
+// rolloutServices are the services of which orders may be given.
+var rolloutServices = []entity.ServiceName{"plain", "engine"}
+
 // restore lets a daemon read the rows of the roll-outs.
 func (r *rolloutRun) restore(core *Core) {
-	for s, stored := range r.store.states {
+	for _, s := range rolloutServices {
+		stored, exists := r.store.states[s]
+		if !exists {
+			continue
+		}
 		state, err := rollout.DecodeState(stored.row)
 		if err != nil {
 			r.t.Fatal(err)
