--- a/internal/exchange/rollout_fleet_test.go
+++ b/internal/exchange/rollout_fleet_test.go
@@ -61,6 +61,11 @@
 	lost      int // requests that ran on old servers when these were stopped
 }
 
+// ended reports whether a last status was written.
+func (p *rolloutPlay) ended() bool {
+	return p.status == rollout.Completed.String() || p.status == rollout.RolledBack.String()
+}
+
 // badAsk is what decides whether an answer of a new server is bad.
 type badAsk struct {
 	since   time.Duration // since the order
@@ -123,12 +128,10 @@
 		core.TableRecovered(r.now)
 		delete(r.failed, core)
 	}
-	for s, o := range r.store.orders {
-		core.SetRolloutOrder(r.now, o)
-		_ = s
-	}
-	for _, s := range []entity.ServiceName{"plain", "engine"} {
-		if _, stands := r.store.orders[s]; !stands {
+	for _, s := range rolloutServices {
+		if o, stands := r.store.orders[s]; stands {
+			core.SetRolloutOrder(r.now, o)
+		} else {
 			core.WithdrawRollout(r.now, s)
 		}
 	}
@@ -140,9 +143,16 @@
 	r.lead(core)
 }
 
+// rolloutServices are the services of which orders may be given.
+var rolloutServices = []entity.ServiceName{"plain", "engine"}
+
 // restore lets a daemon read the rows of the roll-outs.
 func (r *rolloutRun) restore(core *Core) {
-	for s, stored := range r.store.states {
+	for _, s := range rolloutServices {
+		stored, exists := r.store.states[s]
+		if !exists {
+			continue
+		}
 		state, err := rollout.DecodeState(stored.row)
 		if err != nil {
 			r.t.Fatal(err)
@@ -212,7 +222,7 @@
 		r.after(time.Second+r.random(time.Second), func() { r.startServers(p) })
 	}
 	r.after(duration, func() {
-		if p.status != "completed" && p.status != "rolled-back" {
+		if !p.ended() {
 			r.drain(p)
 		}
 	})
