--- a/internal/exchange/stream_version.go
+++ b/internal/exchange/stream_version.go
@@ -204,14 +204,33 @@
 // refreshVersions keeps the versions of the servers that may serve, and drops records that have
 // expired.
 func (c *Core) refreshVersions(now time.Time) {
+	for _, s := range c.serversByVersion(now) {
+		c.sawVersion(now, s)
+	}
+	c.streams.Forget(now)
+	c.recorded.Forget(now)
+}
+
+// serversByVersion returns a server of each version that may serve, one that is ready if there is.
+func (c *Core) serversByVersion(now time.Time) []*BackendServer {
+	var out []*BackendServer
+	index := make(map[streamversion.SeenVersion]int)
 	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
-		if row.listed || now.Before(row.goneAt) {
-			c.sawVersion(now, &row.BackendServer)
+		if !row.listed && !now.Before(row.goneAt) {
+			return true
+		}
+		v := streamversion.SeenVersion{Service: row.Service, Version: row.Version}
+		i, found := index[v]
+		switch {
+		case !found:
+			index[v] = len(out)
+			out = append(out, &row.BackendServer)
+		case row.State == Ready:
+			out[i] = &row.BackendServer
 		}
 		return true
 	})
-	c.streams.Forget(now)
-	c.recorded.Forget(now)
+	return out
 }
 
 // StreamNews are records for one daemon.
--- a/internal/system/streamversion/recorded_test.go
+++ b/internal/system/streamversion/recorded_test.go
@@ -40,6 +40,9 @@
 	news []KnownVersion
 }
 
+// recordedVersions are the versions that come and go.
+var recordedVersions = []SeenVersion{{"s", "v1"}, {"s", "v2"}, {"s", "v3"}}
+
 const recordStep = 250 * time.Millisecond
 
 func (f *recordFleet) start(i int) {
@@ -95,10 +98,10 @@
 }
 
 // step lets a moment pass.
-func (f *recordFleet) step(versions []SeenVersion) {
+func (f *recordFleet) step() {
 	f.now = f.now.Add(recordStep)
 	if f.rng.IntN(60) == 0 {
-		v := versions[f.rng.IntN(len(versions))]
+		v := recordedVersions[f.rng.IntN(len(recordedVersions))]
 		f.listed[v] = !f.listed[v]
 	}
 	list := map[SeenVersion]bool{}
@@ -118,8 +121,8 @@
 func (f *recordFleet) run(d *recordDaemon) {
 	f.receive(d)
 	list := f.history[max(len(f.history)-1-d.listAge, 0)]
-	for v, up := range list {
-		if up {
+	for _, v := range recordedVersions {
+		if list[v] {
 			d.Saw(f.now, v, time.Second)
 		}
 	}
@@ -127,8 +130,8 @@
 	if d.CallDue(f.now, d.leader) {
 		f.call(d, false)
 	}
-	for v, up := range list {
-		if _, ok := d.Usable(f.now, v); ok && up && f.listed[v] {
+	for _, v := range recordedVersions {
+		if _, ok := d.Usable(f.now, v); ok && list[v] && f.listed[v] {
 			f.used[v] = f.now
 		}
 	}
@@ -181,20 +184,19 @@
 // process that concludes from the versions that it knows lacks none that began a stream before
 // it started.
 func TestRecorded_FreshProcessKnowsAllVersionsOfStreams(t *testing.T) {
-	versions := []SeenVersion{{"s", "v1"}, {"s", "v2"}, {"s", "v3"}}
 	for seed := range uint64(200) {
 		for _, daemons := range []int{3, 9} {
 			t.Run(fmt.Sprint("daemons=", daemons, "/seed=", seed), func(t *testing.T) {
 				f := &recordFleet{
 					t: t, rng: rand.New(rand.NewPCG(seed, uint64(daemons))), now: time.Unix(0, 0), daemons: make([]*recordDaemon, daemons),
-					listed: map[SeenVersion]bool{versions[0]: true}, used: map[SeenVersion]time.Time{},
+					listed: map[SeenVersion]bool{recordedVersions[0]: true}, used: map[SeenVersion]time.Time{},
 				}
 				for i := range f.daemons {
 					f.start(i)
 				}
 				f.call(f.daemons[0], true)
 				for range 4000 {
-					f.step(versions)
+					f.step()
 					f.disturb()
 					f.check()
 				}
