--- a/internal/exchange/rollout_place.go
+++ b/internal/exchange/rollout_place.go
@@ -46,8 +46,8 @@
 // raiseShare raises the new version's share to what this daemon states as the leader.
 func (c *Core) raiseShare(now time.Time, row *rolloutRow) {
 	share := c.leadersShare(now, row)
-	if share <= row.share {
-		return
+	if percent(share) <= percent(row.share) {
+		return // messages carry the share in percent
 	}
 	c.logRollout(now, event.RolloutShareChanged, row, event.A("share", share), event.A("share_before", row.share))
 	row.share = share
