Know at once that no order names a version whose entries precede the last read of orders

Cause: a daemon that starts reads the orders and the list of backend servers at the same time. Change: an order precedes the entries of its servers in the table service, so that the versions of both tell whether the order must be known.

--- a/internal/exchange/known_orders.go
+++ b/internal/exchange/known_orders.go
@@ -24,8 +24,10 @@
 }
 
 // OrdersRead records the digest of the orders that have been applied, which is not 0. They were
-// read by a call that began at the given time; zero: by another daemon.
-func (c *Core) OrdersRead(start time.Time, digest uint64) {
+// read by a call that began at the given time; zero: by another daemon. The position is the version
+// of the table service up to which they are all.
+func (c *Core) OrdersRead(start time.Time, position, digest uint64) {
+	c.rollouts.ordersPosition = max(c.rollouts.ordersPosition, position)
 	o := &c.orders
 	if o.digest != digest {
 		o.digest, o.confirmedAt, o.differsSince = digest, time.Time{}, time.Time{}
--- a/internal/exchange/known_orders_test.go
+++ b/internal/exchange/known_orders_test.go
@@ -12,10 +12,10 @@
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
 	for _, c := range []*Core{a, b} {
 		c.cfg.Bounds.Rollout = RolloutBounds{Share: 0.1, Slack: 50, RollbackAfter: 5 * time.Second}
-		c.OrdersRead(zero, 7)
+		c.OrdersRead(zero, 0, 7)
 	}
 	b.NextUpdate(at(time.Second))
-	a.OrdersRead(at(2*time.Second), 7)
+	a.OrdersRead(at(2*time.Second), 0, 7)
 	update := a.NextUpdate(at(3 * time.Second))
 	b.ReceiveUpdate(at(9*time.Second), &update, b.sequence)
 	if got := b.orders.confirmedAt; !got.Equal(zero) {
@@ -35,13 +35,13 @@
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
 	for _, c := range []*Core{a, b} {
 		c.cfg.Bounds.Rollout = RolloutBounds{Share: 0.1, Slack: 50, RollbackAfter: 5 * time.Second}
-		c.OrdersRead(zero, 7)
+		c.OrdersRead(zero, 0, 7)
 	}
 	tell := func(d time.Duration) {
 		update := a.NextUpdate(at(d))
 		b.ReceiveUpdate(at(d), &update, b.sequence)
 	}
-	a.OrdersRead(at(time.Second), 8)
+	a.OrdersRead(at(time.Second), 0, 8)
 	tell(time.Second)
 	if _, differ := b.DifferentOrders(at(time.Second)); differ {
 		t.Error("orders are fetched at once, although the table service may be about to tell them")
@@ -49,7 +49,7 @@
 	if from, differ := b.DifferentOrders(at(time.Second + newerVersionDelay)); !differ || from.Name != "a" {
 		t.Errorf("orders are not fetched from a: %+v %v", from, differ)
 	}
-	b.OrdersRead(time.Time{}, 8)
+	b.OrdersRead(time.Time{}, 0, 8)
 	tell(2 * time.Second)
 	if _, differ := b.DifferentOrders(at(time.Minute)); differ {
 		t.Error("orders are fetched although they are the same")
--- a/internal/exchange/rollout_state.go
+++ b/internal/exchange/rollout_state.go
@@ -15,6 +15,7 @@
 	rows            *entity.Table[entity.ServiceName, rolloutRow]
 	versions        *entity.Table[entity.ServiceName, serviceVersions]
 	ordersConfirmed time.Time // start of the last read that showed all orders
+	ordersPosition  uint64    // version of the table service up to which all orders are known
 	found           announcements[BadRollout]
 	held            []heldFailure // oldest first
 }
--- a/internal/exchange/rollout_versions.go
+++ b/internal/exchange/rollout_versions.go
@@ -11,16 +11,22 @@
 // serviceVersions says which versions of a service may be used without an order.
 type serviceVersions struct {
 	serving   map[string]bool
-	appeared  map[string]time.Time // versions that nothing is known of yet, and when they were first listed
-	abandoned map[string]bool      // versions of orders that ended without completion; true: usable if no other is
-	void      map[uint64]bool      // orders that were withdrawn, or that a restore of the table service has undone
+	appeared  map[string]*appearance // versions that nothing is known of yet
+	abandoned map[string]bool        // versions of orders that ended without completion; true: usable if no other is
+	void      map[uint64]bool        // orders that were withdrawn, or that a restore of the table service has undone
+}
+
+// appearance is the first listing of a version's servers.
+type appearance struct {
+	at           time.Time
+	entryVersion uint64 // the lowest known version of their entries in the table service; 0: not known
 }
 
 // rolloutVersions returns what is known of a service's versions.
 func (c *Core) rolloutVersions(s entity.ServiceName) *serviceVersions {
 	v := c.rollouts.versions.Get(s)
 	if v == nil {
-		v = &serviceVersions{serving: map[string]bool{}, appeared: map[string]time.Time{}, abandoned: map[string]bool{}, void: map[uint64]bool{}}
+		v = &serviceVersions{serving: map[string]bool{}, appeared: map[string]*appearance{}, abandoned: map[string]bool{}, void: map[uint64]bool{}}
 		c.rollouts.versions.Put(s, v)
 	}
 	return v
@@ -32,10 +38,14 @@
 		return
 	}
 	v := c.rolloutVersions(s.Service)
-	_, appeared := v.appeared[s.Version]
-	_, abandoned := v.abandoned[s.Version]
-	if !v.serving[s.Version] && !appeared && !abandoned {
-		v.appeared[s.Version] = now
+	if a := v.appeared[s.Version]; a != nil {
+		if s.EntryVersion > 0 && (a.entryVersion == 0 || s.EntryVersion < a.entryVersion) {
+			a.entryVersion = s.EntryVersion
+		}
+		return
+	}
+	if _, abandoned := v.abandoned[s.Version]; !v.serving[s.Version] && !abandoned {
+		v.appeared[s.Version] = &appearance{at: now, entryVersion: s.EntryVersion}
 	}
 }
 
@@ -43,15 +53,20 @@
 // counts as the one that serves although the orders could not be read.
 const onlyVersionDelay = registrationDelay
 
-// settleVersions lets versions serve that no order names: an order precedes its servers, so that
-// a read of all orders that began after a version was listed shows that it has none.
+// ordersKnownSince reports whether all orders are known that a version's servers may have been
+// started by: an order precedes the entries of its servers in the table service.
+func (c *Core) ordersKnownSince(a *appearance) bool {
+	return c.rollouts.ordersConfirmed.After(a.at) || a.entryVersion > 0 && c.rollouts.ordersPosition >= a.entryVersion
+}
+
+// settleVersions lets versions serve that no order names.
 func (c *Core) settleVersions(now time.Time) {
 	ordersRead := !c.rollouts.ordersConfirmed.IsZero() || now.Sub(c.cfg.Started) > onlyVersionDelay
 	c.rollouts.versions.All(func(service entity.ServiceName, v *serviceVersions) bool {
 		row := c.rollouts.rows.Get(service)
 		only := row == nil && len(v.appeared) == 1 && len(v.serving) == 0 && ordersRead
-		for version, since := range v.appeared {
-			if (only || c.rollouts.ordersConfirmed.After(since)) && row.maySettle(version) {
+		for version, first := range v.appeared {
+			if (only || c.ordersKnownSince(first)) && row.maySettle(version) {
 				delete(v.appeared, version)
 				v.serving[version] = true
 			}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -28,8 +28,10 @@
 	Slots       int // requests that it runs at the same time
 	State       ServerState
 	Reclaimable bool
-	Version     string        // of its software
-	LeavesIn    time.Duration // time until the server leaves, announced with a reclaim; 0: not reported
+	Version     string // of its software
+	// EntryVersion is the table service's version of the entry; 0: not known.
+	EntryVersion uint64
+	LeavesIn     time.Duration // time until the server leaves, announced with a reclaim; 0: not reported
 }
 
 // serverRow is this daemon's state of a backend server.
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -121,7 +121,7 @@
 		for i := range changes {
 			applyOrderChange(c, r.orderedBy(now, confirmedAt, &changes[i].order), &changes[i])
 		}
-		c.OrdersRead(r.start, digest)
+		c.OrdersRead(r.start, r.position, digest)
 	})
 	source := r.source
 	if source == "" {
--- a/internal/gateway/watched_lists.go
+++ b/internal/gateway/watched_lists.go
@@ -57,6 +57,7 @@
 		}
 	}
 	code := event.ServerListed
+	change.Value.EntryVersion = change.Version
 	if !c.PutServer(now, change.Value) {
 		code = event.ServerEntryOutdated
 	}
