Speed of each backend server learned, shared and used in placement; choices spread by the age of the views

Cause: one line of times stood for all backend servers of a service, and the cheapest server by views of up to 2 s was chosen by all daemons at once. The experiment has engines of uneven speed, slow spells and engines that start during the load. Without the setting, nothing changes.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -13,8 +13,9 @@
 
 // gatewayCommand runs a gateway, which forwards exchanges on the users' platform.
 type gatewayCommand struct {
-	Settings string `arg:"positional" placeholder:"FILE" help:"settings file in the platform's format; default: the file named by GOOSEBERRYSLIP_CONFIG"`
-	Level    string `arg:"--log-level" default:"info" placeholder:"LEVEL" help:"lowest level that is logged: debug, info, warn or error"`
+	Settings   string `arg:"positional" placeholder:"FILE" help:"settings file in the platform's format; default: the file named by GOOSEBERRYSLIP_CONFIG"`
+	ServerPace bool   `arg:"--server-pace" help:"learn the speed of each backend server, and let those that start or recover take requests as fast as they can"`
+	Level      string `arg:"--log-level" default:"info" placeholder:"LEVEL" help:"lowest level that is logged: debug, info, warn or error"`
 }
 
 const (
@@ -37,6 +38,7 @@
 	if err != nil {
 		return err
 	}
+	s.Gateway.ServerPace = c.ServerPace
 	go limitHeapGrowth(ctx)
 	if s.Gateway.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Gateway.MemoryBytes)))
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -44,7 +44,10 @@
 	// DisableRejection disables the rejection of requests that are expected to miss
 	// their latency objective. It is meant for experiments.
 	DisableRejection bool
-	Started          time.Time
+	// ServerPace learns the speed of each backend server and limits the pace of those that
+	// start or recover.
+	ServerPace bool
+	Started    time.Time
 }
 
 // Core holds the state of this daemon from which it makes all its decisions on
@@ -117,6 +120,7 @@
 	c.sequence = c.firstSequence
 	c.budget = retry.New(retry.Config{Rand: cfg.Rand, Ratio: usedRetryRatio * cfg.Bounds.RetryRatio, Window: cfg.Bounds.RetryWindow})
 	c.shareAmongDaemons(cfg.Started, 0, 0)
+	c.enableServerPace()
 	return c
 }
 
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -120,6 +120,7 @@
 	process := row.process()
 	c.placer.SetUpdateInterval(c.updateInterval())
 	c.placer.ReceiveLoads(now, row.Name, update.Loads, c.silenceTimeout())
+	c.applyServerPace(now, update)
 	c.quota.ReceiveUses(now, process, update.Quota)
 	c.usage.ReceiveCounts(process, update.Usage)
 	c.observeLease(now, update)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -166,7 +166,7 @@
 // needs.
 func (c *Core) placementServer(s *BackendServer) placement.Server {
 	out := placement.Server{
-		ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Slots: max(s.Slots, 1),
+		ID: s.ID, Born: s.Born, Service: s.Service, DataCentre: s.DataCentre, Slots: max(s.Slots, 1),
 	}
 	if c.index == nil {
 		return out
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -43,6 +43,8 @@
 	KnownEpoch uint64        `cbor:"17,keyasint,omitempty"`
 	Reports    []UsageReport `cbor:"18,keyasint,omitempty"` // only from the lease holder
 	Notice     Notice        `cbor:"19,keyasint,omitempty"`
+	// Speeds are samples of the speed of backend servers.
+	Speeds []placement.SpeedSample `cbor:"30,keyasint,omitempty"`
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -71,6 +73,7 @@
 		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now),
 		Notice: c.noticeDue(now, c.sequence, acked),
 	}
+	c.addServerPace(now, &update)
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
 	if c.index != nil {
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -21,6 +21,7 @@
 	SwingRatio       float64     `toml:"swing"`          // amplitude of the load's sine wave, as a ratio of the mean load
 	SwingPeriodS     float64     `toml:"swing_period_s"` // period of that wave; 0: the load is not varied
 	Policies         []Policy    `toml:"policies"`
+	TimeFactors      []float64   `toml:"time_factors"` // multiply the times of the engines, in turn; none: all are equal
 	Engine           EngineModel `toml:"engine"`
 	Classes          []Class     `toml:"classes"`
 	Patterns         []Pattern   `toml:"patterns"`
@@ -32,6 +33,8 @@
 const (
 	// Product uses the decisions of the real daemons.
 	Product Policy = "product"
+	// Paced is Product with the speed and the pace of each backend server learned.
+	Paced Policy = "paced"
 	// NeverRejecting is Product, but requests that will be late are accepted too.
 	NeverRejecting Policy = "never_refusing"
 	// Random places each request on a random engine and rejects none.
@@ -43,6 +46,9 @@
 	LeastOutstanding Policy = "least_outstanding"
 )
 
+// byCores reports whether the cores of the daemons decide.
+func (p Policy) byCores() bool { return p == Product || p == Paced || p == NeverRejecting }
+
 // Parse decodes and validates an experiment in TOML. Unknown keys are errors.
 func Parse(content []byte) (*Config, error) {
 	var c Config
@@ -79,8 +85,8 @@
 		}
 	}
 	for _, p := range c.Policies {
-		if p != Product && p != NeverRejecting && p != Random && p != RoundRobin && p != LeastOutstanding {
-			return fmt.Errorf("experiment: unknown policy %q; use product, never_refusing, random, round_robin or least_outstanding", p)
+		if !p.byCores() && p != Random && p != RoundRobin && p != LeastOutstanding {
+			return fmt.Errorf("experiment: unknown policy %q; use product, paced, never_refusing, random, round_robin or least_outstanding", p)
 		}
 	}
 	for _, class := range c.Classes {
@@ -88,19 +94,28 @@
 			return fmt.Errorf("experiment: class %q must have a name, output_tokens of at least 1, objective_ms and deadline_ms above 0, and no negative per_second", class.Name)
 		}
 	}
+	for _, f := range c.TimeFactors {
+		if f <= 0 {
+			return fmt.Errorf("experiment: time factor %v must be above 0", f)
+		}
+	}
 	return c.checkPatterns()
 }
 
 func (c *Config) checkPatterns() error {
 	for _, p := range c.Patterns {
 		switch p.Kind {
-		case "burst", "hot_subject", "reclaim":
+		case "burst", "hot_subject", "reclaim", "start":
+		case "slow":
+			if p.TimeFactor <= 0 || p.RepeatS < 0 {
+				return fmt.Errorf("experiment: slow spell must have a time_factor above 0 and no negative repeat_s")
+			}
 		case "limit":
 			if p.PerSecond < 0 {
 				return fmt.Errorf("experiment: limit of %v requests per second is negative", p.PerSecond)
 			}
 		default:
-			return fmt.Errorf("experiment: unknown kind of pattern %q; use burst, hot_subject, reclaim or limit", p.Kind)
+			return fmt.Errorf("experiment: unknown kind of pattern %q; use burst, hot_subject, reclaim, start, slow or limit", p.Kind)
 		}
 	}
 	return nil
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -6,9 +6,11 @@
 	"testing"
 )
 
-func exampleConfig(t *testing.T) *Config {
+func exampleConfig(t *testing.T) *Config { return readConfig(t, "overload") }
+
+func readConfig(t *testing.T, name string) *Config {
 	t.Helper()
-	content, err := os.ReadFile("../../examples/experiment/overload.toml")
+	content, err := os.ReadFile("../../examples/experiment/" + name + ".toml")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,6 +120,23 @@
 	}
 }
 
+// TestPaced_UnevenEngines simulates engines of uneven speed, slow spells and engines that start
+// empty. Their speeds must not be taken for equal.
+func TestPaced_UnevenEngines(t *testing.T) {
+	c := readConfig(t, "uneven")
+	expectMoreCredit(t, c, Paced, Product, 1.05)
+	c.Patterns, c.Seconds = nil, 20
+	expectMoreCredit(t, c, Paced, Product, 1.02)
+}
+
+// TestPaced_EqualEngines checks that callers lose nothing where all engines are equal.
+func TestPaced_EqualEngines(t *testing.T) {
+	c := readConfig(t, "uneven")
+	c.TimeFactors, c.Patterns = nil, nil
+	expectMoreCredit(t, c, Paced, Product, 1)
+	expectMoreCredit(t, exampleConfig(t), Paced, Product, 1)
+}
+
 func TestParse_NamesWhatIsWrong(t *testing.T) {
 	content, err := os.ReadFile("../../examples/experiment/overload.toml")
 	if err != nil {
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -30,13 +30,15 @@
 
 // Pattern changes the load or the engines for a limited time.
 type Pattern struct {
-	Kind       string  `toml:"kind"` // "burst", "hot_subject", "reclaim" or "limit"
+	Kind       string  `toml:"kind"` // "burst", "hot_subject", "reclaim", "start", "slow" or "limit"
 	StartS     float64 `toml:"at_s"` // since the start of the run
 	DurationS  float64 `toml:"for_s"`
-	LoadFactor float64 `toml:"times"`      // burst: multiplies the load
-	Share      float64 `toml:"share"`      // ratio of the class's requests (hot_subject) or of the engines (reclaim, limit)
-	PerSecond  float64 `toml:"per_second"` // limit: requests that each engine takes
-	Class      string  `toml:"class"`      // burst, hot_subject: affected class; for a burst, empty means all
+	LoadFactor float64 `toml:"times"`       // burst: multiplies the load
+	Share      float64 `toml:"share"`       // ratio of the class's requests (hot_subject) or of the engines (reclaim, start, slow, limit)
+	PerSecond  float64 `toml:"per_second"`  // limit: requests that each engine takes
+	TimeFactor float64 `toml:"time_factor"` // slow: multiplies the times of the engines
+	RepeatS    float64 `toml:"repeat_s"`    // slow: from the start of one spell to that of the next, which other engines have; 0: there is one
+	Class      string  `toml:"class"`       // burst, hot_subject: affected class; for a burst, empty means all
 }
 
 // request is one request of the simulated load.
@@ -87,6 +89,16 @@
 	return at >= seconds(p.StartS) && at < seconds(p.StartS+p.DurationS)
 }
 
+// spell returns the number of the spell of a repeated pattern at a virtual time, from 0, and
+// whether there is one.
+func (p *Pattern) spell(at time.Duration) (int, bool) {
+	since := at - seconds(p.StartS)
+	if p.RepeatS == 0 || since < 0 {
+		return 0, p.active(at)
+	}
+	return int(since / seconds(p.RepeatS)), since%seconds(p.RepeatS) < seconds(p.DurationS)
+}
+
 // burstFactor returns the product of the load factors of the bursts that affect
 // the class at a virtual time.
 func (c *Config) burstFactor(at time.Duration, class *Class) float64 {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -30,6 +30,7 @@
 	byClass           map[*Class]*ClassResult
 	firstEventLatency map[*request]time.Duration
 	BySecond          []Second // by second of arrival
+	shares            workShares
 }
 
 // Second sums up the value of the requests that arrived in one second.
@@ -41,7 +42,7 @@
 func newResult(cfg *Config, policy Policy, seed uint64) *Result {
 	r := &Result{
 		Policy: policy, Seed: seed, byClass: map[*Class]*ClassResult{}, firstEventLatency: map[*request]time.Duration{},
-		BySecond: make([]Second, int(cfg.Seconds)+1),
+		BySecond: make([]Second, int(cfg.Seconds)+1), shares: newWorkShares(cfg.Engines),
 	}
 	for i := range cfg.Classes {
 		c := &ClassResult{Name: cfg.Classes[i].Name, FirstEventMicros: hdrhistogram.New(1, maxLatencyMicros, 3)}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -47,14 +47,18 @@
 // setUp creates the engines and the daemons' cores.
 func (s *simulation) setUp() {
 	for n := range s.cfg.Engines {
-		s.engines = append(s.engines, newEngine(entity.BackendServerID(fmt.Sprintf("e%d", n)), &s.cfg.Engine))
+		e := newEngine(entity.BackendServerID(fmt.Sprintf("e%d", n)), &s.cfg.Engine)
+		if factors := s.cfg.TimeFactors; len(factors) > 0 {
+			e.timeFactor = factors[n%len(factors)]
+		}
+		s.engines = append(s.engines, e)
 	}
 	doc := s.document()
 	for n := range s.cfg.Daemons {
 		c := exchange.New(exchange.Config{
 			Self: exchange.Member{Name: entity.InstanceID(fmt.Sprintf("d%d", n)), Start: 1, DataCentre: s.dataCentreOf(n)},
 			Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 3)), Started: virtualTime(0),
-			DisableRejection: s.policy == NeverRejecting,
+			DisableRejection: s.policy == NeverRejecting, ServerPace: s.policy == Paced,
 			Bounds: exchange.Bounds{
 				StaleAfter: 24 * time.Hour, RetryRatio: 0.2, RetryReserve: 10, UsageWindow: time.Second,
 				ForgetServerAfter: time.Minute, UpdateIntervalPerPeer: milliseconds(s.cfg.UpdateIntervalMs) / time.Duration(max(s.cfg.Daemons-1, 1)), ForgetPeerAfter: time.Minute,
@@ -70,6 +74,7 @@
 		s.outstanding = append(s.outstanding, make([]int, s.cfg.Engines))
 	}
 	s.roundRobinTurn = make([]int, s.cfg.Daemons)
+	s.applyEnginePatterns()
 }
 
 func (s *simulation) dataCentreOf(n int) entity.DataCentreID {
@@ -117,8 +122,8 @@
 			s.now = nextUpdate
 			nextUpdate += updateInterval
 			s.exchangeUpdates()
-			s.applyReclaims()
-			s.applyLimits()
+			s.result.shares.endInterval(s.usableEngines())
+			s.applyEnginePatterns()
 		}
 	}
 }
@@ -138,7 +143,7 @@
 
 // exchangeUpdates passes each daemon's state update to all other daemons.
 func (s *simulation) exchangeUpdates() {
-	if s.policy != Product && s.policy != NeverRejecting {
+	if !s.policy.byCores() {
 		return
 	}
 	for i, from := range s.cores {
@@ -152,38 +157,6 @@
 	}
 }
 
-// applyReclaims removes engines when a reclaim pattern starts and returns them
-// when it ends. Removed engines finish the requests that they have.
-func (s *simulation) applyReclaims() {
-	for i := range s.cfg.Patterns {
-		p := &s.cfg.Patterns[i]
-		if p.Kind != "reclaim" {
-			continue
-		}
-		count := int(p.Share * float64(s.cfg.Engines))
-		for n, e := range s.engines[:min(count, len(s.engines))] {
-			if reclaimed := p.active(s.now); reclaimed != e.reclaimed {
-				e.reclaimed = reclaimed
-				s.announceState(n, e)
-			}
-		}
-	}
-}
-
-// applyLimits has engines state limits while a limit pattern is in effect.
-func (s *simulation) applyLimits() {
-	for i := range s.cfg.Patterns {
-		p := &s.cfg.Patterns[i]
-		if p.Kind != "limit" {
-			continue
-		}
-		count := int(p.Share * float64(s.cfg.Engines))
-		for _, e := range s.engines[:min(count, len(s.engines))] {
-			e.limit = exchange.RateLimit{Stated: p.active(s.now), PerSecond: p.PerSecond}
-		}
-	}
-}
-
 // announceState reports an engine's changed state to all daemons. They take the
 // engine with its new Born for a new process, without cached prompts or load.
 func (s *simulation) announceState(n int, e *engine) {
@@ -205,6 +178,7 @@
 		return
 	}
 	s.outstanding[r.daemon][engineIndex]++
+	s.result.shares.add(engineIndex, s.engines[engineIndex].work(r))
 	s.engines[engineIndex].enqueue(s.now, &job{
 		request: r, daemon: r.daemon, remainingTokens: r.outputTokens, priority: priority, memoryTokens: r.promptTokens + r.outputTokens, sentAt: s.now,
 	})
@@ -213,12 +187,7 @@
 // chooseEngine chooses an engine by the policy. It returns false if the request is
 // refused.
 func (s *simulation) chooseEngine(r *request) (engineIndex, priority int, ok bool) {
-	var usable []int
-	for i, e := range s.engines {
-		if !e.reclaimed {
-			usable = append(usable, i)
-		}
-	}
+	usable := s.usableEngines()
 	if len(usable) == 0 {
 		return 0, 0, false
 	}
@@ -241,6 +210,17 @@
 	}
 }
 
+// usableEngines returns the indices of the engines that get new requests.
+func (s *simulation) usableEngines() []int {
+	var usable []int
+	for i, e := range s.engines {
+		if !e.reclaimed {
+			usable = append(usable, i)
+		}
+	}
+	return usable
+}
+
 // decideByCore lets the daemon's core admit and place the request.
 func (s *simulation) decideByCore(r *request) (engineIndex, priority int, ok bool) {
 	c := s.cores[r.daemon]
@@ -271,7 +251,7 @@
 // statistics and the daemons' cores.
 func (s *simulation) runEngineStep(e *engine) {
 	result := e.runStep(s.now)
-	firstEventDelay := milliseconds(s.cfg.Engine.FirstEventDelayMs)
+	firstEventDelay := milliseconds(s.cfg.Engine.FirstEventDelayMs * e.timeFactor * e.spellFactor)
 	for _, j := range result.firstEvents {
 		s.result.recordFirstEvent(j.request, e.stepEnd+firstEventDelay-j.request.arrival)
 		if t := s.tickets[j.request]; t != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	MemoryBytes        int64         // limit of the process
 	DrainLimit         time.Duration // after which a backend server that drains must get no requests; 0: not stated
 	LeaseDuration      time.Duration // in which two daemons may not alternate as lease holders; 0: lease.DefaultDuration
+	ServerPace         bool          // whether the speed and pace of each backend server are learned
 	LeaderTasks        bool          // whether this system sends usage reports and scaling requests
 }
 
@@ -151,7 +152,7 @@
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
-		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
+		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(), ServerPace: s.ServerPace,
 		Bounds: exchange.Bounds{
 			StaleAfter: s.KeyRevocationLimit - staleMargin, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow,
 			QuotaWindow: s.QuotaWindow, QuotaExcessRatio: s.QuotaExcessRatio, QuotaExcessUnits: s.QuotaExcessUnits,
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -40,6 +40,7 @@
 // Server describes a backend server for placement.
 type Server struct {
 	ID         entity.BackendServerID
+	Born       int64 // distinguishes its processes
 	Service    entity.ServiceName
 	DataCentre entity.DataCentreID
 	Slots      int
@@ -62,6 +63,9 @@
 	promptAhead   float64 // prompt tokens that had to be read before this request's own
 	sentAt        time.Time
 	service       entity.ServiceName
+	// expectedMillis is the time to the first event at a server of the service's usual speed.
+	expectedMillis float64
+	waitsForSlot   bool // all slots were in use when the server was chosen
 }
 
 // ServerLoad is the load of one daemon on one backend server.
@@ -107,6 +111,8 @@
 	peers           *entity.Table[entity.InstanceID, peerLoad]
 	lastExpiry      time.Time // when the loads of silent daemons were last removed
 	updateAgeMillis float64   // average age of the other daemons' updates, in ms
+	serverSpeeds    bool      // the speed of each backend server is learned
+	speedsRefreshed time.Time // when the speeds of servers without samples were last adapted
 }
 
 // serverRow is a backend server with its load, its health and the prompts that
@@ -117,6 +123,7 @@
 	peerSum  ServerLoad // sum over all other daemons
 	cache    promptCache
 	health   health
+	speed    serverSpeed
 }
 
 type peerLoad struct {
@@ -138,7 +145,7 @@
 func (p *Placer) SetServer(s Server) {
 	r := p.servers.Get(s.ID)
 	if r == nil {
-		r = &serverRow{cache: newPromptCache(s.Memory)}
+		r = &serverRow{cache: newPromptCache(s.Memory), speed: newServerSpeed()}
 		r.localSum.Server = s.ID
 		p.servers.Put(s.ID, r)
 		defer p.recomputePeerSums()
@@ -175,6 +182,9 @@
 	requests, slots := 0, 0
 	q.partKeys = chainKeys(q.Parts)
 	q.source = p.findSource(&q, usable)
+	if p.serverSpeeds {
+		return p.chooseSpread(now, &q, usable)
+	}
 	noise := p.noiseRange()
 	p.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		if r.Service != q.Service || !usable(id) {
@@ -218,13 +228,15 @@
 
 func (p *Placer) choice(now time.Time, r *serverRow, q *Query, utilisation float64) Choice {
 	uncached, copyFrom := p.uncached(r, q)
+	queue, expected := p.queueAt(r, q.Rank), p.firstEventMillis(r, uncached, q.Rank)
 	reservation := Reservation{
 		Server: r.ID, Rank: q.Rank, Pending: uncached, Memory: q.Prompt + q.Output, Output: q.Output,
-		promptAhead: p.queueAt(r, q.Rank).promptTokens, sentAt: now, service: r.Service,
+		promptAhead: queue.promptTokens, sentAt: now, service: r.Service,
+		expectedMillis: expected, waitsForSlot: queue.requestsToEnd > 0,
 	}
 	return Choice{
 		Server: r.ID, Utilisation: utilisation, Uncached: uncached, CopyFrom: copyFrom, reservation: reservation,
-		Cost: time.Duration(p.firstEventMillis(r, uncached, q.Rank) * float64(time.Millisecond)),
+		Cost: time.Duration(expected * r.speed.expectedFactor() * float64(time.Millisecond)),
 	}
 }
 
@@ -260,7 +272,7 @@
 }
 
 // firstEventMillis returns the expected time to the first event of the answer,
-// in milliseconds.
+// in milliseconds, at a server of the service's usual speed.
 func (p *Placer) firstEventMillis(r *serverRow, uncached entity.Tokens, rank int) float64 {
 	if r.Memory == 0 {
 		// Requests wait for a slot if all slots are in use.
@@ -292,6 +304,9 @@
 		r.localSum.Memory += reservation.Memory
 		reservation.lightlyLoaded = r.lightlyLoaded()
 		r.cache.add(now, parts)
+		if p.serverSpeeds {
+			p.recordArrival(now, r, reservation.Pending)
+		}
 	}
 	return &reservation
 }
@@ -309,11 +324,13 @@
 	r.localSum.Waiting.addRequest(reservation.Rank, -1, reservation.Pending)
 	r.localSum.Running++
 	r.health.recordSuccess(now)
+	millis := float64(now.Sub(reservation.sentAt)) / float64(time.Millisecond)
+	p.learnFirstEventSpeed(now, r, reservation, millis)
 	if r.Memory == 0 && r.requestCount() <= r.Slots {
-		p.speed(reservation.service).learnRequest(float64(now.Sub(reservation.sentAt)) / float64(time.Millisecond))
+		p.speed(reservation.service).learnRequest(millis)
 	}
 	if r.Memory > 0 {
-		p.learnFirstEvent(r, reservation, float64(now.Sub(reservation.sentAt))/float64(time.Millisecond))
+		p.learnFirstEvent(r, reservation, millis)
 	}
 }
 
@@ -336,6 +353,9 @@
 		s, runMillis := p.speed(reservation.service), float64(now.Sub(reservation.firstEventAt))/float64(time.Millisecond)
 		s.learnRun(runMillis)
 		if reservation.Output > 0 {
+			if r != nil {
+				p.learnOutputSpeed(now, r, reservation, runMillis)
+			}
 			s.learnOutput(runMillis, float64(reservation.Output), reservation.lightlyLoaded && r != nil && r.lightlyLoaded())
 		}
 	}
@@ -345,6 +365,7 @@
 	if reservation.Running {
 		r.localSum.Running--
 	} else {
+		p.learnUnanswered(now, r, reservation)
 		r.localSum.Waiting.addRequest(reservation.Rank, -1, reservation.Pending)
 	}
 	r.localSum.Memory -= reservation.Memory
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -53,6 +53,9 @@
 	lightOutputTokenMillis average // ms for each token of an answer of lightly loaded engines
 	requestMillis          float64 // ms for a request to a plain backend server
 	runMillis              float64 // ms from a request's first event to its end
+	usualFirstEvent        average // logarithm of the time to the first event / the expected one
+	usualOutput            average // logarithm of the time of an answer's tokens / the expected one
+	arrivals               arrivals
 }
 
 func newSpeed() *speed {
--- a/internal/system/placement/waiting.go
+++ b/internal/system/placement/waiting.go
@@ -54,11 +54,16 @@
 // that have a slot are read in the order of their arrival; requests that wait
 // for a slot get one by rank.
 func (p *Placer) queueAt(r *serverRow, rank int) queue {
-	weight := p.peerWaitingWeight(p.speed(r.Service), false)
+	return r.queue(rank, p.peerWaitingWeight(p.speed(r.Service), false))
+}
+
+// queue returns the work before a request of a rank. PeerWeight is the weight of the other
+// daemons' waiting requests.
+func (r *serverRow) queue(rank int, peerWeight float64) queue {
 	sum := func(rank int) (requests, prompt float64) {
 		localRequests, localPrompt := r.localSum.Waiting.upTo(rank)
 		requests, prompt = r.peerSum.Waiting.upTo(rank)
-		return localRequests + weight*requests, localPrompt + weight*prompt
+		return localRequests + peerWeight*requests, localPrompt + peerWeight*prompt
 	}
 	requests, prompt := sum(Ranks - 1)
 	requestsAhead, promptAhead := sum(rank)
