Pace: a limit of requests in progress at backend servers that start, recover or reject

Cause: a server that starts or recovers was flooded or left idle, as all daemons judge it by views of up to 2 s. It begins at a quarter of the slots, rises by one with each answer that is about as fast as the fastest, is halved by late answers and rejections, and goes at the slots. Daemons share it by rendezvous hashing and tell each other changes in state updates and notices. It is a cost in placement only; nothing is rejected for it.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -32,6 +32,9 @@
 	StreamVersionUnknown        = define(6161, Warn, "stream is not continued: the version that began it is not known")
 	StreamVersionGone           = define(6162, Warn, "stream is not continued: no server of the version that began it can take it")
 	ServerLimitIgnored          = define(6152, Warn, "invalid limit of a backend server ignored")
+	ServerPaceLimited           = define(6170, Info, "requests at a backend server that starts or recovers limited")
+	ServerPaceLowered           = define(6171, Info, "limit of requests at a backend server lowered")
+	ServerPaceOpen              = define(6172, Info, "backend server takes all requests: limit removed")
 	PeerSeen                    = define(6130, Info, "daemon heard")
 	PeerSilent                  = define(6131, Warn, "daemon silent")
 
--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -18,6 +18,9 @@
 	if n := len(t.tried); n > 0 && failureWeights[o] > 0 {
 		c.placer.RecordFailure(now, t.tried[n-1], failureWeights[o])
 	}
+	if o == Rejected {
+		c.recordRejection(now, t.process.Server)
+	}
 	c.recordEvidence(now, t, o)
 	switch o {
 	case Answered, Abandoned:
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quarantine"
 )
 
@@ -19,6 +20,8 @@
 	Completions []entity.Digest  `cbor:"3,keyasint,omitempty"`
 	Limits      []LimitStatement `cbor:"4,keyasint,omitempty"`
 	Trials      []ContentTrial   `cbor:"5,keyasint,omitempty"` // at the sender
+	// Paces are changes of the limits of servers that start or recover.
+	Paces []placement.PaceChange `cbor:"30,keyasint,omitempty"`
 }
 
 // ProcessDeath says that a process of a backend server has died, or one that has started
@@ -46,7 +49,7 @@
 
 // Empty reports whether the notice says nothing.
 func (n *Notice) Empty() bool {
-	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials) == 0
+	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials)+len(n.Paces) == 0
 }
 
 // noticeDue returns what the update with the given sequence number must include. All other
@@ -55,14 +58,14 @@
 	return Notice{
 		ContentDeaths: undated(now, c.crash.contentDeaths.due(sequence, acked)), DeadProcesses: undatedProcessDeaths(now, c.crash.deadProcesses.due(sequence, acked)),
 		Completions: c.crash.completions.due(sequence, acked), Limits: c.limits.statements(now, c.limits.changes.due(sequence, acked)),
-		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)),
+		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)), Paces: c.paceNews(now),
 	}
 }
 
 // NoticePending reports whether there is anything for a notice.
 func (c *Core) NoticePending() bool {
 	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() ||
-		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.limits.changes.hasUnnoticed()
+		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.limits.changes.hasUnnoticed() || c.paceNewsPending()
 }
 
 // NextNotice returns what no update or notice has told yet.
@@ -70,7 +73,7 @@
 	return Notice{
 		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: undatedProcessDeaths(now, c.crash.deadProcesses.unnoticed()),
 		Completions: c.crash.completions.unnoticed(), Limits: c.limits.statements(now, c.limits.changes.unnoticed()),
-		Trials: undatedTrials(now, c.crash.trials.unnoticed()),
+		Trials: undatedTrials(now, c.crash.trials.unnoticed()), Paces: c.paceNews(now),
 	}
 }
 
@@ -90,6 +93,7 @@
 	for _, t := range notice.Trials {
 		c.crash.registry.RecordTrial(t.Digest, quarantine.Trial{At: now.Add(-t.Ago), Explained: t.Explained})
 	}
+	c.placer.ReceivePaceChanges(now, notice.Paces)
 	for i := range notice.Limits {
 		c.receiveLimit(now, &notice.Limits[i], from)
 	}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -100,6 +100,7 @@
 	}
 	c.servers.Put(s.ID, row)
 	c.placer.SetServer(c.placementServer(&s))
+	c.paceListed(now, old, row)
 	return true
 }
 
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -44,6 +44,8 @@
 	Usable      bool                   `json:"usable"`
 	Reclaimable bool                   `json:"reclaimable"`
 	Limit       *float64               `json:"limit_per_second,omitempty"` // requests that it takes from all daemons; nil: it states no limit
+	SpeedRatio  *float64               `json:"speed_ratio,omitempty"`      // of its times to the usual ones; nil: speeds are not learned
+	PaceLimit   *float64               `json:"pace_limit,omitempty"`       // requests in progress of all daemons while it starts or recovers
 }
 
 // DaemonStatus is this daemon's view of another one.
@@ -69,6 +71,7 @@
 		if limit := c.limits.inForce(r.process()); limit != nil {
 			status.Limit = &limit.PerSecond
 		}
+		c.addSpeedStatus(id, &status)
 		s.Servers = append(s.Servers, status)
 		return true
 	})
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -129,12 +129,17 @@
 	expectMoreCredit(t, c, Paced, Product, 1.02)
 }
 
-// TestPaced_EqualEngines checks that callers lose nothing where all engines are equal.
+// TestPaced_EqualEngines checks that callers lose nothing under heavy load where all engines are
+// equal.
 func TestPaced_EqualEngines(t *testing.T) {
+	expectMoreCredit(t, exampleConfig(t), Paced, Product, 1)
+}
+
+// TestPaced_EqualEnginesWithLittleLoad checks the same where there is little to gain.
+func TestPaced_EqualEnginesWithLittleLoad(t *testing.T) {
 	c := readConfig(t, "uneven")
 	c.TimeFactors, c.Patterns = nil, nil
 	expectMoreCredit(t, c, Paced, Product, 1)
-	expectMoreCredit(t, exampleConfig(t), Paced, Product, 1)
 }
 
 func TestParse_NamesWhatIsWrong(t *testing.T) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,6 +68,7 @@
 		g.meter.set.WritePrometheus(w)
 		metrics.WritePrometheus(w, false)
 		g.writeRetryBudgets(w)
+		g.writeServerPace(w)
 	})
 	r.HandleFunc("/status", g.serveStatus)
 	return r
@@ -85,6 +86,29 @@
 	}
 }
 
+// slowRatio is the speed ratio from which a backend server counts as slow in the metrics.
+const slowRatio = 1.5
+
+// writeServerPace writes the metrics of the speed and pace of backend servers, if they are learned.
+func (g *Gateway) writeServerPace(w io.Writer) {
+	if !g.Settings.ServerPace {
+		return
+	}
+	var s exchange.Status
+	g.withCore(func(c *exchange.Core, now time.Time) { s = c.Status(now) })
+	paced, slow := 0, 0
+	for _, server := range s.Servers {
+		if server.PaceLimit != nil {
+			paced++
+		}
+		if server.SpeedRatio != nil && *server.SpeedRatio > slowRatio {
+			slow++
+		}
+	}
+	metrics.WriteGaugeUint64(w, `gooseberryslip_paced_backend_servers`, uint64(paced))
+	metrics.WriteGaugeUint64(w, `gooseberryslip_slow_backend_servers`, uint64(slow))
+}
+
 // serveStatus returns this daemon's view of the fleet as JSON.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	var s exchange.Status
--- a/internal/system/placement/choose_bench_test.go
+++ b/internal/system/placement/choose_bench_test.go
@@ -34,7 +34,7 @@
 
 func BenchmarkChoose_ServerSpeeds(b *testing.B) {
 	p := newPlacer(89)
-	p.EnableServerSpeeds()
+	p.EnableServerSpeeds("self")
 	p.SetUpdateInterval(700 * time.Millisecond)
 	benchmarkChoose(b, p)
 }
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -109,9 +109,12 @@
 	servers         *entity.Table[entity.BackendServerID, serverRow]
 	speeds          *entity.Table[entity.ServiceName, speed]
 	peers           *entity.Table[entity.InstanceID, peerLoad]
-	lastExpiry      time.Time // when the loads of silent daemons were last removed
-	updateAgeMillis float64   // average age of the other daemons' updates, in ms
-	serverSpeeds    bool      // the speed of each backend server is learned
+	lastExpiry      time.Time         // when the loads of silent daemons were last removed
+	updateAgeMillis float64           // average age of the other daemons' updates, in ms
+	serverSpeeds    bool              // the speed of each backend server is learned
+	self            entity.InstanceID // this daemon
+	paceEvents      []PaceEvent
+	paceNews        bool      // a limit has changed that the other daemons do not know
 	speedsRefreshed time.Time // when the speeds of servers without samples were last adapted
 }
 
@@ -124,6 +127,7 @@
 	cache    promptCache
 	health   health
 	speed    serverSpeed
+	pace     serverPace
 }
 
 type peerLoad struct {
@@ -326,6 +330,7 @@
 	r.health.recordSuccess(now)
 	millis := float64(now.Sub(reservation.sentAt)) / float64(time.Millisecond)
 	p.learnFirstEventSpeed(now, r, reservation, millis)
+	p.paceAnswer(now, r, reservation, millis)
 	if r.Memory == 0 && r.requestCount() <= r.Slots {
 		p.speed(reservation.service).learnRequest(millis)
 	}
@@ -376,6 +381,7 @@
 func (p *Placer) RecordFailure(now time.Time, id entity.BackendServerID, weight float64) {
 	if r := p.servers.Get(id); r != nil {
 		r.health.recordFailure(now, weight)
+		r.pace.failed = r.pace.failed || r.health.rate >= downFailureRate
 	}
 }
 
--- a/internal/system/placement/server_speed.go
+++ b/internal/system/placement/server_speed.go
@@ -95,8 +95,9 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-// EnableServerSpeeds lets the placer learn the speed of each backend server.
-func (p *Placer) EnableServerSpeeds() { p.serverSpeeds = true }
+// EnableServerSpeeds lets the placer of a daemon learn the speed and the pace of each backend
+// server.
+func (p *Placer) EnableServerSpeeds(self entity.InstanceID) { p.serverSpeeds, p.self = true, self }
 
 // expectedFactor returns the factor for expected times.
 func (s *serverSpeed) expectedFactor() float64 {
--- a/internal/system/placement/server_speed_test.go
+++ b/internal/system/placement/server_speed_test.go
@@ -36,7 +36,7 @@
 	f.resetArrivals()
 	for d := range daemons {
 		p := New(rand.New(rand.NewPCG(uint64(d), 1)))
-		p.EnableServerSpeeds()
+		p.EnableServerSpeeds(entity.InstanceID(fmt.Sprint(d)))
 		p.SetUpdateInterval(f.interval)
 		f.placers = append(f.placers, p)
 		f.after(time.Duration(f.rng.Int64N(int64(f.interval))), func() { f.broadcast(d) })
@@ -172,7 +172,7 @@
 // TestServerSpeed_MessageIsBounded guards against state updates that grow with the fleet.
 func TestServerSpeed_MessageIsBounded(t *testing.T) {
 	p := New(rand.New(rand.NewPCG(1, 1)))
-	p.EnableServerSpeeds()
+	p.EnableServerSpeeds("self")
 	for i := range 100 {
 		id := entity.BackendServerID(fmt.Sprint("a-rather-long-name-", i))
 		p.SetServer(Server{ID: id, Born: 1_790_000_000_000, Service: "m", Slots: 16, Memory: 1})
@@ -208,7 +208,7 @@
 // refused, or wait for ever, because of a wrong ratio.
 func TestServerSpeed_WrongRatioLeavesExpectedTimesSensible(t *testing.T) {
 	p := newPlacer(1)
-	p.EnableServerSpeeds()
+	p.EnableServerSpeeds("self")
 	_, usual := place(t, p, start, query(testPrompt))
 	for range 1000 {
 		p.ReceiveSpeedSamples(start, []SpeedSample{{Server: "s0", Ratio: 32767, Samples: 255}})
@@ -223,7 +223,7 @@
 // many requests as an idle fast one.
 func TestServerSpeed_PlainServersAreChosenBySpeed(t *testing.T) {
 	p := New(rand.New(rand.NewPCG(1, 1)))
-	p.EnableServerSpeeds()
+	p.EnableServerSpeeds("self")
 	millis := map[entity.BackendServerID]time.Duration{"fast": 20, "slow": 60}
 	for id := range millis {
 		p.SetServer(Server{ID: id, Service: "m", DataCentre: "a", Slots: 6})
--- a/internal/system/placement/spread.go
+++ b/internal/system/placement/spread.go
@@ -80,6 +80,7 @@
 	requestMillis  float64 // cost of one further request at a server
 	utilisation    float64 // requests in progress at all servers, as a ratio of their slots
 	excessMillis   float64 // cost of one above the share
+	paceMillis     float64 // see paceCost
 	noise          float64 // range of the random cost among all servers, in ms
 	cachedNoise    float64 // among those that have the beginning of the prompt cached
 }
@@ -94,6 +95,7 @@
 	unknown := s.arrivals.perSecond(now) * float64(p.peers.Len()) / servers * 2 * p.updateAgeMillis / 1000
 	out.excessMillis = excessWeight * (out.base + out.requestMillis) / (1 + unknown*unknown/(excessArrivals*excessArrivals))
 	perServer := unknown / spreadGain * out.requestMillis
+	out.paceMillis = paceCostFactor*(out.base+out.requestMillis) + paceNoiseFactor*perServer
 	out.noise = minNoise + servers*perServer
 	out.cachedNoise = minNoise + usualCachedServers*perServer
 	return out
@@ -155,6 +157,9 @@
 // has the beginning of the prompt cached.
 func (p *Placer) spreadCost(now time.Time, r *serverRow, s *spreadQuery, factor float64) (cost float64, hit bool) {
 	cost = r.health.failureRate(now) * failureCost
+	if r.pace.limit != nil {
+		cost += r.paceCost(s)
+	}
 	if r.DataCentre != s.DataCentre {
 		cost += remoteDataCentreCost
 	}
