--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -45,6 +45,9 @@
 	RolloutLeaderHeard          = define(6177, Info, "stage of a roll-out heard from the leader")
 	RolloutShareChanged         = define(6178, Info, "share of the ordered version changed")
 	RolloutFailureExcused       = define(6179, Debug, "broken answer not counted for a roll-out: the server has died or left")
+	ServerPaceLimited           = define(6180, Info, "requests at a backend server that starts or recovers limited")
+	ServerPaceLowered           = define(6181, Info, "limit of requests at a backend server lowered")
+	ServerPaceOpen              = define(6182, Info, "backend server takes all requests: limit removed")
 	PeerSeen                    = define(6130, Info, "daemon heard")
 	PeerSilent                  = define(6131, Warn, "daemon silent")
 
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -49,7 +49,10 @@
 	// servers get streams that may be resumed. Without it, all daemons that restart at once
 	// may continue a stream at another version.
 	RecordVersions bool
-	Started        time.Time
+	// ServerPace learns the speed of each backend server and limits the pace of those that
+	// start or recover.
+	ServerPace bool
+	Started    time.Time
 }
 
 // Core holds the state of this daemon from which it makes all its decisions on
@@ -135,6 +138,7 @@
 	c.sequence = c.firstSequence
 	c.budget = retry.New(retry.Config{Rand: cfg.Rand, Ratio: usedRetryRatio * cfg.Bounds.RetryRatio, Window: cfg.Bounds.RetryWindow})
 	c.shareAmongDaemons(cfg.Started, 0, 0)
+	c.enableServerPace()
 	return c
 }
 
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -5,6 +5,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quarantine"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/streamversion"
 )
@@ -23,6 +24,8 @@
 	// Versions are those that the sender has recorded, see RecordVersions.
 	Versions    []streamversion.KnownVersion `cbor:"6,keyasint,omitempty"`
 	BadRollouts []BadRollout                 `cbor:"7,keyasint,omitempty"` // found by the sender
+	// Paces are changes of the limits of servers that start or recover.
+	Paces []placement.PaceChange `cbor:"30,keyasint,omitempty"`
 }
 
 // ProcessDeath says that a process of a backend server has died, or one that has started
@@ -50,7 +53,7 @@
 
 // Empty reports whether the notice says nothing.
 func (n *Notice) Empty() bool {
-	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials)+len(n.Versions)+len(n.BadRollouts) == 0
+	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials)+len(n.Versions)+len(n.BadRollouts)+len(n.Paces) == 0
 }
 
 // noticeDue returns what the update with the given sequence number must include. All other
@@ -61,6 +64,7 @@
 		Completions: c.crash.completions.due(sequence, acked), Limits: c.limits.statements(now, c.limits.changes.due(sequence, acked)),
 		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)), Versions: undatedVersions(now, c.recordedNews.due(sequence, acked)),
 		BadRollouts: c.rollouts.found.due(sequence, acked),
+		Paces:       c.paceNews(now),
 	}
 }
 
@@ -68,7 +72,7 @@
 func (c *Core) NoticePending() bool {
 	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() ||
 		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.limits.changes.hasUnnoticed() ||
-		c.recordedNews.hasUnnoticed() || c.rollouts.found.hasUnnoticed()
+		c.recordedNews.hasUnnoticed() || c.rollouts.found.hasUnnoticed() || c.paceNewsPending()
 }
 
 // NextNotice returns what no update or notice has told yet.
@@ -78,6 +82,7 @@
 		Completions: c.crash.completions.unnoticed(), Limits: c.limits.statements(now, c.limits.changes.unnoticed()),
 		Trials: undatedTrials(now, c.crash.trials.unnoticed()), Versions: undatedVersions(now, c.recordedNews.unnoticed()),
 		BadRollouts: c.rollouts.found.unnoticed(),
+		Paces:       c.paceNews(now),
 	}
 }
 
@@ -100,6 +105,7 @@
 	for i := range notice.BadRollouts {
 		c.receiveBadRollout(now, from, &notice.BadRollouts[i])
 	}
+	c.placer.ReceivePaceChanges(now, notice.Paces)
 	for i := range notice.Limits {
 		c.receiveLimit(now, &notice.Limits[i], from)
 	}
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -45,6 +45,8 @@
 	Notice     Notice        `cbor:"19,keyasint,omitempty"`
 	Orders     *KnownOrders  `cbor:"24,keyasint,omitempty"` // only from daemons that query the table service often
 	Rollouts   []RolloutNews `cbor:"20,keyasint,omitempty"`
+	// Speeds are samples of the speed of backend servers.
+	Speeds []placement.SpeedSample `cbor:"30,keyasint,omitempty"`
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -74,6 +76,7 @@
 		Notice: c.noticeDue(now, c.sequence, acked), Orders: c.knownOrders(now),
 	}
 	update.Rollouts = c.rolloutNews(now)
+	c.addServerPace(now, &update)
 	c.cachedPrompts = nil
 	c.sent.record(c.sequence, now)
 	if c.index != nil {
