Load shedding: parts of the slots by demand, slots reserved by rank, few candidates

Many daemons with views up to 2 s old sent to the same free slots, and refused by one factor whoever asked.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -15,6 +15,7 @@
 type gatewayCommand struct {
 	Settings string `arg:"positional" placeholder:"FILE" help:"settings file in the platform's format; default: the file named by GOOSEBERRYSLIP_CONFIG"`
 	Level    string `arg:"--log-level" default:"info" placeholder:"LEVEL" help:"lowest level that is logged: debug, info, warn or error"`
+	Shedding bool   `arg:"--load-shedding" help:"while a service is short of room, refuse the requests that need it least"`
 }
 
 const (
@@ -37,6 +38,7 @@
 	if err != nil {
 		return err
 	}
+	s.Gateway.LoadShedding = c.Shedding
 	go limitHeapGrowth(ctx)
 	if s.Gateway.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Gateway.MemoryBytes)))
--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -74,6 +74,7 @@
 	if t.reservation != nil {
 		c.placer.Release(now, t.reservation, complete)
 		t.reservation = nil
+		c.countReleased(now, t)
 	}
 }
 
--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -16,6 +16,7 @@
 		limit.bucket.Take(now)
 	}
 	t.reservation = c.placer.Reserve(now, choice, t.Request.Work.Parts)
+	c.countSent(now, t)
 	t.Sends++
 	t.answerStarted = false
 	if t.firstSentAt.IsZero() {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -15,6 +15,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/quota"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/shedding"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/streamversion"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/usage"
 )
@@ -44,7 +45,10 @@
 	// DisableRejection disables the rejection of requests that are expected to miss
 	// their latency objective. It is meant for experiments.
 	DisableRejection bool
-	Started          time.Time
+	// LoadShedding has a service that is short of room refuse some requests for the sake of
+	// others: see package shedding.
+	LoadShedding bool
+	Started      time.Time
 }
 
 // Core holds the state of this daemon from which it makes all its decisions on
@@ -69,6 +73,7 @@
 	placer                 *placement.Placer
 	quota                  *quota.Ledger
 	budget                 *retry.Budget
+	shedder                *shedding.Shedder // nil: load shedding is switched off
 	usage                  *usage.Counter
 	lease                  *lease.Lease
 	reports                reportLog
@@ -78,6 +83,7 @@
 	sent                   sentTimes      // when the newest state updates were written
 	behindSince            time.Time      // since when another daemon has had a newer configuration; zero: none has
 	demand                 demand
+	sentDemand             []ServiceDemand // in the last state update
 	crash                  crashGuard
 	deaths                 deathLog
 	limits                 limitTable
@@ -116,6 +122,9 @@
 	c.firstSequence = cfg.Rand.Uint32N(maxFirstSequence)
 	c.sequence = c.firstSequence
 	c.budget = retry.New(retry.Config{Rand: cfg.Rand, Ratio: usedRetryRatio * cfg.Bounds.RetryRatio, Window: cfg.Bounds.RetryWindow})
+	if cfg.LoadShedding {
+		c.shedder = shedding.New()
+	}
 	c.shareAmongDaemons(cfg.Started, 0, 0)
 	return c
 }
--- a/internal/exchange/place.go
+++ b/internal/exchange/place.go
@@ -54,6 +54,9 @@
 	if r := c.rejectEarly(now, t, choice); r != nil {
 		return Attempt{}, r
 	}
+	if r := c.shed(now, t, choice); r != nil {
+		return Attempt{}, r
+	}
 	if !t.earnedRetry {
 		c.budget.RecordFirstAttempt(now, t.Service)
 		t.earnedRetry = true
@@ -122,6 +125,7 @@
 	q := placement.Query{
 		Service: t.Service, DataCentre: c.cfg.Self.DataCentre, Rank: t.priority,
 		Prompt: w.Prompt, Output: w.expectedOutput(), Parts: w.Parts, Exclude: t.tried,
+		SampleLoad: c.sampleLoad(now, t.Service),
 	}
 	// A limit counts requests and not their sizes: large ones on servers with limits
 	// relieve the others most. Small ones get there what large ones leave.
--- a/internal/exchange/reject.go
+++ b/internal/exchange/reject.go
@@ -37,7 +37,7 @@
 	if c.leaving && t.Sends == 0 && now.Add(c.maxAnswerDuration(t, choice)).After(c.stopDeadline) {
 		return c.rejection(t, choice, "leaving", staleRetryDelay)
 	}
-	if c.cfg.DisableRejection || choice.Utilisation < minRejectLoad || t.Route.Objective == 0 || t.Sends > 0 {
+	if c.cfg.DisableRejection || c.cfg.LoadShedding || choice.Utilisation < minRejectLoad || t.Route.Objective == 0 || t.Sends > 0 {
 		return nil
 	}
 	overrun := choice.Cost - time.Duration(rejectObjectiveFactor*float64(t.Route.Objective))
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -106,6 +106,7 @@
 	earnedRetry     bool                   // the request has earned its service the ratio of a retry
 	retryCharged    bool                   // the next send is already charged to the retry budget
 	usageCounted    bool                   // the request is counted in its organisation's usage
+	arrivalCounted  bool                   // the request is counted in the shedder's demand
 	demandRecorded  bool                   // the request is counted in the demand
 	quotaCost       float64                // units reserved on the organisation's quota
 	failedAnswer    bool                   // the answer that the caller gets is a failure of the backend server
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -71,7 +71,7 @@
 		Age: c.confirmationAge(now), DrainingServers: c.drainingServers(now),
 		Notice: c.noticeDue(now, c.sequence, acked),
 	}
-	c.cachedPrompts = nil
+	c.cachedPrompts, c.sentDemand = nil, update.Demand
 	c.sent.record(c.sequence, now)
 	if c.index != nil {
 		update.Version = c.index.doc.Version
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -32,6 +32,10 @@
 const (
 	// Product uses the decisions of the real daemons.
 	Product Policy = "product"
+	// Shedding is Product with load shedding switched on.
+	Shedding Policy = "shedding"
+	// FirstCome is NeverRejecting at engines that ignore the priorities.
+	FirstCome Policy = "first_come"
 	// NeverRejecting is Product, but requests that will be late are accepted too.
 	NeverRejecting Policy = "never_refusing"
 	// Random places each request on a random engine and rejects none.
@@ -43,6 +47,11 @@
 	LeastOutstanding Policy = "least_outstanding"
 )
 
+// byCore reports whether the daemons' cores place the requests.
+func (p Policy) byCore() bool {
+	return p == Product || p == Shedding || p == FirstCome || p == NeverRejecting
+}
+
 // Parse decodes and validates an experiment in TOML. Unknown keys are errors.
 func Parse(content []byte) (*Config, error) {
 	var c Config
@@ -79,13 +88,13 @@
 		}
 	}
 	for _, p := range c.Policies {
-		if p != Product && p != NeverRejecting && p != Random && p != RoundRobin && p != LeastOutstanding {
-			return fmt.Errorf("experiment: unknown policy %q; use product, never_refusing, random, round_robin or least_outstanding", p)
+		if !p.byCore() && p != Random && p != RoundRobin && p != LeastOutstanding {
+			return fmt.Errorf("experiment: unknown policy %q; use product, shedding, first_come, never_refusing, random, round_robin or least_outstanding", p)
 		}
 	}
 	for _, class := range c.Classes {
-		if class.Name == "" || class.ArrivalsPerSecond < 0 || class.OutputTokens < 1 || class.ObjectiveMs <= 0 || class.DeadlineMs <= 0 {
-			return fmt.Errorf("experiment: class %q must have a name, output_tokens of at least 1, objective_ms and deadline_ms above 0, and no negative per_second", class.Name)
+		if class.Name == "" || class.ArrivalsPerSecond < 0 || class.OutputTokens < 1 || class.ObjectiveMs <= 0 || class.DeadlineMs <= 0 || class.Retries < 0 {
+			return fmt.Errorf("experiment: class %q must have a name, output_tokens of at least 1, objective_ms and deadline_ms above 0, and no negative per_second or retries", class.Name)
 		}
 	}
 	return c.checkPatterns()
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -24,6 +24,7 @@
 	ObjectiveMs       float64 `toml:"objective_ms"`  // latest first event that is on time, from arrival
 	MaxPauseMs        float64 `toml:"pause_ms"`      // longest time between two events that is on time; 0: any
 	DeadlineMs        float64 `toml:"deadline_ms"`   // latest first event that earns anything, from arrival
+	Retries           int     `toml:"retries"`       // times that a caller comes back after a refusal
 	Value             float64 `toml:"worth"`
 	LateValue         float64 `toml:"late_worth"`
 }
@@ -49,6 +50,9 @@
 	promptParts  []placement.Part // as the daemons see the prompt
 	daemon       int              // index of the daemon that receives it
 	number       int              // position in the drawn load, from 0
+	large        bool             // among the largest tenth of its class
+	tries        int              // refused so far
+	nextTry      time.Duration    // when the caller comes back after a refusal
 }
 
 // sharedPart is a prompt part that several requests have in common.
@@ -110,12 +114,17 @@
 	return n
 }
 
+// largestTenth is the number of standard deviations above the mean from which a tenth of a
+// normal distribution lies.
+const largestTenth = 1.2816
+
 func drawRequest(c *Config, rng *rand.Rand, class *Class, arrival time.Duration, number int) *request {
-	sizeFactor := math.Exp(rng.NormFloat64()*class.PromptSigma - class.PromptSigma*class.PromptSigma/2)
+	deviation := rng.NormFloat64()
+	sizeFactor := math.Exp(deviation*class.PromptSigma - class.PromptSigma*class.PromptSigma/2)
 	uniqueTokens := max(int(float64(class.PromptTokens)*sizeFactor), 1)
 	r := &request{
-		class: class, arrival: arrival, promptTokens: uniqueTokens + class.SharedTokens, outputTokens: max(1, rng.IntN(2*class.OutputTokens)+1),
-		daemon: rng.IntN(c.Daemons), number: number,
+		class: class, arrival: arrival, nextTry: arrival, promptTokens: uniqueTokens + class.SharedTokens, outputTokens: max(1, rng.IntN(2*class.OutputTokens)+1),
+		daemon: rng.IntN(c.Daemons), number: number, large: deviation > largestTenth,
 	}
 	if class.SharedTokens > 0 {
 		subject := rng.IntN(max(class.Subjects, 1))
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -17,6 +17,8 @@
 	OnTime           int
 	Late             int
 	Refused          int
+	Large            int // requests among the largest tenth
+	LargeOnTime      int
 	TotalValue       float64 // of all requests if answered on time
 	EarnedValue      float64
 	FirstEventMicros *hdrhistogram.Histogram // latencies of the first events
@@ -56,6 +58,9 @@
 func (r *Result) countRequest(q *request) *ClassResult {
 	c := r.byClass[q.class]
 	c.Requests++
+	if q.large {
+		c.Large++
+	}
 	c.TotalValue += q.class.Value
 	r.BySecond[int(q.arrival.Seconds())].TotalValue += q.class.Value
 	return c
@@ -86,6 +91,9 @@
 	default:
 		earned = q.class.Value
 		c.OnTime++
+		if q.large {
+			c.LargeOnTime++
+		}
 	}
 	c.EarnedValue += earned
 	r.BySecond[int(q.arrival.Seconds())].EarnedValue += earned
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -24,6 +24,7 @@
 	tickets        map[*request]*exchange.Ticket // of requests placed by a core
 	outstanding    [][]int                       // open requests, by daemon and engine
 	roundRobinTurn []int                         // policy RoundRobin: requests placed so far, by daemon
+	retries        []*request                    // of callers that come back, by the time of their next try
 	now            time.Duration                 // virtual, since the start of the run
 	result         *Result
 }
@@ -54,7 +55,7 @@
 		c := exchange.New(exchange.Config{
 			Self: exchange.Member{Name: entity.InstanceID(fmt.Sprintf("d%d", n)), Start: 1, DataCentre: s.dataCentreOf(n)},
 			Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 3)), Started: virtualTime(0),
-			DisableRejection: s.policy == NeverRejecting,
+			DisableRejection: s.policy == NeverRejecting || s.policy == FirstCome, LoadShedding: s.policy == Shedding,
 			Bounds: exchange.Bounds{
 				StaleAfter: 24 * time.Hour, RetryRatio: 0.2, RetryReserve: 10, UsageWindow: time.Second,
 				ForgetServerAfter: time.Minute, UpdateIntervalPerPeer: milliseconds(s.cfg.UpdateIntervalMs) / time.Duration(max(s.cfg.Daemons-1, 1)), ForgetPeerAfter: time.Minute,
@@ -102,21 +103,27 @@
 // ended.
 func (s *simulation) runEvents(requests []*request) {
 	updateInterval := milliseconds(s.cfg.UpdateIntervalMs)
-	nextUpdate := updateInterval
-	for len(requests) > 0 || s.hasWork() {
+	sender, nextUpdate := 0, updateInterval/time.Duration(len(s.cores))
+	for len(requests) > 0 || len(s.retries) > 0 || s.hasWork() {
 		e := s.nextEngine()
+		next := s.nextArrival(requests)
 		switch {
-		case len(requests) > 0 && (e == nil || requests[0].arrival <= e.stepEnd) && requests[0].arrival <= nextUpdate:
-			s.now = requests[0].arrival
-			s.handleArrival(requests[0])
-			requests = requests[1:]
+		case next != nil && (e == nil || next.nextTry <= e.stepEnd) && next.nextTry <= nextUpdate:
+			s.now = next.nextTry
+			if len(s.retries) > 0 && next == s.retries[0] {
+				s.retries = s.retries[1:]
+			} else {
+				requests = requests[1:]
+			}
+			s.handleArrival(next)
 		case e != nil && e.stepEnd <= nextUpdate:
 			s.now = e.stepEnd
 			s.runEngineStep(e)
 		default:
 			s.now = nextUpdate
-			nextUpdate += updateInterval
-			s.exchangeUpdates()
+			sender++
+			nextUpdate = updateInterval * time.Duration(sender+1) / time.Duration(len(s.cores))
+			s.sendUpdate(sender % len(s.cores))
 			s.applyReclaims()
 			s.applyLimits()
 		}
@@ -136,18 +143,18 @@
 	return first
 }
 
-// exchangeUpdates passes each daemon's state update to all other daemons.
-func (s *simulation) exchangeUpdates() {
-	if s.policy != Product && s.policy != NeverRejecting {
+// sendUpdate passes a daemon's state update to all other daemons. The daemons send theirs one
+// after the other, evenly over the interval.
+func (s *simulation) sendUpdate(i int) {
+	if !s.policy.byCore() {
 		return
 	}
-	for i, from := range s.cores {
-		from.Tick(virtualTime(s.now))
-		update := from.NextUpdate(virtualTime(s.now))
-		for j, to := range s.cores {
-			if i != j {
-				to.ReceiveUpdate(virtualTime(s.now), &update, 0)
-			}
+	from := s.cores[i]
+	from.Tick(virtualTime(s.now))
+	update := from.NextUpdate(virtualTime(s.now))
+	for j, to := range s.cores {
+		if i != j {
+			to.ReceiveUpdate(virtualTime(s.now), &update, 0)
 		}
 	}
 }
@@ -199,20 +206,25 @@
 }
 
 func (s *simulation) handleArrival(r *request) {
-	engineIndex, priority, ok := s.chooseEngine(r)
-	if !ok {
-		s.result.recordRefusal(r)
+	engineIndex, priority, refusal := s.chooseEngine(r)
+	if refusal != nil {
+		if !s.scheduleRetry(r, refusal.RetryAfter) {
+			s.result.recordRefusal(r)
+		}
 		return
 	}
+	if s.policy == FirstCome {
+		priority = 0
+	}
 	s.outstanding[r.daemon][engineIndex]++
 	s.engines[engineIndex].enqueue(s.now, &job{
 		request: r, daemon: r.daemon, remainingTokens: r.outputTokens, priority: priority, memoryTokens: r.promptTokens + r.outputTokens, sentAt: s.now,
 	})
 }
 
-// chooseEngine chooses an engine by the policy. It returns false if the request is
-// refused.
-func (s *simulation) chooseEngine(r *request) (engineIndex, priority int, ok bool) {
+// chooseEngine chooses an engine by the policy. It returns a refusal if there is
+// none or the request is refused.
+func (s *simulation) chooseEngine(r *request) (engineIndex, priority int, refusal *exchange.Refusal) {
 	var usable []int
 	for i, e := range s.engines {
 		if !e.reclaimed {
@@ -220,14 +232,14 @@
 		}
 	}
 	if len(usable) == 0 {
-		return 0, 0, false
+		return 0, 0, exchange.Refuse(exchange.Unavailable, "no-backend-server")
 	}
 	switch s.policy {
 	case Random:
-		return usable[s.rng.IntN(len(usable))], r.class.Priority, true
+		return usable[s.rng.IntN(len(usable))], r.class.Priority, nil
 	case RoundRobin:
 		s.roundRobinTurn[r.daemon]++
-		return usable[s.roundRobinTurn[r.daemon]%len(usable)], r.class.Priority, true
+		return usable[s.roundRobinTurn[r.daemon]%len(usable)], r.class.Priority, nil
 	case LeastOutstanding:
 		best := usable[0]
 		for _, i := range usable {
@@ -235,36 +247,37 @@
 				best = i
 			}
 		}
-		return best, r.class.Priority, true
+		return best, r.class.Priority, nil
 	default:
 		return s.decideByCore(r)
 	}
 }
 
 // decideByCore lets the daemon's core admit and place the request.
-func (s *simulation) decideByCore(r *request) (engineIndex, priority int, ok bool) {
+func (s *simulation) decideByCore(r *request) (engineIndex, priority int, refusal *exchange.Refusal) {
 	c := s.cores[r.daemon]
 	ticket, refusal := c.Admit(virtualTime(s.now), virtualTime(s.now), exchange.Request{
-		ID: entity.RequestID(fmt.Sprint(r.number)), Method: "POST", Host: hostName, Path: "/" + r.class.Name + "/x",
+		ID: entity.RequestID(fmt.Sprint(r.number, "-", r.tries)), Method: "POST", Host: hostName, Path: "/" + r.class.Name + "/x",
+		Patience: r.arrival + milliseconds(r.class.DeadlineMs) - s.now,
 		Work: exchange.Work{
 			Stated: true, Prompt: tokens(r.promptTokens), MaxOutput: tokens(2 * r.class.OutputTokens), Output: tokens(r.outputTokens), Parts: r.promptParts,
 		},
 	})
 	if refusal != nil {
-		return 0, 0, false
+		return 0, 0, refusal
 	}
 	assignment, refusal := c.Place(virtualTime(s.now), ticket)
 	if refusal != nil {
 		c.Finish(virtualTime(s.now), ticket)
-		return 0, 0, false
+		return 0, 0, refusal
 	}
 	s.tickets[r] = ticket
 	for i, e := range s.engines {
 		if e.id == assignment.Server {
-			return i, assignment.Priority, true
+			return i, assignment.Priority, nil
 		}
 	}
-	return 0, 0, false
+	return 0, 0, exchange.Refuse(exchange.Unavailable, "no-backend-server")
 }
 
 // runEngineStep runs one step of an engine and reports its results to the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	DrainLimit         time.Duration // after which a backend server that drains must get no requests; 0: not stated
 	LeaseDuration      time.Duration // in which two daemons may not alternate as lease holders; 0: lease.DefaultDuration
 	LeaderTasks        bool          // whether this system sends usage reports and scaling requests
+	LoadShedding       bool          // whether requests are refused for others' sake while a service is short of room
 }
 
 // ListenAddresses holds the host:port on which each endpoint listens. An HTTP endpoint with an
@@ -151,7 +152,7 @@
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
-		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(),
+		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(), LoadShedding: s.LoadShedding,
 		Bounds: exchange.Bounds{
 			StaleAfter: s.KeyRevocationLimit - staleMargin, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow,
 			QuotaWindow: s.QuotaWindow, QuotaExcessRatio: s.QuotaExcessRatio, QuotaExcessUnits: s.QuotaExcessUnits,
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -211,6 +211,7 @@
 // refuse sends a refusal to the caller. If a response has already started, it aborts
 // the connection instead, so that the truncated response does not look complete.
 func (x *forwarding) refuse(refusal *exchange.Refusal) {
+	x.g.meter.countShed(refusal.Code)
 	x.attempts = append(x.attempts, attemptRecord{detail: strings.TrimSpace(refusal.Code + " " + refusal.Inputs)})
 	if x.headSent {
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -48,6 +49,13 @@
 	m.set.GetOrCreateCounter(`gooseberryslip_oversized_events_total`).Inc()
 }
 
+// countShed counts a request that was refused by load shedding. Other refusals are ignored.
+func (m *meter) countShed(code string) {
+	if reason, ok := strings.CutPrefix(code, exchange.ShedPrefix); ok {
+		m.set.GetOrCreateCounter(`gooseberryslip_shed_requests_total{reason="` + reason + `"}`).Inc()
+	}
+}
+
 func (m *meter) countRestore() {
 	m.set.GetOrCreateCounter(`gooseberryslip_table_restores_total`).Inc()
 }
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -81,6 +81,9 @@
 	Output     entity.Tokens // expected
 	Parts      []Part
 	Exclude    []entity.BackendServerID
+	// SampleLoad is the number of requests for the service that all daemons send before they
+	// learn of each other's. If it is set, the request gets the cheapest of a few servers.
+	SampleLoad float64
 	partKeys   []CachedPart // keys of Parts
 	source     cachedSource // where most of the prompt is cached
 }
@@ -92,6 +95,8 @@
 	// Uncached is the number of prompt tokens that must be read.
 	Uncached    entity.Tokens
 	Utilisation float64 // requests of the service as a ratio of its slots
+	Servers     int     // usable backend servers of the service
+	Slots       int     // of these servers
 	// CopyFrom is the backend server from which to copy what it has cached of the prompt;
 	// "": none.
 	CopyFrom    entity.BackendServerID
@@ -172,17 +177,19 @@
 func (p *Placer) Choose(now time.Time, q Query, usable func(entity.BackendServerID) bool) (Choice, bool) {
 	var best *serverRow
 	var bestCost float64
-	requests, slots := 0, 0
+	requests, servers, slots := 0, 0, 0
 	q.partKeys = chainKeys(q.Parts)
 	q.source = p.findSource(&q, usable)
 	noise := p.noiseRange()
+	drawn := p.drawSample(&q, usable)
 	p.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		if r.Service != q.Service || !usable(id) {
 			return true
 		}
 		requests += r.requestCount()
+		servers++
 		slots += r.Slots
-		if slices.Contains(q.Exclude, id) {
+		if slices.Contains(q.Exclude, id) || !drawn.contains(id) {
 			return true
 		}
 		cost := p.cost(now, r, &q) + p.rng.Float64()*noise
@@ -194,7 +201,9 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return p.choice(now, best, &q, float64(requests)/float64(max(slots, 1))), true
+	choice := p.choice(now, best, &q, float64(requests)/float64(max(slots, 1)))
+	choice.Servers, choice.Slots = servers, slots
+	return choice, true
 }
 
 const (
