--- a/internal/exchange/shed.go
+++ b/internal/exchange/shed.go
@@ -35,7 +35,7 @@
 	if d.Reason == "" {
 		return nil
 	}
-	r := c.finalRefusal(t, ShedPrefix+string(d.Reason), boundRetryDelay(choice.Cost))
+	r := c.finalRefusal(t, ShedPrefix+string(d.Reason), c.shedder.RetryAfter(now, q, t.timeLeft(now)))
 	r.Inputs = fmt.Sprintf("rank %d, expected %v at %s, objective %v, %s, taken %.0f of %d, share %.4f, view %v old",
 		t.priority, choice.Cost.Round(time.Millisecond), choice.Server, t.Route.Objective, d, room.Taken, room.Slots, room.Share, room.Age)
 	return r
