--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -16,6 +16,7 @@
 	Settings   string `arg:"positional" placeholder:"FILE" help:"settings file in the platform's format; default: the file named by GOOSEBERRYSLIP_CONFIG"`
 	ServerPace bool   `arg:"--server-pace" help:"learn the speed of each backend server, and let those that start or recover take requests as fast as they can"`
 	Level      string `arg:"--log-level" default:"info" placeholder:"LEVEL" help:"lowest level that is logged: debug, info, warn or error"`
+	Shedding   bool   `arg:"--load-shedding" help:"while a service is short of room, refuse the requests that need it least"`
 }
 
 const (
@@ -39,6 +40,7 @@
 		return err
 	}
 	s.Gateway.ServerPace = c.ServerPace
+	s.Gateway.LoadShedding = c.Shedding
 	go limitHeapGrowth(ctx)
 	if s.Gateway.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Gateway.MemoryBytes)))
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -77,7 +77,7 @@
 	}
 	update.Rollouts = c.rolloutNews(now)
 	c.addServerPace(now, &update)
-	c.cachedPrompts = nil
+	c.cachedPrompts, c.sentDemand = nil, update.Demand
 	c.sent.record(c.sequence, now)
 	if c.index != nil {
 		update.Version = c.index.doc.Version
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,7 @@
 	ServerPace         bool          // whether the speed and pace of each backend server are learned
 	LeaderTasks        bool          // whether this system sends usage reports and scaling requests
 	Rollout            exchange.RolloutBounds
+	LoadShedding       bool // whether requests are refused for others' sake while a service is short of room
 }
 
 // ListenAddresses holds the host:port on which each endpoint listens. An HTTP endpoint with an
@@ -160,7 +161,7 @@
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(), RecordVersions: true,
-		ServerPace: s.ServerPace,
+		ServerPace: s.ServerPace, LoadShedding: s.LoadShedding,
 		Bounds: exchange.Bounds{
 			StaleAfter: s.KeyRevocationLimit - staleMargin, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve, RetryWindow: s.RetryWindow,
 			QuotaWindow: s.QuotaWindow, QuotaExcessRatio: s.QuotaExcessRatio, QuotaExcessUnits: s.QuotaExcessUnits,
