--- a/internal/system/placement/spread.go
+++ b/internal/system/placement/spread.go
@@ -150,7 +150,9 @@
 	if best.row == nil {
 		return Choice{}, false
 	}
-	return p.choice(now, best.row, q, utilisation), true
+	choice := p.choice(now, best.row, q, utilisation)
+	choice.Servers, choice.Slots = servers, slots
+	return choice, true
 }
 
 // spreadCost returns the cost of placing a request on a backend server, in ms, and whether it
