--- a/internal/system/shedding/decide.go
+++ b/internal/system/shedding/decide.go
@@ -84,23 +84,24 @@
 		d.Held = v.heldBefore(q.Rank)
 		d.Reserve = v.reserve(q.Rank)
 	}
-	d.Reason = v.judge(&q, &room, &d)
+	d.Reason = v.refusalReason(&q, &room, &d)
 	if d.Reason != "" {
 		v.ranks[q.Rank].refused++
 	}
 	return d
 }
 
-func (v *service) judge(q *Request, room *Room, d *Decision) Reason {
+// refusalReason returns why a request is refused, "" if it is sent.
+func (v *service) refusalReason(q *Request, room *Room, d *Decision) Reason {
 	burst := room.burst(d.Limit)
 	extra := v.saved() + burst
-	most := max(room.part(), maxSaved) + burst
+	maxHeld := max(room.part(), maxSaved) + burst
 	switch {
 	case room.short() && q.Objective != 0 && q.Expected > q.Objective:
 		return Late
-	case d.Held+1 > d.Limit+extra || float64(v.held+1) > most:
+	case d.Held+1 > d.Limit+extra || float64(v.held+1) > maxHeld:
 		return NoRoom
-	case d.Held+1+d.Reserve > d.Limit+extra || float64(v.held+1)+d.Reserve > most:
+	case d.Held+1+d.Reserve > d.Limit+extra || float64(v.held+1)+d.Reserve > maxHeld:
 		return Reserved
 	}
 	return ""
@@ -118,8 +119,8 @@
 // burst returns by how much this daemon may exceed its limit. It falls to zero as the service
 // gets short of room.
 func (r *Room) burst(limit float64) float64 {
-	calm := 1 - r.Taken/(shortageRatio*max(float64(r.Slots), 1))
-	return max(calm, 0) * (burstRequests + burstDeviations*math.Sqrt(limit))
+	headroom := 1 - r.Taken/(shortageRatio*max(float64(r.Slots), 1))
+	return max(headroom, 0) * (burstRequests + burstDeviations*math.Sqrt(limit))
 }
 
 // limit returns the number of requests that this daemon may have at the backend servers. It
