streamversion: replace figurative names of recorded versions

lapse, unsure and wantedMemory become usableTime, writeUnconfirmed and wantedRetention; "told", an old word of the glossary, becomes sent or received.

--- a/internal/system/streamversion/recorded.go
+++ b/internal/system/streamversion/recorded.go
@@ -16,21 +16,21 @@
 	// retention is how long after the last of its servers was seen callers may still resume
 	// a version's streams. It includes the age that a daemon's list of servers may have.
 	retention = maxLife + 5*time.Second
-	// lapse is how long after it last saw a server of a version a daemon takes it for recorded.
-	lapse = 20 * time.Second
+	// usableTime is how long after it last saw a server of a version a daemon takes it for recorded.
+	usableTime = 20 * time.Second
 	// removalDelay is the time from the mark that a version expires to its removal: longer
 	// than a daemon that has not seen the mark takes it for recorded.
-	removalDelay = lapse + 10*time.Second
-	// forgetAfter is how long after it last saw a server of it a daemon forgets a version that
-	// the leader should have removed.
+	removalDelay = usableTime + 10*time.Second
+	// forgetAfter is how long after it last saw a server of a version a daemon forgets it, if the
+	// leader has not removed it.
 	forgetAfter = retention + removalDelay + time.Minute
-	// wantedMemory is how long after it last saw a server of it a daemon wants a version recorded.
-	wantedMemory = 10 * time.Second
+	// wantedRetention is how long after it last saw a server of a version a daemon wants it recorded.
+	wantedRetention = 10 * time.Second
 	// minRecordDelay and a random part of a spread delay the recording by daemons other than
 	// the leader.
 	minRecordDelay = 200 * time.Millisecond
 	// restoreDelay is how long after a restore of the table service the row is confirmed: the
-	// daemons have told each other by then what they have recorded before.
+	// daemons have sent each other by then what they have recorded before.
 	restoreDelay = 5 * time.Second
 	// minRetryDelay and maxRetryDelay bound the time between two calls of the table service, which
 	// grows while they have no effect; up to as much again is added at random.
@@ -44,18 +44,18 @@
 
 // Recorded is what one daemon knows of the recorded versions. It is not safe for concurrent use.
 type Recorded struct {
-	rand       *rand.Rand
-	readAt     time.Time // when this process first read the row; zero: it has not
-	confirmed  bool      // it has read a row with all versions, or was told them by a daemon that knew all
-	generation uint64    // newest one of the table service at a read
-	checks     int       // reads that found a row which may lack versions
-	checkAt    time.Time
-	nextCall   time.Time // no call of the table service is due before
-	calls      int       // since the last one that had the effect that was wanted
-	unsure     bool      // the last write may have taken effect
-	versions   map[SeenVersion]*recorded
-	wanted     map[SeenVersion]*wanted
-	news       []KnownVersion
+	rand             *rand.Rand
+	readAt           time.Time // when this process first read the row; zero: it has not
+	confirmed        bool      // it has read a row with all versions, or received them from a daemon that knew all
+	generation       uint64    // newest one of the table service at a read
+	checks           int       // reads that found a row which may lack versions
+	checkAt          time.Time
+	nextCall         time.Time // no call of the table service is due before
+	calls            int       // since the last one that had the effect that was wanted
+	writeUnconfirmed bool      // the last write may have taken effect
+	versions         map[SeenVersion]*recorded
+	wanted           map[SeenVersion]*wanted
+	news             []KnownVersion
 }
 
 // recorded is what is known of a recorded version.
@@ -95,7 +95,7 @@
 }
 
 func (k *recorded) usable(now time.Time) bool {
-	return k.expiringAt.IsZero() && now.Sub(k.seenAt) <= lapse
+	return k.expiringAt.IsZero() && now.Sub(k.seenAt) <= usableTime
 }
 
 // resumable reports whether a caller may still resume a stream of the version.
@@ -142,7 +142,7 @@
 // Forget drops what is no longer of use.
 func (r *Recorded) Forget(now time.Time) {
 	for v, w := range r.wanted {
-		if now.Sub(w.seenAt) > wantedMemory {
+		if now.Sub(w.seenAt) > wantedRetention {
 			delete(r.wanted, v)
 		}
 	}
@@ -153,7 +153,7 @@
 	}
 }
 
-// Known returns the recorded versions as this daemon tells them others.
+// Known returns the recorded versions, to be sent to other daemons.
 func (r *Recorded) Known(now time.Time) []KnownVersion {
 	var out []KnownVersion
 	for v, known := range r.versions {
@@ -165,7 +165,7 @@
 	return out
 }
 
-// Receive learns versions that another daemon has told.
+// Receive learns versions that another daemon has sent.
 func (r *Recorded) Receive(now time.Time, versions []KnownVersion) {
 	for _, v := range versions {
 		if v.Ago <= retention {
--- a/internal/system/streamversion/recording.go
+++ b/internal/system/streamversion/recording.go
@@ -49,7 +49,7 @@
 }
 
 // Failed records that a write has failed or may not have taken effect.
-func (r *Recorded) Failed() { r.unsure = true }
+func (r *Recorded) Failed() { r.writeUnconfirmed = true }
 
 // Apply applies a read of the row and returns the row to write, and whether it must be written.
 // Only the leader removes versions.
@@ -57,12 +57,12 @@
 	current := read.Row.current(read.Generation)
 	confirm := r.applyGeneration(now, read, current, leader)
 	for _, v := range read.Row.Versions {
-		if w := r.wanted[v.SeenVersion]; w != nil && r.unsure {
+		if w := r.wanted[v.SeenVersion]; w != nil && r.writeUnconfirmed {
 			r.news = append(r.news, KnownVersion{RowVersion: v}) // recorded by this daemon's last write
 		}
 		r.learn(now, v, now)
 	}
-	r.unsure = false
+	r.writeUnconfirmed = false
 	next = Row{Generation: read.Row.Generation, Complete: read.Row.Complete, Versions: sortedVersions(r.merge(now, read, current, leader))}
 	if confirm {
 		next.Generation, next.Complete = read.Generation, true
--- a/internal/system/streamversion/row.go
+++ b/internal/system/streamversion/row.go
@@ -34,7 +34,7 @@
 	NewDeployment bool
 }
 
-// KnownVersion is a recorded version as one daemon tells it another one.
+// KnownVersion is a recorded version as one daemon sends it to another one.
 type KnownVersion struct {
 	RowVersion
 	Ago time.Duration `cbor:"5,keyasint,omitempty" json:"seen_ago_ns"` // since the sender last saw a server of it or learned of its recording
