rollout: use plain names for the schedule, the judgement and the canary share

CanaryShare's parameter was named after a setting of the platform. LastMoment, TooLate, together and MayTry become FinalDecision, LatestCompletion, sumOfRoutes and MaySend. What exchange called the pace of a stream is rollout.Samples.Rest; "pace" means the limit of a server elsewhere.

--- a/internal/exchange/rollout_count.go
+++ b/internal/exchange/rollout_count.go
@@ -11,12 +11,12 @@
 
 // rolloutSend is what an attempt of a request counts for in a roll-out.
 type rolloutSend struct {
-	order    uint64 // see rollout.Order.Version; 0: nothing
-	group    rollout.Group
-	expected time.Duration // from the sending to the first event
-	events   int           // after the first one
-	paced    bool          // the time between events has been counted
-	reached  bool          // the request counts as one that has reached the service, over all attempts
+	order       uint64 // see rollout.Order.Version; 0: nothing
+	group       rollout.Group
+	expected    time.Duration // from the sending to the first event
+	events      int           // after the first one
+	restCounted bool          // the time between events has been counted
+	reached     bool          // the request counts as one that has reached the service, over all attempts
 }
 
 // rolloutSent records the send of a request.
@@ -83,27 +83,27 @@
 	row.judge.Add(now, route, g, sample)
 }
 
-// pacedEvents is the number of events after the first one over which the time between events is
-// measured, so that a long stream need not end before it counts.
-const pacedEvents = 6
+// restEvents is the number of events after the first one over which the time between events
+// (rollout.Samples.Rest) is measured, so that a long stream need not end before it counts.
+const restEvents = 6
 
 // RecordEvents records that further events of a stream have arrived after the first ones, and
 // reports whether to record the next ones too.
 func (c *Core) RecordEvents(now time.Time, t *Ticket, events int) (more bool) {
 	row := c.rolloutOf(t)
-	if row == nil || t.rollout.paced || !t.answerStarted {
+	if row == nil || t.rollout.restCounted || !t.answerStarted {
 		return false
 	}
 	t.rollout.events += events
-	if t.rollout.events >= pacedEvents {
-		c.countPace(now, row, t)
+	if t.rollout.events >= restEvents {
+		c.countRest(now, row, t)
 	}
-	return !t.rollout.paced
+	return !t.rollout.restCounted
 }
 
-// countPace counts the time between the events that have arrived.
-func (c *Core) countPace(now time.Time, row *rolloutRow, t *Ticket) {
-	t.rollout.paced = true
+// countRest counts the time between the events that have arrived.
+func (c *Core) countRest(now time.Time, row *rolloutRow, t *Ticket) {
+	t.rollout.restCounted = true
 	expected := c.placer.OutputDuration(t.Service, t.Request.Work.expectedOutput())
 	if t.rollout.events > 0 {
 		expected = c.placer.OutputDuration(t.Service, entity.Tokens(t.rollout.events*c.tokensPerEvent(t.Service)))
@@ -159,8 +159,8 @@
 	switch {
 	case t.Route.Kind != Stream:
 		c.countSample(now, row, t, func(s *rollout.Samples) { s.Rest.Record(now.Sub(t.sentAt), t.rollout.expected) })
-	case !t.rollout.paced && t.answerStarted:
-		c.countPace(now, row, t)
+	case !t.rollout.restCounted && t.answerStarted:
+		c.countRest(now, row, t)
 	}
 }
 
--- a/internal/exchange/rollout_pace_test.go
+++ b/internal/exchange/rollout_pace_test.go
@@ -29,7 +29,7 @@
 			mustPlace(t, c, now, ticket)
 			c.Started(now.Add(20*time.Millisecond), ticket)
 			for n, more := 1, true; more; n++ {
-				if n > pacedEvents {
+				if n > restEvents {
 					t.Fatalf("the pace is not counted after %d events", n)
 				}
 				more = c.RecordEvents(now.Add(20*time.Millisecond+time.Duration(n)*pause), ticket, 1)
--- a/internal/exchange/rollout_place.go
+++ b/internal/exchange/rollout_place.go
@@ -154,7 +154,7 @@
 // been sent before does not: one failure is enough for its caller.
 func (c *Core) drawsCanary(t *Ticket, row *rolloutRow) bool {
 	share := rollout.CanaryShare(c.cfg.Bounds.Rollout.Share)
-	return t.Sends == 0 && rollout.DrawsCanary(t.Request.ID, row.state.Order) && row.split.MayTry(share)
+	return t.Sends == 0 && rollout.DrawsCanary(t.Request.ID, row.state.Order) && row.split.MaySend(share)
 }
 
 // canaryFilter allows the few servers of the new version that get the canary's requests.
--- a/internal/system/rollout/judge.go
+++ b/internal/system/rollout/judge.go
@@ -129,18 +129,18 @@
 		}
 		windows = append(windows, list)
 	}
-	return findTogether(windows)
+	return findOverAllRoutes(windows)
 }
 
-// findTogether tests the windows of all routes that begin with the same number of bins before
+// findOverAllRoutes tests the windows of all routes that begin with the same number of bins before
 // the present one.
-func findTogether(windows [][]window) *Finding {
+func findOverAllRoutes(windows [][]window) *Finding {
 	longest := 0
 	for _, list := range windows {
 		longest = max(longest, len(list))
 	}
 	for i := range longest {
-		sum := together(windows, i)
+		sum := sumOfRoutes(windows, i)
 		if f := sum.test(); f != nil {
 			f.Route = allRoutes
 			return f
@@ -188,10 +188,10 @@
 // are compared together.
 const maxMixFactor = 11.0
 
-// together returns the sum of the routes' windows with the given index, where the old group of
+// sumOfRoutes returns the sum of the routes' windows with the given index, where the old group of
 // each is reduced to the share that the route has of the new group. Routes that differ by nature
 // can then be compared together.
-func together(windows [][]window, index int) window {
+func sumOfRoutes(windows [][]window, index int) window {
 	var sum window
 	var chosen []*window
 	factor := maxMixFactor
@@ -218,14 +218,14 @@
 	finding := func(kind string, score float64) *Finding {
 		return &Finding{Kind: kind, Score: score, Old: *o, New: *n}
 	}
-	if score := failureScore(n.Failures, n.Answers, o.Failures, o.Answers); score > maxScore && n.Failures >= minBad {
+	if score := failureScore(n.Failures, n.Answers, o.Failures, o.Answers); score > maxScore && n.Failures >= minBadAnswers {
 		return finding(KindFailures, score)
 	}
 	first, rest := &n.First, &n.Rest
-	if score := failureScore(first.Slow, first.Count, o.First.Slow, o.First.Count); score > maxScore && first.Slow >= minBad {
+	if score := failureScore(first.Slow, first.Count, o.First.Slow, o.First.Count); score > maxScore && first.Slow >= minBadAnswers {
 		return finding(KindFirstSlow, score)
 	}
-	if score := failureScore(rest.Slow, rest.Count, o.Rest.Slow, o.Rest.Count); score > maxScore && rest.Slow >= minBad {
+	if score := failureScore(rest.Slow, rest.Count, o.Rest.Slow, o.Rest.Count); score > maxScore && rest.Slow >= minBadAnswers {
 		return finding(KindRestSlow, score)
 	}
 	if score := slownessScore(first, &o.First); score > maxDeviation {
@@ -243,8 +243,8 @@
 	// allow for many looks at several windows of several routes.
 	maxScore     = 12.0
 	maxDeviation = 5.5
-	// minBad is the least number of bad answers for a finding.
-	minBad = 6
+	// minBadAnswers is the least number of bad answers for a finding.
+	minBadAnswers = 6
 	// minTimes is the least number of times of each group for comparing their means.
 	minTimes = 12
 	// slowerFactor is the factor by which the new version must be slower in the mean. Servers
--- a/internal/system/rollout/model_test.go
+++ b/internal/system/rollout/model_test.go
@@ -261,7 +261,7 @@
 				continue
 			}
 			next := w
-			if next.splits[i].MayTry(share) {
+			if next.splits[i].MaySend(share) {
 				next.splits[i].CountSend()
 				next.sends++
 			}
--- a/internal/system/rollout/rollout_test.go
+++ b/internal/system/rollout/rollout_test.go
@@ -88,8 +88,8 @@
 			for _, interval := range []time.Duration{0, 900 * time.Millisecond, 4 * time.Second} {
 				s := State{Duration: duration, OrderedAt: time.Hour}
 				p := ScheduleOf(&s, run, interval)
-				if p.Promote < s.OrderedAt+duration/4 || p.LastPromote < p.Promote || p.LastMoment < p.LastPromote+p.Ramp+duration/10 ||
-					p.TooLate <= p.LastMoment || p.TooLate >= s.Deadline() {
+				if p.Promote < s.OrderedAt+duration/4 || p.LatestPromote < p.Promote || p.FinalDecision < p.LatestPromote+p.Ramp+duration/10 ||
+					p.LatestCompletion <= p.FinalDecision || p.LatestCompletion >= s.Deadline() {
 					t.Errorf("duration %v, longest run %v, interval %v: %+v", duration, run, interval, p)
 				}
 			}
--- a/internal/system/rollout/schedule.go
+++ b/internal/system/rollout/schedule.go
@@ -31,11 +31,11 @@
 
 // Schedule holds the times of a roll-out since 1970.
 type Schedule struct {
-	Promote     time.Duration // promotion is due
-	LastPromote time.Duration // promotion does not wait any more for answers on each route
-	LastMoment  time.Duration // the last stage is decided
-	TooLate     time.Duration // no completion after this
-	Ramp        time.Duration // length of the ramp
+	Promote          time.Duration // promotion is due
+	LatestPromote    time.Duration // promotion does not wait any more for answers on each route
+	FinalDecision    time.Duration // completion or roll-back is decided
+	LatestCompletion time.Duration // no completion after this
+	Ramp             time.Duration // length of the ramp
 }
 
 // ScheduleOf returns the times of a roll-out. longestRun is the longest usual run of an answer,
@@ -43,13 +43,13 @@
 func ScheduleOf(s *State, longestRun, updateInterval time.Duration) Schedule {
 	d := s.Duration
 	margin := min(maxMargin, ratioOf(d, maxMarginRatio))
-	out := Schedule{LastMoment: s.Deadline() - margin, TooLate: s.Deadline() - ratioOf(margin, lateRatio)}
+	out := Schedule{FinalDecision: s.Deadline() - margin, LatestCompletion: s.Deadline() - ratioOf(margin, lateRatio)}
 	out.Ramp = min(max(ratioOf(d, rampRatio), 2*updateInterval), ratioOf(d, 2*rampRatio))
 	drain := min(max(longestRun, ratioOf(d, minDrainRatio)), ratioOf(d, maxDrainRatio))
 	// The last daemon may hear of the share by the second update.
-	out.LastPromote = out.LastMoment - out.Ramp - min(drain+2*updateInterval, ratioOf(d, maxDrainRatio)) - min(decisionDelay, ratioOf(d, maxDelayRatio))
+	out.LatestPromote = out.FinalDecision - out.Ramp - min(drain+2*updateInterval, ratioOf(d, maxDrainRatio)) - min(decisionDelay, ratioOf(d, maxDelayRatio))
 	// Another leader must be able to finish when this one is killed at the promotion.
-	out.Promote = min(out.LastPromote, out.LastMoment-out.Ramp-min(failoverTime, ratioOf(d, maxDrainRatio)))
+	out.Promote = min(out.LatestPromote, out.FinalDecision-out.Ramp-min(failoverTime, ratioOf(d, maxDrainRatio)))
 	return out
 }
 
@@ -130,15 +130,15 @@
 	switch {
 	case v.Bad:
 		return RolledBack, ReasonBad
-	case v.Now >= v.Schedule.LastMoment && !v.EnoughReady():
+	case v.Now >= v.Schedule.FinalDecision && !v.EnoughReady():
 		return RolledBack, ReasonNotReady
-	case v.Now >= v.Schedule.LastMoment:
+	case v.Now >= v.Schedule.FinalDecision:
 		return RolledBack, ReasonMissed
 	case v.Now < v.Schedule.Promote || !v.EnoughReady():
 		return s.Stage, ""
 	case v.Sampled:
 		return Promoting, ReasonDue
-	case v.Now >= v.Schedule.LastPromote:
+	case v.Now >= v.Schedule.LatestPromote:
 		return Promoting, ReasonNoTime
 	default:
 		return s.Stage, ""
@@ -149,11 +149,11 @@
 	switch {
 	case v.Bad:
 		return RolledBack, ReasonBad
-	case v.Now >= v.Schedule.TooLate:
+	case v.Now >= v.Schedule.LatestCompletion:
 		return RolledBack, ReasonMissed // the platform drains the new servers at the deadline
 	case v.Drained && v.EnoughReady():
 		return Completed, ReasonDrained
-	case v.Now < v.Schedule.LastMoment:
+	case v.Now < v.Schedule.FinalDecision:
 		return s.Stage, ""
 	case v.EnoughReady():
 		return Completed, ReasonNoTime
--- a/internal/system/rollout/split.go
+++ b/internal/system/rollout/split.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// usedShareRatio is the ratio of the share that a bad version may get which the canary
+	// canaryShareRatio is the ratio of the share that a bad version may get which the canary
 	// uses. The rest is for what the new version gets while its share rises.
-	usedShareRatio = 0.8
+	canaryShareRatio = 0.8
 	// maxCredit is the number of canary sends that may be saved up while none is possible, and
 	// canaryDraw the ratio of requests that are canaries while one is due. Both keep what was
 	// saved up from flooding the empty caches of the new servers.
@@ -21,8 +21,8 @@
 )
 
 // CanaryShare returns the ratio of a service's requests that the new version gets in the stage
-// Canary, where exposeShare is the ratio that a bad version may get.
-func CanaryShare(exposeShare float64) float64 { return usedShareRatio * exposeShare }
+// Canary, where maxBadShare is the ratio that a bad version may get.
+func CanaryShare(maxBadShare float64) float64 { return canaryShareRatio * maxBadShare }
 
 // Split counts what one process has sent since it learned of an order. A canary send must be
 // covered by requests that have reached the service, so that the bound on the canary's share
@@ -45,12 +45,12 @@
 	s.credit = max(s.credit-1, -maxCredit)
 }
 
-// MayTry reports whether the canary share covers another send to the new version, and one is due.
-func (s *Split) MayTry(canaryShare float64) bool {
+// MaySend reports whether the canary share covers another send to the new version, and one is due.
+func (s *Split) MaySend(canaryShare float64) bool {
 	return s.credit >= 1 && float64(s.Sends+1) <= canaryShare*float64(s.Reached)
 }
 
-// DrawsCanary reports whether a request is among those that the canary gets if MayTry allows.
+// DrawsCanary reports whether a request is among those that the canary gets if MaySend allows.
 func DrawsCanary(id entity.RequestID, order uint64) bool { return draw(id, order) < canaryDraw }
 
 // DrawsNew reports whether a request is among the share that the new version gets while that
