pace, placement: say sent and unsent for what daemons exchange

Changes and samples are sent or unsent, and the estimate that all daemons share is "shared". A slow spell is a slow period, and a limit ends. The texts of log lines are unchanged.

--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -64,7 +64,7 @@
 		Completions: c.crash.completions.due(sequence, acked), Limits: c.limits.statements(now, c.limits.changes.due(sequence, acked)),
 		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)), Versions: undatedVersions(now, c.recordedNews.due(sequence, acked)),
 		BadRollouts: c.rollouts.found.due(sequence, acked),
-		Paces:       c.paceNews(now),
+		Paces:       c.paceChanges(now),
 	}
 }
 
@@ -72,7 +72,7 @@
 func (c *Core) NoticePending() bool {
 	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() ||
 		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.limits.changes.hasUnnoticed() ||
-		c.recordedNews.hasUnnoticed() || c.rollouts.found.hasUnnoticed() || c.paceNewsPending()
+		c.recordedNews.hasUnnoticed() || c.rollouts.found.hasUnnoticed() || c.paceChangesPending()
 }
 
 // NextNotice returns what no update or notice has told yet.
@@ -82,7 +82,7 @@
 		Completions: c.crash.completions.unnoticed(), Limits: c.limits.statements(now, c.limits.changes.unnoticed()),
 		Trials: undatedTrials(now, c.crash.trials.unnoticed()), Versions: undatedVersions(now, c.recordedNews.unnoticed()),
 		BadRollouts: c.rollouts.found.unnoticed(),
-		Paces:       c.paceNews(now),
+		Paces:       c.paceChanges(now),
 	}
 }
 
--- a/internal/exchange/server_pace.go
+++ b/internal/exchange/server_pace.go
@@ -11,14 +11,14 @@
 // The speed of each backend server and the pace of those that start or recover are found by
 // the placer. The daemons share what they learn in their state updates.
 
-// enableServerPace switches this on where the settings say so.
+// enableServerPace has the placer learn speeds and limit paces, if that is configured.
 func (c *Core) enableServerPace() {
 	if c.cfg.ServerPace {
 		c.placer.EnableServerSpeeds(c.cfg.Self.Name)
 	}
 }
 
-// addServerPace adds to a state update what the other daemons should know.
+// addServerPace adds the unsent samples of server speeds to a state update.
 func (c *Core) addServerPace(now time.Time, update *StateUpdate) {
 	if c.cfg.ServerPace {
 		c.placer.RefreshPaces(now)
@@ -27,7 +27,7 @@
 	}
 }
 
-// applyServerPace applies what another daemon has learned.
+// applyServerPace applies the samples of server speeds in another daemon's state update.
 func (c *Core) applyServerPace(now time.Time, update *StateUpdate) {
 	if c.cfg.ServerPace {
 		c.placer.ReceiveSpeedSamples(now, update.Speeds)
@@ -62,11 +62,11 @@
 	}
 }
 
-// paceNewsPending reports whether the other daemons should know of the pace of a server.
-func (c *Core) paceNewsPending() bool { return c.cfg.ServerPace && c.placer.PaceNewsPending() }
+// paceChangesPending reports whether this daemon has changed a limit and not sent the change.
+func (c *Core) paceChangesPending() bool { return c.cfg.ServerPace && c.placer.PaceChangesPending() }
 
-// paceNews returns what they should know. It is told once.
-func (c *Core) paceNews(now time.Time) []placement.PaceChange {
+// paceChanges returns this daemon's unsent changes of limits, each one once.
+func (c *Core) paceChanges(now time.Time) []placement.PaceChange {
 	if !c.cfg.ServerPace {
 		return nil
 	}
--- a/internal/system/pace/pace.go
+++ b/internal/system/pace/pace.go
@@ -2,28 +2,28 @@
 // take. The limit begins small, rises by one with each answer that comes about as fast as the
 // fastest one, so that it doubles in each round of answers, and is halved when answers come
 // late or are rejections. Each daemon sends its part of the limit. A limit that has reached the
-// server's slots is gone.
+// server's slots ends.
 package pace
 
 import "time"
 
 const (
-	// initialSlotRatio is the limit at first, as a ratio of the server's slots.
+	// initialSlotRatio is the initial limit, as a ratio of the server's slots.
 	initialSlotRatio = 0.25
-	// nearRatio is the time of an answer, as a multiple of the fastest one's, up to which the
+	// raiseRatio is the time of an answer, as a multiple of the fastest one's, up to which the
 	// limit rises.
-	nearRatio = 2.0
-	// lateRatio is that multiple from which it is halved.
-	lateRatio = 4.0
+	raiseRatio = 2.0
+	// cutRatio is that multiple from which it is halved.
+	cutRatio = 4.0
 	// minCutInterval is the least time between two cuts: answers that are under way show
 	// nothing of the first one.
 	minCutInterval = 500 * time.Millisecond
 	// maxDuration is the longest time for which a limit lasts. By then the server takes what
 	// it can, and its speed is known.
 	maxDuration = 20 * time.Second
-	// maxQuiet is the longest time without a change for which it lasts: the message that told
-	// its end may have been lost.
-	maxQuiet = 4 * time.Second
+	// maxIdleTime is the longest time without a change for which it lasts: the message with its
+	// end may have been lost.
+	maxIdleTime = 4 * time.Second
 )
 
 // Limit is the limit of one process of a backend server, as one daemon knows it.
@@ -34,7 +34,7 @@
 	changed time.Time
 	cutAt   time.Time
 	fastest float64 // ratio of the time of the fastest answer to the usual one; 0: none has come
-	untold  float64 // changes by this daemon that the others do not know
+	unsent  float64 // changes by this daemon that have not been sent, in requests
 }
 
 // New returns the limit of a server that starts or recovers.
@@ -45,9 +45,9 @@
 // Value returns the limit in requests in progress, of all daemons.
 func (l *Limit) Value() float64 { return l.value }
 
-// Gone reports whether the server needs no limit any more.
-func (l *Limit) Gone(now time.Time) bool {
-	return l.value >= l.slots || now.Sub(l.begun) > maxDuration || now.Sub(l.changed) > maxQuiet
+// Ended reports whether the server needs no limit any more.
+func (l *Limit) Ended(now time.Time) bool {
+	return l.value >= l.slots || now.Sub(l.begun) > maxDuration || now.Sub(l.changed) > maxIdleTime
 }
 
 // Part returns the requests in progress that one daemon may have, given its rank among the
@@ -68,9 +68,9 @@
 		l.fastest = ratio
 	}
 	switch {
-	case ratio <= nearRatio*l.fastest:
+	case ratio <= raiseRatio*l.fastest:
 		l.change(now, 1)
-	case ratio >= lateRatio*l.fastest:
+	case ratio >= cutRatio*l.fastest:
 		return l.cut(now)
 	}
 	return false
@@ -92,18 +92,18 @@
 func (l *Limit) change(now time.Time, by float64) {
 	l.changed = now
 	next := min(max(l.value+by, 1), l.slots)
-	l.untold += next - l.value
+	l.unsent += next - l.value
 	l.value = next
 }
 
-// News returns the change of the limit by this daemon that the others do not know.
-func (l *Limit) News() float64 { return l.untold }
+// Unsent returns the change of the limit by this daemon that has not been sent, in requests.
+func (l *Limit) Unsent() float64 { return l.unsent }
 
-// Told records that the others know of all changes.
-func (l *Limit) Told() { l.untold = 0 }
+// MarkSent records that all changes have been sent.
+func (l *Limit) MarkSent() { l.unsent = 0 }
 
 // Receive applies a change by another daemon, which then knew the given value. A daemon for
-// which the limit has gone knows that the server takes as many requests as it has slots.
+// which the limit has ended knows that the server takes as many requests as it has slots.
 func (l *Limit) Receive(now time.Time, value, by float64) {
 	l.changed = now
 	l.value = min(max(l.value+by, 1), l.slots)
--- a/internal/system/pace/pace_test.go
+++ b/internal/system/pace/pace_test.go
@@ -28,7 +28,7 @@
 func TestLimit_DoublesInEachRound(t *testing.T) {
 	l := New(start, 64)
 	rounds := 0
-	for ; !l.Gone(start); rounds++ {
+	for ; !l.Ended(start); rounds++ {
 		for range int(l.Value()) {
 			l.Answered(start, 1.2)
 		}
@@ -46,10 +46,10 @@
 	if !l.Answered(start.Add(time.Second), 5) || l.Answered(start.Add(1100*time.Millisecond), 9) || l.Value() != 16.5 {
 		t.Errorf("limit %v", l.Value())
 	}
-	if !l.Rejected(start.Add(2*time.Second)) || l.Value() != 8.25 || l.News() != 8.25-32 {
-		t.Errorf("limit %v, to be told %v", l.Value(), l.News())
+	if !l.Rejected(start.Add(2*time.Second)) || l.Value() != 8.25 || l.Unsent() != 8.25-32 {
+		t.Errorf("limit %v, unsent %v", l.Value(), l.Unsent())
 	}
-	if !l.Gone(start.Add(time.Minute)) {
+	if !l.Ended(start.Add(time.Minute)) {
 		t.Error("the limit lasts for ever")
 	}
 }
@@ -61,14 +61,14 @@
 		a.Answered(start, 1)
 		b.Answered(start, 1)
 	}
-	fromA, fromB := a.News(), b.News()
+	fromA, fromB := a.Unsent(), b.Unsent()
 	a.Receive(start, b.Value(), fromB)
 	b.Receive(start, a.Value(), fromA)
 	if a.Value() != 16 || b.Value() != 16 {
 		t.Errorf("limits %v and %v after 8 answers", a.Value(), b.Value())
 	}
 	a.Receive(start, 64, 1)
-	if !a.Gone(start) {
+	if !a.Ended(start) {
 		t.Error("the limit stays although the server has taken as many requests as it has slots")
 	}
 }
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -122,7 +122,7 @@
 	serverSpeeds    bool              // the speed of each backend server is learned
 	self            entity.InstanceID // this daemon
 	paceEvents      []PaceEvent
-	paceNews        bool      // a limit has changed that the other daemons do not know
+	paceUnsent      bool      // this daemon has changed a limit and not sent the change
 	speedsRefreshed time.Time // when the speeds of servers without samples were last adapted
 }
 
--- a/internal/system/placement/server_pace.go
+++ b/internal/system/placement/server_pace.go
@@ -25,12 +25,12 @@
 	// downFailureRate is the failure rate from which a server that answers again counts as
 	// recovered: it was frozen, cut off or crashed.
 	downFailureRate = 0.5
-	// spellRatio is the ratio of its times from which a server is in a slow spell, and
-	// spellEndRatio the one below which the spell has ended.
-	spellRatio    = 2.5
-	spellEndRatio = 1.5
-	// paceRest is how long after the end of a limit another daemon's news of it are ignored.
-	paceRest = 5 * time.Second
+	// slowPeriodRatio is the ratio of its times from which a server is in a slow period, and
+	// slowPeriodEndRatio the one below which the period has ended.
+	slowPeriodRatio    = 2.5
+	slowPeriodEndRatio = 1.5
+	// paceIgnoreTime is how long after the end of a limit another daemon's changes of it are ignored.
+	paceIgnoreTime = 5 * time.Second
 	// maxPaceChanges limits the changes in one message.
 	maxPaceChanges = 8
 	// maxPaceEvents limits the events that are kept for the log.
@@ -39,13 +39,13 @@
 
 // serverPace is the limit of a server that starts or recovers.
 type serverPace struct {
-	limit   *pace.Limit // nil: none
-	part    int         // this daemon's part of it
-	rank    int         // of this daemon among all for this process
-	endedAt time.Time   // when the last limit went
-	spell   bool        // the server is in a slow spell
-	failed  bool        // it has failed requests and not answered since
-	final   bool        // the end of the limit is still to be told
+	limit        *pace.Limit // nil: none
+	part         int         // this daemon's part of it, in requests in progress
+	rank         int         // of this daemon among all for this process
+	endedAt      time.Time   // when the last limit ended
+	inSlowPeriod bool        // the speed ratio has reached slowPeriodRatio
+	failed       bool        // it has failed requests and not answered since
+	endUnsent    bool        // the limit has ended and the other daemons have not been sent its last change
 }
 
 // PaceChange tells the other daemons how a daemon has changed a limit.
@@ -54,7 +54,7 @@
 	Server  entity.BackendServerID
 	Process uint16 // see processTag
 	Value   uint16 // the limit that the sender knows, in requests
-	Change  int16  // by the sender's answers since it told last, in tenths of requests
+	Change  int16  // by the sender's answers since the last message, in tenths of requests
 }
 
 // PaceReason says why a limit has begun, or been lowered or removed.
@@ -65,10 +65,10 @@
 	PaceStarted PaceReason = "started"
 	// PaceRecovered: a server answers again after failures.
 	PaceRecovered PaceReason = "recovered"
-	// PaceSpellEnded: a server that was slow is not any more.
-	PaceSpellEnded PaceReason = "slow spell ended"
-	// PaceTold: another daemon has a limit for the server.
-	PaceTold PaceReason = "told"
+	// PaceSlowPeriodEnded: a server that was slow is not any more.
+	PaceSlowPeriodEnded PaceReason = "slow spell ended"
+	// PaceFromPeer: another daemon has a limit for the server.
+	PaceFromPeer PaceReason = "told"
 	// PaceLate: answers come late.
 	PaceLate PaceReason = "late answers"
 	// PaceRejected: the server rejects requests.
@@ -100,7 +100,7 @@
 }
 
 func (p *Placer) setPace(r *serverRow, l *pace.Limit, reason PaceReason) {
-	r.pace.limit, r.pace.final = l, false
+	r.pace.limit, r.pace.endUnsent = l, false
 	p.rankPace(r)
 	p.paceEvent(r, reason)
 }
@@ -117,6 +117,7 @@
 	p.sharePace(r)
 }
 
+// sharePace sets this daemon's part of a limit.
 func (p *Placer) sharePace(r *serverRow) {
 	r.pace.part = r.pace.limit.Part(r.pace.rank, p.peers.Len()+1)
 }
@@ -139,7 +140,7 @@
 	if !p.serverSpeeds {
 		return
 	}
-	p.observeSpell(now, r)
+	p.observeSlowPeriod(now, r)
 	switch {
 	case r.pace.limit != nil && reservation.expectedMillis > 0:
 		cut := r.pace.limit.Answered(now, millis/reservation.expectedMillis)
@@ -150,14 +151,14 @@
 	r.pace.failed = false
 }
 
-// observeSpell begins a limit at the end of a slow spell.
-func (p *Placer) observeSpell(now time.Time, r *serverRow) {
+// observeSlowPeriod begins a limit at the end of a slow period.
+func (p *Placer) observeSlowPeriod(now time.Time, r *serverRow) {
 	switch {
-	case r.speed.factor >= spellRatio:
-		r.pace.spell = true
-	case r.speed.factor < spellEndRatio && r.pace.spell:
-		r.pace.spell = false
-		p.beginPace(now, r, PaceSpellEnded)
+	case r.speed.factor >= slowPeriodRatio:
+		r.pace.inSlowPeriod = true
+	case r.speed.factor < slowPeriodEndRatio && r.pace.inSlowPeriod:
+		r.pace.inSlowPeriod = false
+		p.beginPace(now, r, PaceSlowPeriodEnded)
 	}
 }
 
@@ -173,8 +174,10 @@
 	p.paceChanged(now, r, r.pace.limit.Rejected(now), PaceRejected)
 }
 
+// paceChanged handles a change of a limit by an answer or a rejection. Cut says that the limit
+// was lowered.
 func (p *Placer) paceChanged(now time.Time, r *serverRow, cut bool, reason PaceReason) {
-	p.paceNews = p.paceNews || r.pace.limit.News() != 0
+	p.paceUnsent = p.paceUnsent || r.pace.limit.Unsent() != 0
 	p.sharePace(r)
 	if cut {
 		p.paceEvent(r, reason)
@@ -182,17 +185,17 @@
 	p.endPace(now, r)
 }
 
-// endPace removes a limit that has gone once its end has been told.
+// endPace removes a limit that has ended, after its last change has been sent.
 func (p *Placer) endPace(now time.Time, r *serverRow) {
-	if !r.pace.limit.Gone(now) {
+	if !r.pace.limit.Ended(now) {
 		return
 	}
-	if !r.pace.final && r.pace.limit.News() != 0 {
-		r.pace.final = true
+	if !r.pace.endUnsent && r.pace.limit.Unsent() != 0 {
+		r.pace.endUnsent = true
 		return
 	}
 	p.paceEvent(r, PaceOpen)
-	r.pace.limit, r.pace.final, r.pace.endedAt = nil, false, now
+	r.pace.limit, r.pace.endUnsent, r.pace.endedAt = nil, false, now
 }
 
 // RefreshPaces adapts the parts of limits to the daemons that there are, and removes limits
@@ -207,28 +210,29 @@
 	})
 }
 
-// PaceNewsPending reports whether this daemon has changed a limit and not told it.
-func (p *Placer) PaceNewsPending() bool { return p.paceNews }
+// PaceChangesPending reports whether this daemon has changed a limit and not sent the change.
+func (p *Placer) PaceChangesPending() bool { return p.paceUnsent }
 
-// PaceChanges returns how this daemon has changed limits since it told them last.
+// PaceChanges returns how this daemon has changed limits since the last call, and
+// counts the changes as sent.
 func (p *Placer) PaceChanges(now time.Time) []PaceChange {
-	if !p.paceNews {
+	if !p.paceUnsent {
 		return nil
 	}
 	var out []PaceChange
 	p.servers.All(func(_ entity.BackendServerID, r *serverRow) bool {
 		l := r.pace.limit
-		if l == nil || l.News() == 0 {
+		if l == nil || l.Unsent() == 0 {
 			return true
 		}
 		out = append(out, PaceChange{
-			Server: r.ID, Process: processTag(r.Born), Value: uint16(min(l.Value(), math.MaxUint16)), Change: int16(math.Round(10 * l.News())),
+			Server: r.ID, Process: processTag(r.Born), Value: uint16(min(l.Value(), math.MaxUint16)), Change: int16(math.Round(10 * l.Unsent())),
 		})
-		l.Told()
+		l.MarkSent()
 		p.endPace(now, r)
 		return len(out) < maxPaceChanges
 	})
-	p.paceNews = len(out) == maxPaceChanges
+	p.paceUnsent = len(out) == maxPaceChanges
 	return out
 }
 
@@ -248,8 +252,8 @@
 			r.pace.limit.Receive(now, value, change)
 			p.sharePace(r)
 			p.endPace(now, r)
-		case int(c.Value) < r.Slots && now.Sub(r.pace.endedAt) > paceRest:
-			p.setPace(r, pace.Adopt(now, r.Slots, value), PaceTold)
+		case int(c.Value) < r.Slots && now.Sub(r.pace.endedAt) > paceIgnoreTime:
+			p.setPace(r, pace.Adopt(now, r.Slots, value), PaceFromPeer)
 		}
 	}
 }
--- a/internal/system/placement/server_pace_test.go
+++ b/internal/system/placement/server_pace_test.go
@@ -74,7 +74,7 @@
 		t.Logf("%d daemons: %d sends within the first update of %v, even share %v later", size.daemons, first, f.interval, took)
 		f.run(10 * time.Second)
 		for _, p := range f.placers {
-			if p.servers.Get("new").pace.limit != nil || p.PaceNewsPending() || len(p.PaceChanges(f.now)) > 0 {
+			if p.servers.Get("new").pace.limit != nil || p.PaceChangesPending() || len(p.PaceChanges(f.now)) > 0 {
 				t.Fatalf("%d daemons: the limit has not gone", size.daemons)
 			}
 		}
@@ -107,7 +107,7 @@
 				if e.Server == "engine-1" && e.Reason == want {
 					first++
 				}
-				if e.Server == "engine-1" && e.Reason == PaceTold {
+				if e.Server == "engine-1" && e.Reason == PaceFromPeer {
 					told++
 				}
 			}
@@ -122,7 +122,7 @@
 	f.run(10 * time.Second)
 	f.factors["engine-1"] = 1
 	f.run(15 * time.Second)
-	begun("slow spell", f, PaceSpellEnded)
+	begun("slow spell", f, PaceSlowPeriodEnded)
 
 	f = newPaceFleet(9, 10, 100)
 	f.run(5 * time.Second)
--- a/internal/system/placement/server_speed.go
+++ b/internal/system/placement/server_speed.go
@@ -20,9 +20,9 @@
 	// maxExpectedRatio limits the effect of a ratio, and its inverse, on expected times, by
 	// which requests are rejected and repeated.
 	maxExpectedRatio = 2.0
-	// maxSurprise limits the distance of a sample from the estimate, as a logarithm, so that
+	// maxSampleDistance limits the distance of a sample from the estimate, as a logarithm, so that
 	// a single lost packet does not make a server slow.
-	maxSurprise = 1.5
+	maxSampleDistance = 1.5
 	// priorSpeedSamples is the number of samples that the ratio of 1 counts as at first.
 	priorSpeedSamples = 3.0
 	// minSpeedMemory is the least number of samples that the estimate is made of.
@@ -55,14 +55,14 @@
 type serverSpeed struct {
 	factor    float64 // the ratio within its limits; 1 if it is not known
 	estimate  logAverage
-	told      logAverage // of the samples that all daemons know
-	untold    logSum     // samples of this daemon that the others do not know
+	shared    logAverage // of the samples that all daemons know
+	unsent    logSum     // samples of this daemon that it has not sent
 	sampledAt time.Time  // when the last sample arrived, or the server was last known to have requests
 	probeAt   time.Time  // when this daemon may send a request as if the server were fast
 }
 
 func newServerSpeed() serverSpeed {
-	return serverSpeed{factor: 1, estimate: logAverage{weight: priorSpeedSamples}, told: logAverage{weight: priorSpeedSamples}}
+	return serverSpeed{factor: 1, estimate: logAverage{weight: priorSpeedSamples}, shared: logAverage{weight: priorSpeedSamples}}
 }
 
 // logAverage is an average of logarithms of ratios, in which older samples weigh less.
@@ -84,7 +84,7 @@
 	a.weight = max(min(a.weight, priorSpeedSamples), a.weight*halved(age, rareSampleHalfLife))
 	a.at = now
 	a.weight += weight
-	a.value += weight / a.weight * min(max(sample-a.value, -maxSurprise), maxSurprise)
+	a.value += weight / a.weight * min(max(sample-a.value, -maxSampleDistance), maxSampleDistance)
 }
 
 // approachOne halves the logarithm in each half-life of a time without samples.
@@ -129,12 +129,12 @@
 		return
 	}
 	sample := math.Log(millis / expected)
-	usual.learn(min(max(sample, -maxSurprise), maxSurprise))
+	usual.learn(min(max(sample, -maxSampleDistance), maxSampleDistance))
 	sample -= usual.value
 	s := &r.speed
 	s.estimate.learn(now, sample, weight)
-	s.untold.sum += weight * (s.told.value + min(max(sample-s.told.value, -maxSurprise), maxSurprise))
-	s.untold.weight += weight
+	s.unsent.sum += weight * (s.shared.value + min(max(sample-s.shared.value, -maxSampleDistance), maxSampleDistance))
+	s.unsent.weight += weight
 	s.sampledAt = now
 	s.updateFactor()
 }
@@ -171,7 +171,7 @@
 }
 
 // refreshSpeeds lets the ratios of servers without samples approach 1, and schedules requests
-// to them. Where a server has requests, other daemons would tell if its ratio changed.
+// to them. Where a server has requests, other daemons send samples if its ratio changes.
 func (p *Placer) refreshSpeeds(now time.Time) {
 	age := now.Sub(p.speedsRefreshed)
 	p.speedsRefreshed = now
@@ -184,7 +184,7 @@
 			p.scheduleProbe(now.Add(probeDelay), s)
 		} else if idle > unsampledTime {
 			s.estimate.approachOne(age)
-			s.told.approachOne(age)
+			s.shared.approachOne(age)
 			s.updateFactor()
 		}
 		return true
--- a/internal/system/placement/server_speed_test.go
+++ b/internal/system/placement/server_speed_test.go
@@ -176,7 +176,7 @@
 	for i := range 100 {
 		id := entity.BackendServerID(fmt.Sprint("a-rather-long-name-", i))
 		p.SetServer(Server{ID: id, Born: 1_790_000_000_000, Service: "m", Slots: 16, Memory: 1})
-		p.servers.Get(id).speed.untold = logSum{sum: 30, weight: 20}
+		p.servers.Get(id).speed.unsent = logSum{sum: 30, weight: 20}
 	}
 	samples := p.SpeedSamples(start)
 	encoded, err := codec.Encode(samples)
--- a/internal/system/placement/speed_share.go
+++ b/internal/system/placement/speed_share.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// minSpeedNews is the least difference that is told to the other daemons, as a logarithm.
-	minSpeedNews = 0.14 // a factor of 1.15
-	// doubtedSamples is the number of samples that weigh as much as what the others know. A
-	// single sample is told only if it differs much.
-	doubtedSamples = 2.0
+	// minSharedChange is the least change of the shared estimate for which samples are sent, as a logarithm.
+	minSharedChange = 0.14 // a factor of 1.15
+	// priorSharedSamples is the number of samples that the shared estimate counts as, so that a
+	// single sample is sent only if it differs much.
+	priorSharedSamples = 2.0
 	// maxSpeedSamples and maxSpeedBytes limit the samples in one update.
 	maxSpeedSamples = 8
 	maxSpeedBytes   = 200
@@ -22,8 +22,8 @@
 	speedSampleBytes = 10
 	// logUnit is the unit in which logarithms of ratios are sent.
 	logUnit = 0.02
-	// maxToldWeight limits what a single message says.
-	maxToldWeight = 20
+	// maxSentWeight limits the weight of a single message, in samples.
+	maxSentWeight = 20
 )
 
 // SpeedSample is what one daemon's new samples say of a process of a backend server.
@@ -38,17 +38,18 @@
 // processTag tells the processes of one backend server apart.
 func processTag(born int64) uint16 { return uint16(born ^ born>>16 ^ born>>32) }
 
-// news returns how much the untold samples would change what the others know, as a logarithm.
-func (s *serverSpeed) news() float64 {
-	if s.untold.weight == 0 {
+// unsentChange returns how much the unsent samples would change the shared estimate, as a
+// logarithm.
+func (s *serverSpeed) unsentChange() float64 {
+	if s.unsent.weight == 0 {
 		return 0
 	}
-	w := s.untold.weight
-	return math.Abs(s.untold.sum/w-s.told.value) * w / (w + doubtedSamples)
+	w := s.unsent.weight
+	return math.Abs(s.unsent.sum/w-s.shared.value) * w / (w + priorSharedSamples)
 }
 
 // SpeedSamples returns what the other daemons should know of the backend servers' speeds,
-// that which differs most first. It is told once.
+// that which differs most first. Each sample is returned once.
 func (p *Placer) SpeedSamples(now time.Time) []SpeedSample {
 	if !p.serverSpeeds {
 		return nil
@@ -56,36 +57,37 @@
 	p.refreshSpeeds(now)
 	var out []SpeedSample
 	bytes := 0
-	for _, r := range p.rowsWithNews() {
+	for _, r := range p.rowsWithUnsentSamples() {
 		bytes += speedSampleBytes + len(r.ID)
 		if len(out) == maxSpeedSamples || bytes > maxSpeedBytes {
 			break
 		}
-		out = append(out, r.tellSpeed(now))
+		out = append(out, r.takeSpeedSample(now))
 	}
 	return out
 }
 
-// rowsWithNews returns the servers of which this daemon has news, most of it first.
-func (p *Placer) rowsWithNews() []*serverRow {
+// rowsWithUnsentSamples returns the servers whose unsent samples are to be sent, the greatest
+// change first.
+func (p *Placer) rowsWithUnsentSamples() []*serverRow {
 	var rows []*serverRow
 	p.servers.All(func(_ entity.BackendServerID, r *serverRow) bool {
-		if r.speed.news() >= minSpeedNews {
+		if r.speed.unsentChange() >= minSharedChange {
 			rows = append(rows, r)
 		}
 		return true
 	})
-	slices.SortStableFunc(rows, func(a, b *serverRow) int { return cmp.Compare(b.speed.news(), a.speed.news()) })
+	slices.SortStableFunc(rows, func(a, b *serverRow) int { return cmp.Compare(b.speed.unsentChange(), a.speed.unsentChange()) })
 	return rows
 }
 
-// tellSpeed returns a server's untold samples as a message, and counts them as told.
-func (r *serverRow) tellSpeed(now time.Time) SpeedSample {
+// takeSpeedSample returns a server's unsent samples as a message, and counts them as sent.
+func (r *serverRow) takeSpeedSample(now time.Time) SpeedSample {
 	s := &r.speed
-	mean := s.untold.sum / s.untold.weight
-	weight := min(max(math.Round(s.untold.weight), 1), maxToldWeight)
-	s.told.learn(now, mean, weight)
-	s.untold = logSum{}
+	mean := s.unsent.sum / s.unsent.weight
+	weight := min(max(math.Round(s.unsent.weight), 1), maxSentWeight)
+	s.shared.learn(now, mean, weight)
+	s.unsent = logSum{}
 	return SpeedSample{Server: r.ID, Process: processTag(r.Born), Ratio: int16(math.Round(mean / logUnit)), Samples: uint8(weight)}
 }
 
@@ -100,9 +102,9 @@
 			continue
 		}
 		s := &r.speed
-		ratio, weight := float64(sample.Ratio)*logUnit, float64(min(sample.Samples, maxToldWeight))
+		ratio, weight := float64(sample.Ratio)*logUnit, float64(min(sample.Samples, maxSentWeight))
 		s.estimate.learn(now, ratio, weight)
-		s.told.learn(now, ratio, weight)
+		s.shared.learn(now, ratio, weight)
 		s.sampledAt = now
 		s.updateFactor()
 	}
--- a/internal/system/placement/spread.go
+++ b/internal/system/placement/spread.go
@@ -121,7 +121,7 @@
 // requests in proportion to its speed.
 func (p *Placer) chooseSpread(now time.Time, q *Query, usable func(entity.BackendServerID) bool) (Choice, bool) {
 	s := p.newSpreadQuery(now, q)
-	var any, cached candidate
+	var overall, cached candidate
 	requests, slots, servers := 0, 0, 0
 	p.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		if r.Service != q.Service || !usable(id) {
@@ -135,7 +135,7 @@
 		}
 		factor := r.speed.costFactor(now)
 		cost, hit := p.spreadCost(now, r, &s, factor)
-		any.offer(r, cost, p.rng.Float64()*s.noise*factor)
+		overall.offer(r, cost, p.rng.Float64()*s.noise*factor)
 		if hit {
 			cached.offer(r, cost, p.rng.Float64()*s.cachedNoise*factor)
 		}
@@ -143,8 +143,8 @@
 	})
 	utilisation := float64(requests) / float64(max(slots, 1))
 	s.speed.arrivals.servers, s.speed.arrivals.utilisation = servers, utilisation
-	best := any
-	if cached.row != nil && cached.cost <= any.cost {
+	best := overall
+	if cached.row != nil && cached.cost <= overall.cost {
 		best = cached
 	}
 	if best.row == nil {
