--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -161,6 +161,17 @@
 	return out
 }
 
+// listedCount returns the number of listed servers of the class that key names. The count of key
+// is ignored.
+func (c *Core) listedCount(key ServerCount) int {
+	for _, n := range c.ListedServers() {
+		if n.Service == key.Service && n.DataCentre == key.DataCentre && n.Reclaimable == key.Reclaimable {
+			return n.Count
+		}
+	}
+	return 0
+}
+
 // TargetServers returns the target numbers of backend servers, or nil while too little is
 // known to plan.
 func (c *Core) TargetServers(now time.Time) []ServerCount {
--- a/internal/exchange/rollout_lead.go
+++ b/internal/exchange/rollout_lead.go
@@ -243,16 +243,6 @@
 	}
 }
 
-// listedCount returns the number of listed servers of a class.
-func (c *Core) listedCount(key ServerCount) int {
-	for _, n := range c.ListedServers() {
-		if n.Service == key.Service && n.DataCentre == key.DataCentre && n.Reclaimable == key.Reclaimable {
-			return n.Count
-		}
-	}
-	return 0
-}
-
 // Rollouts returns the roll-outs that this daemon knows, by service.
 func (c *Core) Rollouts(now time.Time) []RolloutStatus {
 	var out []RolloutStatus
--- a/internal/exchange/scaling.go
+++ b/internal/exchange/scaling.go
@@ -38,21 +38,11 @@
 		c.reclaimableExhaustedAt.Put(key, &now)
 		return
 	}
-	if request.Count > c.listedReclaimable(key) {
+	if request.Count > c.listedCount(request) {
 		c.reclaimableExhaustedAt.Delete(key)
 	}
 }
 
-// listedReclaimable returns the number of reclaimable servers that are listed as ready.
-func (c *Core) listedReclaimable(key serverLocation) int {
-	for _, n := range c.ListedServers() {
-		if n.Reclaimable && n.Service == key.service && n.DataCentre == key.dataCentre {
-			return n.Count
-		}
-	}
-	return 0
-}
-
 // reclaimableExhausted reports whether no reclaimable servers were available lately. The
 // on-demand servers that replace them must have the time to start: until they are there, a
 // plan that expects reclaimable servers again would give them up.
