gateway: call the known orders of roll-outs a set

An order book is a term of stock exchanges. orderBook and its file become orderSet; TestOrderBook and TestOrderBook_Digest are renamed with it, their checks are unchanged.

--- a/internal/gateway/order_book.go
+++ b/internal/gateway/order_set.go
@@ -12,13 +12,13 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/rollout"
 )
 
-// orderBook holds the operator's orders as this daemon knows them. It performs no input or output
+// orderSet holds the operator's orders as this daemon knows them. It performs no input or output
 // and is not safe for concurrent use.
 //
 // A restore of the table service gives the row of an order a version of another generation, and
 // may lose the row until the operator writes it again. An order of a later generation that says
 // the same as a known one therefore is the known one and keeps its identity.
-type orderBook struct {
+type orderSet struct {
 	entries  map[entity.ServiceName]orderEntry
 	past     map[entity.ServiceName][]orderEntry  // replaced or withdrawn, oldest first
 	unusable map[entity.ServiceName]uint64        // versions of the rows that were ignored
@@ -40,8 +40,8 @@
 	err       error // why the order is ignored
 }
 
-func newOrderBook() *orderBook {
-	return &orderBook{
+func newOrderSet() *orderSet {
+	return &orderSet{
 		entries:  make(map[entity.ServiceName]orderEntry),
 		past:     make(map[entity.ServiceName][]orderEntry),
 		unusable: make(map[entity.ServiceName]uint64),
@@ -50,11 +50,11 @@
 }
 
 // addState records a state as read from its row.
-func (b *orderBook) addState(s rollout.State) { b.states[s.Service] = s }
+func (b *orderSet) addState(s rollout.State) { b.states[s.Service] = s }
 
 // apply applies what a read returned and returns what it changes. A complete list that is older
 // than what is known changes nothing.
-func (b *orderBook) apply(r *orderRead) []orderChange {
+func (b *orderSet) apply(r *orderRead) []orderChange {
 	if r.complete && r.position < b.position {
 		return nil
 	}
@@ -63,7 +63,7 @@
 	for i := range r.changes {
 		listed[r.changes[i].Value.OrderOf] = true
 		if !r.complete && r.changes[i].Version <= b.position {
-			continue // another daemon has told what followed it
+			continue // known already, from another daemon
 		}
 		if change, changed := b.applyRow(&r.changes[i]); changed {
 			out = append(out, change)
@@ -76,7 +76,7 @@
 	return out
 }
 
-func (b *orderBook) applyRow(c *provider.Change[OperatorEntry]) (orderChange, bool) {
+func (b *orderSet) applyRow(c *provider.Change[OperatorEntry]) (orderChange, bool) {
 	service := c.Value.OrderOf
 	known, stands := b.entries[service]
 	switch {
@@ -103,7 +103,7 @@
 const maxPastOrders = 16
 
 // drop ends the order of a service that stands, if there is one.
-func (b *orderBook) drop(service entity.ServiceName) {
+func (b *orderSet) drop(service entity.ServiceName) {
 	entry, stands := b.entries[service]
 	if !stands {
 		return
@@ -115,7 +115,7 @@
 
 // isPast reports whether a row is that of an earlier order, which a restore of the table service
 // has brought back: it has the number and the content that it had before.
-func (b *orderBook) isPast(service entity.ServiceName, c *provider.Change[OperatorEntry]) bool {
+func (b *orderSet) isPast(service entity.ServiceName, c *provider.Change[OperatorEntry]) bool {
 	if c.Removed || c.Err != nil {
 		return false
 	}
@@ -128,7 +128,7 @@
 
 // ignore records an order that cannot be used. The order before it stays in force; a daemon that
 // did not know it finds it in the state of the roll-out.
-func (b *orderBook) ignore(service entity.ServiceName, c *provider.Change[OperatorEntry]) (orderChange, bool) {
+func (b *orderSet) ignore(service entity.ServiceName, c *provider.Change[OperatorEntry]) (orderChange, bool) {
 	if b.unusable[service] == c.Version {
 		return orderChange{}, false
 	}
@@ -143,7 +143,7 @@
 }
 
 // identify returns an order with its identity: that of a known order if it is the same.
-func (b *orderBook) identify(o rollout.Order) rollout.Order {
+func (b *orderSet) identify(o rollout.Order) rollout.Order {
 	if known, stands := b.entries[o.Service]; stands && isRestored(&o, &known.order) {
 		return known.order
 	}
@@ -164,7 +164,7 @@
 
 // withdrawUnlisted withdraws the orders that a complete list lacks, except those whose rows a
 // restore of the table service may have lost.
-func (b *orderBook) withdrawUnlisted(listed map[entity.ServiceName]bool, position uint64) []orderChange {
+func (b *orderSet) withdrawUnlisted(listed map[entity.ServiceName]bool, position uint64) []orderChange {
 	var out []orderChange
 	for service, entry := range b.entries {
 		if listed[service] || provider.Generation(entry.rowVersion) != provider.Generation(position) {
@@ -177,7 +177,7 @@
 }
 
 // list returns the orders that stand, by service.
-func (b *orderBook) list() []rollout.Order {
+func (b *orderSet) list() []rollout.Order {
 	out := make([]rollout.Order, 0, len(b.entries))
 	for _, service := range slices.Sorted(maps.Keys(b.entries)) {
 		out = append(out, b.entries[service].order)
@@ -187,7 +187,7 @@
 
 // digest returns a hash of the orders that stand. It is the same at all daemons that know the
 // same ones.
-func (b *orderBook) digest() uint64 {
+func (b *orderSet) digest() uint64 {
 	h := fnv.New64a()
 	for _, o := range b.list() {
 		_, _ = h.Write([]byte(o.Service)) // never fails
--- a/internal/gateway/order_book_test.go
+++ b/internal/gateway/order_set_test.go
@@ -9,8 +9,8 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/system/rollout"
 )
 
-// bookStep is one read of a list of orders or of its changes, and what it must lead to.
-type bookStep struct {
+// orderStep is one read of a list of orders or of its changes, and what it must lead to.
+type orderStep struct {
 	name      string
 	read      orderRead
 	set       []uint64 // identities of orders that are set
@@ -41,7 +41,7 @@
 	return orderRead{position: position, changes: changes}
 }
 
-func (s *bookStep) check(t *testing.T, got []orderChange) {
+func (s *orderStep) check(t *testing.T, got []orderChange) {
 	t.Helper()
 	var set []uint64
 	withdrawn, ignored := 0, 0
@@ -65,15 +65,15 @@
 	}
 }
 
-// TestOrderBook guards against orders that start anew, come back or get lost, as rows are read
+// TestOrderSet guards against orders that start anew, come back or get lost, as rows are read
 // again, relayed by other daemons out of order, or restored from an older copy.
-func TestOrderBook(t *testing.T) {
+func TestOrderSet(t *testing.T) {
 	rolledBack := rollout.State{Service: "app", Order: version(3, 5), To: "v2", Duration: time.Second, Stage: rollout.RolledBack}
 	for name, test := range map[string]struct {
 		states []rollout.State
-		steps  []bookStep
+		steps  []orderStep
 	}{
-		"replaced and removed": {steps: []bookStep{
+		"replaced and removed": {steps: []orderStep{
 			{name: "first", read: list(version(3, 9), orderTo("v2", version(3, 5))), set: []uint64{version(3, 5)}},
 			{name: "listed again", read: list(version(3, 10), orderTo("v2", version(3, 5)))},
 			{name: "written again", read: changes(version(3, 11), orderTo("v2", version(3, 11))), set: []uint64{version(3, 11)}},
@@ -83,42 +83,42 @@
 			{name: "ordered again", read: changes(version(3, 15), orderTo("v2", version(3, 15))), set: []uint64{version(3, 15)}},
 			{name: "not listed", read: list(version(3, 20)), withdrawn: 1},
 		}},
-		"relayed": {steps: []bookStep{
+		"relayed": {steps: []orderStep{
 			{name: "first", read: list(version(3, 9), orderTo("v2", version(3, 5))), set: []uint64{version(3, 5)}},
 			{name: "another daemon knows of the removal", read: list(version(3, 12)), withdrawn: 1},
 			{name: "an older list", read: list(version(3, 11), orderTo("v2", version(3, 10)))},
 			{name: "an older change", read: changes(version(3, 11), orderTo("v2", version(3, 10)))},
 		}},
-		"restored": {steps: []bookStep{
+		"restored": {steps: []orderStep{
 			{name: "first", read: list(version(3, 9), orderTo("v2", version(3, 5))), set: []uint64{version(3, 5)}},
 			{name: "its row is lost", read: list(version(4, 2))},
 			{name: "written again by the operator", read: changes(version(4, 7), orderTo("v2", version(4, 7)))},
 			{name: "another version is ordered", read: changes(version(4, 8), orderTo("v3", version(4, 8))), set: []uint64{version(4, 8)}},
 		}},
-		"restored from before the order was replaced": {steps: []bookStep{
+		"restored from before the order was replaced": {steps: []orderStep{
 			{name: "first", read: list(version(3, 9), orderTo("v2", version(3, 5))), set: []uint64{version(3, 5)}},
 			{name: "replaced", read: changes(version(3, 11), orderTo("v3", version(3, 11))), set: []uint64{version(3, 11)}},
 			{name: "the first is back", read: list(version(4, 9), orderTo("v2", version(4, 5)))},
 			{name: "the second is written again", read: changes(version(4, 10), orderTo("v3", version(4, 10)))},
 		}},
-		"restored from before the order was removed": {steps: []bookStep{
+		"restored from before the order was removed": {steps: []orderStep{
 			{name: "first", read: list(version(3, 9), orderTo("v2", version(3, 5))), set: []uint64{version(3, 5)}},
 			{name: "removed", read: changes(version(3, 11), removal(version(3, 11))), withdrawn: 1},
 			{name: "the first is back", read: list(version(4, 9), orderTo("v2", version(4, 5)))},
 			{name: "ordered again", read: changes(version(4, 10), orderTo("v2", version(4, 10))), set: []uint64{version(4, 10)}},
 		}},
-		"restored before the start of this process": {states: []rollout.State{rolledBack}, steps: []bookStep{
+		"restored before the start of this process": {states: []rollout.State{rolledBack}, steps: []orderStep{
 			{name: "first", read: list(version(4, 9), orderTo("v2", version(4, 5))), set: []uint64{version(3, 5)}},
 			{name: "removed", read: changes(version(4, 10), removal(version(4, 10))), withdrawn: 1},
 			{name: "ordered again", read: changes(version(4, 11), orderTo("v2", version(4, 11))), set: []uint64{version(4, 11)}},
 		}},
-		"unreadable since before the start of this process": {states: []rollout.State{rolledBack}, steps: []bookStep{
+		"unreadable since before the start of this process": {states: []rollout.State{rolledBack}, steps: []orderStep{
 			{name: "first", read: list(version(3, 9), unreadable(version(3, 8))), ignored: 1, set: []uint64{version(3, 5)}},
 			{name: "mended", read: changes(version(3, 12), orderTo("v3", version(3, 12))), set: []uint64{version(3, 12)}},
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newOrderBook()
+			b := newOrderSet()
 			for _, s := range test.states {
 				b.addState(s)
 			}
@@ -129,12 +129,12 @@
 	}
 }
 
-// TestOrderBook_Digest: daemons that know the same orders must agree on the digest, and others
+// TestOrderSet_Digest: daemons that know the same orders must agree on the digest, and others
 // must not.
-func TestOrderBook_Digest(t *testing.T) {
+func TestOrderSet_Digest(t *testing.T) {
 	seen := map[uint64]bool{}
 	for _, orders := range [][]provider.Change[OperatorEntry]{nil, {orderTo("v2", version(3, 5))}, {orderTo("v2", version(3, 6))}} {
-		b, again := newOrderBook(), newOrderBook()
+		b, again := newOrderSet(), newOrderSet()
 		first, later := list(version(3, 9), orders...), list(version(3, 10), orders...)
 		b.apply(&first)
 		again.apply(&later)
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -48,12 +48,12 @@
 	g *Gateway
 
 	mu         sync.Mutex // guards the fields below
-	book       *orderBook
+	orders     *orderSet
 	statesRead bool        // the rows of the states have been read
-	held       []orderRead // before the states were read, which may tell the identity of an order
+	held       []orderRead // before the states were read, which may hold the identity of an order
 }
 
-func newOrderWatch(g *Gateway) *orderWatch { return &orderWatch{g: g, book: newOrderBook()} }
+func newOrderWatch(g *Gateway) *orderWatch { return &orderWatch{g: g, orders: newOrderSet()} }
 
 // applyRead applies what a read of the table service says.
 func (w *orderWatch) applyRead(r orderRead) {
@@ -101,7 +101,7 @@
 			w.g.event(event.RolloutStateIgnored, "", event.A("service", rows[i].Service), event.A("error", rows[i].Err.Error()))
 			continue
 		}
-		w.book.addState(rows[i].State)
+		w.orders.addState(rows[i].State)
 		w.g.withCore(func(c *exchange.Core, now time.Time) { c.RestoreRollout(now, rows[i].State) })
 	}
 	w.statesRead = true
@@ -114,8 +114,8 @@
 // apply applies a read at once, so that no request is placed between two of its changes. The
 // caller holds the lock.
 func (w *orderWatch) apply(r *orderRead) {
-	changes := w.book.apply(r)
-	digest := w.book.digest()
+	changes := w.orders.apply(r)
+	digest := w.orders.digest()
 	w.g.withCore(func(c *exchange.Core, now time.Time) {
 		confirmedAt := c.OrdersConfirmedAt()
 		for i := range changes {
@@ -201,14 +201,14 @@
 func (w *orderWatch) list() orderList {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return orderList{Position: w.book.position, Orders: w.book.list()}
+	return orderList{Position: w.orders.position, Orders: w.orders.list()}
 }
 
 // applyRelayed applies the orders that another daemon knows, if it has read the table later.
 func (w *orderWatch) applyRelayed(list *orderList, source string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if list.Position <= w.book.position {
+	if list.Position <= w.orders.position {
 		return
 	}
 	r := orderRead{complete: true, position: list.Position, source: source}
