--- a/internal/exchange/known_orders.go
+++ b/internal/exchange/known_orders.go
@@ -4,11 +4,11 @@
 
 // Each daemon waits at the table service for changes of the operator's entries. A call on a
 // connection that has become unresponsive returns nothing for a long time. The daemons that
-// query the table service often therefore tell all others, in their state updates, a digest of
+// query the table service often therefore send all others, in their state updates, a digest of
 // the operator's orders and how long ago they read them. That confirms the orders of a daemon
 // with the same ones, as for the configuration (see confirm.go), and has others fetch them.
 
-// KnownOrders tells what the sender of a state update knows of the operator's orders.
+// KnownOrders is what the sender of a state update knows of the operator's orders.
 type KnownOrders struct {
 	Digest uint64 `cbor:"1,keyasint"`
 	// Age is the time from the last confirmation of these orders to this update.
@@ -19,7 +19,7 @@
 type ordersKnowledge struct {
 	digest       uint64    // 0: not read yet
 	confirmedAt  time.Time // when these orders were known to be all; zero: never
-	differsSince time.Time // since when a daemon has told other orders; zero: none does
+	differsSince time.Time // since when another daemon's digest has differed; zero: none does
 	differsAt    Member    // that daemon
 }
 
@@ -47,7 +47,7 @@
 	}
 }
 
-// knownOrders returns what this daemon tells the others of the orders, nil for nothing.
+// knownOrders returns what a state update says of the orders, nil for nothing.
 func (c *Core) knownOrders(now time.Time) *KnownOrders {
 	o := &c.orders
 	if o.digest == 0 || o.confirmedAt.IsZero() || !c.QueriesTableOften(now) {
@@ -56,7 +56,7 @@
 	return &KnownOrders{Digest: o.digest, Age: now.Sub(o.confirmedAt)}
 }
 
-// receiveKnownOrders applies what another daemon tells of the orders. Ack is the sequence number
+// receiveKnownOrders applies what another daemon's state update says of the orders. Ack is the sequence number
 // of this daemon's last update that it had received.
 func (c *Core) receiveKnownOrders(now time.Time, update *StateUpdate, ack uint32) {
 	o := &c.orders
@@ -77,7 +77,7 @@
 	}
 }
 
-// DifferentOrders returns the daemon that has told other orders than this daemon's, and whether
+// DifferentOrders returns a daemon whose orders differ from this daemon's, and whether
 // that has lasted long enough to fetch them. The time then counts anew.
 func (c *Core) DifferentOrders(now time.Time) (Member, bool) {
 	o := &c.orders
--- a/internal/exchange/rollout_lead.go
+++ b/internal/exchange/rollout_lead.go
@@ -29,7 +29,8 @@
 	})
 }
 
-// noteLeaderHeard logs when the stage is not heard any more, and when it is heard again.
+// noteLeaderHeard logs when the leader's statement of the stage becomes too old to count, and
+// when a new one has arrived.
 func (c *Core) noteLeaderHeard(now time.Time, row *rolloutRow) {
 	unheard := !row.state.Stage.Ended() && !row.heardAt.IsZero() && !c.leaderHeard(now, row)
 	if unheard == row.unheard {
--- a/internal/exchange/rollout_news.go
+++ b/internal/exchange/rollout_news.go
@@ -21,7 +21,7 @@
 	Bad        bool                  `cbor:"5,keyasint,omitempty"` // the sender sends nothing to the new version
 	Applied    uint8                 `cbor:"6,keyasint,omitempty"` // share that the sender applies, percent
 	OldRunning int                   `cbor:"7,keyasint,omitempty"` // requests of the sender at old servers
-	LongestRun time.Duration         `cbor:"8,keyasint,omitempty"` // of an answer of an old server
+	LongestRun time.Duration         `cbor:"8,keyasint,omitempty"` // of an answer of an old server, from its send to its end
 	Samples    []RolloutRouteSamples `cbor:"9,keyasint,omitempty"`
 }
 
@@ -47,7 +47,7 @@
 }
 
 const (
-	// endedNewsTime is how long each state update tells of a roll-out that has ended. After
+	// endedNewsTime is how long each state update includes a roll-out that has ended. After
 	// that the leader's full updates do.
 	endedNewsTime = 30 * time.Second
 	// allPercent is the share of all requests.
@@ -166,7 +166,8 @@
 	c.judgeRollouts(now)
 }
 
-// missesState reports whether a message names an order that is new here without its details.
+// missesState reports whether a message names an order that this daemon does not know, without
+// its details.
 func (c *Core) missesState(s *rollout.State) bool {
 	row := c.rollouts.rows.Get(s.Service)
 	return s.To == "" && (row == nil || row.state.Order != s.Order)
--- a/internal/exchange/rollout_place.go
+++ b/internal/exchange/rollout_place.go
@@ -29,8 +29,8 @@
 	return !row.heardAt.IsZero() && now.Sub(row.heardAt) < within
 }
 
-// hearOwnStage lets the holder of the lease hear itself. A former holder that does not know of
-// its successor yet is not confirmed, and so does not.
+// hearOwnStage records the stage as stated by the leader if this daemon holds the lease for
+// certain. A former holder that does not know of its successor yet does not.
 func (c *Core) hearOwnStage(now time.Time) {
 	epoch, held := c.lease.Epoch()
 	if !held || !c.MayActAsLeader(now) {
--- a/internal/exchange/stream_version.go
+++ b/internal/exchange/stream_version.go
@@ -164,7 +164,7 @@
 // maxStreamLife is how long a stream may be taken up whose caller states no patience.
 const maxStreamLife = time.Minute
 
-// announceStream has the holders of a stream's record told, if its service has several versions.
+// announceStream has a stream's record sent to its holders, if its service has several versions.
 func (c *Core) announceStream(now time.Time, rec streamversion.Record) {
 	if !c.mixed(now, rec.Service) {
 		return
@@ -183,7 +183,7 @@
 }
 
 // changeVersions makes a change of what is known of the versions of services. When a service
-// gets a second version by it, the holders of the records of all its streams are told.
+// gets a second version by it, the records of all its streams are sent to their holders.
 func (c *Core) changeVersions(now time.Time, services []entity.ServiceName, change func()) {
 	services = slices.DeleteFunc(services, func(s entity.ServiceName) bool { return c.mixed(now, s) })
 	change()
@@ -194,7 +194,7 @@
 	}
 }
 
-// announceStreams has the holders of the records of a service's streams told.
+// announceStreams has the records of a service's streams sent to their holders.
 func (c *Core) announceStreams(now time.Time, service entity.ServiceName) {
 	for _, rec := range c.streams.OfService(now, service) {
 		c.announceStream(now, rec)
--- a/internal/exchange/version_record.go
+++ b/internal/exchange/version_record.go
@@ -247,7 +247,7 @@
 	return slices.Compact(out)
 }
 
-// announceRecorded has all other daemons told of recorded versions.
+// announceRecorded has recorded versions sent to all other daemons.
 func (c *Core) announceRecorded(now time.Time, versions []streamversion.KnownVersion) {
 	for _, v := range versions {
 		c.recordedNews.addUnless(datedVersion{v.RowVersion, now.Add(-v.Ago)}, func(known datedVersion) bool { return known.version == v.RowVersion })
--- a/internal/experiment/retry.go
+++ b/internal/experiment/retry.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// retryWait is the time after which callers come back that were told none.
+	// retryWait is the time after which callers retry a refusal without a Retry-After time.
 	retryWait = 100 * time.Millisecond
 	// maxWaitRatio is the ratio of the time left until its deadline that a caller waits at most
 	// before it comes back.
--- a/internal/system/shedding/shedding.go
+++ b/internal/system/shedding/shedding.go
@@ -16,7 +16,7 @@
 const (
 	// demandTimeConstant is the time constant of the exponential decay of the demand by rank.
 	demandTimeConstant = 2 * time.Second
-	// holdGain is the weight of a new sample in the mean time that requests hold their slot.
+	// holdGain is the weight of a new sample in the mean time for which requests hold their slot.
 	holdGain = 0.05
 	// minHold is the shortest time that a request counts as holding a slot.
 	minHold = 5 * time.Millisecond
@@ -80,7 +80,7 @@
 	}
 }
 
-// Arrive counts a request that has arrived. Hold is the expected time that it holds its slot.
+// Arrive counts a request that has arrived. Hold is the expected time for which it holds its slot.
 func (s *Shedder) Arrive(now time.Time, name entity.ServiceName, rank int, hold time.Duration) {
 	r := &s.service(now, name).ranks[rank]
 	r.arrived++
