--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -59,13 +59,13 @@
 	arrivalCount int                // requests queued so far
 	stepEnd      time.Duration      // virtual time at which the current step ends
 	timeFactor   float64            // multiplies the time of its steps
-	spellFactor  float64            // multiplies it further, in a slow spell
+	slowFactor   float64            // multiplies it further, in a slow period
 	reclaimed    bool               // a reclaim pattern is in effect, or it has not started: it gets no new requests
 	limit        exchange.RateLimit // stated with each first event
 }
 
 func newEngine(id entity.BackendServerID, m *EngineModel) *engine {
-	return &engine{id: id, model: m, timeFactor: 1, spellFactor: 1, cachedParts: map[uint64]int{}, lastUsedStep: map[uint64]int{}}
+	return &engine{id: id, model: m, timeFactor: 1, slowFactor: 1, cachedParts: map[uint64]int{}, lastUsedStep: map[uint64]int{}}
 }
 
 // enqueue adds a request to the waiting ones.
@@ -160,7 +160,7 @@
 	e.stepCount++
 	readTokens := e.readPrompts()
 	ms := e.model.BaseStepMs + e.model.StepPerSlotMs*float64(len(e.running)) + float64(readTokens)/e.model.PromptTokensPerMs
-	e.stepEnd = now + time.Duration(ms*e.timeFactor*e.spellFactor*float64(time.Millisecond))
+	e.stepEnd = now + time.Duration(ms*e.timeFactor*e.slowFactor*float64(time.Millisecond))
 	var result stepResult
 	unfinished := e.running[:0]
 	for _, j := range e.running {
--- a/internal/experiment/engine_patterns.go
+++ b/internal/experiment/engine_patterns.go
@@ -14,7 +14,7 @@
 			s.applyLimit(p)
 		}
 	}
-	s.applySlowSpells()
+	s.applySlowPeriods()
 }
 
 func (s *simulation) patternEngines(p *Pattern) int {
@@ -45,21 +45,21 @@
 	}
 }
 
-// applySlowSpells slows down the engines that have a slow spell. Each spell of a pattern has
+// applySlowPeriods slows down the engines that have a slow period. Each period of a pattern has
 // the next engines in turn.
-func (s *simulation) applySlowSpells() {
+func (s *simulation) applySlowPeriods() {
 	for _, e := range s.engines {
-		e.spellFactor = 1
+		e.slowFactor = 1
 	}
 	for i := range s.cfg.Patterns {
 		p := &s.cfg.Patterns[i]
-		number, active := p.spell(s.now)
+		number, active := p.slowPeriod(s.now)
 		if p.Kind != "slow" || !active {
 			continue
 		}
 		count := s.patternEngines(p)
 		for n := range count {
-			s.engines[(number*count+n)%len(s.engines)].spellFactor *= p.TimeFactor
+			s.engines[(number*count+n)%len(s.engines)].slowFactor *= p.TimeFactor
 		}
 	}
 }
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -38,7 +38,7 @@
 	Share      float64 `toml:"share"`       // ratio of the class's requests (hot_subject) or of the engines (reclaim, start, slow, limit)
 	PerSecond  float64 `toml:"per_second"`  // limit: requests that each engine takes
 	TimeFactor float64 `toml:"time_factor"` // slow: multiplies the times of the engines
-	RepeatS    float64 `toml:"repeat_s"`    // slow: from the start of one spell to that of the next, which other engines have; 0: there is one
+	RepeatS    float64 `toml:"repeat_s"`    // slow: from the start of one slow period to that of the next, which other engines have; 0: there is one
 	Class      string  `toml:"class"`       // burst, hot_subject: affected class; for a burst, empty means all
 }
 
@@ -93,9 +93,9 @@
 	return at >= seconds(p.StartS) && at < seconds(p.StartS+p.DurationS)
 }
 
-// spell returns the number of the spell of a repeated pattern at a virtual time, from 0, and
+// slowPeriod returns the number of the slow period of a repeated pattern at a virtual time, from 0, and
 // whether there is one.
-func (p *Pattern) spell(at time.Duration) (int, bool) {
+func (p *Pattern) slowPeriod(at time.Duration) (int, bool) {
 	since := at - seconds(p.StartS)
 	if p.RepeatS == 0 || since < 0 {
 		return 0, p.active(at)
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -267,7 +267,7 @@
 // statistics and the daemons' cores.
 func (s *simulation) runEngineStep(e *engine) {
 	result := e.runStep(s.now)
-	firstEventDelay := milliseconds(s.cfg.Engine.FirstEventDelayMs * e.timeFactor * e.spellFactor)
+	firstEventDelay := milliseconds(s.cfg.Engine.FirstEventDelayMs * e.timeFactor * e.slowFactor)
 	for _, j := range result.firstEvents {
 		s.result.recordFirstEvent(j.request, e.stepEnd+firstEventDelay-j.request.arrival)
 		if t := s.tickets[j.request]; t != nil {
--- a/internal/experiment/shares.go
+++ b/internal/experiment/shares.go
@@ -52,5 +52,5 @@
 // work returns the time in ms that a request takes at an engine without others.
 func (e *engine) work(r *request) float64 {
 	steps := float64(r.outputTokens) * (e.model.BaseStepMs + e.model.StepPerSlotMs)
-	return (float64(r.promptTokens)/e.model.PromptTokensPerMs + steps) * e.timeFactor * e.spellFactor
+	return (float64(r.promptTokens)/e.model.PromptTokensPerMs + steps) * e.timeFactor * e.slowFactor
 }
