capacity, shedding, streamversion: clear up comments

The package comment of capacity left open what is released sooner than what, that of streamversion did not mention the recorded versions, and Room.Age is used by logs only.

--- a/internal/system/capacity/capacity.go
+++ b/internal/system/capacity/capacity.go
@@ -9,8 +9,8 @@
 // most reclaimable servers lost them now, since a replacement takes longer to
 // start than the notice of a reclaim lasts. In calm times that is nothing; while
 // the reclaimable servers of one data centre are gone, it covers the loss of the
-// next one. They are released when reclaimable servers are back, and sooner than these
-// when the demand falls, as their price is a multiple. When a data centre is at its
+// next one. They are released when reclaimable servers are back. When the demand falls,
+// they are released sooner than reclaimable ones, which cost less. When a data centre is at its
 // limit, on-demand servers replace reclaimable ones only where no reclaimable
 // ones are available, so that a mass reclaim in one data centre does not
 // displace the reclaimable servers of the others.
@@ -156,8 +156,8 @@
 	// shrinkDelay is how long a lower demand must last before the level falls by which
 	// reclaimable servers are planned.
 	shrinkDelay = 25 * time.Second
-	// minOnDemandShrinkDelay and onDemandShrinkBootTimes, in boot times of a server, are the same
-	// for the level by which on-demand servers are planned.
+	// onDemandShrinkBootTimes is the same for on-demand servers, in boot times of a server, and
+	// minOnDemandShrinkDelay its minimum.
 	minOnDemandShrinkDelay  = 5 * time.Second
 	onDemandShrinkBootTimes = 2
 	// shrinkThreshold is the ratio to the current level that the demand must
--- a/internal/system/shedding/decide.go
+++ b/internal/system/shedding/decide.go
@@ -27,7 +27,7 @@
 	// burstDeviations is the number of standard deviations of a random arrival process by which
 	// a daemon may exceed its part of an idle service.
 	burstDeviations = 3.0
-	// burstRequests is what it may exceed that part by in any case.
+	// burstRequests is the number of requests by which it may exceed that part in any case.
 	burstRequests = 2.0
 )
 
@@ -35,7 +35,7 @@
 type Request struct {
 	Service   entity.ServiceName
 	Rank      int           // 0 is the most urgent
-	Draw      float64       // from 0 to 1, evenly over the requests
+	Draw      float64       // from 0 to 1, evenly distributed over the requests
 	Expected  time.Duration // until the first event at the chosen backend server
 	Objective time.Duration // time left until the first event is late; 0: it has no objective
 }
@@ -46,7 +46,7 @@
 	Slots   int           // of these servers
 	Taken   float64       // requests at these servers, of all daemons
 	Share   float64       // this daemon's part of the demand, from 0 to 1
-	Age     time.Duration // mean age of the view of the other daemons' requests
+	Age     time.Duration // mean age of the view of the other daemons' requests, for logs
 }
 
 // short reports whether the service is short of room.
--- a/internal/system/shedding/shedding.go
+++ b/internal/system/shedding/shedding.go
@@ -114,7 +114,7 @@
 // unused, also when that part is smaller.
 const maxSaved = 2.0
 
-// maxDebt limits what is counted of a part that was exceeded, in mean times that a request
+// maxDebt limits what is counted of a part that was exceeded, in mean times for which a request
 // holds its slot. A long request may exceed a small part for many of them.
 const maxDebt = 10.0
 
--- a/internal/system/streamversion/streamversion.go
+++ b/internal/system/streamversion/streamversion.go
@@ -1,6 +1,7 @@
 // Package streamversion remembers which software version of a service's backend servers
 // began a stream, so that no server of another version continues it, and which versions a
-// service has had lately.
+// service has had lately. Recorded holds the versions that are recorded in a row of the table
+// service, which a process that has just started reads.
 package streamversion
 
 import (
