--- a/internal/exchange/rollout_lead.go
+++ b/internal/exchange/rollout_lead.go
@@ -29,7 +29,8 @@
 	})
 }
 
-// noteLeaderHeard logs when the stage is not heard any more, and when it is heard again.
+// noteLeaderHeard logs when the leader's statement of the stage becomes too old to count, and
+// when a new one has arrived.
 func (c *Core) noteLeaderHeard(now time.Time, row *rolloutRow) {
 	unheard := !row.state.Stage.Ended() && !row.heardAt.IsZero() && !c.leaderHeard(now, row)
 	if unheard == row.unheard {
@@ -243,16 +244,6 @@
 	}
 }
 
-// listedCount returns the number of listed servers of a class.
-func (c *Core) listedCount(key ServerCount) int {
-	for _, n := range c.ListedServers() {
-		if n.Service == key.Service && n.DataCentre == key.DataCentre && n.Reclaimable == key.Reclaimable {
-			return n.Count
-		}
-	}
-	return 0
-}
-
 // Rollouts returns the roll-outs that this daemon knows, by service.
 func (c *Core) Rollouts(now time.Time) []RolloutStatus {
 	var out []RolloutStatus
--- a/internal/exchange/rollout_place.go
+++ b/internal/exchange/rollout_place.go
@@ -29,8 +29,8 @@
 	return !row.heardAt.IsZero() && now.Sub(row.heardAt) < within
 }
 
-// hearOwnStage lets the holder of the lease hear itself. A former holder that does not know of
-// its successor yet is not confirmed, and so does not.
+// hearOwnStage records the stage as stated by the leader if this daemon holds the lease for
+// certain. A former holder that does not know of its successor yet does not.
 func (c *Core) hearOwnStage(now time.Time) {
 	epoch, held := c.lease.Epoch()
 	if !held || !c.MayActAsLeader(now) {
@@ -154,7 +154,7 @@
 // been sent before does not: one failure is enough for its caller.
 func (c *Core) drawsCanary(t *Ticket, row *rolloutRow) bool {
 	share := rollout.CanaryShare(c.cfg.Bounds.Rollout.Share)
-	return t.Sends == 0 && rollout.DrawsCanary(t.Request.ID, row.state.Order) && row.split.MayTry(share)
+	return t.Sends == 0 && rollout.DrawsCanary(t.Request.ID, row.state.Order) && row.split.MaySend(share)
 }
 
 // canaryFilter allows the few servers of the new version that get the canary's requests.
