--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -23,6 +23,7 @@
 	events    []int    // IDs of the events that came
 	versions  []string // of the workers that wrote them
 	whole     bool     // the answer came to its end
+	leaving   bool     // the answer says that its worker leaves
 	err       error
 }
 
@@ -76,6 +77,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.status, a.signature = resp.StatusCode, resp.Header.Get("Server-Signature")
+	a.leaving = resp.Header.Get("Server-Leaving") != ""
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		a.readEvents(resp.Body, q.gap, cancel)
 		return a
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,8 @@
 	"late-route":  lateRoute,
 	"first-start": firstStart,
 	"restart-all": restartAll,
+	"uploads":     uploadBurst,
+	"leaving":     leavingWorker,
 }
 
 // maxTime bounds a case.
