--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 	"late-route":  lateRoute,
 	"first-start": firstStart,
 	"restart-all": restartAll,
+	"restart-one": restartAllOneVersion,
 	"uploads":     uploadBurst,
 	"leaving":     leavingWorker,
 }
--- a/review/harness/restart_all.go
+++ b/review/harness/restart_all.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"syscall"
@@ -105,30 +106,44 @@
 }
 
 // restartAll takes the power of all machines for a moment while two versions of the workers serve.
-func restartAll(w *world) error {
+func restartAll(w *world) error { return restartWith(w, 2) }
+
+// restartAllOneVersion does the same with one version.
+func restartAllOneVersion(w *world) error { return restartWith(w, 1) }
+
+const (
+	// machines is the number of daemons, which start within startSpread.
+	machines    = 6
+	startSpread = 300 * time.Millisecond
+)
+
+// workersOfService is the number of workers, half of each version if there are two.
+const workersOfService = 4
+
+func restartWith(w *world, versions int) error {
 	w.store.set("op", "config", configuration(1, ""))
-	for i := range 4 {
+	for i := range workersOfService {
 		s := w.newWorker(fmt.Sprintf("i-%03d", i+1), "pool", "z1", 64)
-		s.promptMs, s.eventDelay, s.version = 0.0177, 100*time.Millisecond, fmt.Sprintf("v%d", 1+i%2)
+		s.promptMs, s.eventDelay, s.version = 0.0177, 100*time.Millisecond, fmt.Sprintf("v%d", 1+i%versions)
 		if err := s.start(true); err != nil {
 			return err
 		}
 	}
 	var links []*link
-	for _, zone := range []string{"z1", "z2", "z3"} {
-		d, err := w.addDaemon(fmt.Sprintf("edge-%s-1", zone), zone, true)
+	for i := range machines {
+		zone := fmt.Sprintf("z%d", 1+i%3)
+		d, err := w.addDaemon(fmt.Sprintf("edge-%s-%d", zone, 1+i/3), zone, false)
 		if err != nil {
 			return err
 		}
-		if err := d.start(); err != nil {
-			return err
-		}
+		time.AfterFunc(rand.N(startSpread), func() { _ = d.start() })
 		k, err := newLink(d.front())
 		if err != nil {
 			return err
 		}
 		links = append(links, k)
 	}
+	time.Sleep(startSpread + 100*time.Millisecond)
 	if err := w.waitReady(20 * time.Second); err != nil {
 		return err
 	}
@@ -143,13 +158,13 @@
 			time.Sleep(time.Duration(n) * 20 * time.Millisecond)
 			q := talk(n, 0, "")
 			q.gap = abandonGap
-			a := send(links[n%3].address, q)
+			a := send(links[n%machines].address, q)
 			w.note("client: %s", a)
 			if a.whole || a.last() == 0 {
 				return
 			}
 			for try := 0; try < 2; try++ {
-				b := send(links[(n+1)%3].address, talk(n, a.last(), a.id))
+				b := send(links[(n+1)%machines].address, talk(n, a.last(), a.id))
 				w.note("client took it up %.2f s after the power was lost, after event %d: %s", b.sent.Sub(powerAt).Seconds(), a.last(), b)
 				mu.Lock()
 				if try == 0 {
@@ -184,7 +199,7 @@
 	for n := range 24 {
 		clients.Go(func() {
 			time.Sleep(time.Duration(n) * 40 * time.Millisecond)
-			a := send(links[n%3].address, talk(100+n, 0, ""))
+			a := send(links[n%machines].address, talk(100+n, 0, ""))
 			w.note("client, new stream: %s", a)
 			mu.Lock()
 			defer mu.Unlock()
