--- a/review/harness/uploads.go
+++ b/review/harness/uploads.go
@@ -18,11 +18,11 @@
 	uploadTime = 1500 * time.Millisecond
 	// usual is the number of uploads at a daemon at once, and burst the number while many users
 	// come at once (1.7 times the usual).
-	usual = 24
-	burst = 40
+	usual = 25
+	burst = 42
 	// waves is the number of bursts, with waveGap from one to the next.
-	waves   = 4
-	waveGap = 10 * time.Second
+	waves   = 8
+	waveGap = 8 * time.Second
 	// memoryMB is memoryMb of the settings. The platform kills a process that exceeds it.
 	memoryMB = 284
 )
