--- a/internal/system/rollout/samples.go
+++ b/internal/system/rollout/samples.go
@@ -32,11 +32,22 @@
 // moments returns the mean of the logarithms and their variance.
 func (t *Times) moments() (mean, variance float64) {
 	n := float64(t.Count)
-	mean = float64(t.Sum) * sumUnit / n
+	mean = t.mean()
 	variance = (float64(t.Squares)*sumUnit - n*mean*mean) / max(n-1, 1)
 	return mean, max(variance, minLogVariance)
 }
 
+// mean returns the mean of the logarithms; 0 without any.
+func (t *Times) mean() float64 {
+	if t.Count == 0 {
+		return 0
+	}
+	return float64(t.Sum) * sumUnit / float64(t.Count)
+}
+
+// above returns by how much the logarithms are above a mean, all together.
+func (t *Times) above(mean float64) float64 { return float64(t.Sum)*sumUnit - float64(t.Count)*mean }
+
 // Add adds the samples of others.
 func (s *Samples) Add(other Samples) {
 	s.Answers += other.Answers
--- a/internal/system/rollout/schedule.go
+++ b/internal/system/rollout/schedule.go
@@ -77,8 +77,10 @@
 	NewReady    int           // usable servers of the ordered version
 	ServesAlone bool          // the ordered version has served before the order, and no other one
 	Bad         bool          // the new version was found bad
+	Doubtful    bool          // it may be bad, by what is known at this moment
 	Sampled     bool          // there are answers of the new version on each route with requests
 	Drained     bool          // at all daemons new requests go to the new version, and none runs at an old server
+	Observed    bool          // there are answers of the new version since then
 	Schedule    Schedule
 }
 
@@ -105,6 +107,8 @@
 	ReasonDrained Reason = "drained"
 	// ReasonNotReady: too few new servers are ready.
 	ReasonNotReady Reason = "too few new servers"
+	// ReasonDoubt: the new version may be bad, and there is no time to find out.
+	ReasonDoubt Reason = "in doubt"
 	// ReasonMissed: the promotion did not come in time.
 	ReasonMissed Reason = "not promoted in time"
 )
@@ -132,9 +136,11 @@
 		return RolledBack, ReasonBad
 	case v.Now >= v.Schedule.FinalDecision && !v.EnoughReady():
 		return RolledBack, ReasonNotReady
+	case v.Now >= v.Schedule.FinalDecision && v.Doubtful:
+		return RolledBack, ReasonDoubt
 	case v.Now >= v.Schedule.FinalDecision:
 		return RolledBack, ReasonMissed
-	case v.Now < v.Schedule.Promote || !v.EnoughReady():
+	case v.Now < v.Schedule.Promote || !v.EnoughReady() || v.Doubtful:
 		return s.Stage, ""
 	case v.Sampled:
 		return Promoting, ReasonDue
@@ -151,10 +157,12 @@
 		return RolledBack, ReasonBad
 	case v.Now >= v.Schedule.LatestCompletion:
 		return RolledBack, ReasonMissed // the platform drains the new servers at the deadline
-	case v.Drained && v.EnoughReady():
+	case v.Drained && v.Observed && v.EnoughReady() && !v.Doubtful:
 		return Completed, ReasonDrained
 	case v.Now < v.Schedule.FinalDecision:
 		return s.Stage, ""
+	case v.Doubtful:
+		return RolledBack, ReasonDoubt
 	case v.EnoughReady():
 		return Completed, ReasonNoTime
 	default:
