--- a/internal/system/lease/lease.go
+++ b/internal/system/lease/lease.go
@@ -8,8 +8,9 @@
 // renew the row. So a holder that is cut off from its peers, paused or slow loses
 // the lease to another daemon. Not every platform refuses the late calls of a
 // previous holder. A holder therefore makes calls only while it is confirmed: by
-// its row, read a short time ago, or by a message that every daemon that might
-// take the lease has acknowledged a short time ago. A new holder waits for longer
+// its row, read a short time ago, or, while the row cannot be read, by a message that
+// every daemon that might take the lease has acknowledged a short time ago. A daemon of
+// which no other one knows can take the lease, too, but only by the row. A new holder waits for longer
 // than its predecessor may still act. All of these times are measured by each
 // daemon on its own clock, which counts the time in which it is suspended.
 package lease
@@ -36,7 +37,7 @@
 	holderTimeout time.Duration // silence of the holder after which another daemon contends
 	cooldown      time.Duration // time for which a daemon that has lost the lease does not contend
 	startDelay    time.Duration // time after its takeover in which a new holder makes no call
-	rowTTL        time.Duration // time for which a read of the row confirms the holder
+	rowTTL        time.Duration // time for which a read of the row counts, whether it confirms the holder or fails
 	ackTTL        time.Duration // time for which acknowledged messages confirm the holder
 }
 
@@ -66,6 +67,7 @@
 	lastAttempt    time.Time // when this daemon last tried to take the lease
 	acquiredAt     time.Time // when this daemon last took it
 	rowReadAt      time.Time // start of the last call that found this daemon in the row
+	rowUnreadAt    time.Time // end of the last read of the row that failed
 }
 
 // New returns the view of a daemon that has just started. The duration of the lease
@@ -144,16 +146,29 @@
 	}
 }
 
-// MayAct reports whether the holder may make a call now. ackedAt is when it sent its
-// newest message that every daemon that might take the lease has acknowledged; zero
-// if there is none.
+// RowUnread records that the lease's row could not be read.
+func (l *Lease) RowUnread(now time.Time) { l.rowUnreadAt = now }
+
+// MayAct reports whether this daemon is the holder as far as it can know without a call.
+// ackedAt is when it sent its newest message that every daemon that it knows, and that might
+// take the lease, has acknowledged; zero if there is none.
 func (l *Lease) MayAct(now, ackedAt time.Time) bool {
 	if !l.held || now.Sub(l.acquiredAt) < l.timing.startDelay {
 		return false
 	}
-	return now.Sub(l.rowReadAt) < l.timing.rowTTL || !ackedAt.IsZero() && now.Sub(ackedAt) < l.timing.ackTTL
+	return l.rowConfirms(now) || !ackedAt.IsZero() && now.Sub(ackedAt) < l.timing.ackTTL
+}
+
+// MayCall reports whether the holder may make a call now. If it may not, it must read the
+// lease's row first.
+func (l *Lease) MayCall(now, ackedAt time.Time) bool {
+	rowUnread := !l.rowUnreadAt.IsZero() && now.Sub(l.rowUnreadAt) < l.timing.rowTTL
+	return l.MayAct(now, ackedAt) && (l.rowConfirms(now) || rowUnread)
 }
 
+// rowConfirms reports whether the row was found to name this daemon a short time ago.
+func (l *Lease) rowConfirms(now time.Time) bool { return now.Sub(l.rowReadAt) < l.timing.rowTTL }
+
 // Settling reports whether this daemon has just taken the lease and makes no call yet.
 func (l *Lease) Settling(now time.Time) bool {
 	return l.held && now.Sub(l.acquiredAt) < l.timing.startDelay
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// While the table service is away, acknowledged messages suffice, and the row is tried again soon.
+func TestLease_CallsGoOnWhileTheRowCannotBeRead(t *testing.T) {
+	l := newLease("a")
+	l.MarkAcquired(at(0), at(0), 1)
+	now := times.startDelay + time.Second
+	if l.MayCall(at(now), at(now)) {
+		t.Fatal("the holder calls although it could read the row")
+	}
+	l.RowUnread(at(now))
+	if !l.MayCall(at(now), at(now)) || l.MayCall(at(now), at(now-times.ackTTL)) {
+		t.Fatal("acknowledged messages do not confirm the holder for their time while the row cannot be read")
+	}
+	if l.MayCall(at(now+times.rowTTL), at(now+times.rowTTL)) {
+		t.Fatal("the row is not read again")
+	}
+}
+
 func TestLease_EpochKnownToOthersEndsIt(t *testing.T) {
 	l := newLease("a")
 	l.MarkAcquired(at(0), at(0), 4)
@@ -129,12 +146,34 @@
 	})
 }
 
+// TestLease_DaemonThatNobodyKnowsTakesTheLease has a daemon start that is cut off from all others,
+// none of which knows of it, and that reads and writes the row.
+func TestLease_DaemonThatNobodyKnowsTakesTheLease(t *testing.T) {
+	const step, callDelay = 50 * time.Millisecond, 100 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		w := newLeaseWorld(t, 2)
+		start := rapid.IntRange(60, 200).Draw(t, "start")
+		for n := range 400 {
+			now := time.Duration(n) * step
+			if n == start {
+				w.addUnknown(now)
+			}
+			w.tick(now)
+		}
+		if w.version < 2 {
+			t.Fatal("the new daemon has not taken the lease: the test sees nothing")
+		}
+		w.checkCalls(callDelay)
+	})
+}
+
 // leaseWorld holds daemons, their row and the calls that they have made.
 type leaseWorld struct {
 	t         *rapid.T
 	daemons   []*Lease
 	suspended []bool
 	cutOff    []bool
+	unknown   []bool        // to all others: nobody waits for its acknowledgements
 	gotAt     [][]time.Time // newest message of the first daemon that the second has got
 	ackedAt   [][]time.Time // the same, as far as the first has learned from the second's messages
 	holder    int           // in the row; -1: none
@@ -150,14 +189,24 @@
 
 func newLeaseWorld(t *rapid.T, daemons int) *leaseWorld {
 	w := &leaseWorld{t: t, holder: -1, suspended: make([]bool, daemons), cutOff: make([]bool, daemons)}
+	w.unknown = make([]bool, daemons)
 	for i := range daemons {
 		w.daemons = append(w.daemons, newLease(entity.InstanceID(rune('a'+i))))
-		w.gotAt = append(w.gotAt, make([]time.Time, daemons))
-		w.ackedAt = append(w.ackedAt, make([]time.Time, daemons))
+		w.gotAt = append(w.gotAt, make([]time.Time, daemons+1))
+		w.ackedAt = append(w.ackedAt, make([]time.Time, daemons+1))
 	}
 	return w
 }
 
+// addUnknown adds a daemon that is cut off from its start.
+func (w *leaseWorld) addUnknown(now time.Duration) {
+	n := len(w.daemons)
+	w.daemons = append(w.daemons, New(entity.InstanceID(rune('a'+n)), at(now), DefaultDuration))
+	w.suspended, w.cutOff, w.unknown = append(w.suspended, false), append(w.cutOff, true), append(w.unknown, true)
+	w.gotAt = append(w.gotAt, make([]time.Time, n+1))
+	w.ackedAt = append(w.ackedAt, make([]time.Time, n+1))
+}
+
 func (w *leaseWorld) drawFaults() {
 	for i := range w.daemons {
 		fault := rapid.IntRange(0, 5).Draw(w.t, "fault")
@@ -207,18 +256,18 @@
 	}
 	acked := at(now)
 	for j := range w.daemons {
-		if j != i && w.ackedAt[i][j].Before(acked) {
+		if j != i && !w.unknown[j] && w.ackedAt[i][j].Before(acked) {
 			acked = w.ackedAt[i][j]
 		}
 	}
-	if !l.MayAct(at(now), acked) {
+	if !l.MayCall(at(now), acked) {
 		if w.version != epoch || w.holder != i {
 			l.MarkLost(at(now))
 			return
 		}
 		l.ConfirmRow(at(now))
 	}
-	if l.MayAct(at(now), acked) {
+	if l.MayCall(at(now), acked) {
 		w.calls = append(w.calls, leaseCall{i, epoch, now})
 	}
 }
