--- a/internal/system/quarantine/death.go
+++ b/internal/system/quarantine/death.go
@@ -16,6 +16,8 @@
 	DataCentre entity.DataCentreID
 	StartedAt  time.Time // of the run of the content; zero: not known
 	Isolated   bool
+	// Repeated is the process on which the request had run before and broken off; zero: none.
+	Repeated entity.ServerProcess
 }
 
 type suspect struct {
@@ -31,7 +33,8 @@
 	born       int64
 	dataCentre entity.DataCentreID
 	at         time.Time
-	startedAt  time.Time // see Death
+	startedAt  time.Time            // see Death
+	repeated   entity.ServerProcess // see Death
 }
 
 // deathRetention is how long after its death a backend server may still be
@@ -59,7 +62,7 @@
 		s = &suspect{lastDeathAt: now}
 		r.suspects.Put(d.Digest, s)
 	}
-	recorded.startedAt = d.StartedAt
+	recorded.startedAt, recorded.repeated = d.StartedAt, d.Repeated
 	if s.addDeath(recorded) && now.After(s.lastDeathAt) {
 		s.lastDeathAt = now
 	}
@@ -143,7 +146,7 @@
 	var out []RecordedDeath
 	for _, digest := range contents[:min(len(contents), maxContents)] {
 		for _, d := range r.suspects.Get(digest).deaths {
-			out = append(out, RecordedDeath{Death{Digest: digest, Backend: d.backend, Born: d.born, DataCentre: d.dataCentre, StartedAt: d.startedAt}, d.at})
+			out = append(out, RecordedDeath{Death{Digest: digest, Backend: d.backend, Born: d.born, DataCentre: d.dataCentre, StartedAt: d.startedAt, Repeated: d.repeated}, d.at})
 		}
 	}
 	return out
@@ -206,12 +209,21 @@
 const togetherWindow = 50 * time.Millisecond
 
 // togetherWith reports whether a backend server died together with the one that died
-// before it. It did not if its run of the content began after that death, as that of a
-// repeated request does.
+// before it. It did not if its run of the content began after that death. That of a repeated
+// request did, whatever the times say: those that another daemon tells are off by the time
+// that its messages took.
 func (d *death) togetherWith(previous *death) bool {
+	if d.repeated == previous.process() || previous.repeated == d.process() {
+		return false
+	}
 	return d.at.Sub(previous.at) <= togetherWindow && d.startedAt.Before(previous.at)
 }
 
+// process returns the process that died.
+func (d *death) process() entity.ServerProcess {
+	return entity.ServerProcess{Server: d.backend, Born: d.born}
+}
+
 // addDeath adds the death of a backend server unless it is already recorded,
 // and returns it with the time at which it was first recorded.
 func (r *Registry) addDeath(now time.Time, d Death) death {
