--- a/internal/system/streamversion/recorded_test.go
+++ b/internal/system/streamversion/recorded_test.go
@@ -204,3 +204,32 @@
 		}
 	}
 }
+
+// The first process of a deployment must confirm the row also when another daemon has recorded a
+// version between its read and its write, which then fails: nobody else could for a long time.
+func TestRecorded_FirstProcessConfirmsARowWrittenMeanwhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := NewRecorded(rand.New(rand.NewPCG(1, 1)))
+	first.Called(now)
+	if next, write := first.Apply(now, &Read{Generation: 3, NewDeployment: true}, false); !write || !next.Complete {
+		t.Fatalf("the first row is %+v, written %v", next, write)
+	}
+	// The write fails: another daemon has written the row.
+	row := Row{Versions: []RowVersion{{SeenVersion: SeenVersion{Service: "s", Version: "v1"}, Count: 1}}}
+	for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		if !first.CallDue(now, false) {
+			continue
+		}
+		first.Called(now)
+		if next, write := first.Apply(now, &Read{Row: row, Generation: 3, NewDeployment: true}, false); write {
+			row = next
+			first.Written(now, &next)
+		}
+	}
+	if !row.current(3) || len(row.Versions) != 1 {
+		t.Errorf("the row is %+v after 5 s, want it confirmed", row)
+	}
+	if first.CallDue(now, false) {
+		t.Error("the confirmed row is read again")
+	}
+}
--- a/internal/system/streamversion/recording.go
+++ b/internal/system/streamversion/recording.go
@@ -86,7 +86,7 @@
 	case current:
 		r.confirmed, r.checkAt = true, time.Time{}
 	case read.NewDeployment && !r.confirmed:
-		r.confirmed = true
+		r.confirmed, r.checkAt = true, now // until the row says so, which another daemon may be writing
 		return true
 	case !r.Complete(now):
 		r.checkLater(now)
--- a/internal/system/streamversion/streamversion.go
+++ b/internal/system/streamversion/streamversion.go
@@ -36,6 +36,7 @@
 	Record
 	knownSince time.Time
 	expiresAt  time.Time
+	begun      bool // this process has written events of it and not completed it
 }
 
 // Registry holds records and the versions of the services. It is not safe for concurrent use.
@@ -43,6 +44,7 @@
 	rows     *entity.Table[entity.RequestID, row]
 	order    []entity.RequestID                          // in the order in which they came
 	versions map[entity.ServiceName]map[string]time.Time // when a server of a version was last seen
+	saved    map[uint64]savedStream                      // by hash of the request's ID
 }
 
 // New returns an empty registry.
@@ -50,6 +52,7 @@
 	return &Registry{
 		rows:     entity.NewTable[entity.RequestID, row](),
 		versions: make(map[entity.ServiceName]map[string]time.Time),
+		saved:    make(map[uint64]savedStream),
 	}
 }
 
@@ -95,6 +98,7 @@
 
 // Forget drops what has expired.
 func (r *Registry) Forget(now time.Time) {
+	r.forgetSaved(now)
 	r.order = slices.DeleteFunc(r.order, func(id entity.RequestID) bool {
 		expired := !now.Before(r.rows.Get(id).expiresAt)
 		if expired {
