--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -397,6 +397,13 @@
 	}
 }
 
+// ForgetFailures forgets the failures of a backend server: they had another cause.
+func (p *Placer) ForgetFailures(id entity.BackendServerID) {
+	if r := p.servers.Get(id); r != nil {
+		r.health, r.pace.failed = health{}, false
+	}
+}
+
 // ServerLoads returns this daemon's load on each backend server on which it has any.
 func (p *Placer) ServerLoads() []ServerLoad {
 	var out []ServerLoad
