--- a/internal/entity/table.go
+++ b/internal/entity/table.go
@@ -26,6 +26,16 @@
 	return t.rows[i]
 }
 
+// GetOrPut returns the row with the key. If there is none, it adds a zero one.
+func (t *Table[K, R]) GetOrPut(k K) *R {
+	r := t.Get(k)
+	if r == nil {
+		r = new(R)
+		t.Put(k, r)
+	}
+	return r
+}
+
 // Put adds or replaces the row with the key.
 func (t *Table[K, R]) Put(k K, r *R) {
 	if i, ok := t.index[k]; ok {
--- a/internal/entity/table_test.go
+++ b/internal/entity/table_test.go
@@ -16,6 +16,13 @@
 				table.Put(k, &v)
 				model[k] = v
 			},
+			"get or put": func(t *rapid.T) {
+				k := rapid.IntRange(0, 9).Draw(t, "k")
+				if got := *table.GetOrPut(k); got != model[k] {
+					t.Fatalf("row with key %d is %d, want %d", k, got, model[k])
+				}
+				model[k] = *table.Get(k) // a row that was missing is there now
+			},
 			"delete": func(t *rapid.T) {
 				k := rapid.IntRange(0, 9).Draw(t, "k")
 				table.Delete(k)
