--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,21 +41,34 @@
 // Pool keeps idle connections to backend servers for reuse. It is safe for
 // concurrent use.
 type Pool struct {
+	dialServer DialFunc
+
 	mu   sync.Mutex
 	idle map[string][]*connection // by address; the most recently used one is last
+	open map[string][]*connection // by address, idle ones or not, in the order in which they were opened
 }
 
+// DialFunc opens a connection to an address, IP:PORT, of a backend server.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*connection)} }
+func NewPool() *Pool { return NewPoolWithDial(dialTCP) }
+
+// NewPoolWithDial returns an empty pool that opens its connections with a function.
+func NewPoolWithDial(dial DialFunc) *Pool {
+	return &Pool{dialServer: dial, idle: make(map[string][]*connection), open: make(map[string][]*connection)}
+}
 
 // connection is one connection to a backend server, used by one request at a
 // time.
 type connection struct {
 	net.Conn
+	pool        *Pool
 	address     string
+	since       time.Time      // see Request.MaySend
 	source      *limitedReader // what reader reads from
 	reader      *bufio.Reader
-	usableUntil time.Time // while idle: when it expires
+	usableUntil time.Time // while idle: when it expires; zero: it has not been idle yet
 	reused      bool      // it has carried an earlier request
 }
 
@@ -64,7 +78,7 @@
 	for {
 		c := p.popIdle(address)
 		if c == nil {
-			return dial(ctx, address)
+			return p.dial(ctx, address)
 		}
 		if now.Before(c.usableUntil) && c.openWithoutData() {
 			return c, nil
@@ -90,7 +104,7 @@
 // Probe establishes a connection to an address without sending anything, and keeps it for
 // the next request.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := dial(ctx, address)
+	c, err := p.dial(ctx, address)
 	if err == nil {
 		p.putIdle(c, defaultIdleTimeout)
 	}
@@ -118,6 +132,15 @@
 	}
 }
 
+// putBack keeps a connection on which nothing was sent since it was acquired.
+func (p *Pool) putBack(c *connection) {
+	idleTimeout := defaultIdleTimeout
+	if !c.usableUntil.IsZero() {
+		idleTimeout = c.usableUntil.Sub(clock.Now())
+	}
+	p.putIdle(c, idleTimeout)
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
@@ -171,15 +194,67 @@
 	return list[:n], closedByServer
 }
 
-func dial(ctx context.Context, address string) (*connection, error) {
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: deadpeer.Control(unacknowledgedTimeout)}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+	conn, err := p.dialServer(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	connectionsDialled.Inc()
 	source := &limitedReader{source: conn}
-	return &connection{Conn: conn, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+	c := &connection{Conn: conn, pool: p, address: address, since: clock.Now(), source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	p.addOpen(c)
+	return c, nil
+}
+
+// addOpen adds a connection that has just been opened. If an earlier one to the address is still
+// open, both reach the same process: an address has a new process only after the connections of the
+// former one have been closed.
+func (p *Pool) addOpen(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.open[c.address] {
+		if other.since.Before(c.since) && other.established() {
+			c.since = other.since
+			break
+		}
+	}
+	p.open[c.address] = append(p.open[c.address], c)
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	p := c.pool
+	p.mu.Lock()
+	list := slices.DeleteFunc(p.open[c.address], func(other *connection) bool { return other == c })
+	if p.open[c.address] = list; len(list) == 0 {
+		delete(p.open, c.address)
+	}
+	p.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// established reports whether the other side has not closed the connection, as far as the kernel
+// knows.
+func (c *connection) established() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	established := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		established = infoErr == nil && info.State == unix.BPF_TCP_ESTABLISHED
+	})
+	return established && err == nil
 }
 
 // openWithoutData reports whether an idle connection is open and has no unread
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -39,8 +39,15 @@
 	// Matches reports whether a response answers this request. Responses that don't
 	// are skipped. If it is nil, every response does.
 	Matches func(*http.Response) bool
+	// MaySend reports, once there is a connection, whether the request may still be sent. If
+	// it is nil, it may. Since is the time from when on this connection, or others that were
+	// open when the next one was opened, have reached the same process.
+	MaySend func(since time.Time) bool
 }
 
+// ErrWithheld is the error of a request that was not sent since Request.MaySend has said so.
+var ErrWithheld = errors.New("request withheld from the backend server")
+
 // Reply is a response whose body has not been read yet. Close must be called.
 type Reply struct {
 	*http.Response
@@ -50,6 +57,15 @@
 	stopContextWatch func() bool // keeps the context's end from closing conn; false if it is too late
 	bodyComplete     bool        // the body has been read to its end
 	failed           bool        // reading the head or the body has failed
+	foreign          bool        // a response to another request came before
+	reused           bool        // the connection had carried an earlier request
+	release          func()      // ends a response that did not come over a connection of a pool; nil: it did
+}
+
+// NewReply returns a response that did not come over a connection of a pool. Release is called
+// when it is closed.
+func NewReply(resp *http.Response, reused bool, release func()) *Reply {
+	return &Reply{Response: resp, reused: reused, release: release}
 }
 
 // Send writes the request to one connection once and reads the head of the
@@ -60,10 +76,14 @@
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, "dial")
 	}
+	if r.MaySend != nil && !r.MaySend(conn.since) {
+		p.putBack(conn)
+		return nil, verdict.Wrap(ErrWithheld, verdict.NotRun, "withheld")
+	}
 	// When the context ends, the connection is closed. To the backend server this
 	// is the signal to stop working on the request.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, writeResult: make(chan error, 1)}
+	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, writeResult: make(chan error, 1)}
 	head := r.encodeHead()
 	if len(r.Body) <= maxInlineBodyBytes {
 		_, err = conn.Write(append(head, r.Body...))
@@ -109,6 +129,7 @@
 			return nil
 		}
 		foreignResponses.Inc()
+		r.foreign = true
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return errors.New("cannot skip a response to another request: its end is not marked")
 		}
@@ -120,7 +141,7 @@
 }
 
 // ConnectionReused reports whether the connection had carried an earlier request.
-func (r *Reply) ConnectionReused() bool { return r.conn.reused }
+func (r *Reply) ConnectionReused() bool { return r.reused }
 
 // Framed reports whether the end of the body is marked by a content length or a
 // transfer encoding. Otherwise the body ends where the connection does.
@@ -143,6 +164,10 @@
 // Close returns the connection to the pool if the exchange is complete and nothing
 // failed; otherwise it closes the connection.
 func (r *Reply) Close() {
+	if r.release != nil {
+		r.release()
+		return
+	}
 	if !r.stopContextWatch() || !r.reusable() {
 		_ = r.conn.Close()
 		return
@@ -152,7 +177,7 @@
 }
 
 func (r *Reply) reusable() bool {
-	if r.failed || r.Response == nil || r.Response.Close || !r.Framed() {
+	if r.failed || r.foreign || r.Response == nil || r.Response.Close || !r.Framed() {
 		return false
 	}
 	if !r.bodyComplete && r.ContentLength != 0 && r.Body != http.NoBody {
