--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -65,6 +65,9 @@
 	// body. While it blocks, no more messages are read from that channel of
 	// the connection.
 	Handler func(from entity.InstanceID, fromAddr string, channel Channel, body []byte)
+	// ExchangeHandler serves an exchange that another daemon has opened, and returns when it
+	// has ended. Without one, daemons cannot open exchanges with this one.
+	ExchangeHandler func(from entity.InstanceID, x *Exchange)
 
 	IdleTimeout       time.Duration // an unused connection is closed after this
 	HandshakeTimeout  time.Duration // a dial or an exchange of hellos fails after this
@@ -160,13 +163,15 @@
 
 const (
 	initialStreamWindowBytes = 64 << 10
-	maxStreamWindowBytes     = 1 << 20
+	maxStreamWindowBytes     = 256 << 10
 	initialConnWindowBytes   = 128 << 10
-	maxConnWindowBytes       = 2 << 20
+	// maxConnWindowBytes is for many streams: an exchange that is not read must not hold up the
+	// others, nor the messages.
+	maxConnWindowBytes = 8 << 20
 )
 
 // quicConfig returns the configuration of all connections. Each side opens one
-// unidirectional stream. Path MTU discovery is disabled: its probes would cost
+// unidirectional stream, and a bidirectional one for each exchange. Path MTU discovery is disabled: its probes would cost
 // more bytes than most connections carry.
 func (c Config) quicConfig() *quic.Config {
 	return &quic.Config{
@@ -176,7 +181,7 @@
 		MaxStreamReceiveWindow:         maxStreamWindowBytes,
 		InitialConnectionReceiveWindow: initialConnWindowBytes,
 		MaxConnectionReceiveWindow:     maxConnWindowBytes,
-		MaxIncomingStreams:             -1,
+		MaxIncomingStreams:             c.maxIncomingExchanges(),
 		MaxIncomingUniStreams:          1,
 		DisablePathMTUDiscovery:        true,
 		EnableDatagrams:                true,
@@ -278,7 +283,15 @@
 		c.closeWith(codeClosed)
 		return
 	}
+	t.serveConnection(l, c)
+}
+
+// serveConnection reads from an open connection until it ends.
+func (t *Transport) serveConnection(l *link, c *connection) {
 	l.addConnection(c)
+	if t.cfg.ExchangeHandler != nil {
+		t.goroutines.Go(c.acceptExchanges)
+	}
 	c.readAll()
 	l.removeConnection(c)
 }
@@ -291,9 +304,7 @@
 		l.dialFailed(time.Now())
 		return
 	}
-	l.addConnection(c)
-	c.readAll()
-	l.removeConnection(c)
+	t.serveConnection(l, c)
 }
 
 // connect dials an endpoint and exchanges hellos.
