--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -39,9 +39,8 @@
 
 // mayReleaseShards reports whether the shards may be released now. During the
 // first half of a planned stop they are kept while any keyed request runs.
-// After that, and in an urgent stop, only plain calls and answers that are
-// being committed delay the release, since nobody else can complete those. When
-// the stop is almost over, nothing delays it.
+// After that, and in an urgent stop, only requests that nobody else can complete
+// delay the release. When the stop is almost over, nothing delays it.
 func (c *Core) mayReleaseShards() bool {
 	if c.now.After(c.drain.deadline.Add(-drainMargin)) {
 		return true
@@ -53,17 +52,30 @@
 }
 
 // hasKeyedWork reports whether an unfinished request is in the journal. With
-// plainOnly, only plain calls count, and requests whose answer is being
-// committed.
-func (c *Core) hasKeyedWork(plainOnly bool) bool {
+// boundOnly, only those count that nobody else can complete: plain calls, streams
+// that are being sent, and requests whose answer is being committed.
+func (c *Core) hasKeyedWork(boundOnly bool) bool {
 	found := false
 	c.requests.All(func(_ entity.RequestID, r *request) bool {
-		found = r.inJournal && !r.finished() && (!plainOnly || r.work.Call != nil || r.stage == stageCommit)
+		found = r.inJournal && !r.finished() && (!boundOnly || c.boundHere(r))
 		return !found
 	})
 	return found
 }
 
+// boundHere reports whether nobody else can complete the request as it stands.
+func (c *Core) boundHere(r *request) bool {
+	return r.work.Call != nil || r.stage == stageCommit || c.isBeingSent(r)
+}
+
+// isBeingSent reports whether the server of a running stream may not have the
+// request yet. If the attempt were stopped now, the server might never get it, and
+// whoever takes the stream up would find none.
+func (c *Core) isBeingSent(r *request) bool {
+	a := c.attempts.Get(attemptKey{r.id, r.currentAttempt})
+	return a != nil && !a.resumed && a.receivedTokens == 0
+}
+
 // finishDrainWhenIdle lets the daemon exit when the deadline has passed, or
 // when there has been no work and no caller for a while. An idle daemon waits
 // for its last replies to be delivered and for the journal to have released its
--- a/internal/core/fake_engine_test.go
+++ b/internal/core/fake_engine_test.go
@@ -45,9 +45,13 @@
 	plainCallDuration time.Duration // of one plain call, if longer than defaultPlainCallDuration
 	dead              bool
 	silent            bool
-	streams           map[attemptKey]*fakeStream
-	runs              []execution
-	onCrash           func()
+	// sendTime is how long a dispatch takes to reach the engine, if longer than
+	// 1 ms. One that is stopped before then never reaches it.
+	sendTime time.Duration
+	sending  map[attemptKey]bool // dispatches on their way
+	streams  map[attemptKey]*fakeStream
+	runs     []execution
+	onCrash  func()
 }
 
 // fakeStream is one run of an engine.
@@ -75,7 +79,7 @@
 // addEngine adds one backend server.
 func (w *world) addEngine(id string, service entity.ServiceName, dc int, plain bool) {
 	e := &fakeEngine{
-		w: w, plain: plain, streams: map[attemptKey]*fakeStream{},
+		w: w, plain: plain, streams: map[attemptKey]*fakeStream{}, sending: map[attemptKey]bool{},
 		server: entity.BackendServer{
 			ID: entity.BackendServerID(id), Service: service, Address: "127.0.0.1:9000", Slots: engineSlots,
 			Location: entity.Location{Region: "r", DataCentre: entity.DataCentreID(fmt.Sprintf("dc%d", dc))},
@@ -127,7 +131,16 @@
 // dispatch handles a dispatch by a daemon.
 func (e *fakeEngine) dispatch(from *fakeDaemon, d Dispatch) {
 	key := attemptKey{d.Request, d.Attempt}
-	e.w.schedule(time.Millisecond, func() {
+	sendTime := time.Millisecond
+	if !d.Resume && e.sendTime > sendTime {
+		sendTime = e.sendTime
+		e.sending[key] = true
+	}
+	e.w.schedule(sendTime, func() {
+		if sendTime > time.Millisecond && !e.sending[key] {
+			return
+		}
+		delete(e.sending, key)
 		switch {
 		case e.dead:
 			e.reportFailure(from, key, AttemptFailed{
@@ -269,6 +282,7 @@
 	if st.Stream != "" {
 		stream = st.Stream
 	}
+	delete(e.sending, attemptKey{stream, st.Attempt})
 	s := e.streams[attemptKey{stream, st.Attempt}]
 	if s == nil {
 		return
--- a/internal/core/handoff.go
+++ b/internal/core/handoff.go
@@ -214,7 +214,8 @@
 
 // mayCommitOffer reports whether the successor may continue the request now.
 // The reply of a plain call can be read by this daemon only, so a running plain
-// call stays here until it ends or the time is almost over.
+// call stays here until it ends or the time is almost over, as does a stream that
+// is being sent.
 func (c *Core) mayCommitOffer(r *request) bool {
 	if c.now.After(c.drain.deadline.Add(-drainMargin)) {
 		return true
@@ -225,7 +226,7 @@
 	if r.stage == stageQueued || r.stage == stageBackoff || r.stage == stageRelayed {
 		return true
 	}
-	if r.work.Call != nil {
+	if r.work.Call != nil || c.isBeingSent(r) {
 		return false
 	}
 	return c.drain.urgent || c.now.After(c.drainHalfway())
--- a/internal/core/reclaim_test.go
+++ b/internal/core/reclaim_test.go
@@ -86,6 +86,34 @@
 	}
 }
 
+// Requests that must not be repeated are sent as the notice comes. A stream that
+// is handed over before its engine has the request is known nowhere.
+func TestCore_ReclaimWhileRequestsAreBeingSent(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, 50+seed, 3)
+			for _, e := range w.engineOrder {
+				e.sendTime = 25 * time.Millisecond
+			}
+			for i := range 100 {
+				work := modelWork(fmt.Sprintf("prompt %d", i), 20)
+				work.Repeatable = false
+				work.Stream = true
+				work.Key = fmt.Sprintf("once-%d", i)
+				w.schedule(time.Duration(i)*2*time.Millisecond, func() { w.startCaller(w.liveDaemons()[1], work, 30*time.Second) })
+			}
+			w.runFor(100 * time.Millisecond)
+			d := w.daemons[1]
+			d.post(ReclaimNotice{Notice: provider.ReclaimNotice{ReclaimAt: w.now.Add(6 * time.Second)}})
+			w.schedule(6*time.Second, d.kill)
+			w.runFor(time.Second)
+			w.finishAll(60 * time.Second)
+			w.verifyInvariants()
+			w.requireAnswers()
+		})
+	}
+}
+
 func TestCore_ReclaimedDataCentre(t *testing.T) {
 	for seed := range uint64(5) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runDataCentreReclaim(t, 10+seed) })
