--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -8,6 +8,8 @@
 	ExchangeAbandoned = define(6002, Info, "caller left before the end of the answer")
 	ExchangeTruncated = define(6003, Warn, "answer cut off midway")
 
+	ExchangeForwarded = define(6004, Info, "attempt sent for another daemon")
+
 	GatewayConfigurationApplied = define(6100, Info, "configuration in force")
 	ConfigurationIgnored        = define(6101, Warn, "configuration ignored")
 	ConfigurationPartlyUnusable = define(6102, Warn, "part of the configuration cannot be served")
@@ -34,7 +36,13 @@
 	StreamVersionsRead          = define(6163, Info, "row of the recorded versions read")
 	StreamVersionsRecorded      = define(6164, Info, "row of the recorded versions written")
 	StreamVersionsNotRecorded   = define(6165, Warn, "row of the recorded versions not read or not written")
-	ServerLimitIgnored          = define(6152, Warn, "invalid limit of a backend server ignored")
+	BegunStreamsRead            = define(6166, Info, "streams that other processes have begun read from the table service")
+	BegunStreamsNotSaved        = define(6167, Warn, "streams that processes have begun not written to the table service, or not read")
+	ServerStatementIgnored      = define(6152, Warn, "invalid statement of a backend server of itself ignored")
+	ServerLeavingStated         = define(6153, Info, "backend server says that it leaves: it gets no more requests")
+	ServerRestStated            = define(6155, Info, "backend server wants no requests from this daemon for a while")
+	ServerRestEnded             = define(6156, Info, "backend server may get requests from this daemon again")
+	ServerLeavingEnded          = define(6154, Info, "backend server that said that it leaves has gone")
 	RolloutOrdered              = define(6170, Info, "roll-out ordered")
 	RolloutOrderIgnored         = define(6171, Warn, "order of a roll-out ignored")
 	RolloutWithdrawn            = define(6172, Info, "order of a roll-out withdrawn")
@@ -48,6 +56,8 @@
 	ServerPaceLimited           = define(6180, Info, "requests at a backend server that starts or recovers limited")
 	ServerPaceLowered           = define(6181, Info, "limit of requests at a backend server lowered")
 	ServerPaceOpen              = define(6182, Info, "backend server takes all requests: limit removed")
+	ServerPathLost              = define(6190, Warn, "no backend server of a service can be reached from this daemon: others forward its requests")
+	ServerPathRegained          = define(6191, Info, "backend servers of a service can be reached from this daemon again")
 	PeerSeen                    = define(6130, Info, "daemon heard")
 	PeerSilent                  = define(6131, Warn, "daemon silent")
 
@@ -67,6 +77,7 @@
 	RolloutCommitFailed = define(6235, Warn, "stage of a roll-out could not be committed")
 	RolloutSuperseded   = define(6236, Warn, "stage of a roll-out not committed: another daemon has committed a later one")
 	RolloutRewritten    = define(6237, Warn, "stage of a roll-out written again after the table service was restored")
+	RolloutDoubted      = define(6238, Warn, "ordered version in doubt: neither promoted nor completed meanwhile")
 
 	GatewayStarted  = define(6900, Info, "gateway started")
 	GatewayDraining = define(6901, Info, "gateway stops taking callers")
--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -21,13 +21,19 @@
 	if o == Rejected {
 		c.recordRejection(now, t.process.Server)
 	}
+	c.recordPath(now, t, o)
+	c.endForwarding(now, t, o)
 	c.recordEvidence(now, t, o)
 	c.rolloutEnded(now, t, o)
 	switch o {
 	case Answered, Abandoned:
+		if o == Answered {
+			c.completeStream(t)
+		}
 		t.Ran++
+		c.learnRun(now, t, o)
 		return nil
-	case NotSent, NotListening:
+	case NotSent, NotListening, Withheld:
 		t.Sends-- // never arrived
 	case Failed, Broken, Silent:
 		t.Ran++
@@ -41,6 +47,13 @@
 	return nil
 }
 
+// learnRun learns how long a complete answer took.
+func (c *Core) learnRun(now time.Time, t *Ticket, o Outcome) {
+	if o == Answered && t.answerStarted {
+		c.longestRuns.learn(t.Service, now.Sub(t.answerStartedAt), t.Request.Work.MaxOutput)
+	}
+}
+
 // recordEvidence records what an outcome says of the death of the backend server and of
 // the request's content.
 func (c *Core) recordEvidence(now time.Time, t *Ticket, o Outcome) {
@@ -50,7 +63,11 @@
 	case Broken, Silent, Abandoned:
 		c.recordUnexplainedRun(now, t, o)
 	case NotListening:
-		c.recordDeath(now, now, t.process, proofRefused)
+		if t.forwarder != "" {
+			c.recordDeath(now, now, t.process, proofRefused)
+			return
+		}
+		c.recordRefusal(now, t.process)
 	case Misdirected:
 		c.recordDeath(now, now, t.process, proofReplaced)
 	}
--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -10,8 +10,12 @@
 
 // startAttempt reserves the request's load on the chosen backend server and
 // describes the send.
-func (c *Core) startAttempt(now time.Time, t *Ticket, choice placement.Choice) Attempt {
+func (c *Core) startAttempt(now time.Time, t *Ticket, choice placement.Choice, forwarder *Member) Attempt {
 	row := c.servers.Get(choice.Server)
+	c.beginForwarding(t, forwarder)
+	if forwarder == nil {
+		c.pathSent(now, t.Service)
+	}
 	if limit := c.limitOf(choice.Server); limit != nil {
 		limit.bucket.Take(now)
 	}
@@ -23,7 +27,7 @@
 		t.firstSentAt = now
 	}
 	t.tried = append(t.tried, choice.Server)
-	t.process, t.serverVersion, t.sentAt = row.process(), row.Version, now
+	t.process, t.serverVersion, t.sentAt, t.reachedSince = row.process(), row.Version, now, time.Time{}
 	if t.continues() {
 		c.logContinuation(event.StreamContinued, t, choice.Server)
 		c.countResumption(t, true)
@@ -31,7 +35,8 @@
 	c.recordCachedPrompt(choice.Server, t)
 	c.rolloutSent(t, choice)
 	a := Attempt{
-		Server: choice.Server, Address: row.Address, ServerVersion: row.Version, Priority: t.priority,
+		Forwarder: forwarder,
+		Server:    choice.Server, Address: row.Address, ServerVersion: row.Version, Priority: t.priority,
 		TimeLeft: t.timeLeft(now), Model: t.Route.ModelWork, SilenceDeadline: silenceDeadline(now, t, choice.Cost),
 	}
 	if t.Org != nil {
@@ -74,10 +79,16 @@
 	if t.firstEventAt.IsZero() {
 		t.firstEventAt = now
 	}
+	if t.forwarder == "" {
+		c.pathProved(now, t.Service, t.sentAt)
+	}
 	c.recordAnswer(now, t.process, t.sentAt)
 	c.placer.RecordFirstEvent(now, t.reservation)
 	c.countUsage(now, t)
 	c.recordStream(now, t)
+	if t.resumes() {
+		c.streams.MarkBegun(t.Request.Resumes) // its caller may take it up once more
+	}
 	c.rolloutStarted(now, t)
 }
 
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -92,8 +92,13 @@
 	crash                  crashGuard
 	deaths                 deathLog
 	orders                 ordersKnowledge
-	limits                 limitTable
+	statements             statementTable
+	paths                  pathTable
+	longestRuns            longestRuns
+	step                   stepState
 	streams                *streamversion.Registry
+	savedStreams           savedStreams
+	feeds                  feedStates
 	streamNews             map[entity.InstanceID][]streamversion.Record // to send, by daemon
 	recorded               *streamversion.Recorded
 	recordedNews           announcements[datedVersion]
@@ -120,8 +125,10 @@
 		placer:                 placement.New(cfg.Rand),
 		crash:                  newCrashGuard(),
 		deaths:                 newDeathLog(),
-		limits:                 newLimitTable(),
+		statements:             newStatementTable(),
 		rollouts:               newRolloutTable(),
+		paths:                  newPathTable(&cfg),
+		longestRuns:            newLongestRuns(),
 		streams:                streamversion.New(),
 		streamNews:             make(map[entity.InstanceID][]streamversion.Record),
 		recorded:               streamversion.NewRecorded(processRand(&cfg.Self)),
--- a/internal/exchange/crash.go
+++ b/internal/exchange/crash.go
@@ -41,6 +41,7 @@
 	organisation entity.OrganisationID
 	startedAt    time.Time // when the request was sent
 	endedAt      time.Time
+	repeated     entity.ServerProcess // see quarantine.Death
 }
 
 // ContentDeath says that a process of a backend server died while it ran some contents: one
@@ -53,6 +54,7 @@
 	Ran          time.Duration          `cbor:"5,keyasint,omitempty"` // from the sending of the request to the death
 	Parts        []uint64               `cbor:"6,keyasint,omitempty"` // IDs
 	Organisation entity.OrganisationID  `cbor:"7,keyasint,omitempty"` // that sent the parts
+	Repeated     entity.ServerProcess   `cbor:"8,keyasint,omitzero"`  // see quarantine.Death
 }
 
 // contents returns the digests of the contents that may have ended the process.
@@ -175,11 +177,12 @@
 func (c *Core) recordUnexplainedRun(now time.Time, t *Ticket, o Outcome) {
 	p, row := t.process, c.servers.Get(t.process.Server)
 	run := newUnexplainedRun(now, t, o)
+	t.brokeOffOn = p
 	switch {
 	case c.deaths.isDead(now, p):
 		c.blame(now, p, run)
 		return
-	case row == nil || row.process() != p || row.State != Ready:
+	case row == nil || row.process() != p || !c.inService(row):
 		return // it drains or has gone
 	case o == Broken && !row.listed:
 		return // it leaves without having announced that, and breaks off what still runs
@@ -193,7 +196,7 @@
 // newUnexplainedRun returns the run of a request that ends now. Parts of its prompt can't have
 // ended the process if the answer had been written for long.
 func newUnexplainedRun(now time.Time, t *Ticket, o Outcome) unexplainedRun {
-	run := unexplainedRun{contents: t.contents, startedAt: t.sentAt, endedAt: now}
+	run := unexplainedRun{contents: t.contents, startedAt: t.sentAt, endedAt: now, repeated: t.brokeOffOn}
 	wroteUntilNow := o == Broken || o == Abandoned
 	if wroteUntilNow && t.answerStarted && now.Sub(t.answerStartedAt) > writingTimeToCrash {
 		run.contents = t.contents[:1]
@@ -223,7 +226,7 @@
 func (c *Core) blame(now time.Time, p entity.ServerProcess, run unexplainedRun) {
 	death := datedDeath{ContentDeath{
 		Digest: run.contents[0], Server: p.Server, Born: p.Born, Ran: run.endedAt.Sub(run.startedAt),
-		Parts: run.parts, Organisation: run.organisation,
+		Parts: run.parts, Organisation: run.organisation, Repeated: run.repeated,
 	}, run.endedAt}
 	c.crash.contentDeaths.addUnless(death, death.sameAs)
 	c.recordContentDeath(now, &death, c.cfg.Self.Name)
@@ -244,7 +247,9 @@
 func (c *Core) recordDeathUnder(now time.Time, content entity.Digest, d *datedDeath, by entity.InstanceID) {
 	registry := c.crash.registry
 	before := registry.Deaths(now, content)
-	registry.RecordDeath(d.at, quarantine.Death{Digest: content, Backend: d.Server, Born: d.Born, StartedAt: d.at.Add(-d.Ran)})
+	registry.RecordDeath(d.at, quarantine.Death{
+		Digest: content, Backend: d.Server, Born: d.Born, StartedAt: d.at.Add(-d.Ran), Repeated: d.Repeated,
+	})
 	deaths := registry.Deaths(now, content)
 	if deaths == before {
 		return
@@ -268,7 +273,9 @@
 func (c *Core) suspectDeaths(now time.Time) []datedDeath {
 	var out []datedDeath
 	for _, d := range c.crash.registry.ListDeaths(now, minSharedDeaths, maxSharedContents) {
-		out = append(out, datedDeath{ContentDeath{Digest: d.Digest, Server: d.Backend, Born: d.Born, Ran: d.At.Sub(d.StartedAt)}, d.At})
+		out = append(out, datedDeath{ContentDeath{
+			Digest: d.Digest, Server: d.Backend, Born: d.Born, Ran: d.At.Sub(d.StartedAt), Repeated: d.Repeated,
+		}, d.At})
 	}
 	return out
 }
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -30,6 +30,10 @@
 type Probe struct {
 	Process entity.ServerProcess
 	Address string
+	// Path is the service to which the probe is to prove this daemon's path; "": the probe is
+	// to tell whether the process has died.
+	Path  entity.ServiceName
+	begun time.Time // when a probe of a path was requested
 }
 
 // ProbeResult is the result of dialling a backend server's address.
@@ -131,7 +135,7 @@
 	}
 	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
 		p := row.process()
-		if row.listed && row.State == Ready && slices.Contains(addresses, row.Address) && !c.deaths.isDead(now, p) && !c.deaths.recentlyProbed(now, p) {
+		if row.listed && c.inService(row) && slices.Contains(addresses, row.Address) && !c.deaths.isDead(now, p) && !c.deaths.recentlyProbed(now, p) {
 			c.deaths.probe(now, Probe{Process: p, Address: row.Address})
 		}
 		return true
@@ -148,6 +152,10 @@
 
 // ProbeEnded records the result of a probe.
 func (c *Core) ProbeEnded(now time.Time, p Probe, result ProbeResult) {
+	if p.Path != "" {
+		c.pathProbeEnded(now, p, result)
+		return
+	}
 	state := c.deaths.probing.Get(p.Process)
 	if state == nil {
 		return
@@ -155,7 +163,8 @@
 	state.underWay = false
 	switch {
 	case result == Refused:
-		c.recordDeath(now, now, p.Process, proofRefused)
+		c.recordRefusal(now, p.Process)
+	case result == Unreachable && c.pathDoubtful(p.Process):
 	case result == Unreachable && c.deaths.anotherAnswered(p.Process, state.startedAt):
 		c.recordDeath(now, now, p.Process, proofUnreachable)
 	case state.again:
@@ -184,7 +193,7 @@
 // ID, and whose entry this daemon has not read yet.
 func (c *Core) recordDeath(now, at time.Time, p entity.ServerProcess, proof deathProof) {
 	row := c.servers.Get(p.Server)
-	if row != nil && row.Born == p.Born && row.State != Ready {
+	if row != nil && row.Born == p.Born && !c.inService(row) {
 		return
 	}
 	known := c.deaths.isDead(now, p)
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -93,7 +93,7 @@
 		Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now),
 		Notice: Notice{
 			ContentDeaths: undated(now, deaths), Trials: undatedTrials(now, c.pastTrials(deaths)),
-			Limits: c.limits.limitsInForce(now),
+			Limits: c.statements.limitsInForce(now),
 		},
 		Versions: c.streams.Seen(),
 	}
@@ -141,7 +141,7 @@
 func (c *Core) ListedServers() []ServerCount {
 	counts := entity.NewTable[ServerCount, int]()
 	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
-		if row.listed && row.State == Ready && c.countsForCapacity(row) {
+		if row.listed && c.inService(row) && c.countsForCapacity(row) {
 			key := ServerCount{Service: row.Service, DataCentre: row.DataCentre, Reclaimable: row.Reclaimable}
 			n := counts.Get(key)
 			if n == nil {
@@ -225,7 +225,7 @@
 	work := c.expectedWork(now, s)
 	in.BusyServers = c.level(s.Name).Update(now, work)
 	in.OnDemandBusy = c.onDemandLevel(s).Update(now, work)
-	in.Withheld = c.limits.withheldLevel(s.Name).Update(now, c.withheldServers(now, s.Name))
+	in.Withheld = c.statements.withheldLevel(s.Name).Update(now, c.withheldServers(now, s.Name))
 	return in
 }
 
--- a/internal/exchange/lease.go
+++ b/internal/exchange/lease.go
@@ -31,10 +31,16 @@
 // make calls yet.
 func (c *Core) LeaseSettling(now time.Time) bool { return c.lease.Settling(now) }
 
-// MayActAsLeader reports whether this daemon may make a call for the leader tasks now.
-// If it holds the lease but may not, it must read the lease's row again.
+// LeaseUnread records that the lease's row could not be read.
+func (c *Core) LeaseUnread(now time.Time) { c.lease.RowUnread(now) }
+
+// MayActAsLeader reports whether this daemon is the leader as far as it can know without a call.
 func (c *Core) MayActAsLeader(now time.Time) bool { return c.lease.MayAct(now, c.ackedByAllAt(now)) }
 
+// MayCallAsLeader reports whether this daemon may make a call for the leader tasks now. If it
+// holds the lease but may not, it must read the lease's row again.
+func (c *Core) MayCallAsLeader(now time.Time) bool { return c.lease.MayCall(now, c.ackedByAllAt(now)) }
+
 // ackedByAllAt returns when this daemon sent its newest update that all daemons that may
 // serve have acknowledged; zero if that is not known or there is no other daemon.
 func (c *Core) ackedByAllAt(now time.Time) time.Time {
--- a/internal/exchange/limit.go
+++ b/internal/exchange/limit.go
@@ -6,7 +6,6 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
-	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/ratelimit"
 )
 
@@ -48,33 +47,16 @@
 	limitExpiryFactor = 3
 )
 
-// limitTable holds the limits that backend servers have stated.
-type limitTable struct {
-	rows     *entity.Table[entity.ServerProcess, serverLimit]
-	daemons  []entity.InstanceID                               // between which the limits are shared
-	changes  announcements[entity.ServerProcess]               // whose newest statement is to be announced
-	withheld *entity.Table[entity.ServiceName, capacity.Level] // number of servers that the capacity plan does not count
-	returnAt *entity.Table[entity.ServiceName, time.Time]      // when the request that was rejected last was told to come back
-}
-
-func newLimitTable() limitTable {
-	return limitTable{
-		rows:     entity.NewTable[entity.ServerProcess, serverLimit](),
-		withheld: entity.NewTable[entity.ServiceName, capacity.Level](),
-		returnAt: entity.NewTable[entity.ServiceName, time.Time](),
-	}
-}
-
 // inForce returns the limit of a process, nil if it states none.
-func (l *limitTable) inForce(p entity.ServerProcess) *serverLimit {
+func (l *statementTable) inForce(p entity.ServerProcess) *serverLimit {
 	if row := l.rows.Get(p); row != nil && row.Stated {
-		return row
+		return &row.serverLimit
 	}
 	return nil
 }
 
 // statements returns the newest statements of processes, for a message that is sent now.
-func (l *limitTable) statements(now time.Time, processes []entity.ServerProcess) []LimitStatement {
+func (l *statementTable) statements(now time.Time, processes []entity.ServerProcess) []LimitStatement {
 	var out []LimitStatement
 	for _, p := range processes {
 		if row := l.rows.Get(p); row != nil {
@@ -85,8 +67,8 @@
 }
 
 // announceAll announces all limits in force again.
-func (l *limitTable) announceAll() {
-	l.rows.All(func(p entity.ServerProcess, row *serverLimit) bool {
+func (l *statementTable) announceAll() {
+	l.rows.All(func(p entity.ServerProcess, row *serverStatements) bool {
 		if row.Stated {
 			l.changes.addUnless(p, equalTo(p))
 		}
@@ -95,9 +77,9 @@
 }
 
 // limitsInForce returns all limits in force, for a message that is sent now.
-func (l *limitTable) limitsInForce(now time.Time) []LimitStatement {
+func (l *statementTable) limitsInForce(now time.Time) []LimitStatement {
 	var processes []entity.ServerProcess
-	l.rows.All(func(p entity.ServerProcess, row *serverLimit) bool {
+	l.rows.All(func(p entity.ServerProcess, row *serverStatements) bool {
 		if row.Stated {
 			processes = append(processes, p)
 		}
@@ -106,17 +88,17 @@
 	return l.statements(now, processes)
 }
 
-// RecordLimit records what an answer to the present attempt of a request says of the
-// server's limit. An answer without a limit ends the limit if its request was sent after
+// recordLimit records what the answer to a request that was sent at the given time says of the
+// limit of its server. An answer without a limit ends the limit if its request was sent after
 // the limit was last stated: answers may overtake each other.
-func (c *Core) RecordLimit(now time.Time, t *Ticket, limit RateLimit) {
-	known := c.limits.inForce(t.process)
-	if !limit.Stated && (known == nil || !t.sentAt.After(known.statedAt)) {
+func (c *Core) recordLimit(now time.Time, p entity.ServerProcess, sentAt time.Time, limit RateLimit) {
+	known := c.statements.inForce(p)
+	if !limit.Stated && (known == nil || !sentAt.After(known.statedAt)) {
 		return
 	}
-	if c.setLimit(now, t.process, limit, now, c.cfg.Self.Name) {
-		c.limits.changes.drop(func(p entity.ServerProcess) bool { return p == t.process }) // what was acknowledged of it is older
-		c.limits.changes.add(t.process)
+	if c.setLimit(now, p, limit, now, c.cfg.Self.Name) {
+		c.statements.changes.drop(equalTo(p)) // what was acknowledged of it is older
+		c.statements.changes.add(p)
 	}
 }
 
@@ -124,7 +106,7 @@
 // known here.
 func (c *Core) receiveLimit(now time.Time, s *LimitStatement, from entity.InstanceID) {
 	statedAt := now.Add(-s.Ago)
-	known := c.limits.rows.Get(s.Process)
+	known := c.statements.rows.Get(s.Process)
 	if known != nil && s.Stated && known.Stated {
 		known.refreshedAt = now
 	}
@@ -137,11 +119,7 @@
 // setLimit sets the newest statement of a process, as the given daemon got it, and reports
 // whether it differs from the one before.
 func (c *Core) setLimit(now time.Time, p entity.ServerProcess, limit RateLimit, statedAt time.Time, by entity.InstanceID) (changed bool) {
-	row := c.limits.rows.Get(p)
-	if row == nil {
-		row = &serverLimit{}
-		c.limits.rows.Put(p, row)
-	}
+	row := c.statements.row(p)
 	changed = row.RateLimit != limit
 	if !row.Stated {
 		row.since, row.refreshedAt = now, now
@@ -150,7 +128,7 @@
 	if !changed {
 		return false
 	}
-	row.setPart(now, c.cfg.Self.Name, p.Server, c.limits.daemons)
+	row.setPart(now, c.cfg.Self.Name, p.Server, c.statements.daemons)
 	number := event.ServerLimitStated
 	if !limit.Stated {
 		number = event.ServerLimitEnded
@@ -167,7 +145,7 @@
 	case !row.Stated:
 	case row.bucket.Rate() > 0 && age >= limitRefreshInterval:
 		row.refreshedAt = now
-		c.limits.changes.addUnless(p, equalTo(p))
+		c.statements.changes.addUnless(p, equalTo(p))
 	case row.bucket.Rate() == 0 && age >= limitExpiryFactor*c.cfg.Bounds.ForgetPeerAfter:
 		c.setLimit(now, p, RateLimit{}, now, c.cfg.Self.Name)
 	}
@@ -203,26 +181,21 @@
 }
 
 // updateLimits adapts the parts of limits to the daemons that there are, announces again
-// those of which this daemon has a part, and drops the limits that nobody announces and those
-// of processes that are not listed, or not any more.
+// those of which this daemon has a part, and drops the limits that nobody announces and what
+// processes have stated that are not listed, or not any more.
 func (c *Core) updateLimits(now time.Time) {
-	c.limits.rows.All(func(p entity.ServerProcess, row *serverLimit) bool {
-		c.refreshLimit(now, p, row)
+	c.statements.rows.All(func(p entity.ServerProcess, row *serverStatements) bool {
+		c.refreshLimit(now, p, &row.serverLimit)
+		c.logRestEnd(now, p, row)
 		return true
 	})
-	for _, p := range c.limits.rows.Keys() {
-		row := c.servers.Get(p.Server)
-		current := row != nil && row.process() == p
-		if !current && now.Sub(c.limits.rows.Get(p).statedAt) > c.cfg.Bounds.ForgetServerAfter {
-			c.limits.rows.Delete(p)
-		}
-	}
+	c.forgetStatements(now)
 	daemons := c.daemonsWithParts(now)
-	if slices.Equal(daemons, c.limits.daemons) {
+	if slices.Equal(daemons, c.statements.daemons) {
 		return
 	}
-	c.limits.daemons = daemons
-	c.limits.rows.All(func(p entity.ServerProcess, row *serverLimit) bool {
+	c.statements.daemons = daemons
+	c.statements.rows.All(func(p entity.ServerProcess, row *serverStatements) bool {
 		row.setPart(now, c.cfg.Self.Name, p.Server, daemons)
 		return true
 	})
--- a/internal/exchange/limit_capacity.go
+++ b/internal/exchange/limit_capacity.go
@@ -17,11 +17,11 @@
 	listed, withheld := 0, 0.0
 	var limits []float64
 	c.servers.All(func(_ entity.BackendServerID, row *serverRow) bool {
-		if row.Service != service || !row.listed || row.State != Ready {
+		if row.Service != service || !row.listed || !c.inService(row) {
 			return true
 		}
 		listed++
-		if limit := c.limits.inForce(row.process()); limit != nil && now.Sub(limit.since) >= minLimitDuration {
+		if limit := c.statements.inForce(row.process()); limit != nil && now.Sub(limit.since) >= minLimitDuration {
 			limits = append(limits, limit.PerSecond)
 		}
 		return true
@@ -40,7 +40,7 @@
 
 // withheldLevel returns the level of withheld servers that a service's capacity is planned
 // with.
-func (l *limitTable) withheldLevel(service entity.ServiceName) *capacity.Level {
+func (l *statementTable) withheldLevel(service entity.ServiceName) *capacity.Level {
 	level := l.withheld.Get(service)
 	if level == nil {
 		level = &capacity.Level{}
--- a/internal/exchange/limit_place.go
+++ b/internal/exchange/limit_place.go
@@ -20,14 +20,14 @@
 
 // limitOf returns the limit of a backend server, nil if it states none.
 func (c *Core) limitOf(id entity.BackendServerID) *serverLimit {
-	if c.limits.rows.Len() == 0 {
+	if c.statements.rows.Len() == 0 {
 		return nil
 	}
 	row := c.servers.Get(id)
 	if row == nil {
 		return nil
 	}
-	return c.limits.inForce(row.process())
+	return c.statements.inForce(row.process())
 }
 
 // limitedServers sums up the backend servers of a service that are usable but for their
@@ -42,8 +42,8 @@
 func (c *Core) limitedServers(now time.Time, service entity.ServiceName) limitedServers {
 	var out limitedServers
 	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
-		limit := c.limits.inForce(row.process())
-		if row.Service != service || limit == nil || !c.usable(now, id) {
+		limit := c.statements.inForce(row.process())
+		if row.Service != service || limit == nil || !c.usable(now, id) || c.restsNow(now, id) {
 			return true
 		}
 		out.count++
@@ -65,20 +65,20 @@
 func (c *Core) rejectLimited(now time.Time, t *Ticket, s limitedServers) *Refusal {
 	interval := maxRetryDelay
 	if s.perSecond > 0 {
-		interval = min(secondsToDuration(float64(max(len(c.limits.daemons), 1))/s.perSecond), maxRetryDelay)
+		interval = min(secondsToDuration(float64(max(len(c.statements.daemons), 1))/s.perSecond), maxRetryDelay)
 	}
 	first := interval
 	if s.part > 0 {
 		first = s.wait
 	}
 	at := now.Add(first)
-	if last := c.limits.returnAt.Get(t.Service); last != nil && last.Add(interval).After(at) {
+	if last := c.statements.returnAt.Get(t.Service); last != nil && last.Add(interval).After(at) {
 		at = last.Add(interval)
 	}
 	if latest := now.Add(maxRetryDelay); at.After(latest) {
 		at = latest
 	}
-	c.limits.returnAt.Put(t.Service, &at)
+	c.statements.returnAt.Put(t.Service, &at)
 	r := c.finalRefusal(t, "limited", boundRetryDelay(at.Sub(now)))
 	r.Inputs = fmt.Sprintf("%d servers with limits of %.2f requests/s, this daemon's part %.2f", s.count, s.perSecond, s.part)
 	return r
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -24,6 +24,7 @@
 	// Versions are those that the sender has recorded, see RecordVersions.
 	Versions    []streamversion.KnownVersion `cbor:"6,keyasint,omitempty"`
 	BadRollouts []BadRollout                 `cbor:"7,keyasint,omitempty"` // found by the sender
+	Leaving     []LeavingStatement           `cbor:"8,keyasint,omitempty"` // heard by the sender
 	// Paces are changes of the limits of servers that start or recover.
 	Paces []placement.PaceChange `cbor:"30,keyasint,omitempty"`
 }
@@ -53,7 +54,7 @@
 
 // Empty reports whether the notice says nothing.
 func (n *Notice) Empty() bool {
-	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials)+len(n.Versions)+len(n.BadRollouts)+len(n.Paces) == 0
+	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials)+len(n.Versions)+len(n.BadRollouts)+len(n.Leaving)+len(n.Paces) == 0
 }
 
 // noticeDue returns what the update with the given sequence number must include. All other
@@ -61,17 +62,17 @@
 func (c *Core) noticeDue(now time.Time, sequence, acked uint32) Notice {
 	return Notice{
 		ContentDeaths: undated(now, c.crash.contentDeaths.due(sequence, acked)), DeadProcesses: undatedProcessDeaths(now, c.crash.deadProcesses.due(sequence, acked)),
-		Completions: c.crash.completions.due(sequence, acked), Limits: c.limits.statements(now, c.limits.changes.due(sequence, acked)),
+		Completions: c.crash.completions.due(sequence, acked), Limits: c.statements.statements(now, c.statements.changes.due(sequence, acked)),
 		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)), Versions: undatedVersions(now, c.recordedNews.due(sequence, acked)),
-		BadRollouts: c.rollouts.found.due(sequence, acked),
-		Paces:       c.paceChanges(now),
+		BadRollouts: c.rollouts.found.due(sequence, acked), Leaving: c.statements.leavingStatements(now, c.statements.leaving.due(sequence, acked)),
+		Paces: c.paceChanges(now),
 	}
 }
 
 // NoticePending reports whether there is anything for a notice.
 func (c *Core) NoticePending() bool {
 	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() ||
-		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.limits.changes.hasUnnoticed() ||
+		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.statements.changes.hasUnnoticed() || c.statements.leaving.hasUnnoticed() ||
 		c.recordedNews.hasUnnoticed() || c.rollouts.found.hasUnnoticed() || c.paceChangesPending()
 }
 
@@ -79,10 +80,10 @@
 func (c *Core) NextNotice(now time.Time) Notice {
 	return Notice{
 		ContentDeaths: undated(now, c.crash.contentDeaths.unnoticed()), DeadProcesses: undatedProcessDeaths(now, c.crash.deadProcesses.unnoticed()),
-		Completions: c.crash.completions.unnoticed(), Limits: c.limits.statements(now, c.limits.changes.unnoticed()),
+		Completions: c.crash.completions.unnoticed(), Limits: c.statements.statements(now, c.statements.changes.unnoticed()),
 		Trials: undatedTrials(now, c.crash.trials.unnoticed()), Versions: undatedVersions(now, c.recordedNews.unnoticed()),
-		BadRollouts: c.rollouts.found.unnoticed(),
-		Paces:       c.paceChanges(now),
+		BadRollouts: c.rollouts.found.unnoticed(), Leaving: c.statements.leavingStatements(now, c.statements.leaving.unnoticed()),
+		Paces: c.paceChanges(now),
 	}
 }
 
@@ -109,6 +110,9 @@
 	for i := range notice.Limits {
 		c.receiveLimit(now, &notice.Limits[i], from)
 	}
+	for i := range notice.Leaving {
+		c.receiveLeaving(now, &notice.Leaving[i], from)
+	}
 	c.receiveRecorded(now, notice.Versions)
 }
 
@@ -119,7 +123,8 @@
 		return
 	}
 	c.announceSuspects(now)
-	c.limits.announceAll()
+	c.statements.announceAll()
+	c.statements.announceLeaving()
 	c.announceRecorded(now, c.recorded.Recent(now))
 }
 
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -32,8 +32,11 @@
 	serving      bool
 	version      uint64
 	demand       []ServiceDemand
-	usageWindow  int64  // as of its last update
-	acked        uint32 // this daemon's newest update that it has acknowledged
+	unreachable  []entity.ServiceName // whose backend servers it does not reach
+	forwarding   int                  // attempts of this daemon that it forwards
+	forwardsFrom time.Time            // until when it gets none to forward
+	usageWindow  int64                // as of its last update
+	acked        uint32               // this daemon's newest update that it has acknowledged
 }
 
 // AddMember adds a daemon that the table service lists. One from which updates have
@@ -99,6 +102,7 @@
 	}
 	row.Member, row.lastReceived, row.sequence = update.From, now, update.Sequence
 	row.leaving, row.serving, row.version, row.demand = update.Leaving, update.Serving, update.Version, update.Demand
+	row.unreachable = update.Unreachable
 	row.usageWindow, row.acked = update.Window, max(row.acked, ack)
 	c.applyUpdate(now, row, update)
 	c.applyConfirmation(update, ack)
@@ -158,8 +162,11 @@
 	c.forgetServers(now)
 	c.deaths.forget(now)
 	c.crash.forget(now)
+	c.step.tick(now)
 	c.updateLimits(now)
+	c.tickPaths(now)
 	c.refreshVersions(now)
+	c.tickListDoubt(now)
 	c.checkRecordAsLeader(now)
 	c.tickRollouts(now)
 	reachable, known := c.countDaemons(now)
--- a/internal/exchange/place.go
+++ b/internal/exchange/place.go
@@ -57,6 +57,10 @@
 	if r := c.shed(now, t, choice); r != nil {
 		return Attempt{}, r
 	}
+	forwarder, r := c.chooseForwarder(now, t)
+	if r != nil {
+		return Attempt{}, r
+	}
 	if !t.earnedRetry {
 		c.budget.RecordFirstAttempt(now, t.Service)
 		t.earnedRetry = true
@@ -66,7 +70,7 @@
 	}
 	t.retryCharged = false
 	c.startTrials(now, t, choice.Server, trials)
-	return c.startAttempt(now, t, choice), nil
+	return c.startAttempt(now, t, choice, forwarder), nil
 }
 
 // chargeRetry charges a repeated send to the retry budget, at most once per send,
@@ -128,10 +132,10 @@
 	// relieve the others most. Small ones get there what large ones leave.
 	choose := func(saved float64) (placement.Choice, bool) {
 		return c.placer.Choose(now, q, func(id entity.BackendServerID) bool {
-			return c.usable(now, id) && eligible(id) && c.mayContinue(t, id) && c.withinLimit(now, id, saved)
+			return eligible(id) && c.mayContinue(t, id) && c.mayReceive(now, id, saved)
 		})
 	}
-	if c.limits.rows.Len() > 0 && c.demand.small(t) {
+	if c.statements.rows.Len() > 0 && c.demand.small(t) {
 		if choice, ok := choose(ratelimit.FullBucket - 1); ok {
 			return choice, true
 		}
@@ -147,6 +151,9 @@
 	if s := c.limitedServers(now, t.Service); s.count > 0 {
 		return c.rejectLimited(now, t, s)
 	}
+	if r := c.rejectResting(now, t); r != nil {
+		return r
+	}
 	if r := c.rejectUnrecorded(now, t); r != nil {
 		return r
 	}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -96,6 +96,10 @@
 	Ran             int                      // sends that may have run
 	tried           []entity.BackendServerID // excluded from further sends
 	process         entity.ServerProcess     // of the backend server of the present attempt
+	brokeOffOn      entity.ServerProcess     // on which a run ended without a complete answer, the last one
+	forwarder       entity.InstanceID        // that forwards the present attempt; "": none
+	withheld        int                      // attempts that a forwarding daemon withheld
+	reachedSince    time.Time                // since when its connection reaches the same process; zero: not known
 	serverVersion   string                   // of the software of that backend server, when the attempt began
 	origin          streamOrigin
 	rollout         rolloutSend     // of the present attempt
@@ -142,6 +146,7 @@
 
 // Attempt says where and how to send a request.
 type Attempt struct {
+	Forwarder       *Member // the daemon that forwards it to the server; nil: this one sends it itself
 	Server          entity.BackendServerID
 	Address         string
 	ServerVersion   string        // of the backend server's software
@@ -179,11 +184,14 @@
 	Silent
 	// Abandoned: the caller has disconnected.
 	Abandoned
+	// Withheld: nothing was sent, as the backend server has said meanwhile that it leaves or
+	// wants no requests.
+	Withheld
 )
 
 // String returns the outcome's name for logs and metrics.
 func (o Outcome) String() string {
-	names := [...]string{"", "answered", "not-sent", "not-listening", "rejected", "misdirected", "failed", "broken", "silent", "abandoned"}
+	names := [...]string{"", "answered", "not-sent", "not-listening", "rejected", "misdirected", "failed", "broken", "silent", "abandoned", "withheld"}
 	if int(o) >= len(names) {
 		return "unknown"
 	}
--- a/internal/exchange/rollout_lead.go
+++ b/internal/exchange/rollout_lead.go
@@ -47,17 +47,24 @@
 // judgeRollouts compares the versions of the roll-outs that have not ended.
 func (c *Core) judgeRollouts(now time.Time) {
 	c.rollouts.rows.All(func(_ entity.ServiceName, row *rolloutRow) bool {
-		if row.stopped() || row.state.Stage.Ended() || now.Sub(row.judgedAt) < judgeInterval {
-			return true
-		}
-		row.judgedAt = now
-		if f := row.judge.Find(); f != nil && c.stopRollout(now, row, describeFinding(f)) {
-			c.rollouts.found.add(BadRollout{Service: row.state.Service, Order: row.state.Order, To: row.state.To, Reason: describeFinding(f)})
+		if now.Sub(row.judgedAt) >= judgeInterval {
+			c.judgeRollout(now, row)
 		}
 		return true
 	})
 }
 
+// judgeRollout compares the versions of a roll-out by all that is known now.
+func (c *Core) judgeRollout(now time.Time, row *rolloutRow) {
+	if row.stopped() || row.state.Stage.Ended() {
+		return
+	}
+	row.judgedAt = now
+	if f := row.judge.Find(); f != nil && c.stopRollout(now, row, describeFinding(f)) {
+		c.rollouts.found.add(BadRollout{Service: row.state.Service, Order: row.state.Order, To: row.state.To, Reason: describeFinding(f)})
+	}
+}
+
 // describeFinding returns the inputs of a finding for the log.
 func describeFinding(f *rollout.Finding) string {
 	return fmt.Sprintf("%s on route %s, score %.1f, old %s, new %s", f.Kind, f.Route, f.Score, describeSamples(&f.Old), describeSamples(&f.New))
@@ -105,7 +112,18 @@
 	if len(v.serving) > 0 {
 		return v.serving[row.state.To] && len(v.serving) == 1
 	}
-	return len(row.state.From) == 0 && now.Sub(c.cfg.Started) > onlyVersionDelay
+	return len(row.state.From) == 0 && now.Sub(c.cfg.Started) > onlyVersionDelay && !c.otherVersionUsable(now, row)
+}
+
+// otherVersionUsable reports whether there are usable servers of any other version than the ordered
+// one.
+func (c *Core) otherVersionUsable(now time.Time, row *rolloutRow) bool {
+	found := false
+	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
+		found = r.Service == row.state.Service && r.Version != row.state.To && c.usable(now, id)
+		return !found
+	})
+	return found
 }
 
 // readyServers returns the numbers of usable servers of both groups.
@@ -166,7 +184,10 @@
 		s.OrderedAt = c.sinceUnixEpoch(row.learnedAt)
 		row.state.OrderedAt = s.OrderedAt
 	}
+	c.judgeRollout(now, row)
 	view := c.rolloutView(now, row)
+	view.Doubtful = c.doubtRollout(now, row)
+	view.Observed = row.observed(view.Drained)
 	next, reason := s.Next(view)
 	if next == s.Stage {
 		return s, row.rowStage != s.Stage // the row was lost, or is not known
@@ -182,6 +203,37 @@
 	return s, true
 }
 
+// doubtRollout reports whether the leader doubts that the new version is good.
+func (c *Core) doubtRollout(now time.Time, row *rolloutRow) bool {
+	if row.state.Stage.Ended() {
+		return false
+	}
+	f := row.judge.Doubt()
+	if f != nil && !row.doubted {
+		c.logRollout(now, event.RolloutDoubted, row, event.A("finding", describeFinding(f)))
+	}
+	row.doubted = f != nil
+	return f != nil
+}
+
+// wholeAnswersWanted is the number of answers to requests of all daemons that should have come from
+// the new version before it is completed, if there is time.
+const wholeAnswersWanted = 20
+
+// observed reports whether the new version has given enough answers since all daemons send all new
+// requests to it, as they do now or not.
+func (r *rolloutRow) observed(drained bool) bool {
+	answers := r.judge.NewAnswers()
+	switch {
+	case !drained:
+		r.wholeAnswers = -1
+		return false
+	case r.wholeAnswers < 0:
+		r.wholeAnswers = answers
+	}
+	return answers-r.wholeAnswers >= wholeAnswersWanted
+}
+
 // logDecision logs that the next stage was decided, with the inputs.
 func (c *Core) logDecision(now time.Time, row *rolloutRow, v *rollout.View, next rollout.Stage, reason rollout.Reason) {
 	var routes []string
@@ -192,7 +244,7 @@
 	slices.Sort(routes)
 	c.logRollout(now, event.RolloutDecided, row, event.A("next", next), event.A("reason", reason),
 		event.A("old_ready", v.OldReady), event.A("new_ready", v.NewReady), event.A("drained", v.Drained), event.A("share", row.share),
-		event.A("sampled", v.Sampled), event.A("longest_run_ms", row.longestRun.Milliseconds()), event.A("bad", row.bad),
+		event.A("sampled", v.Sampled), event.A("longest_run_ms", row.longestRun.Milliseconds()), event.A("bad", row.bad), event.A("doubtful", v.Doubtful), event.A("observed", v.Observed),
 		event.A("samples", strings.Join(routes, "; ")))
 }
 
--- a/internal/exchange/rollout_place.go
+++ b/internal/exchange/rollout_place.go
@@ -53,7 +53,8 @@
 	row.share = share
 }
 
-// isOld reports whether a version has served since before the order.
+// isOld reports whether a version has served since before the order, or may have: if it is not known
+// which ones did, all do but those that were found bad.
 func (c *Core) isOld(row *rolloutRow, version string) bool {
 	if version == row.state.To {
 		return false
@@ -65,8 +66,8 @@
 	case len(row.state.From) > 0:
 		return row.state.Stage.Ended() && v.serving[version]
 	default:
-		_, abandoned := v.abandoned[version]
-		return !abandoned
+		usable, abandoned := v.abandoned[version]
+		return usable || !abandoned
 	}
 }
 
--- a/internal/exchange/rollout_state.go
+++ b/internal/exchange/rollout_state.go
@@ -36,6 +36,11 @@
 	endedAt     time.Time     // when it learned of the last stage
 	rowStage    rollout.Stage // that the state's row certainly has; Unknown: not known
 	proposed    rollout.Stage // that the leader last decided on, for the log
+	doubted     bool          // the leader has logged its doubt of the version
+
+	// wholeAnswers is the number of the version's answers when all daemons were first seen to
+	// send all new requests to it; negative: they have not been.
+	wholeAnswers int
 
 	epoch   uint64    // of the lease holder that last stated the stage
 	heardAt time.Time // when it did, as far as this daemon knows; zero: never
@@ -203,12 +208,12 @@
 // openRollout begins the view of an order that is new here, which replaces another one.
 func (c *Core) openRollout(now time.Time, replaced *rolloutRow, s *rollout.State) *rolloutRow {
 	if replaced != nil {
-		c.leaveVersions(replaced, false)
+		c.leaveVersions(replaced, replaced.mayHaveCompleted())
 	}
 	v := c.rolloutVersions(s.Service)
 	delete(v.abandoned, s.To)
 	row := &rolloutRow{
-		state: *s, learnedAt: now, judge: rollout.NewJudge(),
+		state: *s, learnedAt: now, judge: rollout.NewJudge(), wholeAnswers: -1,
 		own:      entity.NewTable[string, routeSamples](),
 		received: entity.NewTable[reportKey, routeSamples](),
 		reports:  entity.NewTable[entity.InstanceID, rolloutReport](),
@@ -225,6 +230,13 @@
 	return row
 }
 
+// mayHaveCompleted reports whether a roll-out may have come to its completion although this daemon
+// does not know: a table service that comes back from a copy shows an earlier stage to those that
+// have just started.
+func (r *rolloutRow) mayHaveCompleted() bool {
+	return r.bad == "" && (r.state.Stage == rollout.Canary || r.state.Stage == rollout.Promoting)
+}
+
 // enterStage records that a roll-out has come further.
 func (c *Core) enterStage(now time.Time, row *rolloutRow, s *rollout.State, source string) {
 	row.state.Stage, row.state.Sequence = s.Stage, max(s.Sequence, row.state.Sequence)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -41,6 +41,8 @@
 	goneAt        time.Time // when a server that is no longer listed counts as gone
 	drainingSince time.Time // when it was first known to drain or to go; zero: it does neither
 	diedAt        time.Time // when the process was last known to have died; zero: never
+	reachedSince  time.Time // by the newest connection, see provesProcess; zero: not known
+	toldGone      bool      // another daemon has said that it drains or has gone since this entry was written
 }
 
 // replacementDoubt is how long after a process was known to have died its entry may be that of
@@ -84,17 +86,20 @@
 			row.diedAt = old.diedAt
 		}
 		c.recordDeath(now, c.startedAt(now, s.Born), old.process(), proofRestarted)
+		c.inheritStatements(now, old.process(), row.process())
 		c.placer.RemoveServer(s.ID) // a new process has no cached prompts and no load
 		old = nil
 	}
 	if old == nil {
 		c.recordReplacedServers(now, &s)
 	}
+	c.paths.row(s.Service) // its path is watched from now on
 	c.sawVersion(now, &s)
 	c.rolloutSawServer(now, &s)
 	if old != nil {
-		row.diedAt = old.diedAt
+		row.diedAt, row.reachedSince = old.diedAt, old.reachedSince
 	}
+	row.toldGone = old != nil && old.toldGone && s.Born == old.Born && s.Sequence <= old.Sequence
 	if s.State != Ready {
 		row.drainingSince = now
 		if old != nil && !old.drainingSince.IsZero() {
@@ -119,7 +124,8 @@
 
 // RemoveServer records that a server is no longer listed. It counts as gone at once
 // or, while entries that expired in an outage of the table service may still return,
-// at the end of tableRecoveryGrace.
+// at the end of tableRecoveryGrace. It may not return if another daemon has said that it has
+// gone: that one's table service was not away.
 func (c *Core) RemoveServer(now time.Time, id entity.BackendServerID) {
 	row := c.servers.Get(id)
 	if row == nil || !row.listed {
@@ -130,7 +136,7 @@
 		c.deaths.probe(now, Probe{Process: row.process(), Address: row.Address})
 	}
 	row.goneAt = now
-	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready {
+	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready && !row.toldGone {
 		row.goneAt = graceEnd
 	}
 	row.drainingSince = row.goneAt
@@ -160,7 +166,7 @@
 // usable reports whether a server may get new requests.
 func (c *Core) usable(now time.Time, id entity.BackendServerID) bool {
 	row := c.servers.Get(id)
-	if row == nil || row.State != Ready {
+	if row == nil || !c.inService(row) {
 		return false
 	}
 	return row.listed || now.Before(row.goneAt)
@@ -215,6 +221,6 @@
 	if row == nil || row.Born != s.Born || s.Sequence < row.Sequence || row.State != Ready {
 		return
 	}
-	row.State, row.Sequence = Draining, s.Sequence
+	row.State, row.Sequence, row.toldGone = Draining, s.Sequence, true
 	row.drainingSince = now.Add(-drainAnnouncementDuration) // this daemon does not announce it again
 }
--- /dev/null
+++ b/internal/exchange/statement.go
@@ -0,0 +1,285 @@
+package exchange
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+	"github.com/gooseberryslip/gooseberryslip/internal/system/capacity"
+)
+
+// ServerStatement is what a backend server says of itself in an answer.
+type ServerStatement struct {
+	Limit          RateLimit
+	LimitUndefined bool // the answer states a limit that cannot be decoded: the former one stands
+	Leaving        bool // it leaves, and must get no further requests
+	// Rest is how long the server, which has turned the request away, wants none from this
+	// daemon; 0: it says nothing of the kind.
+	Rest time.Duration
+}
+
+// serverStatements is what a process of a backend server has said of itself. Entries of the
+// process, older or newer, do not change it.
+type serverStatements struct {
+	serverLimit
+	leavingAt time.Time // when it said that it leaves; zero: it has not
+	rest      serverRest
+}
+
+// serverRest is the time for which a process wants no requests from this daemon. It does not
+// bind others, and is not told to them.
+type serverRest struct {
+	askedAt time.Time // when it last asked for a rest; zero: never
+	until   time.Time // the latest end that it asked for
+	ended   bool      // the end has been logged
+}
+
+// newest returns when the process last made a statement that is kept, or when the last rest
+// that it asked for ends.
+func (s *serverStatements) newest() time.Time {
+	newest := s.statedAt
+	for _, at := range []time.Time{s.leavingAt, s.rest.until} {
+		if at.After(newest) {
+			newest = at
+		}
+	}
+	return newest
+}
+
+// LeavingStatement says that a process has said that it leaves.
+type LeavingStatement struct {
+	Process entity.ServerProcess `cbor:"1,keyasint"`
+	Ago     time.Duration        `cbor:"2,keyasint,omitempty"` // from the answer to the sending of the message
+}
+
+// statementTable holds what backend servers have said of themselves in answers, to this daemon
+// or to others.
+type statementTable struct {
+	rows     *entity.Table[entity.ServerProcess, serverStatements]
+	daemons  []entity.InstanceID                               // between which the limits are shared
+	changes  announcements[entity.ServerProcess]               // whose newest limit is to be announced
+	leaving  announcements[entity.ServerProcess]               // that have told this daemon that they leave, to be announced
+	withheld *entity.Table[entity.ServiceName, capacity.Level] // number of servers that the capacity plan does not count
+	returnAt *entity.Table[entity.ServiceName, time.Time]      // when the request that was rejected last was told to come back
+}
+
+func newStatementTable() statementTable {
+	return statementTable{
+		rows:     entity.NewTable[entity.ServerProcess, serverStatements](),
+		withheld: entity.NewTable[entity.ServiceName, capacity.Level](),
+		returnAt: entity.NewTable[entity.ServiceName, time.Time](),
+	}
+}
+
+// row returns the statements of a process, which may be none yet.
+func (l *statementTable) row(p entity.ServerProcess) *serverStatements {
+	return l.rows.GetOrPut(p)
+}
+
+// leaves reports whether a process has said that it leaves.
+func (l *statementTable) leaves(p entity.ServerProcess) bool {
+	row := l.rows.Get(p)
+	return row != nil && !row.leavingAt.IsZero()
+}
+
+// leavingStatements returns what processes have said that leave, for a message that is sent now.
+func (l *statementTable) leavingStatements(now time.Time, processes []entity.ServerProcess) []LeavingStatement {
+	var out []LeavingStatement
+	for _, p := range processes {
+		if l.leaves(p) {
+			out = append(out, LeavingStatement{Process: p, Ago: now.Sub(l.rows.Get(p).leavingAt)})
+		}
+	}
+	return out
+}
+
+// announceLeaving announces all processes again that have said that they leave.
+func (l *statementTable) announceLeaving() {
+	for _, p := range l.rows.Keys() {
+		if l.leaves(p) {
+			l.leaving.addUnless(p, equalTo(p))
+		}
+	}
+}
+
+// RecordStatement records what an answer to the present attempt of a request says of its
+// backend server. Genuine says that it is the answer of a run, in which a limit that is not
+// stated has ended.
+func (c *Core) RecordStatement(now time.Time, t *Ticket, s ServerStatement, genuine bool) {
+	c.recordStatement(now, t.process, t.sentAt, s, genuine)
+}
+
+// recordStatement records what a process says of itself in the answer to a request that was sent
+// at the given time.
+func (c *Core) recordStatement(now time.Time, p entity.ServerProcess, sentAt time.Time, s ServerStatement, genuine bool) {
+	if s.Limit.Stated || genuine && !s.LimitUndefined {
+		c.recordLimit(now, p, sentAt, s.Limit)
+	}
+	if s.Leaving && c.setLeaving(now, p, now, c.cfg.Self.Name) {
+		c.statements.leaving.add(p)
+	}
+	if s.Rest > 0 {
+		c.setRest(now, p, now, now.Add(s.Rest))
+	}
+}
+
+// setRest records that a process asked at the given time for a rest until another one. An
+// earlier request for a longer rest stands.
+func (c *Core) setRest(now time.Time, p entity.ServerProcess, at, until time.Time) {
+	rest := &c.statements.row(p).rest
+	rest.askedAt = at
+	if !until.After(rest.until) {
+		return
+	}
+	known := now.Before(rest.until)
+	rest.until, rest.ended = until, false
+	if !known {
+		c.logEvent(event.Event{Number: event.ServerRestStated, Backend: p.Server, Attrs: []event.Attr{
+			event.A("born", p.Born), event.A("rest_ms", until.Sub(now).Milliseconds()),
+		}})
+	}
+}
+
+// resting reports whether a process wants no requests from this daemon now, and until when.
+func (l *statementTable) resting(now time.Time, p entity.ServerProcess) (until time.Time, resting bool) {
+	row := l.rows.Get(p)
+	if row == nil || !now.Before(row.rest.until) {
+		return time.Time{}, false
+	}
+	return row.rest.until, true
+}
+
+// wantsNone reports whether a process has said that it wants no requests from this daemon now: it
+// leaves or rests.
+func (l *statementTable) wantsNone(now time.Time, p entity.ServerProcess) bool {
+	_, resting := l.resting(now, p)
+	return resting || l.leaves(p)
+}
+
+// logRestEnd logs once that a process may get requests again.
+func (c *Core) logRestEnd(now time.Time, p entity.ServerProcess, row *serverStatements) {
+	if row.rest.askedAt.IsZero() || row.rest.ended || now.Before(row.rest.until) {
+		return
+	}
+	row.rest.ended = true
+	c.logEvent(event.Event{Number: event.ServerRestEnded, Backend: p.Server, Attrs: []event.Attr{event.A("born", p.Born)}})
+}
+
+// setLeaving records that a process said at the given time, to the given daemon, that it leaves.
+// It reports whether that is new.
+func (c *Core) setLeaving(now time.Time, p entity.ServerProcess, at time.Time, by entity.InstanceID) bool {
+	if c.statements.leaves(p) {
+		return false
+	}
+	c.statements.row(p).leavingAt = at
+	c.logEvent(event.Event{Number: event.ServerLeavingStated, Backend: p.Server, Peer: by, Attrs: []event.Attr{
+		event.A("born", p.Born), event.A("age_ms", now.Sub(at).Milliseconds()),
+	}})
+	return true
+}
+
+// receiveLeaving applies what another daemon has learned of a process.
+func (c *Core) receiveLeaving(now time.Time, s *LeavingStatement, from entity.InstanceID) {
+	c.setLeaving(now, s.Process, now.Add(-s.Ago), from)
+}
+
+// inheritStatements applies to a process what was taken for a statement of the former process
+// under its ID, if it had started before: its entry was read later than its answer.
+func (c *Core) inheritStatements(now time.Time, former, process entity.ServerProcess) {
+	old := c.statements.rows.Get(former)
+	if old == nil || !c.trueTimeKnown {
+		return
+	}
+	started := c.startedAt(now, process.Born).Add(bornMargin)
+	if old.leavingAt.After(started) {
+		c.setLeaving(now, process, old.leavingAt, c.cfg.Self.Name)
+	}
+	if old.rest.askedAt.After(started) {
+		c.setRest(now, process, old.rest.askedAt, old.rest.until)
+	}
+}
+
+// forgetStatements drops what processes have stated that are not listed, or not any more.
+func (c *Core) forgetStatements(now time.Time) {
+	for _, p := range c.statements.rows.Keys() {
+		row := c.servers.Get(p.Server)
+		current := row != nil && row.process() == p
+		if current || now.Sub(c.statements.rows.Get(p).newest()) <= c.cfg.Bounds.ForgetServerAfter {
+			continue
+		}
+		if c.statements.leaves(p) {
+			c.logEvent(event.Event{Number: event.ServerLeavingEnded, Backend: p.Server, Attrs: []event.Attr{event.A("born", p.Born)}})
+		}
+		c.statements.rows.Delete(p)
+	}
+}
+
+// inService reports whether a process neither drains nor has said that it leaves.
+func (c *Core) inService(r *serverRow) bool {
+	return r.State == Ready && !c.statements.leaves(r.process())
+}
+
+// mayReceive reports whether a backend server may get a request from this daemon now, and
+// leaves the given number of saved requests of its limit at least.
+func (c *Core) mayReceive(now time.Time, id entity.BackendServerID, saved float64) bool {
+	return c.usable(now, id) && !c.restsNow(now, id) && c.withinLimit(now, id, saved)
+}
+
+// restsNow reports whether a backend server wants no requests from this daemon now.
+func (c *Core) restsNow(now time.Time, id entity.BackendServerID) bool {
+	if c.statements.rows.Len() == 0 {
+		return false
+	}
+	row := c.servers.Get(id)
+	if row == nil {
+		return false
+	}
+	_, resting := c.statements.resting(now, row.process())
+	return resting
+}
+
+// MaySend reports whether the present attempt of a request, for which a connection has just
+// been opened, may still be sent: the server may have said meanwhile, in answer to another
+// request, that it leaves or wants none, or the request may continue a stream whose version the
+// process at the other end is not known to have. Since is the time from when on this connection, or
+// others that were open when the next was opened, have reached the same process.
+func (c *Core) MaySend(now time.Time, t *Ticket, since time.Time) bool {
+	c.noteConnection(t, since)
+	if t.continues() && !c.provesProcess(now, since) {
+		t.origin.doubt = doubtUnproved
+		c.logContinuation(event.StreamVersionUnknown, t, t.process.Server)
+		return false
+	}
+	return !c.statements.wantsNone(now, t.process)
+}
+
+// restSpread is the time over which the requests come back that were rejected during one rest
+// of all servers.
+const restSpread = 500 * time.Millisecond
+
+// firstRestEnd returns when the first server of a service wants requests again that is usable
+// but for its rest, and whether there is any.
+func (c *Core) firstRestEnd(now time.Time, service entity.ServiceName) (first time.Time, found bool) {
+	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
+		until, resting := c.statements.resting(now, row.process())
+		if row.Service == service && resting && c.usable(now, id) && (!found || until.Before(first)) {
+			first, found = until, true
+		}
+		return true
+	})
+	return first, found
+}
+
+// rejectResting rejects a request to whose service's servers all want none for a while, or
+// returns nil if none of them does.
+func (c *Core) rejectResting(now time.Time, t *Ticket) *Refusal {
+	first, found := c.firstRestEnd(now, t.Service)
+	if !found {
+		return nil
+	}
+	spread := time.Duration(c.cfg.Rand.Float64() * float64(restSpread))
+	r := c.finalRefusal(t, "resting", max(first.Sub(now), minRetryDelay)+spread)
+	r.Inputs = fmt.Sprintf("first server wants requests again in %v", first.Sub(now).Round(time.Millisecond))
+	return r
+}
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -30,6 +30,9 @@
 	RecordedVersions []streamversion.KnownVersion `json:"recorded_versions"`
 	// AllVersionsKnown says that this daemon knows all recorded versions.
 	AllVersionsKnown bool `json:"all_recorded_versions_known"`
+	// Unreachable are the services whose backend servers this daemon does not reach: other
+	// daemons forward its requests.
+	Unreachable []entity.ServiceName `json:"unreachable_services"`
 }
 
 // ContentStatus is this daemon's view of the content of requests under which backend servers
@@ -48,6 +51,8 @@
 	Version     string                 `json:"version"`
 	Usable      bool                   `json:"usable"`
 	Reclaimable bool                   `json:"reclaimable"`
+	SaysLeaving bool                   `json:"says_leaving"`               // it has said in an answer that it leaves
+	RestLeft    string                 `json:"rest_left,omitempty"`        // for how long it wants no requests from this daemon; "": it takes them
 	Limit       *float64               `json:"limit_per_second,omitempty"` // requests that it takes from all daemons; nil: it states no limit
 	SpeedRatio  *float64               `json:"speed_ratio,omitempty"`      // of its times to the usual ones; nil: speeds are not learned
 	PaceLimit   *float64               `json:"pace_limit,omitempty"`       // requests in progress of all daemons while it starts or recovers
@@ -60,6 +65,8 @@
 	Serving         bool              `json:"serving"`
 	Leaving         bool              `json:"leaving"`
 	Version         uint64            `json:"configuration_version"`
+	// Unreachable are the services whose backend servers it does not reach.
+	Unreachable []entity.ServiceName `json:"unreachable_services"`
 }
 
 // Status returns this daemon's view for operators.
@@ -71,12 +78,17 @@
 		Serving: c.Serving(now), Leaving: c.leaving, LeaseEpoch: epoch, HoldsLease: held,
 		Quotas: c.quota.Uses(now, true), Retries: c.budget.Status(now), Planned: c.Levels(),
 		RecordedVersions: c.recorded.Known(now), AllVersionsKnown: c.recorded.Complete(now),
+		Unreachable: c.unreachableServices(),
 	}
 	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
 		status := ServerStatus{ID: id, Service: r.Service, DataCentre: r.DataCentre, Version: r.Version, Usable: c.usable(now, id), Reclaimable: r.Reclaimable}
-		if limit := c.limits.inForce(r.process()); limit != nil {
+		if limit := c.statements.inForce(r.process()); limit != nil {
 			status.Limit = &limit.PerSecond
 		}
+		status.SaysLeaving = c.statements.leaves(r.process())
+		if until, resting := c.statements.resting(now, r.process()); resting {
+			status.RestLeft = until.Sub(now).Round(time.Millisecond).String()
+		}
 		c.addSpeedStatus(id, &status)
 		s.Servers = append(s.Servers, status)
 		return true
@@ -86,7 +98,7 @@
 		if !r.lastReceived.IsZero() {
 			lastReceived = now.Sub(r.lastReceived).Round(time.Millisecond).String()
 		}
-		s.Daemons = append(s.Daemons, DaemonStatus{name, lastReceived, r.serving, r.leaving, r.version})
+		s.Daemons = append(s.Daemons, DaemonStatus{name, lastReceived, r.serving, r.leaving, r.version, r.unreachable})
 		return true
 	})
 	s.Suspects = c.suspectStatus(now)
--- a/internal/exchange/stream_version.go
+++ b/internal/exchange/stream_version.go
@@ -63,6 +63,12 @@
 		c.announceStream(now, rec) // some holders may have restarted
 		return nil
 	}
+	if rec, ok := c.streams.FindSaved(now, t.Request.Resumes); ok && rec.Organisation == t.organisationID() && rec.Service == t.Service {
+		t.origin.known, t.origin.version, t.origin.source = true, rec.Version, fromSavedRow
+		c.streams.Put(now, rec)
+		c.announceStream(now, rec) // all holders may have restarted
+		return nil
+	}
 	version, doubt := c.onlyVersion(now, t.Service)
 	if doubt == "" {
 		t.origin.known, t.origin.version, t.origin.source = true, version, fromOnlyVersion
@@ -72,6 +78,7 @@
 	if t.Request.Resumes == "" {
 		return nil
 	}
+	c.savedStreams.wanted = true
 	return c.recordHolders(now, t.Request.Resumes)
 }
 
@@ -142,6 +149,8 @@
 	t.origin.begun = true
 	row := c.servers.Get(t.process.Server)
 	switch {
+	case !c.provesProcess(now, t.reachedSince):
+		return
 	case row == nil:
 	case row.process() != t.process && row.Version != t.serverVersion:
 		return // the server's process was replaced meanwhile: either may have answered
@@ -158,6 +167,7 @@
 	}
 	rec := streamversion.Record{Request: t.Request.ID, Service: t.Service, Version: t.serverVersion, Life: life, Organisation: t.organisationID()}
 	c.streams.Put(now, rec)
+	c.streams.MarkBegun(rec.Request)
 	c.announceStream(now, rec)
 }
 
@@ -185,10 +195,10 @@
 // changeVersions makes a change of what is known of the versions of services. When a service
 // gets a second version by it, the records of all its streams are sent to their holders.
 func (c *Core) changeVersions(now time.Time, services []entity.ServiceName, change func()) {
-	services = slices.DeleteFunc(services, func(s entity.ServiceName) bool { return c.mixed(now, s) })
+	services = slices.DeleteFunc(services, func(s entity.ServiceName) bool { return c.hasSeveralVersions(now, s) })
 	change()
 	for _, service := range services {
-		if c.mixed(now, service) {
+		if c.hasSeveralVersions(now, service) {
 			c.announceStreams(now, service)
 		}
 	}
@@ -268,8 +278,10 @@
 // StreamRecord returns the record of a stream, for a daemon that asks, and whether it is known
 // here.
 func (c *Core) StreamRecord(now time.Time, id entity.RequestID) (rec streamversion.Record, known bool) {
-	rec, _, known = c.streams.Get(now, id)
-	return rec, known
+	if rec, _, known = c.streams.Get(now, id); known {
+		return rec, true
+	}
+	return c.streams.FindSaved(now, id)
 }
 
 // logContinuation logs a decision on the continuation of a stream.
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -47,6 +47,8 @@
 	Rollouts   []RolloutNews `cbor:"20,keyasint,omitempty"`
 	// Speeds are samples of the speed of backend servers.
 	Speeds []placement.SpeedSample `cbor:"30,keyasint,omitempty"`
+	// Unreachable are the services whose backend servers the sender does not reach.
+	Unreachable []entity.ServiceName `cbor:"31,keyasint,omitempty"`
 }
 
 // DrainingServer is a backend server that drains or has gone.
@@ -76,6 +78,7 @@
 		Notice: c.noticeDue(now, c.sequence, acked), Orders: c.knownOrders(now),
 	}
 	update.Rollouts = c.rolloutNews(now)
+	update.Unreachable = c.unreachableServices()
 	c.addServerPace(now, &update)
 	c.cachedPrompts, c.sentDemand = nil, update.Demand
 	c.sent.record(c.sequence, now)
--- a/internal/exchange/version_record.go
+++ b/internal/exchange/version_record.go
@@ -26,10 +26,13 @@
 	doubtSeveral     versionDoubt = "several-versions"     // and no record of the stream
 	doubtNone        versionDoubt = "no-version-known"     // the service has had no version lately
 	doubtNotRecorded versionDoubt = "version-not-recorded" // the only version is not recorded: no stream began there
+	doubtUnproved    versionDoubt = "server-unproved"      // a server's process may have been replaced while its entry could not be read
+	doubtOutOfStep   versionDoubt = "out-of-step"          // others may have recorded versions of which this daemon has not heard
 )
 
 const (
 	fromRecord      = "record"
+	fromSavedRow    = "row of the table service"
 	fromOnlyVersion = "only version of the service"
 )
 
@@ -70,8 +73,13 @@
 	return slices.Compact(versions)
 }
 
-// mixed reports whether a service has had several versions lately.
+// mixed reports whether a service has had several versions lately, or may have.
 func (c *Core) mixed(now time.Time, service entity.ServiceName) bool {
+	return c.listInDoubt(now) || c.hasSeveralVersions(now, service)
+}
+
+// hasSeveralVersions reports whether a service is known to have had several versions lately.
+func (c *Core) hasSeveralVersions(now time.Time, service entity.ServiceName) bool {
 	return len(c.versionsOf(now, service)) > 1
 }
 
@@ -84,6 +92,11 @@
 		return "", doubtNotRead
 	case len(versions) > 1:
 		return "", doubtSeveral
+	case c.cfg.RecordVersions && c.outOfStep(now):
+		c.recorded.CheckSoon(now)
+		return "", doubtOutOfStep
+	case c.cfg.RecordVersions && c.listInDoubt(now):
+		return "", doubtUnproved
 	case len(versions) == 0:
 		return "", doubtNone
 	case c.cfg.RecordVersions && len(c.recorded.OfService(now, service)) == 0:
@@ -149,6 +162,14 @@
 		return row.versionKnown(now) && allowed(row)
 	}
 	if t.continues() {
+		if c.listInDoubt(now) {
+			proved := func(id entity.BackendServerID) bool {
+				return known(id) && c.provesProcess(now, c.servers.Get(id).reachedSince)
+			}
+			if choice, ok := c.chooseAmong(now, t, proved); ok {
+				return choice, true
+			}
+		}
 		return c.chooseAmong(now, t, known)
 	}
 	settled := func(id entity.BackendServerID) bool {
@@ -204,9 +225,11 @@
 	return r
 }
 
-// VersionCallDue reports whether the row of recorded versions should be read now.
+// VersionCallDue reports whether the row of recorded versions should be read now. It is read, and
+// written by the first process of a deployment, before any streams may be resumed: when they may,
+// nobody may be left who knows that there were none before.
 func (c *Core) VersionCallDue(now time.Time) bool {
-	if !c.cfg.RecordVersions || c.index == nil || len(c.index.resumable) == 0 || c.leaving {
+	if !c.cfg.RecordVersions || c.index == nil || c.leaving {
 		return false
 	}
 	_, leader := c.lease.Epoch()
@@ -214,13 +237,17 @@
 }
 
 // VersionCallBegins records that the call is made.
-func (c *Core) VersionCallBegins(now time.Time) { c.recorded.Called(now) }
+func (c *Core) VersionCallBegins(now time.Time) {
+	c.recorded.Called(now)
+	c.step.readBegunAt = now
+}
 
 // VersionRowRead applies a read of the row of recorded versions, and returns the row to write
 // if it must be written.
 func (c *Core) VersionRowRead(now time.Time, read *streamversion.Read) (next streamversion.Row, write bool) {
 	_, leader := c.lease.Epoch()
 	before := c.recorded.Complete(now)
+	c.step.readAt = c.step.readBegunAt
 	c.changeVersions(now, servicesOfRow(&read.Row), func() { next, write = c.recorded.Apply(now, read, leader) })
 	c.announceRecorded(now, c.recorded.TakeNews())
 	if complete := c.recorded.Complete(now); complete != before || write {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -272,7 +272,7 @@
 		s.result.recordFirstEvent(j.request, e.stepEnd+firstEventDelay-j.request.arrival)
 		if t := s.tickets[j.request]; t != nil {
 			c := s.cores[j.daemon]
-			c.RecordLimit(virtualTime(e.stepEnd+firstEventDelay), t, e.limit)
+			c.RecordStatement(virtualTime(e.stepEnd+firstEventDelay), t, exchange.ServerStatement{Limit: e.limit}, true)
 			c.Started(virtualTime(e.stepEnd+firstEventDelay), t)
 		}
 	}
--- a/internal/gateway/authority.go
+++ b/internal/gateway/authority.go
@@ -107,6 +107,7 @@
 			<-opened
 			g.receive(from, addr, func(to peer.Address, m message) { g.sendMessage(t.Send, to, m) }, body)
 		},
+		ExchangeHandler: g.serveForwarded,
 	})
 	close(opened)
 	return t, err
--- a/internal/gateway/clock_origin.go
+++ b/internal/gateway/clock_origin.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	proposed := time.Duration(time.Now().UnixNano()) - tableClock
+	proposed := g.proposeOrigin(time.Duration(time.Now().UnixNano()) - tableClock)
 	origin, err := g.agreeClockOrigin(ctx, proposed)
 	if err != nil {
 		return err
@@ -49,6 +49,21 @@
 	return nil
 }
 
+// isNewDeployment reports whether this process has been the first one on the table service, which
+// has not been restored since: all that daemons have recorded is there.
+func (g *Gateway) isNewDeployment() bool {
+	return g.newDeployment.Load() && !g.generations.hasRisen()
+}
+
+// proposeOrigin returns the clock origin to propose: the one of an earlier try whose answer may
+// have been lost, so that this process knows it as its own in the table, unless it is wrong.
+func (g *Gateway) proposeOrigin(origin time.Duration) time.Duration {
+	if (origin - g.proposedOrigin).Abs() > maxOriginError {
+		g.proposedOrigin = origin
+	}
+	return g.proposedOrigin
+}
+
 func (g *Gateway) setTrueTime(sinceEpoch time.Duration, at time.Time) {
 	g.withCore(func(c *exchange.Core, _ time.Time) { c.SetTrueTime(sinceEpoch - time.Duration(at.UnixNano())) })
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,9 +36,9 @@
 	EchoesRequestID(resp *http.Response, id entity.RequestID) bool
 	// Classify returns what a response proves about the attempt.
 	Classify(resp *http.Response) Evidence
-	// ServerLimit returns the limit that a response of a backend server states. An error
-	// means that it states one that is invalid.
-	ServerLimit(resp *http.Response) (exchange.RateLimit, error)
+	// ServerStatement returns what a response of a backend server says of it. An error means
+	// that a part of it is invalid and left out.
+	ServerStatement(resp *http.Response) (exchange.ServerStatement, error)
 	// ReturnedHeader returns the header fields of a backend server's response that are sent to
 	// the caller.
 	ReturnedHeader(in http.Header) http.Header
@@ -109,6 +109,7 @@
 	Servers         provider.Feed[exchange.BackendServer]
 	LeaderTasks     provider.LeaderTasks
 	Log             *logging.Log
+	DialServer      outbound.DialFunc // opens connections to backend servers; nil: over TCP
 }
 
 // Gateway serves forwarded exchanges.
@@ -126,7 +127,8 @@
 
 	serverFeed      *serverFeed
 	generations     *generationWatch
-	newDeployment   atomic.Bool // this process has been the first one on the table service
+	newDeployment   atomic.Bool   // this process has been the first one on the table service
+	proposedOrigin  time.Duration // of the table's clock, by learnTrueTime; 0: none yet
 	versionQuestion versionQuestion
 	checkpointRead  atomic.Bool // this process has read a checkpoint
 	authority       authorityState
@@ -151,7 +153,7 @@
 	self := exchange.Member{
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
-	g := &Gateway{Config: cfg, pool: outbound.NewPool(), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), streamNews: make(chan struct{}, 1), streamQueries: newStreamQueries(), generations: newGenerationWatch()}
+	g := &Gateway{Config: cfg, pool: newPool(cfg.DialServer), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), streamNews: make(chan struct{}, 1), streamQueries: newStreamQueries(), generations: newGenerationWatch()}
 	g.serverFeed = newServerFeed(g)
 	g.orders = newOrderWatch(g)
 	g.grace, g.endGrace = context.WithCancel(context.Background())
@@ -170,6 +172,13 @@
 	return g
 }
 
+func newPool(dial outbound.DialFunc) *outbound.Pool {
+	if dial == nil {
+		return outbound.NewPool()
+	}
+	return outbound.NewPoolWithDial(dial)
+}
+
 // Run serves until the context ends. It then completes the accepted requests within
 // Settings.StopGrace.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -197,6 +206,7 @@
 	background.Go(func() { g.runPeers(runCtx) })
 	background.Go(func() { g.runHousekeeping(runCtx) })
 	background.Go(func() { g.runRestores(runCtx) })
+	background.Go(func() { g.runSavedStreams(runCtx) })
 	if g.Settings.Rollout.Enabled() {
 		background.Go(func() { g.runRollouts(runCtx) })
 	}
@@ -209,8 +219,9 @@
 type coreWants struct {
 	events  []event.Event
 	probes  []exchange.Probe
-	notice  bool // deaths are to be announced
-	streams bool // records of streams are to be sent
+	notice  bool     // deaths are to be announced
+	streams bool     // records of streams are to be sent
+	lost    []string // addresses whose idle connections are to be closed
 }
 
 // withCore calls f with exclusive access to the core, and then performs what the core
@@ -223,6 +234,9 @@
 	for _, p := range wants.probes {
 		go g.probe(p)
 	}
+	for _, address := range wants.lost {
+		g.pool.CloseIdle(address)
+	}
 	if wants.notice {
 		signalOnce(g.notices)
 	}
@@ -244,7 +258,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f(g.core, clock.Now())
-	return coreWants{g.core.TakeEvents(), g.core.TakeProbes(), g.core.NoticePending(), g.core.StreamNewsPending()}
+	return coreWants{g.core.TakeEvents(), g.core.TakeProbes(), g.core.NoticePending(), g.core.StreamNewsPending(), g.core.TakeLostAddresses()}
 }
 
 // housekeepingInterval is the time between two checks for idle connections that cannot be
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -16,6 +16,7 @@
 	mu      sync.Mutex
 	known   bool
 	newest  uint64
+	risen   bool          // a newer generation than the first one was seen
 	seenAt  time.Time     // when the newest was first seen
 	changed chan struct{} // closed and replaced when a newer one is seen
 }
@@ -34,6 +35,7 @@
 	}
 	restored = w.known
 	w.known, w.newest, w.seenAt = true, generation, now
+	w.risen = w.risen || restored
 	if restored {
 		close(w.changed)
 		w.changed = make(chan struct{})
@@ -55,6 +57,13 @@
 	return w.newest, w.seenAt, w.known
 }
 
+// hasRisen reports whether the table service was restored since this process first saw it.
+func (w *generationWatch) hasRisen() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.risen
+}
+
 // cancelOnRestore cancels a call that waits for changes when the table service turns
 // out to have been restored.
 func (w *generationWatch) cancelOnRestore(ctx context.Context, cancel context.CancelFunc) {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -24,7 +23,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	request exchange.Request
-	body    []byte
+	body    heldBody
 	ticket  *exchange.Ticket
 	ctx     context.Context // ends when the caller disconnects or the deadline has passed
 
@@ -40,6 +39,7 @@
 type attemptRecord struct {
 	server   string
 	version  string // of the server's software
+	via      string // the daemon that forwarded it; "": none
 	outcome  exchange.Outcome
 	duration time.Duration
 	detail   string
@@ -50,7 +50,7 @@
 
 func (g *Gateway) serveExchange(w http.ResponseWriter, r *http.Request) {
 	arrived := clock.Now()
-	x := &forwarding{g: g, w: w, r: r, request: g.Dialect.ParseRequest(r), ctx: r.Context()}
+	x := &forwarding{g: g, w: w, r: r, request: g.Dialect.ParseRequest(r), body: heldBody{budget: &g.bodyMemory}, ctx: r.Context()}
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -59,12 +59,11 @@
 		return
 	}
 	defer g.requests.leave()
-	reserved, ok := x.readBody()
-	defer g.bodyMemory.release(reserved)
-	if !ok {
+	defer x.body.release()
+	if !x.readBody() {
 		return
 	}
-	x.request.Content = contentDigest(r, x.body)
+	x.request.Content = contentDigest(r, x.body.bytes)
 	defer x.logResult(arrived)
 	refusal := x.admit(arrived)
 	if refusal == nil {
@@ -96,38 +95,34 @@
 	}
 }
 
-// readBody reads the complete body, so that it can be sent again. It returns the number
-// of bytes that it reserved in the budget for bodies.
-func (x *forwarding) readBody() (reserved int64, ok bool) {
+// readBody reads the complete body, so that it can be sent again.
+func (x *forwarding) readBody() bool {
 	length := x.r.ContentLength
 	if length == 0 {
-		return 0, true
+		return true
 	}
 	limit := x.g.maxBodyBytes()
 	if length > limit {
 		x.refuseBody(http.StatusRequestEntityTooLarge, "body-too-large")
-		return 0, false
+		return false
 	}
-	size := length
+	size, most := length, length
 	if length < 0 {
-		size = unknownBodyBytes
-	}
-	if !x.g.bodyMemory.reserve(size) {
-		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
-		return 0, false
+		size, most = unknownBodyBytes, limit+1
 	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
+	err := x.body.read(x.r.Body, size, most)
 	switch {
+	case errors.Is(err, errNoMemory):
+		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
 	case err != nil:
 		// The caller disconnected, or the body's framing is malformed.
 		x.refuseBody(http.StatusBadRequest, "body-unreadable")
-		return size, false
-	case int64(len(body)) > limit:
+	case int64(len(x.body.bytes)) > limit:
 		x.refuseBody(http.StatusRequestEntityTooLarge, "body-too-large")
-		return size, false
+	default:
+		return true
 	}
-	x.body = body
-	return size, true
+	return false
 }
 
 // maxBodyBytes returns the size of the largest accepted body.
@@ -230,25 +225,5 @@
 	_, _ = io.WriteString(x.w, body)
 }
 
-const (
-	// unknownBodyBytes is reserved for a body of unknown length.
-	unknownBodyBytes = 64 << 10
-)
-
-// bodyBudget bounds the memory for the bodies of all requests in flight.
-type bodyBudget struct {
-	limitBytes int64
-	usedBytes  atomic.Int64
-}
-
-// reserve adds n bytes to the usage unless that exceeds the limit.
-func (b *bodyBudget) reserve(n int64) bool {
-	if b.usedBytes.Add(n) > b.limitBytes {
-		b.usedBytes.Add(-n)
-		return false
-	}
-	return true
-}
-
-// release undoes a reserve of n bytes.
-func (b *bodyBudget) release(n int64) { b.usedBytes.Add(-n) }
+// unknownBodyBytes is reserved at first for a body of unknown length.
+const unknownBodyBytes = 64 << 10
--- a/internal/gateway/leader_lease.go
+++ b/internal/gateway/leader_lease.go
@@ -40,15 +40,15 @@
 // fenceForCall returns the fencing token for a call that is made at once, and whether
 // this daemon may make it: it holds the lease and that was confirmed a short time ago.
 func (t *leaderTasks) fenceForCall(runCtx context.Context) (provider.Fence, bool) {
-	if !t.mayAct() && !t.confirmLease(runCtx) {
-		return provider.Fence{}, false
+	if !t.mayCall() {
+		t.confirmLease(runCtx)
 	}
 	fence, held := t.fence()
-	return fence, held && t.mayAct()
+	return fence, held && t.mayCall()
 }
 
-func (t *leaderTasks) mayAct() (ok bool) {
-	t.g.withCore(func(c *exchange.Core, now time.Time) { ok = c.MayActAsLeader(now) })
+func (t *leaderTasks) mayCall() (ok bool) {
+	t.g.withCore(func(c *exchange.Core, now time.Time) { ok = c.MayCallAsLeader(now) })
 	return ok
 }
 
@@ -153,10 +153,14 @@
 	}
 }
 
+// leaseReadTimeout bounds a read of the lease's row before a call: acknowledged messages of others
+// confirm the lease while it cannot be read.
+const leaseReadTimeout = 500 * time.Millisecond
+
 // confirmLease reads the lease's row and reports whether it still has the version that
 // is this daemon's epoch. If it has another one, this daemon steps down.
 func (t *leaderTasks) confirmLease(runCtx context.Context) bool {
-	ctx, cancel := context.WithTimeout(runCtx, leaderCallTimeout)
+	ctx, cancel := context.WithTimeout(runCtx, leaseReadTimeout)
 	defer cancel()
 	fence, held := t.fence()
 	if !held {
@@ -165,6 +169,7 @@
 	readAt := clock.Now()
 	_, version, err := t.readLease(ctx)
 	if err != nil {
+		t.g.withCore(func(c *exchange.Core, now time.Time) { c.LeaseUnread(now) })
 		return false
 	}
 	if version != fence.Epoch {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// attemptList returns the attempts as text: backend server, outcome, duration and
-// reason of each.
+// attemptList returns the attempts as text: backend server, the daemon that forwarded it if
+// one did, outcome, duration and reason of each.
 func (x *forwarding) attemptList() string {
 	var b strings.Builder
 	for i, a := range x.attempts {
@@ -100,6 +100,9 @@
 			if a.version != "" {
 				b.WriteString("(" + a.version + ") ")
 			}
+			if a.via != "" {
+				b.WriteString("through " + a.via + " ")
+			}
 			b.WriteString(a.outcome.String() + " " + a.duration.Round(100*time.Microsecond).String() + " ")
 		}
 		b.WriteString(a.detail)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// countForwarded counts an attempt that was sent for another daemon.
+func (m *meter) countForwarded(result string) {
+	outcome := "failed"
+	if result == resultAnswered {
+		outcome = result
+	}
+	m.set.GetOrCreateCounter(`gooseberryslip_forwarded_attempts_total{outcome="` + outcome + `"}`).Inc()
+}
+
 func (m *meter) countRestore() {
 	m.set.GetOrCreateCounter(`gooseberryslip_table_restores_total`).Inc()
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// firstBufferedBytes is the memory that is taken first for a response.
+	firstBufferedBytes = 4 << 10
 	// maxBufferedBytes is the size of the largest response that is buffered until it is
 	// complete.
 	maxBufferedBytes = 256 << 10
@@ -37,10 +39,17 @@
 		// The other idle connections to this address may be unresponsive in the same way.
 		x.g.pool.CloseIdle(a.Address)
 	}
-	x.attempts = append(x.attempts, attemptRecord{string(a.Server), a.ServerVersion, outcome, clock.Now().Sub(start), detail})
+	x.attempts = append(x.attempts, attemptRecord{string(a.Server), a.ServerVersion, forwarderName(a), outcome, clock.Now().Sub(start), detail})
 	return outcome
 }
 
+func forwarderName(a *exchange.Attempt) string {
+	if a.Forwarder == nil {
+		return ""
+	}
+	return string(a.Forwarder.Name)
+}
+
 // startSilenceTimer returns a timer that cancels the attempt when its limit for the
 // start of the response has passed. Without a limit the timer does nothing.
 func (x *forwarding) startSilenceTimer(a *exchange.Attempt, cancel context.CancelCauseFunc) *time.Timer {
@@ -53,25 +62,31 @@
 // performAttempt sends the request, relays the response and returns the outcome and, for
 // a failure, its reason.
 func (x *forwarding) performAttempt(ctx context.Context, a *exchange.Attempt, silenceTimer *time.Timer) (exchange.Outcome, string) {
-	reply, err := x.g.pool.Send(ctx, x.outboundRequest(a))
+	reply, err := x.send(ctx, a)
 	if err != nil {
 		return x.failureOutcome(ctx, err), err.Error()
 	}
 	defer reply.Close()
 	switch x.g.Dialect.Classify(reply.Response) {
 	case NotExecuted:
-		if reply.ConnectionReused() && !x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID) {
-			// It may be the late response to an earlier request on this connection.
+		// What it says of the server is true also if it answers an earlier request.
+		x.recordStatement(a, reply, false)
+		if x.mayAnswerAnother(reply) {
 			return exchange.Broken, "refusal without the request's ID on a reused connection"
 		}
-		x.recordLimit(a, reply, false)
 		return exchange.Rejected, strconv.Itoa(reply.StatusCode)
 	case WrongServer:
+		if x.mayAnswerAnother(reply) {
+			return exchange.Broken, "misdirected, without the request's ID on a reused connection"
+		}
 		return exchange.Misdirected, strconv.Itoa(reply.StatusCode)
 	case Inconclusive:
+		if x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID) {
+			x.recordStatement(a, reply, false)
+		}
 		return exchange.Broken, "doubtful answer, status " + strconv.Itoa(reply.StatusCode)
 	}
-	x.recordLimit(a, reply, true)
+	x.recordStatement(a, reply, true)
 	if x.ticket.Route.Kind == exchange.Stream && isEventStream(reply) && reply.StatusCode == http.StatusOK {
 		return x.relayStream(ctx, reply, silenceTimer)
 	}
@@ -83,15 +98,29 @@
 	return x.relayBuffered(ctx, reply)
 }
 
-// recordLimit tells the core what a response says of the backend server's limit. Genuine
-// says that it is the response of a run.
-func (x *forwarding) recordLimit(a *exchange.Attempt, reply *outbound.Reply, genuine bool) {
-	limit, err := x.g.Dialect.ServerLimit(reply.Response)
-	switch {
-	case err != nil:
-		x.g.event(event.ServerLimitIgnored, x.request.ID, event.A("backend_server", a.Server), event.A("error", err.Error()))
-	case limit.Stated || genuine:
-		x.g.withCore(func(c *exchange.Core, now time.Time) { c.RecordLimit(now, x.ticket, limit) })
+// mayAnswerAnother reports whether a response may be that to an earlier request on its connection,
+// late or written once more, so that it proves nothing of this one.
+func (x *forwarding) mayAnswerAnother(reply *outbound.Reply) bool {
+	return reply.ConnectionReused() && !x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID)
+}
+
+// send sends the attempt itself, or through the daemon that forwards it.
+func (x *forwarding) send(ctx context.Context, a *exchange.Attempt) (*outbound.Reply, error) {
+	if a.Forwarder != nil {
+		return x.sendThrough(ctx, a)
+	}
+	return x.g.pool.Send(ctx, x.outboundRequest(a))
+}
+
+// recordStatement tells the core what a response says of the backend server. Genuine says that
+// it is the response of a run.
+func (x *forwarding) recordStatement(a *exchange.Attempt, reply *outbound.Reply, genuine bool) {
+	statement, err := x.g.Dialect.ServerStatement(reply.Response)
+	if err != nil {
+		x.g.event(event.ServerStatementIgnored, x.request.ID, event.A("backend_server", a.Server), event.A("error", err.Error()))
+	}
+	if genuine || statement != (exchange.ServerStatement{}) {
+		x.g.withCore(func(c *exchange.Core, now time.Time) { c.RecordStatement(now, x.ticket, statement, genuine) })
 	}
 }
 
@@ -108,17 +137,26 @@
 	}
 	return &outbound.Request{
 		Address: a.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: x.g.Dialect.ForwardedHeader(x.r.Header, a, after), Body: x.body, HasBody: x.r.ContentLength != 0,
+		Header: x.g.Dialect.ForwardedHeader(x.r.Header, a, after), Body: x.body.bytes, HasBody: x.r.ContentLength != 0,
 		Matches: func(resp *http.Response) bool { return x.g.Dialect.BelongsTo(resp, x.request.ID) },
+		MaySend: x.maySend,
 	}
 }
 
+// maySend reports whether the present attempt may be sent on the connection that is there now.
+func (x *forwarding) maySend(since time.Time) (may bool) {
+	x.g.withCore(func(c *exchange.Core, now time.Time) { may = c.MaySend(now, x.ticket, since) })
+	return may
+}
+
 // failureOutcome returns the outcome of an attempt that ended with an error instead of a
 // complete response.
 func (x *forwarding) failureOutcome(ctx context.Context, err error) exchange.Outcome {
 	switch {
 	case x.r.Context().Err() != nil:
 		return exchange.Abandoned
+	case errors.Is(err, outbound.ErrWithheld):
+		return exchange.Withheld
 	case verdict.Of(err) == verdict.NotRun && notListening(err):
 		return exchange.NotListening
 	case verdict.Of(err) == verdict.NotRun:
@@ -137,10 +175,13 @@
 
 // relayBuffered buffers a response until it is complete, so that a truncated one can be
 // replaced by another attempt, and then sends it to the caller. A response of
-// maxBufferedBytes or more is relayed as it arrives from there on.
+// maxBufferedBytes or more, or for which there is no memory, is relayed as it arrives from there on.
 func (x *forwarding) relayBuffered(ctx context.Context, reply *outbound.Reply) (exchange.Outcome, string) {
-	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedBytes))
-	if err != nil {
+	held := heldBody{budget: &x.g.bodyMemory}
+	defer held.release()
+	err := held.read(reply, firstBufferedBytes, maxBufferedBytes)
+	body, noMemory := held.bytes, errors.Is(err, errNoMemory)
+	if err != nil && !noMemory {
 		return x.failureOutcome(ctx, err), err.Error()
 	}
 	if reply.StatusCode >= http.StatusInternalServerError && x.mayReplace() {
@@ -153,7 +194,7 @@
 	if _, err := x.w.Write(body); err != nil {
 		return exchange.Abandoned, "caller: " + err.Error()
 	}
-	if len(body) == maxBufferedBytes {
+	if noMemory || len(body) == maxBufferedBytes {
 		x.partSent = true
 		return x.relayRest(ctx, reply)
 	}
--- a/internal/gateway/version_record.go
+++ b/internal/gateway/version_record.go
@@ -87,8 +87,22 @@
 	return due, lacking
 }
 
-// updateVersionRow reads the row and writes it, if a version is to be recorded or removed.
+// updateVersionRow reads the row and writes it, if a version is to be recorded or removed. The first
+// daemon of a deployment, without which a row is not complete for long, tries again at once if
+// another one has written the row meanwhile.
 func (g *Gateway) updateVersionRow(runCtx context.Context) error {
+	err := g.tryVersionRow(runCtx)
+	if errors.Is(err, provider.ErrConditionFailed) && g.isNewDeployment() {
+		err = g.tryVersionRow(runCtx)
+	}
+	if errors.Is(err, provider.ErrConditionFailed) {
+		return nil // it is read again
+	}
+	return err
+}
+
+// tryVersionRow reads the row and writes it, if it is to be written.
+func (g *Gateway) tryVersionRow(runCtx context.Context) error {
 	ctx, cancel := context.WithTimeout(runCtx, tableTimeout)
 	defer cancel()
 	read, version, err := g.readVersionRow(ctx)
@@ -103,7 +117,7 @@
 	}
 	err = g.writeVersionRow(ctx, &next, version)
 	if errors.Is(err, provider.ErrConditionFailed) {
-		return nil // another daemon has written the row; it is read again
+		return err
 	}
 	if err != nil {
 		g.withCore(func(c *exchange.Core, _ time.Time) { c.VersionRowFailed() })
@@ -120,14 +134,13 @@
 // written anew.
 func (g *Gateway) readVersionRow(ctx context.Context) (read *streamversion.Read, version uint64, err error) {
 	g.meter.countVersionCall("read")
-	read = &streamversion.Read{}
+	read = &streamversion.Read{NewDeployment: g.isNewDeployment()}
 	row, err := g.Table.Get(ctx, versionPartition, versionRow, true)
 	if errors.Is(err, provider.ErrNotFound) {
 		var known bool
 		if read.Generation, _, known = g.generations.current(); !known {
 			return nil, 0, errNoGeneration
 		}
-		read.NewDeployment = g.newDeployment.Load()
 		return read, 0, nil
 	}
 	if err != nil {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -57,8 +57,9 @@
 		err := w.step(ctx, start)
 		switch {
 		case err == nil:
-			w.noteSuccess()
+			w.noteSuccess(start)
 			clock.Wait(ctx, w.batchDelay)
+		case errors.Is(err, errPollCancelled):
 		case errors.Is(err, provider.ErrHistoryLost):
 			w.position = 0
 		default:
@@ -82,7 +83,7 @@
 	go w.g.generations.cancelOnRestore(ctx, cancel)
 	changes, position, err := w.feed.Changes(ctx, w.position, wait)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		return nil // cancelled, as the configuration is not confirmed or the service was restored; made again at once
+		return errPollCancelled
 	}
 	if err != nil {
 		return err
@@ -96,6 +97,10 @@
 	return nil
 }
 
+// errPollCancelled: a call was cancelled, as the configuration is not confirmed or the table service
+// was restored. It is made again at once.
+var errPollCancelled = errors.New("call for changes cancelled")
+
 // errStaleList: the table service returned a list that is older than one seen before.
 var errStaleList = errors.New("list of the table service is older than one seen before")
 
@@ -130,9 +135,10 @@
 	return backoff.Delay(watchRetryDelay, maxWatchRetryDelay, w.failures)
 }
 
-// noteSuccess, if the last call failed, logs that the feed can be read again and tells
-// the core.
-func (w *watcher[T]) noteSuccess() {
+// noteSuccess tells the core that a call succeeded and, if the one before failed, logs that the feed
+// can be read again.
+func (w *watcher[T]) noteSuccess(start time.Time) {
+	w.g.withCore(func(c *exchange.Core, _ time.Time) { c.FeedRead(w.name, start) })
 	if w.failures == 0 {
 		return
 	}
@@ -141,7 +147,8 @@
 	w.g.event(event.DependencyRegained, "", event.A("dependency", w.name))
 }
 
-// noteFailure logs that the feed cannot be read, unless the call before failed too.
+// noteFailure tells the core that the feed cannot be read and logs it, unless the call before failed
+// too.
 func (w *watcher[T]) noteFailure(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -150,6 +157,7 @@
 	if w.failures > 1 {
 		return
 	}
+	w.g.withCore(func(c *exchange.Core, _ time.Time) { c.FeedFailed(w.name) })
 	w.g.event(event.DependencyLost, "", event.A("dependency", w.name), event.A("error", err.Error()))
 }
 
--- a/internal/gateway/watched_lists.go
+++ b/internal/gateway/watched_lists.go
@@ -11,7 +11,7 @@
 )
 
 func (g *Gateway) watchServers(runCtx context.Context) {
-	w := &watcher[exchange.BackendServer]{g: g, name: "backend-servers", feed: g.serverFeed, wait: g.pollWait, batchWait: g.serverFeed.batchDelay, apply: g.applyServers}
+	w := &watcher[exchange.BackendServer]{g: g, name: exchange.ServersFeed, feed: g.serverFeed, wait: g.pollWait, batchWait: g.serverFeed.batchDelay, apply: g.applyServers}
 	w.run(runCtx)
 }
 
