--- a/internal/exchange/crash_repeat_test.go
+++ b/internal/exchange/crash_repeat_test.go
@@ -39,3 +39,33 @@
 		t.Errorf("a sound request that has not run is refused: %+v", *refusal)
 	}
 }
+
+// TestCrash_RepeatThatEndsAnotherServerCountsAtAllDaemons: a repeated request ends a second server
+// at once, and the news of the first death take longer than those of the second one.
+func TestCrash_RepeatThatEndsAnotherServerCountsAtAllDaemons(t *testing.T) {
+	sender, receiver := newTestCore(t, "a"), newTestCore(t, "b")
+	sender.Confirm(zero)
+	req := testRequest("r", "/get/x", "k3")
+	req.Content = crashingContent
+	ticket := mustAdmit(t, sender, zero, req)
+	tell := func(sent time.Time, transit time.Duration) {
+		notice := sender.NextNotice(sent)
+		receiver.ReceiveNotice(sent.Add(transit), "a", &notice)
+	}
+	runUntilBroken := func(from, until time.Duration) {
+		mustPlace(t, sender, at(from), ticket)
+		sender.Ended(at(until), ticket, Broken)
+		endProbes(sender, at(until), Refused)
+	}
+	runUntilBroken(0, time.Millisecond)
+	tell(at(time.Millisecond), 1500*time.Microsecond)
+	runUntilBroken(1100*time.Microsecond, 3*time.Millisecond)
+	now := at(900 * time.Millisecond)
+	sender.pathProved(now, ticket.Service, now)
+	tell(now, 100*time.Microsecond)
+	for name, c := range map[string]*Core{"the daemon that repeated it": sender, "the other one": receiver} {
+		if n := c.crash.registry.Deaths(now, crashingContent); n != 2 {
+			t.Errorf("%s counts %d deaths, want 2", name, n)
+		}
+	}
+}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -17,14 +17,15 @@
 // testFleet runs the cores of several daemons in virtual time with model backend
 // servers. It records what reaches the servers and knows nothing of the cores' decisions.
 type testFleet struct {
-	t       testing.TB
-	rng     *rand.Rand
-	idleRng *rand.Rand // of the checks of idle connections
-	now     time.Time
-	queue   virtualtime.Queue
-	daemons []*fleetDaemon
-	servers []*fleetServer
-	sent    int // number of callers' requests
+	t         testing.TB
+	rng       *rand.Rand
+	idleRng   *rand.Rand // of the checks of idle connections
+	now       time.Time
+	queue     virtualtime.Queue
+	daemons   []*fleetDaemon
+	servers   []*fleetServer
+	sent      int // number of callers' requests
+	forwarded int // attempts that another daemon was to send
 
 	runDuration func(Request) (start, end time.Duration) // from the arrival of a request to its first event and its end
 	crashAfter  func(Request) time.Duration              // from a request's start to the end of the server that runs it; 0: it does not crash
@@ -73,24 +74,44 @@
 	noticeAt   time.Time                  // earliest time of its next notice
 	streamsAt  time.Time                  // when the records of streams that it has are sent
 	idle       map[*fleetServer]time.Time // until when it keeps an idle connection to a server
+	reached    map[*fleetServer]time.Time // since when its connections reach a server's process
+	path       fleetPath                  // to the servers
+	listLate   bool                       // it learns of no change of the list of servers
+	tableCut   bool                       // the table service answers it nothing
 }
 
+// fleetPath is what happens to a daemon's connections to the servers.
+type fleetPath int
+
+const (
+	fleetPathOpen    fleetPath = iota
+	fleetPathHangs             // requests on open connections are lost, new ones time out
+	fleetPathRefuses           // connections are refused
+)
+
+// fleetDialTimeout is the time in which a connection must be established.
+const fleetDialTimeout = 700 * time.Millisecond
+
 // fleetServer is one process of a backend server.
 type fleetServer struct {
 	BackendServer
 	up         bool
-	dark       bool      // it is down and its address does not answer
-	limit      RateLimit // stated in its answers
+	dark       bool          // it is down and its address does not answer
+	limit      RateLimit     // stated in its answers
+	leaving    bool          // says in its answers that it leaves
+	rest       time.Duration // if not 0, it rejects requests and wants none for so long
 	runs       map[*fleetRun]bool
 	replacedBy *fleetServer // a process that has got its address
 }
 
 // fleetRun is a request that runs on a server.
 type fleetRun struct {
-	daemon *fleetDaemon
-	core   *Core
-	ticket *Ticket
-	ended  bool
+	daemon    *fleetDaemon // whose caller waits
+	sender    *fleetDaemon // that sends it to the server
+	forwarded *Forwarded   // as the sender knows it; nil: the daemon sends it itself
+	core      *Core
+	ticket    *Ticket
+	ended     bool
 }
 
 // arrival is the arrival of a request at a server.
@@ -160,7 +181,7 @@
 		f.leaderGone = f.now.Add(leaseTakeover)
 	}
 	d.inTouchAt, d.thawAt, d.streamsAt = f.now, time.Time{}, time.Time{}
-	d.idle = map[*fleetServer]time.Time{}
+	d.idle, d.reached = map[*fleetServer]time.Time{}, map[*fleetServer]time.Time{}
 	d.core = New(Config{
 		Self:        Member{Name: entity.InstanceID(d.name), Start: d.starts, CallerAddr: d.name + ":1", DataCentre: d.dataCentre},
 		DataCentres: dataCentres, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Started: f.now, RecordVersions: f.versions.use,
@@ -195,7 +216,7 @@
 		openRetryBudgetsEarlier(core, f.now)
 		core.quota.Restore(map[entity.OrganisationID]float64{"small": 1000})
 	}
-	core.SetDocument(f.now, testDocument(1))
+	core.SetDocument(f.now, f.versions.document())
 	core.SetTrueTime(0)
 	if f.checkpoints {
 		f.after(tableRetryInterval/10, func() { core.RestoreQuotas(f.now, &f.checkpoint) })
@@ -227,6 +248,9 @@
 	return out
 }
 
+// maxThawDelay is the longest time until a daemon that goes on has handled what waited.
+const maxThawDelay = 20 * time.Millisecond
+
 // suspend stops a daemon for some time. What reaches it meanwhile waits.
 func (f *testFleet) suspend(d *fleetDaemon, duration time.Duration) {
 	d.thawAt = f.now.Add(duration)
@@ -236,7 +260,7 @@
 // goes on.
 func (f *testFleet) whenRunning(d *fleetDaemon, call func()) {
 	if wait := d.thawAt.Sub(f.now); wait > 0 {
-		f.after(wait, call)
+		f.after(wait+f.random(maxThawDelay), call) // what has waited comes in any order
 		return
 	}
 	call()
@@ -351,8 +375,9 @@
 	if d.core != core {
 		return
 	}
-	if !f.tableAway {
+	if !f.tableAway && !d.tableCut {
 		core.Confirm(f.now)
+		f.saveStreams(d, core)
 	}
 	core.Tick(f.now)
 	f.onTick(d, core)
@@ -449,9 +474,13 @@
 		f.onEnd(t.Request.ID, false)
 		return
 	}
-	run := &fleetRun{daemon: d, core: core, ticket: t}
+	run := &fleetRun{daemon: d, core: core, ticket: t, sender: d}
 	sentAt := f.now
-	f.after(networkDelay, func() { f.arrive(run, f.server(a.Server, a.Address), a.Server, sentAt) })
+	if a.Forwarder != nil {
+		f.forward(run, &a, sentAt)
+	} else {
+		f.transmit(run, &a, sentAt, func(Outcome) {})
+	}
 	if !a.SilenceDeadline.IsZero() {
 		f.after(a.SilenceDeadline.Sub(f.now), func() {
 			if !t.answerStarted {
@@ -467,6 +496,53 @@
 	}
 }
 
+// transmit sends an attempt over its sender's path to the servers. NotSent is called if that fails.
+func (f *testFleet) transmit(run *fleetRun, a *Attempt, sentAt time.Time, notSent func(Outcome)) {
+	server := f.server(a.Server, a.Address)
+	fail := func(after time.Duration, o Outcome) {
+		f.after(after, func() {
+			notSent(o)
+			f.end(run, o)
+		})
+	}
+	switch run.sender.path {
+	case fleetPathOpen:
+		if run.forwarded == nil && server != nil && server.up && !run.core.MaySend(f.now, run.ticket, run.sender.connect(server, f.now)) {
+			f.after(0, func() { f.end(run, Withheld) })
+			return
+		}
+		f.after(networkDelay, func() { f.arrive(run, server, a.Server, sentAt) })
+	case fleetPathRefuses:
+		fail(networkDelay, NotListening)
+	case fleetPathHangs:
+		if !f.now.Before(run.sender.idle[server]) {
+			fail(fleetDialTimeout, NotSent)
+		}
+	}
+}
+
+// forward sends an attempt through another daemon.
+func (f *testFleet) forward(run *fleetRun, a *Attempt, sentAt time.Time) {
+	described := run.core.ForwardedBy(f.now, run.ticket)
+	f.forwarded++
+	run.sender = f.daemon(a.Forwarder.Name)
+	if run.sender.cut || run.daemon.cut {
+		f.after(networkDelay, func() { f.end(run, Withheld) })
+		return
+	}
+	f.after(networkDelay, func() {
+		f.whenRunning(run.sender, func() {
+			to := run.sender.core
+			if !to.MayForward(f.now, &described) {
+				f.after(networkDelay, func() { f.end(run, Withheld) })
+				return
+			}
+			run.forwarded = &described
+			f.transmit(run, a, sentAt, func(Outcome) { to.ForwardedNotSent(f.now, &described) })
+		})
+	})
+}
+
 // server returns the newest process that has an address.
 func (f *testFleet) server(id entity.BackendServerID, address string) *fleetServer {
 	for i := len(f.servers) - 1; i >= 0; i-- {
@@ -490,9 +566,9 @@
 		f.after(networkDelay, func() { f.end(run, Misdirected) })
 		return
 	}
-	f.onArrival(arrival{at: sentAt, inTouch: run.daemon.inTouch(sentAt), daemon: run.daemon, server: s, request: run.ticket.Request})
-	if f.rejects(s) {
-		f.after(networkDelay, func() { f.end(run, Rejected) })
+	f.onArrival(arrival{at: sentAt, inTouch: run.daemon.inTouch(sentAt), daemon: run.sender, server: s, request: run.ticket.Request})
+	if s.rest > 0 || f.rejects(s) {
+		f.after(networkDelay, func() { f.reject(run, s) })
 		return
 	}
 	s.runs[run] = true
@@ -506,12 +582,24 @@
 	f.after(end, func() {
 		if s.runs[run] {
 			delete(s.runs, run)
-			run.daemon.idle[s] = f.now.Add(idleTimeout)
+			run.sender.idle[s] = f.now.Add(idleTimeout)
 			f.after(networkDelay, func() { f.endRun(run, outcome) })
 		}
 	})
 }
 
+// reject lets a daemon get a server's rejection.
+func (f *testFleet) reject(run *fleetRun, s *fleetServer) {
+	if s.rest > 0 && !run.ended && run.daemon.core == run.core {
+		statement := ServerStatement{Rest: s.rest}
+		if run.forwarded != nil {
+			run.sender.core.ForwardedAnswered(f.now, run.forwarded, run.ticket.sentAt, statement, false)
+		}
+		run.core.RecordStatement(f.now, run.ticket, statement, false)
+	}
+	f.end(run, Rejected)
+}
+
 // endRun ends an attempt whose answer is there. A failure is the answer to the caller if no other
 // attempt may replace it.
 func (f *testFleet) endRun(run *fleetRun, o Outcome) {
@@ -539,7 +627,11 @@
 	if !s.runs[run] || run.ended || run.daemon.core != run.core {
 		return
 	}
-	run.core.RecordLimit(f.now, run.ticket, s.limit)
+	statement := ServerStatement{Limit: s.limit, Leaving: s.leaving}
+	if run.forwarded != nil {
+		run.sender.core.ForwardedAnswered(f.now, run.forwarded, run.ticket.sentAt, statement, true)
+	}
+	run.core.RecordStatement(f.now, run.ticket, statement, true)
 	run.core.Started(f.now, run.ticket)
 	f.onBegin(run, s)
 	f.onAnswer(run.daemon, s)
@@ -635,12 +727,21 @@
 func (f *testFleet) eachCore(delay time.Duration, call func(*Core)) {
 	for _, d := range f.daemons {
 		f.after(delay+f.random(maxListDelay), func() {
-			call(d.core)
-			f.perform(d.core)
+			f.whenRunning(d, func() { f.tellList(d, call) })
 		})
 	}
 }
 
+// tellList lets a daemon learn of a change of the list, when it can read it.
+func (f *testFleet) tellList(d *fleetDaemon, call func(*Core)) {
+	if d.listLate || d.tableCut {
+		f.after(maxListDelay, func() { f.tellList(d, call) })
+		return
+	}
+	call(d.core)
+	f.perform(d.core)
+}
+
 // noticeInterval is the least time between two notices of a daemon. Fleets whose updates
 // are as frequent send none.
 const noticeInterval = 500 * time.Millisecond
@@ -670,10 +771,16 @@
 		f.sendNotice(d)
 		f.sendStreamNews(d)
 	}
+	if d := f.daemon(core.cfg.Self.Name); len(core.TakeLostAddresses()) > 0 {
+		clear(d.idle)
+	}
 	for _, p := range core.TakeProbes() {
 		f.after(networkDelay, func() {
 			delay, result := networkDelay, Refused
 			switch s := f.server(p.Process.Server, p.Address); {
+			case f.pathOf(core) == fleetPathRefuses:
+			case f.pathOf(core) == fleetPathHangs:
+				delay, result = fleetDialTimeout, Unreachable
 			case s != nil && s.up:
 				result = Reachable
 			case s != nil && s.dark:
@@ -687,6 +794,9 @@
 	}
 }
 
+// pathOf returns the path of a core's daemon.
+func (f *testFleet) pathOf(core *Core) fleetPath { return f.daemon(core.cfg.Self.Name).path }
+
 // replace starts a new process at a server's address under the given ID and start time.
 func (f *testFleet) replace(s *fleetServer, id entity.BackendServerID, born int64) {
 	f.replaceWith(s, id, born, func(*BackendServer) {})
--- a/internal/exchange/fleet_versions_test.go
+++ b/internal/exchange/fleet_versions_test.go
@@ -1,6 +1,9 @@
 package exchange
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -23,7 +26,53 @@
 	answersLost  bool                    // writes take effect, and their answers are lost
 	reads, wrote int
 	leader       bool   // the first daemon takes the lease
+	notResumable bool   // the configuration lets no stream be resumed
 	epoch        uint64 // of the lease
+
+	saved map[string]savedRow // streams that processes have begun, by daemon and process
+}
+
+// savedRow is the row in which a process saves the streams that it has begun.
+type savedRow struct {
+	streamversion.SavedRow
+	at time.Time
+}
+
+// saveStreams lets a daemon write its row of the streams that it has begun, and read those of all,
+// when these are due.
+func (f *testFleet) saveStreams(d *fleetDaemon, core *Core) {
+	if !f.versions.use {
+		return
+	}
+	if f.versions.saved == nil {
+		f.versions.saved = map[string]savedRow{}
+	}
+	key := fmt.Sprint(d.name, "/", d.starts)
+	if last := f.versions.saved[key]; f.now.Sub(last.at) >= core.SaveInterval() {
+		if row, any := core.StreamsToSave(f.now); any || len(last.Groups) > 0 {
+			f.versions.saved[key] = savedRow{row, f.now}
+		}
+	}
+	if !core.SavedStreamsDue(f.now) {
+		return
+	}
+	for _, other := range slices.Sorted(maps.Keys(f.versions.saved)) {
+		if row := f.versions.saved[other]; other != key {
+			core.AddSavedStreams(f.now, &row.SavedRow)
+		}
+	}
+}
+
+// document returns the configuration.
+func (v *versionTable) document() *Document {
+	if !v.notResumable {
+		return testDocument(1)
+	}
+	document := testDocument(1)
+	for i := range document.Routes {
+		document.Routes[i].Resumable = false
+	}
+	return document
 }
 
 // readVersions lets a daemon that starts read what the table service stores of the versions.
@@ -60,7 +109,7 @@
 	if core.LacksVersions(f.now) {
 		f.askVersions(d, core)
 	}
-	if f.tableAway || f.versions.unreadable != nil && f.versions.unreadable(d) {
+	if f.tableAway || d.tableCut || f.versions.unreadable != nil && f.versions.unreadable(d) {
 		return
 	}
 	f.versions.reads++
--- a/internal/exchange/limit_test.go
+++ b/internal/exchange/limit_test.go
@@ -388,7 +388,7 @@
 		}
 		c.Tick(at(acquaintanceTime))
 		c.setLimit(at(acquaintanceTime), process, RateLimit{Stated: true, PerSecond: 1}, at(time.Second), "")
-		cores[c.limits.inForce(process).bucket.Rate() > 0] = c
+		cores[c.statements.inForce(process).bucket.Rate() > 0] = c
 	}
 	holder, other := cores[true], cores[false]
 	now := at(acquaintanceTime)
@@ -402,12 +402,12 @@
 		}
 	}
 	exchangeUpdates(2 * time.Minute)
-	if holder.limits.inForce(process) == nil || other.limits.inForce(process) == nil {
+	if holder.statements.inForce(process) == nil || other.statements.inForce(process) == nil {
 		t.Fatal("a limit that its holder announces is dropped")
 	}
 	holder.setLimit(now, process, RateLimit{}, now, "") // it ends, and its announcement is lost
 	exchangeUpdates(limitExpiryFactor*other.cfg.Bounds.ForgetPeerAfter + limitRefreshInterval)
-	if other.limits.inForce(process) != nil {
+	if other.statements.inForce(process) != nil {
 		t.Error("a limit that nobody announces is not dropped")
 	}
 }
--- a/internal/exchange/rollout_faults_test.go
+++ b/internal/exchange/rollout_faults_test.go
@@ -196,3 +196,26 @@
 		})
 	}
 }
+
+// TestRollout_CompletionThatARestoreHasLost: a version is completed, the table service comes back
+// from a copy that shows an earlier stage, and daemons that know nothing else read an order for a
+// third version, which is bad. Fails if that is taken for the one that serves.
+func TestRollout_CompletionThatARestoreHasLost(t *testing.T) {
+	for _, stage := range []rollout.Stage{rollout.Canary, rollout.Promoting} {
+		t.Run(stage.String(), func(t *testing.T) {
+			forSizes(t, func(t *testing.T, daemons int) {
+				r := newRolloutRun(t, 580, daemons)
+				first := r.order("plain", "v2", rolloutDuration, nil)
+				var lost storedState
+				r.whenStage(first, stage, func() { lost = r.store.states["plain"] })
+				r.finish(first)
+				r.checkCompleted(first)
+				r.store.states["plain"] = lost
+				r.restart(r.daemons)
+				p := r.order("plain", "v3", rolloutDuration, func(badAsk) (bool, bool) { return true, false })
+				r.finish(p)
+				r.checkRolledBack(p)
+			})
+		})
+	}
+}
--- a/internal/exchange/rollout_fleet_test.go
+++ b/internal/exchange/rollout_fleet_test.go
@@ -128,6 +128,10 @@
 		core.TableRecovered(r.now)
 		delete(r.failed, core)
 	}
+	if r.writers[core] == nil {
+		r.writers[core] = map[entity.ServiceName]uint64{}
+		r.restore(core)
+	}
 	for _, s := range rolloutServices {
 		if o, stands := r.store.orders[s]; stands {
 			core.SetRolloutOrder(r.now, o)
@@ -136,10 +140,6 @@
 		}
 	}
 	core.RolloutOrdersConfirmed(r.now)
-	if r.writers[core] == nil {
-		r.writers[core] = map[entity.ServiceName]uint64{}
-		r.restore(core)
-	}
 	r.lead(core)
 }
 
--- a/internal/exchange/rollout_test.go
+++ b/internal/exchange/rollout_test.go
@@ -91,7 +91,7 @@
 
 // A good version of which one route fails by nature must be completed in time, at each size, and
 // no request may be lost at the old servers.
-func TestRollout_GoodVersionIsCompleted(t *testing.T) {
+func TestRollout_GoodVersionIsCompletedAtEachSize(t *testing.T) {
 	forSizes(t, func(t *testing.T, daemons int) {
 		for seed := range uint64(2) {
 			r := newRolloutRun(t, 100+seed, daemons)
@@ -139,3 +139,44 @@
 		})
 	}
 }
+
+// A bad version must not be completed because there was little time to judge it: the orders give
+// 4 s, of which the table service is away for more than one, and few requests reach the service. A
+// good version that comes so late may be rolled back.
+func TestRollout_BadVersionIsNotCompletedForWantOfTime(t *testing.T) {
+	for name, bad := range map[string]func(badAsk) (fails, slow bool){
+		"all fail":            func(badAsk) (bool, bool) { return true, false },
+		"fails when promoted": func(a badAsk) (bool, bool) { return a.since > 2500*time.Millisecond, false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkHurriedOrders(t, bad)
+		})
+	}
+}
+
+// TestRollout_HalfBadVersionIsNotCompletedForWantOfTime: the same where a third of the answers fail.
+func TestRollout_HalfBadVersionIsNotCompletedForWantOfTime(t *testing.T) {
+	checkHurriedOrders(t, func(a badAsk) (bool, bool) { return a.draw < 0.33, false })
+}
+
+// checkHurriedOrders checks that no order of a bad version that leaves little time completes it.
+func checkHurriedOrders(t *testing.T, bad func(badAsk) (fails, slow bool)) {
+	t.Helper()
+	const runs, duration, away = 12, 4 * time.Second, 1300 * time.Millisecond
+	completed := 0
+	for seed := range uint64(runs) {
+		r := newRolloutRun(t, 700+seed, 3)
+		r.rate = 60
+		r.tableAway = true
+		r.after(away, func() { r.tableAway = false })
+		p := r.order("plain", "v2", duration, bad)
+		r.finish(p)
+		if p.status == rollout.Completed.String() {
+			completed++
+		}
+	}
+	if completed > 0 {
+		t.Errorf("%d of %d bad versions are completed", completed, runs)
+	}
+}
--- /dev/null
+++ b/internal/exchange/statement_test.go
@@ -0,0 +1,201 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// statementRun is a run of a fleet in which servers say of themselves what keeps requests away.
+type statementRun struct {
+	*testFleet
+	toldAt  map[toldKey]time.Time // when a daemon first passed on that a server leaves
+	late    int                   // requests that reached such a server later than leavingGrace
+	refused map[string]int        // refusals by code
+}
+
+// leavingGrace is the time after a daemon has passed on that a server leaves in which requests
+// from it may still reach that server; see the contract.
+const leavingGrace = time.Second
+
+// newStatementRun returns a fleet whose callers send a request at about the given interval.
+func newStatementRun(t *testing.T, seed uint64, daemons, servers int, interval time.Duration) *statementRun {
+	r := &statementRun{testFleet: newTestFleet(t, seed, daemons, servers), toldAt: map[toldKey]time.Time{}, refused: map[string]int{}}
+	r.onAnswer = func(d *fleetDaemon, s *fleetServer) {
+		if key := (toldKey{d, d.starts, s}); s.leaving && r.toldAt[key].IsZero() {
+			r.toldAt[key] = r.now
+		}
+	}
+	r.onArrival = func(a arrival) {
+		told := r.toldAt[toldKey{a.daemon, a.daemon.starts, a.server}]
+		if !told.IsZero() && a.at.Sub(told) > leavingGrace {
+			r.late++
+		}
+	}
+	r.onRefusal = func(_ *fleetDaemon, _ Request, refusal *Refusal) { r.refused[refusal.Code]++ }
+	r.every(interval, func() {
+		req := testRequest("", "/talk/x", "k3")
+		req.Patience = 5 * time.Second
+		r.send(r.daemons[r.rng.IntN(len(r.daemons))], req)
+	})
+	return r
+}
+
+// rewrite has all daemons read an entry of a server again, with the given sequence number.
+func (r *statementRun) rewrite(s *fleetServer, sequence uint64) {
+	entry := s.BackendServer
+	entry.Sequence = sequence
+	r.eachCore(0, func(c *Core) { c.PutServer(r.now, entry) })
+}
+
+// checkLeaving checks that no daemon went on sending to servers that had said that they leave.
+func (r *statementRun) checkLeaving() {
+	r.t.Helper()
+	if len(r.toldAt) == 0 {
+		r.t.Error("no daemon has passed on that a server leaves")
+	}
+	if r.late > 0 {
+		r.t.Errorf("%d requests reached servers more than %v after their daemon had passed on that they leave, 0 allowed", r.late, leavingGrace)
+	}
+}
+
+// TestLeaving_WhateverElseIsHeardOfTheProcess: a server says that it leaves, lives on, and is
+// listed as ready all the time.
+func TestLeaving_WhateverElseIsHeardOfTheProcess(t *testing.T) {
+	for name, trouble := range map[string]func(*statementRun, *fleetServer){
+		"nothing else":          func(*statementRun, *fleetServer) {},
+		"newer entry":           func(r *statementRun, s *fleetServer) { r.rewrite(s, 5) },
+		"entry removed, back":   func(r *statementRun, s *fleetServer) { r.removeAndList(s) },
+		"restored older copy":   func(r *statementRun, s *fleetServer) { r.restoreTable(s) },
+		"daemons restart":       func(r *statementRun, _ *fleetServer) { r.startAll() },
+		"half of them are cut":  func(r *statementRun, _ *fleetServer) { r.cutHalf(4 * time.Second) },
+		"a daemon is suspended": func(r *statementRun, _ *fleetServer) { r.suspend(r.daemons[0], 3*time.Second) },
+		"it crashes":            func(r *statementRun, s *fleetServer) { r.crash(s) },
+	} {
+		for _, daemons := range []int{3, 9, 89} {
+			t.Run(fmt.Sprintf("%s/daemons=%d", name, daemons), func(t *testing.T) {
+				t.Parallel()
+				r := newStatementRun(t, 1, daemons, 6, 4*time.Millisecond)
+				r.run(2 * time.Second)
+				s := r.engines()[0]
+				s.leaving = true
+				r.run(time.Second)
+				trouble(r, s)
+				r.run(6 * time.Second)
+				r.checkLeaving()
+				if len(r.refused) > 0 && name != "daemons restart" {
+					t.Errorf("refused: %v; the other servers take all requests", r.refused)
+				}
+			})
+		}
+	}
+}
+
+func (r *statementRun) removeAndList(s *fleetServer) {
+	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID) })
+	r.after(time.Second, func() { r.rewrite(s, 3) })
+}
+
+func (r *statementRun) restoreTable(s *fleetServer) {
+	r.eachCore(0, func(c *Core) { c.TableRestored(r.now) })
+	r.after(400*time.Millisecond, func() { r.rewrite(s, 0) })
+}
+
+func (r *statementRun) startAll() {
+	for _, d := range r.daemons {
+		r.start(d)
+	}
+}
+
+// cutHalf cuts every second daemon from the others for some time.
+func (r *statementRun) cutHalf(duration time.Duration) {
+	for i, d := range r.daemons {
+		if i%2 == 0 {
+			d.cut = true
+			r.after(duration, func() { r.reconnect(d) })
+		}
+	}
+}
+
+// TestLeaving_AllOfADataCentre: a third of the servers leaves at once and ends 2 s later.
+func TestLeaving_AllOfADataCentre(t *testing.T) {
+	for _, daemons := range []int{3, 9, 89} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			r := newStatementRun(t, 2, daemons, 9, 4*time.Millisecond)
+			r.run(2 * time.Second)
+			for _, s := range r.engines() {
+				if s.DataCentre == dataCentres[0] {
+					s.leaving = true
+					r.after(2*time.Second, func() { r.crash(s) })
+				}
+			}
+			r.run(6 * time.Second)
+			r.checkLeaving()
+			if len(r.refused) > 0 {
+				t.Errorf("refused: %v; the other servers take all requests", r.refused)
+			}
+		})
+	}
+}
+
+// TestLeaving_NextProcessGetsRequests: a new process under the ID and address of one that said
+// that it leaves.
+func TestLeaving_NextProcessGetsRequests(t *testing.T) {
+	r := newStatementRun(t, 1, 3, 4, 4*time.Millisecond)
+	r.run(2 * time.Second)
+	s := r.engines()[0]
+	s.leaving = true
+	r.run(time.Second)
+	r.crash(s)
+	r.run(time.Second)
+	trueTime, _ := r.daemons[0].core.TrueTime(r.now)
+	r.replace(s, s.ID, trueTime.Milliseconds())
+	arrivals := 0
+	r.onArrival = func(a arrival) {
+		if a.server == s.replacedBy {
+			arrivals++
+		}
+	}
+	r.run(4 * time.Second)
+	if arrivals < 100 {
+		t.Errorf("the next process has got %d requests in 4 s, want about 250", arrivals)
+	}
+}
+
+// TestLeaving_AllDaemonsLearnIt: one daemon passes it on, the others get no answer of the server.
+func TestLeaving_AllDaemonsLearnIt(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	first := a.NextUpdate(zero)
+	b.ReceiveUpdate(zero, &first, 0)
+	ticket := mustAdmit(t, a, zero, testRequest("r", "/x", "k3"))
+	attempt := mustPlace(t, a, zero, ticket)
+	a.RecordStatement(zero, ticket, ServerStatement{Leaving: true}, true)
+	update := a.NextUpdate(at(time.Millisecond))
+	b.ReceiveUpdate(at(2*time.Millisecond), &update, 0)
+	if b.usable(at(3*time.Millisecond), attempt.Server) {
+		t.Error("a daemon that has heard that a server leaves goes on using it")
+	}
+	if again := b.NextUpdate(at(4 * time.Millisecond)); len(again.Notice.Leaving) > 0 {
+		t.Error("it announces what it has only heard")
+	}
+}
+
+// TestRemoveServer_NoGraceForAServerThatOthersSayHasGone: a daemon that was cut from the table
+// service reads late that an entry, which it has missed changes of, was removed. Another daemon has
+// told it so before.
+func TestRemoveServer_NoGraceForAServerThatOthersSayHasGone(t *testing.T) {
+	c := newTestCore(t, "a")
+	entry := c.servers.Get("plain0").BackendServer
+	c.receiveDraining(at(time.Second), DrainingServer{ID: entry.ID, Born: entry.Born, Sequence: entry.Sequence})
+	c.TableRecovered(at(2 * time.Second)) // as another watcher has found out
+	c.PutServer(at(3*time.Second), entry)
+	c.RemoveServer(at(3*time.Second), entry.ID)
+	if c.usable(at(3*time.Second), entry.ID) {
+		t.Error("a server that has gone may get requests, although another daemon has said that it has gone")
+	}
+	other := c.servers.Get("plain1").BackendServer
+	c.RemoveServer(at(3*time.Second), other.ID)
+	if !c.usable(at(3*time.Second), other.ID) {
+		t.Error("a server whose entry may have lapsed in the outage gets no requests")
+	}
+}
--- a/internal/exchange/stream_restart_test.go
+++ b/internal/exchange/stream_restart_test.go
@@ -168,6 +168,35 @@
 	}
 }
 
+// TestStreamVersion_FirstResumableRouteAfterARoll: streams may be resumed from a configuration on
+// that comes when no daemon runs any more that was there at the beginning of the deployment. A
+// daemon that is killed later has its streams taken up elsewhere.
+func TestStreamVersion_FirstResumableRouteAfterARoll(t *testing.T) {
+	for _, daemons := range []int{3, 9, 89} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			t.Parallel()
+			r := newLedVersionRun(t, daemons)
+			r.versions = versionTable{use: true, leader: true, notResumable: true}
+			r.restart(r.daemons)
+			r.run(3 * time.Second)
+			r.restart(r.daemons)
+			r.run(5 * time.Second)
+			r.versions.notResumable = false
+			for _, d := range r.daemons {
+				d.core.SetDocument(r.now, testDocument(2))
+			}
+			r.callers = map[entity.RequestID]*streamCaller{}
+			r.asked, r.begun, r.takenUp, r.continued, r.mixed = 0, 0, 0, 0, 0
+			for range 4 {
+				r.run(5 * time.Second)
+				r.restart(r.daemons[1:3])
+			}
+			r.run(5 * time.Second)
+			r.check()
+		})
+	}
+}
+
 // TestStreamVersion_SteadyFleetDoesNotCallTheTable: each process reads the row once when it
 // starts, and a leader when it has become one. Nothing is written.
 func TestStreamVersion_SteadyFleetDoesNotCallTheTable(t *testing.T) {
--- a/internal/exchange/stream_version_test.go
+++ b/internal/exchange/stream_version_test.go
@@ -387,3 +387,90 @@
 		}
 	}
 }
+
+// cutFromDaemonsOnly is the way in which a daemon goes on reading the list of servers, and begins
+// streams at the new version whose records reach no other daemon.
+const cutFromDaemonsOnly = "cut off from the others"
+
+// TestStreamVersion_StreamsBegunAtACutDaemonGoOn: a daemon that is cut off from the others begins
+// streams at a new version, which break and are taken up at other daemons.
+func TestStreamVersion_StreamsBegunAtACutDaemonGoOn(t *testing.T) {
+	r := newVersionRun(t, 2, 9, "v1")
+	r.releaseWhileOutOfStep(outOfStep[cutFromDaemonsOnly])
+	r.check()
+}
+
+// releaseWhileOutOfStep has servers of a new version join while some daemons are out of step.
+func (r *versionRun) releaseWhileOutOfStep(strike func(*versionRun, []*fleetDaemon, time.Duration)) {
+	r.run(4 * time.Second)
+	strike(r, r.some(0.3), 6*time.Second)
+	r.joinNewVersion("v2")
+	r.run(12 * time.Second)
+}
+
+// outOfStep are the ways in which a daemon learns nothing for a while.
+var outOfStep = map[string]func(r *versionRun, daemons []*fleetDaemon, duration time.Duration){
+	"suspended": func(r *versionRun, daemons []*fleetDaemon, duration time.Duration) {
+		for _, d := range daemons {
+			r.suspend(d, duration)
+		}
+	},
+	cutFromDaemonsOnly: func(r *versionRun, daemons []*fleetDaemon, duration time.Duration) {
+		r.cutOff(daemons, duration, func(*fleetDaemon, bool) {})
+	},
+	"cut off, list late": func(r *versionRun, daemons []*fleetDaemon, duration time.Duration) {
+		r.cutOff(daemons, duration, func(d *fleetDaemon, cut bool) { d.listLate = cut })
+	},
+	"cut off from all": func(r *versionRun, daemons []*fleetDaemon, duration time.Duration) {
+		r.cutOff(daemons, duration, func(d *fleetDaemon, cut bool) { d.tableCut = cut })
+	},
+}
+
+// cutOff cuts daemons off from the others for some time. More is called at the beginning and the
+// end.
+func (r *versionRun) cutOff(daemons []*fleetDaemon, duration time.Duration, more func(d *fleetDaemon, cut bool)) {
+	for _, d := range daemons {
+		d.cut = true
+		more(d, true)
+	}
+	r.after(duration, func() {
+		for _, d := range daemons {
+			more(d, false)
+			r.reconnect(d)
+		}
+	})
+}
+
+// TestStreamVersion_DaemonOutOfStepWhileServersOfANewVersionJoin: a daemon that learns of nothing
+// does not take the one version that it knows for the only one.
+func TestStreamVersion_DaemonOutOfStepWhileServersOfANewVersionJoin(t *testing.T) {
+	for name, strike := range outOfStep {
+		for _, daemons := range []int{3, 9, 89} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprint(name, "/daemons=", daemons, "/seed=", seed), func(t *testing.T) {
+					t.Parallel()
+					r := newVersionRun(t, seed, daemons, "v1")
+					r.releaseWhileOutOfStep(strike)
+					r.check()
+				})
+			}
+		}
+	}
+}
+
+// joinNewVersion has three servers of a new version start while three others end. Streams that
+// have begun at them break a while later, when one of the new servers ends after the other.
+func (r *versionRun) joinNewVersion(version string) {
+	r.crashSome(3, func(string) string { return version })
+	for n := range 5 {
+		r.after(time.Duration(4400+300*n)*time.Millisecond, func() {
+			for _, s := range r.engines() {
+				if s.up && s.Version == version && r.serving(version) > 1 {
+					r.crash(s)
+					r.replaceWith(s, s.ID+"-again", r.now.UnixMilli(), func(*BackendServer) {})
+					return
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"strconv"
 	"sync"
@@ -49,3 +50,43 @@
 	close(done)
 	observer.Wait()
 }
+
+// cancellingFeed is a feed whose calls for changes wait until they are cancelled.
+type cancellingFeed struct{ onCall func() }
+
+func (f *cancellingFeed) List(context.Context) ([]provider.Change[int], provider.Position, error) {
+	return nil, provider.Position{}, provider.ErrHistoryLost
+}
+
+func (f *cancellingFeed) Changes(ctx context.Context, _ uint64, _ time.Duration) ([]provider.Change[int], provider.Position, error) {
+	f.onCall()
+	<-ctx.Done()
+	return nil, provider.Position{}, ctx.Err()
+}
+
+// TestRun_CancelledCallProvesNothing: a call is cancelled because the table service was restored, or
+// because the configuration is not confirmed. Fails if it then counts as one that was answered: the
+// table service may be away.
+func TestRun_CancelledCallProvesNothing(t *testing.T) {
+	g := newPollingGateway(0, 0)
+	generation := uint64(1)
+	g.generations.observe(time.Now(), generation)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	calls := 0
+	feed := &cancellingFeed{onCall: func() {
+		if calls++; calls == 3 {
+			cancel()
+			return
+		}
+		time.AfterFunc(20*time.Millisecond, func() {
+			generation++
+			g.generations.observe(time.Now(), generation)
+		})
+	}}
+	w := &watcher[int]{g: g, name: "test", feed: feed, wait: func() time.Duration { return time.Second }, position: 1, failures: 1}
+	w.run(ctx)
+	if calls != 3 || w.failures != 1 {
+		t.Errorf("%d calls, and %d failures on record, want 3 and 1", calls, w.failures)
+	}
+}
