--- a/internal/system/rollout/judge_test.go
+++ b/internal/system/rollout/judge_test.go
@@ -145,7 +145,13 @@
 // TestJudge_OneStallIsNoEvidence: the first answers of a good version all come within a part of a
 // second in which its servers or the network stall, so that they take twice as long. The old version
 // has answered for some seconds.
-func TestJudge_OneStallIsNoEvidence(t *testing.T) {
+func TestJudge_OneStallIsNoEvidence(t *testing.T) { testStall(t, 2400*time.Millisecond) }
+
+// TestJudge_OneStallOverTwoBinsIsNoEvidence: as before, and a new bin begins during the stall.
+func TestJudge_OneStallOverTwoBinsIsNoEvidence(t *testing.T) { testStall(t, 1850*time.Millisecond) }
+
+func testStall(t *testing.T, from time.Duration) {
+	t.Helper()
 	for _, expected := range []time.Duration{5 * time.Millisecond, 10 * time.Millisecond, 40 * time.Millisecond} { // of 10 ms
 		j := NewJudge()
 		add := func(at time.Duration, g Group, took time.Duration) {
@@ -156,7 +162,7 @@
 		}
 		for at := time.Duration(0); at < 3*time.Second; at += 5 * time.Millisecond {
 			add(at, Old, 10*time.Millisecond)
-			if since := at - 2400*time.Millisecond; since >= 0 && since < 300*time.Millisecond && since%(20*time.Millisecond) == 0 {
+			if since := at - from; since >= 0 && since < 300*time.Millisecond && since%(20*time.Millisecond) == 0 {
 				add(at, New, 23*time.Millisecond)
 			}
 		}
