--- /dev/null
+++ b/internal/exchange/brittle_test.go
@@ -0,0 +1,195 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+const (
+	brittleSlots = 8
+	// brittleQueue is how many requests may wait at a sound engine beside those that run, and
+	// brittleLessQueue how many at one that is brittle.
+	brittleQueue     = 24
+	brittleLessQueue = 1
+	// brittleRejections is the number of rejections in a second that an engine stands.
+	brittleRejections = 3
+	// brittleGrace is the time from when engines are brittle until they let fewer wait.
+	brittleGrace = 3 * time.Second
+	// brittleRestart is how long an engine that has fallen is away.
+	brittleRestart = 3 * time.Second
+	// brittleRunTime is how long a request runs.
+	brittleRunTime = time.Second
+)
+
+// brittleRun is a run of a fleet whose engines are brittle for some time: from brittleGrace on they
+// let fewer wait, and fall over when they have to turn too many away in a second.
+type brittleRun struct {
+	*testFleet
+	since    time.Time // when they became brittle; zero: they are not
+	rejected map[*fleetServer][]time.Time
+	falls    int
+	served   int
+	refused  map[string]int
+}
+
+// newBrittleRun returns a fleet whose callers ask for the given multiple of what the engines can do.
+func newBrittleRun(t *testing.T, seed uint64, daemons, engines int, load float64) *brittleRun {
+	r := &brittleRun{testFleet: newTestFleet(t, seed, daemons, engines), rejected: map[*fleetServer][]time.Time{}, refused: map[string]int{}}
+	for _, s := range r.engines() {
+		s.Slots = brittleSlots
+		s.Sequence++
+		for _, d := range r.daemons {
+			d.core.PutServer(r.now, s.BackendServer)
+		}
+	}
+	r.runDuration = func(Request) (time.Duration, time.Duration) { return brittleRunTime / 4, brittleRunTime }
+	r.rejects = r.turnsAway
+	r.onRefusal = func(_ *fleetDaemon, _ Request, refusal *Refusal) { r.refused[refusal.Code]++ }
+	r.onEnd = func(_ entity.RequestID, answered bool) {
+		if answered {
+			r.served++
+		}
+	}
+	n := 0
+	r.every(time.Duration(float64(brittleRunTime)/(load*brittleSlots*float64(engines))), func() {
+		n++
+		req := testRequest("", "/talk/x", "k3")
+		req.Content = entity.Digest{byte(n), byte(n >> 8), byte(n >> 16), 1}
+		req.Patience = 15 * time.Second
+		req.Work = Work{Stated: true, Prompt: 200, MaxOutput: 100}
+		r.send(r.daemons[r.rng.IntN(len(r.daemons))], req)
+	})
+	return r
+}
+
+// turnsAway reports whether a server has no room for the request that has just arrived.
+func (r *brittleRun) turnsAway(s *fleetServer) bool {
+	if s.Service != "engine" {
+		return false
+	}
+	queue := brittleQueue
+	if !r.since.IsZero() && r.now.Sub(r.since) >= brittleGrace {
+		queue = brittleLessQueue
+	}
+	if len(s.runs) < brittleSlots+queue {
+		return false
+	}
+	if r.since.IsZero() {
+		return true
+	}
+	list := append(r.rejected[s], r.now)
+	for r.now.Sub(list[0]) > time.Second {
+		list = list[1:]
+	}
+	r.rejected[s] = list
+	if len(list) > s.brittle.MaxRejections {
+		r.fall(s)
+	}
+	return true
+}
+
+// fall ends an engine's process. Another one starts under its ID after a while.
+func (r *brittleRun) fall(s *fleetServer) {
+	r.falls++
+	delete(r.rejected, s)
+	r.crash(s)
+	r.after(brittleRestart, func() { r.replaceWith(s, s.ID, s.Born+1, func(*BackendServer) {}); s.replacedBy.brittle = s.brittle })
+}
+
+// setBrittle has all engines be brittle from now on.
+func (r *brittleRun) setBrittle() {
+	r.since = r.now
+	for _, s := range r.engines() {
+		s.brittle = Brittleness{Stated: true, MaxRejections: brittleRejections}
+	}
+}
+
+// check checks the bound of the users' contract, and that the engines were not left idle.
+func (r *brittleRun) check(engines int, served int, duration time.Duration) {
+	r.t.Helper()
+	r.t.Logf("%d falls, %d served in %v, refused %v", r.falls, served, duration, r.refused)
+	if allowed := 2 + engines/10; r.falls > allowed {
+		r.t.Errorf("engines fell over %d times, %d allowed", r.falls, allowed)
+	}
+	if capacity := float64(engines*brittleSlots) * duration.Seconds() / brittleRunTime.Seconds(); float64(served) < 0.6*capacity {
+		r.t.Errorf("%d requests served in %v, of %.0f that the engines could", served, duration, capacity)
+	}
+}
+
+var brittleSizes = []struct{ daemons, engines int }{{1, 3}, {3, 3}, {9, 3}, {9, 40}, {89, 40}, {195, 40}}
+
+// TestBrittle_ServersDoNotFall: callers ask for more than brittle engines can do.
+func TestBrittle_ServersDoNotFall(t *testing.T) {
+	for _, size := range brittleSizes {
+		t.Run(fmt.Sprintf("daemons=%d,engines=%d", size.daemons, size.engines), func(t *testing.T) {
+			t.Parallel()
+			r := newBrittleRun(t, 1, size.daemons, size.engines, 1.5)
+			r.run(5 * time.Second)
+			r.setBrittle()
+			r.run(brittleGrace)
+			r.served = 0
+			r.run(15 * time.Second)
+			r.check(size.engines, r.served, 15*time.Second)
+		})
+	}
+}
+
+// TestBrittle_ThroughTroubleOfDaemons: what the daemons know of the engines and of each other changes
+// while the engines are brittle.
+func TestBrittle_ThroughTroubleOfDaemons(t *testing.T) {
+	for name, trouble := range map[string]func(*brittleRun){
+		"daemons restart one after the other": func(r *brittleRun) {
+			for _, d := range r.daemons {
+				r.start(d)
+				r.run(700 * time.Millisecond)
+			}
+		},
+		"all daemons restart at once": func(r *brittleRun) {
+			for _, d := range r.daemons {
+				r.start(d)
+			}
+			r.run(6 * time.Second)
+		},
+		"half of the daemons are cut off": func(r *brittleRun) {
+			for _, d := range r.daemons[:4] {
+				d.cut = true
+			}
+			r.run(6 * time.Second)
+			for _, d := range r.daemons[:4] {
+				r.reconnect(d)
+			}
+			r.run(4 * time.Second)
+		},
+		"a daemon stands still": func(r *brittleRun) {
+			r.suspend(r.daemons[4], 2*time.Second)
+			r.run(6 * time.Second)
+		},
+		"engines fall for another reason": func(r *brittleRun) {
+			for _, s := range r.engines()[:2] {
+				r.fall(s)
+				r.falls--
+			}
+			r.run(8 * time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newBrittleRun(t, 1, 9, 6, 1.5)
+			r.run(5 * time.Second)
+			r.setBrittle()
+			r.run(brittleGrace)
+			r.run(3 * time.Second)
+			r.served = 0
+			begun := r.now
+			trouble(r)
+			r.run(4 * time.Second)
+			if allowed := 2; r.falls > allowed {
+				t.Errorf("engines fell over %d times, %d allowed", r.falls, allowed)
+			}
+			t.Logf("%d falls, %d served in %v, refused %v", r.falls, r.served, r.now.Sub(begun), r.refused)
+		})
+	}
+}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -98,6 +98,7 @@
 	up         bool
 	dark       bool          // it is down and its address does not answer
 	limit      RateLimit     // stated in its answers
+	brittle    Brittleness   // stated in its answers
 	leaving    bool          // says in its answers that it leaves
 	rest       time.Duration // if not 0, it rejects requests and wants none for so long
 	runs       map[*fleetRun]bool
@@ -590,8 +591,8 @@
 
 // reject lets a daemon get a server's rejection.
 func (f *testFleet) reject(run *fleetRun, s *fleetServer) {
-	if s.rest > 0 && !run.ended && run.daemon.core == run.core {
-		statement := ServerStatement{Rest: s.rest}
+	if (s.rest > 0 || s.brittle.Stated) && !run.ended && run.daemon.core == run.core {
+		statement := ServerStatement{Rest: s.rest, Brittle: s.brittle}
 		if run.forwarded != nil {
 			run.sender.core.ForwardedAnswered(f.now, run.forwarded, run.ticket.sentAt, statement, false)
 		}
@@ -627,7 +628,7 @@
 	if !s.runs[run] || run.ended || run.daemon.core != run.core {
 		return
 	}
-	statement := ServerStatement{Limit: s.limit, Leaving: s.leaving}
+	statement := ServerStatement{Limit: s.limit, Brittle: s.brittle, Leaving: s.leaving}
 	if run.forwarded != nil {
 		run.sender.core.ForwardedAnswered(f.now, run.forwarded, run.ticket.sentAt, statement, true)
 	}
--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -13,6 +13,7 @@
 type ServerStatement struct {
 	Limit          RateLimit
 	LimitUndefined bool // the answer states a limit that cannot be decoded: the former one stands
+	Brittle        Brittleness
 	Leaving        bool // it leaves, and must get no further requests
 	// Rest is how long the server, which has turned the request away, wants none from this
 	// daemon; 0: it says nothing of the kind.
