--- a/internal/exchange/path_test.go
+++ b/internal/exchange/path_test.go
@@ -254,3 +254,41 @@
 		}
 	}
 }
+
+// TestPath_DeathsFoundOutAfterALoss: all servers of a service die, one after the other, under one
+// content, so that the path to them counts as lost. When others prove that it is not, the daemon
+// must find out that the first ones have died: the content's next request would end another one.
+func TestPath_DeathsFoundOutAfterALoss(t *testing.T) {
+	f := newTestFleet(t, 1, 1, 2)
+	f.run(time.Second)
+	f.crashAfter = func(Request) time.Duration { return time.Millisecond }
+	died := f.engines()
+	for range died {
+		req := testRequest("", "/talk/x", "k3")
+		req.Content = entity.Digest{7}
+		f.send(f.daemons[0], req)
+		f.run(20 * time.Millisecond)
+	}
+	f.run(time.Second)
+	if core := f.daemons[0].core; !core.pathLost("engine") {
+		t.Fatalf("the path does not count as lost; up: %v %v; %+v", died[0].up, died[1].up, core.paths.row("engine"))
+	}
+	for i, s := range died {
+		entry := s.BackendServer
+		entry.ID, entry.Address = entity.BackendServerID(fmt.Sprint("engine", 10+i)), fmt.Sprint("10.0.0.2:", i)
+		f.startReplacement(s, entry, 0)
+	}
+	f.run(2 * time.Second)
+	core := f.daemons[0].core
+	if core.pathLost("engine") {
+		t.Error("the path counts as lost although two servers can be reached")
+	}
+	for _, s := range died {
+		if s.up {
+			t.Fatalf("%s is up", s.ID)
+		}
+		if !core.deaths.isDead(f.now, entity.ServerProcess{Server: s.ID, Born: s.Born}) {
+			t.Errorf("the death of %s is not known", s.ID)
+		}
+	}
+}
