Paths: servers whose refusals were taken for a lost path are probed after it

Cause: what is recorded of refusals is forgotten when the path counts as lost. If the servers, and not the path, had failed, the last deaths stayed unknown, and with them the content that had caused them.

Change: these processes are kept and probed as soon as the path is proved.

--- a/internal/exchange/path.go
+++ b/internal/exchange/path.go
@@ -38,6 +38,7 @@
 	failed          []pathFailure            // of servers' connections, the last of each, unless disproved since
 	unreachable     []entity.BackendServerID // those of them that took no connection of a probe
 	refused         []datedProcessDeath      // that have died, unless the path is lost
+	doubted         []entity.ServerProcess   // whose refusals were taken for the path's: to be probed when it is proved
 	unansweredSince time.Time                // first send since then; zero: none
 	probedAt        time.Time                // when the last round of probes began
 	lostAt          time.Time                // since when the path counts as lost; zero: it does not
@@ -125,6 +126,19 @@
 	for _, d := range row.takeRefused(begun) {
 		c.recordDeath(now, d.at, d.process, proofRefused)
 	}
+	c.probeDoubted(now, row)
+}
+
+// probeDoubted probes the processes whose refusals were taken for the path's, once that is proved:
+// some may have died before it was lost, or meanwhile, and with their deaths the content that ended
+// them would stay unknown.
+func (c *Core) probeDoubted(now time.Time, row *servicePath) {
+	for _, p := range row.doubted {
+		if server := c.servers.Get(p.Server); server != nil && server.process() == p && !c.deaths.isDead(now, p) {
+			c.deaths.probe(now, Probe{Process: p, Address: server.Address})
+		}
+	}
+	row.doubted = nil
 }
 
 // disproveFailures removes the failures up to the begin of a proof.
@@ -161,6 +175,15 @@
 	row := c.paths.row(c.servers.Get(p.Server).Service)
 	if row.lostAt.IsZero() {
 		row.refused = append(row.refused, datedProcessDeath{p, now})
+		return
+	}
+	row.doubt(p)
+}
+
+// doubt has a process probed when the path is proved.
+func (p *servicePath) doubt(process entity.ServerProcess) {
+	if !slices.Contains(p.doubted, process) {
+		p.doubted = append(p.doubted, process)
 	}
 }
 
@@ -202,6 +225,9 @@
 // losePath has a service's requests forwarded by other daemons from now on. What was recorded of
 // the servers' failures is the path's.
 func (c *Core) losePath(now time.Time, service entity.ServiceName, row *servicePath) {
+	for _, d := range row.refused {
+		row.doubt(d.process)
+	}
 	row.lostAt, row.probedAt, row.refused = now, time.Time{}, nil
 	for _, server := range c.usableServers(now, service) {
 		c.placer.ForgetFailures(server.ID)
