Servers that say that they are brittle get no more requests than they have slots

Cause: the users' contract has Server-Brittle since a while; nothing read it. Daemons sent until a server turned requests away, each by its own and by older views of the others, and repeated what was turned away.

While any server of a service says it, each daemon has a share of the slots of each server, by the same hashes of names by which limits are shared, and sends no more than that: all daemons together fill the slots, and no request has to be turned away. Requests that find no place are refused as not run, with a time to come back.

--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -20,6 +20,7 @@
 	}
 	if o == Rejected {
 		c.recordRejection(now, t.process.Server)
+		c.recordBrittleRejection(now, t.process)
 	}
 	c.recordPath(now, t, o)
 	c.endForwarding(now, t, o)
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -201,6 +201,7 @@
 		return
 	}
 	c.deaths.dead.Put(p, &at)
+	c.countFall(p)
 	if row != nil && (row.process() == p || c.diedAfterStart(row, at)) {
 		row.diedAt = at
 	}
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -93,7 +93,7 @@
 		Counts: c.usage.RecentCounts(c.usage.Window(c.sinceUnixEpoch(now))), Levels: c.quota.Levels(now),
 		Notice: Notice{
 			ContentDeaths: undated(now, deaths), Trials: undatedTrials(now, c.pastTrials(deaths)),
-			Limits: c.statements.limitsInForce(now),
+			Limits: c.statements.limitsInForce(now), Brittle: c.statements.brittleStatements(now, c.statements.brittleProcesses()),
 		},
 		Versions: c.streams.Seen(),
 	}
--- a/internal/exchange/limit.go
+++ b/internal/exchange/limit.go
@@ -190,6 +190,7 @@
 		return true
 	})
 	c.forgetStatements(now)
+	c.updateBrittle(now)
 	daemons := c.daemonsWithParts(now)
 	if slices.Equal(daemons, c.statements.daemons) {
 		return
--- a/internal/exchange/notice.go
+++ b/internal/exchange/notice.go
@@ -25,6 +25,7 @@
 	Versions    []streamversion.KnownVersion `cbor:"6,keyasint,omitempty"`
 	BadRollouts []BadRollout                 `cbor:"7,keyasint,omitempty"` // found by the sender
 	Leaving     []LeavingStatement           `cbor:"8,keyasint,omitempty"` // heard by the sender
+	Brittle     []BrittleStatement           `cbor:"9,keyasint,omitempty"`
 	// Paces are changes of the limits of servers that start or recover.
 	Paces []placement.PaceChange `cbor:"30,keyasint,omitempty"`
 }
@@ -54,7 +55,7 @@
 
 // Empty reports whether the notice says nothing.
 func (n *Notice) Empty() bool {
-	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials)+len(n.Versions)+len(n.BadRollouts)+len(n.Leaving)+len(n.Paces) == 0
+	return len(n.ContentDeaths)+len(n.DeadProcesses)+len(n.Completions)+len(n.Limits)+len(n.Trials)+len(n.Versions)+len(n.BadRollouts)+len(n.Leaving)+len(n.Brittle)+len(n.Paces) == 0
 }
 
 // noticeDue returns what the update with the given sequence number must include. All other
@@ -65,7 +66,8 @@
 		Completions: c.crash.completions.due(sequence, acked), Limits: c.statements.statements(now, c.statements.changes.due(sequence, acked)),
 		Trials: undatedTrials(now, c.crash.trials.due(sequence, acked)), Versions: undatedVersions(now, c.recordedNews.due(sequence, acked)),
 		BadRollouts: c.rollouts.found.due(sequence, acked), Leaving: c.statements.leavingStatements(now, c.statements.leaving.due(sequence, acked)),
-		Paces: c.paceChanges(now),
+		Brittle: c.statements.brittleStatements(now, c.statements.brittleNews.due(sequence, acked)),
+		Paces:   c.paceChanges(now),
 	}
 }
 
@@ -73,7 +75,7 @@
 func (c *Core) NoticePending() bool {
 	return c.crash.contentDeaths.hasUnnoticed() || c.crash.deadProcesses.hasUnnoticed() ||
 		c.crash.completions.hasUnnoticed() || c.crash.trials.hasUnnoticed() || c.statements.changes.hasUnnoticed() || c.statements.leaving.hasUnnoticed() ||
-		c.recordedNews.hasUnnoticed() || c.rollouts.found.hasUnnoticed() || c.paceChangesPending()
+		c.recordedNews.hasUnnoticed() || c.statements.brittleNews.hasUnnoticed() || c.rollouts.found.hasUnnoticed() || c.paceChangesPending()
 }
 
 // NextNotice returns what no update or notice has told yet.
@@ -83,7 +85,8 @@
 		Completions: c.crash.completions.unnoticed(), Limits: c.statements.statements(now, c.statements.changes.unnoticed()),
 		Trials: undatedTrials(now, c.crash.trials.unnoticed()), Versions: undatedVersions(now, c.recordedNews.unnoticed()),
 		BadRollouts: c.rollouts.found.unnoticed(), Leaving: c.statements.leavingStatements(now, c.statements.leaving.unnoticed()),
-		Paces: c.paceChanges(now),
+		Brittle: c.statements.brittleStatements(now, c.statements.brittleNews.unnoticed()),
+		Paces:   c.paceChanges(now),
 	}
 }
 
@@ -113,6 +116,9 @@
 	for i := range notice.Leaving {
 		c.receiveLeaving(now, &notice.Leaving[i], from)
 	}
+	for i := range notice.Brittle {
+		c.receiveBrittle(now, &notice.Brittle[i], from)
+	}
 	c.receiveRecorded(now, notice.Versions)
 }
 
@@ -125,6 +131,7 @@
 	c.announceSuspects(now)
 	c.statements.announceAll()
 	c.statements.announceLeaving()
+	c.statements.announceBrittle()
 	c.announceRecorded(now, c.recorded.Recent(now))
 }
 
--- a/internal/exchange/place.go
+++ b/internal/exchange/place.go
@@ -154,6 +154,9 @@
 	if r := c.rejectResting(now, t); r != nil {
 		return r
 	}
+	if r := c.rejectBrittle(now, t); r != nil {
+		return r
+	}
 	if r := c.rejectUnrecorded(now, t); r != nil {
 		return r
 	}
--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -14,7 +14,10 @@
 	Limit          RateLimit
 	LimitUndefined bool // the answer states a limit that cannot be decoded: the former one stands
 	Brittle        Brittleness
-	Leaving        bool // it leaves, and must get no further requests
+	// BrittleUndefined says that it states brittleness that cannot be decoded: the former
+	// statement stands.
+	BrittleUndefined bool
+	Leaving          bool // it leaves, and must get no further requests
 	// Rest is how long the server, which has turned the request away, wants none from this
 	// daemon; 0: it says nothing of the kind.
 	Rest time.Duration
@@ -24,6 +27,7 @@
 // process, older or newer, do not change it.
 type serverStatements struct {
 	serverLimit
+	brittle   serverBrittleness
 	leavingAt time.Time // when it said that it leaves; zero: it has not
 	rest      serverRest
 }
@@ -40,7 +44,7 @@
 // that it asked for ends.
 func (s *serverStatements) newest() time.Time {
 	newest := s.statedAt
-	for _, at := range []time.Time{s.leavingAt, s.rest.until} {
+	for _, at := range []time.Time{s.leavingAt, s.rest.until, s.brittle.statedAt} {
 		if at.After(newest) {
 			newest = at
 		}
@@ -57,17 +61,20 @@
 // statementTable holds what backend servers have said of themselves in answers, to this daemon
 // or to others.
 type statementTable struct {
-	rows     *entity.Table[entity.ServerProcess, serverStatements]
-	daemons  []entity.InstanceID                               // between which the limits are shared
-	changes  announcements[entity.ServerProcess]               // whose newest limit is to be announced
-	leaving  announcements[entity.ServerProcess]               // that have told this daemon that they leave, to be announced
-	withheld *entity.Table[entity.ServiceName, capacity.Level] // number of servers that the capacity plan does not count
-	returnAt *entity.Table[entity.ServiceName, time.Time]      // when the request that was rejected last was told to come back
+	rows        *entity.Table[entity.ServerProcess, serverStatements]
+	daemons     []entity.InstanceID                               // between which the limits are shared
+	changes     announcements[entity.ServerProcess]               // whose newest limit is to be announced
+	leaving     announcements[entity.ServerProcess]               // that have told this daemon that they leave, to be announced
+	brittleNews announcements[entity.ServerProcess]               // whose newest statement on brittleness is to be announced
+	brittle     *entity.Table[entity.ServiceName, brittleService] // whose servers are brittle
+	withheld    *entity.Table[entity.ServiceName, capacity.Level] // number of servers that the capacity plan does not count
+	returnAt    *entity.Table[entity.ServiceName, time.Time]      // when the request that was rejected last was told to come back
 }
 
 func newStatementTable() statementTable {
 	return statementTable{
 		rows:     entity.NewTable[entity.ServerProcess, serverStatements](),
+		brittle:  entity.NewTable[entity.ServiceName, brittleService](),
 		withheld: entity.NewTable[entity.ServiceName, capacity.Level](),
 		returnAt: entity.NewTable[entity.ServiceName, time.Time](),
 	}
@@ -117,6 +124,9 @@
 	if s.Limit.Stated || genuine && !s.LimitUndefined {
 		c.recordLimit(now, p, sentAt, s.Limit)
 	}
+	if s.Brittle.Stated || genuine && !s.BrittleUndefined {
+		c.recordBrittle(now, p, sentAt, s.Brittle)
+	}
 	if s.Leaving && c.setLeaving(now, p, now, c.cfg.Self.Name) {
 		c.statements.leaving.add(p)
 	}
@@ -224,7 +234,7 @@
 // mayReceive reports whether a backend server may get a request from this daemon now, and
 // leaves the given number of saved requests of its limit at least.
 func (c *Core) mayReceive(now time.Time, id entity.BackendServerID, saved float64) bool {
-	return c.usable(now, id) && !c.restsNow(now, id) && c.withinLimit(now, id, saved)
+	return c.usable(now, id) && !c.restsNow(now, id) && c.withinLimit(now, id, saved) && c.hasPlace(now, id)
 }
 
 // restsNow reports whether a backend server wants no requests from this daemon now.
--- a/internal/exchange/status.go
+++ b/internal/exchange/status.go
@@ -54,6 +54,7 @@
 	SaysLeaving bool                   `json:"says_leaving"`               // it has said in an answer that it leaves
 	RestLeft    string                 `json:"rest_left,omitempty"`        // for how long it wants no requests from this daemon; "": it takes them
 	Limit       *float64               `json:"limit_per_second,omitempty"` // requests that it takes from all daemons; nil: it states no limit
+	Places      *int                   `json:"places,omitempty"`           // requests of this daemon that may be in progress there, as servers of its service are brittle; nil: any number
 	SpeedRatio  *float64               `json:"speed_ratio,omitempty"`      // of its times to the usual ones; nil: speeds are not learned
 	PaceLimit   *float64               `json:"pace_limit,omitempty"`       // requests in progress of all daemons while it starts or recovers
 }
@@ -85,6 +86,10 @@
 		if limit := c.statements.inForce(r.process()); limit != nil {
 			status.Limit = &limit.PerSecond
 		}
+		if s := c.statements.brittle.Get(r.Service); s != nil {
+			places := c.places(s, r)
+			status.Places = &places
+		}
 		status.SaysLeaving = c.statements.leaves(r.process())
 		if until, resting := c.statements.resting(now, r.process()); resting {
 			status.RestLeft = until.Sub(now).Round(time.Millisecond).String()
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -256,6 +256,14 @@
 	}
 }
 
+// OwnRequests returns the number of requests that this daemon has in progress at a backend server.
+func (p *Placer) OwnRequests(id entity.BackendServerID) int {
+	if r := p.servers.Get(id); r != nil {
+		return r.localSum.Waiting.total() + r.localSum.Running
+	}
+	return 0
+}
+
 func (r *serverRow) requestCount() int {
 	return r.localSum.Waiting.total() + r.localSum.Running + r.peerSum.Waiting.total() + r.peerSum.Running
 }
--- a/internal/system/ratelimit/ratelimit.go
+++ b/internal/system/ratelimit/ratelimit.go
@@ -50,6 +50,27 @@
 	return perSecond / float64(parts)
 }
 
+// Slots returns how many of a server's slots are this daemon's, 0 if it has none. They are shared out
+// as evenly as can be. If one of the daemons is not known to some of the others, they share out its
+// slots a second time.
+func Slots(self entity.InstanceID, daemons []entity.InstanceID, server entity.BackendServerID, slots int) int {
+	rank, found := 0, false
+	for _, d := range daemons {
+		found = found || d == self
+		if rendezvous.Compare(string(d), string(self), string(server)) < 0 {
+			rank++
+		}
+	}
+	if !found {
+		return 0
+	}
+	own := slots / len(daemons)
+	if rank < slots%len(daemons) {
+		own++
+	}
+	return own
+}
+
 // Bucket is this daemon's token bucket for one server. Its zero value is empty and has no
 // part of the limit.
 type Bucket struct {
--- a/internal/system/ratelimit/ratelimit_test.go
+++ b/internal/system/ratelimit/ratelimit_test.go
@@ -142,3 +142,50 @@
 		t.Fatalf("a part that was given again lets a request wait %v, want 0.5 s", wait)
 	}
 }
+
+// TestSlots_SumIsTheNumberOfSlots: the slots of all daemons add up to those of the server, as evenly
+// as can be.
+func TestSlots_SumIsTheNumberOfSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := names(rapid.IntRange(1, 60).Draw(t, "daemons"))
+		slots := rapid.IntRange(1, 200).Draw(t, "slots")
+		server := entity.BackendServerID(rapid.String().Draw(t, "server"))
+		sum := 0
+		for _, d := range daemons {
+			own := Slots(d, daemons, server, slots)
+			if own != slots/len(daemons) && own != slots/len(daemons)+1 {
+				t.Fatalf("%d of %d slots at one of %d daemons", own, slots, len(daemons))
+			}
+			sum += own
+		}
+		if sum != slots {
+			t.Fatalf("%d slots at %d daemons add up to %d", slots, len(daemons), sum)
+		}
+		if Slots("other", daemons, server, slots) != 0 {
+			t.Fatal("a daemon that may not send has slots")
+		}
+	})
+}
+
+// TestSlots_DisagreementAddsOneDaemonsSlots: one daemon is not known to some of the others, so that
+// they share out its slots too.
+func TestSlots_DisagreementAddsOneDaemonsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := names(rapid.IntRange(2, 60).Draw(t, "daemons"))
+		slots := rapid.IntRange(1, 200).Draw(t, "slots")
+		server := entity.BackendServerID(rapid.String().Draw(t, "server"))
+		unknown := rapid.IntRange(0, len(daemons)-1).Draw(t, "unknown")
+		fewer := append(append([]entity.InstanceID{}, daemons[:unknown]...), daemons[unknown+1:]...)
+		sum := 0
+		for _, d := range daemons {
+			own := Slots(d, daemons, server, slots)
+			if d != daemons[unknown] {
+				own = max(own, Slots(d, fewer, server, slots))
+			}
+			sum += own
+		}
+		if allowed := slots + slots/len(daemons) + 1 + len(daemons) - 1; sum > allowed {
+			t.Fatalf("%d slots at %d daemons add up to %d, at most %d expected", slots, len(daemons), sum, allowed)
+		}
+	})
+}
