Brittle servers: places for half of the rejections that they stand; a disruption

Change: besides its slots a server has places for half of the rejections within a second that it says it stands. A daemon that is turned away uses none of its places there for a second, so no server turns more away than that. The model's engines now let none wait. TestDisruption and the soak overload brittle servers that fall when they turn too many away.

--- a/internal/exchange/brittle.go
+++ b/internal/exchange/brittle.go
@@ -11,9 +11,11 @@
 
 // At times the backend servers of a service are brittle and say so in all their answers: they let
 // fewer requests wait, and fall over when they have to turn too many away within a second. While any
-// of its servers says so, all servers of a service get no more requests from all daemons together
-// than they have slots, so that none has to be turned away: the slots of each server are shared out
-// between the daemons as limits are.
+// of its servers says so, all daemons together have no more requests at each server of a service
+// than it has slots, and half as many more as it may turn away within a second. These places are
+// shared out between the daemons as limits are. A daemon that is turned away uses none of its places
+// there for a second: so a server turns no more away within a second than there are places beyond its
+// slots.
 
 // Brittleness is what a backend server's answer says of how it stands rejections.
 type Brittleness struct {
@@ -53,12 +55,16 @@
 	// which they are brittle for tightenedShare of their slots to be used for the rest of it.
 	fallsToTighten = 2
 	tightenedShare = 0.5
+	// riskedShare is the part of the rejections that a server stands within a second for which
+	// there are places beyond its slots. The rest is for daemons that do not know of each other.
+	riskedShare = 0.5
 )
 
 // brittleService is a service whose servers are brittle at present.
 type brittleService struct {
-	since time.Time
-	falls int // of servers since then
+	since      time.Time
+	falls      int // of servers since then
+	rejections int // that each server stands within a second
 }
 
 // recordBrittle records what the answer to a request that was sent at the given time says. An answer
@@ -148,7 +154,7 @@
 	if c.statements.rows.Len() == 0 && c.statements.brittle.Len() == 0 {
 		return
 	}
-	holding := map[entity.ServiceName]bool{}
+	holding := map[entity.ServiceName]int{} // rejections that the least of its servers stands
 	c.statements.rows.All(func(p entity.ServerProcess, row *serverStatements) bool {
 		b := &row.brittle
 		if !b.Stated {
@@ -160,17 +166,20 @@
 			limit = brittleExpiryFactor * c.cfg.Bounds.ForgetPeerAfter
 		}
 		if now.Sub(b.statedAt) < limit {
-			holding[b.service] = true
+			if least, known := holding[b.service]; !known || b.MaxRejections < least {
+				holding[b.service] = b.MaxRejections
+			}
 		}
 		return true
 	})
-	for service := range holding {
+	for service, rejections := range holding {
 		if c.statements.brittle.Get(service) == nil {
 			c.statements.brittle.Put(service, &brittleService{since: now})
 		}
+		c.statements.brittle.Get(service).rejections = rejections
 	}
 	for _, service := range c.statements.brittle.Keys() {
-		if !holding[service] {
+		if _, holds := holding[service]; !holds {
 			c.statements.brittle.Delete(service)
 		}
 	}
@@ -190,11 +199,11 @@
 // places returns how many requests of this daemon may be in progress at a server of a brittle
 // service.
 func (c *Core) places(s *brittleService, r *serverRow) int {
-	slots := max(r.Slots, 1)
+	places := max(r.Slots, 1) + int(riskedShare*float64(s.rejections))
 	if s.falls >= fallsToTighten {
-		slots = max(int(tightenedShare*float64(slots)), 1)
+		places = max(int(tightenedShare*float64(r.Slots)), 1)
 	}
-	return ratelimit.Slots(c.cfg.Self.Name, c.statements.daemons, r.ID, slots)
+	return ratelimit.Slots(c.cfg.Self.Name, c.statements.daemons, r.ID, places)
 }
 
 // hasPlace reports whether a backend server that is brittle has a place for a further request of
--- a/internal/exchange/brittle_test.go
+++ b/internal/exchange/brittle_test.go
@@ -13,7 +13,7 @@
 	// brittleQueue is how many requests may wait at a sound engine beside those that run, and
 	// brittleLessQueue how many at one that is brittle.
 	brittleQueue     = 24
-	brittleLessQueue = 1
+	brittleLessQueue = 0
 	// brittleRejections is the number of rejections in a second that an engine stands.
 	brittleRejections = 3
 	// brittleGrace is the time from when engines are brittle until they let fewer wait.
