Test: a stopping daemon must know the longest answers of unstated size, too

The longest run is learned for each token that a request allows; these requests state no tokens, so nothing is learned of them, and half a second counts as enough. The test is listed.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -650,13 +650,24 @@
 // TestPlace_StoppingDaemonKnowsTheLongestAnswers: one answer in twelve lasts far longer than the
 // others, and nothing tells which. None is taken that would not end before the daemon does.
 func TestPlace_StoppingDaemonKnowsTheLongestAnswers(t *testing.T) {
+	testLongestAnswers(t, Work{Stated: true, Prompt: 100, MaxOutput: 500})
+}
+
+// TestPlace_StoppingDaemonKnowsTheLongestAnswersOfUnstatedSize: the same where requests do not say how
+// large their answers may be.
+func TestPlace_StoppingDaemonKnowsTheLongestAnswersOfUnstatedSize(t *testing.T) {
+	testLongestAnswers(t, Work{})
+}
+
+func testLongestAnswers(t *testing.T, work Work) {
+	t.Helper()
 	const short, long = 500 * time.Millisecond, 4500 * time.Millisecond
 	c := newTestCore(t, "d1")
 	now := zero
 	request := func() *Ticket {
 		c.Confirm(now)
 		r := testRequest("r", "/talk/x", "k3")
-		r.Patience, r.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500}
+		r.Patience, r.Work = 0, work
 		return mustAdmit(t, c, now, r)
 	}
 	for i := range 48 {
