--- a/internal/exchange/brittle.go
+++ b/internal/exchange/brittle.go
@@ -62,8 +62,7 @@
 
 // brittleService is a service whose servers are brittle at present.
 type brittleService struct {
-	since      time.Time
-	falls      int // of servers since then
+	falls      int // of servers
 	rejections int // that each server stands within a second
 }
 
@@ -174,7 +173,7 @@
 	})
 	for service, rejections := range holding {
 		if c.statements.brittle.Get(service) == nil {
-			c.statements.brittle.Put(service, &brittleService{since: now})
+			c.statements.brittle.Put(service, &brittleService{})
 		}
 		c.statements.brittle.Get(service).rejections = rejections
 	}
@@ -206,6 +205,18 @@
 	return ratelimit.Slots(c.cfg.Self.Name, c.statements.daemons, r.ID, places)
 }
 
+// BrittleServers returns the number of backend servers whose service is brittle.
+func (c *Core) BrittleServers() int {
+	n := 0
+	c.servers.All(func(_ entity.BackendServerID, r *serverRow) bool {
+		if c.statements.brittle.Get(r.Service) != nil {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
 // hasPlace reports whether a backend server that is brittle has a place for a further request of
 // this daemon. Others always have.
 func (c *Core) hasPlace(now time.Time, id entity.BackendServerID) bool {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -93,6 +93,7 @@
 		g.writeResumptions(w)
 		g.writeRollouts(w)
 		g.writeServerPace(w)
+		g.writeBrittle(w)
 	})
 	r.HandleFunc("/status", g.serveStatus)
 	return r
@@ -146,6 +147,13 @@
 	metrics.WriteGaugeUint64(w, `gooseberryslip_slow_backend_servers`, uint64(slow))
 }
 
+// writeBrittle writes the number of backend servers that count as brittle.
+func (g *Gateway) writeBrittle(w io.Writer) {
+	var n int
+	g.withCore(func(c *exchange.Core, _ time.Time) { n = c.BrittleServers() })
+	metrics.WriteGaugeUint64(w, `gooseberryslip_brittle_backend_servers`, uint64(n))
+}
+
 // serveStatus returns this daemon's view of the fleet as JSON.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	s := g.status()
