Brittle servers: after two falls the capacity plan makes up for unused slots

Half of the slots are used then; the plan went on counting all. Test of both, and of the end of the statement (TestBrittle_TwoFallsTightenTheBound).

--- a/internal/exchange/brittle.go
+++ b/internal/exchange/brittle.go
@@ -195,11 +195,14 @@
 	}
 }
 
+// tightened reports whether so many of the servers have fallen that the others get less.
+func (s *brittleService) tightened() bool { return s.falls >= fallsToTighten }
+
 // places returns how many requests of this daemon may be in progress at a server of a brittle
 // service.
 func (c *Core) places(s *brittleService, r *serverRow) int {
 	places := max(r.Slots, 1) + int(riskedShare*float64(s.rejections))
-	if s.falls >= fallsToTighten {
+	if s.tightened() {
 		places = max(int(tightenedShare*float64(r.Slots)), 1)
 	}
 	return ratelimit.Slots(c.cfg.Self.Name, c.statements.daemons, r.ID, places)
--- a/internal/exchange/brittle_test.go
+++ b/internal/exchange/brittle_test.go
@@ -193,3 +193,42 @@
 		})
 	}
 }
+
+// TestBrittle_TwoFallsTightenTheBound: after two falls half of the slots are used, and the capacity
+// plan makes up for the others, until no server is brittle any more.
+func TestBrittle_TwoFallsTightenTheBound(t *testing.T) {
+	c := newTestCore(t, "a")
+	now := at(acquaintanceTime)
+	c.Tick(now)
+	var processes []entity.ServerProcess
+	for i := range 4 {
+		s := BackendServer{ID: entity.BackendServerID(fmt.Sprint("e", i)), Born: 1, Sequence: 1, Service: "engine", Address: fmt.Sprint("10.0.0.9:", i), Slots: 8, State: Ready}
+		c.PutServer(now, s)
+		p := entity.ServerProcess{Server: s.ID, Born: s.Born}
+		processes = append(processes, p)
+		c.setBrittle(now, &BrittleStatement{Process: p, Service: "engine", Stated: true, MaxRejections: 3}, "")
+	}
+	places := func() int { return c.places(c.statements.brittle.Get("engine"), c.servers.Get(processes[3].Server)) }
+	if n, withheld := places(), c.withheldServers(now, "engine"); n != 9 || withheld != 0 {
+		t.Errorf("%d places, %v servers withheld before any fall, want 9 and 0", n, withheld)
+	}
+	for _, p := range processes[:fallsToTighten] {
+		c.recordDeath(now, now, p, proofAnnounced)
+	}
+	listed := 0.0
+	c.servers.All(func(_ entity.BackendServerID, r *serverRow) bool {
+		if r.Service == "engine" && r.listed && c.inService(r) {
+			listed++
+		}
+		return true
+	})
+	if n, withheld := places(), c.withheldServers(now, "engine"); n != 4 || withheld != listed/2 {
+		t.Errorf("%d places, %v of %v servers withheld after two falls, want 4 and half of them", n, withheld, listed)
+	}
+	for _, p := range processes {
+		c.recordBrittle(now.Add(time.Second), p, now.Add(500*time.Millisecond), Brittleness{})
+	}
+	if c.statements.brittle.Len() != 0 || c.withheldServers(now, "engine") != 0 {
+		t.Error("the service is brittle although no server says so any more")
+	}
+}
--- a/internal/exchange/limit_capacity.go
+++ b/internal/exchange/limit_capacity.go
@@ -12,7 +12,7 @@
 const minLimitDuration = 2 * time.Second
 
 // withheldServers returns how many servers of a service, by the requests that they would
-// get otherwise, are withheld by their limits.
+// get otherwise, are withheld by their limits, or as they are brittle and others have fallen.
 func (c *Core) withheldServers(now time.Time, service entity.ServiceName) float64 {
 	listed, withheld := 0, 0.0
 	var limits []float64
@@ -26,8 +26,11 @@
 		}
 		return true
 	})
+	if s := c.statements.brittle.Get(service); s != nil && s.tightened() {
+		withheld = (1 - tightenedShare) * float64(listed)
+	}
 	if len(limits) == 0 {
-		return 0
+		return withheld
 	}
 	usual := c.Demand(now, service).Requests / float64(listed)
 	for _, perSecond := range limits {
