Experiment: brittle engines, and daemons that do not hear of it

Pattern "brittle": engines let fewer wait from 3 s on and fall over when they turn too many away within a second. Policy "unaware": the product's decisions without the statement. Column "falls".

--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -37,6 +37,8 @@
 	Paced Policy = "paced"
 	// Shedding is Product with load shedding switched on.
 	Shedding Policy = "shedding"
+	// Unaware is Product that does not hear that engines are brittle.
+	Unaware Policy = "unaware"
 	// FirstCome is NeverRejecting at engines that ignore the priorities.
 	FirstCome Policy = "first_come"
 	// NeverRejecting is Product, but requests that will be late are accepted too.
@@ -52,7 +54,7 @@
 
 // byCores reports whether the daemons' cores place the requests.
 func (p Policy) byCores() bool {
-	return p == Product || p == Paced || p == Shedding || p == FirstCome || p == NeverRejecting
+	return p == Product || p == Unaware || p == Paced || p == Shedding || p == FirstCome || p == NeverRejecting
 }
 
 // Parse decodes and validates an experiment in TOML. Unknown keys are errors.
@@ -92,7 +94,7 @@
 	}
 	for _, p := range c.Policies {
 		if !p.byCores() && p != Random && p != RoundRobin && p != LeastOutstanding {
-			return fmt.Errorf("experiment: unknown policy %q; use product, paced, shedding, first_come, never_refusing, random, round_robin or least_outstanding", p)
+			return fmt.Errorf("experiment: unknown policy %q; use product, unaware, paced, shedding, first_come, never_refusing, random, round_robin or least_outstanding", p)
 		}
 	}
 	for _, class := range c.Classes {
@@ -120,8 +122,12 @@
 			if p.PerSecond < 0 {
 				return fmt.Errorf("experiment: limit of %v requests per second is negative", p.PerSecond)
 			}
+		case "brittle":
+			if p.Rejections < 0 || p.Queue < 0 {
+				return fmt.Errorf("experiment: brittle engines stand %d rejections with a queue of %d: neither may be negative", p.Rejections, p.Queue)
+			}
 		default:
-			return fmt.Errorf("experiment: unknown kind of pattern %q; use burst, hot_subject, reclaim, start, slow or limit", p.Kind)
+			return fmt.Errorf("experiment: unknown kind of pattern %q; use burst, hot_subject, reclaim, start, slow, limit or brittle", p.Kind)
 		}
 	}
 	return nil
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -62,6 +62,7 @@
 	slowFactor   float64            // multiplies it further, in a slow period
 	reclaimed    bool               // a reclaim pattern is in effect, or it has not started: it gets no new requests
 	limit        exchange.RateLimit // stated with each first event
+	brittle      brittleness
 }
 
 func newEngine(id entity.BackendServerID, m *EngineModel) *engine {
--- a/internal/experiment/engine_patterns.go
+++ b/internal/experiment/engine_patterns.go
@@ -12,8 +12,11 @@
 			s.setAway(s.lastEngines(p), s.now < seconds(p.StartS))
 		case "limit":
 			s.applyLimit(p)
+		case "brittle":
+			s.applyBrittle(p)
 		}
 	}
+	s.returnFallen()
 	s.applySlowPeriods()
 }
 
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -183,3 +183,27 @@
 		t.Fatal(plot.String(), err)
 	}
 }
+
+// TestBrittle_NoFallsAndMoreCredit: engines fall over when they have to turn too many requests away.
+// Daemons that hear of it must let fewer fall than the users' contract allows, and earn more than
+// those that do not. Each request must have one end, those that a fall ends included.
+func TestBrittle_NoFallsAndMoreCredit(t *testing.T) {
+	c := readConfig(t, "brittle")
+	c.Seconds = 30
+	expectMoreCredit(t, c, Product, Unaware, 1.1)
+	expectMoreCredit(t, c, Product, LeastOutstanding, 1.2)
+	for _, policy := range c.Policies {
+		r := Run(c, policy, 1)
+		if allowed := 2 + c.Engines/10; policy == Product && r.Falls > allowed {
+			t.Errorf("%d falls, %d allowed", r.Falls, allowed)
+		}
+		if policy == Unaware && r.Falls == 0 {
+			t.Error("no engine falls although daemons do not hear that they are brittle: the load is too low")
+		}
+		for _, class := range r.Classes {
+			if class.Requests != class.OnTime+class.Late+class.Refused {
+				t.Errorf("%s %s: %d requests, %d on time, %d late, %d refused", policy, class.Name, class.Requests, class.OnTime, class.Late, class.Refused)
+			}
+		}
+	}
+}
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -10,12 +10,12 @@
 // WriteTable writes the results as a human-readable table.
 func WriteTable(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "policy\tseed\tclass\tasked\ton time\tlate\trefused\tlarge on time\tcredit\tworst 2 s\tfirst p50 ms\tp95 ms\tp99 ms\tbusiest\tpeak\t")
+	fmt.Fprintln(t, "policy\tseed\tclass\tasked\ton time\tlate\trefused\tlarge on time\tcredit\tworst 2 s\tfirst p50 ms\tp95 ms\tp99 ms\tbusiest\tpeak\tfalls\t")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%d\tall\t\t\t\t\t\t%.3f\t%.3f\t\t\t\t%.2f\t%.2f\t\n", r.Policy, r.Seed, r.Credit(), r.WorstCredit(), r.shares.Busiest(), r.shares.Peak())
+		fmt.Fprintf(t, "%s\t%d\tall\t\t\t\t\t\t%.3f\t%.3f\t\t\t\t%.2f\t%.2f\t%d\t\n", r.Policy, r.Seed, r.Credit(), r.WorstCredit(), r.shares.Busiest(), r.shares.Peak(), r.Falls)
 		for _, c := range r.Classes {
 			ms := func(q float64) float64 { return float64(c.FirstEventMicros.ValueAtQuantile(q)) / 1000 }
-			fmt.Fprintf(t, "\t\t%s\t%d\t%d\t%d\t%d\t%.2f\t%.3f\t\t%.0f\t%.0f\t%.0f\t\t\t\n",
+			fmt.Fprintf(t, "\t\t%s\t%d\t%d\t%d\t%d\t%.2f\t%.3f\t\t%.0f\t%.0f\t%.0f\t\t\t\t\n",
 				c.Name, c.Requests, c.OnTime, c.Late, c.Refused, float64(c.LargeOnTime)/float64(max(c.Large, 1)), c.EarnedValue/max(c.TotalValue, 1e-9), ms(50), ms(95), ms(99))
 		}
 	}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -29,6 +29,7 @@
 	Policy            Policy
 	Seed              uint64
 	Classes           []*ClassResult
+	Falls             int // of brittle engines
 	byClass           map[*Class]*ClassResult
 	firstEventLatency map[*request]time.Duration
 	BySecond          []Second // by second of arrival
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -182,7 +182,7 @@
 }
 
 func (s *simulation) handleArrival(r *request) {
-	engineIndex, priority, refusal := s.chooseEngine(r)
+	engineIndex, priority, refusal := s.chooseWithRoom(r)
 	if refusal != nil {
 		if !s.scheduleRetry(r, refusal.RetryAfter) {
 			s.result.recordRefusal(r)
@@ -272,7 +272,7 @@
 		s.result.recordFirstEvent(j.request, e.stepEnd+firstEventDelay-j.request.arrival)
 		if t := s.tickets[j.request]; t != nil {
 			c := s.cores[j.daemon]
-			c.RecordStatement(virtualTime(e.stepEnd+firstEventDelay), t, exchange.ServerStatement{Limit: e.limit}, true)
+			c.RecordStatement(virtualTime(e.stepEnd+firstEventDelay), t, s.statement(e), true)
 			c.Started(virtualTime(e.stepEnd+firstEventDelay), t)
 		}
 	}
