Statements: the checkpoint has the servers that leave; metrics of all statements

TestLeaving_IsInTheCheckpoint failed before: a daemon that started with the checkpoint used a server that had told another one that it leaves.

--- a/internal/exchange/brittle.go
+++ b/internal/exchange/brittle.go
@@ -208,18 +208,6 @@
 	return ratelimit.Slots(c.cfg.Self.Name, c.statements.daemons, r.ID, places)
 }
 
-// BrittleServers returns the number of backend servers whose service is brittle.
-func (c *Core) BrittleServers() int {
-	n := 0
-	c.servers.All(func(_ entity.BackendServerID, r *serverRow) bool {
-		if c.statements.brittle.Get(r.Service) != nil {
-			n++
-		}
-		return true
-	})
-	return n
-}
-
 // hasPlace reports whether a backend server that is brittle has a place for a further request of
 // this daemon. Others always have.
 func (c *Core) hasPlace(now time.Time, id entity.BackendServerID) bool {
--- a/internal/exchange/leader_tasks.go
+++ b/internal/exchange/leader_tasks.go
@@ -94,6 +94,7 @@
 		Notice: Notice{
 			ContentDeaths: undated(now, deaths), Trials: undatedTrials(now, c.pastTrials(deaths)),
 			Limits: c.statements.limitsInForce(now), Brittle: c.statements.brittleStatements(now, c.statements.brittleProcesses()),
+			Leaving: c.statements.leavingStatements(now, c.statements.rows.Keys()),
 		},
 		Versions: c.streams.Seen(),
 	}
--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -265,6 +265,37 @@
 	return !c.statements.wantsNone(now, t.process)
 }
 
+// StatementCounts are the numbers of backend servers that have said something of themselves that
+// holds now.
+type StatementCounts struct {
+	Leaving int
+	Resting int // want no requests from this daemon
+	Limited int
+	Brittle int // those of services with a server that says it
+}
+
+// CountStatements counts what the backend servers have said of themselves.
+func (c *Core) CountStatements(now time.Time) StatementCounts {
+	var out StatementCounts
+	c.servers.All(func(id entity.BackendServerID, r *serverRow) bool {
+		for _, s := range []struct {
+			holds bool
+			count *int
+		}{
+			{c.statements.leaves(r.process()), &out.Leaving},
+			{c.restsNow(now, id), &out.Resting},
+			{c.statements.inForce(r.process()) != nil, &out.Limited},
+			{c.statements.brittle.Get(r.Service) != nil, &out.Brittle},
+		} {
+			if s.holds {
+				*s.count++
+			}
+		}
+		return true
+	})
+	return out
+}
+
 // restSpread is the time over which the requests come back that were rejected during one rest
 // of all servers.
 const restSpread = 500 * time.Millisecond
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -199,3 +199,19 @@
 		t.Error("a server whose entry may have lapsed in the outage gets no requests")
 	}
 }
+
+// TestLeaving_IsInTheCheckpoint: all daemons restart, and none has been told by the server since.
+func TestLeaving_IsInTheCheckpoint(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	ticket := mustAdmit(t, a, zero, testRequest("r", "/x", "k3"))
+	attempt := mustPlace(t, a, zero, ticket)
+	a.RecordStatement(zero, ticket, ServerStatement{Leaving: true}, true)
+	checkpoint := a.Checkpoint(at(time.Second))
+	if !b.usable(at(2*time.Second), attempt.Server) {
+		t.Fatal("the server is not usable before")
+	}
+	b.RestoreNotice(at(2*time.Second), &checkpoint)
+	if b.usable(at(2*time.Second), attempt.Server) {
+		t.Error("a daemon that has read the checkpoint uses a server that said that it leaves")
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -93,7 +93,7 @@
 		g.writeResumptions(w)
 		g.writeRollouts(w)
 		g.writeServerPace(w)
-		g.writeBrittle(w)
+		g.writeStatements(w)
 	})
 	r.HandleFunc("/status", g.serveStatus)
 	return r
@@ -147,11 +147,14 @@
 	metrics.WriteGaugeUint64(w, `gooseberryslip_slow_backend_servers`, uint64(slow))
 }
 
-// writeBrittle writes the number of backend servers that count as brittle.
-func (g *Gateway) writeBrittle(w io.Writer) {
-	var n int
-	g.withCore(func(c *exchange.Core, _ time.Time) { n = c.BrittleServers() })
-	metrics.WriteGaugeUint64(w, `gooseberryslip_brittle_backend_servers`, uint64(n))
+// writeStatements writes the numbers of backend servers that have said something of themselves.
+func (g *Gateway) writeStatements(w io.Writer) {
+	var n exchange.StatementCounts
+	g.withCore(func(c *exchange.Core, now time.Time) { n = c.CountStatements(now) })
+	metrics.WriteGaugeUint64(w, `gooseberryslip_leaving_backend_servers`, uint64(n.Leaving))
+	metrics.WriteGaugeUint64(w, `gooseberryslip_resting_backend_servers`, uint64(n.Resting))
+	metrics.WriteGaugeUint64(w, `gooseberryslip_limited_backend_servers`, uint64(n.Limited))
+	metrics.WriteGaugeUint64(w, `gooseberryslip_brittle_backend_servers`, uint64(n.Brittle))
 }
 
 // serveStatus returns this daemon's view of the fleet as JSON.
