--- a/internal/experiment/brittle.go
+++ b/internal/experiment/brittle.go
@@ -23,8 +23,8 @@
 	since      time.Duration   // when it became brittle
 	queue      int             // requests that may wait then
 	turnedAway []time.Duration // in the last second
-	fallen     bool
-	backAt     time.Duration // when it is back, if it has fallen
+	fallen     bool            // or it has ended as it left
+	backAt     time.Duration   // when it is back then
 }
 
 // applyBrittle has engines be brittle while a pattern is in effect.
@@ -42,7 +42,7 @@
 	}
 }
 
-// returnFallen returns the engines that have fallen and are back.
+// returnFallen returns the engines that have ended and are back.
 func (s *simulation) returnFallen() {
 	for _, e := range s.engines {
 		if e.brittle.fallen && s.now >= e.brittle.backAt {
@@ -52,9 +52,12 @@
 	}
 }
 
-// turnsAway reports whether an engine has no room for a request, and has it fall if it has turned
-// away too many.
+// turnsAway reports whether an engine wants a rest or has no room for a request, and has it fall if it
+// has turned away too many.
 func (s *simulation) turnsAway(e *engine) bool {
+	if e.rest > 0 {
+		return true
+	}
 	b := &e.brittle
 	if !b.Stated || s.now-b.since < brittleGrace || len(e.running)+len(e.waiting) < e.model.Slots+b.queue {
 		return false
@@ -66,9 +69,14 @@
 	return true
 }
 
-// fall ends an engine with all that it has.
+// fall has an engine fall over.
 func (s *simulation) fall(e *engine) {
 	s.result.Falls++
+	s.end(e)
+}
+
+// end ends an engine with all that it has. It is back after a while.
+func (s *simulation) end(e *engine) {
 	lost := append(e.running, e.waiting...)
 	e.running, e.waiting, e.usedTokens, e.brittle.turnedAway = nil, nil, 0, nil
 	clear(e.cachedParts)
@@ -101,7 +109,7 @@
 			return 0, 0, refusal // the policy sends it once
 		}
 		core := s.cores[r.daemon]
-		core.RecordStatement(virtualTime(s.now), t, s.statement(s.engines[engineIndex]), false)
+		core.RecordStatement(virtualTime(s.now), t, s.statement(s.engines[engineIndex], s.engines[engineIndex].rest), false)
 		final := core.Ended(virtualTime(s.now), t, exchange.Rejected)
 		core.Finish(virtualTime(s.now), t)
 		delete(s.tickets, r)
@@ -111,11 +119,3 @@
 	}
 	return 0, 0, refusal
 }
-
-// statement returns what an engine says of itself in an answer.
-func (s *simulation) statement(e *engine) exchange.ServerStatement {
-	if s.policy == Unaware {
-		return exchange.ServerStatement{Limit: e.limit}
-	}
-	return exchange.ServerStatement{Limit: e.limit, Brittle: e.brittle.Brittleness}
-}
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -37,7 +37,7 @@
 	Paced Policy = "paced"
 	// Shedding is Product with load shedding switched on.
 	Shedding Policy = "shedding"
-	// Unaware is Product that does not hear that engines are brittle.
+	// Unaware is Product that does not hear that engines leave, want a rest or are brittle.
 	Unaware Policy = "unaware"
 	// FirstCome is NeverRejecting at engines that ignore the priorities.
 	FirstCome Policy = "first_come"
@@ -113,7 +113,7 @@
 func (c *Config) checkPatterns() error {
 	for _, p := range c.Patterns {
 		switch p.Kind {
-		case "burst", "hot_subject", "reclaim", "start":
+		case "burst", "hot_subject", "reclaim", "start", "leave":
 		case "slow":
 			if p.TimeFactor <= 0 || p.RepeatS < 0 {
 				return fmt.Errorf("experiment: slow spell must have a time_factor above 0 and no negative repeat_s")
@@ -122,12 +122,16 @@
 			if p.PerSecond < 0 {
 				return fmt.Errorf("experiment: limit of %v requests per second is negative", p.PerSecond)
 			}
+		case "rest":
+			if p.RestS <= 0 {
+				return fmt.Errorf("experiment: rest_s of %v must be above 0", p.RestS)
+			}
 		case "brittle":
 			if p.Rejections < 0 || p.Queue < 0 {
 				return fmt.Errorf("experiment: brittle engines stand %d rejections with a queue of %d: neither may be negative", p.Rejections, p.Queue)
 			}
 		default:
-			return fmt.Errorf("experiment: unknown kind of pattern %q; use burst, hot_subject, reclaim, start, slow, limit or brittle", p.Kind)
+			return fmt.Errorf("experiment: unknown kind of pattern %q; use burst, hot_subject, reclaim, start, slow, limit, leave, rest or brittle", p.Kind)
 		}
 	}
 	return nil
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -63,6 +63,8 @@
 	reclaimed    bool               // a reclaim pattern is in effect, or it has not started: it gets no new requests
 	limit        exchange.RateLimit // stated with each first event
 	brittle      brittleness
+	leaving      bool          // says that it leaves
+	rest         time.Duration // that it wants when it turns requests away, as it does all then; 0: it takes them
 }
 
 func newEngine(id entity.BackendServerID, m *EngineModel) *engine {
--- a/internal/experiment/engine_patterns.go
+++ b/internal/experiment/engine_patterns.go
@@ -12,6 +12,10 @@
 			s.setAway(s.lastEngines(p), s.now < seconds(p.StartS))
 		case "limit":
 			s.applyLimit(p)
+		case "leave":
+			s.applyLeaving(p)
+		case "rest":
+			s.applyRest(p)
 		case "brittle":
 			s.applyBrittle(p)
 		}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -207,3 +207,18 @@
 		}
 	}
 }
+
+// TestStatements_MoreCredit: engines say that they leave, and later others that they want a rest.
+// Daemons that hear of it must earn more than those that do not.
+func TestStatements_MoreCredit(t *testing.T) {
+	c := readConfig(t, "statements")
+	expectMoreCredit(t, c, Product, Unaware, 1.0)
+	for _, policy := range c.Policies {
+		r := Run(c, policy, 1)
+		for _, class := range r.Classes {
+			if class.Requests != class.OnTime+class.Late+class.Refused {
+				t.Errorf("%s %s: %d requests, %d on time, %d late, %d refused", policy, class.Name, class.Requests, class.OnTime, class.Late, class.Refused)
+			}
+		}
+	}
+}
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -31,14 +31,15 @@
 
 // Pattern changes the load or the engines for a limited time.
 type Pattern struct {
-	Kind       string  `toml:"kind"` // "burst", "hot_subject", "reclaim", "start", "slow", "limit" or "brittle"
+	Kind       string  `toml:"kind"` // "burst", "hot_subject", "reclaim", "start", "slow", "limit", "leave", "rest" or "brittle"
 	StartS     float64 `toml:"at_s"` // since the start of the run
 	DurationS  float64 `toml:"for_s"`
 	LoadFactor float64 `toml:"times"`       // burst: multiplies the load
-	Share      float64 `toml:"share"`       // ratio of the class's requests (hot_subject) or of the engines (reclaim, start, slow, limit, brittle)
+	Share      float64 `toml:"share"`       // ratio of the class's requests (hot_subject) or of the engines (all other kinds but burst)
 	PerSecond  float64 `toml:"per_second"`  // limit: requests that each engine takes
 	Rejections int     `toml:"rejections"`  // brittle: within a second that each engine stands
 	Queue      int     `toml:"queue"`       // brittle: requests that may wait at each engine from 3 s on
+	RestS      float64 `toml:"rest_s"`      // rest: for which an engine wants no requests each time
 	TimeFactor float64 `toml:"time_factor"` // slow: multiplies the times of the engines
 	RepeatS    float64 `toml:"repeat_s"`    // slow: from the start of one slow period to that of the next, which other engines have; 0: there is one
 	Class      string  `toml:"class"`       // burst, hot_subject: affected class; for a burst, empty means all
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -272,7 +272,7 @@
 		s.result.recordFirstEvent(j.request, e.stepEnd+firstEventDelay-j.request.arrival)
 		if t := s.tickets[j.request]; t != nil {
 			c := s.cores[j.daemon]
-			c.RecordStatement(virtualTime(e.stepEnd+firstEventDelay), t, s.statement(e), true)
+			c.RecordStatement(virtualTime(e.stepEnd+firstEventDelay), t, s.statement(e, 0), true)
 			c.Started(virtualTime(e.stepEnd+firstEventDelay), t)
 		}
 	}
