--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
-	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 )
 
 var zero = time.Unix(1000, 0)
@@ -429,102 +428,6 @@
 	}
 }
 
-func TestServers_DrainingAndGoneGetNothing(t *testing.T) {
-	c := newTestCore(t, "d1")
-	c.PutServer(zero, BackendServer{ID: "plain0", Born: 1, Service: "plain", Address: "x:1", Slots: 8, State: Draining})
-	c.RemoveServer(zero, "plain1")
-	for i := range 20 {
-		ticket := mustAdmit(t, c, zero, testRequest(strconv.Itoa(i), "/x", "k3"))
-		if a := mustPlace(t, c, zero, ticket); a.Server != "plain2" {
-			t.Fatalf("request placed on %s, which drains or has gone", a.Server)
-		}
-	}
-}
-
-func TestServers_MissingAfterOutageComeBackOrGo(t *testing.T) {
-	c := newTestCore(t, "d1")
-	c.Confirm(at(time.Minute))
-	c.TableRecovered(at(time.Minute))
-	c.RemoveUnlisted(at(time.Minute), nil)
-	patient := testRequest("r", "/talk/x", "k3")
-	patient.Patience = 0
-	ticket := mustAdmit(t, c, at(time.Minute), patient)
-	mustPlace(t, c, at(time.Minute+time.Second), ticket)
-	c.Ended(at(time.Minute+time.Second), ticket, Rejected)
-	if _, refusal := c.Place(at(time.Minute+2100*time.Millisecond), ticket); refusal == nil {
-		t.Fatal("a request was placed on a server still missing after the grace period")
-	}
-}
-
-func TestServers_OlderEntryDoesNotMakeADrainingServerReady(t *testing.T) {
-	c := newTestCore(t, "d1")
-	entry := BackendServer{ID: "plain0", Born: 1, Sequence: 7, Service: "plain", Address: "x:1", Slots: 8, State: Ready}
-	draining := entry
-	draining.Sequence, draining.State = 8, Draining
-	if !c.PutServer(at(time.Second), draining) || c.PutServer(at(2*time.Second), entry) {
-		t.Fatal("a newer entry was rejected or an older one accepted")
-	}
-	if c.usable(at(2*time.Second), "plain0") {
-		t.Fatal("a draining server is used after an older entry of it")
-	}
-	c.RemoveServer(at(3*time.Second), "plain0")
-	if c.PutServer(at(4*time.Second), entry); c.usable(at(4*time.Second), "plain0") {
-		t.Fatal("a server that has gone is used after an older entry of it")
-	}
-	ready := entry
-	ready.Sequence = 9
-	if !c.PutServer(at(5*time.Second), ready) || !c.usable(at(5*time.Second), "plain0") {
-		t.Fatal("a server that was listed again is not used")
-	}
-	restarted := entry
-	restarted.Born, restarted.Sequence = 2, 1
-	if !c.PutServer(at(6*time.Second), restarted) || !c.usable(at(6*time.Second), "plain0") {
-		t.Fatal("a new process whose sequence numbers start again is not used")
-	}
-}
-
-func TestServers_GoneServerOfUnknownBirthMayBeNew(t *testing.T) {
-	c := newTestCore(t, "d1")
-	entry := BackendServer{ID: "new", Sequence: 7, Service: "plain", Address: "x:1", Slots: 8, State: Draining}
-	c.PutServer(zero, entry)
-	entry.State, entry.Sequence = Ready, 1
-	if c.PutServer(at(time.Second), entry) {
-		t.Fatal("an older entry of a listed server was accepted")
-	}
-	c.RemoveServer(at(2*time.Second), "new")
-	if !c.PutServer(at(3*time.Second), entry) || !c.usable(at(3*time.Second), "new") {
-		t.Fatal("a server that has restarted is not used")
-	}
-}
-
-func TestReceiveUpdate_OlderLocalEntryDoesNotOverrideDraining(t *testing.T) {
-	a, b := newTestCore(t, "a"), newTestCore(t, "b")
-	entry := BackendServer{ID: "plain0", Born: 1, Sequence: 8, Service: "plain", Address: "x:1", Slots: 8, State: Draining}
-	b.PutServer(at(time.Second), entry)
-	update := b.NextUpdate(at(1100 * time.Millisecond))
-	a.ReceiveUpdate(at(1100*time.Millisecond), &update, 0)
-	entry.State, entry.Sequence = Ready, 7
-	a.PutServer(at(1200*time.Millisecond), entry)
-	if a.usable(at(1300*time.Millisecond), "plain0") {
-		t.Fatal("an entry older than another daemon's announcement made a draining server ready")
-	}
-}
-
-func TestServers_RestartedServerHasNoCachedPrompts(t *testing.T) {
-	c := newTestCore(t, "d1")
-	r := testRequest("r", "/talk/x", "k3")
-	r.Work = Work{Stated: true, Prompt: 5000, MaxOutput: 10, Parts: []placement.Part{{ID: 1, Tokens: 4000}, {ID: 2, Tokens: 1000}}}
-	first := mustPlace(t, c, zero, mustAdmit(t, c, zero, r))
-	row := c.servers.Get(first.Server)
-	restarted := row.BackendServer
-	restarted.Born = 2
-	c.PutServer(zero, restarted)
-	choice, _ := c.chooseServer(zero, mustAdmit(t, c, zero, r))
-	if choice.Uncached != 5000 {
-		t.Fatalf("%d tokens expected to be read on a new process, want all 5000", choice.Uncached)
-	}
-}
-
 func TestApplyConfirmation_DelayedMessageProvesNothingNew(t *testing.T) {
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
 	b.Confirm(at(3 * time.Second))
@@ -603,94 +506,6 @@
 	}
 }
 
-func TestPlace_StoppingDaemonTakesNoLongRequest(t *testing.T) {
-	c := newTestCore(t, "d1")
-	long := testRequest("r", "/talk/x", "k3")
-	long.Patience, long.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500}
-	ticket := mustAdmit(t, c, zero, long)
-	c.Leave(at(2 * time.Second))
-	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable {
-		t.Fatalf("a request that outlasts the daemon was placed: %+v", refusal)
-	}
-	short := mustAdmit(t, c, zero, testRequest("s", "/x", "k3"))
-	mustPlace(t, c, zero, short)
-}
-
-// TestPlace_StoppingDaemonTakesNoLongRequestAgain: a server rejects a request, which has not run, at
-// a daemon that stops meanwhile. Fails if the next server gets it although it outlasts the daemon.
-func TestPlace_StoppingDaemonTakesNoLongRequestAgain(t *testing.T) {
-	c := newTestCore(t, "d1")
-	long := testRequest("r", "/talk/x", "k3")
-	long.Patience, long.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500}
-	ticket := mustAdmit(t, c, zero, long)
-	mustPlace(t, c, zero, ticket)
-	c.Leave(at(2 * time.Second))
-	if refusal := c.Ended(zero, ticket, Rejected); refusal != nil {
-		t.Fatalf("not tried again: %+v", *refusal)
-	}
-	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable || refusal.Code != "leaving" {
-		t.Errorf("a request that outlasts the daemon was placed: %+v", refusal)
-	}
-}
-
-// TestPlace_StoppingDaemonDoesNotTrustTheHint: a caller's estimate of the answer's
-// size is often far too low, so the maximum duration of the request must fit into
-// the time before the daemon stops.
-func TestPlace_StoppingDaemonDoesNotTrustTheHint(t *testing.T) {
-	c := newTestCore(t, "d1")
-	r := testRequest("r", "/talk/x", "k3")
-	r.Patience, r.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500, Output: 20}
-	ticket := mustAdmit(t, c, zero, r)
-	c.Leave(at(2 * time.Second))
-	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable {
-		t.Fatalf("a request that may outlast the daemon was placed: %+v", refusal)
-	}
-}
-
-// TestPlace_StoppingDaemonKnowsTheLongestAnswers: one answer in twelve lasts far longer than the
-// others, and nothing tells which. None is taken that would not end before the daemon does.
-func TestPlace_StoppingDaemonKnowsTheLongestAnswers(t *testing.T) {
-	testLongestAnswers(t, Work{Stated: true, Prompt: 100, MaxOutput: 500})
-}
-
-// TestPlace_StoppingDaemonKnowsTheLongestAnswersOfUnstatedSize: the same where requests do not say how
-// large their answers may be.
-func TestPlace_StoppingDaemonKnowsTheLongestAnswersOfUnstatedSize(t *testing.T) {
-	testLongestAnswers(t, Work{})
-}
-
-func testLongestAnswers(t *testing.T, work Work) {
-	t.Helper()
-	const short, long = 500 * time.Millisecond, 4500 * time.Millisecond
-	c := newTestCore(t, "d1")
-	now := zero
-	request := func() *Ticket {
-		c.Confirm(now)
-		r := testRequest("r", "/talk/x", "k3")
-		r.Patience, r.Work = 0, work
-		return mustAdmit(t, c, now, r)
-	}
-	for i := range 48 {
-		ticket := request()
-		mustPlace(t, c, now, ticket)
-		now = now.Add(20 * time.Millisecond)
-		c.Started(now, ticket)
-		if i%12 == 5 {
-			now = now.Add(long - short)
-		}
-		now = now.Add(short)
-		c.Confirm(now)
-		c.Ended(now, ticket, Answered)
-		c.Finish(now, ticket)
-	}
-	c.Leave(now.Add(long + 2*time.Second))
-	mustPlace(t, c, now, request())
-	c.Leave(now.Add(long))
-	if _, refusal := c.Place(now, request()); refusal == nil || refusal.Code != "leaving" {
-		t.Errorf("a request that may last %v was placed %v before the daemon's end: %+v", long, long, refusal)
-	}
-}
-
 func TestContend_LeavingHolderIsReplacedAtOnce(t *testing.T) {
 	a, b, c := newTestCore(t, "a"), newTestCore(t, "b"), newTestCore(t, "c")
 	a.LeaseAcquired(zero, zero, 3)
--- /dev/null
+++ b/internal/exchange/stopping_test.go
@@ -0,0 +1,94 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPlace_StoppingDaemonTakesNoLongRequest(t *testing.T) {
+	c := newTestCore(t, "d1")
+	long := testRequest("r", "/talk/x", "k3")
+	long.Patience, long.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500}
+	ticket := mustAdmit(t, c, zero, long)
+	c.Leave(at(2 * time.Second))
+	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable {
+		t.Fatalf("a request that outlasts the daemon was placed: %+v", refusal)
+	}
+	short := mustAdmit(t, c, zero, testRequest("s", "/x", "k3"))
+	mustPlace(t, c, zero, short)
+}
+
+// TestPlace_StoppingDaemonTakesNoLongRequestAgain: a server rejects a request, which has not run, at
+// a daemon that stops meanwhile. Fails if the next server gets it although it outlasts the daemon.
+func TestPlace_StoppingDaemonTakesNoLongRequestAgain(t *testing.T) {
+	c := newTestCore(t, "d1")
+	long := testRequest("r", "/talk/x", "k3")
+	long.Patience, long.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500}
+	ticket := mustAdmit(t, c, zero, long)
+	mustPlace(t, c, zero, ticket)
+	c.Leave(at(2 * time.Second))
+	if refusal := c.Ended(zero, ticket, Rejected); refusal != nil {
+		t.Fatalf("not tried again: %+v", *refusal)
+	}
+	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable || refusal.Code != "leaving" {
+		t.Errorf("a request that outlasts the daemon was placed: %+v", refusal)
+	}
+}
+
+// TestPlace_StoppingDaemonDoesNotTrustTheHint: a caller's estimate of the answer's
+// size is often far too low, so the maximum duration of the request must fit into
+// the time before the daemon stops.
+func TestPlace_StoppingDaemonDoesNotTrustTheHint(t *testing.T) {
+	c := newTestCore(t, "d1")
+	r := testRequest("r", "/talk/x", "k3")
+	r.Patience, r.Work = 0, Work{Stated: true, Prompt: 100, MaxOutput: 500, Output: 20}
+	ticket := mustAdmit(t, c, zero, r)
+	c.Leave(at(2 * time.Second))
+	if _, refusal := c.Place(zero, ticket); refusal == nil || refusal.Status != Unavailable {
+		t.Fatalf("a request that may outlast the daemon was placed: %+v", refusal)
+	}
+}
+
+// TestPlace_StoppingDaemonKnowsTheLongestAnswers: one answer in twelve lasts far longer than the
+// others, and nothing tells which. None is taken that would not end before the daemon does.
+func TestPlace_StoppingDaemonKnowsTheLongestAnswers(t *testing.T) {
+	testLongestAnswers(t, Work{Stated: true, Prompt: 100, MaxOutput: 500})
+}
+
+// TestPlace_StoppingDaemonKnowsTheLongestAnswersOfUnstatedSize: the same where requests do not say how
+// large their answers may be.
+func TestPlace_StoppingDaemonKnowsTheLongestAnswersOfUnstatedSize(t *testing.T) {
+	testLongestAnswers(t, Work{})
+}
+
+func testLongestAnswers(t *testing.T, work Work) {
+	t.Helper()
+	const short, long = 500 * time.Millisecond, 4500 * time.Millisecond
+	c := newTestCore(t, "d1")
+	now := zero
+	request := func() *Ticket {
+		c.Confirm(now)
+		r := testRequest("r", "/talk/x", "k3")
+		r.Patience, r.Work = 0, work
+		return mustAdmit(t, c, now, r)
+	}
+	for i := range 48 {
+		ticket := request()
+		mustPlace(t, c, now, ticket)
+		now = now.Add(20 * time.Millisecond)
+		c.Started(now, ticket)
+		if i%12 == 5 {
+			now = now.Add(long - short)
+		}
+		now = now.Add(short)
+		c.Confirm(now)
+		c.Ended(now, ticket, Answered)
+		c.Finish(now, ticket)
+	}
+	c.Leave(now.Add(long + 2*time.Second))
+	mustPlace(t, c, now, request())
+	c.Leave(now.Add(long))
+	if _, refusal := c.Place(now, request()); refusal == nil || refusal.Code != "leaving" {
+		t.Errorf("a request that may last %v was placed %v before the daemon's end: %+v", long, long, refusal)
+	}
+}
