--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -93,6 +93,7 @@
 		g.writeResumptions(w)
 		g.writeRollouts(w)
 		g.writeServerPace(w)
+		g.writeStatements(w)
 	})
 	r.HandleFunc("/status", g.serveStatus)
 	return r
@@ -146,6 +147,16 @@
 	metrics.WriteGaugeUint64(w, `gooseberryslip_slow_backend_servers`, uint64(slow))
 }
 
+// writeStatements writes the numbers of backend servers that have said something of themselves.
+func (g *Gateway) writeStatements(w io.Writer) {
+	var n exchange.StatementCounts
+	g.withCore(func(c *exchange.Core, now time.Time) { n = c.CountStatements(now) })
+	metrics.WriteGaugeUint64(w, `gooseberryslip_leaving_backend_servers`, uint64(n.Leaving))
+	metrics.WriteGaugeUint64(w, `gooseberryslip_resting_backend_servers`, uint64(n.Resting))
+	metrics.WriteGaugeUint64(w, `gooseberryslip_limited_backend_servers`, uint64(n.Limited))
+	metrics.WriteGaugeUint64(w, `gooseberryslip_brittle_backend_servers`, uint64(n.Brittle))
+}
+
 // serveStatus returns this daemon's view of the fleet as JSON.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	s := g.status()
