Brittle servers: more rejections than the shares allow make the others careful

Each daemon tells the others of its last rejection with the statement. One that hears of more daemons turned away within a second than there are places beyond the slots uses half of its own there: not all know of each other then.

--- a/internal/exchange/brittle.go
+++ b/internal/exchange/brittle.go
@@ -30,6 +30,9 @@
 	Stated        bool                 `cbor:"3,keyasint,omitempty"` // it is brittle; else it is not any more
 	MaxRejections int                  `cbor:"4,keyasint,omitempty"`
 	Ago           time.Duration        `cbor:"5,keyasint,omitempty"` // from the answer to the sending of the message
+	// RejectedAgo is the time since the process last turned a request of the sender away; 0: it
+	// has not of late.
+	RejectedAgo time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // serverBrittleness is the newest statement of a backend server's process.
@@ -39,6 +42,8 @@
 	statedAt    time.Time // when the newest answer with this statement arrived
 	announcedAt time.Time // when this daemon last announced it
 	rejectedAt  time.Time // when the process last turned a request of this daemon away
+	// heard has when it last turned requests of other daemons away, as these have said.
+	heard map[entity.InstanceID]time.Time
 }
 
 const (
@@ -51,6 +56,10 @@
 	// rejectionPause is how long a daemon sends a brittle server nothing after it was turned away
 	// there: the time over which rejections are counted.
 	rejectionPause = time.Second
+	// cautiousShare is the part of its places there that a daemon uses while it hears of more
+	// daemons that have been turned away within a second than there are places beyond the slots:
+	// not all know of each other then.
+	cautiousShare = 0.5
 	// fallsToTighten is the number of servers of a service that must have fallen in one time in
 	// which they are brittle for tightenedShare of their slots to be used for the rest of it.
 	fallsToTighten = 2
@@ -89,10 +98,17 @@
 // here.
 func (c *Core) receiveBrittle(now time.Time, s *BrittleStatement, from entity.InstanceID) {
 	known := c.statements.rows.Get(s.Process)
-	if known != nil && !now.Add(-s.Ago).After(known.brittle.statedAt) {
+	if known == nil || now.Add(-s.Ago).After(known.brittle.statedAt) {
+		c.setBrittle(now, s, from)
+	}
+	if s.RejectedAgo == 0 {
 		return
 	}
-	c.setBrittle(now, s, from)
+	row := &c.statements.row(s.Process).brittle
+	if row.heard == nil {
+		row.heard = map[entity.InstanceID]time.Time{}
+	}
+	row.heard[from] = now.Add(-s.RejectedAgo)
 }
 
 // setBrittle sets the newest statement of a process, as the given daemon got it, and reports whether
@@ -122,7 +138,11 @@
 	for _, p := range processes {
 		if row := l.rows.Get(p); row != nil && !row.brittle.statedAt.IsZero() {
 			b := &row.brittle
-			out = append(out, BrittleStatement{Process: p, Service: b.service, Stated: b.Stated, MaxRejections: b.MaxRejections, Ago: now.Sub(b.statedAt)})
+			s := BrittleStatement{Process: p, Service: b.service, Stated: b.Stated, MaxRejections: b.MaxRejections, Ago: now.Sub(b.statedAt)}
+			if ago := now.Sub(b.rejectedAt); ago < rejectionPause {
+				s.RejectedAgo = max(ago, 1)
+			}
+			out = append(out, s)
 		}
 	}
 	return out
@@ -198,16 +218,47 @@
 // tightened reports whether so many of the servers have fallen that the others get less.
 func (s *brittleService) tightened() bool { return s.falls >= fallsToTighten }
 
+// placesBeyondSlots returns how many places a server has beside its slots.
+func (s *brittleService) placesBeyondSlots() int { return int(riskedShare * float64(s.rejections)) }
+
 // places returns how many requests of this daemon may be in progress at a server of a brittle
 // service.
 func (c *Core) places(s *brittleService, r *serverRow) int {
-	places := max(r.Slots, 1) + int(riskedShare*float64(s.rejections))
+	places := max(r.Slots, 1) + s.placesBeyondSlots()
 	if s.tightened() {
 		places = max(int(tightenedShare*float64(r.Slots)), 1)
 	}
 	return ratelimit.Slots(c.cfg.Self.Name, c.statements.daemons, r.ID, places)
 }
 
+// heardOf returns how many other daemons have said that the process turned them away within the last
+// second.
+func (b *serverBrittleness) heardOf(now time.Time) int {
+	n := 0
+	for _, at := range b.heard {
+		if now.Sub(at) < rejectionPause {
+			n++
+		}
+	}
+	return n
+}
+
+// placesNow is places, after rejections that this daemon or another one has met.
+func (c *Core) placesNow(now time.Time, s *brittleService, r *serverRow) int {
+	places := c.places(s, r)
+	said := c.statements.rows.Get(r.process())
+	switch {
+	case said == nil:
+		return places
+	case now.Sub(said.brittle.rejectedAt) < rejectionPause:
+		return 0
+	case said.brittle.heardOf(now) > s.placesBeyondSlots():
+		return int(cautiousShare * float64(places))
+	default:
+		return places
+	}
+}
+
 // hasPlace reports whether a backend server that is brittle has a place for a further request of
 // this daemon. Others always have.
 func (c *Core) hasPlace(now time.Time, id entity.BackendServerID) bool {
@@ -222,16 +273,16 @@
 	if s == nil {
 		return true
 	}
-	if said := c.statements.rows.Get(row.process()); said != nil && now.Sub(said.brittle.rejectedAt) < rejectionPause {
-		return false
-	}
-	return c.placer.OwnRequests(id) < c.places(s, row)
+	return c.placer.OwnRequests(id) < c.placesNow(now, s, row)
 }
 
-// recordBrittleRejection records that a server has turned a request of this daemon away.
+// recordBrittleRejection records that a server has turned a request of this daemon away, and tells
+// the others.
 func (c *Core) recordBrittleRejection(now time.Time, p entity.ServerProcess) {
 	if row := c.statements.rows.Get(p); row != nil && row.brittle.Stated {
 		row.brittle.rejectedAt = now
+		c.statements.brittleNews.drop(equalTo(p)) // what was acknowledged of it is older
+		c.statements.brittleNews.add(p)
 	}
 }
 
--- a/internal/exchange/brittle_test.go
+++ b/internal/exchange/brittle_test.go
@@ -232,3 +232,43 @@
 		t.Error("the service is brittle although no server says so any more")
 	}
 }
+
+// TestBrittle_RejectionsAreNewsForTheOthers: more daemons are turned away within a second than the
+// shares of all allow. The others use half of their places at that server for a second, before they
+// are turned away there, too.
+func TestBrittle_RejectionsAreNewsForTheOthers(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	now := at(acquaintanceTime)
+	s := BackendServer{ID: "e0", Born: 1, Sequence: 1, Service: "engine", Address: "10.0.0.9:1", Slots: 16, State: Ready}
+	p := entity.ServerProcess{Server: s.ID, Born: s.Born}
+	for _, c := range []*Core{a, b} {
+		c.PutServer(now, s)
+		c.Tick(now)
+	}
+	exchangeNews := func(now time.Time) {
+		for _, pair := range [][2]*Core{{a, b}, {b, a}} {
+			update := pair[0].NextUpdate(now)
+			pair[1].ReceiveUpdate(now, &update, 0)
+		}
+		a.Tick(now)
+		b.Tick(now)
+	}
+	exchangeNews(now)
+	a.recordBrittle(now, p, now, Brittleness{Stated: true, MaxRejections: 1})
+	exchangeNews(now)
+	usable := func(now time.Time) int {
+		return b.placesNow(now, b.statements.brittle.Get("engine"), b.servers.Get(s.ID))
+	}
+	all := usable(now)
+	a.recordBrittleRejection(now, p)
+	exchangeNews(now.Add(10 * time.Millisecond))
+	if n := usable(now.Add(20 * time.Millisecond)); all < 2 || n != all/2 {
+		t.Errorf("%d places of %d used after another daemon was turned away, want half", n, all)
+	}
+	if a.hasPlace(now.Add(20*time.Millisecond), s.ID) {
+		t.Error("the daemon that was turned away has places there")
+	}
+	if n := usable(now.Add(rejectionPause + 20*time.Millisecond)); n != all {
+		t.Errorf("%d places of %d a second later", n, all)
+	}
+}
