--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -45,8 +45,8 @@
 			t.Errorf("%s: the file name must be that of its service, %s", path, s.Name)
 		}
 	}
-	if daemons != 6 || services != 6 || experiments != 4 {
-		t.Fatalf("found settings of %d daemons, %d services and %d experiments; want 6, 6 and 4", daemons, services, experiments)
+	if daemons != 6 || services != 6 || experiments != 6 {
+		t.Fatalf("found settings of %d daemons, %d services and %d experiments; want 6, 6 and 6", daemons, services, experiments)
 	}
 }
 
