Brittle servers: an answer after the entry was removed keeps the service

The service of the process was looked up in the list alone, so that the last answers of a server that has left ended its service's brittleness for it. TestBrittle_AnswerAfterTheEntryWasRemoved failed before.

--- a/internal/exchange/brittle.go
+++ b/internal/exchange/brittle.go
@@ -82,10 +82,10 @@
 	if !b.Stated && (known == nil || !known.brittle.Stated || !sentAt.After(known.brittle.statedAt)) {
 		return
 	}
-	service := entity.ServiceName("")
+	service := c.statements.row(p).brittle.service
 	if row := c.servers.Get(p.Server); row != nil {
 		service = row.Service
-	}
+	} // else its last answers come after its entry was removed
 	changed := c.setBrittle(now, &BrittleStatement{Process: p, Service: service, Stated: b.Stated, MaxRejections: b.MaxRejections}, c.cfg.Self.Name)
 	if row := &c.statements.row(p).brittle; changed || b.Stated && now.Sub(row.announcedAt) >= brittleRefreshInterval {
 		row.announcedAt = now
--- a/internal/exchange/brittle_test.go
+++ b/internal/exchange/brittle_test.go
@@ -272,3 +272,18 @@
 		t.Errorf("%d places of %d a second later", n, all)
 	}
 }
+
+// TestBrittle_AnswerAfterTheEntryWasRemoved: the last answers of a server that has left say that it is
+// brittle. Its service stays so.
+func TestBrittle_AnswerAfterTheEntryWasRemoved(t *testing.T) {
+	c := newTestCore(t, "a")
+	p := entity.ServerProcess{Server: "e0", Born: 1}
+	c.PutServer(zero, BackendServer{ID: p.Server, Born: p.Born, Sequence: 1, Service: "engine", Address: "10.0.0.9:1", Slots: 8, State: Ready})
+	c.recordBrittle(zero, p, zero, Brittleness{Stated: true, MaxRejections: 2})
+	c.servers.Delete(p.Server)
+	c.recordBrittle(at(time.Second), p, zero, Brittleness{Stated: true, MaxRejections: 2})
+	c.updateBrittle(at(time.Second))
+	if c.statements.brittle.Get("engine") == nil {
+		t.Error("the service is not brittle any more")
+	}
+}
