A stopping daemon keeps the longest answers for half a minute, however many come

Cause: the longest run of late shrank with each answer (by 0.002): at a busy daemon, where long answers come seconds apart and hundreds of short ones between them, half was forgotten by the next one.

Change: the longest run of the present and the last period of 30 s counts.

--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -51,7 +51,7 @@
 // learnRun learns how long a complete answer took.
 func (c *Core) learnRun(now time.Time, t *Ticket, o Outcome) {
 	if o == Answered && t.answerStarted {
-		c.longestRuns.learn(t.Service, now.Sub(t.answerStartedAt), t.Request.Work.MaxOutput)
+		c.longestRuns.learn(now, t.Service, now.Sub(t.answerStartedAt), t.Request.Work.MaxOutput)
 	}
 }
 
--- a/internal/exchange/longest_run.go
+++ b/internal/exchange/longest_run.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// longestRunDecay is the factor by which each answer lowers the longest run of those before.
-	longestRunDecay = 0.998
+	// longestRunPeriod is the least time for which the longest run is kept, and half of the longest.
+	// Long answers are rare, and many short ones come between them.
+	longestRunPeriod = 30 * time.Second
 	// longestRunFactor is the time, in multiples of the longest run, that must remain until
 	// this daemon stops for a request to be accepted.
 	longestRunFactor = 1.15
@@ -18,16 +19,34 @@
 // to its end: for each token that the request allowed, and of requests that do not say how many they
 // allow. Nothing tells in advance which answer of a service is a long one.
 type longestRuns struct {
-	perToken *entity.Table[entity.ServiceName, time.Duration]
-	unstated *entity.Table[entity.ServiceName, time.Duration]
+	perToken *entity.Table[entity.ServiceName, longestRun]
+	unstated *entity.Table[entity.ServiceName, longestRun]
+}
+
+// longestRun is the longest run of the present period and of the one before.
+type longestRun struct {
+	began           time.Time // the present period
+	present, before time.Duration
+}
+
+// at returns the longest run as it counts at a time.
+func (r longestRun) at(now time.Time) longestRun {
+	switch age := now.Sub(r.began); {
+	case age < longestRunPeriod:
+		return r
+	case age < 2*longestRunPeriod:
+		return longestRun{began: r.began.Add(longestRunPeriod), before: r.present}
+	default:
+		return longestRun{began: now}
+	}
 }
 
 func newLongestRuns() longestRuns {
-	return longestRuns{perToken: entity.NewTable[entity.ServiceName, time.Duration](), unstated: entity.NewTable[entity.ServiceName, time.Duration]()}
+	return longestRuns{perToken: entity.NewTable[entity.ServiceName, longestRun](), unstated: entity.NewTable[entity.ServiceName, longestRun]()}
 }
 
 // rows returns the table for answers of up to this many tokens, and the unit of its times.
-func (l *longestRuns) rows(allowed entity.Tokens) (*entity.Table[entity.ServiceName, time.Duration], entity.Tokens) {
+func (l *longestRuns) rows(allowed entity.Tokens) (*entity.Table[entity.ServiceName, longestRun], entity.Tokens) {
 	if allowed <= 0 {
 		return l.unstated, 1
 	}
@@ -35,17 +54,20 @@
 }
 
 // learn adds the time of a complete answer.
-func (l *longestRuns) learn(service entity.ServiceName, took time.Duration, allowed entity.Tokens) {
+func (l *longestRuns) learn(now time.Time, service entity.ServiceName, took time.Duration, allowed entity.Tokens) {
 	rows, unit := l.rows(allowed)
 	row := rows.GetOrPut(service)
-	*row = max(took/time.Duration(unit), time.Duration(longestRunDecay*float64(*row)))
+	*row = row.at(now)
+	row.present = max(row.present, took/time.Duration(unit))
 }
 
 // of returns the longest time that an answer of up to this many tokens may take.
-func (l *longestRuns) of(service entity.ServiceName, allowed entity.Tokens) time.Duration {
+func (l *longestRuns) of(now time.Time, service entity.ServiceName, allowed entity.Tokens) time.Duration {
 	rows, unit := l.rows(allowed)
-	if row := rows.Get(service); row != nil {
-		return *row * time.Duration(unit)
+	row := rows.Get(service)
+	if row == nil {
+		return 0
 	}
-	return 0
+	r := row.at(now)
+	return max(r.present, r.before) * time.Duration(unit)
 }
--- a/internal/exchange/reject.go
+++ b/internal/exchange/reject.go
@@ -34,7 +34,7 @@
 	if !t.Deadline.IsZero() && choice.Cost > t.Deadline.Sub(now) {
 		return c.rejection(t, choice, "hopeless", choice.Cost)
 	}
-	if c.leaving && t.Ran == 0 && now.Add(c.maxAnswerDuration(t, choice)).After(c.stopDeadline) {
+	if c.leaving && t.Ran == 0 && now.Add(c.maxAnswerDuration(now, t, choice)).After(c.stopDeadline) {
 		return c.rejection(t, choice, "leaving", staleRetryDelay)
 	}
 	if c.cfg.DisableRejection || c.cfg.LoadShedding || choice.Utilisation < minRejectLoad || t.Route.Objective == 0 || t.Sends > 0 {
@@ -58,9 +58,9 @@
 // maxAnswerDuration returns how long the answer may take if it has the maximum
 // number of tokens, with a safety factor, and no less than the longest of late.
 // Callers' estimates of the size are not used, as they are often far too low.
-func (c *Core) maxAnswerDuration(t *Ticket, choice placement.Choice) time.Duration {
+func (c *Core) maxAnswerDuration(now time.Time, t *Ticket, choice placement.Choice) time.Duration {
 	expected := choice.Cost + c.placer.OutputDuration(t.Service, t.Request.Work.MaxOutput)
-	longest := choice.Cost + c.longestRuns.of(t.Service, t.Request.Work.MaxOutput)
+	longest := choice.Cost + c.longestRuns.of(now, t.Service, t.Request.Work.MaxOutput)
 	return max(time.Duration(shutdownDurationFactor*float64(expected)), time.Duration(longestRunFactor*float64(longest)), minShutdownDuration)
 }
 
--- a/internal/exchange/stopping_test.go
+++ b/internal/exchange/stopping_test.go
@@ -61,6 +61,28 @@
 	testLongestAnswers(t, Work{})
 }
 
+// TestPlace_StoppingDaemonKnowsTheLongestAnswerAmongManyShortOnes: hundreds of short answers follow a
+// long one within seconds, as at a busy daemon.
+func TestPlace_StoppingDaemonKnowsTheLongestAnswerAmongManyShortOnes(t *testing.T) {
+	const long = 4500 * time.Millisecond
+	c := newTestCore(t, "d1")
+	for _, work := range []Work{{}, {Stated: true, Prompt: 100, MaxOutput: 500}} {
+		c.longestRuns.learn(zero, "engine", long, work.MaxOutput)
+		for i := range 2000 {
+			c.longestRuns.learn(at(time.Duration(i)*10*time.Millisecond), "engine", 30*time.Millisecond, work.MaxOutput)
+		}
+		if got := c.longestRuns.of(at(20*time.Second), "engine", work.MaxOutput); got < long*99/100 {
+			t.Errorf("an answer with %d tokens may last %v, a recent one has lasted %v", work.MaxOutput, got, long)
+		}
+		for i := range 20 {
+			c.longestRuns.learn(at(time.Duration(20+5*i)*time.Second), "engine", 30*time.Millisecond, work.MaxOutput)
+		}
+		if got := c.longestRuns.of(at(2*time.Minute), "engine", work.MaxOutput); got >= long/2 {
+			t.Errorf("an answer with %d tokens may last %v two minutes after the last long one", work.MaxOutput, got)
+		}
+	}
+}
+
 func testLongestAnswers(t *testing.T, work Work) {
 	t.Helper()
 	const short, long = 500 * time.Millisecond, 4500 * time.Millisecond
