A silent server is given up only for another one

Cause: a repeatable request whose server had said nothing for twice the objective was given up and sent elsewhere; where there was nobody else, it ended with 502.

Change: when the time is over the core is asked whether another server may have the request; if not, again each 100 ms.

--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
@@ -70,6 +71,17 @@
 	return now.Add(max(wait, time.Duration(silenceExpectedFactor*float64(expected))))
 }
 
+// GivesUpSilent reports whether an attempt that has got no event by its SilenceDeadline is given up:
+// there must be another backend server for the request. The one that has it may answer yet.
+func (c *Core) GivesUpSilent(now time.Time, t *Ticket) bool {
+	found := false
+	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
+		found = row.Service == t.Service && !slices.Contains(t.tried, id) && c.mayContinue(t, id) && c.mayReceive(now, id, 0)
+		return !found
+	})
+	return found && !t.answerStarted
+}
+
 // Started records that the head or the first event of an answer has arrived.
 func (c *Core) Started(now time.Time, t *Ticket) {
 	if t.answerStarted || t.reservation == nil {
--- a/internal/exchange/fleet_servers_test.go
+++ b/internal/exchange/fleet_servers_test.go
@@ -34,6 +34,21 @@
 	}
 }
 
+// silenceRecheckInterval is the time after which an attempt that could not go elsewhere is looked at
+// again.
+const silenceRecheckInterval = 100 * time.Millisecond
+
+// giveUpSilent ends an attempt that has got no event in time, if the request can go elsewhere.
+func (f *testFleet) giveUpSilent(run *fleetRun) {
+	switch {
+	case run.ended || run.ticket.answerStarted || run.daemon.core != run.core:
+	case run.core.GivesUpSilent(f.now, run.ticket):
+		f.end(run, Silent)
+	default:
+		f.after(silenceRecheckInterval, func() { f.giveUpSilent(run) })
+	}
+}
+
 // forward sends an attempt through another daemon.
 func (f *testFleet) forward(run *fleetRun, a *Attempt, sentAt time.Time) {
 	described := run.core.ForwardedBy(f.now, run.ticket)
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -481,9 +481,7 @@
 	}
 	if !a.SilenceDeadline.IsZero() {
 		f.after(a.SilenceDeadline.Sub(f.now), func() {
-			if !t.answerStarted {
-				f.end(run, Silent)
-			}
+			f.giveUpSilent(run)
 		})
 	}
 	if leave := f.leaveAfter(t.Request); leave > 0 {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,6 +22,9 @@
 	// maxBufferedBytes is the size of the largest response that is buffered until it is
 	// complete.
 	maxBufferedBytes = 256 << 10
+	// silenceRecheckInterval is the time after which an attempt that could not go elsewhere when
+	// its server had been silent for too long is looked at again.
+	silenceRecheckInterval = 100 * time.Millisecond
 	// copyBufferBytes is the size of the reads of a response's body.
 	copyBufferBytes = 16 << 10
 )
@@ -32,7 +35,7 @@
 	start := clock.Now()
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	silenceTimer := x.startSilenceTimer(a, cancel)
+	silenceTimer := x.startSilenceTimer(ctx, a, cancel)
 	outcome, detail := x.performAttempt(ctx, a, silenceTimer)
 	silenceTimer.Stop()
 	if outcome == exchange.Silent || outcome == exchange.Broken {
@@ -51,12 +54,28 @@
 }
 
 // startSilenceTimer returns a timer that cancels the attempt when its limit for the
-// start of the response has passed. Without a limit the timer does nothing.
-func (x *forwarding) startSilenceTimer(a *exchange.Attempt, cancel context.CancelCauseFunc) *time.Timer {
+// start of the response has passed and the request can go elsewhere. Without a limit the timer does
+// nothing.
+func (x *forwarding) startSilenceTimer(ctx context.Context, a *exchange.Attempt, cancel context.CancelCauseFunc) *time.Timer {
 	if a.SilenceDeadline.IsZero() {
 		return time.NewTimer(0)
 	}
-	return time.AfterFunc(a.SilenceDeadline.Sub(clock.Now()), func() { cancel(errSilent) })
+	var timer *time.Timer
+	created := make(chan struct{})
+	timer = time.AfterFunc(a.SilenceDeadline.Sub(clock.Now()), func() {
+		<-created
+		givesUp := false
+		x.g.withCore(func(c *exchange.Core, now time.Time) { givesUp = c.GivesUpSilent(now, x.ticket) })
+		switch {
+		case ctx.Err() != nil: // the attempt has ended
+		case givesUp:
+			cancel(errSilent)
+		default:
+			timer.Reset(silenceRecheckInterval)
+		}
+	})
+	close(created)
+	return timer
 }
 
 // performAttempt sends the request, relays the response and returns the outcome and, for
