--- a/internal/system/ratelimit/ratelimit_test.go
+++ b/internal/system/ratelimit/ratelimit_test.go
@@ -184,7 +184,7 @@
 			}
 			sum += own
 		}
-		if allowed := slots + slots/len(daemons) + 1 + len(daemons) - 1; sum > allowed {
+		if allowed := slots + slots/len(daemons) + 1; sum > allowed {
 			t.Fatalf("%d slots at %d daemons add up to %d, at most %d expected", slots, len(daemons), sum, allowed)
 		}
 	})
