Rate limits: one rank for limits and slots; line 6157 says what is done

The rank of a daemon for a server was worked out twice. The line said that servers get no more requests than they have slots; places go a little beyond.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -38,7 +38,7 @@
 	StreamVersionsNotRecorded   = define(6165, Warn, "row of the recorded versions not read or not written")
 	BegunStreamsRead            = define(6166, Info, "streams that other processes have begun read from the table service")
 	BegunStreamsNotSaved        = define(6167, Warn, "streams that processes have begun not written to the table service, or not read")
-	ServerBrittleStated         = define(6157, Warn, "backend server says that it is brittle: servers of its service get no more requests than they have slots")
+	ServerBrittleStated         = define(6157, Warn, "backend server says that it is brittle: each daemon sends the servers of its service no more than its places there")
 	ServerBrittleEnded          = define(6158, Info, "backend server is not brittle any more")
 	ServerStatementIgnored      = define(6152, Warn, "invalid statement of a backend server of itself ignored")
 	ServerLeavingStated         = define(6153, Info, "backend server says that it leaves: it gets no more requests")
--- a/internal/system/ratelimit/ratelimit.go
+++ b/internal/system/ratelimit/ratelimit.go
@@ -32,18 +32,24 @@
 	FullBucket = 1.5
 )
 
-// Part returns this daemon's part of a server's limit, in requests per second, 0 if it has
-// none. Daemons are all that may send requests, this one included unless it may not.
-func Part(self entity.InstanceID, daemons []entity.InstanceID, server entity.BackendServerID, perSecond float64) float64 {
-	perSecond = max(perSecond, minRate)
-	parts := min(int(math.Ceil(perSecond/maxPart)), len(daemons))
-	rank, found := 0, false
+// rankOf returns how many daemons come before this one for a server, by hashes of their names, and
+// whether this one is among them.
+func rankOf(self entity.InstanceID, daemons []entity.InstanceID, server entity.BackendServerID) (rank int, found bool) {
 	for _, d := range daemons {
 		found = found || d == self
 		if rendezvous.Compare(string(d), string(self), string(server)) < 0 {
 			rank++
 		}
 	}
+	return rank, found
+}
+
+// Part returns this daemon's part of a server's limit, in requests per second, 0 if it has
+// none. Daemons are all that may send requests, this one included unless it may not.
+func Part(self entity.InstanceID, daemons []entity.InstanceID, server entity.BackendServerID, perSecond float64) float64 {
+	perSecond = max(perSecond, minRate)
+	parts := min(int(math.Ceil(perSecond/maxPart)), len(daemons))
+	rank, found := rankOf(self, daemons, server)
 	if !found || rank >= parts {
 		return 0
 	}
@@ -54,13 +60,7 @@
 // as evenly as can be. If one of the daemons is not known to some of the others, they share out its
 // slots a second time.
 func Slots(self entity.InstanceID, daemons []entity.InstanceID, server entity.BackendServerID, slots int) int {
-	rank, found := 0, false
-	for _, d := range daemons {
-		found = found || d == self
-		if rendezvous.Compare(string(d), string(self), string(server)) < 0 {
-			rank++
-		}
-	}
+	rank, found := rankOf(self, daemons, server)
 	if !found {
 		return 0
 	}
