Statements: that a server leaves is remembered for ten minutes

Cause: what a process had said was dropped 10 s after it, once its entry was no longer listed. A lease that lapses while the server stands still or the table service is away returns, and the server still leaves.

Change: that a process leaves is kept for ten minutes; what else it says as before. A process that has said so never takes requests again, so that keeping it costs a row.

--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -216,13 +216,21 @@
 	for _, p := range c.statements.rows.Keys() {
 		row := c.servers.Get(p.Server)
 		current := row != nil && row.process() == p
-		if current || now.Sub(c.statements.rows.Get(p).newest()) <= c.cfg.Bounds.ForgetServerAfter {
+		retention := c.cfg.Bounds.ForgetServerAfter
+		if c.statements.leaves(p) {
+			retention = max(retention, leavingRetention)
+		}
+		if current || now.Sub(c.statements.rows.Get(p).newest()) <= retention {
 			continue
 		}
 		if c.statements.leaves(p) {
 			c.logEvent(event.Event{Number: event.ServerLeavingEnded, Backend: p.Server, Attrs: []event.Attr{event.A("born", p.Born)}})
 		}
 		c.statements.rows.Delete(p)
+// leavingRetention is how long it is remembered at least that a process has said that it leaves. Its
+// entry may lapse and return while it goes on serving.
+const leavingRetention = 10 * time.Minute
+
 	}
 }
 
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -71,6 +71,7 @@
 		"half of them are cut":  func(r *statementRun, _ *fleetServer) { r.cutHalf(4 * time.Second) },
 		"a daemon is suspended": func(r *statementRun, _ *fleetServer) { r.suspend(r.daemons[0], 3*time.Second) },
 		"it crashes":            func(r *statementRun, s *fleetServer) { r.crash(s) },
+		"not listed for long":   func(r *statementRun, s *fleetServer) { r.lapse(s) },
 	} {
 		for _, daemons := range []int{3, 9, 89} {
 			t.Run(fmt.Sprintf("%s/daemons=%d", name, daemons), func(t *testing.T) {
@@ -82,6 +83,9 @@
 				r.run(time.Second)
 				trouble(r, s)
 				r.run(6 * time.Second)
+				if name == "not listed for long" {
+					r.run(lapseTime)
+				}
 				r.checkLeaving()
 				if len(r.refused) > 0 && name != "daemons restart" {
 					t.Errorf("refused: %v; the other servers take all requests", r.refused)
@@ -96,6 +100,15 @@
 	r.after(time.Second, func() { r.rewrite(s, 3) })
 }
 
+// lapseTime is longer than daemons remember servers that are not listed.
+const lapseTime = 14 * time.Second
+
+// lapse has the entry of a server lapse, which serves on, and return after lapseTime.
+func (r *statementRun) lapse(s *fleetServer) {
+	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID) })
+	r.after(lapseTime, func() { r.rewrite(s, 3) })
+}
+
 func (r *statementRun) restoreTable(s *fleetServer) {
 	r.eachCore(0, func(c *Core) { c.TableRestored(r.now) })
 	r.after(400*time.Millisecond, func() { r.rewrite(s, 0) })
