Servers: an entry without a start is one of the known process

Cause: statements are kept by process, which is an ID and a start. An entry that states none replaced the start by zero, under which nothing is known.

Change: such an entry is taken for one of the known process while that is listed, or if its sequence number goes on. Sequence numbers are compared then, too.

Test: TestLeaving_WhateverElseIsHeardOfTheProcess, "entry without a start": failed with 3 and 9 daemons before.

--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -69,6 +69,12 @@
 	return s.Sequence < r.Sequence && (r.listed || s.Born != 0)
 }
 
+// continuedBy reports whether an entry that does not say when its process started is taken for one of the
+// known process. What that has said of itself would be lost else.
+func (r *serverRow) continuedBy(s *BackendServer) bool {
+	return s.Born == 0 && (r.listed || s.Sequence >= r.Sequence)
+}
+
 // tableRecoveryGrace is how long after the table service's recovery from an outage
 // entries may be missing before their servers count as gone.
 const tableRecoveryGrace = 2 * time.Second
@@ -77,6 +83,9 @@
 // entry of the same process is known.
 func (c *Core) PutServer(now time.Time, s BackendServer) (accepted bool) {
 	old := c.servers.Get(s.ID)
+	if old != nil && old.continuedBy(&s) {
+		s.Born = old.Born
+	}
 	if old != nil && old.supersedes(&s, c.recentlyRestored(now)) {
 		return false
 	}
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -71,6 +71,7 @@
 		"half of them are cut":  func(r *statementRun, _ *fleetServer) { r.cutHalf(4 * time.Second) },
 		"a daemon is suspended": func(r *statementRun, _ *fleetServer) { r.suspend(r.daemons[0], 3*time.Second) },
 		"it crashes":            func(r *statementRun, s *fleetServer) { r.crash(s) },
+		"entry without a start": func(r *statementRun, s *fleetServer) { r.writeOdd(s, func(e *BackendServer) { e.Born = 0 }) },
 		"not listed for long":   func(r *statementRun, s *fleetServer) { r.lapse(s) },
 	} {
 		for _, daemons := range []int{3, 9, 89} {
@@ -109,6 +110,14 @@
 	r.after(lapseTime, func() { r.rewrite(s, 3) })
 }
 
+// writeOdd has all daemons read an entry of a server as another writer has changed it.
+func (r *statementRun) writeOdd(s *fleetServer, change func(*BackendServer)) {
+	entry := s.BackendServer
+	entry.Sequence++
+	change(&entry)
+	r.eachCore(0, func(c *Core) { c.PutServer(r.now, entry) })
+}
+
 func (r *statementRun) restoreTable(s *fleetServer) {
 	r.eachCore(0, func(c *Core) { c.TableRestored(r.now) })
 	r.after(400*time.Millisecond, func() { r.rewrite(s, 0) })
