Statements: an answer may come from a process whose entry was read later

What callers see: requests at a server that has started again under its ID and says that it leaves (rule DRAIN), if its entry is read between a request's send and its answer.

Cause: the statement was recorded for the process that the entry named when the request was sent. What such a process had said before its successor's entry was read was carried over; what came afterwards was not.

Change: the process that answers is the newer one if it had started before the request was sent, for answers to forwarded requests too. An attempt that was chosen before is withheld if either process wants none.

Test: TestLeaving_StatedByAProcessWhoseEntryIsReadLate, two cases, failed before.

--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -121,6 +121,7 @@
 // recordStatement records what a process says of itself in the answer to a request that was sent
 // at the given time.
 func (c *Core) recordStatement(now time.Time, p entity.ServerProcess, sentAt time.Time, s ServerStatement, genuine bool) {
+	p = c.answeringProcess(now, p, sentAt)
 	if s.Limit.Stated || genuine && !s.LimitUndefined {
 		c.recordLimit(now, p, sentAt, s.Limit)
 	}
@@ -135,6 +136,17 @@
 	}
 }
 
+// answeringProcess returns the process that answered a request which was sent at the given time to what
+// was taken for the process p: the next one under its ID, if that had started before and its entry was
+// read later.
+func (c *Core) answeringProcess(now time.Time, p entity.ServerProcess, sentAt time.Time) entity.ServerProcess {
+	row := c.servers.Get(p.Server)
+	if row == nil || row.Born <= p.Born || !c.trueTimeKnown || !sentAt.After(c.startedAt(now, row.Born).Add(bornMargin)) {
+		return p
+	}
+	return row.process()
+}
+
 // setRest records that a process asked at the given time for a rest until another one. An
 // earlier request for a longer rest stands.
 func (c *Core) setRest(now time.Time, p entity.ServerProcess, at, until time.Time) {
@@ -270,7 +282,17 @@
 		c.logContinuation(event.StreamVersionUnknown, t, t.process.Server)
 		return false
 	}
-	return !c.statements.wantsNone(now, t.process)
+	return !c.wantsNone(now, t.process)
+}
+
+// wantsNone reports whether a process, or a newer one under its ID, has said that it wants no requests
+// from this daemon now.
+func (c *Core) wantsNone(now time.Time, p entity.ServerProcess) bool {
+	if c.statements.wantsNone(now, p) {
+		return true
+	}
+	row := c.servers.Get(p.Server)
+	return row != nil && row.Born > p.Born && c.statements.wantsNone(now, row.process())
 }
 
 // StatementCounts are the numbers of backend servers that have said something of themselves that
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -184,6 +184,39 @@
 	}
 }
 
+// TestLeaving_StatedByAProcessWhoseEntryIsReadLate: a server starts again under its ID, answers a request
+// that was sent on its former entry, and says that it leaves. Its entry is read between the two.
+func TestLeaving_StatedByAProcessWhoseEntryIsReadLate(t *testing.T) {
+	for name, record := range map[string]func(*Core, *Ticket, time.Time){
+		"to this daemon": func(c *Core, ticket *Ticket, now time.Time) {
+			c.RecordStatement(now, ticket, ServerStatement{Leaving: true}, true)
+		},
+		"to a daemon whose request it forwards": func(c *Core, ticket *Ticket, now time.Time) {
+			f := c.ForwardedBy(now, ticket)
+			c.ForwardedAnswered(now, &f, ticket.sentAt, ServerStatement{Leaving: true}, true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(t, "a")
+			c.SetTrueTime(0)
+			sent := at(2 * time.Second)
+			c.Confirm(sent)
+			ticket := mustAdmit(t, c, sent, testRequest("r", "/x", "k3"))
+			attempt := mustPlace(t, c, sent, ticket)
+			entry := c.servers.Get(attempt.Server).BackendServer
+			entry.Born = at(time.Second).UnixMilli()
+			c.PutServer(at(3*time.Second), entry)
+			record(c, ticket, at(4*time.Second))
+			if c.usable(at(5*time.Second), attempt.Server) {
+				t.Error("a server that has said that it leaves may get requests")
+			}
+			if c.MaySend(at(5*time.Second), ticket, zero) {
+				t.Error("an attempt that was chosen before may be sent to it")
+			}
+		})
+	}
+}
+
 // TestLeaving_AllDaemonsLearnIt: one daemon passes it on, the others get no answer of the server.
 func TestLeaving_AllDaemonsLearnIt(t *testing.T) {
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
