--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -223,6 +223,10 @@
 	}
 }
 
+// leavingRetention is how long it is remembered at least that a process has said that it leaves. Its
+// entry may lapse and return while it goes on serving.
+const leavingRetention = 10 * time.Minute
+
 // forgetStatements drops what processes have stated that are not listed, or not any more.
 func (c *Core) forgetStatements(now time.Time) {
 	for _, p := range c.statements.rows.Keys() {
@@ -239,10 +243,6 @@
 			c.logEvent(event.Event{Number: event.ServerLeavingEnded, Backend: p.Server, Attrs: []event.Attr{event.A("born", p.Born)}})
 		}
 		c.statements.rows.Delete(p)
-// leavingRetention is how long it is remembered at least that a process has said that it leaves. Its
-// entry may lapse and return while it goes on serving.
-const leavingRetention = 10 * time.Minute
-
 	}
 }
 
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -217,6 +217,19 @@
 	}
 }
 
+// TestMayForward_NewerProcessDrains: a daemon that forwards knows a newer process of the server than the
+// one that asks, and that this process drains.
+func TestMayForward_NewerProcessDrains(t *testing.T) {
+	c := newTestCore(t, "a")
+	f := Forwarded{Process: c.servers.Get("plain0").process(), Service: "plain"}
+	entry := c.servers.Get("plain0").BackendServer
+	entry.Born, entry.State = 2, Draining
+	c.PutServer(zero, entry)
+	if c.MayForward(zero, &f) {
+		t.Error("a request for another daemon may be sent to a server that drains")
+	}
+}
+
 // TestLeaving_AllDaemonsLearnIt: one daemon passes it on, the others get no answer of the server.
 func TestLeaving_AllDaemonsLearnIt(t *testing.T) {
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
