Streams: a silent server is waited for as long as a sound one may stand still

Cause: a stream that has got no event within twice its objective is sent to another server. A server that only stands still runs what it has when it wakes, until it finds the connection closed. With an objective of 0.3 s and servers stopped by a signal for 0.9 to 1.4 s, runs went on beside the next one for 0.73 to 0.76 s. Ruled out, with the same processes: requests that may run once (none ran twice), answers that are lost (none of about 1,300 while all or half of the servers of a service stood still and timeouts, idle times and routes changed).

Change: a stream is given up to another server after 1.6 s without an event, or at once if its server is known to have died. Other repeatable requests as before.

TestGivesUpSilent_StreamWaitsOutAPause failed before.

--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -71,9 +71,17 @@
 	return now.Add(max(wait, time.Duration(silenceExpectedFactor*float64(expected))))
 }
 
+// minStreamSilence is the least silence after which a stream is sent to another backend server. A sound
+// server may stand still for a second or so while its kernel takes connections; when it goes on, it runs
+// what it has until it finds the connection closed, which must not be beside the next run.
+const minStreamSilence = 1600 * time.Millisecond
+
 // GivesUpSilent reports whether an attempt that has got no event by its SilenceDeadline is given up:
 // there must be another backend server for the request. The one that has it may answer yet.
 func (c *Core) GivesUpSilent(now time.Time, t *Ticket) bool {
+	if t.Route.Kind == Stream && now.Sub(t.sentAt) < minStreamSilence && !c.deaths.isDead(now, t.process) {
+		return false
+	}
 	found := false
 	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
 		found = row.Service == t.Service && !slices.Contains(t.tried, id) && c.mayContinue(t, id) && c.mayReceive(now, id, 0)
--- a/internal/exchange/pause_test.go
+++ b/internal/exchange/pause_test.go
@@ -69,3 +69,22 @@
 		}
 	}
 }
+
+// TestGivesUpSilent_StreamWaitsOutAPause: a stream has got no event for far longer than its objective. While its
+// server may only stand still, it must not run elsewhere too; a server that has died is not waited for.
+func TestGivesUpSilent_StreamWaitsOutAPause(t *testing.T) {
+	const usualPause = 1400 * time.Millisecond
+	c := newTestCore(t, "a")
+	ticket := mustAdmit(t, c, zero, testRequest("r", "/talk/x", "k3"))
+	mustPlace(t, c, zero, ticket)
+	if c.GivesUpSilent(at(usualPause), ticket) {
+		t.Errorf("given up after %v, the time for which a sound server may fall silent", usualPause)
+	}
+	if !c.GivesUpSilent(at(2*usualPause), ticket) {
+		t.Errorf("not given up after %v, though there are other servers", 2*usualPause)
+	}
+	c.recordDeath(at(time.Second), at(time.Second), ticket.process, proofRefused)
+	if !c.GivesUpSilent(at(usualPause), ticket) {
+		t.Error("a server that has died is waited for")
+	}
+}
