Stream versions: a missing row is complete while no streams may be resumed

Cause: the row of recorded versions is marked as complete by the first process of a deployment only. Earlier releases did not write it while no route let streams be resumed, so that nobody was left to mark it when the first such route came.

Change: a daemon that finds no row, while its freshly confirmed configuration lets no streams be resumed and the table service was not restored lately, knows that none has begun that could be taken up, and marks the row. The write holds only if there is still none; a row that cannot be decoded is not a missing one.

Test: TestStreamVersion_FirstResumableRouteAfterAnUpgrade failed with 3, 9 and 89 daemons before.

--- a/internal/exchange/fleet_versions_test.go
+++ b/internal/exchange/fleet_versions_test.go
@@ -113,7 +113,7 @@
 		return
 	}
 	f.versions.reads++
-	read := streamversion.Read{Row: f.versions.row, Generation: f.versions.generation, NewDeployment: first}
+	read := streamversion.Read{Row: f.versions.row, Generation: f.versions.generation, Absent: f.versions.revision == 0, NewDeployment: first}
 	revision := f.versions.revision
 	f.after(networkDelay, func() {
 		f.whenRunning(d, func() {
--- a/internal/exchange/stream_restart_test.go
+++ b/internal/exchange/stream_restart_test.go
@@ -172,11 +172,23 @@
 // that comes when no daemon runs any more that was there at the beginning of the deployment. A
 // daemon that is killed later has its streams taken up elsewhere.
 func TestStreamVersion_FirstResumableRouteAfterARoll(t *testing.T) {
+	testFirstResumableRoute(t, false)
+}
+
+// TestStreamVersion_FirstResumableRouteAfterAnUpgrade: the same, and the daemons of the beginning were of a
+// release that did not write the row of versions while no streams could be resumed.
+func TestStreamVersion_FirstResumableRouteAfterAnUpgrade(t *testing.T) {
+	testFirstResumableRoute(t, true)
+}
+
+// testFirstResumableRoute replaces all daemons, lets streams be resumed from then on, and checks that
+// callers can. Claimed says that the table service knows an earlier deployment, which has left no row.
+func testFirstResumableRoute(t *testing.T, claimed bool) {
 	for _, daemons := range []int{3, 9, 89} {
 		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
 			t.Parallel()
 			r := newLedVersionRun(t, daemons)
-			r.versions = versionTable{use: true, leader: true, notResumable: true}
+			r.versions = versionTable{use: true, leader: true, notResumable: true, claimed: claimed}
 			r.restart(r.daemons)
 			r.run(3 * time.Second)
 			r.restart(r.daemons)
--- a/internal/exchange/version_record.go
+++ b/internal/exchange/version_record.go
@@ -248,6 +248,7 @@
 	_, leader := c.lease.Epoch()
 	before := c.recorded.Complete(now)
 	c.step.readAt = c.step.readBegunAt
+	read.NewDeployment = read.NewDeployment || read.Absent && c.noneMayBeResumed(now)
 	c.changeVersions(now, servicesOfRow(&read.Row), func() { next, write = c.recorded.Apply(now, read, leader) })
 	c.announceRecorded(now, c.recorded.TakeNews())
 	if complete := c.recorded.Complete(now); complete != before || write {
@@ -256,6 +257,14 @@
 	return next, write
 }
 
+// noneMayBeResumed reports whether the configuration in force lets no streams be resumed. While it does
+// not, and nobody has written the row, none has begun that a caller may resume: a version is recorded
+// before. So the row of a deployment whose first daemons did not write it, as those of earlier releases,
+// is complete from its first write on.
+func (c *Core) noneMayBeResumed(now time.Time) bool {
+	return c.configurationFresh(now) && len(c.index.resumable) == 0 && !c.recentlyRestored(now)
+}
+
 // VersionRowWritten records that the row has been written.
 func (c *Core) VersionRowWritten(now time.Time, row *streamversion.Row) {
 	c.changeVersions(now, servicesOfRow(row), func() { c.recorded.Written(now, row) })
--- a/internal/gateway/version_record.go
+++ b/internal/gateway/version_record.go
@@ -141,6 +141,7 @@
 		if read.Generation, _, known = g.generations.current(); !known {
 			return nil, 0, errNoGeneration
 		}
+		read.Absent = true
 		return read, 0, nil
 	}
 	if err != nil {
--- a/internal/system/streamversion/row.go
+++ b/internal/system/streamversion/row.go
@@ -30,7 +30,9 @@
 type Read struct {
 	Row        Row    // empty if the row does not exist
 	Generation uint64 // of the table service at the read
-	// NewDeployment says that no daemon has run on this table service before this process.
+	Absent     bool   // the row does not exist
+	// NewDeployment says that no stream that may be resumed can have begun before this read, as no
+	// daemon has run on this table service before this process.
 	NewDeployment bool
 }
 
