--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -50,8 +50,12 @@
 
 // learnRun learns how long a complete answer took.
 func (c *Core) learnRun(now time.Time, t *Ticket, o Outcome) {
-	if o == Answered && t.answerStarted {
-		c.longestRuns.learn(now, t.Service, now.Sub(t.answerStartedAt), t.Request.Work.MaxOutput)
+	if o != Answered || !t.answerStarted {
+		return
+	}
+	begin := t.answerStartedAt
+	if t.Request.Work.MaxOutput <= 0 {
+		begin = t.sentAt
 	}
 }
 
--- a/internal/exchange/longest_run.go
+++ b/internal/exchange/longest_run.go
@@ -15,9 +15,9 @@
 	longestRunFactor = 1.15
 )
 
-// longestRuns holds, for each service, the longest time of late from the first event of an answer
-// to its end: for each token that the request allowed, and of requests that do not say how many they
-// allow. Nothing tells in advance which answer of a service is a long one.
+// longestRuns holds, for each service, the longest time of late that an answer took: from its first
+// event to its end, for each token that the request allowed; of requests that do not say how many they
+// allow, from their sending to the end. Nothing tells in advance which answer of a service is a long one.
 type longestRuns struct {
 	perToken *entity.Table[entity.ServiceName, longestRun]
 	unstated *entity.Table[entity.ServiceName, longestRun]
--- a/internal/exchange/stopping_test.go
+++ b/internal/exchange/stopping_test.go
@@ -114,3 +114,34 @@
 		t.Errorf("a request that may last %v was placed %v before the daemon's end: %+v", long, long, refusal)
 	}
 }
+
+// TestPlace_StoppingDaemonKnowsTheLongestThinking: one plain answer in twelve begins far later than the others.
+func TestPlace_StoppingDaemonKnowsTheLongestThinking(t *testing.T) {
+	const short, long = 50 * time.Millisecond, 1500 * time.Millisecond
+	c := newTestCore(t, "d1")
+	now := zero
+	request := func() *Ticket {
+		c.Confirm(now)
+		r := testRequest("r", "/x", "k3")
+		r.Patience = 0
+		return mustAdmit(t, c, now, r)
+	}
+	for i := range 48 {
+		ticket := request()
+		mustPlace(t, c, now, ticket)
+		now = now.Add(short)
+		if i%12 == 5 {
+			now = now.Add(long - short)
+		}
+		c.Confirm(now)
+		c.Started(now, ticket)
+		c.Ended(now, ticket, Answered)
+		c.Finish(now, ticket)
+	}
+	c.Leave(now.Add(2 * long))
+	mustPlace(t, c, now, request())
+	c.Leave(now.Add(long))
+	if _, refusal := c.Place(now, request()); refusal == nil || refusal.Code != "leaving" {
+		t.Errorf("a request that may last %v was placed %v before the daemon's end: %+v", long, long, refusal)
+	}
+}
