A stopping daemon that has seen few answers takes only what must end in time

What callers see: long streams cut at the end of a planned stop (rule LOST) that comes a short time after the daemon's start, or after a lull.

Cause: the longest answers of late are known to a process that has seen some. One that has just started knows none, and went by its first estimate.

Change: below 24 answers in the present period and the one before, a request is taken only if its deadline is before the daemon's end. Others can take the rest at once.

Test: TestPlace_StoppingDaemonThatHasSeenFewAnswers failed before, with and without a stated size.

--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -57,6 +57,7 @@
 	if t.Request.Work.MaxOutput <= 0 {
 		begin = t.sentAt
 	}
+	c.longestRuns.learn(now, t.Service, now.Sub(begin), t.Request.Work.MaxOutput)
 }
 
 // recordEvidence records what an outcome says of the death of the backend server and of
--- a/internal/exchange/longest_run.go
+++ b/internal/exchange/longest_run.go
@@ -13,6 +13,8 @@
 	// longestRunFactor is the time, in multiples of the longest run, that must remain until
 	// this daemon stops for a request to be accepted.
 	longestRunFactor = 1.15
+	// minKnownRuns is the number of answers from which on the longest one tells how long others may take.
+	minKnownRuns = 24
 )
 
 // longestRuns holds, for each service, the longest time of late that an answer took: from its first
@@ -26,7 +28,13 @@
 // longestRun is the longest run of the present period and of the one before.
 type longestRun struct {
 	began           time.Time // the present period
-	present, before time.Duration
+	present, before period
+}
+
+// period is what was learned in one period.
+type period struct {
+	longest time.Duration
+	answers int
 }
 
 // at returns the longest run as it counts at a time.
@@ -58,16 +66,18 @@
 	rows, unit := l.rows(allowed)
 	row := rows.GetOrPut(service)
 	*row = row.at(now)
-	row.present = max(row.present, took/time.Duration(unit))
+	row.present.longest = max(row.present.longest, took/time.Duration(unit))
+	row.present.answers++
 }
 
-// of returns the longest time that an answer of up to this many tokens may take.
-func (l *longestRuns) of(now time.Time, service entity.ServiceName, allowed entity.Tokens) time.Duration {
+// of returns the longest time that an answer of up to this many tokens may take, and whether enough
+// answers have been seen to tell.
+func (l *longestRuns) of(now time.Time, service entity.ServiceName, allowed entity.Tokens) (longest time.Duration, known bool) {
 	rows, unit := l.rows(allowed)
 	row := rows.Get(service)
 	if row == nil {
-		return 0
+		return 0, false
 	}
 	r := row.at(now)
-	return max(r.present, r.before) * time.Duration(unit)
+	return max(r.present.longest, r.before.longest) * time.Duration(unit), r.present.answers+r.before.answers >= minKnownRuns
 }
--- a/internal/exchange/reject.go
+++ b/internal/exchange/reject.go
@@ -56,11 +56,16 @@
 }
 
 // maxAnswerDuration returns how long the answer may take if it has the maximum
-// number of tokens, with a safety factor, and no less than the longest of late.
+// number of tokens, with a safety factor, and no less than the longest of late; or
+// until the request's deadline, if too few answers have been seen to tell.
 // Callers' estimates of the size are not used, as they are often far too low.
 func (c *Core) maxAnswerDuration(now time.Time, t *Ticket, choice placement.Choice) time.Duration {
 	expected := choice.Cost + c.placer.OutputDuration(t.Service, t.Request.Work.MaxOutput)
-	longest := choice.Cost + c.longestRuns.of(now, t.Service, t.Request.Work.MaxOutput)
+	longest, known := c.longestRuns.of(now, t.Service, t.Request.Work.MaxOutput)
+	if !known && !t.Deadline.IsZero() {
+		return t.Deadline.Sub(now)
+	}
+	longest += choice.Cost
 	return max(time.Duration(shutdownDurationFactor*float64(expected)), time.Duration(longestRunFactor*float64(longest)), minShutdownDuration)
 }
 
--- a/internal/exchange/stopping_test.go
+++ b/internal/exchange/stopping_test.go
@@ -71,13 +71,13 @@
 		for i := range 2000 {
 			c.longestRuns.learn(at(time.Duration(i)*10*time.Millisecond), "engine", 30*time.Millisecond, work.MaxOutput)
 		}
-		if got := c.longestRuns.of(at(20*time.Second), "engine", work.MaxOutput); got < long*99/100 {
+		if got, _ := c.longestRuns.of(at(20*time.Second), "engine", work.MaxOutput); got < long*99/100 {
 			t.Errorf("an answer with %d tokens may last %v, a recent one has lasted %v", work.MaxOutput, got, long)
 		}
 		for i := range 20 {
 			c.longestRuns.learn(at(time.Duration(20+5*i)*time.Second), "engine", 30*time.Millisecond, work.MaxOutput)
 		}
-		if got := c.longestRuns.of(at(2*time.Minute), "engine", work.MaxOutput); got >= long/2 {
+		if got, _ := c.longestRuns.of(at(2*time.Minute), "engine", work.MaxOutput); got >= long/2 {
 			t.Errorf("an answer with %d tokens may last %v two minutes after the last long one", work.MaxOutput, got)
 		}
 	}
@@ -115,6 +115,27 @@
 	}
 }
 
+// TestPlace_StoppingDaemonThatHasSeenFewAnswers: a daemon is told to stop a short time after its start. It does
+// not know how long answers may take, and takes only what must end before it does.
+func TestPlace_StoppingDaemonThatHasSeenFewAnswers(t *testing.T) {
+	for name, work := range map[string]Work{"unstated size": {}, "stated size": {Stated: true, Prompt: 10, MaxOutput: 20}} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(t, "d1")
+			request := func() *Ticket {
+				r := testRequest("r", "/talk/x", "k3")
+				r.Patience, r.Work = 5*time.Second, work
+				return mustAdmit(t, c, zero, r)
+			}
+			c.Leave(at(4 * time.Second))
+			if _, refusal := c.Place(zero, request()); refusal == nil || refusal.Code != "leaving" {
+				t.Errorf("a request that may last 5 s was placed 4 s before the daemon's end: %+v", refusal)
+			}
+			c.Leave(at(6 * time.Second))
+			mustPlace(t, c, zero, request())
+		})
+	}
+}
+
 // TestPlace_StoppingDaemonKnowsTheLongestThinking: one plain answer in twelve begins far later than the others.
 func TestPlace_StoppingDaemonKnowsTheLongestThinking(t *testing.T) {
 	const short, long = 50 * time.Millisecond, 1500 * time.Millisecond
