Large request bodies are not copied when they are sent

Cause: the head and the body of a request were joined into one array for each send. A body that was held in the budget for bodies took as much again outside of it while it was sent, and again for each repeat: memory that ends a process once many large bodies are in flight.

--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -341,3 +342,29 @@
 		}
 	}
 }
+
+// TestSend_LargeBodyIsNotCopied: the body of a request is in memory already, and counted there. Sending it
+// must not take as much again.
+func TestSend_LargeBodyIsNotCopied(t *testing.T) {
+	const size = 16 << 20
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, req.Body)
+		writeResponse(c, "1", fmt.Sprint(n))
+	})
+	r := newRequest(address, "")
+	r.Body = make([]byte, size)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, body, err := send(t, NewPool(), r)
+	runtime.ReadMemStats(&after)
+	if err != nil || body != fmt.Sprint(size) {
+		t.Fatalf("the server got %s bytes of %d, error %v", body, size, err)
+	}
+	if taken := after.TotalAlloc - before.TotalAlloc; taken > size/4 {
+		t.Errorf("sending a body of %d bytes took %d bytes of memory", size, taken)
+	}
+}
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -84,15 +84,10 @@
 	// is the signal to stop working on the request.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, writeResult: make(chan error, 1)}
-	head := r.encodeHead()
 	if len(r.Body) <= maxInlineBodyBytes {
-		_, err = conn.Write(append(head, r.Body...))
-		reply.writeResult <- err
+		reply.writeResult <- r.write(conn)
 	} else {
-		go func() {
-			_, err := conn.Write(append(head, r.Body...))
-			reply.writeResult <- err
-		}()
+		go func() { reply.writeResult <- r.write(conn) }()
 	}
 	if err := reply.readResponseHead(r); err != nil {
 		reply.failed = true
@@ -102,6 +97,17 @@
 	return reply, nil
 }
 
+// write writes the request: its head and the beginning of its body at once, and then the rest, so that
+// a large body is not copied.
+func (r *Request) write(to io.Writer) error {
+	first := min(len(r.Body), maxInlineBodyBytes)
+	if _, err := to.Write(append(r.encodeHead(), r.Body[:first]...)); err != nil || first == len(r.Body) {
+		return err
+	}
+	_, err := to.Write(r.Body[first:])
+	return err
+}
+
 // encodeHead returns the encoded request line and header.
 func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
