Long incomplete events count in the budget for bodies

What callers see: a daemon that is killed for its memory, with all that it has in flight, when servers send long events slowly or never end them.

Cause: each stream may hold an event of up to 256 KiB until it is complete, and nothing counted them together.

Change: beyond 16 KiB, what is held of an event is reserved in the budget for bodies. If there is no room, the stream is broken off at that server, and goes on elsewhere where it may.

Test: TestGateway_LongEventsKeepToTheMemory failed before: 160 incomplete events of 200 KiB were held at once, 16 MB allowed.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 )
 
-// bodyBudget bounds the memory for the bodies of all requests in flight, and of the responses
-// that are buffered.
+// bodyBudget bounds the memory for the bodies of all requests in flight, of the responses
+// that are buffered and of long events that are not complete.
 type bodyBudget struct {
 	limitBytes int64
 	usedBytes  atomic.Int64
@@ -25,6 +25,18 @@
 // release undoes a reserve of n bytes.
 func (b *bodyBudget) release(n int64) { b.usedBytes.Add(-n) }
 
+// resize changes what is held of the budget to n bytes, and reports false if there is no room.
+func (b *bodyBudget) resize(held *int64, n int64) bool {
+	if n > *held && !b.reserve(n-*held) {
+		return false
+	}
+	if n < *held {
+		b.release(*held - n)
+	}
+	*held = n
+	return true
+}
+
 // errNoMemory: the budget has no room for more of a body.
 var errNoMemory = errors.New("no memory for the body")
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,6 +17,9 @@
 // until it is complete.
 const maxEventBytes = 256 << 10
 
+// smallEventBytes is the size up to which an incomplete event takes nothing of the budget for bodies.
+const smallEventBytes = copyBufferBytes
+
 // relayStream sends the events of a response to the caller as they arrive. It sends
 // complete events only, so that another backend server can continue after the last one.
 func (x *forwarding) relayStream(ctx context.Context, reply *outbound.Reply, silenceTimer *time.Timer) (exchange.Outcome, string) {
@@ -24,6 +27,8 @@
 	flusher := http.NewResponseController(x.w)
 	buf := make([]byte, copyBufferBytes)
 	first := true
+	held := int64(0) // of the budget, for an incomplete event
+	defer func() { x.g.bodyMemory.release(held) }()
 	x.eventsNoted = false
 	for {
 		n, err := reply.Read(buf)
@@ -48,6 +53,9 @@
 			x.g.meter.countOversizedEvent()
 			return exchange.Broken, "event longer than " + strconv.Itoa(maxEventBytes) + " bytes"
 		}
+		if !x.g.bodyMemory.resize(&held, events.heldBytes()) {
+			return exchange.Broken, "no memory for an event of " + strconv.Itoa(len(events.tail)) + " bytes or more"
+		}
 		if errors.Is(err, io.EOF) {
 			return x.endStream(reply, &events)
 		}
@@ -147,6 +155,14 @@
 	return complete
 }
 
+// heldBytes returns the memory for an incomplete event that counts in the budget for bodies.
+func (s *eventSplitter) heldBytes() int64 {
+	if cap(s.tail) <= smallEventBytes {
+		return 0
+	}
+	return int64(cap(s.tail))
+}
+
 // countEvents returns the number of empty lines, each of which ends an event.
 func countEvents(p []byte) int {
 	return max(bytes.Count(p, []byte("\n\n"))+bytes.Count(p, []byte("\r\n\r\n")), 1)
