A silent server is given up only if the retry budget allows the next send

What callers see: 502 after twice the objective, from a daemon that has started a moment ago or whose retry budget is spent, although their server would have answered.

Cause: a repeatable request whose server is silent was given up for another server, and the budget was asked afterwards. A process earns its first retry some seconds after its start. A failure's replacement asked the budget first already.

Change: giving up charges the next send to the budget; without it the answer is waited for, until the deadline.

--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -77,7 +77,8 @@
 const minStreamSilence = 1600 * time.Millisecond
 
 // GivesUpSilent reports whether an attempt that has got no event by its SilenceDeadline is given up:
-// there must be another backend server for the request. The one that has it may answer yet.
+// there must be another backend server for the request, and the retry budget must allow that send, to which
+// it is charged. The one that has it may answer yet.
 func (c *Core) GivesUpSilent(now time.Time, t *Ticket) bool {
 	if t.Route.Kind == Stream && now.Sub(t.sentAt) < minStreamSilence && !c.deaths.isDead(now, t.process) {
 		return false
@@ -87,7 +88,7 @@
 		found = row.Service == t.Service && !slices.Contains(t.tried, id) && c.mayContinue(t, id) && c.mayReceive(now, id, 0)
 		return !found
 	})
-	return found && !t.answerStarted
+	return found && !t.answerStarted && c.chargeRetry(now, t)
 }
 
 // Started records that the head or the first event of an answer has arrived.
--- a/internal/exchange/pause_test.go
+++ b/internal/exchange/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -88,3 +89,30 @@
 		t.Error("a server that has died is waited for")
 	}
 }
+
+// TestGivesUpSilent_OnlyWithinTheRetryBudget: a server that is silent may answer yet. It must not be given up for a
+// retry that the budget does not allow, which would end the request.
+func TestGivesUpSilent_OnlyWithinTheRetryBudget(t *testing.T) {
+	c := newTestCore(t, "a")
+	silent := at(400 * time.Millisecond)
+	givenUp := 0
+	for i := range 200 {
+		ticket := mustAdmit(t, c, zero, testRequest(strconv.Itoa(i), "/get/x", "k3"))
+		mustPlace(t, c, zero, ticket)
+		if !c.GivesUpSilent(silent, ticket) {
+			c.Ended(silent, ticket, Answered)
+			continue
+		}
+		givenUp++
+		if refusal := c.Ended(silent, ticket, Silent); refusal != nil {
+			t.Fatalf("refused after a server was given up for another one: %+v", *refusal)
+		}
+		if _, refusal := c.Place(silent, ticket); refusal != nil {
+			t.Fatalf("refused after a server was given up for another one: %+v", *refusal)
+		}
+		c.Ended(silent, ticket, Answered)
+	}
+	if givenUp == 0 || givenUp > 50 {
+		t.Errorf("%d of 200 requests were repeated, the contract permits 50", givenUp)
+	}
+}
