Servers' ends: kept for unknown servers, and compared by the table's versions

What callers see: requests at a server that has left (rule DRAIN).

At 15.01 s the others read that a server had gone, which had started meanwhile, and told it; the daemon did not know the server and dropped what it heard. At 16.12 s it read the entry and its removal in one answer. As its calls had just begun to succeed again, it took the removal for a lease that may come back, and used the server for two seconds.

Cause: what was told of a server's end was compared with the entry that the daemon had at that moment, by sequence number, and not kept. Three more ways follow from it and are mended with it: a daemon that has read a later heartbeat of the entry ignored the end, as its sender had an earlier one; an older entry that was read afterwards made the server ready again; the end of the next process under an ID was ignored.

Change: the end carries the table service's version at which it was seen, is kept for entries that are read later, and holds for all entries up to that version. Daemons of earlier releases send none; sequence numbers are compared then.

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -272,7 +272,7 @@
 			attempt := mustPlace(t, c, now, ticket)
 			if r.Content == bad.Content {
 				c.Ended(now, ticket, Broken)
-				c.RemoveServer(now.Add(time.Second), attempt.Server)
+				c.RemoveServer(now.Add(time.Second), attempt.Server, 0)
 				endProbes(c, now.Add(time.Second), Refused)
 				continue
 			}
--- a/internal/exchange/crash_part_test.go
+++ b/internal/exchange/crash_part_test.go
@@ -568,7 +568,7 @@
 			r.replace(s, s.ID, s.Born+1)
 		}},
 		{"leave", []int{1, 3, 9}, time.Second, func(r *partRun, s *fleetServer) {
-			r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID) })
+			r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID, 0) })
 			r.after(500*time.Millisecond, func() { r.crash(s) })
 		}},
 	} {
--- a/internal/exchange/crash_repeat_test.go
+++ b/internal/exchange/crash_repeat_test.go
@@ -28,7 +28,7 @@
 		c.Ended(now, ticket, Broken)
 		c.Finish(now, ticket)
 		endProbes(c, now, Refused)
-		c.RemoveServer(now, attempt.Server)
+		c.RemoveServer(now, attempt.Server, 0)
 		c.PutServer(now, BackendServer{
 			ID: attempt.Server + "-next", Born: 1, Service: "engine", Address: attempt.Address, DataCentre: "a", Slots: 8, State: Ready,
 		})
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -283,7 +283,7 @@
 		req.Content = crashingContent
 		ticket := mustAdmit(t, c, now, req)
 		attempt := mustPlace(t, c, now, ticket)
-		c.RemoveServer(now, attempt.Server)
+		c.RemoveServer(now, attempt.Server, 0)
 		endProbes(c, now, Reachable)
 		c.Ended(now, ticket, Broken)
 		c.Finish(now, ticket)
@@ -312,7 +312,7 @@
 func TestCrash_ServerThatAnswersDuringItsProbeIsNotDead(t *testing.T) {
 	c := newTestCore(t, "a")
 	for _, id := range []entity.BackendServerID{"plain1", "plain2"} {
-		c.RemoveServer(zero, id)
+		c.RemoveServer(zero, id, 0)
 	}
 	running := mustAdmit(t, c, zero, testRequest("running", "/x", "k3"))
 	mustPlace(t, c, zero, running)
@@ -338,7 +338,7 @@
 	}
 	for _, id := range []entity.BackendServerID{"plain0", "plain1", "plain2"} {
 		if id != died.Server {
-			c.RemoveServer(zero, id)
+			c.RemoveServer(zero, id, 0)
 		}
 	}
 	now := at(time.Second)
--- /dev/null
+++ b/internal/exchange/draining.go
@@ -0,0 +1,100 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+)
+
+// A daemon that sees in the list that a server drains or has gone tells all others, whose list may
+// be older.
+
+// drainAnnouncementDuration is how long a draining server is included in the
+// updates to other daemons.
+const drainAnnouncementDuration = 3 * time.Second
+
+// DrainingServer is a server that drains or has gone.
+type DrainingServer struct {
+	ID       entity.BackendServerID `cbor:"1,keyasint"`
+	Born     int64                  `cbor:"2,keyasint,omitempty"` // start of its process, Unix milliseconds; 0: not known
+	Sequence uint64                 `cbor:"3,keyasint,omitempty"` // of the newest known entry of the server
+	// Version is that of the table service at which the server was draining or not listed; 0: not
+	// known, as from daemons of earlier releases. Sequence numbers alone do not tell which of two is
+	// newer: those of entries that have changed in nothing else are not read.
+	Version uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// told is what another daemon has said of a server's end.
+type told struct {
+	DrainingServer
+	known bool
+	at    time.Time
+}
+
+// covers reports whether an entry is not newer than what was told of its server's end. If the next process
+// under its ID drains, the entry's has ended.
+func (t *told) covers(s *BackendServer) bool {
+	if !t.known {
+		return false
+	}
+	if t.Born > 0 && s.Born > 0 && t.Born != s.Born {
+		return t.Born > s.Born
+	}
+	if t.Version > 0 && s.EntryVersion > 0 {
+		return s.EntryVersion <= t.Version
+	}
+	return s.Sequence <= t.Sequence
+}
+
+// drainingServers returns the servers of which this daemon has seen lately that they drain or have gone.
+func (c *Core) drainingServers(now time.Time) []DrainingServer {
+	var out []DrainingServer
+	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
+		draining := row.State == Draining || !row.listed && !now.Before(row.goneAt)
+		if draining && now.Sub(row.drainingSince) < drainAnnouncementDuration {
+			out = append(out, DrainingServer{ID: id, Born: row.Born, Sequence: row.Sequence, Version: row.endVersion()})
+		}
+		return true
+	})
+	return out
+}
+
+// endVersion returns the version of the table service at which the server drained or was not listed.
+func (r *serverRow) endVersion() uint64 {
+	if r.listed {
+		return r.EntryVersion
+	}
+	return r.goneVersion
+}
+
+// receiveDraining applies another daemon's announcement that a server drains or has
+// gone. That of a server which is not known yet is kept for its entry.
+func (c *Core) receiveDraining(now time.Time, s DrainingServer) {
+	t := told{DrainingServer: s, known: true, at: now}
+	row := c.servers.Get(s.ID)
+	if row == nil {
+		c.told.Put(s.ID, &t)
+		return
+	}
+	if row.State == Ready && t.covers(&row.BackendServer) {
+		c.markTold(now, row, &t)
+	}
+}
+
+// applyTold applies to an entry that has just been read what was told of its server's end before.
+func (c *Core) applyTold(now time.Time, row, old *serverRow) {
+	t := c.told.Get(row.ID)
+	if old != nil {
+		t = &old.told
+	}
+	c.told.Delete(row.ID)
+	if t != nil && t.covers(&row.BackendServer) {
+		c.markTold(now, row, t)
+	}
+}
+
+// markTold makes a server drain of whose end another daemon has told. This daemon does not announce it.
+func (c *Core) markTold(now time.Time, row *serverRow, t *told) {
+	row.State, row.Sequence, row.told = Draining, max(row.Sequence, t.Sequence), *t
+	row.drainingSince = now.Add(-drainAnnouncementDuration)
+}
--- /dev/null
+++ b/internal/exchange/draining_test.go
@@ -0,0 +1,76 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+)
+
+// listedServer returns an entry that has the given version of the table service.
+func listedServer(version, sequence uint64) BackendServer {
+	return BackendServer{ID: "late", Sequence: sequence, EntryVersion: version, Service: "plain", Address: "10.0.0.9:1", Slots: 8, State: Ready}
+}
+
+// TestReceiveDraining_ServerThatIsNotKnownYet: a daemon that was cut from the table service hears that a server
+// has gone which started meanwhile, and reads afterwards that it was listed, and was removed.
+func TestReceiveDraining_ServerThatIsNotKnownYet(t *testing.T) {
+	for name, told := range map[string]DrainingServer{
+		"with a version":    {ID: "late", Sequence: 1, Version: 20},
+		"without a version": {ID: "late", Sequence: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(t, "a")
+			c.receiveDraining(at(time.Second), told)
+			c.TableRecovered(at(2 * time.Second))
+			c.PutServer(at(2*time.Second), listedServer(10, 1))
+			if c.usable(at(2*time.Second), "late") {
+				t.Error("a server that has gone may get requests when its former entry was read")
+			}
+			c.RemoveServer(at(2*time.Second), "late", 20)
+			if c.usable(at(2*time.Second), "late") {
+				t.Error("a server that has gone may get requests when its removal was read")
+			}
+			c.PutServer(at(3*time.Second), listedServer(30, 2))
+			if !c.usable(at(3*time.Second), "late") {
+				t.Error("a server that was listed again gets no requests")
+			}
+		})
+	}
+}
+
+// TestReceiveDraining_HeartbeatsAreNoProof: the sender has not read the sequence numbers that a server has written
+// since. Versions of the table service tell which is newer.
+func TestReceiveDraining_HeartbeatsAreNoProof(t *testing.T) {
+	c := newTestCore(t, "a")
+	c.PutServer(zero, listedServer(10, 8))
+	c.receiveDraining(zero, DrainingServer{ID: "late", Sequence: 1, Version: 20})
+	if c.usable(zero, "late") {
+		t.Error("a server of which another daemon has seen that it has gone may get requests")
+	}
+	c.PutServer(zero, listedServer(12, 9))
+	if c.usable(zero, "late") {
+		t.Error("it may get requests after an older entry of it")
+	}
+	c.PutServer(zero, listedServer(21, 10))
+	c.receiveDraining(zero, DrainingServer{ID: "late", Sequence: 11, Version: 20})
+	if !c.usable(zero, "late") {
+		t.Error("a server that was listed again gets no requests")
+	}
+}
+
+// TestReceiveDraining_NextProcessDrains: a daemon knows the former process of a server whose next one drains.
+func TestReceiveDraining_NextProcessDrains(t *testing.T) {
+	c := newTestCore(t, "a")
+	former := listedServer(10, 8)
+	former.Born = 1
+	c.PutServer(zero, former)
+	c.receiveDraining(zero, DrainingServer{ID: "late", Born: 2, Sequence: 2, Version: 20})
+	if c.usable(zero, "late") {
+		t.Error("a server whose next process drains may get requests")
+	}
+	next := listedServer(30, 1)
+	next.Born = 3
+	c.PutServer(zero, next)
+	if !c.usable(zero, "late") {
+		t.Error("the process after it gets no requests")
+	}
+}
--- a/internal/exchange/fleet_servers_test.go
+++ b/internal/exchange/fleet_servers_test.go
@@ -238,7 +238,7 @@
 	expiry := listExpiry*2/3 + f.random(listExpiry/3)
 	f.eachCore(expiry, func(c *Core) {
 		if s.replacedBy == nil || s.replacedBy.ID != s.ID { // else the new process has written the entry
-			c.RemoveServer(f.now, s.ID)
+			c.RemoveServer(f.now, s.ID, 0)
 		}
 	})
 }
--- a/internal/exchange/limit_test.go
+++ b/internal/exchange/limit_test.go
@@ -316,7 +316,7 @@
 // large ones while another server can take them.
 func TestPlace_LargeRequestsUseLimits(t *testing.T) {
 	c := newTestCore(t, "a")
-	c.RemoveServer(zero, "engine2")
+	c.RemoveServer(zero, "engine2", 0)
 	now := at(acquaintanceTime)
 	c.Tick(now)
 	c.setLimit(now, entity.ServerProcess{Server: "engine0", Born: 1}, RateLimit{Stated: true, PerSecond: 1}, now, "")
--- a/internal/exchange/restore_test.go
+++ b/internal/exchange/restore_test.go
@@ -84,14 +84,14 @@
 		revived func(s *BackendServer) // an entry that must bring the server back
 	}{
 		{
-			"gone", func(c *Core, s BackendServer) { c.RemoveServer(zero, s.ID) },
+			"gone", func(c *Core, s BackendServer) { c.RemoveServer(zero, s.ID, 0) },
 			func(s *BackendServer) { s.Sequence++ },
 		},
 		{
 			"new process", func(c *Core, s BackendServer) {
 				s.Born, s.Sequence, s.Address = 9, 1, "10.0.0.9:1"
 				c.PutServer(zero, s)
-				c.RemoveServer(zero, s.ID)
+				c.RemoveServer(zero, s.ID, 0)
 			},
 			func(s *BackendServer) { s.Born = 10 },
 		},
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -42,7 +42,8 @@
 	drainingSince time.Time // when it was first known to drain or to go; zero: it does neither
 	diedAt        time.Time // when the process was last known to have died; zero: never
 	reachedSince  time.Time // by the newest connection, see provesProcess; zero: not known
-	toldGone      bool      // another daemon has said that it drains or has gone since this entry was written
+	goneVersion   uint64    // of the table service at which it was not listed any more; 0: not known
+	told          told      // what another daemon has said of its end since this entry was written
 }
 
 // replacementDoubt is how long after a process was known to have died its entry may be that of
@@ -108,13 +109,13 @@
 	if old != nil {
 		row.diedAt, row.reachedSince = old.diedAt, old.reachedSince
 	}
-	row.toldGone = old != nil && old.toldGone && s.Born == old.Born && s.Sequence <= old.Sequence
 	if s.State != Ready {
 		row.drainingSince = now
 		if old != nil && !old.drainingSince.IsZero() {
 			row.drainingSince = old.drainingSince
 		}
 	}
+	c.applyTold(now, row, old)
 	c.servers.Put(s.ID, row)
 	c.placer.SetServer(c.placementServer(&s))
 	c.paceListed(now, old, row)
@@ -134,35 +135,42 @@
 // RemoveServer records that a server is no longer listed. It counts as gone at once
 // or, while entries that expired in an outage of the table service may still return,
 // at the end of tableRecoveryGrace. It may not return if another daemon has said that it has
-// gone: that one's table service was not away.
-func (c *Core) RemoveServer(now time.Time, id entity.BackendServerID) {
+// gone: that one's table service was not away. Version is that of the table service at which it
+// was not listed; 0: not known.
+func (c *Core) RemoveServer(now time.Time, id entity.BackendServerID, version uint64) {
 	row := c.servers.Get(id)
 	if row == nil || !row.listed {
 		return
 	}
-	row.listed = false
+	row.listed, row.goneVersion = false, version
 	if len(c.crash.unexplainedRuns(row.process())) > 0 {
 		c.deaths.probe(now, Probe{Process: row.process(), Address: row.Address})
 	}
 	row.goneAt = now
-	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready && !row.toldGone {
+	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready && !row.told.known {
 		row.goneAt = graceEnd
 	}
 	row.drainingSince = row.goneAt
 }
 
-// RemoveUnlisted removes the servers that are not in the complete list.
-func (c *Core) RemoveUnlisted(now time.Time, listed map[entity.BackendServerID]bool) {
+// RemoveUnlisted removes the servers that are not in the complete list at a version of the table
+// service.
+func (c *Core) RemoveUnlisted(now time.Time, listed map[entity.BackendServerID]bool, version uint64) {
 	for _, id := range c.servers.Keys() {
 		if !listed[id] {
-			c.RemoveServer(now, id)
+			c.RemoveServer(now, id, version)
 		}
 	}
 }
 
 // forgetServers drops servers that have been gone for longer than the settings'
-// limit.
+// limit, and what was told that long ago of the ends of unknown ones.
 func (c *Core) forgetServers(now time.Time) {
+	for _, id := range c.told.Keys() {
+		if now.Sub(c.told.Get(id).at) > c.cfg.Bounds.ForgetServerAfter {
+			c.told.Delete(id)
+		}
+	}
 	for _, id := range c.servers.Keys() {
 		row := c.servers.Get(id)
 		if !row.listed && now.Sub(row.goneAt) > c.cfg.Bounds.ForgetServerAfter {
@@ -205,31 +213,3 @@
 	}
 	return e.CacheTokenBytes / e.CopyBytesPerSecond * 1000
 }
-
-// drainAnnouncementDuration is how long a draining server is included in the
-// updates to other daemons.
-const drainAnnouncementDuration = 3 * time.Second
-
-// drainingServers returns the servers that started to drain, or went, lately.
-func (c *Core) drainingServers(now time.Time) []DrainingServer {
-	var out []DrainingServer
-	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
-		draining := row.State == Draining || !row.listed && !now.Before(row.goneAt)
-		if draining && now.Sub(row.drainingSince) < drainAnnouncementDuration {
-			out = append(out, DrainingServer{ID: id, Born: row.Born, Sequence: row.Sequence})
-		}
-		return true
-	})
-	return out
-}
-
-// receiveDraining applies another daemon's announcement that a server drains or has
-// gone.
-func (c *Core) receiveDraining(now time.Time, s DrainingServer) {
-	row := c.servers.Get(s.ID)
-	if row == nil || row.Born != s.Born || s.Sequence < row.Sequence || row.State != Ready {
-		return
-	}
-	row.State, row.Sequence, row.toldGone = Draining, s.Sequence, true
-	row.drainingSince = now.Add(-drainAnnouncementDuration) // this daemon does not announce it again
-}
--- a/internal/exchange/server_pace_test.go
+++ b/internal/exchange/server_pace_test.go
@@ -54,7 +54,7 @@
 	}
 	restartServer(c, now, "engine0")
 	flapped := c.servers.Get("engine1").BackendServer
-	c.RemoveServer(now, "engine1")
+	c.RemoveServer(now, "engine1", 0)
 	c.PutServer(now.Add(time.Second), flapped)
 	ticket := mustAdmit(t, c, now, testRequest("r1", "/talk/x", "k1"))
 	rejecting := mustPlace(t, c, now, ticket).Server
@@ -84,8 +84,8 @@
 	for _, c := range []*Core{a, b} {
 		c.Confirm(now)
 		restartServer(c, now, "engine0")
-		c.RemoveServer(now, "engine1")
-		c.RemoveServer(now, "engine2")
+		c.RemoveServer(now, "engine1", 0)
+		c.RemoveServer(now, "engine2", 0)
 	}
 	for i := range 3 {
 		ticket := mustAdmit(t, a, now, testRequest("r"+string(rune('0'+i)), "/talk/x", "k1"))
--- a/internal/exchange/server_test.go
+++ b/internal/exchange/server_test.go
@@ -11,7 +11,7 @@
 func TestServers_DrainingAndGoneGetNothing(t *testing.T) {
 	c := newTestCore(t, "d1")
 	c.PutServer(zero, BackendServer{ID: "plain0", Born: 1, Service: "plain", Address: "x:1", Slots: 8, State: Draining})
-	c.RemoveServer(zero, "plain1")
+	c.RemoveServer(zero, "plain1", 0)
 	for i := range 20 {
 		ticket := mustAdmit(t, c, zero, testRequest(strconv.Itoa(i), "/x", "k3"))
 		if a := mustPlace(t, c, zero, ticket); a.Server != "plain2" {
@@ -24,7 +24,7 @@
 	c := newTestCore(t, "d1")
 	c.Confirm(at(time.Minute))
 	c.TableRecovered(at(time.Minute))
-	c.RemoveUnlisted(at(time.Minute), nil)
+	c.RemoveUnlisted(at(time.Minute), nil, 0)
 	patient := testRequest("r", "/talk/x", "k3")
 	patient.Patience = 0
 	ticket := mustAdmit(t, c, at(time.Minute), patient)
@@ -46,7 +46,7 @@
 	if c.usable(at(2*time.Second), "plain0") {
 		t.Fatal("a draining server is used after an older entry of it")
 	}
-	c.RemoveServer(at(3*time.Second), "plain0")
+	c.RemoveServer(at(3*time.Second), "plain0", 0)
 	if c.PutServer(at(4*time.Second), entry); c.usable(at(4*time.Second), "plain0") {
 		t.Fatal("a server that has gone is used after an older entry of it")
 	}
@@ -70,7 +70,7 @@
 	if c.PutServer(at(time.Second), entry) {
 		t.Fatal("an older entry of a listed server was accepted")
 	}
-	c.RemoveServer(at(2*time.Second), "new")
+	c.RemoveServer(at(2*time.Second), "new", 0)
 	if !c.PutServer(at(3*time.Second), entry) || !c.usable(at(3*time.Second), "new") {
 		t.Fatal("a server that has restarted is not used")
 	}
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -97,7 +97,7 @@
 }
 
 func (r *statementRun) removeAndList(s *fleetServer) {
-	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID) })
+	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID, 0) })
 	r.after(time.Second, func() { r.rewrite(s, 3) })
 }
 
@@ -106,7 +106,7 @@
 
 // lapse has the entry of a server lapse, which serves on, and return after lapseTime.
 func (r *statementRun) lapse(s *fleetServer) {
-	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID) })
+	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID, 0) })
 	r.after(lapseTime, func() { r.rewrite(s, 3) })
 }
 
@@ -257,12 +257,12 @@
 	c.receiveDraining(at(time.Second), DrainingServer{ID: entry.ID, Born: entry.Born, Sequence: entry.Sequence})
 	c.TableRecovered(at(2 * time.Second)) // as another watcher has found out
 	c.PutServer(at(3*time.Second), entry)
-	c.RemoveServer(at(3*time.Second), entry.ID)
+	c.RemoveServer(at(3*time.Second), entry.ID, 0)
 	if c.usable(at(3*time.Second), entry.ID) {
 		t.Error("a server that has gone may get requests, although another daemon has said that it has gone")
 	}
 	other := c.servers.Get("plain1").BackendServer
-	c.RemoveServer(at(3*time.Second), other.ID)
+	c.RemoveServer(at(3*time.Second), other.ID, 0)
 	if !c.usable(at(3*time.Second), other.ID) {
 		t.Error("a server whose entry may have lapsed in the outage gets no requests")
 	}
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -51,13 +51,6 @@
 	Unreachable []entity.ServiceName `cbor:"31,keyasint,omitempty"`
 }
 
-// DrainingServer is a backend server that drains or has gone.
-type DrainingServer struct {
-	ID       entity.BackendServerID `cbor:"1,keyasint"`
-	Born     int64                  `cbor:"2,keyasint,omitempty"` // start of its process, Unix milliseconds; 0: not known
-	Sequence uint64                 `cbor:"3,keyasint,omitempty"` // of the newest known entry of the server
-}
-
 // ServiceLevel is the work that the lease holder plans a service's capacity for.
 type ServiceLevel struct {
 	Service entity.ServiceName `cbor:"1,keyasint" json:"service"`
--- a/internal/gateway/scaling_test.go
+++ b/internal/gateway/scaling_test.go
@@ -63,7 +63,7 @@
 	for len(r.servers[key]) > count {
 		last := r.servers[key][len(r.servers[key])-1]
 		r.servers[key] = r.servers[key][:len(r.servers[key])-1]
-		r.core.RemoveServer(r.now, last.entry.ID)
+		r.core.RemoveServer(r.now, last.entry.ID, 0)
 	}
 	for len(r.servers[key]) < count {
 		r.started++
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -46,7 +46,7 @@
 			})
 		}
 	})
-	g.applyServers(true, list, time.Time{})
+	g.applyServers(true, 1, list)
 	close(done)
 	observer.Wait()
 }
--- a/internal/gateway/watched_lists.go
+++ b/internal/gateway/watched_lists.go
@@ -11,18 +11,21 @@
 )
 
 func (g *Gateway) watchServers(runCtx context.Context) {
-	w := &watcher[exchange.BackendServer]{g: g, name: exchange.ServersFeed, feed: g.serverFeed, wait: g.pollWait, batchWait: g.serverFeed.batchDelay, apply: g.applyServers}
+	w := &watcher[exchange.BackendServer]{g: g, name: exchange.ServersFeed, feed: g.serverFeed, wait: g.pollWait, batchWait: g.serverFeed.batchDelay}
+	w.apply = func(complete bool, changes []provider.Change[exchange.BackendServer], _ time.Time) {
+		g.applyServers(complete, w.position, changes)
+	}
 	w.run(runCtx)
 }
 
-// applyServers applies changes of the list of backend servers, all at once: a daemon that
-// has applied only a part of its first list would refuse requests of the services in the
+// applyServers applies changes of the list of backend servers up to a position, all at once: a daemon
+// that has applied only a part of its first list would refuse requests of the services in the
 // other part.
-func (g *Gateway) applyServers(complete bool, changes []provider.Change[exchange.BackendServer], _ time.Time) {
+func (g *Gateway) applyServers(complete bool, position uint64, changes []provider.Change[exchange.BackendServer]) {
 	var events []func()
 	g.withCore(func(c *exchange.Core, now time.Time) {
 		if complete {
-			c.RemoveUnlisted(now, listedServers(changes))
+			c.RemoveUnlisted(now, listedServers(changes), position)
 		}
 		for _, change := range changes {
 			events = append(events, g.applyServer(c, now, &change))
@@ -47,11 +50,11 @@
 	id := entity.BackendServerID(change.ID)
 	switch {
 	case change.Removed:
-		c.RemoveServer(now, id)
+		c.RemoveServer(now, id, change.Version)
 		return func() { g.event(event.ServerUnlisted, "", event.A("backend_server", id)) }
 	case change.Err != nil:
 		// An entry that cannot be decoded gives no address to send requests to.
-		c.RemoveServer(now, id)
+		c.RemoveServer(now, id, change.Version)
 		return func() {
 			g.event(event.ServerEntryIgnored, "", event.A("backend_server", id), event.A("error", change.Err.Error()))
 		}
