Servers' ends are told for a while by all daemons that have seen them

Cause: a daemon that had seen an end itself, and then heard of it, took it for news from others, which it does not pass on. So the announcements, meant to last 3 s, silenced each other after the first round; a daemon that lost it, or did not know the server yet, heard nothing any more.

Change: what a daemon has seen itself it tells for 3 s, whatever it hears.

Test: TestDrainingServers_AnnouncedByAllWhoHaveSeenIt failed before.

--- a/internal/exchange/draining_test.go
+++ b/internal/exchange/draining_test.go
@@ -74,3 +74,25 @@
 		t.Error("the process after it gets no requests")
 	}
 }
+
+// TestDrainingServers_AnnouncedByAllWhoHaveSeenIt: two daemons see that a server has gone, and hear it of each
+// other. Both must go on telling it for a while, as a third one may hear neither at first.
+func TestDrainingServers_AnnouncedByAllWhoHaveSeenIt(t *testing.T) {
+	a, b := newTestCore(t, "a"), newTestCore(t, "b")
+	for _, c := range []*Core{a, b} {
+		c.RemoveServer(zero, "plain0", 20)
+	}
+	fromA, fromB := a.NextUpdate(zero), b.NextUpdate(zero)
+	a.ReceiveUpdate(at(time.Millisecond), &fromB, 0)
+	b.ReceiveUpdate(at(time.Millisecond), &fromA, 0)
+	for _, c := range []*Core{a, b} {
+		if update := c.NextUpdate(at(2 * time.Second)); len(update.DrainingServers) != 1 {
+			t.Errorf("2 s later %s tells of %d servers that have gone, want 1", c.cfg.Self.Name, len(update.DrainingServers))
+		}
+	}
+	third := newTestCore(t, "c")
+	third.receiveDraining(at(time.Millisecond), fromA.DrainingServers[0])
+	if update := third.NextUpdate(at(time.Second)); len(update.DrainingServers) != 0 {
+		t.Error("a daemon tells of what it has only heard")
+	}
+}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -111,7 +111,7 @@
 	}
 	if s.State != Ready {
 		row.drainingSince = now
-		if old != nil && !old.drainingSince.IsZero() {
+		if old != nil && !old.drainingSince.IsZero() && !old.told.known {
 			row.drainingSince = old.drainingSince
 		}
 	}
