The table service's recovery counts from the first answer to any feed

What callers see: requests at a server that has left (rule DRAIN), at a daemon whose feeds recover one after the other.

Cause: entries that lapsed in an outage may come back within two seconds of its end, for which their servers stay in use. Each feed that was read again set the end anew: a feed that hangs in a call on a dead connection does so seconds after another one.

Change: a feed's recovery counts only if no other feed has recovered since its last failed call began.

Test: TestServers_RecoveryCountsFromTheFirstAnswer failed before.

--- a/internal/exchange/draining_test.go
+++ b/internal/exchange/draining_test.go
@@ -20,7 +20,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := newTestCore(t, "a")
 			c.receiveDraining(at(time.Second), told)
-			c.TableRecovered(at(2 * time.Second))
+			c.TableRecovered(at(2*time.Second), zero)
 			c.PutServer(at(2*time.Second), listedServer(10, 1))
 			if c.usable(at(2*time.Second), "late") {
 				t.Error("a server that has gone may get requests when its former entry was read")
--- a/internal/exchange/rollout_fleet_test.go
+++ b/internal/exchange/rollout_fleet_test.go
@@ -125,7 +125,7 @@
 		return
 	}
 	if r.failed[core] {
-		core.TableRecovered(r.now)
+		core.TableRecovered(r.now, r.now.Add(-time.Second))
 		delete(r.failed, core)
 	}
 	if r.writers[core] == nil {
--- a/internal/exchange/server_test.go
+++ b/internal/exchange/server_test.go
@@ -23,7 +23,7 @@
 func TestServers_MissingAfterOutageComeBackOrGo(t *testing.T) {
 	c := newTestCore(t, "d1")
 	c.Confirm(at(time.Minute))
-	c.TableRecovered(at(time.Minute))
+	c.TableRecovered(at(time.Minute), at(50*time.Second))
 	c.RemoveUnlisted(at(time.Minute), nil, 0)
 	patient := testRequest("r", "/talk/x", "k3")
 	patient.Patience = 0
@@ -35,6 +35,23 @@
 	}
 }
 
+// TestServers_RecoveryCountsFromTheFirstAnswer: one feed of the table service is read again three seconds before
+// the other. Entries that are missing when the other is read have had their time to come back.
+func TestServers_RecoveryCountsFromTheFirstAnswer(t *testing.T) {
+	c := newTestCore(t, "d1")
+	c.TableRecovered(at(10*time.Second), at(9*time.Second))         // the configuration's feed
+	c.TableRecovered(at(13*time.Second), at(8500*time.Millisecond)) // that of the servers
+	c.RemoveServer(at(13*time.Second), "plain0", 20)
+	if c.usable(at(13*time.Second), "plain0") {
+		t.Error("a server that is not listed may get requests 3 s after the table service's recovery")
+	}
+	c.TableRecovered(at(20*time.Second), at(15*time.Second)) // after another outage
+	c.RemoveServer(at(20*time.Second), "plain1", 30)
+	if !c.usable(at(20*time.Second), "plain1") {
+		t.Error("a server whose entry may have lapsed in the outage gets no requests")
+	}
+}
+
 func TestServers_OlderEntryDoesNotMakeADrainingServerReady(t *testing.T) {
 	c := newTestCore(t, "d1")
 	entry := BackendServer{ID: "plain0", Born: 1, Sequence: 7, Service: "plain", Address: "x:1", Slots: 8, State: Ready}
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -255,7 +255,7 @@
 	c := newTestCore(t, "a")
 	entry := c.servers.Get("plain0").BackendServer
 	c.receiveDraining(at(time.Second), DrainingServer{ID: entry.ID, Born: entry.Born, Sequence: entry.Sequence})
-	c.TableRecovered(at(2 * time.Second)) // as another watcher has found out
+	c.TableRecovered(at(2*time.Second), zero) // as another watcher has found out
 	c.PutServer(at(3*time.Second), entry)
 	c.RemoveServer(at(3*time.Second), entry.ID, 0)
 	if c.usable(at(3*time.Second), entry.ID) {
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -6,8 +6,14 @@
 // restore from a backup the service lacks its newest rows until their writers have
 // written them again.
 
-// TableRecovered records that the table service answers again after an outage.
-func (c *Core) TableRecovered(now time.Time) { c.tableRecoveredAt = now }
+// TableRecovered records that the table service answers again calls of a feed, of which the last that
+// failed began at the given time. If calls of another feed have succeeded since, its recovery was
+// noticed before.
+func (c *Core) TableRecovered(now, failed time.Time) {
+	if c.tableRecoveredAt.Before(failed) {
+		c.tableRecoveredAt = now
+	}
+}
 
 // TableRestored records that a list that was just read is the first one since the table
 // service was restored from a backup.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -43,6 +43,7 @@
 	position      uint64        // version after which changes are read; 0: read the complete list next
 	newestVersion uint64        // highest version seen
 	failures      int           // failed calls since the last successful one
+	failedAt      time.Time     // when the last call that failed began
 }
 
 // restored reports whether a version is the first one of a newer generation of the
@@ -63,7 +64,7 @@
 		case errors.Is(err, provider.ErrHistoryLost):
 			w.position = 0
 		default:
-			w.noteFailure(ctx, err)
+			w.noteFailure(ctx, start, err)
 			delay := w.retryDelay()
 			clock.Wait(ctx, delay+rand.N(delay))
 		}
@@ -143,17 +144,18 @@
 		return
 	}
 	w.failures = 0
-	w.g.withCore(func(c *exchange.Core, now time.Time) { c.TableRecovered(now) })
+	w.g.withCore(func(c *exchange.Core, now time.Time) { c.TableRecovered(now, w.failedAt) })
 	w.g.event(event.DependencyRegained, "", event.A("dependency", w.name))
 }
 
 // noteFailure tells the core that the feed cannot be read and logs it, unless the call before failed
-// too.
-func (w *watcher[T]) noteFailure(ctx context.Context, err error) {
+// too. Start is when the call began.
+func (w *watcher[T]) noteFailure(ctx context.Context, start time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	w.failures++
+	w.failedAt = start
 	if w.failures > 1 {
 		return
 	}
