--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -50,9 +50,14 @@
 
 // learnRun learns how long a complete answer took.
 func (c *Core) learnRun(now time.Time, t *Ticket, o Outcome) {
-	if o == Answered && t.answerStarted {
-		c.longestRuns.learn(now, t.Service, now.Sub(t.answerStartedAt), t.Request.Work.MaxOutput)
+	if o != Answered || !t.answerStarted {
+		return
+	}
+	begin := t.answerStartedAt
+	if t.Request.Work.MaxOutput <= 0 {
+		begin = t.sentAt
 	}
+	c.longestRuns.learn(now, t.Service, now.Sub(begin), t.Request.Work.MaxOutput)
 }
 
 // recordEvidence records what an outcome says of the death of the backend server and of
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -71,6 +71,8 @@
 		"half of them are cut":  func(r *statementRun, _ *fleetServer) { r.cutHalf(4 * time.Second) },
 		"a daemon is suspended": func(r *statementRun, _ *fleetServer) { r.suspend(r.daemons[0], 3*time.Second) },
 		"it crashes":            func(r *statementRun, s *fleetServer) { r.crash(s) },
+		"entry without a start": func(r *statementRun, s *fleetServer) { r.writeOdd(s, func(e *BackendServer) { e.Born = 0 }) },
+		"not listed for long":   func(r *statementRun, s *fleetServer) { r.lapse(s) },
 	} {
 		for _, daemons := range []int{3, 9, 89} {
 			t.Run(fmt.Sprintf("%s/daemons=%d", name, daemons), func(t *testing.T) {
@@ -82,6 +84,9 @@
 				r.run(time.Second)
 				trouble(r, s)
 				r.run(6 * time.Second)
+				if name == "not listed for long" {
+					r.run(lapseTime)
+				}
 				r.checkLeaving()
 				if len(r.refused) > 0 && name != "daemons restart" {
 					t.Errorf("refused: %v; the other servers take all requests", r.refused)
@@ -92,10 +97,27 @@
 }
 
 func (r *statementRun) removeAndList(s *fleetServer) {
-	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID) })
+	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID, 0) })
 	r.after(time.Second, func() { r.rewrite(s, 3) })
 }
 
+// lapseTime is longer than daemons remember servers that are not listed.
+const lapseTime = 14 * time.Second
+
+// lapse has the entry of a server lapse, which serves on, and return after lapseTime.
+func (r *statementRun) lapse(s *fleetServer) {
+	r.eachCore(0, func(c *Core) { c.RemoveServer(r.now, s.ID, 0) })
+	r.after(lapseTime, func() { r.rewrite(s, 3) })
+}
+
+// writeOdd has all daemons read an entry of a server as another writer has changed it.
+func (r *statementRun) writeOdd(s *fleetServer, change func(*BackendServer)) {
+	entry := s.BackendServer
+	entry.Sequence++
+	change(&entry)
+	r.eachCore(0, func(c *Core) { c.PutServer(r.now, entry) })
+}
+
 func (r *statementRun) restoreTable(s *fleetServer) {
 	r.eachCore(0, func(c *Core) { c.TableRestored(r.now) })
 	r.after(400*time.Millisecond, func() { r.rewrite(s, 0) })
@@ -162,6 +184,52 @@
 	}
 }
 
+// TestLeaving_StatedByAProcessWhoseEntryIsReadLate: a server starts again under its ID, answers a request
+// that was sent on its former entry, and says that it leaves. Its entry is read between the two.
+func TestLeaving_StatedByAProcessWhoseEntryIsReadLate(t *testing.T) {
+	for name, record := range map[string]func(*Core, *Ticket, time.Time){
+		"to this daemon": func(c *Core, ticket *Ticket, now time.Time) {
+			c.RecordStatement(now, ticket, ServerStatement{Leaving: true}, true)
+		},
+		"to a daemon whose request it forwards": func(c *Core, ticket *Ticket, now time.Time) {
+			f := c.ForwardedBy(now, ticket)
+			c.ForwardedAnswered(now, &f, ticket.sentAt, ServerStatement{Leaving: true}, true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(t, "a")
+			c.SetTrueTime(0)
+			sent := at(2 * time.Second)
+			c.Confirm(sent)
+			ticket := mustAdmit(t, c, sent, testRequest("r", "/x", "k3"))
+			attempt := mustPlace(t, c, sent, ticket)
+			entry := c.servers.Get(attempt.Server).BackendServer
+			entry.Born = at(time.Second).UnixMilli()
+			c.PutServer(at(3*time.Second), entry)
+			record(c, ticket, at(4*time.Second))
+			if c.usable(at(5*time.Second), attempt.Server) {
+				t.Error("a server that has said that it leaves may get requests")
+			}
+			if c.MaySend(at(5*time.Second), ticket, zero) {
+				t.Error("an attempt that was chosen before may be sent to it")
+			}
+		})
+	}
+}
+
+// TestMayForward_NewerProcessDrains: a daemon that forwards knows a newer process of the server than the
+// one that asks, and that this process drains.
+func TestMayForward_NewerProcessDrains(t *testing.T) {
+	c := newTestCore(t, "a")
+	f := Forwarded{Process: c.servers.Get("plain0").process(), Service: "plain"}
+	entry := c.servers.Get("plain0").BackendServer
+	entry.Born, entry.State = 2, Draining
+	c.PutServer(zero, entry)
+	if c.MayForward(zero, &f) {
+		t.Error("a request for another daemon may be sent to a server that drains")
+	}
+}
+
 // TestLeaving_AllDaemonsLearnIt: one daemon passes it on, the others get no answer of the server.
 func TestLeaving_AllDaemonsLearnIt(t *testing.T) {
 	a, b := newTestCore(t, "a"), newTestCore(t, "b")
@@ -187,14 +255,14 @@
 	c := newTestCore(t, "a")
 	entry := c.servers.Get("plain0").BackendServer
 	c.receiveDraining(at(time.Second), DrainingServer{ID: entry.ID, Born: entry.Born, Sequence: entry.Sequence})
-	c.TableRecovered(at(2 * time.Second)) // as another watcher has found out
+	c.TableRecovered(at(2*time.Second), zero) // as another watcher has found out
 	c.PutServer(at(3*time.Second), entry)
-	c.RemoveServer(at(3*time.Second), entry.ID)
+	c.RemoveServer(at(3*time.Second), entry.ID, 0)
 	if c.usable(at(3*time.Second), entry.ID) {
 		t.Error("a server that has gone may get requests, although another daemon has said that it has gone")
 	}
 	other := c.servers.Get("plain1").BackendServer
-	c.RemoveServer(at(3*time.Second), other.ID)
+	c.RemoveServer(at(3*time.Second), other.ID, 0)
 	if !c.usable(at(3*time.Second), other.ID) {
 		t.Error("a server whose entry may have lapsed in the outage gets no requests")
 	}
