--- a/internal/exchange/draining.go
+++ b/internal/exchange/draining.go
@@ -8,7 +8,8 @@
 
 // A daemon that sees in the list that a server drains or has gone tells all others, whose list may
 // be older. Each that has seen it itself tells it for a while, whatever it hears: a daemon that knows
-// the server's entry only later, or was cut off, must hear of it too.
+// the server's entry only later, or was cut off, must hear of it too. In a large fleet, where each would
+// hear it hundreds of times, those that hear it first are silent.
 
 // drainAnnouncementDuration is how long a draining server is included in the
 // updates to other daemons.
@@ -94,11 +95,11 @@
 	}
 }
 
-// markTold makes a server drain of whose end another daemon has told. This daemon does not announce it
-// unless it has seen it itself.
+// markTold makes a server drain of whose end another daemon has told. This daemon announces it
+// only if it has seen it itself, in a fleet that is not large.
 func (c *Core) markTold(now time.Time, row *serverRow, t *told) {
 	row.State, row.Sequence, row.told = Draining, max(row.Sequence, t.Sequence), *t
-	if row.drainingSince.IsZero() {
+	if row.drainingSince.IsZero() || c.HasFeedReaders() {
 		row.drainingSince = now.Add(-drainAnnouncementDuration)
 	}
 }
