--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/buildinfo"
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 	"github.com/gooseberryslip/gooseberryslip/internal/node"
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
@@ -41,7 +42,7 @@
 		_, err := loadSettings(d.Settings, d.Set)
 		return err
 	})
-	n, err := node.FromSettings(s, log, Version)
+	n, err := node.FromSettings(s, log, buildinfo.Version)
 	if err != nil {
 		return err
 	}
--- a/internal/command/version.go
+++ b/internal/command/version.go
@@ -4,32 +4,14 @@
 	"context"
 	"fmt"
 	"io"
-	"runtime"
-	"runtime/debug"
-)
 
-// Version is the version of the release. Builds of a release set it with
-// -ldflags -X.
-var Version = "development"
+	"github.com/gooseberryslip/gooseberryslip/internal/buildinfo"
+)
 
 type versionCommand struct{}
 
-// versionReport is the JSON output of the version subcommand.
-type versionReport struct {
-	Version  string `json:"version"`
-	Revision string `json:"revision,omitempty"` // of the source, in version control
-	Go       string `json:"go"`
-}
-
 func (*versionCommand) run(_ context.Context, e *environment) error {
-	r := versionReport{Version: Version, Go: runtime.Version()}
-	if info, ok := debug.ReadBuildInfo(); ok {
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				r.Revision = s.Value
-			}
-		}
-	}
-	e.printResult(r, func(w io.Writer) { fmt.Fprintln(w, "gooseberryslip", r.Version, r.Revision, r.Go) })
+	b := buildinfo.Read()
+	e.printResult(b, func(w io.Writer) { fmt.Fprintln(w, "gooseberryslip", b.Version, b.Revision, b.Go) })
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/buildinfo"
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
@@ -182,7 +183,9 @@
 // Run serves until the context ends. It then completes the accepted requests within
 // Settings.StopGrace.
 func (g *Gateway) Run(ctx context.Context) error {
-	g.event(event.GatewayStarted, "", event.A("callers", g.Settings.Listen.Callers), event.A("addresses", g.Settings.Listen.Addresses))
+	build := buildinfo.Read()
+	g.event(event.GatewayStarted, "", event.A("callers", g.Settings.Listen.Callers), event.A("addresses", g.Settings.Listen.Addresses),
+		event.A("release", build.Version), event.A("revision", build.Revision))
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	servers, err := g.listen()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/buildinfo"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/retry"
@@ -94,11 +96,18 @@
 		g.writeRollouts(w)
 		g.writeServerPace(w)
 		g.writeStatements(w)
+		writeBuild(w)
 	})
 	r.HandleFunc("/status", g.serveStatus)
 	return r
 }
 
+// writeBuild writes the metric that names the build of this process.
+func writeBuild(w io.Writer) {
+	b := buildinfo.Read()
+	metrics.WriteGaugeUint64(w, fmt.Sprintf(`gooseberryslip_build_info{version=%q,revision=%q,go=%q}`, b.Version, b.Revision, b.Go), 1)
+}
+
 // writeRetryBudgets writes the metrics of the services' retry budgets.
 func (g *Gateway) writeRetryBudgets(w io.Writer) {
 	var budgets []retry.Status
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 )
 
@@ -35,3 +36,13 @@
 		t.Fatal("found no metric names in metrics.go and ../outbound/metrics.go")
 	}
 }
+
+// TestMetrics_NameTheBuild: during an upgrade operators count the daemons of each build.
+func TestMetrics_NameTheBuild(t *testing.T) {
+	var page strings.Builder
+	writeBuild(&page)
+	want := regexp.MustCompile(`^gooseberryslip_build_info\{version="[^"]+",revision="[^"]*",go="go[^"]+"\} 1\n$`)
+	if !want.MatchString(page.String()) {
+		t.Errorf("got %q", page.String())
+	}
+}
