A silent server is not given up for one that a roll-out keeps from the request

What callers see: 502, "no-backend-server", for a repeatable request whose server would have answered, while a service's other servers are of a version that may not have it yet.

Cause: whether there is another server was asked without the roll-out's rules.

Test: TestGivesUpSilent_NotForAServerThatTheRolloutKeepsFromIt failed before.

--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -84,8 +84,9 @@
 		return false
 	}
 	found := false
+	filters := c.serverFilters(now, t)
 	c.servers.All(func(id entity.BackendServerID, row *serverRow) bool {
-		found = row.Service == t.Service && !slices.Contains(t.tried, id) && c.mayContinue(t, id) && c.mayReceive(now, id, 0)
+		found = row.Service == t.Service && !slices.Contains(t.tried, id) && anyAllows(filters, row) && c.mayContinue(t, id) && c.mayReceive(now, id, 0)
 		return !found
 	})
 	return found && !t.answerStarted && c.chargeRetry(now, t)
--- a/internal/exchange/rollout_orders_test.go
+++ b/internal/exchange/rollout_orders_test.go
@@ -267,3 +267,24 @@
 		t.Errorf("%d servers count after the completion, the new version has 1", n)
 	}
 }
+
+// TestGivesUpSilent_NotForAServerThatTheRolloutKeepsFromIt: the only old server is silent, and all others are of the
+// ordered version, which may not get the request yet. There is nowhere to send it, so that its answer is waited for.
+func TestGivesUpSilent_NotForAServerThatTheRolloutKeepsFromIt(t *testing.T) {
+	c := newTestCore(t, "d1")
+	c.cfg.Bounds.Rollout = exposure
+	c.RemoveServer(zero, "plain1", 0)
+	c.RemoveServer(zero, "plain2", 0)
+	c.RolloutOrdersConfirmed(zero)
+	c.SetRolloutOrder(zero, rollout.Order{Service: "plain", To: "v2", Duration: time.Minute, Version: 7})
+	c.PutServer(zero, BackendServer{ID: "new", Service: "plain", Address: "10.0.9.9:1", DataCentre: "a", Slots: 8, State: Ready, Version: "v2"})
+	ticket := mustAdmit(t, c, zero, testRequest("r", "/get/x", "k3"))
+	if a := mustPlace(t, c, zero, ticket); a.Server != "plain0" {
+		t.Fatalf("placed on %s", a.Server)
+	}
+	if c.GivesUpSilent(at(400*time.Millisecond), ticket) {
+		c.Ended(at(400*time.Millisecond), ticket, Silent)
+		_, refusal := c.Place(at(400*time.Millisecond), ticket)
+		t.Errorf("given up for a server that may not have the request: %+v", refusal)
+	}
+}
--- a/internal/exchange/rollout_place.go
+++ b/internal/exchange/rollout_place.go
@@ -91,6 +91,11 @@
 	}
 }
 
+// anyAllows reports whether one of the filters, if there are any, lets a server get the request.
+func anyAllows(filters []serverFilter, r *serverRow) bool {
+	return filters == nil || slices.ContainsFunc(filters, func(f serverFilter) bool { return f.allows(r) })
+}
+
 // mayGetStreams reports whether a server may get a stream that its version has begun. row is the
 // roll-out of its service, or nil.
 func (c *Core) mayGetStreams(row *rolloutRow, r *serverRow) bool {
