--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -74,7 +74,7 @@
 	sharingRetries   int              // daemons between which the retry reserve is shared; 0: not known yet
 
 	servers                *entity.Table[entity.BackendServerID, serverRow]
-	told                   *entity.Table[entity.BackendServerID, told] // of the ends of servers that are not known
+	reportedEnds           *entity.Table[entity.BackendServerID, reportedEnd] // of the ends of servers that are not known
 	peers                  *entity.Table[entity.InstanceID, peerRow]
 	placer                 *placement.Placer
 	quota                  *quota.Ledger
@@ -122,7 +122,7 @@
 	c := &Core{
 		cfg:                    cfg,
 		servers:                entity.NewTable[entity.BackendServerID, serverRow](),
-		told:                   entity.NewTable[entity.BackendServerID, told](),
+		reportedEnds:           entity.NewTable[entity.BackendServerID, reportedEnd](),
 		peers:                  entity.NewTable[entity.InstanceID, peerRow](),
 		placer:                 placement.New(cfg.Rand),
 		crash:                  newCrashGuard(),
--- a/internal/exchange/draining.go
+++ b/internal/exchange/draining.go
@@ -9,7 +9,7 @@
 // A daemon that sees in the list that a server drains or has gone tells all others, whose list may
 // be older. Each that has seen it itself tells it for a while, whatever it hears: a daemon that knows
 // the server's entry only later, or was cut off, must hear of it too. In a large fleet, where each would
-// hear it hundreds of times, those that hear it first are silent.
+// hear it hundreds of times, a daemon that hears of an end does not announce it any more.
 
 // drainAnnouncementDuration is how long a draining server is included in the
 // updates to other daemons.
@@ -26,8 +26,8 @@
 	Version uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// told is what another daemon has said of a server's end.
-type told struct {
+// reportedEnd is what another daemon has said of a server's end.
+type reportedEnd struct {
 	DrainingServer
 	known bool
 	at    time.Time
@@ -35,17 +35,17 @@
 
 // covers reports whether an entry is not newer than what was told of its server's end. If the next process
 // under its ID drains, the entry's has ended.
-func (t *told) covers(s *BackendServer) bool {
-	if !t.known {
+func (e *reportedEnd) covers(s *BackendServer) bool {
+	if !e.known {
 		return false
 	}
-	if t.Born > 0 && s.Born > 0 && t.Born != s.Born {
-		return t.Born > s.Born
+	if e.Born > 0 && s.Born > 0 && e.Born != s.Born {
+		return e.Born > s.Born
 	}
-	if t.Version > 0 && s.EntryVersion > 0 {
-		return s.EntryVersion <= t.Version
+	if e.Version > 0 && s.EntryVersion > 0 {
+		return s.EntryVersion <= e.Version
 	}
-	return s.Sequence <= t.Sequence
+	return s.Sequence <= e.Sequence
 }
 
 // drainingServers returns the servers of which this daemon has seen lately that they drain or have gone.
@@ -72,33 +72,33 @@
 // receiveDraining applies another daemon's announcement that a server drains or has
 // gone. That of a server which is not known yet is kept for its entry.
 func (c *Core) receiveDraining(now time.Time, s DrainingServer) {
-	t := told{DrainingServer: s, known: true, at: now}
+	e := reportedEnd{DrainingServer: s, known: true, at: now}
 	row := c.servers.Get(s.ID)
 	if row == nil {
-		c.told.Put(s.ID, &t)
+		c.reportedEnds.Put(s.ID, &e)
 		return
 	}
-	if row.State == Ready && t.covers(&row.BackendServer) {
-		c.markTold(now, row, &t)
+	if row.State == Ready && e.covers(&row.BackendServer) {
+		c.markReportedEnd(now, row, &e)
 	}
 }
 
-// applyTold applies to an entry that has just been read what was told of its server's end before.
-func (c *Core) applyTold(now time.Time, row, old *serverRow) {
-	t := c.told.Get(row.ID)
+// applyReportedEnd applies to an entry that has just been read what was told of its server's end before.
+func (c *Core) applyReportedEnd(now time.Time, row, old *serverRow) {
+	e := c.reportedEnds.Get(row.ID)
 	if old != nil {
-		t = &old.told
+		e = &old.reported
 	}
-	c.told.Delete(row.ID)
-	if t != nil && t.covers(&row.BackendServer) {
-		c.markTold(now, row, t)
+	c.reportedEnds.Delete(row.ID)
+	if e != nil && e.covers(&row.BackendServer) {
+		c.markReportedEnd(now, row, e)
 	}
 }
 
-// markTold makes a server drain of whose end another daemon has told. This daemon announces it
+// markReportedEnd makes a server drain of whose end another daemon has told. This daemon announces it
 // only if it has seen it itself, in a fleet that is not large.
-func (c *Core) markTold(now time.Time, row *serverRow, t *told) {
-	row.State, row.Sequence, row.told = Draining, max(row.Sequence, t.Sequence), *t
+func (c *Core) markReportedEnd(now time.Time, row *serverRow, e *reportedEnd) {
+	row.State, row.Sequence, row.reported = Draining, max(row.Sequence, e.Sequence), *e
 	if row.drainingSince.IsZero() || c.HasFeedReaders() {
 		row.drainingSince = now.Add(-drainAnnouncementDuration)
 	}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -37,13 +37,13 @@
 // serverRow is this daemon's state of a backend server.
 type serverRow struct {
 	BackendServer
-	listed        bool      // in the newest list
-	goneAt        time.Time // when a server that is no longer listed counts as gone
-	drainingSince time.Time // when it was first known to drain or to go; zero: it does neither
-	diedAt        time.Time // when the process was last known to have died; zero: never
-	reachedSince  time.Time // by the newest connection, see provesProcess; zero: not known
-	goneVersion   uint64    // of the table service at which it was not listed any more; 0: not known
-	told          told      // what another daemon has said of its end since this entry was written
+	listed        bool        // in the newest list
+	goneAt        time.Time   // when a server that is no longer listed counts as gone
+	drainingSince time.Time   // when it was first known to drain or to go; zero: it does neither
+	diedAt        time.Time   // when the process was last known to have died; zero: never
+	reachedSince  time.Time   // by the newest connection, see provesProcess; zero: not known
+	goneVersion   uint64      // of the table service at which it was not listed any more; 0: not known
+	reported      reportedEnd // what another daemon has said of its end since this entry was written
 }
 
 // replacementDoubt is how long after a process was known to have died its entry may be that of
@@ -111,11 +111,11 @@
 	}
 	if s.State != Ready {
 		row.drainingSince = now
-		if old != nil && !old.drainingSince.IsZero() && !old.told.known {
+		if old != nil && !old.drainingSince.IsZero() && !old.reported.known {
 			row.drainingSince = old.drainingSince
 		}
 	}
-	c.applyTold(now, row, old)
+	c.applyReportedEnd(now, row, old)
 	c.servers.Put(s.ID, row)
 	c.placer.SetServer(c.placementServer(&s))
 	c.paceListed(now, old, row)
@@ -147,7 +147,7 @@
 		c.deaths.probe(now, Probe{Process: row.process(), Address: row.Address})
 	}
 	row.goneAt = now
-	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready && !row.told.known {
+	if graceEnd := c.tableRecoveredAt.Add(tableRecoveryGrace); graceEnd.After(now) && row.State == Ready && !row.reported.known {
 		row.goneAt = graceEnd
 	}
 	row.drainingSince = row.goneAt
@@ -166,9 +166,9 @@
 // forgetServers drops servers that have been gone for longer than the settings'
 // limit, and what was told that long ago of the ends of unknown ones.
 func (c *Core) forgetServers(now time.Time) {
-	for _, id := range c.told.Keys() {
-		if now.Sub(c.told.Get(id).at) > c.cfg.Bounds.ForgetServerAfter {
-			c.told.Delete(id)
+	for _, id := range c.reportedEnds.Keys() {
+		if now.Sub(c.reportedEnds.Get(id).at) > c.cfg.Bounds.ForgetServerAfter {
+			c.reportedEnds.Delete(id)
 		}
 	}
 	for _, id := range c.servers.Keys() {
