Silent servers: one that answers others, has died or is out of reach is given up as before

Cause: both rules are for a server whose answer may come yet, and the first one for one that may stand still.

Change: they do not hold for a server that is known to have died or whose path is lost, and a server that has answered this daemon within 250 ms does not stand still.

--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -22,6 +22,9 @@
 		c.recordRejection(now, t.process.Server)
 		c.recordBrittleRejection(now, t.process)
 	}
+	if o == Answered || o == Rejected {
+		c.noteAnswering(now, t.process)
+	}
 	c.recordPath(now, t, o)
 	c.endForwarding(now, t, o)
 	c.recordEvidence(now, t, o)
--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -71,16 +71,22 @@
 	return now.Add(max(wait, time.Duration(silenceExpectedFactor*float64(expected))))
 }
 
-// minStreamSilence is the least silence after which a stream is sent to another backend server. A sound
-// server may stand still for a second or so while its kernel takes connections; when it goes on, it runs
-// what it has until it finds the connection closed, which must not be beside the next run.
-const minStreamSilence = 1600 * time.Millisecond
+const (
+	// minStreamSilence is the least silence of a server that may stand still after which a stream is sent to
+	// another one. A sound server may stand still for a second or so while its kernel takes connections; when
+	// it goes on, it runs what it has until it finds the connection closed, which must not be beside the next
+	// run.
+	minStreamSilence = 1600 * time.Millisecond
+	// answeringTime is how long after an answer of its to another request a server does not count as standing still.
+	answeringTime = 250 * time.Millisecond
+)
 
 // GivesUpSilent reports whether an attempt that has got no event by its SilenceDeadline is given up:
-// there must be another backend server for the request, and the retry budget must allow that send, to which
-// it is charged. The one that has it may answer yet.
+// there must be another backend server for the request. While the one that has it may answer yet, the retry
+// budget must also allow the next send, to which it is charged.
 func (c *Core) GivesUpSilent(now time.Time, t *Ticket) bool {
-	if t.Route.Kind == Stream && now.Sub(t.sentAt) < minStreamSilence && !c.deaths.isDead(now, t.process) {
+	mayAnswer := c.mayAnswerYet(now, t)
+	if mayAnswer && t.Route.Kind == Stream && now.Sub(t.sentAt) < minStreamSilence && !c.answersNow(now, t.process) {
 		return false
 	}
 	found := false
@@ -89,7 +95,14 @@
 		found = row.Service == t.Service && !slices.Contains(t.tried, id) && anyAllows(filters, row) && c.mayContinue(t, id) && c.mayReceive(now, id, 0)
 		return !found
 	})
-	return found && !t.answerStarted && c.chargeRetry(now, t)
+	return found && !t.answerStarted && (!mayAnswer || c.chargeRetry(now, t))
+}
+
+// mayAnswerYet reports whether the server of the present attempt may answer after its silence: it is not
+// known to have died, and the path to it is not lost.
+func (c *Core) mayAnswerYet(now time.Time, t *Ticket) bool {
+	pathLost := t.forwarder == "" && c.pathLost(t.Service)
+	return !pathLost && !c.deaths.isDead(now, t.process)
 }
 
 // Started records that the head or the first event of an answer has arrived.
--- a/internal/exchange/death.go
+++ b/internal/exchange/death.go
@@ -176,6 +176,7 @@
 // given time. It was alive then: its earlier failures have other reasons than its death.
 func (c *Core) recordAnswer(now time.Time, p entity.ServerProcess, sentAt time.Time) {
 	c.deaths.lastAnswerAt, c.deaths.lastAnswerFrom = now, p
+	c.noteAnswering(now, p)
 	c.crash.dropUnexplained(p, sentAt)
 	if at := c.deaths.dead.Get(p); at != nil && sentAt.After(*at) {
 		c.deaths.dead.Delete(p)
@@ -184,6 +185,19 @@
 	}
 }
 
+// noteAnswering records that a process has just begun or ended an answer.
+func (c *Core) noteAnswering(now time.Time, p entity.ServerProcess) {
+	if row := c.servers.Get(p.Server); row != nil && row.process() == p {
+		row.answeredAt = now
+	}
+}
+
+// answersNow reports whether a process has answered this daemon a moment ago, so that it does not stand still.
+func (c *Core) answersNow(now time.Time, p entity.ServerProcess) bool {
+	row := c.servers.Get(p.Server)
+	return row != nil && row.process() == p && !row.answeredAt.IsZero() && now.Sub(row.answeredAt) < answeringTime
+}
+
 // minDeathInterval is the least time between the proofs of the deaths of two processes that
 // started one after the other under one ID.
 const minDeathInterval = 500 * time.Millisecond
--- a/internal/exchange/pause_test.go
+++ b/internal/exchange/pause_test.go
@@ -84,6 +84,13 @@
 	if !c.GivesUpSilent(at(2*usualPause), ticket) {
 		t.Errorf("not given up after %v, though there are other servers", 2*usualPause)
 	}
+	c.noteAnswering(at(usualPause-100*time.Millisecond), ticket.process)
+	if !c.GivesUpSilent(at(usualPause), ticket) {
+		t.Error("a server that answers other requests is waited for")
+	}
+	c = newTestCore(t, "b")
+	ticket = mustAdmit(t, c, zero, testRequest("r", "/talk/x", "k3"))
+	mustPlace(t, c, zero, ticket)
 	c.recordDeath(at(time.Second), at(time.Second), ticket.process, proofRefused)
 	if !c.GivesUpSilent(at(usualPause), ticket) {
 		t.Error("a server that has died is waited for")
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -42,6 +42,7 @@
 	drainingSince time.Time   // when it was first known to drain or to go; zero: it does neither
 	diedAt        time.Time   // when the process was last known to have died; zero: never
 	reachedSince  time.Time   // by the newest connection, see provesProcess; zero: not known
+	answeredAt    time.Time   // when the process last began or ended an answer to this daemon; zero: it has not
 	goneVersion   uint64      // of the table service at which it was not listed any more; 0: not known
 	reported      reportedEnd // what another daemon has said of its end since this entry was written
 }
@@ -107,7 +108,7 @@
 	c.sawVersion(now, &s)
 	c.rolloutSawServer(now, &s)
 	if old != nil {
-		row.diedAt, row.reachedSince = old.diedAt, old.reachedSince
+		row.diedAt, row.reachedSince, row.answeredAt = old.diedAt, old.reachedSince, old.answeredAt
 	}
 	if s.State != Ready {
 		row.drainingSince = now
