Logs: what a daemon that stops knew when it sent a request

The log says that an answer was cut (6003) and how many at the end (6906), but not why the request was taken: the estimate, its inputs and the age of the process. Line 6907 has them. No logic is changed.

--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -89,4 +89,6 @@
 	ChangedSettingsValid   = define(6904, Info, "changed settings are valid; they take effect at the next start")
 	ChangedSettingsInvalid = define(6905, Error, "changed settings are invalid; the previous ones stay in force")
 	GatewayStopTooShort    = define(6906, Warn, "time of a planned stop is over: requests in flight are ended")
+	// ExchangeTakenInStop says how long the answer may take as far as is known, and how much time is left.
+	ExchangeTakenInStop = define(6907, Info, "request sent during a planned stop")
 )
--- a/internal/exchange/place.go
+++ b/internal/exchange/place.go
@@ -70,6 +70,7 @@
 	}
 	t.retryCharged = false
 	c.startTrials(now, t, choice.Server, trials)
+	c.logTakenInStop(now, t, choice)
 	return c.startAttempt(now, t, choice, forwarder), nil
 }
 
--- a/internal/exchange/reject.go
+++ b/internal/exchange/reject.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 )
 
@@ -69,4 +70,18 @@
 	return max(time.Duration(shutdownDurationFactor*float64(expected)), time.Duration(longestRunFactor*float64(longest)), minShutdownDuration)
 }
 
+// logTakenInStop logs that a request is sent although this daemon stops, with the inputs of that decision.
+func (c *Core) logTakenInStop(now time.Time, t *Ticket, choice placement.Choice) {
+	if !c.leaving {
+		return
+	}
+	longest, known := c.longestRuns.of(now, t.Service, t.Request.Work.MaxOutput)
+	c.logEvent(event.Event{Number: event.ExchangeTakenInStop, Request: t.Request.ID, Attrs: []event.Attr{
+		event.A("backend_server", choice.Server), event.A("left_ms", c.stopDeadline.Sub(now).Milliseconds()),
+		event.A("may_take_ms", c.maxAnswerDuration(now, t, choice).Milliseconds()),
+		event.A("longest_ms", longest.Milliseconds()), event.A("known", known),
+		event.A("process_age_ms", now.Sub(c.cfg.Started).Milliseconds()), event.A("sends", t.Sends),
+	}})
+}
+
 func boundRetryDelay(d time.Duration) time.Duration { return min(max(d, minRetryDelay), maxRetryDelay) }
