A daemon that stops takes only what it knows to end in time

Cause: the longest answer was learned from answers that had ended, and 24 of them counted as enough to tell. A process of seconds has seen hundreds of short ones end and no long one: those still run. Class: an estimate of survivors.

Otherwise only what must end by its deadline is taken. A first event that comes later than expected counts as well.

--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -51,18 +51,6 @@
 	return nil
 }
 
-// learnRun learns how long a complete answer took.
-func (c *Core) learnRun(now time.Time, t *Ticket, o Outcome) {
-	if o != Answered || !t.answerStarted {
-		return
-	}
-	begin := t.answerStartedAt
-	if t.Request.Work.MaxOutput <= 0 {
-		begin = t.sentAt
-	}
-	c.longestRuns.learn(now, t.Service, now.Sub(begin), t.Request.Work.MaxOutput)
-}
-
 // recordEvidence records what an outcome says of the death of the backend server and of
 // the request's content.
 func (c *Core) recordEvidence(now time.Time, t *Ticket, o Outcome) {
@@ -104,6 +92,7 @@
 	if t.reservation != nil {
 		c.placer.Release(now, t.reservation, complete)
 		t.reservation = nil
+		delete(c.running, t)
 		c.countReleased(now, t)
 	}
 }
--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -29,6 +29,7 @@
 	}
 	t.tried = append(t.tried, choice.Server)
 	t.process, t.serverVersion, t.sentAt, t.reachedSince = row.process(), row.Version, now, time.Time{}
+	c.beginRun(now, t, choice.Cost)
 	if t.continues() {
 		c.logContinuation(event.StreamContinued, t, choice.Server)
 		c.countResumption(t, true)
@@ -119,6 +120,7 @@
 	}
 	c.recordAnswer(now, t.process, t.sentAt)
 	c.placer.RecordFirstEvent(now, t.reservation)
+	c.learnLate(now, t)
 	c.countUsage(now, t)
 	c.recordStream(now, t)
 	if t.resumes() {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -96,6 +96,7 @@
 	statements             statementTable
 	paths                  pathTable
 	longestRuns            longestRuns
+	running                map[*Ticket]struct{} // requests with an attempt in progress
 	step                   stepState
 	streams                *streamversion.Registry
 	savedStreams           savedStreams
@@ -131,6 +132,7 @@
 		rollouts:               newRolloutTable(),
 		paths:                  newPathTable(&cfg),
 		longestRuns:            newLongestRuns(),
+		running:                make(map[*Ticket]struct{}),
 		streams:                streamversion.New(),
 		streamNews:             make(map[entity.InstanceID][]streamversion.Record),
 		recorded:               streamversion.NewRecorded(processRand(&cfg.Self)),
--- a/internal/exchange/longest_run.go
+++ b/internal/exchange/longest_run.go
@@ -20,6 +20,9 @@
 // longestRuns holds, for each service, the longest time of late that an answer took: from its first
 // event to its end, for each token that the request allowed; of requests that do not say how many they
 // allow, from their sending to the end. Nothing tells in advance which answer of a service is a long one.
+//
+// Short answers end first, so those that have ended say little of the others while the first ones
+// still run: see longestRun.known.
 type longestRuns struct {
 	perToken *entity.Table[entity.ServiceName, longestRun]
 	unstated *entity.Table[entity.ServiceName, longestRun]
@@ -33,8 +36,12 @@
 
 // period is what was learned in one period.
 type period struct {
-	longest time.Duration
-	answers int
+	longest  time.Duration // of this daemon's answers
+	reported time.Duration // the longest run that another daemon knows; 0: none does
+	late     time.Duration // the most by which a first event came later than expected
+	allowed  entity.Tokens // the most that a request of this daemon allowed; 0: none said
+	sent     int           // requests of this daemon
+	enoughAt time.Time     // when minKnownRuns had been sent, in this period and the one before; zero: not yet
 }
 
 // at returns the longest run as it counts at a time.
@@ -43,17 +50,54 @@
 	case age < longestRunPeriod:
 		return r
 	case age < 2*longestRunPeriod:
-		return longestRun{began: r.began.Add(longestRunPeriod), before: r.present}
+		before := r.present
+		if before.sent < minKnownRuns {
+			before.enoughAt = time.Time{}
+		}
+		return longestRun{began: r.began.Add(longestRunPeriod), before: before}
 	default:
 		return longestRun{began: now}
 	}
 }
 
+// longest returns the longest run of this daemon or of another one.
+func (r *longestRun) longest() time.Duration {
+	return max(r.present.longest, r.before.longest, r.present.reported, r.before.reported)
+}
+
+// late returns the most by which a first event came later than expected.
+func (r *longestRun) late() time.Duration { return max(r.present.late, r.before.late) }
+
+// observedFor returns the time since enough requests had been sent.
+func (r *longestRun) observedFor(now time.Time) time.Duration {
+	switch {
+	case !r.before.enoughAt.IsZero():
+		return now.Sub(r.before.enoughAt)
+	case !r.present.enoughAt.IsZero():
+		return now.Sub(r.present.enoughAt)
+	default:
+		return 0
+	}
+}
+
+// ownKnown reports whether this daemon has sent enough requests so long ago that an answer of the given
+// number of units would have ended if none lasts longer than the longest that has.
+func (r *longestRun) ownKnown(now time.Time, units entity.Tokens) bool {
+	own := max(r.present.longest, r.before.longest)
+	return own > 0 && r.observedFor(now) > own*time.Duration(units)
+}
+
+// known reports whether the longest run tells how long other answers may take, as this daemon has seen enough
+// of them or another one has.
+func (r *longestRun) known(now time.Time, units entity.Tokens) bool {
+	return r.ownKnown(now, units) || max(r.present.reported, r.before.reported) > 0
+}
+
 func newLongestRuns() longestRuns {
 	return longestRuns{perToken: entity.NewTable[entity.ServiceName, longestRun](), unstated: entity.NewTable[entity.ServiceName, longestRun]()}
 }
 
-// rows returns the table for answers of up to this many tokens, and the unit of its times.
+// rows returns the table for answers of up to this many tokens, and how many units of its times these are.
 func (l *longestRuns) rows(allowed entity.Tokens) (*entity.Table[entity.ServiceName, longestRun], entity.Tokens) {
 	if allowed <= 0 {
 		return l.unstated, 1
@@ -61,23 +105,43 @@
 	return l.perToken, allowed
 }
 
-// learn adds the time of a complete answer.
-func (l *longestRuns) learn(now time.Time, service entity.ServiceName, took time.Duration, allowed entity.Tokens) {
-	rows, unit := l.rows(allowed)
+// row returns the row for answers of up to this many tokens, and how many units of its times these are.
+func (l *longestRuns) row(now time.Time, service entity.ServiceName, allowed entity.Tokens) (*longestRun, entity.Tokens) {
+	rows, units := l.rows(allowed)
 	row := rows.GetOrPut(service)
 	*row = row.at(now)
-	row.present.longest = max(row.present.longest, took/time.Duration(unit))
-	row.present.answers++
+	return row, units
 }
 
-// of returns the longest time that an answer of up to this many tokens may take, and whether enough
-// answers have been seen to tell.
+// of returns the longest time that an answer of up to this many tokens may take, as those of late have, and whether
+// enough of them have been observed to tell.
 func (l *longestRuns) of(now time.Time, service entity.ServiceName, allowed entity.Tokens) (longest time.Duration, known bool) {
-	rows, unit := l.rows(allowed)
-	row := rows.Get(service)
-	if row == nil {
-		return 0, false
+	row, units := l.row(now, service, allowed)
+	return row.longest() * time.Duration(units), row.known(now, units)
+}
+
+// countSent counts a request that is sent.
+func (l *longestRuns) countSent(now time.Time, service entity.ServiceName, allowed entity.Tokens) {
+	row, _ := l.row(now, service, allowed)
+	p := &row.present
+	p.sent++
+	p.allowed = max(p.allowed, allowed)
+	if p.enoughAt.IsZero() && row.before.sent+p.sent >= minKnownRuns {
+		p.enoughAt = now
+	}
+}
+
+// learn adds the time of a complete answer.
+func (l *longestRuns) learn(now time.Time, service entity.ServiceName, took time.Duration, allowed entity.Tokens) {
+	row, units := l.row(now, service, allowed)
+	row.present.longest = max(row.present.longest, took/time.Duration(units))
+}
+
+// report adds what another daemon knows of answers that state their size, allowed > 0, or of the others; 0: nothing.
+func (l *longestRuns) report(now time.Time, service entity.ServiceName, longest time.Duration, allowed entity.Tokens) {
+	if longest <= 0 {
+		return
 	}
-	r := row.at(now)
-	return max(r.present.longest, r.before.longest) * time.Duration(unit), r.present.answers+r.before.answers >= minKnownRuns
+	row, _ := l.row(now, service, allowed)
+	row.present.reported = max(row.present.reported, longest)
 }
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -126,6 +126,7 @@
 	c.placer.SetUpdateInterval(c.updateInterval())
 	c.placer.ReceiveLoads(now, row.Name, update.Loads, c.silenceTimeout())
 	c.applyServerPace(now, update)
+	c.receiveAnswerDurations(now, update.AnswerDurations)
 	c.quota.ReceiveUses(now, process, update.Quota)
 	c.usage.ReceiveCounts(process, update.Usage)
 	c.observeLease(now, update)
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -92,33 +92,34 @@
 	Arrived  time.Time
 	Deadline time.Time // the earlier of the caller's and the route's
 
-	Sends           int                      // sends to backend servers, rejected ones included
-	Ran             int                      // sends that may have run
-	tried           []entity.BackendServerID // excluded from further sends
-	process         entity.ServerProcess     // of the backend server of the present attempt
-	brokeOffOn      entity.ServerProcess     // on which a run ended without a complete answer, the last one
-	forwarder       entity.InstanceID        // that forwards the present attempt; "": none
-	withheld        int                      // attempts that a forwarding daemon withheld
-	reachedSince    time.Time                // since when its connection reaches the same process; zero: not known
-	serverVersion   string                   // of the software of that backend server, when the attempt began
-	origin          streamOrigin
-	rollout         rolloutSend     // of the present attempt
-	sentAt          time.Time       // when the present attempt began
-	contents        []entity.Digest // see contentsOf
-	trials          []datedTrial    // of the request's refused contents, by the present attempt
-	priority        int
-	reservation     *placement.Reservation // reserved for the present attempt; nil between attempts
-	earnedRetry     bool                   // the request has earned its service the ratio of a retry
-	retryCharged    bool                   // the next send is already charged to the retry budget
-	usageCounted    bool                   // the request is counted in its organisation's usage
-	arrivalCounted  bool                   // the request is counted in the shedder's demand
-	demandRecorded  bool                   // the request is counted in the demand
-	quotaCost       float64                // units reserved on the organisation's quota
-	failedAnswer    bool                   // the answer that the caller gets is a failure of the backend server
-	answerStarted   bool                   // the head or first event of the present attempt's answer has arrived
-	answerStartedAt time.Time              // when it arrived, if it has
-	firstSentAt     time.Time              // when the first attempt began; zero: none has
-	firstEventAt    time.Time              // when the first head or event of any attempt arrived; zero: none has
+	Sends              int                      // sends to backend servers, rejected ones included
+	Ran                int                      // sends that may have run
+	tried              []entity.BackendServerID // excluded from further sends
+	process            entity.ServerProcess     // of the backend server of the present attempt
+	brokeOffOn         entity.ServerProcess     // on which a run ended without a complete answer, the last one
+	forwarder          entity.InstanceID        // that forwards the present attempt; "": none
+	withheld           int                      // attempts that a forwarding daemon withheld
+	reachedSince       time.Time                // since when its connection reaches the same process; zero: not known
+	serverVersion      string                   // of the software of that backend server, when the attempt began
+	origin             streamOrigin
+	rollout            rolloutSend     // of the present attempt
+	sentAt             time.Time       // when the present attempt began
+	expectedFirstEvent time.Duration   // from sentAt to the head or first event, as expected
+	contents           []entity.Digest // see contentsOf
+	trials             []datedTrial    // of the request's refused contents, by the present attempt
+	priority           int
+	reservation        *placement.Reservation // reserved for the present attempt; nil between attempts
+	earnedRetry        bool                   // the request has earned its service the ratio of a retry
+	retryCharged       bool                   // the next send is already charged to the retry budget
+	usageCounted       bool                   // the request is counted in its organisation's usage
+	arrivalCounted     bool                   // the request is counted in the shedder's demand
+	demandRecorded     bool                   // the request is counted in the demand
+	quotaCost          float64                // units reserved on the organisation's quota
+	failedAnswer       bool                   // the answer that the caller gets is a failure of the backend server
+	answerStarted      bool                   // the head or first event of the present attempt's answer has arrived
+	answerStartedAt    time.Time              // when it arrived, if it has
+	firstSentAt        time.Time              // when the first attempt began; zero: none has
+	firstEventAt       time.Time              // when the first head or event of any attempt arrived; zero: none has
 }
 
 // Timing says how long a request took, and what it costs, for logs.
--- a/internal/exchange/stopping_test.go
+++ b/internal/exchange/stopping_test.go
@@ -166,3 +166,35 @@
 		t.Errorf("a request that may last %v was placed %v before the daemon's end: %+v", long, long, refusal)
 	}
 }
+
+// TestPlace_StoppingDaemonLearnsTheLongestAnswersFromOthers: a daemon that has just started is told to stop. It knows of
+// long answers from others, and takes what ends in time.
+func TestPlace_StoppingDaemonLearnsTheLongestAnswersFromOthers(t *testing.T) {
+	const long = 3 * time.Second
+	for name, work := range map[string]Work{"unstated size": {}, "stated size": {Stated: true, Prompt: 10, MaxOutput: 20}} {
+		t.Run(name, func(t *testing.T) {
+			settled, young := newTestCore(t, "d1"), newTestCore(t, "d2")
+			for range minKnownRuns {
+				settled.longestRuns.countSent(zero, "engine", work.MaxOutput)
+			}
+			settled.longestRuns.learn(at(long), "engine", long, work.MaxOutput)
+			now := at(2 * long)
+			for range updatesPerFullUpdate {
+				update := settled.NextUpdate(now)
+				young.ReceiveUpdate(now, &update, 0)
+			}
+			young.Confirm(now)
+			request := func() *Ticket {
+				r := testRequest("r", "/talk/x", "k3")
+				r.Patience, r.Work = time.Minute, work
+				return mustAdmit(t, young, now, r)
+			}
+			young.Leave(now.Add(long))
+			if _, refusal := young.Place(now, request()); refusal == nil || refusal.Code != "leaving" {
+				t.Errorf("a request that may last %v was placed %v before the daemon's end: %+v", long, long, refusal)
+			}
+			young.Leave(now.Add(long + long/2))
+			mustPlace(t, young, now, request())
+		})
+	}
+}
--- a/internal/exchange/update.go
+++ b/internal/exchange/update.go
@@ -49,6 +49,8 @@
 	Speeds []placement.SpeedSample `cbor:"30,keyasint,omitempty"`
 	// Unreachable are the services whose backend servers the sender does not reach.
 	Unreachable []entity.ServiceName `cbor:"31,keyasint,omitempty"`
+	// AnswerDurations are in one of updatesPerFullUpdate updates.
+	AnswerDurations []AnswerDuration `cbor:"32,keyasint,omitempty"`
 }
 
 // ServiceLevel is the work that the lease holder plans a service's capacity for.
@@ -72,6 +74,9 @@
 	}
 	update.Rollouts = c.rolloutNews(now)
 	update.Unreachable = c.unreachableServices()
+	if c.sequence%updatesPerFullUpdate == 0 {
+		update.AnswerDurations = c.answerDurations(now)
+	}
 	c.addServerPace(now, &update)
 	c.cachedPrompts, c.sentDemand = nil, update.Demand
 	c.sent.record(c.sequence, now)
@@ -92,8 +97,8 @@
 	return update
 }
 
-// updatesPerFullUpdate is the number of updates of which one includes all quotas,
-// also those that have not changed lately.
+// updatesPerFullUpdate is the number of updates of which one includes what the others do not: all quotas,
+// also those that have not changed lately, and the longest answers.
 const updatesPerFullUpdate = 16
 
 // maxCachedPrompts limits the cached prompts in one update.
