Logs: how long a caller had been gone when that was noticed

What the kernel knows of a connection is read in one place now, for callers and servers. No logic is changed.

--- a/internal/deadpeer/deadpeer.go
+++ b/internal/deadpeer/deadpeer.go
@@ -1,5 +1,6 @@
 // Package deadpeer bounds how long a TCP connection stays open after its peer has
-// stopped acknowledging data, for example because the network to it has failed.
+// stopped acknowledging data, for example because the network to it has failed, and
+// tells whether the peer has closed it.
 package deadpeer
 
 import (
--- /dev/null
+++ b/internal/gateway/caller_connection.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"context"
+	"net"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/deadpeer"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
+)
+
+// callerConnKey is the key of the connection in the context of a caller's request.
+type callerConnKey struct{}
+
+// withCallerConn returns the context of the requests on a connection.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// callerState returns what the kernel knows of the connection to the caller.
+func (x *forwarding) callerState() (deadpeer.State, error) {
+	conn, ok := x.r.Context().Value(callerConnKey{}).(net.Conn)
+	if !ok {
+		return deadpeer.State{}, deadpeer.ErrNoState
+	}
+	return deadpeer.StateOf(conn)
+}
+
+// unheardOf returns the field of the log that says how long nothing has come from the caller; none if that is not known.
+func (x *forwarding) unheardOf() []event.Attr {
+	state, err := x.callerState()
+	if err != nil {
+		return nil
+	}
+	return []event.Attr{event.A("unheard_ms", state.Unheard.Milliseconds())}
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -75,5 +75,6 @@
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: debugLogger(log), DisableGeneralOptionsHandler: true,
+		ConnContext: withCallerConn,
 	}
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -36,6 +36,9 @@
 	if number != event.ExchangeAnswered || len(x.attempts) > 1 {
 		attrs = append(attrs, event.A("content", exchange.ShortDigest(x.request.Content)), event.A("parts", partIDs(x.request.Work.Parts)))
 	}
+	if number == event.ExchangeAbandoned {
+		attrs = append(attrs, x.unheardOf()...)
+	}
 	if x.request.After != "" {
 		attrs = append(attrs, event.A("resumes", x.request.Resumes), event.A("last_event", x.request.After))
 	}
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -241,20 +241,8 @@
 // established reports whether the other side has not closed the connection, as far as the kernel
 // knows.
 func (c *connection) established() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	established := false
-	err = raw.Control(func(fd uintptr) {
-		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		established = infoErr == nil && info.State == unix.BPF_TCP_ESTABLISHED
-	})
-	return established && err == nil
+	state, err := deadpeer.StateOf(c.Conn)
+	return err == nil && state.Established
 }
 
 // openWithoutData reports whether an idle connection is open and has no unread
