Nothing is sent for a caller whose connection has ended

Cause: that a caller has left was learned from a read in the background alone, which races with the first send when a daemon goes on after a pause, or is short of processor time. Class: what the kernel knows already is not asked before acting.

Change: the state of the caller's connection is asked before a server is chosen, when there is a connection to the server, and before another daemon is told to send. An attempt that is not made ends as caller-left, which says nothing of the server, and what the request had reserved of its quota is given back.

--- a/internal/exchange/attempt_end.go
+++ b/internal/exchange/attempt_end.go
@@ -37,7 +37,7 @@
 		t.Ran++
 		c.learnRun(now, t, o)
 		return nil
-	case NotSent, NotListening, Withheld:
+	case NotSent, NotListening, Withheld, CallerLeft:
 		t.Sends-- // never arrived
 	case Failed, Broken, Silent:
 		t.Ran++
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -188,11 +188,13 @@
 	// Withheld: nothing was sent, as the backend server has said meanwhile that it leaves or
 	// wants no requests.
 	Withheld
+	// CallerLeft: nothing was sent, as the caller has disconnected.
+	CallerLeft
 )
 
 // String returns the outcome's name for logs and metrics.
 func (o Outcome) String() string {
-	names := [...]string{"", "answered", "not-sent", "not-listening", "rejected", "misdirected", "failed", "broken", "silent", "abandoned", "withheld"}
+	names := [...]string{"", "answered", "not-sent", "not-listening", "rejected", "misdirected", "failed", "broken", "silent", "abandoned", "withheld", "caller-left"}
 	if int(o) >= len(names) {
 		return "unknown"
 	}
--- a/internal/gateway/caller_connection.go
+++ b/internal/gateway/caller_connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/deadpeer"
@@ -25,6 +26,28 @@
 	return deadpeer.StateOf(conn)
 }
 
+// errCallerLeft is the cause that cancels the context of a request whose caller has closed its connection.
+var errCallerLeft = errors.New("the caller has closed its connection")
+
+// hasLeft reports whether it is known that the caller has left.
+func (x *forwarding) hasLeft() bool {
+	return x.r.Context().Err() != nil || errors.Is(context.Cause(x.ctx), errCallerLeft)
+}
+
+// callerLeft reports whether the caller has left, and ends its request if so. It asks the kernel: net/http reads the
+// connection in the background, and may learn of its end later.
+func (x *forwarding) callerLeft() bool {
+	if x.ctx.Err() != nil {
+		return x.hasLeft()
+	}
+	state, err := x.callerState()
+	if err != nil || state.Established {
+		return false
+	}
+	x.cancel(errCallerLeft)
+	return true
+}
+
 // unheardOf returns the field of the log that says how long nothing has come from the caller; none if that is not known.
 func (x *forwarding) unheardOf() []event.Attr {
 	state, err := x.callerState()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -183,6 +183,9 @@
 	if err := x.writeForwarded(e, a); err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, "forward")
 	}
+	if x.callerLeft() {
+		return nil, verdict.Wrap(errCallerLeft, verdict.NotRun, "caller-left")
+	}
 	if err := writePiece(e, &forwardedPiece{End: true}); err != nil {
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, "forward")
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -25,7 +25,8 @@
 	request exchange.Request
 	body    heldBody
 	ticket  *exchange.Ticket
-	ctx     context.Context // ends when the caller disconnects or the deadline has passed
+	ctx     context.Context         // ends when the caller disconnects or the deadline has passed
+	cancel  context.CancelCauseFunc // of ctx
 
 	status      int    // HTTP status of the response; 0: none yet
 	headSent    bool   // status and header have been sent to the caller
@@ -158,7 +159,7 @@
 	defer x.g.withCore(func(c *exchange.Core, now time.Time) { c.Finish(now, x.ticket) })
 	ctx, cancel := context.WithCancelCause(x.r.Context())
 	defer cancel(nil)
-	x.ctx = ctx
+	x.ctx, x.cancel = ctx, cancel
 	if !x.ticket.Deadline.IsZero() {
 		timer := time.AfterFunc(x.ticket.Deadline.Sub(clock.Now()), func() { cancel(errDeadline) })
 		defer timer.Stop()
@@ -166,7 +167,7 @@
 	stopWatchingGrace := context.AfterFunc(x.g.grace, func() { x.endByStop(cancel) })
 	defer stopWatchingGrace()
 	x.findStreamVersion()
-	for {
+	for !x.callerLeft() {
 		var a exchange.Attempt
 		var refusal *exchange.Refusal
 		x.g.withCore(func(c *exchange.Core, now time.Time) { a, refusal = c.Place(now, x.ticket) })
@@ -182,6 +183,7 @@
 			return exchange.Refuse(exchange.BadReply, "answer-partly-sent")
 		}
 	}
+	return nil
 }
 
 var (
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -81,7 +81,7 @@
 	switch {
 	case last == exchange.Answered:
 		return event.ExchangeAnswered
-	case last == exchange.Abandoned, x.r.Context().Err() != nil:
+	case last == exchange.Abandoned, x.hasLeft():
 		return event.ExchangeAbandoned
 	case x.headSent:
 		return event.ExchangeTruncated
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -164,6 +164,9 @@
 
 // maySend reports whether the present attempt may be sent on the connection that is there now.
 func (x *forwarding) maySend(since time.Time) (may bool) {
+	if x.callerLeft() {
+		return false
+	}
 	x.g.withCore(func(c *exchange.Core, now time.Time) { may = c.MaySend(now, x.ticket, since) })
 	return may
 }
@@ -172,7 +175,9 @@
 // complete response.
 func (x *forwarding) failureOutcome(ctx context.Context, err error) exchange.Outcome {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.hasLeft() && verdict.Of(err) == verdict.NotRun:
+		return exchange.CallerLeft
+	case x.hasLeft():
 		return exchange.Abandoned
 	case errors.Is(err, outbound.ErrWithheld):
 		return exchange.Withheld
