A caller's close is seen after a part of its next request, too

Cause: net/http learns that a caller has left from a read in the background, which ends with the first byte that it reads. A caller that sends a byte of its next request, and then leaves, is not noticed.

Change: while a request is in progress, the kernel is asked every 200 ms.

--- a/internal/gateway/caller_connection.go
+++ b/internal/gateway/caller_connection.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/deadpeer"
 	"github.com/gooseberryslip/gooseberryslip/internal/event"
 )
@@ -48,6 +50,16 @@
 	return true
 }
 
+// callerCheckInterval is the time between two checks whether the caller of a request in progress has left.
+const callerCheckInterval = 200 * time.Millisecond
+
+// watchCaller ends the request when its caller leaves, until the request has ended. The background read of net/http ends
+// with the first byte of the caller's next request, and does not see what follows.
+func (x *forwarding) watchCaller() {
+	for clock.Wait(x.ctx, callerCheckInterval) && !x.callerLeft() {
+	}
+}
+
 // unheardOf returns the field of the log that says how long nothing has come from the caller; none if that is not known.
 func (x *forwarding) unheardOf() []event.Attr {
 	state, err := x.callerState()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -166,6 +166,7 @@
 	}
 	stopWatchingGrace := context.AfterFunc(x.g.grace, func() { x.endByStop(cancel) })
 	defer stopWatchingGrace()
+	go x.watchCaller()
 	x.findStreamVersion()
 	for !x.callerLeft() {
 		var a exchange.Attempt
