--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -36,6 +36,9 @@
 	if number != event.ExchangeAnswered || len(x.attempts) > 1 {
 		attrs = append(attrs, event.A("content", exchange.ShortDigest(x.request.Content)), event.A("parts", partIDs(x.request.Work.Parts)))
 	}
+	if number == event.ExchangeAbandoned {
+		attrs = append(attrs, x.unheardOf()...)
+	}
 	if x.request.After != "" {
 		attrs = append(attrs, event.A("resumes", x.request.Resumes), event.A("last_event", x.request.After))
 	}
@@ -78,7 +81,7 @@
 	switch {
 	case last == exchange.Answered:
 		return event.ExchangeAnswered
-	case last == exchange.Abandoned, x.r.Context().Err() != nil:
+	case last == exchange.Abandoned, x.hasLeft():
 		return event.ExchangeAbandoned
 	case x.headSent:
 		return event.ExchangeTruncated
