--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -368,3 +368,26 @@
 		t.Errorf("sending a body of %d bytes took %d bytes of memory", size, taken)
 	}
 }
+
+// TestSend_CancelledRequestIsNotDeliveredLater: a server does not read while its caller leaves. What lies unsent must not
+// reach it afterwards, as it would begin to work for nobody.
+func TestSend_CancelledRequestIsNotDeliveredLater(t *testing.T) {
+	const serverPause, bodySize = 700 * time.Millisecond, 400 << 10
+	got := make(chan error, 1)
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(serverPause)
+		_, _, err := readRequest(r)
+		got <- err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), serverPause/4)
+	defer cancel()
+	if _, err := NewPool().Send(ctx, newRequest(address, strings.Repeat("x", bodySize))); err == nil {
+		t.Fatal("a request to a server that does not read was answered")
+	}
+	if err := <-got; err == nil {
+		t.Errorf("the whole request reached the server %v after it had been cancelled", serverPause-serverPause/4)
+	}
+}
