What lies unsent to a server is dropped when its caller leaves

Cause: closing a connection does not take back what lies in its send buffer. A server that reads slowly, or stands still, gets it later, and begins to work.

Change: a connection with bytes that the server has not acknowledged is reset when its request is cancelled; with none, it is closed as before, since the kernel repeats a close that is lost, and not a reset.

--- a/internal/deadpeer/state.go
+++ b/internal/deadpeer/state.go
@@ -21,24 +21,43 @@
 
 // StateOf returns the state of a connection.
 func StateOf(conn net.Conn) (State, error) {
+	var info *unix.TCPInfo
+	err := withSocket(conn, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	if err != nil {
+		return State{}, fmt.Errorf("TCP_INFO: %w", err)
+	}
+	unheard := min(info.Last_data_recv, info.Last_ack_recv)
+	return State{Established: info.State == unix.BPF_TCP_ESTABLISHED, Unheard: time.Duration(unheard) * time.Millisecond}, nil
+}
+
+// Unacknowledged returns the number of bytes that were written to a connection and that the other side has not
+// acknowledged; 0 if that is not known.
+func Unacknowledged(conn net.Conn) int {
+	bytes := 0
+	err := withSocket(conn, func(fd int) (err error) {
+		bytes, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err
+	})
+	if err != nil {
+		return 0
+	}
+	return bytes
+}
+
+// withSocket calls f with the socket of a connection.
+func withSocket(conn net.Conn, f func(fd int) error) error {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return State{}, ErrNoState
+		return ErrNoState
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return State{}, err
-	}
-	var info *unix.TCPInfo
-	var infoErr error
-	if err := raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	}); err != nil {
-		return State{}, err
-	}
-	if infoErr != nil {
-		return State{}, fmt.Errorf("TCP_INFO: %w", infoErr)
+		return err
 	}
-	unheard := min(info.Last_data_recv, info.Last_ack_recv)
-	return State{Established: info.State == unix.BPF_TCP_ESTABLISHED, Unheard: time.Duration(unheard) * time.Millisecond}, nil
+	var callErr error
+	err = raw.Control(func(fd uintptr) { callErr = f(int(fd)) })
+	return errors.Join(err, callErr)
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -238,6 +238,15 @@
 	return c.Conn.Close()
 }
 
+// abort closes the connection in the middle of a request. Bytes that the other side has not acknowledged are not
+// delivered any more, as they are after a plain close.
+func (c *connection) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && deadpeer.Unacknowledged(tcp) > 0 {
+		_ = tcp.SetLinger(0) // an error leaves a plain close
+	}
+	_ = c.Close()
+}
+
 // established reports whether the other side has not closed the connection, as far as the kernel
 // knows.
 func (c *connection) established() bool {
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -82,7 +82,7 @@
 	}
 	// When the context ends, the connection is closed. To the backend server this
 	// is the signal to stop working on the request.
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abort)
 	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, writeResult: make(chan error, 1)}
 	if len(r.Body) <= maxInlineBodyBytes {
 		reply.writeResult <- r.write(conn)
