A request whose body has not come whole at the end of a stop is told so

Cause: reads of a body were not bounded by the end of the stop.

Change: they fail then, and the request is refused as leaving, with a time to return.

Evidence: TestGateway_BodyThatOutlastsAStopIsRefused got an unexpected EOF before, now 503.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -61,7 +61,7 @@
 	}
 	defer g.requests.leave()
 	defer x.body.release()
-	if !x.readBody() {
+	if !x.readBody(arrived) {
 		return
 	}
 	x.request.Content = contentDigest(r, x.body.bytes)
@@ -96,8 +96,8 @@
 	}
 }
 
-// readBody reads the complete body, so that it can be sent again.
-func (x *forwarding) readBody() bool {
+// readBody reads the complete body, so that it can be sent again, until the end of a planned stop.
+func (x *forwarding) readBody(arrived time.Time) bool {
 	length := x.r.ContentLength
 	if length == 0 {
 		return true
@@ -111,10 +111,15 @@
 	if length < 0 {
 		size, most = unknownBodyBytes, limit+1
 	}
+	stopWatchingGrace := context.AfterFunc(x.g.grace, x.endReading)
 	err := x.body.read(x.r.Body, size, most)
+	stopWatchingGrace()
 	switch {
 	case errors.Is(err, errNoMemory):
 		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
+	case err != nil && x.g.grace.Err() != nil:
+		x.w.Header().Set("Connection", "close")
+		x.refuseLate(arrived)
 	case err != nil:
 		// The caller disconnected, or the body's framing is malformed.
 		x.refuseBody(http.StatusBadRequest, "body-unreadable")
@@ -126,6 +131,11 @@
 	return false
 }
 
+// endReading has reads from the caller's connection fail from now on.
+func (x *forwarding) endReading() {
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) // an error: the connection has ended
+}
+
 // maxBodyBytes returns the size of the largest accepted body.
 func (g *Gateway) maxBodyBytes() int64 {
 	var limit int64
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -72,7 +72,7 @@
 }
 
 // refuseLate rejects a request that arrives when the requests in flight have ended and
-// this daemon closes its connections.
+// this daemon closes its connections, or that has not come whole by then.
 func (x *forwarding) refuseLate(arrived time.Time) {
 	defer x.logResult(arrived)
 	x.refuse(&exchange.Refusal{Status: exchange.Unavailable, Code: "leaving", RetryAfter: lateRetryDelay})
