--- a/internal/exchange/stopping_test.go
+++ b/internal/exchange/stopping_test.go
@@ -198,3 +198,34 @@
 		})
 	}
 }
+
+// TestPlace_StoppingDaemonWhoseLongAnswersStillRun: a daemon is told to stop a second after its first requests. The short
+// answers have ended, the long ones have not, and no other daemon is there to tell.
+func TestPlace_StoppingDaemonWhoseLongAnswersStillRun(t *testing.T) {
+	for name, work := range map[string]Work{"unstated size": {}, "stated size": {Stated: true, Prompt: 10, MaxOutput: 500}} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(t, "d1")
+			request := func(now time.Time) *Ticket {
+				c.Confirm(now)
+				r := testRequest("r", "/talk/x", "k3")
+				r.Patience, r.Work = time.Minute, work
+				return mustAdmit(t, c, now, r)
+			}
+			for i := range 5 * minKnownRuns {
+				now := at(time.Duration(i) * 10 * time.Millisecond)
+				ticket := request(now)
+				mustPlace(t, c, now, ticket)
+				c.Started(now, ticket)
+				if i%12 != 5 {
+					c.Ended(now.Add(5*time.Millisecond), ticket, Answered)
+					c.Finish(now.Add(5*time.Millisecond), ticket)
+				}
+			}
+			now := at(1300 * time.Millisecond)
+			c.Leave(now.Add(3 * time.Second))
+			if _, refusal := c.Place(now, request(now)); refusal == nil || refusal.Code != "leaving" {
+				t.Errorf("a request was placed 3 s before the daemon's end, while others have been running for over a second: %+v", refusal)
+			}
+		})
+	}
+}
