A longest answer counts as known after twice its time, and is told after 15 s

Cause, as the code shows: short answers end after up to 0.8 s; from then until 1.15 times that, 24 requests have been observed for long enough, and no running one has taken far longer. In this moment the longest of the short ones counted as known. It was also told to other daemons, which keep it for half a minute.

Change: requests must have been observed for twice the longest answer, which leaves time for longer ones to show, and for 15 s before others are told.

--- a/internal/exchange/answer_duration.go
+++ b/internal/exchange/answer_duration.go
@@ -146,8 +146,8 @@
 	return out
 }
 
-// ownLongest returns the longest time of late that an answer of this daemon took; 0: it does not tell how long others
-// may take.
+// ownLongest returns the longest time of late that an answer of this daemon took; 0: others are not told, as it may
+// not tell how long answers take.
 func (c *Core) ownLongest(now time.Time, service entity.ServiceName, stated bool) time.Duration {
 	allowed := entity.Tokens(0)
 	if stated {
@@ -155,7 +155,7 @@
 		allowed = max(row.present.allowed, row.before.allowed, 1)
 	}
 	row, units := c.longestRuns.row(now, service, allowed)
-	if !row.ownKnown(now, units) || c.outlasted(now, service, stated, row) {
+	if row.observedFor(now) < minToldObservation || !row.ownKnown(now, units) || c.outlasted(now, service, stated, row) {
 		return 0
 	}
 	return max(row.present.longest, row.before.longest)
--- a/internal/exchange/longest_run.go
+++ b/internal/exchange/longest_run.go
@@ -15,6 +15,11 @@
 	longestRunFactor = 1.15
 	// minKnownRuns is the number of answers from which on the longest one tells how long others may take.
 	minKnownRuns = 24
+	// minObservedFactor is the time, in multiples of the longest run, for which that many requests must have been
+	// observed. It leaves time for longer ones to show.
+	minObservedFactor = 2
+	// minToldObservation is the least time after which other daemons are told. They keep what they have heard.
+	minToldObservation = longestRunPeriod / 2
 )
 
 // longestRuns holds, for each service, the longest time of late that an answer took: from its first
@@ -81,10 +86,10 @@
 }
 
 // ownKnown reports whether this daemon has sent enough requests so long ago that an answer of the given
-// number of units would have ended if none lasts longer than the longest that has.
+// number of units that lasts longer than the longest one would have shown.
 func (r *longestRun) ownKnown(now time.Time, units entity.Tokens) bool {
 	own := max(r.present.longest, r.before.longest)
-	return own > 0 && r.observedFor(now) > own*time.Duration(units)
+	return own > 0 && r.observedFor(now) > minObservedFactor*own*time.Duration(units)
 }
 
 // known reports whether the longest run tells how long other answers may take, as this daemon has seen enough
--- a/internal/exchange/stopping_test.go
+++ b/internal/exchange/stopping_test.go
@@ -178,7 +178,7 @@
 				settled.longestRuns.countSent(zero, "engine", work.MaxOutput)
 			}
 			settled.longestRuns.learn(at(long), "engine", long, work.MaxOutput)
-			now := at(2 * long)
+			now := at(longestRunPeriod - time.Second)
 			for range updatesPerFullUpdate {
 				update := settled.NextUpdate(now)
 				young.ReceiveUpdate(now, &update, 0)
@@ -199,32 +199,43 @@
 	}
 }
 
-// TestPlace_StoppingDaemonWhoseLongAnswersStillRun: a daemon is told to stop a second after its first requests. The short
-// answers have ended, the long ones have not, and no other daemon is there to tell.
+// TestPlace_StoppingDaemonWhoseLongAnswersStillRun: a daemon is told to stop at any moment of the first seconds of its
+// requests. The short answers end, the long ones do not, and no other daemon is there to tell, or is told.
 func TestPlace_StoppingDaemonWhoseLongAnswersStillRun(t *testing.T) {
+	const short, left, interval = 600 * time.Millisecond, 3 * time.Second, 2 * time.Millisecond
 	for name, work := range map[string]Work{"unstated size": {}, "stated size": {Stated: true, Prompt: 10, MaxOutput: 500}} {
 		t.Run(name, func(t *testing.T) {
 			c := newTestCore(t, "d1")
+			doc := testDocument(2)
+			for i := range doc.Routes {
+				doc.Routes[i].Objective = 0
+			}
+			c.SetDocument(zero, doc)
+			c.PutServer(zero, BackendServer{ID: "large", Born: 1, Service: "engine", Address: "10.0.0.9:1", DataCentre: "a", Slots: 4000, State: Ready})
 			request := func(now time.Time) *Ticket {
 				c.Confirm(now)
 				r := testRequest("r", "/talk/x", "k3")
 				r.Patience, r.Work = time.Minute, work
 				return mustAdmit(t, c, now, r)
 			}
-			for i := range 5 * minKnownRuns {
-				now := at(time.Duration(i) * 10 * time.Millisecond)
+			var running []*Ticket
+			for now := zero; now.Before(at(left)); now = now.Add(interval) {
+				if n := len(running) - int(short/interval); n >= 0 && n%12 != 5 {
+					c.Ended(now, running[n], Answered)
+					c.Finish(now, running[n])
+				}
 				ticket := request(now)
 				mustPlace(t, c, now, ticket)
 				c.Started(now, ticket)
-				if i%12 != 5 {
-					c.Ended(now.Add(5*time.Millisecond), ticket, Answered)
-					c.Finish(now.Add(5*time.Millisecond), ticket)
+				running = append(running, ticket)
+				c.Leave(now.Add(left))
+				if _, refusal := c.Place(now, request(now)); refusal == nil || refusal.Code != "leaving" {
+					t.Fatalf("%v after the first request, another was placed %v before the daemon's end: %+v", now.Sub(zero), left, refusal)
 				}
-			}
-			now := at(1300 * time.Millisecond)
-			c.Leave(now.Add(3 * time.Second))
-			if _, refusal := c.Place(now, request(now)); refusal == nil || refusal.Code != "leaving" {
-				t.Errorf("a request was placed 3 s before the daemon's end, while others have been running for over a second: %+v", refusal)
+				if told := c.answerDurations(now); len(told) > 0 {
+					t.Fatalf("%v after the first request, others are told %+v", now.Sub(zero), told)
+				}
+				c.leaving = false
 			}
 		})
 	}
