Log: a refusal says if its connection had carried the request before

An attempt's line said "rejected 503", whatever the connection, so the log could not tell a refusal of this send from one of an earlier send of the same request. No decision is changed.

--- a/internal/gateway/forward_serve.go
+++ b/internal/gateway/forward_serve.go
@@ -151,7 +151,7 @@
 func (f *forwardServer) outboundRequest() *outbound.Request {
 	r := &f.request
 	return &outbound.Request{
-		Address: r.Address, Method: string(r.Method), Target: string(r.Target), Host: string(r.Host), Header: toHeader(r.Header), Body: f.body, HasBody: r.HasBody,
+		Address: r.Address, ID: string(r.ID), Method: string(r.Method), Target: string(r.Target), Host: string(r.Host), Header: toHeader(r.Header), Body: f.body, HasBody: r.HasBody,
 		Matches: func(resp *http.Response) bool { return f.g.Dialect.BelongsTo(resp, f.id()) },
 		MaySend: f.maySend,
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -93,12 +93,12 @@
 		if x.mayAnswerAnother(reply) {
 			return exchange.Broken, "refusal without the request's ID on a reused connection"
 		}
-		return exchange.Rejected, strconv.Itoa(reply.StatusCode)
+		return exchange.Rejected, refusalDetail(reply)
 	case WrongServer:
 		if x.mayAnswerAnother(reply) {
 			return exchange.Broken, "misdirected, without the request's ID on a reused connection"
 		}
-		return exchange.Misdirected, strconv.Itoa(reply.StatusCode)
+		return exchange.Misdirected, refusalDetail(reply)
 	case Inconclusive:
 		if x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID) {
 			x.recordStatement(a, reply, false)
@@ -117,6 +117,15 @@
 	return x.relayBuffered(ctx, reply)
 }
 
+// refusalDetail describes a refusal for the log.
+func refusalDetail(reply *outbound.Reply) string {
+	status := strconv.Itoa(reply.StatusCode)
+	if reply.CarriedBefore() {
+		return status + " on a connection that had carried the request before"
+	}
+	return status
+}
+
 // mayAnswerAnother reports whether a response may be that to an earlier request on its connection,
 // late or written once more, so that it proves nothing of this one.
 func (x *forwarding) mayAnswerAnother(reply *outbound.Reply) bool {
@@ -155,7 +164,7 @@
 		after = x.lastEventID
 	}
 	return &outbound.Request{
-		Address: a.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
+		Address: a.Address, ID: string(x.request.ID), Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: x.g.Dialect.ForwardedHeader(x.r.Header, a, after), Body: x.body.bytes, HasBody: x.r.ContentLength != 0,
 		Matches: func(resp *http.Response) bool { return x.g.Dialect.BelongsTo(resp, x.request.ID) },
 		MaySend: x.maySend,
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -70,6 +70,7 @@
 	reader      *bufio.Reader
 	usableUntil time.Time // while idle: when it expires; zero: it has not been idle yet
 	reused      bool      // it has carried an earlier request
+	carried     carriedRequests
 }
 
 // acquire returns an idle connection that is still usable, or dials a new one.
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -30,6 +30,7 @@
 // Request is a request to a backend server.
 type Request struct {
 	Address string // of the backend server
+	ID      string // of the request; "": it has none
 	Method  string
 	Target  string // path and query, as the caller sent them
 	Host    string
@@ -59,6 +60,7 @@
 	failed           bool        // reading the head or the body has failed
 	foreign          bool        // a response to another request came before
 	reused           bool        // the connection had carried an earlier request
+	carriedBefore    bool        // the connection had carried a request with the same ID
 	release          func()      // ends a response that did not come over a connection of a pool; nil: it did
 }
 
@@ -83,7 +85,8 @@
 	// When the context ends, the connection is closed. To the backend server this
 	// is the signal to stop working on the request.
 	stop := context.AfterFunc(ctx, conn.abort)
-	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, writeResult: make(chan error, 1)}
+	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, carriedBefore: conn.carried.contains(r.ID), writeResult: make(chan error, 1)}
+	conn.carried.add(r.ID)
 	if len(r.Body) <= maxInlineBodyBytes {
 		reply.writeResult <- r.write(conn)
 	} else {
@@ -149,6 +152,10 @@
 // ConnectionReused reports whether the connection had carried an earlier request.
 func (r *Reply) ConnectionReused() bool { return r.reused }
 
+// CarriedBefore reports whether the connection had carried a request with the same ID, as far as it
+// is remembered.
+func (r *Reply) CarriedBefore() bool { return r.carriedBefore }
+
 // Framed reports whether the end of the body is marked by a content length or a
 // transfer encoding. Otherwise the body ends where the connection does.
 func (r *Reply) Framed() bool {
