A connection to a backend server carries a request's ID once

Callers saw 503 for requests that had run (REFUSED), and requests that may run once ran twice (TWICE): a request was refused, came again under its ID, met the same connection, and the server, which ran it, wrote the former refusal once more there.

Cause: an answer was believed since it has the request's ID. Where a connection carries the ID a second time, the ID no longer tells which exchange the answer belongs to; the pool hands out the connection that was used last, so it met the same one nearly always.

The pool now passes over idle connections that have carried a request with the same ID, and dials one if there is no other. So each ID stands for one exchange on each connection, for copies of any answer, whichever way the request comes: by a caller at this daemon, or through another one, as both use the pool of the daemon that sends. Ruled out: no longer believing refusals on kept connections, which turns true ones into 502; closing connections that brought a refusal, which costs a dial for each.

Before: TestGateway_RefusalOfTheSameIDIsNotBelievedAgain 24 of 36 cases failed, TestForward_... 3 of 3.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -93,12 +93,12 @@
 		if x.mayAnswerAnother(reply) {
 			return exchange.Broken, "refusal without the request's ID on a reused connection"
 		}
-		return exchange.Rejected, refusalDetail(reply)
+		return exchange.Rejected, strconv.Itoa(reply.StatusCode)
 	case WrongServer:
 		if x.mayAnswerAnother(reply) {
 			return exchange.Broken, "misdirected, without the request's ID on a reused connection"
 		}
-		return exchange.Misdirected, refusalDetail(reply)
+		return exchange.Misdirected, strconv.Itoa(reply.StatusCode)
 	case Inconclusive:
 		if x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID) {
 			x.recordStatement(a, reply, false)
@@ -117,17 +117,9 @@
 	return x.relayBuffered(ctx, reply)
 }
 
-// refusalDetail describes a refusal for the log.
-func refusalDetail(reply *outbound.Reply) string {
-	status := strconv.Itoa(reply.StatusCode)
-	if reply.CarriedBefore() {
-		return status + " on a connection that had carried the request before"
-	}
-	return status
-}
-
 // mayAnswerAnother reports whether a response may be that to an earlier request on its connection,
-// late or written once more, so that it proves nothing of this one.
+// late or written once more, so that it proves nothing of this one. An ID tells, as a connection carries
+// it once.
 func (x *forwarding) mayAnswerAnother(reply *outbound.Reply) bool {
 	return reply.ConnectionReused() && !x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID)
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -73,11 +73,12 @@
 	carried     carriedRequests
 }
 
-// acquire returns an idle connection that is still usable, or dials a new one.
-func (p *Pool) acquire(ctx context.Context, address string) (*connection, error) {
+// acquire returns an idle connection that is still usable and has not carried the request, or dials a
+// new one.
+func (p *Pool) acquire(ctx context.Context, address, requestID string) (*connection, error) {
 	now := clock.Now()
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, requestID)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -88,18 +89,22 @@
 	}
 }
 
-// popIdle removes the most recently used idle connection to an address from the pool and
-// returns it, or nil if there is none.
-func (p *Pool) popIdle(address string) *connection {
+// popIdle removes the most recently used idle connection to an address that has not carried the
+// request from the pool and returns it, or nil if there is none.
+func (p *Pool) popIdle(address, requestID string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if c.carried.contains(requestID) {
+			connectionsPassedOver.Inc()
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Probe establishes a connection to an address without sending anything, and keeps it for
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -60,7 +60,6 @@
 	failed           bool        // reading the head or the body has failed
 	foreign          bool        // a response to another request came before
 	reused           bool        // the connection had carried an earlier request
-	carriedBefore    bool        // the connection had carried a request with the same ID
 	release          func()      // ends a response that did not come over a connection of a pool; nil: it did
 }
 
@@ -71,10 +70,10 @@
 }
 
 // Send writes the request to one connection once and reads the head of the
-// response. An error carries a verdict on whether the request may have run. When
+// response. The connection has not carried a request with the same ID before. An error carries a verdict on whether the request may have run. When
 // ctx ends, the reading of the body fails too.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Reply, error) {
-	conn, err := p.acquire(ctx, r.Address)
+	conn, err := p.acquire(ctx, r.Address, r.ID)
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, "dial")
 	}
@@ -85,7 +84,7 @@
 	// When the context ends, the connection is closed. To the backend server this
 	// is the signal to stop working on the request.
 	stop := context.AfterFunc(ctx, conn.abort)
-	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, carriedBefore: conn.carried.contains(r.ID), writeResult: make(chan error, 1)}
+	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, writeResult: make(chan error, 1)}
 	conn.carried.add(r.ID)
 	if len(r.Body) <= maxInlineBodyBytes {
 		reply.writeResult <- r.write(conn)
@@ -152,10 +151,6 @@
 // ConnectionReused reports whether the connection had carried an earlier request.
 func (r *Reply) ConnectionReused() bool { return r.reused }
 
-// CarriedBefore reports whether the connection had carried a request with the same ID, as far as it
-// is remembered.
-func (r *Reply) CarriedBefore() bool { return r.carriedBefore }
-
 // Framed reports whether the end of the body is marked by a content length or a
 // transfer encoding. Otherwise the body ends where the connection does.
 func (r *Reply) Framed() bool {
@@ -190,7 +185,7 @@
 }
 
 func (r *Reply) reusable() bool {
-	if r.failed || r.foreign || r.Response == nil || r.Response.Close || !r.Framed() {
+	if r.failed || r.foreign || r.conn.carried.full() || r.Response == nil || r.Response.Close || !r.Framed() {
 		return false
 	}
 	if !r.bodyComplete && r.ContentLength != 0 && r.Body != http.NoBody {
