A head that holds another status line is no answer

Callers saw 503 for requests that had run (REFUSED), second runs of what may run once (TWICE), and statuses that the server had not given (MIXED): a server wrote a part of an earlier refusal once more and then the right answer, and the two were read as one head.

Cause: where the copy breaks off in the reason of its status line, or in the value of a field, the right answer's status line becomes the rest of that line. The status, or "not executed", is the copy's; the ID and the signature are the right answer's. The class is that of the copies of refusals: what proves an exchange came with bytes of another one.

A head with a status line in its reason or in a field's value is an error now, which says nothing of whether the request has run. Elsewhere a cut leaves a line that is no field, a length that is no number or a body that takes the right head, all errors before.

--- a/internal/outbound/head.go
+++ b/internal/outbound/head.go
@@ -6,12 +6,20 @@
 	"io"
 	"math"
 	"net/http"
+	"regexp"
 )
 
 // maxHeadBytes bounds the bytes that are read for the head of one response, with the
 // interim responses before it.
 const maxHeadBytes = 32 << 10
 
+// errJoinedHeads is the error of a head with the status line of another one in it: an earlier answer
+// that is written once more and breaks off is followed by the right one.
+var errJoinedHeads = errors.New("head of the response has the status line of another one in it")
+
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
+
 var errHeadTooLong = fmt.Errorf("head of the response is longer than %d bytes", maxHeadBytes)
 
 // limitedReader reads from a connection and fails when its limit is used up.
@@ -53,6 +61,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if hasStatusLineWithin(resp) {
+			joinedHeads.Inc()
+			return nil, errJoinedHeads
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -61,3 +73,19 @@
 		}
 	}
 }
+
+// hasStatusLineWithin reports whether a status line stands in the reason or in a field of a head. Where
+// a line ends before it, the parser has found a line that is no field.
+func hasStatusLineWithin(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		for _, value := range values {
+			if statusLine.MatchString(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
