A connection that may not carry a request is replaced by the one that is dialled for it

A connection that had carried 512 requests was closed, so that the next one was not known to reach the same process, and streams could not be continued over it while the list of servers is in doubt.

The pool now closes a connection that may not carry the request only when the next one has been opened in its place. The hash of an ID is computed once, outside the pool's lock.

--- a/internal/outbound/carried.go
+++ b/internal/outbound/carried.go
@@ -5,32 +5,41 @@
 	"slices"
 )
 
-// maxCarriedRequests is the number of requests after which a connection is closed, so that what it has
+// maxCarriedIDs is the number of requests after which a connection is replaced, so that what it has
 // carried is remembered whole.
-const maxCarriedRequests = 512
+const maxCarriedIDs = 512
 
-// carriedRequests are the requests that a connection has carried, as hashes of their IDs. A connection
-// carries an ID once: a backend server may write an answer once more, and only on a connection that
-// carries its ID once does the ID tell which exchange an answer belongs to.
-type carriedRequests []uint32
+// idHash is the hash by which the ID of a request is remembered.
+type idHash uint32
 
-var carriedSeed = maphash.MakeSeed()
+// noID is the hash of a request without an ID, which is not remembered.
+const noID idHash = 0
 
-// hashID returns the hash by which a request is remembered.
-func hashID(id string) uint32 { return uint32(maphash.String(carriedSeed, id)) }
+var idSeed = maphash.MakeSeed()
 
-// contains reports whether a request with this ID has been carried. Two IDs with the same hash pass
-// for one; requests without an ID are not remembered.
-func (c carriedRequests) contains(id string) bool {
-	return id != "" && slices.Contains(c, hashID(id))
+// hashID returns the hash of an ID.
+func hashID(id string) idHash {
+	if id == "" {
+		return noID
+	}
+	return idHash(maphash.String(idSeed, id)) | 1 // is not noID
 }
 
+// carriedIDs are the IDs of the requests that a connection has carried. It carries an ID once: a backend
+// server may write an answer once more, and only on a connection that carries its ID once does the ID
+// identify the exchange that an answer belongs to.
+type carriedIDs []idHash
+
+// contains reports whether a request with this ID has been carried. Two IDs with the same hash pass
+// for one.
+func (c carriedIDs) contains(id idHash) bool { return id != noID && slices.Contains(c, id) }
+
 // add remembers a request.
-func (c *carriedRequests) add(id string) {
-	if id != "" {
-		*c = append(*c, hashID(id))
+func (c *carriedIDs) add(id idHash) {
+	if id != noID {
+		*c = append(*c, id)
 	}
 }
 
-// full reports whether no further request may be carried.
-func (c carriedRequests) full() bool { return len(c) >= maxCarriedRequests }
+// mayCarry reports whether a connection that has carried these may carry another request.
+func (c carriedIDs) mayCarry(id idHash) bool { return len(c) < maxCarriedIDs && !c.contains(id) }
--- a/internal/outbound/metrics.go
+++ b/internal/outbound/metrics.go
@@ -8,9 +8,9 @@
 	// connectionsLost counts idle connections that a backend server closed before they
 	// expired, or on which it sent unrequested bytes.
 	connectionsLost = metrics.NewCounter("gooseberryslip_outbound_idle_connections_lost_total")
-	// connectionsPassedOver counts idle connections that were not used for a request that
-	// they had carried before.
-	connectionsPassedOver = metrics.NewCounter("gooseberryslip_outbound_connections_passed_over_total")
+	// connectionsReplaced counts idle connections that were replaced by new ones, since they had
+	// carried the request before or as many as they may.
+	connectionsReplaced = metrics.NewCounter("gooseberryslip_outbound_connections_replaced_total")
 	// foreignResponses counts responses that belong to another request than the
 	// one that was waiting.
 	foreignResponses = metrics.NewCounter("gooseberryslip_outbound_foreign_answers_total")
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -70,17 +70,22 @@
 	reader      *bufio.Reader
 	usableUntil time.Time // while idle: when it expires; zero: it has not been idle yet
 	reused      bool      // it has carried an earlier request
-	carried     carriedRequests
+	carried     carriedIDs
 }
 
-// acquire returns an idle connection that is still usable and has not carried the request, or dials a
-// new one.
-func (p *Pool) acquire(ctx context.Context, address, requestID string) (*connection, error) {
+// acquire returns an idle connection that is still usable and may carry the request, or dials a new one.
+// The new one replaces an idle connection that may not carry the request, if there is any.
+func (p *Pool) acquire(ctx context.Context, address string, id idHash) (*connection, error) {
 	now := clock.Now()
 	for {
-		c := p.popIdle(address, requestID)
+		c, replaced := p.popIdle(address, id)
 		if c == nil {
-			return p.dial(ctx, address)
+			c, err := p.dial(ctx, address)
+			if replaced != nil {
+				// It was open until now, so that the new one is known to reach the same process.
+				_ = replaced.Close() // the connection is discarded even if closing fails
+			}
+			return c, err
 		}
 		if now.Before(c.usableUntil) && c.openWithoutData() {
 			return c, nil
@@ -89,22 +94,27 @@
 	}
 }
 
-// popIdle removes the most recently used idle connection to an address that has not carried the
-// request from the pool and returns it, or nil if there is none.
-func (p *Pool) popIdle(address, requestID string) *connection {
+// popIdle removes the most recently used idle connection to an address that may carry a request from the
+// pool and returns it. If there is none, it removes and returns the one to replace instead, the least
+// recently used one.
+func (p *Pool) popIdle(address string, id idHash) (c, replaced *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
-		c := list[i]
-		if c.carried.contains(requestID) {
-			connectionsPassedOver.Inc()
-			continue
+		if list[i].carried.mayCarry(id) {
+			c = list[i]
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c, nil
 		}
-		p.idle[address] = slices.Delete(list, i, i+1)
-		return c
 	}
-	return nil
+	if len(list) == 0 {
+		return nil, nil
+	}
+	connectionsReplaced.Inc()
+	replaced = list[0]
+	p.idle[address] = slices.Delete(list, 0, 1)
+	return nil, replaced
 }
 
 // Probe establishes a connection to an address without sending anything, and keeps it for
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -70,10 +70,12 @@
 }
 
 // Send writes the request to one connection once and reads the head of the
-// response. The connection has not carried a request with the same ID before. An error carries a verdict on whether the request may have run. When
-// ctx ends, the reading of the body fails too.
+// response. The connection has not carried a request with the same ID before.
+// An error carries a verdict on whether the request may have run. When ctx ends,
+// the reading of the body fails too.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Reply, error) {
-	conn, err := p.acquire(ctx, r.Address, r.ID)
+	id := hashID(r.ID)
+	conn, err := p.acquire(ctx, r.Address, id)
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, "dial")
 	}
@@ -85,7 +87,7 @@
 	// is the signal to stop working on the request.
 	stop := context.AfterFunc(ctx, conn.abort)
 	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, writeResult: make(chan error, 1)}
-	conn.carried.add(r.ID)
+	conn.carried.add(id)
 	if len(r.Body) <= maxInlineBodyBytes {
 		reply.writeResult <- r.write(conn)
 	} else {
@@ -185,7 +187,7 @@
 }
 
 func (r *Reply) reusable() bool {
-	if r.failed || r.foreign || r.conn.carried.full() || r.Response == nil || r.Response.Close || !r.Framed() {
+	if r.failed || r.foreign || r.Response == nil || r.Response.Close || !r.Framed() {
 		return false
 	}
 	if !r.bodyComplete && r.ContentLength != 0 && r.Body != http.NoBody {
