A refusal through a daemon of an earlier release is believed only on a new connection

A daemon that forwards a request says whether its connection had carried other ones, not that it carries an ID once, which earlier releases do not see to. During an upgrade the copy of a refusal could still be believed through them.

Its head now says so (forwardedHead.IDOnce). Without it a refusal on a connection that had carried other requests proves nothing: the careful way until all daemons are of this release. A request without an ID is identified by none.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -86,6 +86,7 @@
 	ContentLength int64         `cbor:"3,keyasint"` // -1: not stated
 	Chunked       bool          `cbor:"4,keyasint,omitempty"`
 	Reused        bool          `cbor:"5,keyasint,omitempty"` // the connection had carried an earlier request
+	IDOnce        bool          `cbor:"6,keyasint,omitempty"` // but none with the same ID; false: not known, as from earlier releases
 }
 
 // forwardedFailure says why there is no complete response.
@@ -160,7 +161,7 @@
 		e.Cancel()
 		return nil, err
 	}
-	return outbound.NewReply(reply.response, reply.reused, func() { stop(); e.Cancel() }), nil
+	return outbound.NewReply(reply.response, reply.reused, reply.idOnce, func() { stop(); e.Cancel() }), nil
 }
 
 // openForwarding opens an exchange with another daemon.
@@ -176,6 +177,7 @@
 type forwardedReply struct {
 	response *http.Response
 	reused   bool
+	idOnce   bool
 }
 
 // exchangeThrough sends the request on an exchange and waits for the head of the response.
@@ -199,7 +201,7 @@
 	case piece.Head == nil:
 		return nil, verdict.New(verdict.MayHaveRun, "forwarder-lost", "the forwarding daemon sent no head of a response")
 	}
-	return &forwardedReply{response: piece.Head.toResponse(f), reused: piece.Head.Reused}, nil
+	return &forwardedReply{response: piece.Head.toResponse(f), reused: piece.Head.Reused, idOnce: piece.Head.IDOnce}, nil
 }
 
 // writeForwarded writes all of the request but the order to send it.
--- a/internal/gateway/forward_serve.go
+++ b/internal/gateway/forward_serve.go
@@ -140,7 +140,7 @@
 	f.recordAnswer(reply, sentAt)
 	head := &forwardedHead{
 		Status: reply.StatusCode, Header: toFields(reply.Header), ContentLength: reply.ContentLength,
-		Chunked: len(reply.TransferEncoding) > 0, Reused: reply.ConnectionReused(),
+		Chunked: len(reply.TransferEncoding) > 0, Reused: reply.ConnectionReused(), IDOnce: reply.ConnectionCarriesIDOnce(),
 	}
 	if f.write(&forwardedPiece{Head: head}) {
 		f.relayBody(reply)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -118,10 +118,11 @@
 }
 
 // mayAnswerAnother reports whether a response may be that to an earlier request on its connection,
-// late or written once more, so that it proves nothing of this one. An ID tells, as a connection carries
-// it once.
+// late or written once more, so that it proves nothing of this one. The request's ID identifies the
+// exchange if the connection carries it once.
 func (x *forwarding) mayAnswerAnother(reply *outbound.Reply) bool {
-	return reply.ConnectionReused() && !x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID)
+	identified := reply.ConnectionCarriesIDOnce() && x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID)
+	return reply.ConnectionReused() && !identified
 }
 
 // send sends the attempt itself, or through the daemon that forwards it.
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -60,13 +60,15 @@
 	failed           bool        // reading the head or the body has failed
 	foreign          bool        // a response to another request came before
 	reused           bool        // the connection had carried an earlier request
+	idRepeatable     bool        // the connection may have carried an earlier request with the same ID
 	release          func()      // ends a response that did not come over a connection of a pool; nil: it did
 }
 
-// NewReply returns a response that did not come over a connection of a pool. Release is called
-// when it is closed.
-func NewReply(resp *http.Response, reused bool, release func()) *Reply {
-	return &Reply{Response: resp, reused: reused, release: release}
+// NewReply returns a response that did not come over a connection of a pool. Reused and idOnce say of
+// its connection what ConnectionReused and ConnectionCarriesIDOnce do. Release is called when it is
+// closed.
+func NewReply(resp *http.Response, reused, idOnce bool, release func()) *Reply {
+	return &Reply{Response: resp, reused: reused, idRepeatable: !idOnce, release: release}
 }
 
 // Send writes the request to one connection once and reads the head of the
@@ -153,6 +155,10 @@
 // ConnectionReused reports whether the connection had carried an earlier request.
 func (r *Reply) ConnectionReused() bool { return r.reused }
 
+// ConnectionCarriesIDOnce reports whether the connection had not carried a request with the same ID
+// before, so that the ID in a response identifies the exchange.
+func (r *Reply) ConnectionCarriesIDOnce() bool { return !r.idRepeatable }
+
 // Framed reports whether the end of the body is marked by a content length or a
 // transfer encoding. Otherwise the body ends where the connection does.
 func (r *Reply) Framed() bool {
