A caller who has left gets no empty success

A caller who closed only its sending side while it waited, and read on, got "200 OK" with an empty body that no server had given.

Cause: when a caller has left, nothing is answered, and the handler returned; net/http then writes an empty 200. The daemon now breaks the connection off. A closed sending side goes on counting as a caller who has left: it cannot be told from a closed connection.

Before: TestGateway_CallerThatWritesNoMoreGetsNoFalseAnswer failed, 5 of 5 callers.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -70,8 +70,12 @@
 	if refusal == nil {
 		refusal = x.forward()
 	}
-	if refusal != nil {
+	switch {
+	case refusal != nil:
 		x.refuse(refusal)
+	case !x.headSent:
+		// The caller has left. If it reads on, it must not get the empty success that net/http would write.
+		panic(http.ErrAbortHandler)
 	}
 }
 
