--- a/internal/event/numbers_gateway.go
+++ b/internal/event/numbers_gateway.go
@@ -17,6 +17,7 @@
 	ServerUnlisted              = define(6111, Info, "backend server no longer listed")
 	ServerEntryIgnored          = define(6112, Warn, "entry of a backend server ignored")
 	ServerEntryOutdated         = define(6113, Info, "entry of a backend server older than a known one ignored")
+	ServerEndReported           = define(6114, Info, "another daemon has told that a backend server drains or has gone")
 	DependencyLost              = define(6120, Warn, "dependency lost")
 	DependencyRegained          = define(6121, Info, "dependency regained")
 	FeedReaderFailed            = define(6124, Info, "changes of the list of backend servers read from the table service, as another daemon did not answer")
--- a/internal/exchange/draining.go
+++ b/internal/exchange/draining.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 )
 
 // A daemon that sees in the list that a server drains or has gone tells all others, whose list may
@@ -99,6 +100,9 @@
 // only if it has seen it itself, in a fleet that is not large.
 func (c *Core) markReportedEnd(now time.Time, row *serverRow, e *reportedEnd) {
 	row.State, row.Sequence, row.reported = Draining, max(row.Sequence, e.Sequence), *e
+	c.logEvent(event.Event{Number: event.ServerEndReported, Backend: row.ID, Attrs: []event.Attr{
+		event.A("born", row.Born), event.A("listed", row.listed), event.A("told_ms", now.Sub(e.at).Milliseconds()),
+	}})
 	if row.drainingSince.IsZero() || c.HasFeedReaders() {
 		row.drainingSince = now.Add(-drainAnnouncementDuration)
 	}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/event"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/placement"
 )
 
@@ -152,6 +153,9 @@
 		row.goneAt = graceEnd
 	}
 	row.drainingSince = row.goneAt
+	c.logEvent(event.Event{Number: event.ServerUnlisted, Backend: id, Attrs: []event.Attr{
+		event.A("born", row.Born), event.A("state", int(row.State)), event.A("used_ms", row.goneAt.Sub(now).Milliseconds()),
+	}})
 }
 
 // RemoveUnlisted removes the servers that are not in the complete list at a version of the table
--- a/internal/gateway/watched_lists.go
+++ b/internal/gateway/watched_lists.go
@@ -51,7 +51,7 @@
 	switch {
 	case change.Removed:
 		c.RemoveServer(now, id, change.Version)
-		return func() { g.event(event.ServerUnlisted, "", event.A("backend_server", id)) }
+		return func() {} // the core logs it
 	case change.Err != nil:
 		// An entry that cannot be decoded gives no address to send requests to.
 		c.RemoveServer(now, id, change.Version)
