Tests: the end of a server while the connections to the store are silent (red)

All open connections between the daemons and the store deliver nothing any more, new ones work; 1.2 s later the store acknowledges that a server drains or is not listed. The test in internal/gateway fails each time.

--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -90,3 +90,52 @@
 		t.Errorf("%d calls, and %d failures on record, want 3 and 1", calls, w.failures)
 	}
 }
+
+// silentFeed is a feed whose calls get no answer, as on a connection that delivers nothing any more.
+type silentFeed struct{ calls chan time.Time }
+
+func (f *silentFeed) List(context.Context) ([]provider.Change[int], provider.Position, error) {
+	return nil, provider.Position{}, provider.ErrHistoryLost
+}
+
+func (f *silentFeed) Changes(ctx context.Context, _ uint64, _ time.Duration) ([]provider.Change[int], provider.Position, error) {
+	f.calls <- time.Now()
+	<-ctx.Done()
+	return nil, provider.Position{}, ctx.Err()
+}
+
+// TestRun_OtherFeedTimesOut: the connections to the table service have gone silent. Fails if a long call for
+// one feed is not made again when a short one of another feed has found that out.
+func TestRun_OtherFeedTimesOut(t *testing.T) {
+	log, err := logging.New(io.Discard, logging.Options{Level: "error", Format: "json"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := newPollingGateway(0, 0)
+	g.Log = log
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	watch := func(name string, wait time.Duration) chan time.Time {
+		feed := &silentFeed{calls: make(chan time.Time, 100)}
+		w := &watcher[int]{g: g, name: name, feed: feed, wait: func() time.Duration { return wait }, position: 1}
+		running.Go(func() { w.run(ctx) })
+		return feed.calls
+	}
+	running.Go(func() { // other daemons confirm the configuration
+		for ctx.Err() == nil {
+			g.withCore(func(c *exchange.Core, now time.Time) { c.Confirm(now) })
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	long := watch("long", confirmedPollWait)
+	first := <-long
+	watch("short", 100*time.Millisecond)
+	select {
+	case again := <-long:
+		t.Logf("the call is made again after %v", again.Sub(first))
+	case <-time.After(g.Settings.DrainLimit):
+		t.Errorf("the call is not made again within %v", g.Settings.DrainLimit)
+	}
+}
