A call without an answer has the other feed's long call made again

Cause: in a fleet of fewer than 16 daemons a call for changes of the list waits 8 s while others confirm the configuration. When the open connections to the store all go silent without a reset, it ends after 8.7 s, at every daemon, so that none has an end to tell. The configuration is read on another connection, by calls of 0.7 s at two daemons; they time out after 1.4 s, but only their own feed was read anew.

Why it works: a time-out of one feed cancels the other one's call once; it is made again on a new connection, with a short wait, so that it succeeds or counts as failed soon. Two daemons find the silence out in 1.4 s and tell the others what they read. A shorter wait of all calls would do the same for some two calls a second.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -44,6 +44,7 @@
 	newestVersion uint64        // highest version seen
 	failures      int           // failed calls since the last successful one
 	failedAt      time.Time     // when the last call that failed began
+	repeats       bool          // the last call was cancelled, as another feed's had timed out
 }
 
 // restored reports whether a version is the first one of a newer generation of the
@@ -75,18 +76,27 @@
 	if w.position == 0 {
 		return w.list(ctx, start)
 	}
-	wait := w.wait()
+	wait, timedOut := w.wait(), w.g.timeouts.next()
+	if w.repeats {
+		wait = min(wait, w.g.drainLimitRatio(tableWaitRatio))
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+changesTimeoutMargin)
 	defer cancel()
+	if !w.repeats { // the next call ends soon, so that calls without an answer count as failed
+		go cancelOnTimeout(ctx, cancel, timedOut)
+	}
 	if wait > w.g.independentPollWait() {
 		go w.g.cancelUnconfirmedPoll(ctx, cancel)
 	}
 	go w.g.generations.cancelOnRestore(ctx, cancel)
 	changes, position, err := w.feed.Changes(ctx, w.position, wait)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		w.repeats = isClosed(timedOut)
 		return errPollCancelled
 	}
+	w.repeats = false
 	if err != nil {
+		w.noteTimeout(ctx)
 		return err
 	}
 	w.position, w.newestVersion = max(position.Version, w.position), max(position.Version, w.newestVersion)
@@ -98,8 +108,15 @@
 	return nil
 }
 
-// errPollCancelled: a call was cancelled, as the configuration is not confirmed or the table service
-// was restored. It is made again at once.
+// noteTimeout tells the other feeds that a call of this one has had no answer in time.
+func (w *watcher[T]) noteTimeout(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		w.g.timeouts.note()
+	}
+}
+
+// errPollCancelled: a call was cancelled, as the configuration is not confirmed, another feed's call has
+// timed out, or the table service was restored. It is made again at once.
 var errPollCancelled = errors.New("call for changes cancelled")
 
 // errStaleList: the table service returned a list that is older than one seen before.
