Tests: a request that waits for a connection while its server ends (red)

What a server says of itself withholds such a request, and a daemon that forwards looks at the list; a daemon that sends itself does not. All four cases fail: the server drains, is not listed, another daemon tells of its end, and the time is over in which its entry might have come back.

--- a/internal/exchange/draining_test.go
+++ b/internal/exchange/draining_test.go
@@ -96,3 +96,46 @@
 		t.Error("a daemon tells of what it has only heard")
 	}
 }
+
+// TestMaySend_ServerEndsWhileARequestWaits: a request waits for a connection while its server drains or goes. It must
+// not be sent there, as that may be later than the server may get any.
+func TestMaySend_ServerEndsWhileARequestWaits(t *testing.T) {
+	for name, end := range map[string]func(*Core, BackendServer){
+		"drains": func(c *Core, entry BackendServer) {
+			entry.State = Draining
+			c.PutServer(at(time.Millisecond), entry)
+		},
+		"is not listed": func(c *Core, entry BackendServer) { c.RemoveServer(at(time.Millisecond), entry.ID, 0) },
+		"another daemon tells": func(c *Core, entry BackendServer) {
+			c.receiveDraining(at(time.Millisecond), DrainingServer{ID: entry.ID, Born: entry.Born, Sequence: entry.Sequence})
+		},
+		"may come back, and does not": func(c *Core, entry BackendServer) {
+			const graceLeft = 500 * time.Millisecond
+			c.TableRecovered(at(graceLeft-tableRecoveryGrace), at(-time.Minute))
+			c.RemoveServer(at(time.Millisecond), entry.ID, 0)
+			if !c.usable(at(graceLeft-time.Millisecond), entry.ID) {
+				t.Error("a server whose entry may have lapsed in an outage gets no requests")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(t, "a")
+			waiting := mustAdmit(t, c, zero, testRequest("waiting", "/x", "k3"))
+			attempt := mustPlace(t, c, zero, waiting)
+			if !c.MaySend(zero, waiting, zero) {
+				t.Error("a request is withheld before the server's end")
+			}
+			end(c, c.servers.Get(attempt.Server).BackendServer)
+			later := at(600 * time.Millisecond)
+			if c.MaySend(later, waiting, zero) {
+				t.Error("a request that waited is sent to a server that has ended")
+			}
+			if refusal := c.Ended(later, waiting, Withheld); refusal != nil {
+				t.Fatalf("a withheld request is refused: %+v", refusal)
+			}
+			if next := mustPlace(t, c, later, waiting); next.Server == attempt.Server {
+				t.Error("a withheld request is placed at the same server")
+			}
+		})
+	}
+}
