A request that waits for a connection is not sent to a server that has ended

Cause: MaySend is asked once a connection is there, and looked at what the server says of itself only. The list and what other daemons tell of ends were asked when the server was chosen, up to 0.7 s before (a dial). MayForward, for the same send at another daemon, asked both.

No run of real processes showed a request that was late by this.

Why it works: both ways to send ask the same question, hasEnded, at the moment of sending. The request is withheld, which counts as not sent, and goes to another server.

--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -122,10 +122,7 @@
 	if at, known := c.TrueTime(now); known && f.SentAt > 0 && at-f.SentAt > maxForwardAge {
 		return false
 	}
-	if row := c.servers.Get(f.Process.Server); row != nil && row.Born >= f.Process.Born && !c.usable(now, f.Process.Server) {
-		return false // it drains, or has gone, or the next process under its ID does
-	}
-	return !c.leaving && !c.pathLost(f.Service) && !c.wantsNone(now, f.Process)
+	return !c.leaving && !c.pathLost(f.Service) && !c.hasEnded(now, f.Process) && !c.wantsNone(now, f.Process)
 }
 
 // ForwardedAnswered records the statement in the answer to an attempt that this daemon sent for
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -185,8 +185,8 @@
 	Silent
 	// Abandoned: the caller has disconnected.
 	Abandoned
-	// Withheld: nothing was sent, as the backend server has said meanwhile that it leaves or
-	// wants no requests.
+	// Withheld: nothing was sent, as the backend server has ended meanwhile, or has said that it leaves
+	// or wants no requests.
 	Withheld
 	// CallerLeft: nothing was sent, as the caller has disconnected.
 	CallerLeft
--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -271,7 +271,7 @@
 }
 
 // MaySend reports whether the present attempt of a request, for which a connection has just
-// been opened, may still be sent: the server may have said meanwhile, in answer to another
+// been opened, may still be sent: the server may have ended meanwhile, or said, in answer to another
 // request, that it leaves or wants none, or the request may continue a stream whose version the
 // process at the other end is not known to have. Since is the time from when on this connection, or
 // others that were open when the next was opened, have reached the same process.
@@ -282,7 +282,14 @@
 		c.logContinuation(event.StreamVersionUnknown, t, t.process.Server)
 		return false
 	}
-	return !c.wantsNone(now, t.process)
+	return !c.hasEnded(now, t.process) && !c.wantsNone(now, t.process)
+}
+
+// hasEnded reports whether a process drains or has gone, or the next one under its ID has, as far as is
+// known.
+func (c *Core) hasEnded(now time.Time, p entity.ServerProcess) bool {
+	row := c.servers.Get(p.Server)
+	return row != nil && row.Born >= p.Born && !c.usable(now, p.Server)
 }
 
 // wantsNone reports whether a process, or a newer one under its ID, has said that it wants no requests
