--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -283,3 +283,61 @@
 		t.Error("a daemon that has read the checkpoint uses a server that said that it leaves")
 	}
 }
+
+// TestLeaving_EntriesAfterTheWord: a server has said that it leaves, and lives on. No entry under its ID that does not
+// name a process which has started since may bring it back.
+func TestLeaving_EntriesAfterTheWord(t *testing.T) {
+	put := func(change func(*BackendServer)) func(*Core, time.Time, BackendServer) {
+		return func(c *Core, now time.Time, entry BackendServer) {
+			change(&entry)
+			c.PutServer(now, entry)
+		}
+	}
+	remove := func(c *Core, now time.Time, entry BackendServer) { c.RemoveServer(now, entry.ID, 0) }
+	restore := func(c *Core, now time.Time, _ BackendServer) { c.TableRestored(now) }
+	forget := func(c *Core, now time.Time, _ BackendServer) { c.Tick(now) }
+	former := put(func(e *BackendServer) { e.Born, e.Sequence = e.Born-500, e.Sequence+9 })
+	noStart := put(func(e *BackendServer) { e.Born, e.Sequence = 0, 0 })
+	same := put(func(*BackendServer) {})
+	newer := put(func(e *BackendServer) { e.Sequence += 9 })
+	type step = func(*Core, time.Time, BackendServer)
+	for name, steps := range map[string][]step{
+		"the former process":                             {former},
+		"the former process, then its own":               {former, newer},
+		"removed, the former process":                    {remove, former},
+		"restored, the former process":                   {restore, former},
+		"restored and removed, the former process":       {restore, remove, former},
+		"without a start":                                {noStart},
+		"removed, without a start":                       {remove, noStart},
+		"removed, without a start, its own":              {remove, noStart, newer},
+		"removed and forgotten, without a start":         {remove, nil, nil, nil, forget, noStart},
+		"removed and forgotten, its own":                 {remove, nil, nil, nil, forget, same},
+		"removed, its own, removed, its own":             {remove, same, remove, newer},
+		"restored, removed, without a start, its own":    {restore, remove, noStart, same},
+		"another address":                                {put(func(e *BackendServer) { e.Address = "10.9.9.9:9"; e.Sequence++ })},
+		"another service and back":                       {put(func(e *BackendServer) { e.Service = "engine"; e.Sequence++ }), newer},
+		"draining, then ready with a higher sequence":    {put(func(e *BackendServer) { e.State = Draining }), newer},
+		"the former process drains, ready, removed, own": {put(func(e *BackendServer) { e.Born -= 500; e.State = Draining }), former, remove, same},
+	} {
+		for clock, learnClock := range map[string]func(*Core){"true time known": func(c *Core) { c.SetTrueTime(0) }, "true time unknown": func(*Core) {}} {
+			t.Run(name+"/"+clock, func(t *testing.T) {
+				c := newTestCore(t, "a")
+				learnClock(c)
+				entry := c.servers.Get("plain0").BackendServer
+				entry.Born, entry.Sequence = at(time.Second).UnixMilli(), 5
+				c.PutServer(at(time.Second), entry)
+				ticket := &Ticket{process: c.servers.Get(entry.ID).process(), sentAt: at(2 * time.Second)}
+				c.RecordStatement(at(3*time.Second), ticket, ServerStatement{Leaving: true}, true)
+				for i, apply := range steps {
+					now := at(time.Duration(4+4*i) * time.Second)
+					if apply != nil {
+						apply(c, now, entry)
+					}
+					if c.usable(now, entry.ID) {
+						t.Errorf("after step %d the server may get requests", i+1)
+					}
+				}
+			})
+		}
+	}
+}
