--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -62,6 +62,7 @@
 // or to others.
 type statementTable struct {
 	rows        *entity.Table[entity.ServerProcess, serverStatements]
+	lastLeaving *entity.Table[entity.BackendServerID, int64]      // start of the newest process that has said that it leaves
 	daemons     []entity.InstanceID                               // between which the limits are shared
 	changes     announcements[entity.ServerProcess]               // whose newest limit is to be announced
 	leaving     announcements[entity.ServerProcess]               // that have told this daemon that they leave, to be announced
@@ -73,10 +74,11 @@
 
 func newStatementTable() statementTable {
 	return statementTable{
-		rows:     entity.NewTable[entity.ServerProcess, serverStatements](),
-		brittle:  entity.NewTable[entity.ServiceName, brittleService](),
-		withheld: entity.NewTable[entity.ServiceName, capacity.Level](),
-		returnAt: entity.NewTable[entity.ServiceName, time.Time](),
+		rows:        entity.NewTable[entity.ServerProcess, serverStatements](),
+		lastLeaving: entity.NewTable[entity.BackendServerID, int64](),
+		brittle:     entity.NewTable[entity.ServiceName, brittleService](),
+		withheld:    entity.NewTable[entity.ServiceName, capacity.Level](),
+		returnAt:    entity.NewTable[entity.ServiceName, time.Time](),
 	}
 }
 
@@ -85,17 +87,39 @@
 	return l.rows.GetOrPut(p)
 }
 
-// leaves reports whether a process has said that it leaves.
-func (l *statementTable) leaves(p entity.ServerProcess) bool {
+// saidLeaving reports whether a process has said that it leaves.
+func (l *statementTable) saidLeaving(p entity.ServerProcess) bool {
 	row := l.rows.Get(p)
 	return row != nil && !row.leavingAt.IsZero()
 }
 
+// leaves reports whether a process has said that it leaves, or one under its ID that did not start before it:
+// an entry that names a former process, or none, is older or odd.
+func (l *statementTable) leaves(p entity.ServerProcess) bool {
+	newest := l.lastLeaving.Get(p.Server)
+	return newest != nil && p.Born <= *newest
+}
+
+// setLeaving records when a process said that it leaves.
+func (l *statementTable) setLeaving(p entity.ServerProcess, at time.Time) {
+	l.row(p).leavingAt = at
+	newest := l.lastLeaving.GetOrPut(p.Server)
+	*newest = max(*newest, p.Born)
+}
+
+// forget drops what a process has said.
+func (l *statementTable) forget(p entity.ServerProcess) {
+	l.rows.Delete(p)
+	if newest := l.lastLeaving.Get(p.Server); newest != nil && *newest == p.Born {
+		l.lastLeaving.Delete(p.Server)
+	}
+}
+
 // leavingStatements returns what processes have said that leave, for a message that is sent now.
 func (l *statementTable) leavingStatements(now time.Time, processes []entity.ServerProcess) []LeavingStatement {
 	var out []LeavingStatement
 	for _, p := range processes {
-		if l.leaves(p) {
+		if l.saidLeaving(p) {
 			out = append(out, LeavingStatement{Process: p, Ago: now.Sub(l.rows.Get(p).leavingAt)})
 		}
 	}
@@ -105,7 +129,7 @@
 // announceLeaving announces all processes again that have said that they leave.
 func (l *statementTable) announceLeaving() {
 	for _, p := range l.rows.Keys() {
-		if l.leaves(p) {
+		if l.saidLeaving(p) {
 			l.leaving.addUnless(p, equalTo(p))
 		}
 	}
@@ -195,7 +219,7 @@
 	if c.statements.leaves(p) {
 		return false
 	}
-	c.statements.row(p).leavingAt = at
+	c.statements.setLeaving(p, at)
 	c.logEvent(event.Event{Number: event.ServerLeavingStated, Backend: p.Server, Peer: by, Attrs: []event.Attr{
 		event.A("born", p.Born), event.A("age_ms", now.Sub(at).Milliseconds()),
 	}})
@@ -233,16 +257,16 @@
 		row := c.servers.Get(p.Server)
 		current := row != nil && row.process() == p
 		retention := c.cfg.Bounds.ForgetServerAfter
-		if c.statements.leaves(p) {
+		if c.statements.saidLeaving(p) {
 			retention = max(retention, leavingRetention)
 		}
 		if current || now.Sub(c.statements.rows.Get(p).newest()) <= retention {
 			continue
 		}
-		if c.statements.leaves(p) {
+		if c.statements.saidLeaving(p) {
 			c.logEvent(event.Event{Number: event.ServerLeavingEnded, Backend: p.Server, Attrs: []event.Attr{event.A("born", p.Born)}})
 		}
-		c.statements.rows.Delete(p)
+		c.statements.forget(p)
 	}
 }
 
@@ -271,7 +295,7 @@
 }
 
 // MaySend reports whether the present attempt of a request, for which a connection has just
-// been opened, may still be sent: the server may have said meanwhile, in answer to another
+// been opened, may still be sent: the server may have ended meanwhile, or said, in answer to another
 // request, that it leaves or wants none, or the request may continue a stream whose version the
 // process at the other end is not known to have. Since is the time from when on this connection, or
 // others that were open when the next was opened, have reached the same process.
@@ -282,7 +306,14 @@
 		c.logContinuation(event.StreamVersionUnknown, t, t.process.Server)
 		return false
 	}
-	return !c.wantsNone(now, t.process)
+	return !c.hasEnded(now, t.process) && !c.wantsNone(now, t.process)
+}
+
+// hasEnded reports whether a process drains or has gone, or the next one under its ID has, as far as is
+// known.
+func (c *Core) hasEnded(now time.Time, p entity.ServerProcess) bool {
+	row := c.servers.Get(p.Server)
+	return row != nil && row.Born >= p.Born && !c.usable(now, p.Server)
 }
 
 // wantsNone reports whether a process, or a newer one under its ID, has said that it wants no requests
