Revert "A refusal that names no request is not believed"

That test is not to be weakened, and servers that leave the ID out of a true refusal would lose their connections and their callers the promise.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -85,7 +85,7 @@
 	Header        []headerField `cbor:"2,keyasint,omitempty"`
 	ContentLength int64         `cbor:"3,keyasint"` // -1: not stated
 	Chunked       bool          `cbor:"4,keyasint,omitempty"`
-	Reused        bool          `cbor:"5,keyasint,omitempty"` // the connection had carried an earlier request; former releases ask for it
+	Reused        bool          `cbor:"5,keyasint,omitempty"` // the connection had carried an earlier request
 }
 
 // forwardedFailure says why there is no complete response.
@@ -154,13 +154,13 @@
 		return nil, newFailure(failureWithheld, err.Error()).toError()
 	}
 	stop := context.AfterFunc(ctx, e.Cancel)
-	resp, err := x.exchangeThrough(e, a)
+	reply, err := x.exchangeThrough(e, a)
 	if err != nil {
 		stop()
 		e.Cancel()
 		return nil, err
 	}
-	return outbound.NewReply(resp, func() { stop(); e.Cancel() }), nil
+	return outbound.NewReply(reply.response, reply.reused, func() { stop(); e.Cancel() }), nil
 }
 
 // openForwarding opens an exchange with another daemon.
@@ -172,8 +172,14 @@
 	return transport.OpenExchange(peer.Address{ID: to.Name, Addr: to.PeerAddr})
 }
 
+// forwardedReply is a response whose body is read from an exchange.
+type forwardedReply struct {
+	response *http.Response
+	reused   bool
+}
+
 // exchangeThrough sends the request on an exchange and waits for the head of the response.
-func (x *forwarding) exchangeThrough(e *peer.Exchange, a *exchange.Attempt) (*http.Response, error) {
+func (x *forwarding) exchangeThrough(e *peer.Exchange, a *exchange.Attempt) (*forwardedReply, error) {
 	if err := x.writeForwarded(e, a); err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, "forward")
 	}
@@ -193,7 +199,7 @@
 	case piece.Head == nil:
 		return nil, verdict.New(verdict.MayHaveRun, "forwarder-lost", "the forwarding daemon sent no head of a response")
 	}
-	return piece.Head.toResponse(f), nil
+	return &forwardedReply{response: piece.Head.toResponse(f), reused: piece.Head.Reused}, nil
 }
 
 // writeForwarded writes all of the request but the order to send it.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -91,12 +91,12 @@
 		// What it says of the server is true also if it answers an earlier request.
 		x.recordStatement(a, reply, false)
 		if x.mayAnswerAnother(reply) {
-			return exchange.Broken, "refusal without the request's ID"
+			return exchange.Broken, "refusal without the request's ID on a reused connection"
 		}
 		return exchange.Rejected, strconv.Itoa(reply.StatusCode)
 	case WrongServer:
 		if x.mayAnswerAnother(reply) {
-			return exchange.Broken, "misdirected, without the request's ID"
+			return exchange.Broken, "misdirected, without the request's ID on a reused connection"
 		}
 		return exchange.Misdirected, strconv.Itoa(reply.StatusCode)
 	case Inconclusive:
@@ -118,10 +118,10 @@
 }
 
 // mayAnswerAnother reports whether a response may be that to an earlier request on its connection,
-// late or written once more, or was written before the server had read any, so that it proves nothing of
-// this one. An ID tells, as a connection carries it once.
+// late or written once more, so that it proves nothing of this one. An ID tells, as a connection carries
+// it once.
 func (x *forwarding) mayAnswerAnother(reply *outbound.Reply) bool {
-	return !x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID)
+	return reply.ConnectionReused() && !x.g.Dialect.EchoesRequestID(reply.Response, x.request.ID)
 }
 
 // send sends the attempt itself, or through the daemon that forwards it.
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -65,8 +65,8 @@
 
 // NewReply returns a response that did not come over a connection of a pool. Release is called
 // when it is closed.
-func NewReply(resp *http.Response, release func()) *Reply {
-	return &Reply{Response: resp, release: release}
+func NewReply(resp *http.Response, reused bool, release func()) *Reply {
+	return &Reply{Response: resp, reused: reused, release: release}
 }
 
 // Send writes the request to one connection once and reads the head of the
