--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/entity"
 )
 
 // statementRun is a run of a fleet in which servers say of themselves what keeps requests away.
@@ -287,6 +289,18 @@
 // TestLeaving_EntriesAfterTheWord: a server has said that it leaves, and lives on. No entry under its ID that does not
 // name a process which has started since may bring it back.
 func TestLeaving_EntriesAfterTheWord(t *testing.T) {
+	testEntriesAfterStatement(t, ServerStatement{Leaving: true}, (*Core).usable)
+}
+
+// TestRest_EntriesAfterTheWord: the same for a server that wants no requests for a while.
+func TestRest_EntriesAfterTheWord(t *testing.T) {
+	testEntriesAfterStatement(t, ServerStatement{Rest: time.Minute}, func(c *Core, now time.Time, id entity.BackendServerID) bool {
+		return c.mayReceive(now, id, 0)
+	})
+}
+
+func testEntriesAfterStatement(t *testing.T, statement ServerStatement, mayGet func(*Core, time.Time, entity.BackendServerID) bool) {
+	t.Helper()
 	put := func(change func(*BackendServer)) func(*Core, time.Time, BackendServer) {
 		return func(c *Core, now time.Time, entry BackendServer) {
 			change(&entry)
@@ -327,13 +341,13 @@
 				entry.Born, entry.Sequence = at(time.Second).UnixMilli(), 5
 				c.PutServer(at(time.Second), entry)
 				ticket := &Ticket{process: c.servers.Get(entry.ID).process(), sentAt: at(2 * time.Second)}
-				c.RecordStatement(at(3*time.Second), ticket, ServerStatement{Leaving: true}, true)
+				c.RecordStatement(at(3*time.Second), ticket, statement, false)
 				for i, apply := range steps {
 					now := at(time.Duration(4+4*i) * time.Second)
 					if apply != nil {
 						apply(c, now, entry)
 					}
-					if c.usable(now, entry.ID) {
+					if mayGet(c, now, entry.ID) {
 						t.Errorf("after step %d the server may get requests", i+1)
 					}
 				}
