A rest that a server has asked for is not ended by an entry of a former process

A rest is filed under the process that asked for it; an entry that names an earlier start, or none, was looked up under its own.

Why it works: what an entry stands for is found in one place, newestOf: the newest process under its ID that has made a statement. That a server leaves goes the same way now.

--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -62,7 +62,7 @@
 // or to others.
 type statementTable struct {
 	rows        *entity.Table[entity.ServerProcess, serverStatements]
-	lastLeaving *entity.Table[entity.BackendServerID, int64]      // start of the newest process that has said that it leaves
+	newest      *entity.Table[entity.BackendServerID, int64]      // start of the newest process that has made a statement
 	daemons     []entity.InstanceID                               // between which the limits are shared
 	changes     announcements[entity.ServerProcess]               // whose newest limit is to be announced
 	leaving     announcements[entity.ServerProcess]               // that have told this daemon that they leave, to be announced
@@ -74,45 +74,47 @@
 
 func newStatementTable() statementTable {
 	return statementTable{
-		rows:        entity.NewTable[entity.ServerProcess, serverStatements](),
-		lastLeaving: entity.NewTable[entity.BackendServerID, int64](),
-		brittle:     entity.NewTable[entity.ServiceName, brittleService](),
-		withheld:    entity.NewTable[entity.ServiceName, capacity.Level](),
-		returnAt:    entity.NewTable[entity.ServiceName, time.Time](),
+		rows:     entity.NewTable[entity.ServerProcess, serverStatements](),
+		newest:   entity.NewTable[entity.BackendServerID, int64](),
+		brittle:  entity.NewTable[entity.ServiceName, brittleService](),
+		withheld: entity.NewTable[entity.ServiceName, capacity.Level](),
+		returnAt: entity.NewTable[entity.ServiceName, time.Time](),
 	}
 }
 
 // row returns the statements of a process, which may be none yet.
 func (l *statementTable) row(p entity.ServerProcess) *serverStatements {
+	newest := l.newest.GetOrPut(p.Server)
+	*newest = max(*newest, p.Born)
 	return l.rows.GetOrPut(p)
 }
 
+// forget drops what a process has said.
+func (l *statementTable) forget(p entity.ServerProcess) {
+	l.rows.Delete(p)
+	if newest := l.newest.Get(p.Server); newest != nil && *newest == p.Born {
+		l.newest.Delete(p.Server)
+	}
+}
+
+// newestOf returns the process that an entry stands for: one that names an earlier start than a process under its
+// ID which has made a statement, or none, is older or odd.
+func (l *statementTable) newestOf(p entity.ServerProcess) entity.ServerProcess {
+	if newest := l.newest.Get(p.Server); newest != nil && p.Born < *newest {
+		p.Born = *newest
+	}
+	return p
+}
+
 // saidLeaving reports whether a process has said that it leaves.
 func (l *statementTable) saidLeaving(p entity.ServerProcess) bool {
 	row := l.rows.Get(p)
 	return row != nil && !row.leavingAt.IsZero()
 }
 
-// leaves reports whether a process has said that it leaves, or one under its ID that did not start before it:
-// an entry that names a former process, or none, is older or odd.
+// leaves reports whether a process, or the newest one under its ID, has said that it leaves.
 func (l *statementTable) leaves(p entity.ServerProcess) bool {
-	newest := l.lastLeaving.Get(p.Server)
-	return newest != nil && p.Born <= *newest
-}
-
-// setLeaving records when a process said that it leaves.
-func (l *statementTable) setLeaving(p entity.ServerProcess, at time.Time) {
-	l.row(p).leavingAt = at
-	newest := l.lastLeaving.GetOrPut(p.Server)
-	*newest = max(*newest, p.Born)
-}
-
-// forget drops what a process has said.
-func (l *statementTable) forget(p entity.ServerProcess) {
-	l.rows.Delete(p)
-	if newest := l.lastLeaving.Get(p.Server); newest != nil && *newest == p.Born {
-		l.lastLeaving.Delete(p.Server)
-	}
+	return l.saidLeaving(p) || l.saidLeaving(l.newestOf(p))
 }
 
 // leavingStatements returns what processes have said that leave, for a message that is sent now.
@@ -188,13 +190,15 @@
 	}
 }
 
-// resting reports whether a process wants no requests from this daemon now, and until when.
+// resting reports whether a process, or the newest one under its ID, wants no requests from this daemon now, and
+// until when.
 func (l *statementTable) resting(now time.Time, p entity.ServerProcess) (until time.Time, resting bool) {
-	row := l.rows.Get(p)
-	if row == nil || !now.Before(row.rest.until) {
-		return time.Time{}, false
+	for _, process := range []entity.ServerProcess{p, l.newestOf(p)} {
+		if row := l.rows.Get(process); row != nil && row.rest.until.After(until) {
+			until = row.rest.until
+		}
 	}
-	return row.rest.until, true
+	return until, now.Before(until)
 }
 
 // wantsNone reports whether a process has said that it wants no requests from this daemon now: it
@@ -219,7 +223,7 @@
 	if c.statements.leaves(p) {
 		return false
 	}
-	c.statements.setLeaving(p, at)
+	c.statements.row(p).leavingAt = at
 	c.logEvent(event.Event{Number: event.ServerLeavingStated, Backend: p.Server, Peer: by, Attrs: []event.Attr{
 		event.A("born", p.Born), event.A("age_ms", now.Sub(at).Milliseconds()),
 	}})
