Log: why a daemon has ended a stream, and how long that was silent

A stream that is cut midway (6003) said nothing of who ended it: the connection to the server is closed alike by a planned stop, the deadline and a server that breaks off. The line now names the reason for which the daemon ended it, if it did (ended_by), and the longest time in which nothing came (silence_ms), which tells a server that fell silent from an answer that grew longer. No decision is changed.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -33,6 +33,7 @@
 	partSent    bool   // so has a part of a body that no other backend server can continue
 	lastEventID string // ID of the newest event that was sent to the caller
 	eventsNoted bool   // the core wants to know of no more events of the present attempt
+	silence     streamSilence
 	attempts    []attemptRecord
 }
 
@@ -185,6 +186,7 @@
 		if refusal != nil {
 			return refusal
 		}
+		x.silence.begin(clock.Now())
 		outcome := x.makeAttempt(&a)
 		x.g.withCore(func(c *exchange.Core, now time.Time) { refusal = c.Ended(now, x.ticket, outcome) })
 		if outcome == exchange.Answered || outcome == exchange.Abandoned || refusal != nil {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"log"
 	"strconv"
 	"strings"
@@ -39,6 +41,9 @@
 	if number == event.ExchangeAbandoned {
 		attrs = append(attrs, x.unheardOf()...)
 	}
+	if number == event.ExchangeTruncated {
+		attrs = append(attrs, event.A("ended_by", x.endedBy()), event.A("silence_ms", x.silence.longest.Milliseconds()))
+	}
 	if x.request.After != "" {
 		attrs = append(attrs, event.A("resumes", x.request.Resumes), event.A("last_event", x.request.After))
 	}
@@ -59,6 +64,15 @@
 	x.g.meter.countExchange(x, duration)
 }
 
+// endedBy returns why this daemon has ended the request; "": it has not.
+func (x *forwarding) endedBy() string {
+	cause := context.Cause(x.ctx)
+	if cause == nil || errors.Is(cause, context.Canceled) {
+		return ""
+	}
+	return cause.Error()
+}
+
 // partIDs returns the IDs of a prompt's parts in order, in hexadecimal and separated by
 // commas, up to maxLoggedParts.
 func partIDs(parts []placement.Part) string {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
 	"github.com/gooseberryslip/gooseberryslip/internal/outbound"
 )
@@ -32,6 +33,7 @@
 	x.eventsNoted = false
 	for {
 		n, err := reply.Read(buf)
+		x.silence.end(clock.Now())
 		complete := events.push(buf[:n])
 		if len(complete) > 0 {
 			if first {
@@ -65,6 +67,21 @@
 	}
 }
 
+// streamSilence is the longest time in which nothing came of a stream.
+type streamSilence struct {
+	since   time.Time
+	longest time.Duration
+}
+
+// begin records that what follows belongs to a new attempt.
+func (s *streamSilence) begin(now time.Time) { s.since = now }
+
+// end records that a part of the stream, or its end, has come.
+func (s *streamSilence) end(now time.Time) {
+	s.longest = max(s.longest, now.Sub(s.since))
+	s.since = now
+}
+
 // noteEvents tells the core of further events while it wants to know.
 func (x *forwarding) noteEvents(events int) {
 	if x.eventsNoted {
