--- a/internal/exchange/stopping_test.go
+++ b/internal/exchange/stopping_test.go
@@ -240,3 +240,32 @@
 		})
 	}
 }
+
+// TestPlace_StoppingDaemonAllowsForASilentServer: streams were cut at a stop's end whose servers had fallen silent for
+// a second, which is no disruption. What ends by its deadline is taken all the same.
+func TestPlace_StoppingDaemonAllowsForASilentServer(t *testing.T) {
+	const usual, silence = time.Second, 1400 * time.Millisecond
+	for name, work := range map[string]Work{"unstated size": {}, "stated size": {Stated: true, Prompt: 10, MaxOutput: 20}} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(t, "d1")
+			for range minKnownRuns {
+				c.longestRuns.countSent(zero, "engine", work.MaxOutput)
+			}
+			c.longestRuns.learn(at(usual), "engine", usual, work.MaxOutput)
+			now := at(4 * usual)
+			c.Confirm(now)
+			request := func(patience time.Duration) *Ticket {
+				r := testRequest("r", "/talk/x", "k3")
+				r.Patience, r.Work = patience, work
+				return mustAdmit(t, c, now, r)
+			}
+			c.Leave(now.Add(usual + silence))
+			if _, refusal := c.Place(now, request(time.Minute)); refusal == nil || refusal.Code != "leaving" {
+				t.Errorf("a stream that lasts %v was placed %v before the daemon's end: %+v", usual, usual+silence, refusal)
+			}
+			mustPlace(t, c, now, request(usual+silence))
+			c.Leave(now.Add(2 * (usual + silence)))
+			mustPlace(t, c, now, request(time.Minute))
+		})
+	}
+}
