A stream taken in a planned stop leaves room for a server that falls silent

Cause: a daemon that stops took a stream if 1.15 times the longest answer of late fitted before its end. A sound server may fall silent for a second or so at any time, which is no disruption, and answers of late say nothing of it where none was silent. Ruled out for these: a stop that ends too early (cut at 7.50 to 7.53 s), answers that grow longer (all streams alike).

A stream is now taken only if its longest time and the longest silence of a sound server (1.6 s, the time for which a silent server is waited for already) fit, or if its deadline is before the daemon's end, as what is cut there was not cut by the stop. What does not fit is refused at once as not run. Requests that are no streams are judged as before: they get a status when their server is late.

--- a/internal/exchange/answer_duration.go
+++ b/internal/exchange/answer_duration.go
@@ -95,12 +95,23 @@
 }
 
 // endsBeforeStop reports whether the answer to a request will have ended when this daemon, which stops, ends what it
-// has in flight: as all answers of late took less time or, if that is not known, by its deadline.
+// has in flight: as all answers of late took less time, also if its server falls silent, or by its deadline.
 func (c *Core) endsBeforeStop(now time.Time, t *Ticket, choice placement.Choice) bool {
+	byDeadline := !t.Deadline.IsZero() && !t.Deadline.After(c.stopDeadline)
 	if _, known := c.longestAnswer(now, t); !known {
-		return !t.Deadline.IsZero() && !t.Deadline.After(c.stopDeadline)
+		return byDeadline
 	}
-	return !now.Add(c.maxAnswerDuration(now, t, choice)).After(c.stopDeadline)
+	end := now.Add(c.maxAnswerDuration(now, t, choice))
+	return !end.After(c.stopDeadline) && (byDeadline || !end.Add(allowedSilence(t)).After(c.stopDeadline))
+}
+
+// allowedSilence returns for how long the server of a request may stand still without harm. A stream that has begun
+// can only be cut; other requests still get a status.
+func allowedSilence(t *Ticket) time.Duration {
+	if t.Route.Kind == Stream {
+		return maxSoundSilence
+	}
+	return 0
 }
 
 // maxAnswerDuration returns how long the answer may take if it has the maximum
@@ -121,7 +132,7 @@
 	longest, known := c.longestAnswer(now, t)
 	c.logEvent(event.Event{Number: event.ExchangeTakenInStop, Request: t.Request.ID, Attrs: []event.Attr{
 		event.A("backend_server", choice.Server), event.A("left_ms", c.stopDeadline.Sub(now).Milliseconds()),
-		event.A("may_take_ms", c.maxAnswerDuration(now, t, choice).Milliseconds()),
+		event.A("may_take_ms", c.maxAnswerDuration(now, t, choice).Milliseconds()), event.A("silence_ms", allowedSilence(t).Milliseconds()),
 		event.A("longest_ms", longest.Milliseconds()), event.A("known", known),
 		event.A("process_age_ms", now.Sub(c.cfg.Started).Milliseconds()), event.A("sends", t.Sends),
 	}})
--- a/internal/exchange/attempt_start.go
+++ b/internal/exchange/attempt_start.go
@@ -73,11 +73,10 @@
 }
 
 const (
-	// minStreamSilence is the least silence of a server that may stand still after which a stream is sent to
-	// another one. A sound server may stand still for a second or so while its kernel takes connections; when
-	// it goes on, it runs what it has until it finds the connection closed, which must not be beside the next
-	// run.
-	minStreamSilence = 1600 * time.Millisecond
+	// maxSoundSilence is the longest silence of a sound server. It may stand still for a second or so while its
+	// kernel takes connections; when it goes on, it runs what it has until it finds the connection closed, which
+	// must not be beside the next run.
+	maxSoundSilence = 1600 * time.Millisecond
 	// answeringTime is how long after an answer of its to another request a server does not count as standing still.
 	answeringTime = 250 * time.Millisecond
 )
@@ -87,7 +86,7 @@
 // budget must also allow the next send, to which it is charged.
 func (c *Core) GivesUpSilent(now time.Time, t *Ticket) bool {
 	mayAnswer := c.mayAnswerYet(now, t)
-	if mayAnswer && t.Route.Kind == Stream && now.Sub(t.sentAt) < minStreamSilence && !c.answersNow(now, t.process) {
+	if mayAnswer && t.Route.Kind == Stream && now.Sub(t.sentAt) < maxSoundSilence && !c.answersNow(now, t.process) {
 		return false
 	}
 	found := false
