--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -107,6 +107,23 @@
 // TestRun_OtherFeedTimesOut: the connections to the table service have gone silent. Fails if a long call for
 // one feed is not made again when a short one of another feed has found that out.
 func TestRun_OtherFeedTimesOut(t *testing.T) {
+	testOtherFeed(t, &silentFeed{calls: make(chan time.Time, 100)})
+}
+
+// TestRun_OtherFeedsConnectionEnds: the same where that feed's call ends with its connection.
+func TestRun_OtherFeedsConnectionEnds(t *testing.T) {
+	testOtherFeed(t, &endingFeed{})
+}
+
+// endingFeed is a feed whose calls end with their connection, without an answer.
+type endingFeed struct{ silentFeed }
+
+func (*endingFeed) Changes(_ context.Context, _ uint64, _ time.Duration) ([]provider.Change[int], provider.Position, error) {
+	return nil, provider.Position{}, provider.ErrUnknownOutcome
+}
+
+func testOtherFeed(t *testing.T, other provider.Feed[int]) {
+	t.Helper()
 	log, err := logging.New(io.Discard, logging.Options{Level: "error", Format: "json"})
 	if err != nil {
 		t.Fatal(err)
@@ -117,11 +134,9 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	watch := func(name string, wait time.Duration) chan time.Time {
-		feed := &silentFeed{calls: make(chan time.Time, 100)}
+	watch := func(name string, feed provider.Feed[int], wait time.Duration) {
 		w := &watcher[int]{g: g, name: name, feed: feed, wait: func() time.Duration { return wait }, position: 1}
 		running.Go(func() { w.run(ctx) })
-		return feed.calls
 	}
 	running.Go(func() { // other daemons confirm the configuration
 		for ctx.Err() == nil {
@@ -129,11 +144,12 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	})
-	long := watch("long", confirmedPollWait)
-	first := <-long
-	watch("short", 100*time.Millisecond)
+	long := &silentFeed{calls: make(chan time.Time, 100)}
+	watch("long", long, confirmedPollWait)
+	first := <-long.calls
+	watch("short", other, 100*time.Millisecond)
 	select {
-	case again := <-long:
+	case again := <-long.calls:
 		t.Logf("the call is made again after %v", again.Sub(first))
 	case <-time.After(g.Settings.DrainLimit):
 		t.Errorf("the call is not made again within %v", g.Settings.DrainLimit)
