Any call without an answer has the long calls made again, not only one that times out

The configuration's call had ended with its connection (EOF), as its answer was lost, and the next one had a new connection; the call for the list was left on its silent one.

Why it works: every call of the table service that gets no answer counts, also one that is for no feed. A refusal is an answer: it shows that connections work.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,9 +128,9 @@
 
 	serverFeed      *serverFeed
 	generations     *generationWatch
-	timeouts        *timeoutWatch // of calls of the table service for changes
-	newDeployment   atomic.Bool   // this process has been the first one on the table service
-	proposedOrigin  time.Duration // of the table's clock, by learnTrueTime; 0: none yet
+	unanswered      *unansweredWatch // calls of the table service without an answer
+	newDeployment   atomic.Bool      // this process has been the first one on the table service
+	proposedOrigin  time.Duration    // of the table's clock, by learnTrueTime; 0: none yet
 	versionQuestion versionQuestion
 	checkpointRead  atomic.Bool // this process has read a checkpoint
 	authority       authorityState
@@ -155,7 +155,7 @@
 	self := exchange.Member{
 		Name: s.Name, Start: now.UnixNano(), PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, DataCentre: s.DataCentre,
 	}
-	g := &Gateway{Config: cfg, pool: newPool(cfg.DialServer), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), streamNews: make(chan struct{}, 1), streamQueries: newStreamQueries(), generations: newGenerationWatch(), timeouts: newTimeoutWatch()}
+	g := &Gateway{Config: cfg, pool: newPool(cfg.DialServer), meter: newMeter(), requests: newRequestGate(), self: self, stopSignal: make(chan struct{}), notices: make(chan struct{}, 1), streamNews: make(chan struct{}, 1), streamQueries: newStreamQueries(), generations: newGenerationWatch(), unanswered: newUnansweredWatch()}
 	g.serverFeed = newServerFeed(g)
 	g.orders = newOrderWatch(g)
 	g.grace, g.endGrace = context.WithCancel(context.Background())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -99,10 +99,14 @@
 	for runCtx.Err() == nil {
 		ctx, cancel := context.WithTimeout(runCtx, tableTimeout)
 		err := f(ctx)
-		cancel()
 		if err == nil {
+			cancel()
 			return
 		}
+		if runCtx.Err() == nil {
+			g.noteUnanswered(ctx, err)
+		}
+		cancel()
 		g.Log.Logger().WithError(err).Warn("call to the table service failed; retrying")
 		clock.Wait(runCtx, delay+rand.N(delay))
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -44,7 +44,7 @@
 	newestVersion uint64        // highest version seen
 	failures      int           // failed calls since the last successful one
 	failedAt      time.Time     // when the last call that failed began
-	repeats       bool          // the last call was cancelled, as another feed's had timed out
+	repeats       bool          // the last call was cancelled, as another one had got no answer
 }
 
 // restored reports whether a version is the first one of a newer generation of the
@@ -76,14 +76,14 @@
 	if w.position == 0 {
 		return w.list(ctx, start)
 	}
-	wait, timedOut := w.wait(), w.g.timeouts.next()
+	wait, lost := w.wait(), w.g.unanswered.next()
 	if w.repeats {
 		wait = min(wait, w.g.drainLimitRatio(tableWaitRatio))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+changesTimeoutMargin)
 	defer cancel()
 	if !w.repeats { // the next call ends soon, so that calls without an answer count as failed
-		go cancelOnTimeout(ctx, cancel, timedOut)
+		go cancelOnUnanswered(ctx, cancel, lost)
 	}
 	if wait > w.g.independentPollWait() {
 		go w.g.cancelUnconfirmedPoll(ctx, cancel)
@@ -91,12 +91,12 @@
 	go w.g.generations.cancelOnRestore(ctx, cancel)
 	changes, position, err := w.feed.Changes(ctx, w.position, wait)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		w.repeats = isClosed(timedOut)
+		w.repeats = isClosed(lost)
 		return errPollCancelled
 	}
 	w.repeats = false
 	if err != nil {
-		w.noteTimeout(ctx)
+		w.g.noteUnanswered(ctx, err)
 		return err
 	}
 	w.position, w.newestVersion = max(position.Version, w.position), max(position.Version, w.newestVersion)
@@ -108,15 +108,16 @@
 	return nil
 }
 
-// noteTimeout tells the other feeds that a call of this one has had no answer in time.
-func (w *watcher[T]) noteTimeout(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		w.g.timeouts.note()
+// noteUnanswered tells the calls that wait for changes if one has had no answer, in time or before its connection
+// ended.
+func (g *Gateway) noteUnanswered(ctx context.Context, err error) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, provider.ErrUnknownOutcome) {
+		g.unanswered.note()
 	}
 }
 
-// errPollCancelled: a call was cancelled, as the configuration is not confirmed, another feed's call has
-// timed out, or the table service was restored. It is made again at once.
+// errPollCancelled: a call was cancelled, as the configuration is not confirmed, another one has
+// got no answer, or the table service was restored. It is made again at once.
 var errPollCancelled = errors.New("call for changes cancelled")
 
 // errStaleList: the table service returned a list that is older than one seen before.
