Gateway: the number of callers' connections is bounded

Clients that connect and send nothing, or a byte now and then, took a descriptor each for 10 s, on any of the four addresses: 418 to 420 of 300 that the settings leave for sockets (TestOutside_ConnectionsWithoutAByte*, SlowHeads).

Cause: nothing bounds the connections of a process.

Each endpoint now has a table of its connections with a limit that follows from the descriptors and the memory of the process. When it is full, the connection that is least missed is ended: one that waits for a head goes before an idle one, then come bodies that are held back and callers who do not read; one with a request in progress is never ended. A closed connection whose request was not read promises nothing and may be retried.

golang.org/x/net/netutil.LimitListener was ruled out: it stops to accept, so that silent clients shut ordinary ones out until their timeout.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 	QuotaExcessUnits   float64       // units by which a quota may be exceeded in addition
 	UsageWindow        time.Duration // covered by one usage report
 	MemoryBytes        int64         // limit of the process
+	MaxDescriptors     int           // limit of the process's open files and sockets; 0: not stated
 	DrainLimit         time.Duration // after which a backend server that drains must get no requests; 0: not stated
 	LeaseDuration      time.Duration // in which two daemons may not alternate as lease holders; 0: lease.DefaultDuration
 	ServerPace         bool          // whether the speed and pace of each backend server are learned
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -64,6 +64,9 @@
 	if !x.readBody(arrived) {
 		return
 	}
+	if c := trackedConnOf(r); c != nil {
+		c.await(busy)
+	}
 	x.request.Content = contentDigest(r, x.body.bytes)
 	defer x.logResult(arrived)
 	refusal := x.admit(arrived)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -12,19 +12,21 @@
 
 // endpoint is one HTTP socket of the daemon.
 type endpoint struct {
-	address  string
-	handler  http.Handler
-	listener net.Listener
+	address     string
+	handler     http.Handler
+	connections int // at most
+	listener    net.Listener
 }
 
 // listen opens the configured HTTP sockets and, once all are open, starts to serve them.
 func (g *Gateway) listen() ([]*http.Server, error) {
 	l := &g.Settings.Listen
+	limits := newConnectionLimits(g.Settings.MaxDescriptors, g.Settings.MemoryBytes)
 	endpoints := []*endpoint{
-		{address: l.Callers, handler: http.HandlerFunc(g.serveExchange)},
-		{address: l.Ready, handler: g.readyHandler()},
-		{address: l.Addresses, handler: g.addressHandler()},
-		{address: l.Metrics, handler: g.metricsHandler()},
+		{address: l.Callers, handler: http.HandlerFunc(g.serveExchange), connections: limits.callers},
+		{address: l.Ready, handler: g.readyHandler(), connections: limits.operators},
+		{address: l.Addresses, handler: g.addressHandler(), connections: limits.addresses},
+		{address: l.Metrics, handler: g.metricsHandler(), connections: limits.operators},
 	}
 	endpoints = slices.DeleteFunc(endpoints, func(e *endpoint) bool { return e.address == "" })
 	if err := openListeners(endpoints); err != nil {
@@ -54,8 +56,9 @@
 // serve starts to serve an endpoint.
 func (g *Gateway) serve(e *endpoint) *http.Server {
 	server := newServer(e.handler, g.Log)
+	listener := &trackingListener{e.listener, newConnectionTable(e.connections, g.meter)}
 	go func() {
-		if err := server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			g.Log.Logger().WithError(err).Error("an HTTP listener failed")
 		}
 	}()
@@ -73,8 +76,8 @@
 
 func newServer(h http.Handler, log *logging.Log) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: trackHeads(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: debugLogger(log), DisableGeneralOptionsHandler: true,
-		ConnContext: withCallerConn,
+		ConnContext: withCallerConn, ConnState: noteConnState,
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,11 @@
 	m.set.GetOrCreateCounter(`gooseberryslip_oversized_events_total`).Inc()
 }
 
+// countEndedConnection counts a connection that was ended for want of what the reason names.
+func (m *meter) countEndedConnection(reason string) {
+	m.set.GetOrCreateCounter(`gooseberryslip_caller_connections_ended_total{reason="` + reason + `"}`).Inc()
+}
+
 // countShed counts a request that was refused by load shedding. Other refusals are ignored.
 func (m *meter) countShed(code string) {
 	if reason, ok := strings.CutPrefix(code, exchange.ShedPrefix); ok {
