Gateway: heads that are read are bounded together

Cause: a head is bounded by itself (64 KiB), and it costs up to 17 times its bytes once it is parsed.

A connection counts the bytes and lines of a head as it reads them, before net/http parses them, in a budget that all addresses share (an eighth of the memory). When it is used up, the connection that has waited longest for the rest of a long head is ended; what asks for memory waits until that is given back. Ordinary heads (below 8 KiB of cost) take nothing from it. The long head of a request in progress and its copy for an attempt take from the memory for bodies (no-memory, not run). The operators' endpoints read 16 KiB at most.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 )
 
-// bodyBudget bounds the memory for the bodies of all requests in flight, of the responses
-// that are buffered and of long events that are not complete.
+// bodyBudget bounds the memory for the bodies and long heads of all requests in flight, of the
+// responses that are buffered and of long events that are not complete.
 type bodyBudget struct {
 	limitBytes int64
 	usedBytes  atomic.Int64
--- a/internal/gateway/connection_table.go
+++ b/internal/gateway/connection_table.go
@@ -50,14 +50,15 @@
 // connectionTable holds the open connections to one endpoint, and bounds their number.
 type connectionTable struct {
 	limit int
+	heads *headBudget
 	meter *meter
 
 	mu   sync.Mutex
 	open map[*trackedConn]struct{}
 }
 
-func newConnectionTable(limit int, m *meter) *connectionTable {
-	return &connectionTable{limit: limit, meter: m, open: map[*trackedConn]struct{}{}}
+func newConnectionTable(limit int, heads *headBudget, m *meter) *connectionTable {
+	return &connectionTable{limit: limit, heads: heads, meter: m, open: map[*trackedConn]struct{}{}}
 }
 
 // add tracks a new connection. If there are too many, it ends the one that is least missed, which is the new one
--- /dev/null
+++ b/internal/gateway/connection_table_test.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// The defaults must leave room for all connections of callers inside the limits, also on the smallest machines, and
+// sockets for backend servers.
+func TestConnectionLimits_FollowDescriptorsAndMemory(t *testing.T) {
+	for _, c := range []struct {
+		descriptors int
+		memoryBytes int64
+		want        connectionLimits
+	}{
+		{4100, 284 << 20, connectionLimits{2925, 243, operatorConnections}},
+		{3075, 144 << 20, connectionLimits{2048, 179, operatorConnections}},
+		{500, 100 << 20, connectionLimits{225, 18, operatorConnections}},
+		{0, 0, connectionLimits{2922, 243, operatorConnections}},
+		{100, 1, connectionLimits{1, 1, operatorConnections}},
+	} {
+		if got := newConnectionLimits(c.descriptors, c.memoryBytes); got != c.want {
+			t.Errorf("%d descriptors, %d bytes: %+v, want %+v", c.descriptors, c.memoryBytes, got, c.want)
+		}
+	}
+}
+
+// openTracked returns a connection in the table, with the client's side.
+func openTracked(t *testing.T, table *connectionTable) (c *trackedConn, client net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, _ = table.add(conn.(*net.TCPConn))
+	return c, client
+}
+
+func newTestTable(limit int, headBytes int64) *connectionTable {
+	m := newMeter()
+	heads := newHeadBudget(1, m)
+	heads.limitBytes = headBytes
+	return newConnectionTable(limit, heads, m)
+}
+
+// A connection with a request in progress must not be ended for others, nor an idle one before those without a head.
+func TestConnectionTable_EndsThoseThatAreLeastMissed(t *testing.T) {
+	table := newTestTable(3, 1<<20)
+	inProgress, _ := openTracked(t, table)
+	inProgress.await(busy)
+	unused, _ := openTracked(t, table)
+	unused.await(idle)
+	silent, _ := openTracked(t, table)
+	last, _ := openTracked(t, table)
+	if !silent.ended.Load() || unused.ended.Load() {
+		t.Error("the connection that waits for a head was not ended first")
+	}
+	last.await(busy)
+	if another, _ := openTracked(t, table); another == nil || !unused.ended.Load() {
+		t.Error("the idle connection did not make room")
+	} else {
+		another.await(busy)
+	}
+	if refused, _ := openTracked(t, table); refused != nil || inProgress.ended.Load() || last.ended.Load() {
+		t.Error("a connection with a request in progress was ended, or one too many is open")
+	}
+	_ = last.Close()
+	if another, _ := openTracked(t, table); another == nil {
+		t.Error("no room after a connection was closed")
+	}
+}
+
+// What heads take must never exceed the budget, and the one that has waited longest must make room.
+func TestHeadBudget_LongestWaitingHeadMakesRoom(t *testing.T) {
+	table := newTestTable(10, 1000)
+	first, _ := openTracked(t, table)
+	second, _ := openTracked(t, table)
+	if !table.heads.resize(first, 600) || !table.heads.resize(second, 300) {
+		t.Fatal("no room in an empty budget")
+	}
+	result := make(chan bool)
+	go func() { result <- table.heads.resize(second, 800) }()
+	for !first.ended.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	select {
+	case <-result:
+		t.Fatal("memory was taken before it was given back")
+	case <-time.After(20 * time.Millisecond):
+	}
+	_ = first.Close()
+	if !<-result || second.ended.Load() {
+		t.Error("no room after the first one has ended")
+	}
+	if table.heads.usedBytes != 800 || table.heads.endingBytes != 0 {
+		t.Errorf("%d bytes used, %d ending", table.heads.usedBytes, table.heads.endingBytes)
+	}
+	if table.heads.resize(second, 1001) || !second.ended.Load() {
+		t.Error("a head larger than the budget was read")
+	}
+	_ = second.Close()
+	if table.heads.usedBytes != 0 || len(table.heads.held) != 0 {
+		t.Errorf("%d bytes used after all have ended", table.heads.usedBytes)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 	pool       *outbound.Pool
 	meter      *meter
 	bodyMemory bodyBudget
+	heads      *headBudget
 	requests   *requestGate
 	stopSignal chan struct{}   // closed when the stop signal is received
 	grace      context.Context // ends when requests in flight have no time left in a planned stop
@@ -160,6 +161,7 @@
 	g.orders = newOrderWatch(g)
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
+	g.heads = newHeadBudget(s.MemoryBytes, g.meter)
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(), RecordVersions: true,
 		ServerPace: s.ServerPace, LoadShedding: s.LoadShedding,
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -24,9 +24,11 @@
 	r       *http.Request
 	request exchange.Request
 	body    heldBody
-	ticket  *exchange.Ticket
-	ctx     context.Context         // ends when the caller disconnects or the deadline has passed
-	cancel  context.CancelCauseFunc // of ctx
+	// headBytes of the memory for bodies are for the request's head.
+	headBytes int64
+	ticket    *exchange.Ticket
+	ctx       context.Context         // ends when the caller disconnects or the deadline has passed
+	cancel    context.CancelCauseFunc // of ctx
 
 	status      int    // HTTP status of the response; 0: none yet
 	headSent    bool   // status and header have been sent to the caller
@@ -60,6 +62,11 @@
 		return
 	}
 	defer g.requests.leave()
+	if !x.holdHead() {
+		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
+		return
+	}
+	defer func() { x.g.bodyMemory.release(x.headBytes) }()
 	defer x.body.release()
 	if !x.readBody(arrived) {
 		return
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -15,6 +15,7 @@
 	address     string
 	handler     http.Handler
 	connections int // at most
+	headBytes   int // of the largest head
 	listener    net.Listener
 }
 
@@ -23,10 +24,10 @@
 	l := &g.Settings.Listen
 	limits := newConnectionLimits(g.Settings.MaxDescriptors, g.Settings.MemoryBytes)
 	endpoints := []*endpoint{
-		{address: l.Callers, handler: http.HandlerFunc(g.serveExchange), connections: limits.callers},
-		{address: l.Ready, handler: g.readyHandler(), connections: limits.operators},
-		{address: l.Addresses, handler: g.addressHandler(), connections: limits.addresses},
-		{address: l.Metrics, handler: g.metricsHandler(), connections: limits.operators},
+		{address: l.Callers, handler: http.HandlerFunc(g.serveExchange), connections: limits.callers, headBytes: maxHeaderBytes},
+		{address: l.Ready, handler: g.readyHandler(), connections: limits.operators, headBytes: maxOperatorHeaderBytes},
+		{address: l.Addresses, handler: g.addressHandler(), connections: limits.addresses, headBytes: maxHeaderBytes},
+		{address: l.Metrics, handler: g.metricsHandler(), connections: limits.operators, headBytes: maxOperatorHeaderBytes},
 	}
 	endpoints = slices.DeleteFunc(endpoints, func(e *endpoint) bool { return e.address == "" })
 	if err := openListeners(endpoints); err != nil {
@@ -56,7 +57,8 @@
 // serve starts to serve an endpoint.
 func (g *Gateway) serve(e *endpoint) *http.Server {
 	server := newServer(e.handler, g.Log)
-	listener := &trackingListener{e.listener, newConnectionTable(e.connections, g.meter)}
+	server.MaxHeaderBytes = e.headBytes
+	listener := &trackingListener{e.listener, newConnectionTable(e.connections, g.heads, g.meter)}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			g.Log.Logger().WithError(err).Error("an HTTP listener failed")
@@ -72,6 +74,8 @@
 	callerIdleTimeout = 120 * time.Second
 	// maxHeaderBytes is the largest header of a caller's request.
 	maxHeaderBytes = 64 << 10
+	// maxOperatorHeaderBytes is the largest header of a request to an endpoint for operators.
+	maxOperatorHeaderBytes = 16 << 10
 )
 
 func newServer(h http.Handler, log *logging.Log) *http.Server {
--- a/internal/gateway/tracked_connection.go
+++ b/internal/gateway/tracked_connection.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
@@ -33,13 +34,17 @@
 	return w.since < other.since
 }
 
-// trackedConn is a connection from a caller. It knows what it waits for.
+// trackedConn is a connection from a caller. It knows what it waits for, and counts heads as they are read.
 type trackedConn struct {
 	*net.TCPConn
 	table *connectionTable
 
 	state        atomic.Pointer[waiting]
 	writingSince atomic.Int64 // 0: no write is in progress
+	ended        atomic.Bool
+	closed       sync.Once
+
+	head headSize // of the head that is being read; used by the goroutine that reads it
 }
 
 func newTrackedConn(tcp *net.TCPConn, t *connectionTable) *trackedConn {
@@ -62,11 +67,22 @@
 	return w
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. While a head is read, it takes the head's memory from the budget.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	if n > 0 && c.wait().kind == idle {
+	if n == 0 {
+		return n, err
+	}
+	kind := c.wait().kind
+	if kind == idle {
 		c.await(forHead)
+		kind = forHead
+	}
+	if kind == forHead {
+		c.head.add(b[:n])
+		if !c.table.heads.resize(c, c.head.cost()) {
+			return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+		}
 	}
 	return n, err
 }
@@ -80,13 +96,17 @@
 
 // end closes the connection from outside of the goroutine that serves it, which then closes it too.
 func (c *trackedConn) end() {
+	c.ended.Store(true)
 	_ = c.TCPConn.SetLinger(0) // what is not sent is dropped
 	_ = c.TCPConn.Close()      // an error changes nothing: the connection is not used any more
 }
 
-// Close implements net.Conn. It is called by the goroutine that serves the connection.
+// Close implements net.Conn. It is called by the goroutine that serves the connection, which holds no head then.
 func (c *trackedConn) Close() error {
-	c.table.remove(c)
+	c.closed.Do(func() {
+		c.table.heads.release(c)
+		c.table.remove(c)
+	})
 	return c.TCPConn.Close()
 }
 
@@ -105,6 +125,8 @@
 	if !ok || state != http.StateIdle {
 		return
 	}
+	c.table.heads.release(c)
+	c.head = headSize{}
 	c.await(idle)
 }
 
