Gateway: what lies unread of a caller is bounded

400 clients that send behind a request in progress, pipeline requests or send chunks of a byte had 30 to 44 MB unread in the kernel, which count as the process's memory; with its own 58 to 75 MB that exceeded 100 MB (TestOutside_BytesBehindARequestInProgress, ManyRequestsPipelined, SmallChunksWithoutEnd).

Cause: the kernel's default buffer, 128 KiB a connection at first and up to 32 MiB for one that is read fast.

The listeners' receive buffer is 32 KiB, which connections inherit. A buffer set after the accept was tried and dropped: it is smaller than the window that the caller was told, and 4 MB in chunks then took over 20 s on loopback (TestDisruption/LargeBodiesInChunks and TestGateway_BodiesInChunksKeepToTheMemory failed, 31 and 42 s). With the listener's buffer the former passes in 2.2 s.

A large body needs a round trip for each 32 KiB now.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/gooseberryslip/gooseberryslip/internal/logging"
 )
 
@@ -42,9 +46,10 @@
 
 // openListeners opens the sockets of all endpoints, or of none if one cannot be opened.
 func openListeners(endpoints []*endpoint) error {
+	config := net.ListenConfig{Control: limitUnread}
 	for i, e := range endpoints {
 		var err error
-		if e.listener, err = net.Listen("tcp", e.address); err != nil {
+		if e.listener, err = config.Listen(context.Background(), "tcp", e.address); err != nil {
 			for _, opened := range endpoints[:i] {
 				_ = opened.listener.Close() // an error changes nothing: the process ends
 			}
@@ -54,6 +59,19 @@
 	return nil
 }
 
+// unreadBytes is the size of the kernel's buffer for what a caller has sent and this daemon has not read. The
+// kernel takes as much again for its own structures.
+const unreadBytes = 32 << 10
+
+// limitUnread sets the buffer of a listener, from which its connections have it. A buffer that is set later is
+// smaller than the window that the caller knows, and segments that do not fit wait for a timeout.
+func limitUnread(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		// An error changes nothing: the kernel's default stays.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, unreadBytes)
+	})
+}
+
 // serve starts to serve an endpoint.
 func (g *Gateway) serve(e *endpoint) *http.Server {
 	server := newServer(e.handler, g.Log)
