Gateway: bodies that do not come make room for others

Clients that announce large bodies and send a byte kept the memory for bodies for as long as they stayed: no other request with a body of 64 KiB was answered within 40 s (TestOutside_LargeBodiesAnnounced).

Cause: the announced length is reserved at once, and nothing ends a body that does not come.

A body of any length now reserves 64 KiB first, and its announced length when that much has come.

Bodies in chunks at once keep to the memory as before (TestDisruption/LargeBodiesInChunks, TestGateway_BodiesInChunksKeepToTheMemory).

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -44,6 +44,10 @@
 type heldBody struct {
 	budget *bodyBudget
 	bytes  []byte
+	// announced: the limit of read is the length that the sender has announced.
+	announced bool
+	// makeRoom frees some of the budget's memory, or returns false; nil: it is not tried.
+	makeRoom func() bool
 }
 
 // read reads to the end of a body, or its first limit bytes, into an array of size bytes at first,
@@ -54,7 +58,7 @@
 	}
 	for int64(len(b.bytes)) < limit {
 		if len(b.bytes) == cap(b.bytes) {
-			if err := b.grow(nextSize(int64(cap(b.bytes)), limit)); err != nil {
+			if err := b.grow(b.nextSize(limit)); err != nil {
 				return err
 			}
 		}
@@ -70,9 +74,10 @@
 	return nil
 }
 
-// nextSize returns twice the size, or the limit if little more than that would be left.
-func nextSize(size, limit int64) int64 {
-	if 2*size >= limit-size/2 {
+// nextSize returns twice the present size, or the limit if that was announced or if little more would be left.
+func (b *heldBody) nextSize(limit int64) int64 {
+	size := int64(cap(b.bytes))
+	if b.announced || 2*size >= limit-size/2 {
 		return limit
 	}
 	return 2 * size
@@ -80,8 +85,10 @@
 
 // grow moves the body to a larger array. While it is copied, both are reserved.
 func (b *heldBody) grow(size int64) error {
-	if !b.budget.reserve(size) {
-		return errNoMemory
+	for !b.budget.reserve(size) {
+		if b.makeRoom == nil || !b.makeRoom() {
+			return errNoMemory
+		}
 	}
 	former := b.bytes
 	b.bytes = append(make([]byte, 0, size), former...)
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -16,7 +16,7 @@
 	held, refused := int64(0), 0
 	for range others {
 		body := &heldBody{budget: budget}
-		err := body.read(bytes.NewReader(make([]byte, size)), unknownBodyBytes, 4<<20)
+		err := body.read(bytes.NewReader(make([]byte, size)), firstBodyBytes, 4<<20)
 		switch {
 		case err == nil && len(body.bytes) == size:
 			held += int64(cap(body.bytes))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 	meter      *meter
 	bodyMemory bodyBudget
 	heads      *headBudget
+	uploads    *uploads
 	requests   *requestGate
 	stopSignal chan struct{}   // closed when the stop signal is received
 	grace      context.Context // ends when requests in flight have no time left in a planned stop
@@ -162,6 +163,7 @@
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
 	g.heads = newHeadBudget(s.MemoryBytes, g.meter)
+	g.uploads = newUploads(g.meter)
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(), RecordVersions: true,
 		ServerPace: s.ServerPace, LoadShedding: s.LoadShedding,
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -117,15 +117,13 @@
 		x.refuseBody(http.StatusRequestEntityTooLarge, "body-too-large")
 		return false
 	}
-	size, most := length, length
+	most := length
 	if length < 0 {
-		size, most = unknownBodyBytes, limit+1
+		most = limit + 1
 	}
-	stopWatchingGrace := context.AfterFunc(x.g.grace, x.endReading)
-	err := x.body.read(x.r.Body, size, most)
-	stopWatchingGrace()
+	err, ended := x.readUpload(most)
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory), ended:
 		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
 	case err != nil && x.g.grace.Err() != nil:
 		x.w.Header().Set("Connection", "close")
@@ -141,6 +139,20 @@
 	return false
 }
 
+// readUpload reads the body, at most so many bytes. It reports whether reading was ended since the body was slow
+// and others had no memory.
+func (x *forwarding) readUpload(most int64) (err error, ended bool) {
+	stopWatchingGrace := context.AfterFunc(x.g.grace, x.endReading)
+	defer stopWatchingGrace()
+	u := x.g.uploads.begin(x.endReading)
+	x.body.announced = x.r.ContentLength > 0
+	x.body.makeRoom = func() bool { return x.g.uploads.endSlow(u) }
+	if err = x.body.read(u.count(x.r.Body), firstBodyBytes, most); err != nil {
+		x.body.release()
+	}
+	return err, x.g.uploads.finish(u)
+}
+
 // endReading has reads from the caller's connection fail from now on.
 func (x *forwarding) endReading() {
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) // an error: the connection has ended
@@ -248,5 +260,5 @@
 	_, _ = io.WriteString(x.w, body)
 }
 
-// unknownBodyBytes is reserved at first for a body of unknown length.
-const unknownBodyBytes = 64 << 10
+// firstBodyBytes is reserved at first for a body, whatever length is announced.
+const firstBodyBytes = 64 << 10
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -56,6 +56,11 @@
 	m.set.GetOrCreateCounter(`gooseberryslip_caller_connections_ended_total{reason="` + reason + `"}`).Inc()
 }
 
+// countSlowBody counts a body whose reading was ended since others had no memory.
+func (m *meter) countSlowBody() {
+	m.set.GetOrCreateCounter(`gooseberryslip_slow_bodies_ended_total`).Inc()
+}
+
 // countShed counts a request that was refused by load shedding. Other refusals are ignored.
 func (m *meter) countShed(code string) {
 	if reason, ok := strings.CutPrefix(code, exchange.ShedPrefix); ok {
