Gateway: a caller who does not read ends with its request's deadline

Cause: a write to a caller is not ended by the request's deadline.

From the deadline on a write may take 2 s. Answers that are ready are delivered late as before.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -192,6 +192,7 @@
 	ctx, cancel := context.WithCancelCause(x.r.Context())
 	defer cancel(nil)
 	x.ctx, x.cancel = ctx, cancel
+	defer x.boundLateWrites().finish()
 	if !x.ticket.Deadline.IsZero() {
 		timer := time.AfterFunc(x.ticket.Deadline.Sub(clock.Now()), func() { cancel(errDeadline) })
 		defer timer.Stop()
