Placement: a time learned in an overload does not refuse requests for good

After 400 callers who did not read, a plain service with one backend server and nothing in progress refused all requests: "hopeless expected 1.027s", with a timeout of 0.8 s, for 40 s and without end (TestOutside_AnswersThatAreNotRead, 884 refusals in a row in one run).

Cause: the time of a plain service's request is learned from answers, and what is refused for it brings none.

When a request is refused for its expected time, and the service's last sample is older than 3 s, the learned time is halved. Where answers come, as in a real overload, nothing changes.

--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -352,7 +352,7 @@
 	p.learnFirstEventSpeed(now, r, reservation, millis)
 	p.paceAnswer(now, r, reservation, millis)
 	if r.Memory == 0 && r.requestCount() <= r.Slots {
-		p.speed(reservation.service).learnRequest(millis)
+		p.speed(reservation.service).learnRequest(now, millis)
 	}
 	if r.Memory > 0 {
 		p.learnFirstEvent(r, reservation, millis)
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -47,14 +47,15 @@
 
 // speed holds the learned times of a service's backend servers.
 type speed struct {
-	firstEvent             line    // time to the first event, from all requests
-	lightFirstEvent        line    // time to the first event of lightly loaded engines
-	outputTokenMillis      average // ms for each token of an answer, from all requests
-	lightOutputTokenMillis average // ms for each token of an answer of lightly loaded engines
-	requestMillis          float64 // ms for a request to a plain backend server
-	runMillis              float64 // ms from a request's first event to its end
-	usualFirstEvent        average // logarithm of the time to the first event / the expected one
-	usualOutput            average // logarithm of the time of an answer's tokens / the expected one
+	firstEvent             line      // time to the first event, from all requests
+	lightFirstEvent        line      // time to the first event of lightly loaded engines
+	outputTokenMillis      average   // ms for each token of an answer, from all requests
+	lightOutputTokenMillis average   // ms for each token of an answer of lightly loaded engines
+	requestMillis          float64   // ms for a request to a plain backend server
+	requestSampledAt       time.Time // of the newest sample of it, or when it was lowered for want of one
+	runMillis              float64   // ms from a request's first event to its end
+	usualFirstEvent        average   // logarithm of the time to the first event / the expected one
+	usualOutput            average   // logarithm of the time of an answer's tokens / the expected one
 	arrivals               arrivals
 }
 
@@ -172,8 +173,23 @@
 }
 
 // learnRequest adds the time in ms of a request that got a slot at once.
-func (s *speed) learnRequest(millis float64) {
+func (s *speed) learnRequest(now time.Time, millis float64) {
 	s.requestMillis += minSampleWeight * (millis - s.requestMillis)
+	s.requestSampledAt = now
+}
+
+// requestSampleLifetime is how long the time of a request to a plain backend server is believed, without a new
+// sample, against requests that it lets be refused.
+const requestSampleLifetime = 3 * time.Second
+
+// DoubtRequestTime halves the learned time of a plain service's requests if it is old. To be called when a request is
+// refused for that time: refused requests bring no samples, so that it would never be corrected.
+func (p *Placer) DoubtRequestTime(now time.Time, service entity.ServiceName) {
+	s := p.speed(service)
+	if now.Sub(s.requestSampledAt) >= requestSampleLifetime {
+		s.requestMillis /= 2
+		s.requestSampledAt = now
+	}
 }
 
 // OutputDuration returns how long an answer of this many tokens takes from its
