Gateway: requests in progress count as sockets

Without descriptors a daemon reaches neither servers nor the store.

Callers' connections and requests in progress together now have four fifths of the sockets (3,120 at 4,100 descriptors). A request takes the place of the connection that is least missed, as a new connection does; without one it is refused (503 no-sockets, not run). A caller counts as one who does not read after a write of 1 s, so that none is ended in the middle of an ordinary one.

--- a/internal/gateway/connection_table.go
+++ b/internal/gateway/connection_table.go
@@ -15,6 +15,9 @@
 	// callerSocketRatio is the ratio of the sockets that callers' connections may take. The others are
 	// for backend servers, the table service and the other endpoints.
 	callerSocketRatio = 0.75
+	// requestSocketRatio is the ratio of the sockets for callers' connections together with those to backend servers
+	// for requests in progress.
+	requestSocketRatio = 0.8
 	// addressSocketRatio is the same for the endpoint with the daemons' addresses.
 	addressSocketRatio = 1.0 / 16
 	// connectionMemoryRatio is the ratio of the process's memory that callers' connections may take.
@@ -26,6 +29,7 @@
 // connectionLimits are the numbers of connections to each kind of endpoint.
 type connectionLimits struct {
 	callers   int
+	sockets   int // of callers and, for each request in progress, of a backend server
 	addresses int
 	operators int // to each endpoint
 }
@@ -42,6 +46,7 @@
 	}
 	return connectionLimits{
 		callers:   max(int(callers), 1),
+		sockets:   max(int(requestSocketRatio*sockets), 2),
 		addresses: max(int(addressSocketRatio*sockets), 1),
 		operators: operatorConnections,
 	}
@@ -49,12 +54,14 @@
 
 // connectionTable holds the open connections to one endpoint, and bounds their number.
 type connectionTable struct {
-	limit int
-	heads *headBudget
-	meter *meter
+	limit   int
+	sockets int // that connections and requests may take together; 0: requests are not counted
+	heads   *headBudget
+	meter   *meter
 
-	mu   sync.Mutex
-	open map[*trackedConn]struct{}
+	mu       sync.Mutex
+	open     map[*trackedConn]struct{}
+	requests int // in progress
 }
 
 func newConnectionTable(limit int, heads *headBudget, m *meter) *connectionTable {
@@ -67,20 +74,52 @@
 	c = newTrackedConn(tcp, t)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.open) >= t.limit {
+	if len(t.open) >= t.limit || t.socketsUsed() {
 		t.meter.countEndedConnection("connections")
-		victim := t.leastMissed()
-		if victim == nil {
+		if !t.endLeastMissed() {
 			_ = tcp.Close() // an error changes nothing: the connection is not used
 			return nil, false
 		}
-		victim.end()
-		delete(t.open, victim)
 	}
 	t.open[c] = struct{}{}
 	return c, true
 }
 
+// beginRequest counts a request that is about to be sent to a backend server. It ends connections to have a socket
+// for that, and reports false if there is none.
+func (t *connectionTable) beginRequest() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for t.socketsUsed() {
+		if !t.endLeastMissed() {
+			return false
+		}
+		t.meter.countEndedConnection("connections")
+	}
+	t.requests++
+	return true
+}
+
+func (t *connectionTable) endRequest() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requests--
+}
+
+func (t *connectionTable) socketsUsed() bool {
+	return t.sockets > 0 && len(t.open)+t.requests >= t.sockets
+}
+
+func (t *connectionTable) endLeastMissed() bool {
+	victim := t.leastMissed()
+	if victim == nil {
+		return false
+	}
+	victim.end()
+	delete(t.open, victim)
+	return true
+}
+
 // leastMissed returns the connection to end first, nil if there is none. One that waits for a head goes before an
 // idle one, then come bodies and callers who do not read; of each the one that has waited longest.
 func (t *connectionTable) leastMissed() *trackedConn {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -73,6 +73,11 @@
 	}
 	if c := trackedConnOf(r); c != nil {
 		c.await(busy)
+		if !c.table.beginRequest() {
+			x.refuseBody(http.StatusServiceUnavailable, "no-sockets")
+			return
+		}
+		defer c.table.endRequest()
 	}
 	x.request.Content = contentDigest(r, x.body.bytes)
 	defer x.logResult(arrived)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -19,6 +19,7 @@
 	address     string
 	handler     http.Handler
 	connections int // at most
+	sockets     int // of connections and of requests in progress together; 0: not limited
 	headBytes   int // of the largest head
 	listener    net.Listener
 }
@@ -28,7 +29,7 @@
 	l := &g.Settings.Listen
 	limits := newConnectionLimits(g.Settings.MaxDescriptors, g.Settings.MemoryBytes)
 	endpoints := []*endpoint{
-		{address: l.Callers, handler: http.HandlerFunc(g.serveExchange), connections: limits.callers, headBytes: maxHeaderBytes},
+		{address: l.Callers, handler: http.HandlerFunc(g.serveExchange), connections: limits.callers, sockets: limits.sockets, headBytes: maxHeaderBytes},
 		{address: l.Ready, handler: g.readyHandler(), connections: limits.operators, headBytes: maxOperatorHeaderBytes},
 		{address: l.Addresses, handler: g.addressHandler(), connections: limits.addresses, headBytes: maxHeaderBytes},
 		{address: l.Metrics, handler: g.metricsHandler(), connections: limits.operators, headBytes: maxOperatorHeaderBytes},
@@ -76,7 +77,9 @@
 func (g *Gateway) serve(e *endpoint) *http.Server {
 	server := newServer(e.handler, g.Log)
 	server.MaxHeaderBytes = e.headBytes
-	listener := &trackingListener{e.listener, newConnectionTable(e.connections, g.heads, g.meter)}
+	table := newConnectionTable(e.connections, g.heads, g.meter)
+	table.sockets = e.sockets
+	listener := &trackingListener{e.listener, table}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			g.Log.Logger().WithError(err).Error("an HTTP listener failed")
--- a/internal/gateway/tracked_connection.go
+++ b/internal/gateway/tracked_connection.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 )
 
+// stalledReaderTime is how long a write lasts until the caller counts as one who does not read.
+const stalledReaderTime = time.Second
+
 // waitKind is what a connection waits for. Those with a lower value are ended first.
 type waitKind uint8
 
@@ -61,7 +65,8 @@
 // wait returns what the connection waits for.
 func (c *trackedConn) wait() waiting {
 	w := *c.state.Load()
-	if since := c.writingSince.Load(); w.kind == busy && since != 0 {
+	since := c.writingSince.Load()
+	if w.kind == busy && since != 0 && clock.Now().UnixNano()-since >= int64(stalledReaderTime) {
 		return waiting{forReader, since}
 	}
 	return w
