--- a/internal/gateway/connection_table_test.go
+++ b/internal/gateway/connection_table_test.go
@@ -115,7 +115,7 @@
 	}
 	result := make(chan bool)
 	go func() { result <- table.heads.resize(second, 800) }()
-	for !first.ended.Load() {
+	for end := time.Now().Add(5 * time.Second); !first.ended.Load() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	select {
@@ -123,6 +123,9 @@
 		t.Fatal("memory was taken before it was given back")
 	case <-time.After(20 * time.Millisecond):
 	}
+	if !first.ended.Load() {
+		t.Fatal("the one that has waited longest was not ended")
+	}
 	_ = first.Close()
 	if !<-result || second.ended.Load() {
 		t.Error("no room after the first one has ended")
