Gateway: a head in progress counts without the body that came with it

What is counted while a head is read holds whatever came in the same 4 KiB, so that a body of many lines counted 256 bytes for each of them, twice, for as long as its request was in progress: some 86 KB for lines of 20 bytes, which would have refused ordinary requests (no-memory) at a few hundred in progress. Found by reading; TestHeadSizeOf_CountsTheHeadOnly shows the count. A request without a long head now reserves nothing, also while another reservation fails.

--- a/internal/gateway/connection_table_test.go
+++ b/internal/gateway/connection_table_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net"
+	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -141,3 +144,20 @@
 		t.Errorf("%d bytes used after all have ended", table.heads.usedBytes)
 	}
 }
+
+// A head whose body came along must not take memory for the body's lines, nor an ordinary head any.
+func TestHeadSizeOf_CountsTheHeadOnly(t *testing.T) {
+	r := httptest.NewRequest("POST", "/once/x", strings.NewReader(strings.Repeat("\n", 4096)))
+	for n := range 15 {
+		r.Header.Set("X-Field-"+strconv.Itoa(n), strings.Repeat("v", 60))
+	}
+	if size := headSizeOf(r); size.lines != 15 || size.cost() != 0 {
+		t.Errorf("an ordinary head: %+v, costs %d bytes", size, size.cost())
+	}
+	for n := range 1000 {
+		r.Header.Set("X-"+strconv.Itoa(n), "")
+	}
+	if size := headSizeOf(r); size.cost() < 1000*headLineBytes {
+		t.Errorf("1,000 lines more cost %d bytes", size.cost())
+	}
+}
--- a/internal/gateway/head_budget.go
+++ b/internal/gateway/head_budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"sync"
 )
 
@@ -28,6 +29,18 @@
 	s.lines += int64(bytes.Count(b, []byte("\n")))
 }
 
+// headSizeOf returns the size of a request's head. What was counted while it was read may hold a part of the body.
+func headSizeOf(r *http.Request) headSize {
+	s := headSize{bytes: int64(len(r.RequestURI) + len(r.Host))}
+	for name, values := range r.Header {
+		for _, value := range values {
+			s.bytes += int64(len(name) + len(value))
+			s.lines++
+		}
+	}
+	return s
+}
+
 // cost returns the memory of the head, raw and parsed, beyond that of an ordinary one.
 func (s *headSize) cost() int64 {
 	return max(2*s.bytes+headLineBytes*s.lines-freeHeadBytes, 0)
@@ -129,8 +142,9 @@
 	if c == nil {
 		return true
 	}
-	n := headCopies * c.head.cost()
-	if !x.g.bodyMemory.reserve(n) {
+	size := headSizeOf(x.r)
+	n := headCopies * size.cost()
+	if n > 0 && !x.g.bodyMemory.reserve(n) {
 		return false
 	}
 	x.headBytes = n
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -24,11 +24,11 @@
 	r       *http.Request
 	request exchange.Request
 	body    heldBody
-	// headBytes of the memory for bodies are for the request's head.
-	headBytes int64
-	ticket    *exchange.Ticket
-	ctx       context.Context         // ends when the caller disconnects or the deadline has passed
-	cancel    context.CancelCauseFunc // of ctx
+	ticket  *exchange.Ticket
+	ctx     context.Context         // ends when the caller disconnects or the deadline has passed
+	cancel  context.CancelCauseFunc // of ctx
+
+	headBytes int64 // of the memory for bodies, for the request's head
 
 	status      int    // HTTP status of the response; 0: none yet
 	headSent    bool   // status and header have been sent to the caller
@@ -126,7 +126,7 @@
 	if length < 0 {
 		most = limit + 1
 	}
-	err, ended := x.readUpload(most)
+	ended, err := x.readUpload(most)
 	switch {
 	case errors.Is(err, errNoMemory), ended:
 		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
@@ -146,7 +146,7 @@
 
 // readUpload reads the body, at most so many bytes. It reports whether reading was ended since the body was slow
 // and others had no memory.
-func (x *forwarding) readUpload(most int64) (err error, ended bool) {
+func (x *forwarding) readUpload(most int64) (ended bool, err error) {
 	stopWatchingGrace := context.AfterFunc(x.g.grace, x.endReading)
 	defer stopWatchingGrace()
 	u := x.g.uploads.begin(x.endReading)
@@ -155,7 +155,7 @@
 	if err = x.body.read(u.count(x.r.Body), firstBodyBytes, most); err != nil {
 		x.body.release()
 	}
-	return err, x.g.uploads.finish(u)
+	return x.g.uploads.finish(u), err
 }
 
 // endReading has reads from the caller's connection fail from now on.
