Gateway: a head budget all of whose connections have been ended

A connection that was ended for want of connections between two looks of the head budget left it none to end, a nil dereference that ends the process. Found by reading; TestHeadBudget_AllHaveBeenEnded panics without the check.

--- a/internal/gateway/connection_table_test.go
+++ b/internal/gateway/connection_table_test.go
@@ -161,3 +161,19 @@
 		t.Errorf("1,000 lines more cost %d bytes", size.cost())
 	}
 }
+
+// A connection that is ended for want of connections while it waits for memory must not be looked for among the others.
+func TestHeadBudget_AllHaveBeenEnded(t *testing.T) {
+	table := newTestTable(10, 1000)
+	c, _ := openTracked(t, table)
+	if !table.heads.resize(c, 600) {
+		t.Fatal("no room in an empty budget")
+	}
+	c.end()
+	table.heads.mu.Lock()
+	table.heads.endLongestWaiting()
+	table.heads.mu.Unlock()
+	if table.heads.resize(c, 800) {
+		t.Error("a connection that was ended got memory")
+	}
+}
--- a/internal/gateway/head_budget.go
+++ b/internal/gateway/head_budget.go
@@ -111,6 +111,9 @@
 			longest = c
 		}
 	}
+	if longest == nil {
+		return // all have been ended meanwhile for want of connections
+	}
 	h := b.held[longest]
 	h.ending = true
 	b.endingBytes += h.bytes
