--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 	QuotaExcessUnits   float64       // units by which a quota may be exceeded in addition
 	UsageWindow        time.Duration // covered by one usage report
 	MemoryBytes        int64         // limit of the process
+	MaxDescriptors     int           // limit of the process's open files and sockets; 0: not stated
 	DrainLimit         time.Duration // after which a backend server that drains must get no requests; 0: not stated
 	LeaseDuration      time.Duration // in which two daemons may not alternate as lease holders; 0: lease.DefaultDuration
 	ServerPace         bool          // whether the speed and pace of each backend server are learned
@@ -119,6 +120,8 @@
 	pool       *outbound.Pool
 	meter      *meter
 	bodyMemory bodyBudget
+	heads      *headBudget
+	uploads    *uploads
 	requests   *requestGate
 	stopSignal chan struct{}   // closed when the stop signal is received
 	grace      context.Context // ends when requests in flight have no time left in a planned stop
@@ -160,6 +163,8 @@
 	g.orders = newOrderWatch(g)
 	g.grace, g.endGrace = context.WithCancel(context.Background())
 	g.bodyMemory.limitBytes = s.MemoryBytes / 4
+	g.heads = newHeadBudget(s.MemoryBytes, g.meter)
+	g.uploads = newUploads(g.meter)
 	g.core = exchange.New(exchange.Config{
 		Self: self, DataCentres: s.DataCentres, Started: now, Rand: newRand(), RecordVersions: true,
 		ServerPace: s.ServerPace, LoadShedding: s.LoadShedding,
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -28,6 +28,8 @@
 	ctx     context.Context         // ends when the caller disconnects or the deadline has passed
 	cancel  context.CancelCauseFunc // of ctx
 
+	headBytes int64 // of the memory for bodies, for the request's head
+
 	status      int    // HTTP status of the response; 0: none yet
 	headSent    bool   // status and header have been sent to the caller
 	partSent    bool   // so has a part of a body that no other backend server can continue
@@ -61,10 +63,23 @@
 		return
 	}
 	defer g.requests.leave()
+	if !x.holdHead() {
+		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
+		return
+	}
+	defer func() { x.g.bodyMemory.release(x.headBytes) }()
 	defer x.body.release()
 	if !x.readBody(arrived) {
 		return
 	}
+	if c := trackedConnOf(r); c != nil {
+		c.await(busy)
+		if !c.table.beginRequest() {
+			x.refuseBody(http.StatusServiceUnavailable, "no-sockets")
+			return
+		}
+		defer c.table.endRequest()
+	}
 	x.request.Content = contentDigest(r, x.body.bytes)
 	defer x.logResult(arrived)
 	refusal := x.admit(arrived)
@@ -112,15 +127,13 @@
 		x.refuseBody(http.StatusRequestEntityTooLarge, "body-too-large")
 		return false
 	}
-	size, most := length, length
+	most := length
 	if length < 0 {
-		size, most = unknownBodyBytes, limit+1
+		most = limit + 1
 	}
-	stopWatchingGrace := context.AfterFunc(x.g.grace, x.endReading)
-	err := x.body.read(x.r.Body, size, most)
-	stopWatchingGrace()
+	ended, err := x.readUpload(most)
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory), ended:
 		x.refuseBody(http.StatusServiceUnavailable, "no-memory")
 	case err != nil && x.g.grace.Err() != nil:
 		x.w.Header().Set("Connection", "close")
@@ -136,6 +149,20 @@
 	return false
 }
 
+// readUpload reads the body, at most so many bytes. It reports whether reading was ended since the body was slow
+// and others had no memory.
+func (x *forwarding) readUpload(most int64) (ended bool, err error) {
+	stopWatchingGrace := context.AfterFunc(x.g.grace, x.endReading)
+	defer stopWatchingGrace()
+	u := x.g.uploads.begin(x.endReading)
+	x.body.announced = x.r.ContentLength > 0
+	x.body.makeRoom = func() bool { return x.g.uploads.endSlow(u) }
+	if err = x.body.read(u.count(x.r.Body), firstBodyBytes, most); err != nil {
+		x.body.release()
+	}
+	return x.g.uploads.finish(u), err
+}
+
 // endReading has reads from the caller's connection fail from now on.
 func (x *forwarding) endReading() {
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) // an error: the connection has ended
@@ -175,6 +202,7 @@
 	ctx, cancel := context.WithCancelCause(x.r.Context())
 	defer cancel(nil)
 	x.ctx, x.cancel = ctx, cancel
+	defer x.boundLateWrites().finish()
 	if !x.ticket.Deadline.IsZero() {
 		timer := time.AfterFunc(x.ticket.Deadline.Sub(clock.Now()), func() { cancel(errDeadline) })
 		defer timer.Stop()
@@ -244,5 +272,5 @@
 	_, _ = io.WriteString(x.w, body)
 }
 
-// unknownBodyBytes is reserved at first for a body of unknown length.
-const unknownBodyBytes = 64 << 10
+// firstBodyBytes is reserved at first for a body, whatever length is announced.
+const firstBodyBytes = 64 << 10
