A forwarding daemon that stops waits until its answers are read

Callers of a daemon that reaches no server saw answers cut when the daemon that forwarded them stopped, though it had passed on the whole answer.

Cause: the forwarding daemon counted a request as ended when it had written the last frame. Its stop then closed the connection to the other daemon, which drops what that one has not read yet: all that waits for a slow caller. The class: what is written counts as delivered.

The body and its memory are released before.

--- a/internal/gateway/forward_serve.go
+++ b/internal/gateway/forward_serve.go
@@ -19,6 +19,9 @@
 // forwardedReadTimeout bounds the time between two frames of a request that is to be forwarded.
 const forwardedReadTimeout = 2 * time.Second
 
+// unreadAnswerTimeout bounds the wait until the other daemon has read the end of an answer.
+const unreadAnswerTimeout = 30 * time.Second
+
 // resultAnswered is the result of an attempt whose complete response was sent back.
 const resultAnswered = "answered"
 
@@ -41,7 +44,7 @@
 	f := &forwardServer{g: g, from: from, exchange: e}
 	start := clock.Now()
 	reserved, err := f.read()
-	defer g.bodyMemory.release(reserved)
+	defer func() { g.bodyMemory.release(reserved) }()
 	if err != nil {
 		g.event(event.ExchangeForwarded, f.id(), event.A("peer", from), event.A("result", "not read: "+err.Error()))
 		return
@@ -57,6 +60,19 @@
 	g.event(event.ExchangeForwarded, f.id(), event.A("peer", from), event.A("backend_server", f.request.Forwarded.Process.Server),
 		event.A("ms", clock.Now().Sub(start).Milliseconds()), event.A("result", f.result))
 	g.meter.countForwarded(f.result)
+	g.bodyMemory.release(reserved)
+	f.body, reserved = nil, 0
+	f.awaitEnd()
+}
+
+// awaitEnd waits until the other daemon has ended the exchange. A stop that closes the connection before drops what
+// the other daemon has not read yet.
+func (f *forwardServer) awaitEnd() {
+	for {
+		if _, err := f.exchange.ReadFrame(unreadAnswerTimeout); err != nil {
+			return
+		}
+	}
 }
 
 func (f *forwardServer) id() entity.RequestID { return entity.RequestID(f.request.ID) }
