A server's word holds as long as the entry of a former process stands for it

An entry of the former process that is read after a server has said that it leaves, and stays listed, stands for that server; the word was filed under the server's own start, counted as that of a process that is not listed, and was dropped after ten minutes, so that the server got requests again (rule DRAIN). The word of the process that a listed entry stands for is kept.

--- a/internal/exchange/answer_duration.go
+++ b/internal/exchange/answer_duration.go
@@ -132,7 +132,7 @@
 	longest, known := c.longestAnswer(now, t)
 	c.logEvent(event.Event{Number: event.ExchangeTakenInStop, Request: t.Request.ID, Attrs: []event.Attr{
 		event.A("backend_server", choice.Server), event.A("left_ms", c.stopDeadline.Sub(now).Milliseconds()),
-		event.A("may_take_ms", c.maxAnswerDuration(now, t, choice).Milliseconds()), event.A("silence_ms", allowedSilence(t).Milliseconds()),
+		event.A("may_take_ms", c.maxAnswerDuration(now, t, choice).Milliseconds()), event.A("allowed_silence_ms", allowedSilence(t).Milliseconds()),
 		event.A("longest_ms", longest.Milliseconds()), event.A("known", known),
 		event.A("process_age_ms", now.Sub(c.cfg.Started).Milliseconds()), event.A("sends", t.Sends),
 	}})
--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -259,7 +259,7 @@
 func (c *Core) forgetStatements(now time.Time) {
 	for _, p := range c.statements.rows.Keys() {
 		row := c.servers.Get(p.Server)
-		current := row != nil && row.process() == p
+		current := row != nil && (row.process() == p || c.statements.newestOf(row.process()) == p)
 		retention := c.cfg.Bounds.ForgetServerAfter
 		if c.statements.saidLeaving(p) {
 			retention = max(retention, leavingRetention)
--- a/internal/exchange/statement_test.go
+++ b/internal/exchange/statement_test.go
@@ -355,3 +355,23 @@
 		}
 	}
 }
+
+// TestLeaving_FormerProcessStaysListed: the entry of a former process is read after a server's word and stays listed. The
+// word must not be forgotten in time, as that entry stands for the server.
+func TestLeaving_FormerProcessStaysListed(t *testing.T) {
+	c := newTestCore(t, "a")
+	c.SetTrueTime(0)
+	entry := c.servers.Get("plain0").BackendServer
+	entry.Born, entry.Sequence = at(time.Second).UnixMilli(), 5
+	c.PutServer(at(time.Second), entry)
+	ticket := &Ticket{process: c.servers.Get(entry.ID).process(), sentAt: at(2 * time.Second)}
+	c.RecordStatement(at(3*time.Second), ticket, ServerStatement{Leaving: true}, false)
+	entry.Born, entry.Sequence = entry.Born-500, 14
+	c.PutServer(at(4*time.Second), entry)
+	for now := 5 * time.Second; now < 2*leavingRetention; now += 10 * time.Second {
+		c.Tick(at(now))
+		if c.usable(at(now), entry.ID) {
+			t.Fatalf("the server may get requests %v after its word", now)
+		}
+	}
+}
