Placement: a learned time is doubted only for a server with nothing in progress

In an overload that lasts, no request gets a slot at once, so that there are no samples of a plain service's time though answers come.

The time is now halved only if the chosen server has nothing in progress, the case that was seen (a service that refused everything for good), and down to the assumed time of a new service.

--- a/internal/exchange/reject.go
+++ b/internal/exchange/reject.go
@@ -26,7 +26,7 @@
 // a loaded service. It returns nil if the request may be sent.
 func (c *Core) rejectEarly(now time.Time, t *Ticket, choice placement.Choice) *Refusal {
 	if !t.Deadline.IsZero() && choice.Cost > t.Deadline.Sub(now) {
-		c.placer.DoubtRequestTime(now, t.Service)
+		c.placer.DoubtRequestTime(now, choice.Server)
 		return c.rejection(t, choice, "hopeless", choice.Cost)
 	}
 	if c.leaving && t.Ran == 0 && !c.endsBeforeStop(now, t, choice) {
--- a/internal/system/placement/speed.go
+++ b/internal/system/placement/speed.go
@@ -182,12 +182,17 @@
 // sample, against requests that it lets be refused.
 const requestSampleLifetime = 3 * time.Second
 
-// DoubtRequestTime halves the learned time of a plain service's requests if it is old. To be called when a request is
-// refused for that time: refused requests bring no samples, so that it would never be corrected.
-func (p *Placer) DoubtRequestTime(now time.Time, service entity.ServiceName) {
-	s := p.speed(service)
-	if now.Sub(s.requestSampledAt) >= requestSampleLifetime {
-		s.requestMillis /= 2
+// DoubtRequestTime halves the learned time of a plain service's requests, down to the assumed one, if it is old and
+// the server has nothing in progress. To be called when a request is refused for that time: refused requests
+// bring no samples, so that it would never be corrected.
+func (p *Placer) DoubtRequestTime(now time.Time, id entity.BackendServerID) {
+	r := p.servers.Get(id)
+	if r == nil || r.requestCount() > 0 {
+		return
+	}
+	s := p.speed(r.Service)
+	if s.requestMillis > initialRequestMillis && now.Sub(s.requestSampledAt) >= requestSampleLifetime {
+		s.requestMillis = max(s.requestMillis/2, initialRequestMillis)
 		s.requestSampledAt = now
 	}
 }
