A request whose connection has been ended for others is not sent

The choice of the connection to end and the begin of a request are now made under one lock: a request begins only on a connection that is still in the table, which is not ended from then on. A closed connection of its own counts as a caller who has left. Test: TestConnectionTable_RequestsOfEndedConnectionsDoNotBegin; such requests began before.

--- a/internal/gateway/caller_connection.go
+++ b/internal/gateway/caller_connection.go
@@ -43,7 +43,8 @@
 		return x.hasLeft()
 	}
 	state, err := x.callerState()
-	if err != nil || state.Established {
+	ended := errors.Is(err, net.ErrClosed) // by this daemon
+	if !ended && (err != nil || state.Established) {
 		return false
 	}
 	x.cancel(errCallerLeft)
--- a/internal/gateway/connection_table.go
+++ b/internal/gateway/connection_table.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"sync"
 )
@@ -85,19 +86,30 @@
 	return c, true
 }
 
-// beginRequest counts a request that is about to be sent to a backend server. It ends connections to have a socket
-// for that, and reports false if there is none.
-func (t *connectionTable) beginRequest() bool {
+var (
+	// errConnectionEnded: the request's connection was ended while the request was being read.
+	errConnectionEnded = errors.New("the request's connection has been ended")
+	// errNoSocket: there is no socket for a request.
+	errNoSocket = errors.New("no socket for the request")
+)
+
+// beginRequest counts a request that has been read and is about to be sent to a backend server. Its connection is not
+// ended from then on. Others are ended to have a socket for the request.
+func (t *connectionTable) beginRequest(c *trackedConn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, open := t.open[c]; !open || c.ended.Load() {
+		return errConnectionEnded
+	}
+	c.await(busy)
 	for t.socketsUsed() {
 		if !t.endLeastMissed() {
-			return false
+			return errNoSocket
 		}
 		t.meter.countEndedConnection("connections")
 	}
 	t.requests++
-	return true
+	return nil
 }
 
 func (t *connectionTable) endRequest() {
--- a/internal/gateway/connection_table_test.go
+++ b/internal/gateway/connection_table_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/deadpeer"
 )
 
 // The defaults must leave room for all connections of callers inside the limits, also on the smallest machines, and
@@ -93,18 +96,34 @@
 	second.await(busy)
 	unused, _ := openTracked(t, table)
 	unused.await(idle)
-	if !table.beginRequest() || unused.ended.Load() {
-		t.Fatal("no socket for a request although one is left")
+	if err := table.beginRequest(first); err != nil || unused.ended.Load() {
+		t.Fatalf("no socket for a request although one is left: %v", err)
 	}
-	if !table.beginRequest() || !unused.ended.Load() {
-		t.Error("the idle connection did not make room for a request")
+	if err := table.beginRequest(second); err != nil || !unused.ended.Load() {
+		t.Errorf("the idle connection did not make room for a request: %v", err)
 	}
-	if table.beginRequest() {
-		t.Error("a request has begun without a socket")
+	if err := table.beginRequest(first); !errors.Is(err, errNoSocket) {
+		t.Errorf("a request has begun without a socket: %v", err)
 	}
 	table.endRequest()
-	if !table.beginRequest() {
-		t.Error("no socket after a request has ended")
+	if err := table.beginRequest(first); err != nil {
+		t.Errorf("no socket after a request has ended: %v", err)
+	}
+}
+
+// A request whose connection was ended while it was read must not be sent: its caller can get no answer.
+func TestConnectionTable_RequestsOfEndedConnectionsDoNotBegin(t *testing.T) {
+	table := newTestTable(1, 1<<20)
+	first, _ := openTracked(t, table)
+	second, _ := openTracked(t, table)
+	if err := table.beginRequest(first); !first.ended.Load() || !errors.Is(err, errConnectionEnded) {
+		t.Errorf("the request of a connection that has been ended: %v", err)
+	}
+	if err := table.beginRequest(second); err != nil {
+		t.Error(err)
+	}
+	if _, err := deadpeer.StateOf(first); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the state of a connection that has been ended: %v", err)
 	}
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -73,8 +73,10 @@
 		return
 	}
 	if c := trackedConnOf(r); c != nil {
-		c.await(busy)
-		if !c.table.beginRequest() {
+		switch err := c.table.beginRequest(c); {
+		case errors.Is(err, errConnectionEnded):
+			panic(http.ErrAbortHandler) // nobody can get an answer, and nothing was sent
+		case err != nil:
 			x.refuseBody(http.StatusServiceUnavailable, "no-sockets")
 			return
 		}
