At a full table idle connections go before new ones, and their last answers arrive

And what was still on its way of the last answer of an idle connection was dropped when that made room.

A head counts as the first to end only after a second; younger ones come after idle connections. An idle connection is closed and not reset. The change from idle to a head no longer overwrites that of a request which has begun from what was buffered.

--- a/internal/gateway/connection_table.go
+++ b/internal/gateway/connection_table.go
@@ -132,8 +132,9 @@
 	return true
 }
 
-// leastMissed returns the connection to end first, nil if there is none. One that waits for a head goes before an
-// idle one, then come bodies and callers who do not read; of each the one that has waited longest.
+// leastMissed returns the connection to end first, nil if there is none. One that has waited for a head for long goes
+// before an idle one, then come new ones, bodies and callers who do not read; of each the one that has waited
+// longest.
 func (t *connectionTable) leastMissed() *trackedConn {
 	var found *trackedConn
 	for c := range t.open {
--- a/internal/gateway/tracked_connection.go
+++ b/internal/gateway/tracked_connection.go
@@ -10,6 +10,9 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/clock"
 )
 
+// firstHeadTime is how long a connection may wait for a head before it is ended ahead of idle ones.
+const firstHeadTime = time.Second
+
 // stalledReaderTime is how long a write lasts until the caller counts as one who does not read.
 const stalledReaderTime = time.Second
 
@@ -17,11 +20,12 @@
 type waitKind uint8
 
 const (
-	forHead   waitKind = iota + 1 // of a request; also of the first one
-	idle                          // between two requests
-	forBody                       // of a request
-	forReader                     // of an answer: the caller does not read
-	busy                          // a request is in progress
+	forHead      waitKind = iota + 1 // of a request; also of the first one
+	idle                             // between two requests
+	forYoungHead                     // as forHead, for less than firstHeadTime
+	forBody                          // of a request
+	forReader                        // of an answer: the caller does not read
+	busy                             // a request is in progress
 )
 
 // waiting is what a connection waits for, and since when (nanoseconds of the steady clock).
@@ -64,12 +68,16 @@
 
 // wait returns what the connection waits for.
 func (c *trackedConn) wait() waiting {
-	w := *c.state.Load()
+	w, now := *c.state.Load(), clock.Now().UnixNano()
 	since := c.writingSince.Load()
-	if w.kind == busy && since != 0 && clock.Now().UnixNano()-since >= int64(stalledReaderTime) {
+	switch {
+	case w.kind == busy && since != 0 && now-since >= int64(stalledReaderTime):
 		return waiting{forReader, since}
+	case w.kind == forHead && now-w.since < int64(firstHeadTime):
+		return waiting{forYoungHead, w.since}
+	default:
+		return w
 	}
-	return w
 }
 
 // Read implements net.Conn. While a head is read, it takes the head's memory from the budget.
@@ -78,12 +86,11 @@
 	if n == 0 {
 		return n, err
 	}
-	kind := c.wait().kind
-	if kind == idle {
-		c.await(forHead)
-		kind = forHead
+	if w := c.state.Load(); w.kind == idle {
+		// It fails if a request that was buffered has begun meanwhile.
+		c.state.CompareAndSwap(w, &waiting{forHead, clock.Now().UnixNano()})
 	}
-	if kind == forHead {
+	if c.state.Load().kind == forHead {
 		c.head.add(b[:n])
 		if !c.table.heads.resize(c, c.head.cost()) {
 			return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
@@ -102,8 +109,10 @@
 // end closes the connection from outside of the goroutine that serves it, which then closes it too.
 func (c *trackedConn) end() {
 	c.ended.Store(true)
-	_ = c.TCPConn.SetLinger(0) // what is not sent is dropped
-	_ = c.TCPConn.Close()      // an error changes nothing: the connection is not used any more
+	if c.state.Load().kind != idle { // the end of an idle one's last answer may still be on its way
+		_ = c.TCPConn.SetLinger(0) // what is not sent is dropped
+	}
+	_ = c.TCPConn.Close() // an error changes nothing: the connection is not used any more
 }
 
 // Close implements net.Conn. It is called by the goroutine that serves the connection, which holds no head then.
