--- a/internal/exchange/statement.go
+++ b/internal/exchange/statement.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// newestOf returns the process that an entry stands for: one that names an earlier start than a process under its
-// ID which has made a statement, or none, is older or odd.
+// newestOf returns the process that an entry stands for. An entry that names a former process, or lacks the start,
+// stands for the newest process under its ID that has made a statement.
 func (l *statementTable) newestOf(p entity.ServerProcess) entity.ServerProcess {
 	if newest := l.newest.Get(p.Server); newest != nil && p.Born < *newest {
 		p.Born = *newest
@@ -191,7 +191,7 @@
 }
 
 // resting reports whether a process, or the newest one under its ID, wants no requests from this daemon now, and
-// until when.
+// until when. A rest that has ended is returned with false.
 func (l *statementTable) resting(now time.Time, p entity.ServerProcess) (until time.Time, resting bool) {
 	for _, process := range []entity.ServerProcess{p, l.newestOf(p)} {
 		if row := l.rows.Get(process); row != nil && row.rest.until.After(until) {
--- a/internal/gateway/forward_serve.go
+++ b/internal/gateway/forward_serve.go
@@ -19,7 +19,8 @@
 // forwardedReadTimeout bounds the time between two frames of a request that is to be forwarded.
 const forwardedReadTimeout = 2 * time.Second
 
-// unreadAnswerTimeout bounds the wait until the other daemon has read the end of an answer.
+// unreadAnswerTimeout bounds the wait until the other daemon, whose caller may read slowly, has read the end of an
+// answer. The other daemon sends nothing in that time.
 const unreadAnswerTimeout = 30 * time.Second
 
 // resultAnswered is the result of an attempt whose complete response was sent back.
--- a/internal/gateway/tracked_connection.go
+++ b/internal/gateway/tracked_connection.go
@@ -16,7 +16,7 @@
 // stalledReaderTime is how long a write lasts until the caller counts as one who does not read.
 const stalledReaderTime = time.Second
 
-// waitKind is what a connection waits for. Those with a lower value are ended first.
+// waitKind is what a connection waits for. When there are too many, those with a lower value are ended first.
 type waitKind uint8
 
 const (
