--- a/internal/gateway/connection_table.go
+++ b/internal/gateway/connection_table.go
@@ -11,9 +11,8 @@
 	defaultMaxDescriptors = 4096
 	// fileDescriptors of the limit cannot be used by sockets.
 	fileDescriptors = 200
-	// connectionBytes is the memory of a connection without a request: its buffers, its goroutine and what may lie
-	// unread, with the kernel's own structures.
-	connectionBytes = 24<<10 + 2*unreadBytes
+	// connectionBytes is the memory of a connection without a request: its buffers and its goroutine.
+	connectionBytes = 24 << 10
 	// callerSocketRatio is the ratio of the sockets that callers' connections may take. The others are
 	// for backend servers, the table service and the other endpoints.
 	callerSocketRatio = 0.75
@@ -23,7 +22,7 @@
 	// addressSocketRatio is the same for the endpoint with the daemons' addresses.
 	addressSocketRatio = 1.0 / 16
 	// connectionMemoryRatio is the ratio of the process's memory that callers' connections may take.
-	connectionMemoryRatio = 0.4
+	connectionMemoryRatio = 1.0 / 3
 	// operatorConnections is the number of connections to each of the endpoints for operators.
 	operatorConnections = 16
 )
