--- a/internal/outbound/cut_copy_test.go
+++ b/internal/outbound/cut_copy_test.go
@@ -11,19 +11,19 @@
 
 // copiedAnswers are answers to a request with the ID 1, of which a server may write a part once more.
 var copiedAnswers = map[string]string{
-	"503":          "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
-	"503 to leave": "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nServer-Leaving: 1\r\nServer-Limit: 3\r\nRetry-After: 1\r\nNot-Executed: 1\r\nId: 1\r\n\r\n",
+	"503":          "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+	"503 to leave": "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nLeaves: 1\r\nMax-Rate: 3\r\nRetry-After: 1\r\nNot-Run: 1\r\nId: 1\r\n\r\n",
 	"421":          "HTTP/1.1 421 Misdirected Request\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
-	"200":          "HTTP/1.1 200 OK\r\nId: 1\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\nwrong",
-	"chunked":      "HTTP/1.1 200 OK\r\nId: 1\r\nServer-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-	"interim":      "HTTP/1.1 103 Early Hints\r\nNot-Executed: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwrong",
-	"bare LF":      "HTTP/1.1 503 Service Unavailable\nNot-Executed: 1\nId: 1\nContent-Length: 0\n\n",
+	"200":          "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwrong",
+	"chunked":      "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+	"interim":      "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"bare LF":      "HTTP/1.1 503 Service Unavailable\nNot-Run: 1\nId: 1\nContent-Length: 0\n\n",
 }
 
 // rightAnswers are answers to a request with the ID 2.
 var rightAnswers = map[string]string{
-	"200": "HTTP/1.1 200 OK\r\nId: 2\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\nright",
-	"500": "HTTP/1.0 500 Internal Server Error\r\nServer-Signature: s\r\nId: 2\r\nContent-Length: 5\r\n\r\nright",
+	"200": "HTTP/1.1 200 OK\r\nId: 2\r\nSignature: s\r\nContent-Length: 5\r\n\r\nright",
+	"500": "HTTP/1.0 500 Internal Server Error\r\nSignature: s\r\nId: 2\r\nContent-Length: 5\r\n\r\nright",
 }
 
 // sendAfterCutCopy sends a request with the ID 2 on a connection that has brought an answer to the ID 1, of which
@@ -69,12 +69,12 @@
 						continue
 					}
 					wrongField := ""
-					for _, name := range []string{"Not-Executed", "Server-Leaving", "Server-Limit", "Retry-After"} {
+					for _, name := range []string{"Not-Run", "Leaves", "Max-Rate", "Retry-After"} {
 						if head.Header.Get(name) != "" {
 							wrongField = name
 						}
 					}
-					if head.Status[:3] != rightName || body != "right" || wrongField != "" || head.Header.Get("Server-Signature") != "s" {
+					if head.Status[:3] != rightName || body != "right" || wrongField != "" || head.Header.Get("Signature") != "s" {
 						t.Errorf("cut after %d bytes: status %q, fields %v, body %q", cut, head.Status, head.Header, body)
 					}
 				}
