--- a/internal/gateway/connection_table.go
+++ b/internal/gateway/connection_table.go
@@ -19,7 +19,7 @@
 	// requestSocketRatio is the ratio of the sockets for callers' connections together with those to backend servers
 	// for requests in progress.
 	requestSocketRatio = 0.8
-	// addressSocketRatio is the same for the endpoint with the daemons' addresses.
+	// addressSocketRatio is the ratio of the sockets for connections to the endpoint with the daemons' addresses.
 	addressSocketRatio = 1.0 / 16
 	// connectionMemoryRatio is the ratio of the process's memory that callers' connections may take.
 	connectionMemoryRatio = 1.0 / 3
