--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"parts": playParts,
 	"crowd": playCrowd,
+	"ids":   playIDs,
 }
 
 func main() {
