--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -15,9 +15,10 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) (int, error){
-	"parts": playParts,
-	"crowd": playCrowd,
-	"ids":   playIDs,
+	"parts":  playParts,
+	"crowd":  playCrowd,
+	"ids":    playIDs,
+	"reborn": playReborn,
 }
 
 func main() {
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -24,6 +24,8 @@
 	workers []*worker
 	daemons []*daemon
 	quiet   bool // what the daemons write is not kept
+	// storeHandler serves the store's address; nil: the store does.
+	storeHandler http.Handler
 
 	mu     sync.Mutex
 	record *os.File
@@ -164,7 +166,11 @@
 
 // startDaemons starts the store, the platform's API and n daemons.
 func (w *world) startDaemons(n int) error {
-	storeAddress, err := w.serve(w.store)
+	handler := http.Handler(w.store)
+	if w.storeHandler != nil {
+		handler = w.storeHandler
+	}
+	storeAddress, err := w.serve(handler)
 	if err != nil {
 		return err
 	}
