A reset that the write has found ends no body in the ordinary way

Callers saw a part of an answer as a complete one (MIXED): a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a body of more than 4 KiB is written while the answer is read, and the kernel returns a reset to one call only. If the write gets it, the read finds an ordinary end, which ends a body without a length. A smaller body that is written after the reset has come does the same. The error of the write was looked at only for the connection's reuse.

Evidence: TestGateway_ResetWhileTheRequestIsSent failed before. TestSend_ResetFoundByTheWrite, in which the server resets before the request is written, failed in all of its cases with a small body.

Change: a connection to a server remembers the error of a write, and a read that finds the end returns it instead (deadpeer.Conn). If a write is still going on at the end, the read waits for it, as whoever has closed a connection answers it with a reset. It stops waiting after half a second if the other side has ended its sending side only: that answer is whole, whether the request is read or not (TestGateway_AnswerEndsBeforeThe- RequestIsRead, which held before). All that is read of answers of servers, streams, the rest of large answers and forwarded ones, comes through there.

--- a/internal/deadpeer/deadpeer.go
+++ b/internal/deadpeer/deadpeer.go
@@ -1,6 +1,6 @@
 // Package deadpeer bounds how long a TCP connection stays open after its peer has
-// stopped acknowledging data, for example because the network to it has failed, and
-// tells whether the peer has closed it.
+// stopped acknowledging data, for example because the network to it has failed, tells
+// whether the peer has closed it, and keeps a reset from being taken for an ordinary end.
 package deadpeer
 
 import (
--- a/internal/deadpeer/state.go
+++ b/internal/deadpeer/state.go
@@ -13,6 +13,7 @@
 // State is what the kernel knows of a TCP connection, whether or not the process has read it.
 type State struct {
 	Established bool          // neither side has closed or reset the connection
+	HalfClosed  bool          // the other side has ended what it sends, and nothing else has happened
 	Unheard     time.Duration // since the last segment from the other side
 }
 
@@ -30,7 +31,11 @@
 		return State{}, fmt.Errorf("TCP_INFO: %w", err)
 	}
 	unheard := min(info.Last_data_recv, info.Last_ack_recv)
-	return State{Established: info.State == unix.BPF_TCP_ESTABLISHED, Unheard: time.Duration(unheard) * time.Millisecond}, nil
+	return State{
+		Established: info.State == unix.BPF_TCP_ESTABLISHED,
+		HalfClosed:  info.State == unix.BPF_TCP_CLOSE_WAIT,
+		Unheard:     time.Duration(unheard) * time.Millisecond,
+	}, nil
 }
 
 // Unacknowledged returns the number of bytes that were written to a connection and that the other side has not
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -66,7 +66,8 @@
 	pool        *Pool
 	address     string
 	since       time.Time      // see Request.MaySend
-	source      *limitedReader // what reader reads from
+	stream      *deadpeer.Conn // what requests are written to and responses read from: Conn
+	source      *limitedReader // what reader reads from: stream
 	reader      *bufio.Reader
 	usableUntil time.Time // while idle: when it expires; zero: it has not been idle yet
 	reused      bool      // it has carried an earlier request
@@ -221,8 +222,12 @@
 		return nil, err
 	}
 	connectionsDialled.Inc()
-	source := &limitedReader{source: conn}
-	c := &connection{Conn: conn, pool: p, address: address, since: clock.Now(), source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	stream := deadpeer.NewConn(conn)
+	source := &limitedReader{source: stream}
+	c := &connection{
+		Conn: conn, pool: p, address: address, since: clock.Now(),
+		stream: stream, source: source, reader: bufio.NewReaderSize(source, readBufferBytes),
+	}
 	p.addOpen(c)
 	return c, nil
 }
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -91,9 +91,9 @@
 	reply := &Reply{pool: p, conn: conn, stopContextWatch: stop, reused: conn.reused, writeResult: make(chan error, 1)}
 	conn.carried.add(id)
 	if len(r.Body) <= maxInlineBodyBytes {
-		reply.writeResult <- r.write(conn)
+		reply.writeResult <- r.write(conn.stream)
 	} else {
-		go func() { reply.writeResult <- r.write(conn) }()
+		go func() { reply.writeResult <- r.write(conn.stream) }()
 	}
 	if err := reply.readResponseHead(r); err != nil {
 		reply.failed = true
@@ -165,7 +165,8 @@
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
-// Read reads the body and records whether it ended or failed.
+// Read reads the body and records whether it ended or failed. A body that ends where the connection does has
+// failed if writing the request has.
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
 	switch {
