A head with a status that is none is no answer

Callers saw the answer that followed a head with status 000 or 099, and 503 with a time to come back, as if the request had not run, where a refusal followed it. 600 and 999 were passed on.

Cause: the parser of net/http takes any three digits for a status. One under 200 counted as that of an interim response, which is skipped, so that what the server wrote next, its body too, was read as the final head.

Evidence: TestSend_InvalidStatus failed before in eight of 15 cases, and TestGateway_InvalidStatusIsABadGateway in seven of ten, directly and through another daemon. 000 alone, +20 and what is no three digits were refused before; their cases stay.

Change: what a head may hold is checked in the one place where heads of servers are read, for interim heads too: statuses are 100 to 599. Any other head is broken: the request may have run, nothing is refused, and nothing is believed of the server. gooseberryslip_outbound_invalid_heads_total counts these.

Measured: both tests pass.

--- a/internal/outbound/head.go
+++ b/internal/outbound/head.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"slices"
 	"strings"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 )
 
 // maxHeadBytes bounds the bytes that are read for the head of one response, with the
@@ -63,6 +65,10 @@
 			joinedHeads.Inc()
 			return nil, errJoinedHeads
 		}
+		if err := httpcheck.Head(resp); err != nil {
+			invalidHeads.Inc()
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
