A head or trailer with a field name that is none is no answer

Callers saw answers with a body that was not the server's: after `Content-Length : 5` all bytes up to the connection's end, after `Transfer-Encoding : chunked` the chunks' own bytes.

Cause: the parser of net/http lets a blank in a name pass. A length or an encoding with a blank before its colon is a field of another name to it, so that the body seemed to have neither.

--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Status codes of responses, interim ones included (RFC 9110, section 15).
@@ -22,5 +24,17 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %.40q", ErrInvalidHead, resp.Status)
 	}
+	return Fields(resp.Header)
+}
+
+// Fields returns an error that wraps ErrInvalidHead if a name of a header or trailer is none (RFC 9110, section 5.1). The parser
+// of net/http lets blanks in names pass, and does not see a length or an encoding with a blank before its colon. Names
+// without values, as those of announced trailers, are passed over.
+func Fields(fields http.Header) error {
+	for name, values := range fields {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field %.40q", ErrInvalidHead, name)
+		}
+	}
 	return nil
 }
--- a/internal/outbound/invalid_head_test.go
+++ b/internal/outbound/invalid_head_test.go
@@ -63,3 +63,65 @@
 		"000, end with the connection": "HTTP/1.1 000 Unknown\r\nId: 1\r\n\r\nhello",
 	})
 }
+
+// TestSend_InvalidFieldName: a server in trouble writes a field whose name is none. With a blank before its colon a length or an encoding
+// is not seen, and other bytes than the body's would be taken for it.
+func TestSend_InvalidFieldName(t *testing.T) {
+	t.Parallel()
+	const chunkedHead = soundHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
+	expectBroken(t, map[string]string{
+		"blank before the colon of a length":    soundHead + "Content-Length : 5\r\n\r\nhellorest",
+		"blank before the colon of an encoding": soundHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"blank before the colon":                soundHead + "X-Odd : y\r\nContent-Length: 5\r\n\r\nhello",
+		"blank within":                          soundHead + "X Odd: y\r\nContent-Length: 5\r\n\r\nhello",
+		"blank within the first":                "HTTP/1.1 200 OK\r\nX Odd: y\r\nId: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"blank within, of another request":      "HTTP/1.1 200 OK\r\nX Odd: y\r\nId: 0\r\nContent-Length: 4\r\n\r\nlate" + soundAnswer,
+		"blank in an interim head":              "HTTP/1.1 103 Early Hints\r\nX Odd: y\r\n\r\n" + soundAnswer,
+		"blank before the colon, in an interim": "HTTP/1.1 103 Early Hints\r\nX-Odd : y\r\n\r\n" + soundAnswer,
+		"blank in a trailer":                    chunkedHead + "X Odd: y\r\n\r\n",
+		"blank before the colon, in a trailer":  chunkedHead + "X-Odd : y\r\n\r\n",
+		"blank ahead of the first":              "HTTP/1.1 200 OK\r\n Id: 1\r\nId: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"tab before the colon":                  soundHead + "X-Odd\t: y\r\nContent-Length: 5\r\n\r\nhello",
+		"tab before the colon of a length":      soundHead + "Content-Length\t: 5\r\n\r\nhellorest",
+		"control byte":                          soundHead + "X\x01Odd: y\r\nContent-Length: 5\r\n\r\nhello",
+		"NUL":                                   soundHead + "X\x00Odd: y\r\nContent-Length: 5\r\n\r\nhello",
+		"DEL":                                   soundHead + "X\x7fOdd: y\r\nContent-Length: 5\r\n\r\nhello",
+		"carriage return":                       soundHead + "X\rOdd: y\r\nContent-Length: 5\r\n\r\nhello",
+		"high byte":                             soundHead + "X\xe9Odd: y\r\nContent-Length: 5\r\n\r\nhello",
+		"separator":                             soundHead + "X(Odd): y\r\nContent-Length: 5\r\n\r\nhello",
+		"no name":                               soundHead + ": y\r\nContent-Length: 5\r\n\r\nhello",
+		"no colon":                              soundHead + "Content-Length 5\r\n\r\nhello",
+		"control byte in an interim head":       "HTTP/1.1 103 Early Hints\r\nX\x01Odd: y\r\n\r\n" + soundAnswer,
+		"control byte in a trailer":             chunkedHead + "X\x01Odd: y\r\n\r\n",
+		"control byte in a value":               soundHead + "X-Odd: \x01\r\nContent-Length: 5\r\n\r\nhello",
+		"NUL in a value":                        soundHead + "X-Odd: \x00\r\nContent-Length: 5\r\n\r\nhello",
+		"carriage return in a value":            soundHead + "X-Odd: a\rb\r\nContent-Length: 5\r\n\r\nhello",
+		"control byte in a value of a trailer":  chunkedHead + "X-Odd: \x01\r\n\r\n",
+		"control byte in a value of an interim": "HTTP/1.1 103 Early Hints\r\nX-Odd: \x01\r\n\r\n" + soundAnswer,
+		"length that is no number":              soundHead + "Content-Length: 5 \x0b\r\n\r\nhello",
+	})
+}
+
+// TestSend_UnusualHead: what looks odd and is allowed goes on being an answer.
+func TestSend_UnusualHead(t *testing.T) {
+	t.Parallel()
+	for name, answer := range map[string]string{
+		"all marks of a name":  soundHead + "!#$%&'*+-.^_`|~09az: y\r\nContent-Length: 5\r\n\r\nhello",
+		"high byte in a value": soundHead + "X-Odd: caf\xe9\r\nContent-Length: 5\r\n\r\nhello",
+		"tab in a value":       soundHead + "X-Odd: a\tb\r\nContent-Length: 5\r\n\r\nhello",
+		"no value":             soundHead + "X-Odd:\r\nContent-Length: 5\r\n\r\nhello",
+		"no blank":             soundHead + "X-Odd:y\r\nContent-Length:5\r\n\r\nhello",
+		"no reason":            "HTTP/1.1 200\r\nId: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"high byte in reason":  "HTTP/1.1 200 caf\xe9\r\nId: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.0":             "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"trailer":              soundHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Odd: y\r\n\r\n",
+		"interim head":         "HTTP/1.1 199 Unknown\r\nX-Odd: y\r\n\r\n" + soundAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if status, body, err := sendToWriter(t, answer); err != nil || status != 200 || body != "hello" {
+				t.Errorf("%q: got status %d, body %q, error %v", answer, status, body, err)
+			}
+		})
+	}
+}
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
@@ -166,9 +167,12 @@
 }
 
 // Read reads the body and records whether it ended or failed. A body that ends where the connection does has
-// failed if writing the request has.
+// failed if writing the request has, and any body if its trailer is invalid.
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = r.checkTrailer(err)
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		r.bodyComplete = true
@@ -178,6 +182,15 @@
 	return n, err
 }
 
+// checkTrailer returns the end of the body, or the error of the trailer behind it.
+func (r *Reply) checkTrailer(end error) error {
+	if err := httpcheck.Fields(r.Trailer); err != nil {
+		invalidHeads.Inc()
+		return err
+	}
+	return end
+}
+
 // Close returns the connection to the pool if the exchange is complete and nothing
 // failed; otherwise it closes the connection.
 func (r *Reply) Close() {
