A head of another protocol than HTTP/1 is no answer

Callers saw answers with status lines of HTTP/0.9, HTTP/2.0 and HTTP/3.7, and with control bytes in the reason, of interim heads too. By another version a body may end elsewhere.

Cause: the parser of net/http takes any version of the shape HTTP/d.d, and does not look at the reason.

Change: the check of heads asks for HTTP/1, and for a reason without control bytes.

--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -21,7 +21,10 @@
 
 // Head returns an error that wraps ErrInvalidHead if the head of a response, interim ones included, is invalid.
 func Head(resp *http.Response) error {
-	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+	switch {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("%w: protocol %.40q", ErrInvalidHead, resp.Proto)
+	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus || !httpguts.ValidHeaderFieldValue(resp.Status):
 		return fmt.Errorf("%w: status %.40q", ErrInvalidHead, resp.Status)
 	}
 	return Fields(resp.Header)
--- a/internal/outbound/invalid_head_test.go
+++ b/internal/outbound/invalid_head_test.go
@@ -64,6 +64,27 @@
 	})
 }
 
+// TestSend_InvalidStatusLine: a server in trouble writes the version of another protocol, by which the body would end elsewhere, or
+// control bytes.
+func TestSend_InvalidStatusLine(t *testing.T) {
+	t.Parallel()
+	const rest = "\r\nId: 1\r\nContent-Length: 5\r\n\r\nhello"
+	expectBroken(t, map[string]string{
+		"HTTP/0.9":                   "HTTP/0.9 200 OK" + rest,
+		"HTTP/2.0":                   "HTTP/2.0 200 OK" + rest,
+		"HTTP/3.7":                   "HTTP/3.7 200 OK" + rest,
+		"HTTP/2.0 of an interim":     "HTTP/2.0 103 Early Hints\r\n\r\n" + soundAnswer,
+		"no minor version":           "HTTP/1 200 OK" + rest,
+		"other protocol":             "ICY 200 OK" + rest,
+		"small letters":              "http/1.1 200 OK" + rest,
+		"control byte in the reason": "HTTP/1.1 200 O\x01K" + rest,
+		"NUL in the reason":          "HTTP/1.1 200 O\x00K" + rest,
+		"DEL in the reason":          "HTTP/1.1 200 O\x7fK" + rest,
+		"return in the reason":       "HTTP/1.1 200 O\rK" + rest,
+		"control byte in an interim": "HTTP/1.1 103 Early\x01Hints\r\n\r\n" + soundAnswer,
+	})
+}
+
 // TestSend_InvalidFieldName: a server in trouble writes a field whose name is none. With a blank before its colon a length or an encoding
 // is not seen, and other bytes than the body's would be taken for it.
 func TestSend_InvalidFieldName(t *testing.T) {
