Clients over net/http learn of a reset that a write has found

What the product believed: a write to the table service as done, a call of the API for leader tasks, of the cloud's API or the administration API as answered, and an answer to a caller of the `daemon` command as whole, where the response had no length and a reset had cut it while the request was being sent.

The kernel returns a reset to one call only, and http.Transport, which writes on a goroutine of its own, ends a body without a length at what the read finds then.

Bodies between daemons have their end marked, and QUIC tells a reset from an end; probes read nothing: nothing is changed there.

--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 	"github.com/gooseberryslip/gooseberryslip/internal/system/configuration"
 	"github.com/gooseberryslip/gooseberryslip/internal/timeline"
 )
@@ -30,9 +31,12 @@
 type Client struct {
 	Address string       // host:port, or a URL if the scheme is not http
 	Token   string       // an operator's bearer token
-	HTTP    *http.Client // nil: http.DefaultClient
+	HTTP    *http.Client // nil: one without a timeout; a caller's own uses an httpcheck.Transport
 }
 
+// defaultClient is used by clients without one of their own.
+var defaultClient = &http.Client{Transport: httpcheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 // baseURL returns the URL that the paths of the API are appended to.
 func (c *Client) baseURL() string {
 	if strings.Contains(c.Address, "://") {
@@ -148,7 +152,7 @@
 func (c *Client) sendRequest(req *http.Request, result any) error {
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	reply, err := client.Do(req)
 	if err != nil {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/core"
 	"github.com/gooseberryslip/gooseberryslip/internal/entity"
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 )
 
 const (
@@ -63,14 +64,14 @@
 
 // newTransport returns a transport that uses no proxy and does not decompress
 // replies. With singleUse, it opens a new connection for each request.
-func newTransport(singleUse bool) *http.Transport {
-	return &http.Transport{
+func newTransport(singleUse bool) http.RoundTripper {
+	return httpcheck.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives:   singleUse,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
-	}
+	})
 }
 
 // noRedirect makes the HTTP client return redirects instead of following them,
--- a/internal/command/gateway_status.go
+++ b/internal/command/gateway_status.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 )
 
 // gatewayStatusCommand prints the status of a gateway: its view of its configuration,
@@ -29,7 +31,8 @@
 	if err != nil {
 		return newUsageError("%v", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: httpcheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errNoGateway, err)
 	}
--- a/internal/command/remote.go
+++ b/internal/command/remote.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/adminapi"
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 	"github.com/gooseberryslip/gooseberryslip/internal/settings"
 )
 
@@ -44,7 +45,7 @@
 	return &adminapi.Client{
 		Address: r.Admin,
 		Token:   string(bytes.TrimSpace(token)),
-		HTTP:    &http.Client{Timeout: r.Timeout, Transport: transport},
+		HTTP:    &http.Client{Timeout: r.Timeout, Transport: httpcheck.NewTransport(transport)},
 	}, nil
 }
 
--- a/internal/provider/onesend/onesend.go
+++ b/internal/provider/onesend/onesend.go
@@ -17,6 +17,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 )
 
 const (
@@ -34,7 +36,7 @@
 // NewClient returns a client whose calls each take at most timeout.
 func NewClient(timeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: min(timeout, dialTimeout), KeepAlive: keepAlivePeriod}
-	transport := &http.Transport{
+	transport := httpcheck.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -45,7 +47,7 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	})
 	return &Client{http: &http.Client{
 		Transport: transport,
 		Timeout:   timeout,
@@ -159,14 +161,17 @@
 	}
 }
 
-// countingConnOf returns the countingConn that c is, or that lies below c if c is
+// countingConnOf returns the countingConn that c is, or that lies below c, as below
 // a TLS connection; nil if there is none.
 func countingConnOf(c net.Conn) *countingConn {
-	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = t.NetConn()
+	for {
+		upper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			counting, _ := c.(*countingConn)
+			return counting
+		}
+		c = upper.NetConn()
 	}
-	counting, _ := c.(*countingConn)
-	return counting
 }
 
 // countingConn counts writes. A write is counted before it starts. As countWrite
--- a/internal/provider/onesend/onesend_test.go
+++ b/internal/provider/onesend/onesend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 )
 
 // startServerBreakingSecondCall starts a server that answers the first call and
@@ -94,6 +97,25 @@
 	}
 }
 
+// TestWriteTracker_FindsItsConnection: below TLS, too. Without it a failed call is taken for one that may have had an effect.
+func TestWriteTracker_FindsItsConnection(t *testing.T) {
+	for name, start := range map[string]func(http.Handler) *httptest.Server{"plain": httptest.NewServer, "TLS": httptest.NewTLSServer} {
+		server := start(http.NotFoundHandler())
+		ctx, tracker := TrackWrites(context.Background())
+		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("x"))
+		client := NewClient(time.Second)
+		client.http.Transport.(httpcheck.Transport).TLSClientConfig = &tls.Config{InsecureSkipVerify: true}
+		resp, err := client.Do(r)
+		if err != nil || tracker.untracked || tracker.conn == nil || tracker.NothingWritten() {
+			t.Errorf("%s: error %v, untracked %v, connection %v", name, err, tracker.untracked, tracker.conn)
+		}
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		server.Close()
+	}
+}
+
 func TestWriteTracker_NothingWrittenOnAClosedPort(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
