Clients over net/http, and forwarded heads, are checked like heads of servers

What the product believed: status 000 of the table service or the API for leader tasks counted as a call that had no effect, a failed condition or a success counted beside a field name that is none, and a length with a blank before its colon was not seen. The `daemon` command passed such answers on, with the line too, and took refusals among them as proof that a request had not run. Heads that a daemon of an earlier release forwards were taken as they came.

Cause: the parser of net/http, as for heads of servers at the gateway.

Control bytes in names were refused before.

Change: httpcheck.Transport checks heads and trailers; such a response is an error, after which the outcome is unknown. Interim heads are not checked there: nothing uses what they hold, and a hook for them would take the place of http.Transport's limit on their number. Heads that another daemon forwards are checked where they are read.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/gooseberryslip/gooseberryslip/internal/codec"
 	"github.com/gooseberryslip/gooseberryslip/internal/exchange"
+	"github.com/gooseberryslip/gooseberryslip/internal/httpcheck"
 	"github.com/gooseberryslip/gooseberryslip/internal/outbound"
 	"github.com/gooseberryslip/gooseberryslip/internal/peer"
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
@@ -201,7 +202,7 @@
 	case piece.Head == nil:
 		return nil, verdict.New(verdict.MayHaveRun, "forwarder-lost", "the forwarding daemon sent no head of a response")
 	}
-	return &forwardedReply{response: piece.Head.toResponse(f), reused: piece.Head.Reused, idOnce: piece.Head.IDOnce}, nil
+	return piece.Head.toReply(f)
 }
 
 // writeForwarded writes all of the request but the order to send it.
@@ -287,6 +288,15 @@
 // Close implements io.Closer. The exchange is ended with the reply.
 func (f *forwardedExchange) Close() error { return nil }
 
+// toReply returns the reply with this head and the given body. A daemon of an earlier release passes on invalid heads.
+func (h *forwardedHead) toReply(body io.ReadCloser) (*forwardedReply, error) {
+	response := h.toResponse(body)
+	if err := httpcheck.Head(response); err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, "no-answer")
+	}
+	return &forwardedReply{response: response, reused: h.Reused, idOnce: h.IDOnce}, nil
+}
+
 // toResponse returns the response with this head and the given body.
 func (h *forwardedHead) toResponse(body io.ReadCloser) *http.Response {
 	resp := &http.Response{
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 
 	"github.com/gooseberryslip/gooseberryslip/internal/deadpeer"
 )
 
-// Transport is an http.Transport for HTTP/1 that returns an error for a body that a reset has cut.
+// Transport is an http.Transport for HTTP/1 that returns an error for a response with an invalid head or trailer,
+// and for a body that a reset has cut. What interim responses hold is not checked: http.Transport leaves it out.
 type Transport struct {
 	*http.Transport
 }
@@ -32,3 +35,37 @@
 	t.Protocols.SetHTTP1(true)
 	return Transport{t}
 }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := Head(resp); err != nil {
+		_ = resp.Body.Close() // it is not an answer's
+		return nil, err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, response: resp}
+	}
+	return resp, nil
+}
+
+// chunkedBody is a body behind which there may be a trailer.
+type chunkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if invalid := Fields(b.response.Trailer); invalid != nil {
+		return n, invalid
+	}
+	return n, err
+}
--- a/internal/httpcheck/transport_test.go
+++ b/internal/httpcheck/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -53,8 +54,60 @@
 	return NewTransport(&http.Transport{DisableKeepAlives: true})
 }
 
-// soundHead is the head of a response without its last, empty line.
-const soundHead = "HTTP/1.1 200 OK\r\n"
+const (
+	// soundHead is the head of a response without its last, empty line.
+	soundHead   = "HTTP/1.1 200 OK\r\n"
+	chunkedHead = soundHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
+)
+
+// TestTransport_InvalidResponse: none of these passes for a response.
+func TestTransport_InvalidResponse(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"status 000":                            "HTTP/1.1 000 Unknown\r\nContent-Length: 5\r\n\r\nhello",
+		"status 099":                            "HTTP/1.1 099 Unknown\r\nContent-Length: 5\r\n\r\nhello",
+		"status 600":                            "HTTP/1.1 600 Unknown\r\nContent-Length: 5\r\n\r\nhello",
+		"status 000 before a sound head":        "HTTP/1.1 000 Unknown\r\n\r\n" + soundHead + "Content-Length: 5\r\n\r\nhello",
+		"blank before the colon of a length":    soundHead + "Content-Length : 5\r\n\r\nhellorest",
+		"blank before the colon of an encoding": soundHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"blank before the colon":                soundHead + "X-Odd : y\r\nContent-Length: 5\r\n\r\nhello",
+		"blank within a name":                   soundHead + "X Odd: y\r\nContent-Length: 5\r\n\r\nhello",
+		"blank within a name, empty body":       soundHead + "X Odd: y\r\nContent-Length: 0\r\n\r\n",
+		"control byte in a name":                soundHead + "X\x01Odd: y\r\nContent-Length: 5\r\n\r\nhello",
+		"blank within a name of a trailer":      chunkedHead + "X Odd: y\r\n\r\n",
+		"control byte in a name of a trailer":   chunkedHead + "X\x01Odd: y\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			url := startServer(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, text) })
+			if status, body, err := post(newTestTransport(), url, ""); err == nil {
+				t.Errorf("%q passed for a response with status %d and body %q", text, status, body)
+			}
+		})
+	}
+}
+
+func TestTransport_SoundResponse(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"length":             soundHead + "Content-Length: 5\r\n\r\nhello",
+		"connection's end":   soundHead + "\r\nhello",
+		"chunks":             chunkedHead + "\r\n",
+		"trailer":            chunkedHead + "X-Odd: y\r\n\r\n",
+		"announced trailer":  soundHead + "Trailer: X-Odd\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Odd: y\r\n\r\n",
+		"trailer left out":   soundHead + "Trailer: X-Odd\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"all marks of names": soundHead + "!#$%&'*+-.^_`|~09az: y\r\nContent-Length: 5\r\n\r\nhello",
+		"interim head":       "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + soundHead + "Content-Length: 5\r\n\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			url := startServer(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, text) })
+			if status, body, err := post(newTestTransport(), url, ""); err != nil || status != 200 || body != "hello" {
+				t.Errorf("got status %d, body %q, error %v", status, body, err)
+			}
+		})
+	}
+}
 
 const (
 	// resetRequests is how often a request is sent whose server resets the connection at once: whether the writing or the
@@ -111,3 +164,13 @@
 		}
 	}
 }
+
+// TestHead_NamesWhatIsInvalid: the error says what broke the protocol, and not all of it.
+func TestHead_NamesWhatIsInvalid(t *testing.T) {
+	t.Parallel()
+	long := strings.Repeat("X ", 1000)
+	err := Head(&http.Response{StatusCode: 200, ProtoMajor: 1, Header: http.Header{long: {"y"}}})
+	if !errors.Is(err, ErrInvalidHead) || !strings.Contains(err.Error(), "X X") || len(err.Error()) > 200 {
+		t.Errorf("got %.300v", err)
+	}
+}
