Comments on invalid heads in the field's terms

Read as a newcomer would: 'a status that is none' and the like say now what is invalid. No code is changed; the guards of the new checks fall as before.

--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -31,7 +31,7 @@
 type Client struct {
 	Address string       // host:port, or a URL if the scheme is not http
 	Token   string       // an operator's bearer token
-	HTTP    *http.Client // nil: one without a timeout; a caller's own uses an httpcheck.Transport
+	HTTP    *http.Client // its Transport is an httpcheck.Transport; nil: a client without a timeout
 }
 
 // defaultClient is used by clients without one of their own.
--- a/internal/backend/invalid_head_test.go
+++ b/internal/backend/invalid_head_test.go
@@ -34,7 +34,7 @@
 	return l.Addr().String()
 }
 
-// TestDispatch_InvalidHead: a backend server in trouble answers with a head that is none. It is no answer, and no refusal.
+// TestDispatch_InvalidHead: a backend server in trouble answers with an invalid head. It is no answer, and no refusal.
 func TestDispatch_InvalidHead(t *testing.T) {
 	t.Parallel()
 	for name, answer := range map[string]string{
--- a/internal/deadpeer/reset.go
+++ b/internal/deadpeer/reset.go
@@ -16,7 +16,7 @@
 // a read finds an ordinary end, as if the other side had sent all it wanted to send.
 type Conn struct {
 	net.Conn
-	writing  chan struct{} // full during a write, and while a read looks at writeErr
+	writing  chan struct{} // holds a token during a write and while a read looks at writeErr
 	writeErr error         // of the first write that has failed
 }
 
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -7,7 +7,7 @@
 	"github.com/gooseberryslip/gooseberryslip/internal/verdict"
 )
 
-// TestToReply_InvalidHead: a forwarding daemon of an earlier release passes on what is no head of an answer.
+// TestToReply_InvalidHead: a forwarding daemon of an earlier release passes on invalid heads.
 func TestToReply_InvalidHead(t *testing.T) {
 	t.Parallel()
 	for name, head := range map[string]forwardedHead{
--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -1,4 +1,4 @@
-// Package httpcheck finds HTTP responses that break the protocol and that package net/http passes all the same.
+// Package httpcheck finds HTTP/1 responses that violate the protocol and that package net/http accepts all the same.
 package httpcheck
 
 import (
@@ -15,8 +15,8 @@
 	maxStatus = 599
 )
 
-// ErrInvalidHead is the error of a head that is none of an HTTP/1 response, so that neither its framing nor
-// anything it says can be relied on.
+// ErrInvalidHead is the error of a head or trailer that violates the protocol, so that neither the framing of
+// the response nor anything it says can be relied on.
 var ErrInvalidHead = errors.New("invalid head of a response")
 
 // Head returns an error that wraps ErrInvalidHead if the head of a response, interim ones included, is invalid.
@@ -30,9 +30,9 @@
 	return Fields(resp.Header)
 }
 
-// Fields returns an error that wraps ErrInvalidHead if a name of a header or trailer is none (RFC 9110, section 5.1). The parser
-// of net/http lets blanks in names pass, and does not see a length or an encoding with a blank before its colon. Names
-// without values, as those of announced trailers, are passed over.
+// Fields returns an error that wraps ErrInvalidHead if a field name of a header or trailer is no token (RFC 9110, section
+// 5.1). The parser of net/http accepts spaces in names, so that a content length or a transfer encoding with a space
+// before its colon goes unnoticed. Names without values, as those of announced trailers, are skipped.
 func Fields(fields http.Header) error {
 	for name, values := range fields {
 		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -11,7 +11,7 @@
 )
 
 // Transport is an http.Transport for HTTP/1 that returns an error for a response with an invalid head or trailer,
-// and for a body that a reset has cut. What interim responses hold is not checked: http.Transport leaves it out.
+// and for a body that a reset has cut. The fields of interim responses are not checked.
 type Transport struct {
 	*http.Transport
 }
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	if err := Head(resp); err != nil {
-		_ = resp.Body.Close() // it is not an answer's
+		_ = resp.Body.Close() // the body of an invalid response is not needed
 		return nil, err
 	}
 	if len(resp.TransferEncoding) > 0 {
@@ -52,7 +52,7 @@
 	return resp, nil
 }
 
-// chunkedBody is a body behind which there may be a trailer.
+// chunkedBody checks the trailer that may follow a body in chunks.
 type chunkedBody struct {
 	io.ReadCloser
 	response *http.Response
--- a/internal/outbound/invalid_head_test.go
+++ b/internal/outbound/invalid_head_test.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// TestSend_InvalidStatus: a server in trouble writes a status that is none. Neither the head nor what follows it is an answer.
+// TestSend_InvalidStatus: a server in trouble writes an invalid status code. Neither the head nor what follows it is an answer.
 func TestSend_InvalidStatus(t *testing.T) {
 	t.Parallel()
 	expectBroken(t, map[string]string{
@@ -85,7 +85,7 @@
 	})
 }
 
-// TestSend_InvalidFieldName: a server in trouble writes a field whose name is none. With a blank before its colon a length or an encoding
+// TestSend_InvalidFieldName: a server in trouble writes an invalid field name. With a blank before its colon a length or an encoding
 // is not seen, and other bytes than the body's would be taken for it.
 func TestSend_InvalidFieldName(t *testing.T) {
 	t.Parallel()
--- a/internal/outbound/metrics.go
+++ b/internal/outbound/metrics.go
@@ -14,7 +14,7 @@
 	// foreignResponses counts responses that belong to another request than the
 	// one that was waiting.
 	foreignResponses = metrics.NewCounter("gooseberryslip_outbound_foreign_answers_total")
-	// invalidHeads counts responses whose head was that of no HTTP/1 response.
+	// invalidHeads counts responses with an invalid head or trailer.
 	invalidHeads = metrics.NewCounter("gooseberryslip_outbound_invalid_heads_total")
 	// joinedHeads counts responses whose head had the status line of another one in it.
 	joinedHeads = metrics.NewCounter("gooseberryslip_outbound_joined_heads_total")
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -182,7 +182,7 @@
 	return n, err
 }
 
-// checkTrailer returns the end of the body, or the error of the trailer behind it.
+// checkTrailer returns the error of an invalid trailer, or end if there is none.
 func (r *Reply) checkTrailer(end error) error {
 	if err := httpcheck.Fields(r.Trailer); err != nil {
 		invalidHeads.Inc()
