The wait for a reset at an answer's end is a quarter of a second

A caller whose answer ends before its request has been read, at a server that leaves the rest unread, waited half a second for it; routes may have less than a second in all. A closed connection answers within a round trip, and one that was reset is known from its state however late the write goes on.

--- a/internal/deadpeer/reset.go
+++ b/internal/deadpeer/reset.go
@@ -9,7 +9,7 @@
 
 // resetTimeout is how long a read waits at a connection's end for a write that is going on. If the other side has
 // closed the connection, and not just its sending side, its kernel answers the bytes of the write with a reset at once.
-const resetTimeout = 500 * time.Millisecond
+const resetTimeout = 250 * time.Millisecond
 
 // Conn is a connection whose reading side learns of a reset that the writing side has found. The kernel
 // returns a reset, or another end with an error, to one call only: after a write that has failed with it,
