--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -21,9 +21,9 @@
 	first   time.Duration // to the first event of a stream
 	gap     time.Duration // between two events
 	events  int
-	length  func(r *http.Request) int // events of one answer; nil: events
-	way     time.Duration             // there and back
-	memory  int64                     // tokens; a larger request is rejected as if the worker were full; 0: any
+	length  func(r *http.Request) int  // events of one answer; nil: events
+	way     time.Duration              // there and back
+	memory  int64                      // tokens; a larger request is rejected as if the worker were full; 0: any
 	stops   func(r *http.Request) bool // whether the worker stops within an event of the answer; nil: no
 	handler func(w http.ResponseWriter, r *http.Request) (handled bool)
 
