--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -22,7 +22,6 @@
 	gap     time.Duration // between two events
 	events  int
 	length  func(r *http.Request) int  // events of one answer; nil: events
-	way     time.Duration              // there and back
 	memory  int64                      // tokens; a larger request is rejected as if the worker were full; 0: any
 	stops   func(r *http.Request) bool // whether the worker stops within an event of the answer; nil: no
 	handler func(w http.ResponseWriter, r *http.Request) (handled bool)
@@ -32,7 +31,6 @@
 	runs    map[string]int
 	broken  chan struct{} // closed when the streams that run are broken off
 	heads   map[string]http.Header
-	rejects int
 }
 
 // addWorker starts a worker and registers it.
@@ -82,10 +80,6 @@
 		return
 	}
 	if w.memory > 0 && tokensOf(r.Header) > float64(w.memory) {
-		w.mu.Lock()
-		w.rejects++
-		w.mu.Unlock()
-		time.Sleep(w.way)
 		h.Set("Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -144,12 +138,6 @@
 	}
 }
 
-func (w *worker) rejectCount() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.rejects
-}
-
 // runTotal returns the number of all runs.
 func (w *worker) runTotal() (total int) {
 	w.mu.Lock()
