--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -23,6 +23,9 @@
 var scenarios = map[string]scenario{}
 
 func main() {
+	if id, file, ok := strings.Cut(os.Getenv(workerVariable), ","); ok {
+		os.Exit(runWorker(id, file))
+	}
 	if len(os.Args) != 2 || scenarios[os.Args[1]] == nil {
 		var names []string
 		for name := range scenarios {
--- a/review/harness-3/rig.go
+++ b/review/harness-3/rig.go
@@ -33,6 +33,7 @@
 	dutyAddress  string
 	servers      []*http.Server
 	gateways     []*gatewayProcess
+	workers      []*workerProcess
 	sequence     int
 }
 
@@ -124,6 +125,9 @@
 	for _, g := range c.gateways {
 		g.end()
 	}
+	for _, w := range c.workers {
+		w.end()
+	}
 	for _, s := range c.servers {
 		_ = s.Close()
 	}
