--- a/review/harness-3/rig.go
+++ b/review/harness-3/rig.go
@@ -344,6 +344,7 @@
 		"routes": []m{
 			route("book", "/book/", "streaming", "llm", 15000, 1000, 1, 2, streaming),
 			route("alert", "/alert/", "streaming", "llm", 3000, 500, 0, 2, streaming),
+			route("note", "/note/", "streaming", "llm", 3000, 500, 0, 1, m{"sticky": true, "gapAimMs": 250}),
 			route("order", "/order/", "non_idempotent", "app", 2500, 150, 2, 1, nil),
 			route("look", "/look/", "idempotent", "app", 2500, 150, 2, 2, nil),
 		},
--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -46,7 +46,12 @@
 
 // register writes the worker's entry.
 func (w *worker) register(state string, seq int) {
-	w.rig.store.put("servers", w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":%d,"state":%q,"coldMs":0,"seq":%d,"born":%d}`, w.service, w.address, w.slots, state, seq, w.rig.started.UnixMilli()))
+	w.registerBorn(state, seq, w.rig.started.UnixMilli())
+}
+
+// registerBorn writes the entry of a process that has started at the given time.
+func (w *worker) registerBorn(state string, seq int, born int64) {
+	w.rig.store.put("servers", w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":%d,"state":%q,"coldMs":0,"seq":%d,"born":%d}`, w.service, w.address, w.slots, state, seq, born))
 }
 
 func (w *worker) runCount(id string) int {
