--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -21,9 +21,8 @@
 	first   time.Duration // to the first event of a stream
 	gap     time.Duration // between two events
 	events  int
-	length  func(r *http.Request) int  // events of one answer; nil: events
-	memory  int64                      // tokens; a larger request is rejected as if the worker were full; 0: any
-	stops   func(r *http.Request) bool // whether the worker stops within an event of the answer; nil: no
+	length  func(r *http.Request) int // events of one answer; nil: events
+	memory  int64                     // tokens; a larger request is rejected as if the worker were full; 0: any
 	handler func(w http.ResponseWriter, r *http.Request) (handled bool)
 
 	mu      sync.Mutex
@@ -111,9 +110,6 @@
 	_, _ = fmt.Fprintf(rw, "%s %s %d", r.Method, r.RequestURI, len(body))
 }
 
-// stopsWithin is the event in the middle of which a worker stops.
-const stopsWithin = 5
-
 func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
 func (w *worker) stream(rw http.ResponseWriter, r *http.Request) {
@@ -124,7 +120,7 @@
 	if w.length != nil {
 		events = w.length(r)
 	}
-	broken, stops := w.breaking(), w.stops != nil && w.stops(r)
+	broken := w.breaking()
 	for n := after + 1; n <= events; n++ {
 		select {
 		case <-broken:
@@ -134,10 +130,6 @@
 			return
 		}
 		wait = w.gap
-		if n == stopsWithin && stops {
-			_, _ = io.WriteString(rw, eventText(n)[:len(eventText(n))/2])
-			return
-		}
 		_, _ = io.WriteString(rw, eventText(n))
 		_ = http.NewResponseController(rw).Flush()
 	}
